--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,19 @@
+package deps
+import (
+_ "go.uber.org/fx"
+_ "github.com/gin-gonic/gin"
+_ "github.com/alexflint/go-arg"
+_ "github.com/uber-go/tally/v4"
+_ "github.com/cockroachdb/errors"
+_ "github.com/leanovate/gopter"
+_ "github.com/coder/websocket"
+_ "github.com/ugorji/go/codec"
+_ "github.com/HdrHistogram/hdrhistogram-go"
+_ "go.uber.org/goleak"
+_ "gopkg.in/yaml.v3"
+_ "github.com/cespare/xxhash/v2"
+_ "github.com/oklog/ulid/v2"
+_ "golang.org/x/time/rate"
+_ "golang.org/x/sync/errgroup"
+_ "github.com/cenkalti/backoff/v4"
+)
