Shared types of an instance: entities, events, commands, messages

Cause: gateway, owner, dispatcher, settings and adapters are written side by side and must meet at typed values. Weighed: one interface per adapter with callbacks, against values in and out of a pure core. Chosen: values, so that a harness can drive many instances with a virtual clock and a fault is a missing or repeated value. A pool is a service in a region, not in a data centre: with the users' 3 targets a service and data centre, a pool a data centre would split the queue in three. Nothing measured yet.

--- /dev/null
+++ b/internal/standin/engine/model.go
@@ -0,0 +1,181 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrDuplicateID is returned for a request whose id is waiting or running.
+var ErrDuplicateID = errors.New("a request with this id is waiting or running")
+
+// Model is a continuous-batching engine: each step, every running sequence
+// past its prefill makes one token, and prompts are processed in chunks.
+// Requests are admitted to slots in order of arrival. It is deterministic and
+// not safe for concurrent use.
+type Model struct {
+	settings ModelSettings
+	cache    *cache
+	waiting  []*sequence
+	running  []*sequence
+	byID     map[string]*sequence
+	// planned is the duration of the planned step, valid if isPlanned.
+	planned   time.Duration
+	isPlanned bool
+}
+
+// NewModel returns an idle model with an empty cache.
+func NewModel(settings ModelSettings) *Model {
+	settings = settings.withDefaults()
+	return &Model{
+		settings: settings,
+		cache:    newCache(settings.CacheCapacity),
+		byID:     make(map[string]*sequence),
+	}
+}
+
+// Submit puts a request at the end of the queue. It fails with ErrDuplicateID.
+func (m *Model) Submit(request Request) error {
+	if _, ok := m.byID[request.ID]; ok {
+		return errors.Wrapf(ErrDuplicateID, "request %q", request.ID)
+	}
+	request.PromptTokens = max(1, request.PromptTokens)
+	request.SharedTokens = min(max(0, request.SharedTokens), request.PromptTokens)
+	if request.SharedKey == "" {
+		request.SharedTokens = 0
+	}
+	added := &sequence{request: request}
+	m.byID[request.ID] = added
+	m.waiting = append(m.waiting, added)
+	return nil
+}
+
+// Cancel ends a waiting or running request at once and frees its slot. What it
+// has processed stays in the cache. It returns false for an unknown id.
+func (m *Model) Cancel(id string) (Finished, bool) {
+	cancelled, ok := m.byID[id]
+	if !ok {
+		return Finished{}, false
+	}
+	if wasRunning := remove(&m.running, cancelled); wasRunning {
+		m.leaveSlot(cancelled)
+	} else {
+		remove(&m.waiting, cancelled)
+	}
+	delete(m.byID, id)
+	return cancelled.finished(FinishCancelled), true
+}
+
+// Idle tells whether nothing waits or runs.
+func (m *Model) Idle() bool {
+	return len(m.byID) == 0
+}
+
+// Running returns the number of requests in slots, as of the last plan.
+func (m *Model) Running() int {
+	return len(m.running)
+}
+
+// Waiting returns the number of queued requests.
+func (m *Model) Waiting() int {
+	return len(m.waiting)
+}
+
+// Slots returns the number of slots.
+func (m *Model) Slots() int {
+	return m.settings.Slots
+}
+
+// StepDuration plans the next step, unless it is planned already, and returns
+// how long it takes. Requests submitted after the plan join the step after. A
+// step of an idle model takes StepBase.
+func (m *Model) StepDuration() time.Duration {
+	if !m.isPlanned {
+		m.plan()
+	}
+	return m.planned
+}
+
+func (m *Model) plan() {
+	m.admit()
+	budget := m.settings.PrefillChunk
+	duration := m.settings.StepBase
+	for _, running := range m.running {
+		taken := running.plan(budget)
+		budget -= taken
+		duration += time.Duration(taken) * m.settings.StepPerPrefillToken
+		if running.plannedToken {
+			duration += m.settings.StepPerSequence
+		}
+	}
+	m.planned = duration
+	m.isPlanned = true
+}
+
+// admit moves waiting requests into free slots.
+func (m *Model) admit() {
+	for len(m.waiting) > 0 && len(m.running) < m.settings.Slots {
+		admitted := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		admitted.begin(m.cache.hit(admitted.request))
+		m.cache.pin(admitted.request)
+		m.running = append(m.running, admitted)
+	}
+}
+
+// Step executes the planned step, planning it first if none is planned.
+func (m *Model) Step() StepResult {
+	if !m.isPlanned {
+		m.plan()
+	}
+	m.isPlanned = false
+	var result StepResult
+	still := m.running[:0:0]
+	for _, running := range m.running {
+		if running.step() {
+			token := TokenEvent{ID: running.request.ID, Index: running.made - 1}
+			result.Tokens = append(result.Tokens, token)
+		}
+		if !running.complete() {
+			m.storeShared(running)
+			still = append(still, running)
+			continue
+		}
+		m.leaveSlot(running)
+		delete(m.byID, running.request.ID)
+		result.Finished = append(result.Finished, running.finished(running.reason()))
+	}
+	m.running = still
+	return result
+}
+
+// storeShared caches a shared prefix as soon as it is processed, so that the
+// next program of the team hits it while this one runs.
+func (m *Model) storeShared(running *sequence) {
+	if running.request.SharedKey == "" || running.prefilled < running.request.SharedTokens {
+		return
+	}
+	m.cache.store(running.request.SharedKey, running.sharedDone())
+}
+
+// leaveSlot caches what a sequence has processed and unpins its entries.
+func (m *Model) leaveSlot(left *sequence) {
+	m.cache.unpin(left.request)
+	if left.request.Program != "" {
+		m.cache.store(left.request.Program, left.ownDone())
+	}
+	if left.request.SharedKey != "" {
+		m.cache.store(left.request.SharedKey, left.sharedDone())
+	}
+}
+
+// remove drops an item from a list and tells whether it was there.
+func remove(list *[]*sequence, item *sequence) bool {
+	for i, candidate := range *list {
+		if candidate == item {
+			*list = append((*list)[:i:i], (*list)[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/engine/model_settings.go
@@ -0,0 +1,58 @@
+package engine
+
+import "time"
+
+// Defaults of ModelSettings.
+const (
+	DefaultSlots               = 16
+	DefaultStepBase            = 2500 * time.Microsecond
+	DefaultStepPerSequence     = 20 * time.Microsecond
+	DefaultStepPerPrefillToken = 10 * time.Microsecond
+	DefaultPrefillChunk        = 512
+	DefaultCacheCapacity       = 200_000
+)
+
+// ModelSettings are the settings of a Model. A zero field takes its default,
+// except that a negative cost means none.
+type ModelSettings struct {
+	// Slots is the number of sequences that run at once.
+	Slots int
+	// StepBase is the duration of a step besides the costs below.
+	StepBase time.Duration
+	// StepPerSequence is the cost of each sequence that makes a token in the
+	// step.
+	StepPerSequence time.Duration
+	// StepPerPrefillToken is the cost of each prompt token processed in the
+	// step.
+	StepPerPrefillToken time.Duration
+	// PrefillChunk is the number of prompt tokens processed in one step at
+	// most, all sequences together.
+	PrefillChunk int
+	// CacheCapacity is the size of the prefix cache in tokens; negative means
+	// no cache.
+	CacheCapacity int64
+}
+
+func (s ModelSettings) withDefaults() ModelSettings {
+	s.Slots = orDefault(s.Slots, DefaultSlots)
+	s.StepBase = orDefault(s.StepBase, DefaultStepBase)
+	s.StepPerSequence = orDefault(s.StepPerSequence, DefaultStepPerSequence)
+	s.StepPerPrefillToken = orDefault(s.StepPerPrefillToken, DefaultStepPerPrefillToken)
+	s.PrefillChunk = orDefault(s.PrefillChunk, DefaultPrefillChunk)
+	s.CacheCapacity = orDefault(s.CacheCapacity, DefaultCacheCapacity)
+	s.StepBase = max(0, s.StepBase)
+	s.StepPerSequence = max(0, s.StepPerSequence)
+	s.StepPerPrefillToken = max(0, s.StepPerPrefillToken)
+	s.CacheCapacity = max(0, s.CacheCapacity)
+	s.Slots = max(1, s.Slots)
+	s.PrefillChunk = max(1, s.PrefillChunk)
+	return s
+}
+
+func orDefault[T comparable](value, standard T) T {
+	var zero T
+	if value == zero {
+		return standard
+	}
+	return value
+}
--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,41 @@
+package standin
+
+import "time"
+
+// History keeps the values that something had over time, so that a report can
+// show an old one. It is not safe for concurrent use.
+type History[T any] struct {
+	entries []historyEntry[T]
+}
+
+type historyEntry[T any] struct {
+	at    time.Time
+	value T
+}
+
+// Record notes that the value changed at the given time. Times must not
+// decrease.
+func (h *History[T]) Record(at time.Time, value T) {
+	h.entries = append(h.entries, historyEntry[T]{at: at, value: value})
+}
+
+// At returns the value as it was at the given time, and false if nothing was
+// recorded by then.
+func (h *History[T]) At(at time.Time) (T, bool) {
+	for i := len(h.entries) - 1; i >= 0; i-- {
+		if !h.entries[i].at.After(at) {
+			return h.entries[i].value, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// Forget drops the values that At needs only for times before the given one.
+func (h *History[T]) Forget(before time.Time) {
+	keep := 0
+	for keep+1 < len(h.entries) && !h.entries[keep+1].at.After(before) {
+		keep++
+	}
+	h.entries = h.entries[keep:]
+}
--- /dev/null
+++ b/internal/standin/logservice/handler.go
@@ -0,0 +1,179 @@
+package logservice
+
+import (
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	streamRoute  = wire.LogStreamsRoute + "/{stream}"
+	recordsRoute = streamRoute + "/" + wire.LogRecordsSegment
+
+	// retryAfterSeconds is the Retry-After of an overloaded append.
+	retryAfterSeconds = "1"
+)
+
+var streamName = regexp.MustCompile(`^[a-z0-9.-]+$`)
+
+// Handler returns the HTTP handler of the service.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+recordsRoute, s.faulty(s.serveAppend))
+	mux.HandleFunc("GET "+recordsRoute, s.faulty(s.serveRead))
+	mux.HandleFunc("GET "+streamRoute, s.faulty(s.serveInfo))
+	mux.HandleFunc("GET "+wire.StandinFaultsRoute, s.serveFaults)
+	mux.HandleFunc("POST "+wire.StandinFaultsRoute, s.serveSetFaults)
+	mux.HandleFunc("GET "+StatsRoute, s.serveStats)
+	return mux
+}
+
+type streamHandler func(w http.ResponseWriter, r *http.Request, stream string)
+
+// faulty applies the outage and the delay, and checks the stream's name.
+func (s *Service) faulty(next streamHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.Faults().Down {
+			writeFailure(w, ErrDown)
+			return
+		}
+		if s.delay(r.Context()) != nil {
+			return
+		}
+		stream := r.PathValue("stream")
+		if !streamName.MatchString(stream) {
+			standin.WriteError(w, http.StatusBadRequest, "stream name must match "+streamName.String())
+			return
+		}
+		next(w, r, stream)
+	}
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request, stream string) {
+	var request wire.AppendRequest
+	if !standin.ReadJSON(w, r, &request) {
+		return
+	}
+	if len(request.Records) == 0 {
+		standin.WriteError(w, http.StatusBadRequest, "an append needs at least one record")
+		return
+	}
+	if s.takeDropAppend(stream) {
+		standin.DropConnection()
+	}
+	first, err := s.Append(stream, request.Records)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	if s.takeDropAppendReply(stream) {
+		standin.DropConnection()
+	}
+	standin.WriteJSON(w, http.StatusOK, wire.AppendReply{First: first})
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request, stream string) {
+	query, err := parseReadQuery(r)
+	if err != nil {
+		standin.WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	reply, err := s.Read(r.Context(), stream, query.from, query.limit, query.wait)
+	if errors.Is(err, ErrNotRetained) {
+		s.serveGone(w, stream)
+		return
+	}
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, reply)
+}
+
+// serveGone answers a read below the first retained offset.
+func (s *Service) serveGone(w http.ResponseWriter, stream string) {
+	info, err := s.Info(stream)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusGone, info)
+}
+
+func (s *Service) serveInfo(w http.ResponseWriter, _ *http.Request, stream string) {
+	info, err := s.Info(stream)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, info)
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, s.Faults())
+}
+
+func (s *Service) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults wire.LogFaults
+	if !standin.ReadJSON(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	standin.WriteJSON(w, http.StatusOK, faults)
+}
+
+func (s *Service) serveStats(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, s.Stats())
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, ErrOverloaded) {
+		status = http.StatusTooManyRequests
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	standin.WriteError(w, status, err.Error())
+}
+
+type readQuery struct {
+	from  uint64
+	limit int
+	wait  time.Duration
+}
+
+func parseReadQuery(r *http.Request) (readQuery, error) {
+	from, err := queryNumber(r, "from")
+	if err != nil {
+		return readQuery{}, err
+	}
+	limit, err := queryNumber(r, "max")
+	if err != nil {
+		return readQuery{}, err
+	}
+	wait, err := queryNumber(r, "wait_ms")
+	if err != nil {
+		return readQuery{}, err
+	}
+	return readQuery{
+		from:  from,
+		limit: int(limit),
+		wait:  time.Duration(wait) * time.Millisecond,
+	}, nil
+}
+
+// queryNumber returns a number of the query, 0 when it is absent.
+func queryNumber(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	const decimal, bits = 10, 64
+	number, err := strconv.ParseUint(text, decimal, bits)
+	return number, errors.Wrapf(err, "query parameter %s", name)
+}
--- /dev/null
+++ b/internal/standin/members/list.go
@@ -0,0 +1,139 @@
+// Package members is the stand-in of the platform's membership list. The list
+// it shows is the list as it was some time ago.
+package members
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// ErrDown is returned while the list cannot be read.
+var ErrDown = errors.New("membership list is down")
+
+// Settings are the settings of a membership list.
+type Settings struct {
+	// Lag is the age of the list shown. A MemberFaults replaces it.
+	Lag time.Duration
+	// Now is the clock, time.Now when nil.
+	Now func() time.Time
+}
+
+// List is a membership list. It is safe for concurrent use.
+type List struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	version uint64
+	members map[string]wire.Member
+	history standin.History[wire.MemberList]
+	faults  wire.MemberFaults
+}
+
+// New returns an empty list of version 0.
+func New(settings Settings) *List {
+	if settings.Now == nil {
+		settings.Now = time.Now
+	}
+	return &List{
+		now:     settings.Now,
+		members: make(map[string]wire.Member),
+		faults:  wire.MemberFaults{LagMS: int(settings.Lag.Milliseconds())},
+	}
+}
+
+// Put adds or replaces a member.
+func (l *List) Put(member wire.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members[member.ID] = member
+	l.changed()
+}
+
+// Remove drops a member and tells whether it was there.
+func (l *List) Remove(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.members[id]; !ok {
+		return false
+	}
+	delete(l.members, id)
+	l.changed()
+	return true
+}
+
+// SetLeaving marks a member as leaving and tells whether it was there.
+func (l *List) SetLeaving(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	member, ok := l.members[id]
+	if !ok {
+		return false
+	}
+	member.State = wire.MemberStateLeaving
+	l.members[id] = member
+	l.changed()
+	return true
+}
+
+// Current returns the list without lag, also while the list is down.
+func (l *List) Current() wire.MemberList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current()
+}
+
+// Shown returns the list with its lag, or ErrDown.
+func (l *List) Shown() (wire.MemberList, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return wire.MemberList{}, ErrDown
+	}
+	lag := time.Duration(l.faults.LagMS) * time.Millisecond
+	shown, ok := l.history.At(l.now().Add(-lag))
+	if !ok {
+		return wire.MemberList{Members: []wire.Member{}}, nil
+	}
+	return shown, nil
+}
+
+// SetFaults replaces the faults.
+func (l *List) SetFaults(faults wire.MemberFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+}
+
+// Faults returns the faults.
+func (l *List) Faults() wire.MemberFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// changed takes the next version. The whole history is kept, since the lag may
+// grow at any time and a test changes the list seldom.
+func (l *List) changed() {
+	l.version++
+	l.history.Record(l.now(), l.current())
+}
+
+func (l *List) current() wire.MemberList {
+	members := slices.SortedFunc(maps.Values(l.members), byID)
+	if members == nil {
+		members = []wire.Member{}
+	}
+	return wire.MemberList{Version: l.version, Members: members}
+}
+
+func byID(a, b wire.Member) int {
+	return cmp.Compare(a.ID, b.ID)
+}
--- /dev/null
+++ b/internal/structs/ids.go
@@ -0,0 +1,114 @@
+package structs
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+)
+
+// Identifiers of the entities.
+type (
+	// InstanceID names one instance of banyanglade, from its settings.
+	InstanceID string
+	// Region names a group of data centres that share one set of shards.
+	Region string
+	// DataCentre names a data centre of a region.
+	DataCentre string
+	// Team is the path of a team in the settings tree, such as
+	// "lakeshore/clearance". A team reaches its own path and those below it.
+	Team string
+	// ServiceName names a service: a set of targets that do the same work.
+	ServiceName string
+	// TargetID names one target of a service.
+	TargetID string
+	// ProgramID names a program. It carries the program's region and its
+	// creation time; see NewProgramID.
+	ProgramID string
+	// Lane names an ordered sequence of calls within a program. The empty
+	// lane is the program's own; each sub-agent has one.
+	Lane string
+	// ShardID numbers a shard of programs within a region, from 0.
+	ShardID uint16
+	// Epoch numbers the owners of a shard, from 1. The log decides it.
+	Epoch uint64
+	// RequestID names one request of a caller at one gateway. It is unique
+	// over all gateways and restarts.
+	RequestID string
+	// RunID names one attempt to run a call at a target. It is unique over
+	// all owners and restarts and serves as the stream id at engines.
+	RunID string
+	// AppendID names one append that a component asked for.
+	AppendID uint64
+)
+
+// ErrProgramID is the error of a malformed program identifier.
+var ErrProgramID = errors.New("malformed program id")
+
+// NewProgramID makes a program identifier from the region, the creation time
+// and 10 random bytes given by the caller.
+func NewProgramID(region Region, created time.Time, random [10]byte) ProgramID {
+	var id ulid.ULID
+	// SetTime fails only after the year 10889.
+	_ = id.SetTime(ulid.Timestamp(created))
+	_ = id.SetEntropy(random[:])
+	return ProgramID(string(region) + "-" + strings.ToLower(id.String()))
+}
+
+// Parse splits a program identifier into its region and creation time. It
+// returns ErrProgramID if the identifier is malformed.
+func (p ProgramID) Parse() (Region, time.Time, error) {
+	cut := strings.LastIndexByte(string(p), '-')
+	if cut <= 0 {
+		return "", time.Time{}, ErrProgramID
+	}
+	id, err := ulid.ParseStrict(strings.ToUpper(string(p[cut+1:])))
+	if err != nil {
+		return "", time.Time{}, errors.Mark(err, ErrProgramID)
+	}
+	return Region(p[:cut]), ulid.Time(id.Time()), nil
+}
+
+// ShardOf gives the shard of a program among count shards of its region.
+func ShardOf(p ProgramID, count int) ShardID {
+	return ShardID(xxhash.Sum64String(string(p)) % uint64(count))
+}
+
+// ShardRef names a shard among all regions.
+type ShardRef struct {
+	Region Region
+	Shard  ShardID
+}
+
+// Stream gives the name of the shard's journal stream in the log.
+func (s ShardRef) Stream() string {
+	return "shard." + string(s.Region) + "." + strconv.Itoa(int(s.Shard))
+}
+
+// SettingsStream is the log stream of the settings tree.
+const SettingsStream = "settings"
+
+// PoolID names the targets of one service in one region; one dispatcher at a
+// time queues for them.
+type PoolID struct {
+	Service ServiceName
+	Region  Region
+}
+
+// CallRef names a call at its owner.
+type CallRef struct {
+	Program ProgramID
+	Run     RunID
+}
+
+// Contains tells whether team t reaches path other: its own or one below it.
+// The empty team reaches all.
+func (t Team) Contains(other Team) bool {
+	if t == "" || t == other {
+		return true
+	}
+	return strings.HasPrefix(string(other), string(t)+"/")
+}
