--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,176 @@
+package cluster
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/standin/engine"
+	"github.com/banyanglade/banyanglade/internal/standin/logservice"
+	"github.com/banyanglade/banyanglade/internal/standin/members"
+	"github.com/banyanglade/banyanglade/internal/standin/service"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// Cluster is a running set of stand-ins. Its methods are not safe for
+// concurrent use; the stand-ins themselves are.
+type Cluster struct {
+	Log     *logservice.Service
+	Members *members.List
+	// Engines and Services hold the targets by member id.
+	Engines  map[string]*engine.Server
+	Services map[string]*service.Service
+
+	ready   Ready
+	servers []*standin.Server
+	targets map[string]runningTarget
+}
+
+// runningTarget is what StopTarget ends.
+type runningTarget struct {
+	server *standin.Server
+	close  func()
+}
+
+// Ready tells where the stand-ins listen.
+type Ready struct {
+	// Log and Members are base URLs.
+	Log     string        `json:"log"`
+	Members string        `json:"members"`
+	Targets []wire.Member `json:"targets"`
+}
+
+// Start starts the stand-ins. On an error nothing is left running.
+func Start(settings Settings) (*Cluster, error) {
+	cluster := &Cluster{
+		Log:      logservice.New(settings.Log),
+		Members:  members.New(settings.Members),
+		Engines:  make(map[string]*engine.Server),
+		Services: make(map[string]*service.Service),
+		targets:  make(map[string]runningTarget),
+		ready:    Ready{Targets: []wire.Member{}},
+	}
+	if err := cluster.start(settings); err != nil {
+		cluster.Close()
+		return nil, err
+	}
+	return cluster, nil
+}
+
+func (c *Cluster) start(settings Settings) error {
+	var err error
+	if c.ready.Log, err = c.listen(settings.LogAddress, c.Log.Handler()); err != nil {
+		return errors.Wrap(err, "log service")
+	}
+	if c.ready.Members, err = c.listen(settings.MembersAddress, c.Members.Handler()); err != nil {
+		return errors.Wrap(err, "membership list")
+	}
+	for _, place := range settings.Places {
+		if err := c.startPlace(settings, place); err != nil {
+			return errors.Wrapf(err, "data centre %s", place.DataCentre)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) listen(address string, handler http.Handler) (string, error) {
+	server, err := standin.Listen(address, handler)
+	if err != nil {
+		return "", err
+	}
+	c.servers = append(c.servers, server)
+	return server.URL, nil
+}
+
+func (c *Cluster) startPlace(settings Settings, place Place) error {
+	for number := range settings.Engines.Count {
+		if err := c.startEngine(settings.Engines, place, number); err != nil {
+			return err
+		}
+	}
+	for _, group := range []ServiceGroup{settings.Tools, settings.Plain} {
+		for number := range group.Count {
+			if err := c.startService(group, place, number); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startEngine(group EngineGroup, place Place, number int) error {
+	member := newTarget(place, group.Service, number)
+	settings := group.Settings
+	settings.ID = member.ID
+	settings.Seed += uint64(len(c.Engines))
+	started := engine.NewServer(settings)
+	c.Engines[member.ID] = started
+	return c.register(member, started.Handler(), started.Close)
+}
+
+func (c *Cluster) startService(group ServiceGroup, place Place, number int) error {
+	member := newTarget(place, group.Service, number)
+	settings := group.Settings
+	settings.ID = member.ID
+	started := service.New(settings)
+	c.Services[member.ID] = started
+	return c.register(member, started.Handler(), started.Close)
+}
+
+// register serves a target and puts it into the membership list.
+func (c *Cluster) register(member wire.Member, handler http.Handler, closeTarget func()) error {
+	server, err := standin.Listen(standin.LoopbackAddress, handler)
+	if err != nil {
+		closeTarget()
+		return errors.Wrapf(err, "target %s", member.ID)
+	}
+	member.Address = server.URL
+	c.targets[member.ID] = runningTarget{server: server, close: closeTarget}
+	c.ready.Targets = append(c.ready.Targets, member)
+	c.Members.Put(member)
+	return nil
+}
+
+func newTarget(place Place, serviceName string, number int) wire.Member {
+	return wire.Member{
+		ID:         fmt.Sprintf("%s-%s-%d", place.DataCentre, serviceName, number),
+		Role:       wire.MemberRoleTarget,
+		State:      wire.MemberStateLive,
+		Region:     place.Region,
+		DataCentre: place.DataCentre,
+		Service:    serviceName,
+	}
+}
+
+// Ready tells where the stand-ins listen, also those stopped since.
+func (c *Cluster) Ready() Ready {
+	return c.ready
+}
+
+// StopTarget ends a target as a crash does: its port closes and its streams
+// are gone, while the membership list still shows it. It returns false for an
+// unknown or stopped target.
+func (c *Cluster) StopTarget(id string) bool {
+	target, ok := c.targets[id]
+	if !ok {
+		return false
+	}
+	target.close()
+	target.server.Close()
+	delete(c.targets, id)
+	return true
+}
+
+// Close stops everything.
+func (c *Cluster) Close() {
+	for _, id := range slices.Collect(maps.Keys(c.targets)) {
+		c.StopTarget(id)
+	}
+	for _, server := range c.servers {
+		server.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,159 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/standin/ledger"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// serveChat runs a completion. Its caller's disconnect does not cancel it.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, standin.MaxBodyBytes))
+	if err != nil {
+		return
+	}
+	var chat wire.ChatRequest
+	if err := json.Unmarshal(body, &chat); err != nil || len(chat.Messages) == 0 {
+		standin.WriteError(w, http.StatusBadRequest, "the body must be a chat completion with messages")
+		return
+	}
+	if s.gate.TakeFail() {
+		standin.WriteError(w, http.StatusServiceUnavailable, "failed before running")
+		return
+	}
+	started, ok := s.startChat(w, r, chat, body)
+	if !ok {
+		return
+	}
+	drop := s.gate.TakeDropReply()
+	if chat.Stream {
+		s.writeStream(w, r, started, 0, drop)
+		return
+	}
+	s.writeReply(w, r, started, drop)
+}
+
+// startChat starts a chat's stream or finds the one to attach to. On a refusal
+// it answers and returns false.
+func (s *Server) startChat(w http.ResponseWriter, r *http.Request, chat wire.ChatRequest, body []byte) (*stream, bool) {
+	program := r.Header.Get(wire.HeaderProgram)
+	id := s.streamID(r)
+	request := NewRequest(id, program, chat)
+	now := time.Now()
+	added := &stream{
+		id:      id,
+		model:   s.modelName(chat),
+		created: now,
+		answer:  Answer{Program: program, PromptHash: PromptHash(chat.Messages)},
+		length:  request.limit(),
+		changed: make(chan struct{}),
+	}
+	known, err := s.startStream(request, added, s.ledgerEntry(r, id, body, now))
+	if err != nil {
+		standin.WriteError(w, http.StatusConflict, err.Error())
+		return nil, false
+	}
+	if known == nil {
+		return added, true
+	}
+	if !s.settings.AttachDuplicates {
+		standin.WriteError(w, http.StatusConflict, "a stream with this id is known")
+		return nil, false
+	}
+	return known, true
+}
+
+// streamID returns the stream id of a request, or a new one.
+func (s *Server) streamID(r *http.Request) string {
+	if id := r.Header.Get(wire.HeaderStream); id != "" {
+		return id
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return s.settings.ID + "-stream-" + strconv.FormatUint(s.nextID, 10)
+}
+
+func (s *Server) modelName(chat wire.ChatRequest) string {
+	if chat.Model != "" {
+		return chat.Model
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders.state.Model
+}
+
+// ledgerEntry returns the entry of a chat. Its key is the idempotency key, or
+// else the stream's id.
+func (s *Server) ledgerEntry(r *http.Request, streamID string, body []byte, now time.Time) wire.LedgerEntry {
+	key := r.Header.Get(wire.HeaderIdempotencyKey)
+	if key == "" {
+		key = streamID
+	}
+	return wire.LedgerEntry{
+		TimeMS:   now.UnixMilli(),
+		Target:   s.settings.ID,
+		Program:  r.Header.Get(wire.HeaderProgram),
+		Key:      key,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		BodyHash: ledger.BodyHash(body),
+	}
+}
+
+// serveResume sends a stream from the token that the query names.
+func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := standin.QueryNumber(r, "from")
+	if err != nil {
+		standin.WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	found := s.findStream(r.PathValue("id"))
+	if found == nil {
+		standin.WriteError(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	const drop = false
+	s.writeStream(w, r, found, int(from), drop)
+}
+
+func (s *Server) serveCancel(w http.ResponseWriter, r *http.Request) {
+	s.cancelStream(r.PathValue("id"))
+	w.WriteHeader(http.StatusOK)
+}
+
+// writeReply waits for the end of a stream and sends the whole answer, or
+// drops the connection instead.
+func (s *Server) writeReply(w http.ResponseWriter, r *http.Request, of *stream, drop bool) {
+	for {
+		_, finished, changed := s.progress(of)
+		if finished != nil && drop {
+			standin.DropConnection()
+		}
+		if finished != nil {
+			standin.WriteJSON(w, http.StatusOK, of.reply(*finished))
+			return
+		}
+		if !s.wait(r, changed) {
+			return
+		}
+	}
+}
+
+// wait returns false when the caller is gone or the engine closes.
+func (s *Server) wait(r *http.Request, changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-s.closing:
+		return false
+	}
+}
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -160,7 +160,7 @@
 
 // leaveSlot caches what a sequence has processed and unpins its entries.
 func (m *Model) leaveSlot(left *sequence) {
-	m.cache.unpin(left.request)
+	defer m.cache.unpin(left.request)
 	if left.request.Program != "" {
 		m.cache.store(left.request.Program, left.ownDone())
 	}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// OrderLogRoute lists the orders that the engine applied, in order, as a JSON
+// array of wire.Order.
+const OrderLogRoute = "/standin/orders"
+
+var (
+	errOldFencing   = errors.New("fencing number is lower than one seen")
+	errUnknownOrder = errors.New("unknown kind of order")
+)
+
+// orderBook is the engine's state under orders.
+type orderBook struct {
+	state   wire.OrderState
+	applied []wire.Order
+}
+
+func newOrderBook(settings Settings) orderBook {
+	return orderBook{state: wire.OrderState{
+		Model:         settings.ModelName,
+		ChecksFencing: settings.ChecksFencing,
+	}}
+}
+
+// apply changes the state. An engine that checks fencing numbers refuses one
+// lower than it has seen; another applies whatever comes.
+func (b *orderBook) apply(order wire.Order) error {
+	if b.state.ChecksFencing && order.Fencing < b.state.Fencing {
+		return errOldFencing
+	}
+	field := b.field(order.Kind)
+	if field == nil {
+		return errUnknownOrder
+	}
+	*field = order.Value
+	b.state.Fencing = order.Fencing
+	b.applied = append(b.applied, order)
+	return nil
+}
+
+// field returns the part of the state that a kind of order sets, or nil.
+func (b *orderBook) field(kind string) *string {
+	switch kind {
+	case wire.OrderLoadModel:
+		return &b.state.Model
+	case wire.OrderLoadAdapter:
+		return &b.state.Adapter
+	case wire.OrderSetVersion:
+		return &b.state.Version
+	case wire.OrderSetRole:
+		return &b.state.Role
+	default:
+		return nil
+	}
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	if !standin.ReadJSON(w, r, &order) {
+		return
+	}
+	s.mu.Lock()
+	err := s.orders.apply(order)
+	seen := s.orders.state.Fencing
+	s.mu.Unlock()
+	switch {
+	case errors.Is(err, errOldFencing):
+		standin.WriteJSON(w, http.StatusConflict, wire.OrderReply{Fencing: seen})
+	case err != nil:
+		standin.WriteError(w, http.StatusBadRequest, err.Error())
+	default:
+		standin.WriteJSON(w, http.StatusOK, wire.OrderReply{Fencing: seen})
+	}
+}
+
+func (s *Server) serveOrderState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	state := s.orders.state
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, state)
+}
+
+func (s *Server) serveOrderLog(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	applied := slices.Clone(s.orders.applied)
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, applied)
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,162 @@
+package engine
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/standin/faults"
+	"github.com/banyanglade/banyanglade/internal/standin/ledger"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// Server runs a Model in real time behind HTTP. It is safe for concurrent use.
+type Server struct {
+	settings Settings
+	gate     *faults.Gate
+	ledger   *ledger.Ledger
+
+	mu          sync.Mutex
+	model       *Model
+	streams     map[string]*stream
+	nextID      uint64
+	loads       standin.History[wire.EngineLoad]
+	cacheEvents *eventLog
+	orders      orderBook
+
+	// wake has an item when the model may have work.
+	wake    chan struct{}
+	closing chan struct{}
+	stopped chan struct{}
+}
+
+// NewServer starts an engine. The caller serves Handler and calls Close.
+func NewServer(settings Settings) *Server {
+	settings = settings.withDefaults()
+	server := &Server{
+		settings:    settings,
+		gate:        faults.NewGate(settings.Faults),
+		ledger:      &ledger.Ledger{},
+		model:       NewModel(settings.Model),
+		streams:     make(map[string]*stream),
+		cacheEvents: newEventLog(settings),
+		orders:      newOrderBook(settings),
+		wake:        make(chan struct{}, 1),
+		closing:     make(chan struct{}),
+		stopped:     make(chan struct{}),
+	}
+	server.recordLoad()
+	go server.run()
+	return server
+}
+
+// Close stops the engine. Streams that run stay unfinished.
+func (s *Server) Close() {
+	close(s.closing)
+	<-s.stopped
+}
+
+// Faults returns the gate that holds the engine's faults.
+func (s *Server) Faults() *faults.Gate {
+	return s.gate
+}
+
+// Ledger returns the record of the requests run.
+func (s *Server) Ledger() *ledger.Ledger {
+	return s.ledger
+}
+
+// Handler returns the HTTP handler of the engine.
+func (s *Server) Handler() http.Handler {
+	engine := http.NewServeMux()
+	engine.HandleFunc("POST "+wire.ChatRoute, s.serveChat)
+	engine.HandleFunc("GET "+wire.StreamsRoute+"/{id}", s.serveResume)
+	engine.HandleFunc("POST "+wire.StreamsRoute+"/{id}/cancel", s.serveCancel)
+	engine.HandleFunc("GET "+wire.LoadRoute, s.serveLoad)
+	engine.HandleFunc("GET "+wire.CacheRoute, s.serveCacheState)
+	engine.HandleFunc("GET "+wire.CacheEventsRoute, s.serveCacheEvents)
+	engine.HandleFunc("POST "+wire.CacheReleaseRoute, s.serveCacheRelease)
+	engine.HandleFunc("POST "+wire.CacheExportRoute, s.serveCacheExport)
+	engine.HandleFunc("POST "+wire.CacheImportRoute, s.serveCacheImport)
+	engine.HandleFunc("POST "+wire.OrdersRoute, s.serveOrder)
+	engine.HandleFunc("GET "+wire.OrdersRoute, s.serveOrderState)
+
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", s.heldWhileHung(engine))
+	mux.HandleFunc("GET "+wire.HealthRoute, serveHealth)
+	mux.HandleFunc("GET "+OrderLogRoute, s.serveOrderLog)
+	s.gate.Register(mux)
+	s.ledger.Register(mux)
+	return mux
+}
+
+// heldWhileHung holds requests while the hang fault is set.
+func (s *Server) heldWhileHung(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.gate.WaitWhileHung(r.Context()) != nil {
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// startStream submits a request as a new stream, or returns the stream that
+// has its id already.
+func (s *Server) startStream(request Request, added *stream, entry wire.LedgerEntry) (known *stream, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetStreams(time.Now())
+	if known, ok := s.streams[added.id]; ok {
+		return known, nil
+	}
+	if err := s.model.Submit(request); err != nil {
+		return nil, err
+	}
+	added.sequence = s.ledger.Begin(entry)
+	s.streams[added.id] = added
+	s.recordLoad()
+	s.signal()
+	return nil, nil
+}
+
+// findStream returns a stream by id, or nil.
+func (s *Server) findStream(id string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetStreams(time.Now())
+	return s.streams[id]
+}
+
+// cancelStream ends a stream at once; an unknown or ended one is left.
+func (s *Server) cancelStream(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	finished, ok := s.model.Cancel(id)
+	if !ok {
+		return
+	}
+	s.finishStream(finished, time.Now())
+	s.publish(time.Now())
+}
+
+// progress returns how far a stream is; the channel is closed at its next
+// change.
+func (s *Server) progress(of *stream) (made int, finished *Finished, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return of.made, of.finished, of.changed
+}
+
+// forgetStreams drops the streams that ended too long ago.
+func (s *Server) forgetStreams(now time.Time) {
+	for id, ended := range s.streams {
+		if ended.finished != nil && now.Sub(ended.endedAt) > s.settings.KeepStreams {
+			delete(s.streams, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// stream is one completion and what it has made so far. The answer is a
+// function of the request, so that only a count of tokens is kept. The
+// server's mutex guards made, finished, endedAt and changed.
+type stream struct {
+	id      string
+	model   string
+	created time.Time
+	answer  Answer
+	// length is the number of tokens that the stream makes if not cancelled.
+	length int
+	// sequence is the stream's place in the ledger.
+	sequence uint64
+
+	made     int
+	finished *Finished
+	endedAt  time.Time
+	changed  chan struct{}
+}
+
+// wake lets every reader of the stream look again.
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) usage(finished Finished) wire.Usage {
+	return wire.Usage{
+		PromptTokens:     finished.PromptTokens,
+		CompletionTokens: finished.CompletionTokens,
+		TotalTokens:      finished.PromptTokens + finished.CompletionTokens,
+		CachedTokens:     finished.CachedTokens,
+	}
+}
+
+const (
+	replyObject   = "chat.completion"
+	chunkObject   = "chat.completion.chunk"
+	assistantRole = "assistant"
+)
+
+// chunk returns the chunk of one token.
+func (s *stream) chunk(index int) wire.ChatChunk {
+	delta := wire.ChatMessage{Role: assistantRole, Content: s.answer.Token(index)}
+	chunk := s.emptyChunk(index)
+	chunk.Choices = []wire.ChatChoice{{Delta: &delta}}
+	return chunk
+}
+
+// lastChunk returns the chunk behind the last token. It carries no token.
+func (s *stream) lastChunk(finished Finished) wire.ChatChunk {
+	reason := string(finished.Reason)
+	usage := s.usage(finished)
+	chunk := s.emptyChunk(finished.CompletionTokens)
+	chunk.Choices = []wire.ChatChoice{{Delta: &wire.ChatMessage{}, FinishReason: &reason}}
+	chunk.Usage = &usage
+	return chunk
+}
+
+func (s *stream) emptyChunk(index int) wire.ChatChunk {
+	return wire.ChatChunk{
+		ID:      s.id,
+		Object:  chunkObject,
+		Created: s.created.Unix(),
+		Model:   s.model,
+		Index:   index,
+	}
+}
+
+// reply returns the whole answer of an ended stream.
+func (s *stream) reply(finished Finished) wire.ChatReply {
+	reason := string(finished.Reason)
+	text := s.answer.Text(0, finished.CompletionTokens)
+	message := wire.ChatMessage{Role: assistantRole, Content: text}
+	return wire.ChatReply{
+		ID:      s.id,
+		Object:  replyObject,
+		Created: s.created.Unix(),
+		Model:   s.model,
+		Choices: []wire.ChatChoice{{Message: &message, FinishReason: &reason}},
+		Usage:   s.usage(finished),
+	}
+}
--- a/internal/standin/json.go
+++ b/internal/standin/json.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -59,3 +60,14 @@
 func DropConnection() {
 	panic(http.ErrAbortHandler)
 }
+
+// QueryNumber returns a number of the request's query, 0 when it is absent.
+func QueryNumber(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	const decimal, bits = 10, 64
+	number, err := strconv.ParseUint(text, decimal, bits)
+	return number, errors.Wrapf(err, "query parameter %s", name)
+}
--- a/internal/standin/logservice/handler.go
+++ b/internal/standin/logservice/handler.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"regexp"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,15 +147,15 @@
 }
 
 func parseReadQuery(r *http.Request) (readQuery, error) {
-	from, err := queryNumber(r, "from")
+	from, err := standin.QueryNumber(r, "from")
 	if err != nil {
 		return readQuery{}, err
 	}
-	limit, err := queryNumber(r, "max")
+	limit, err := standin.QueryNumber(r, "max")
 	if err != nil {
 		return readQuery{}, err
 	}
-	wait, err := queryNumber(r, "wait_ms")
+	wait, err := standin.QueryNumber(r, "wait_ms")
 	if err != nil {
 		return readQuery{}, err
 	}
@@ -166,14 +165,3 @@
 		wait:  time.Duration(wait) * time.Millisecond,
 	}, nil
 }
-
-// queryNumber returns a number of the query, 0 when it is absent.
-func queryNumber(r *http.Request, name string) (uint64, error) {
-	text := r.URL.Query().Get(name)
-	if text == "" {
-		return 0, nil
-	}
-	const decimal, bits = 10, 64
-	number, err := strconv.ParseUint(text, decimal, bits)
-	return number, errors.Wrapf(err, "query parameter %s", name)
-}
--- /dev/null
+++ b/internal/standin/service/run.go
@@ -0,0 +1,88 @@
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const contentTypeJSON = "application/json"
+
+// serveAny runs one request under the faults.
+func (s *Service) serveAny(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, standin.MaxBodyBytes))
+	if err != nil {
+		return
+	}
+	key := r.Header.Get(wire.HeaderIdempotencyKey)
+	s.outcomes.arrive(key)
+	defer s.outcomes.leave(key)
+	if s.gate.WaitWhileHung(r.Context()) != nil {
+		return
+	}
+	if s.gate.TakeFail() {
+		standin.WriteError(w, http.StatusServiceUnavailable, "failed before running")
+		return
+	}
+	outcome, ok := s.outcome(r, key, body)
+	if !ok {
+		return
+	}
+	if s.gate.TakeDropReply() {
+		standin.DropConnection()
+	}
+	writeOutcome(w, outcome)
+}
+
+// outcome runs a request, or finds the answer of an earlier one where the
+// service deduplicates. It returns false at Close.
+func (s *Service) outcome(r *http.Request, key string, body []byte) (wire.OutcomeReply, bool) {
+	if !s.settings.Dedupe || key == "" {
+		return s.run(r, key, body)
+	}
+	unlock := s.outcomes.lockKey(key)
+	defer unlock()
+	if known, _ := s.outcomes.look(key); known != nil {
+		return *known, true
+	}
+	return s.run(r, key, body)
+}
+
+// run records a request, lets its run time pass and stores its answer.
+func (s *Service) run(r *http.Request, key string, body []byte) (wire.OutcomeReply, bool) {
+	entry := s.ledgerEntry(r, body)
+	sequence := s.ledger.Begin(entry)
+	if !s.pause(s.runTime(r)) {
+		return wire.OutcomeReply{}, false
+	}
+	encoded, err := json.Marshal(answer(entry, sequence))
+	if err != nil {
+		slog.Error("encode answer", "error", err)
+		return wire.OutcomeReply{}, false
+	}
+	outcome := wire.OutcomeReply{Status: http.StatusOK, ContentType: contentTypeJSON, Body: encoded}
+	s.outcomes.store(key, outcome)
+	s.ledger.Finish(sequence, 0)
+	return outcome, true
+}
+
+// serveOutcome answers what became of a request, by idempotency key. While
+// such a request is here and not ended, it waits: "not run" would be wrong.
+func (s *Service) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	if s.gate.WaitWhileHung(r.Context()) != nil {
+		return
+	}
+	outcome, err := s.outcomes.ask(r.Context(), r.PathValue("key"))
+	switch {
+	case err != nil:
+		return
+	case outcome == nil:
+		standin.WriteError(w, http.StatusNotFound, "no request with this key ran")
+	default:
+		standin.WriteJSON(w, http.StatusOK, outcome)
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,149 @@
+// Package service is the stand-in of a tool service or a plain service. It
+// takes any request on any path, runs it for a set time, and records it.
+package service
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin"
+	"github.com/banyanglade/banyanglade/internal/standin/faults"
+	"github.com/banyanglade/banyanglade/internal/standin/ledger"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// DelayParameter is the query parameter that sets the run time of one request
+// in milliseconds.
+const DelayParameter = "delay_ms"
+
+// Settings are the settings of a Service.
+type Settings struct {
+	// ID is the target's id, as in the ledger and the answers.
+	ID string
+	// AskByKey serves GET /v1/outcomes/{key}.
+	AskByKey bool
+	// Dedupe answers a repeated idempotency key with the first answer,
+	// without running it again. Otherwise both are run and recorded.
+	Dedupe bool
+	// Faults are the faults at the start, and the run time.
+	Faults wire.ServiceFaults
+}
+
+// Service is a tool or plain service. It is safe for concurrent use.
+type Service struct {
+	settings Settings
+	gate     *faults.Gate
+	ledger   *ledger.Ledger
+	outcomes *outcomes
+	closing  chan struct{}
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	Target   string `json:"target"`
+	Sequence uint64 `json:"sequence"`
+	Program  string `json:"program"`
+	Key      string `json:"key"`
+	Path     string `json:"path"`
+	BodyHash string `json:"body_hash"`
+}
+
+// New returns a service. The caller serves Handler and calls Close.
+func New(settings Settings) *Service {
+	return &Service{
+		settings: settings,
+		gate:     faults.NewGate(settings.Faults),
+		ledger:   &ledger.Ledger{},
+		outcomes: newOutcomes(),
+		closing:  make(chan struct{}),
+	}
+}
+
+// Close ends the requests that run, without an answer.
+func (s *Service) Close() {
+	close(s.closing)
+}
+
+// Faults returns the gate that holds the service's faults.
+func (s *Service) Faults() *faults.Gate {
+	return s.gate
+}
+
+// Ledger returns the record of the requests run.
+func (s *Service) Ledger() *ledger.Ledger {
+	return s.ledger
+}
+
+// Handler returns the HTTP handler of the service.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.serveAny)
+	mux.HandleFunc("GET "+wire.HealthRoute, serveHealth)
+	if s.settings.AskByKey {
+		mux.HandleFunc("GET "+wire.OutcomesRoute+"/{key}", s.serveOutcome)
+	}
+	s.gate.Register(mux)
+	s.ledger.Register(mux)
+	return mux
+}
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// runTime returns how long a request runs: what its query says, else the
+// service's own time, in both cases times the slow factor.
+func (s *Service) runTime(r *http.Request) time.Duration {
+	milliseconds := s.gate.Get().DelayMS
+	asked, err := strconv.Atoi(r.URL.Query().Get(DelayParameter))
+	if err == nil {
+		milliseconds = asked
+	}
+	normal := time.Duration(milliseconds) * time.Millisecond
+	return time.Duration(float64(normal) * s.gate.SlowFactor())
+}
+
+// pause waits for the run time, also when the caller is gone, since a request
+// once begun takes effect. It returns false at Close.
+func (s *Service) pause(duration time.Duration) bool {
+	if duration <= 0 {
+		return true
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.closing:
+		return false
+	}
+}
+
+func (s *Service) ledgerEntry(r *http.Request, body []byte) wire.LedgerEntry {
+	return wire.LedgerEntry{
+		TimeMS:   time.Now().UnixMilli(),
+		Target:   s.settings.ID,
+		Program:  r.Header.Get(wire.HeaderProgram),
+		Key:      r.Header.Get(wire.HeaderIdempotencyKey),
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		BodyHash: ledger.BodyHash(body),
+	}
+}
+
+func answer(entry wire.LedgerEntry, sequence uint64) Answer {
+	return Answer{
+		Target:   entry.Target,
+		Sequence: sequence,
+		Program:  entry.Program,
+		Key:      entry.Key,
+		Path:     entry.Path,
+		BodyHash: entry.BodyHash,
+	}
+}
+
+// writeOutcome sends a stored answer.
+func writeOutcome(w http.ResponseWriter, outcome wire.OutcomeReply) {
+	standin.WriteBody(w, outcome.Status, outcome.ContentType, outcome.Body)
+}
