Membership view with rendezvous hashing, suspicion and announced leaving

Cause: the membership list lags, so a draining or frozen instance would get work until the list shows it. Change: a view corrected by heartbeats and by a peer's own Leaving message; it decides what is fast, never what is safe. Ruled out: gossiped failure detection, a full mesh of heartbeats at 350 instances. No measurement yet.

--- /dev/null
+++ b/internal/members/rendezvous.go
@@ -0,0 +1,71 @@
+package members
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// OwnerOf gives the instance that should own a shard, false if there is none.
+func (v *View) OwnerOf(shard structs.ShardRef) (structs.InstanceID, bool) {
+	return v.firstUsable(v.Ranked(shard))
+}
+
+// DispatcherOf gives the instance that should queue for a pool, false if there
+// is none.
+func (v *View) DispatcherOf(pool structs.PoolID) (structs.InstanceID, bool) {
+	key := "pool/" + string(pool.Region) + "/" + string(pool.Service)
+	return v.firstUsable(v.rank(pool.Region, key))
+}
+
+// Ranked lists all instances of a shard's region by rendezvous hashing, best
+// first, whether usable or not.
+func (v *View) Ranked(shard structs.ShardRef) []structs.InstanceID {
+	key := "shard/" + string(shard.Region) + "/" + strconv.Itoa(int(shard.Shard))
+	return v.rank(shard.Region, key)
+}
+
+func (v *View) firstUsable(ids []structs.InstanceID) (structs.InstanceID, bool) {
+	for _, id := range ids {
+		if v.byID[id].Leaving || v.Suspected(id) {
+			continue
+		}
+		return id, true
+	}
+	return "", false
+}
+
+// rank orders the instances of a region by the hash of key and instance, so
+// that a change of one instance moves only what it held.
+func (v *View) rank(region structs.Region, key string) []structs.InstanceID {
+	if ids, ok := v.ranked[key]; ok {
+		return ids
+	}
+	type scored struct {
+		id    structs.InstanceID
+		score uint64
+	}
+	var all []scored
+	for _, p := range v.peers {
+		if p.Region != region {
+			continue
+		}
+		all = append(all, scored{id: p.ID, score: xxhash.Sum64String(key + "/" + string(p.ID))})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.id, b.id)
+	})
+	ids := make([]structs.InstanceID, len(all))
+	for i, s := range all {
+		ids[i] = s.id
+	}
+	v.ranked[key] = ids
+	return ids
+}
--- /dev/null
+++ b/internal/members/view_test.go
@@ -0,0 +1,94 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func instance(id string) wire.Member {
+	return wire.Member{ID: id, Role: wire.MemberRoleInstance, State: wire.MemberStateLive, Region: "r", DataCentre: "d"}
+}
+
+func viewOf(t *testing.T, ids ...string) *View {
+	t.Helper()
+	v := New(structs.Peer{ID: structs.InstanceID(ids[0]), Region: "r"})
+	list := wire.MemberList{Version: 1}
+	for _, id := range ids {
+		list.Members = append(list.Members, instance(id))
+	}
+	v.Tick(start, []structs.Event{structs.MembersListed{List: list}})
+	return v
+}
+
+func TestAllInstancesAgreeOnOwners(t *testing.T) {
+	a, b := viewOf(t, "a", "b", "c"), viewOf(t, "c", "b", "a")
+	for shard := structs.ShardID(0); shard < 64; shard++ {
+		ref := structs.ShardRef{Region: "r", Shard: shard}
+		x, _ := a.OwnerOf(ref)
+		y, _ := b.OwnerOf(ref)
+		if x != y {
+			t.Fatalf("shard %d: %s and %s", shard, x, y)
+		}
+	}
+}
+
+func TestSuspectLosesOnlyItsOwnShards(t *testing.T) {
+	v := viewOf(t, "a", "b", "c")
+	before := owners(v)
+	v.Tick(start, []structs.Event{structs.PeerDown{Peer: "b"}})
+	for ref, owner := range owners(v) {
+		if before[ref] != "b" && owner != before[ref] {
+			t.Fatalf("%v moved from %s to %s", ref, before[ref], owner)
+		}
+		if owner == "b" {
+			t.Fatalf("%v still at the suspected instance", ref)
+		}
+	}
+}
+
+func TestSuspectIsProbedAndCleared(t *testing.T) {
+	v := viewOf(t, "a", "b")
+	v.Tick(start, []structs.Event{structs.PeerDown{Peer: "b"}})
+	cmds := v.Tick(start.Add(probeInterval), nil)
+	if len(cmds) != 1 || cmds[0] != (structs.ProbePeer{To: "b"}) {
+		t.Fatalf("commands %v", cmds)
+	}
+	v.Tick(start.Add(probeInterval), []structs.Event{structs.PeerUp{Peer: "b"}})
+	if v.Suspected("b") {
+		t.Fatal("still suspected after an answer")
+	}
+}
+
+func TestAnnouncedLeavingExpires(t *testing.T) {
+	v := viewOf(t, "a", "b")
+	v.Tick(start, []structs.Event{structs.PeerMessage{From: "b", Msg: &structs.Leaving{}}})
+	if p, _ := v.Peer("b"); !p.Leaving {
+		t.Fatal("announcement ignored")
+	}
+	v.Tick(start.Add(announcementLife+time.Second), nil)
+	if p, _ := v.Peer("b"); p.Leaving {
+		t.Fatal("announcement outlived its time")
+	}
+}
+
+func TestOlderListIsDropped(t *testing.T) {
+	v := viewOf(t, "a", "b")
+	v.Tick(start, []structs.Event{structs.MembersListed{List: wire.MemberList{Version: 0}}})
+	if len(v.Peers()) != 2 {
+		t.Fatalf("peers %v", v.Peers())
+	}
+}
+
+func owners(v *View) map[structs.ShardRef]structs.InstanceID {
+	all := map[structs.ShardRef]structs.InstanceID{}
+	for shard := structs.ShardID(0); shard < 64; shard++ {
+		ref := structs.ShardRef{Region: "r", Shard: shard}
+		all[ref], _ = v.OwnerOf(ref)
+	}
+	return all
+}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -39,6 +39,7 @@
 	KindAppliedRequest   MessageKind = 23
 	KindAppliedReply     MessageKind = 24
 	KindPermitQueued     MessageKind = 25
+	KindLeaving          MessageKind = 26
 )
 
 // Submit hands a call from a gateway to the program's owner.
@@ -261,6 +262,10 @@
 	Next    uint64
 }
 
+// Leaving tells a peer that the sender drains: it takes no new work. It comes
+// ahead of the lagging membership list.
+type Leaving struct{}
+
 // Kind tags of the messages.
 func (*Submit) Kind() MessageKind           { return KindSubmit }
 func (*Withdraw) Kind() MessageKind         { return KindWithdraw }
@@ -287,6 +292,7 @@
 func (*SettingsState) Kind() MessageKind    { return KindSettingsState }
 func (*AppliedRequest) Kind() MessageKind   { return KindAppliedRequest }
 func (*AppliedReply) Kind() MessageKind     { return KindAppliedReply }
+func (*Leaving) Kind() MessageKind          { return KindLeaving }
 
 // NewMessage makes an empty message of a kind for a decoder, nil if the kind
 // is unknown.
@@ -324,4 +330,5 @@
 	KindSettingsState:    func() Message { return new(SettingsState) },
 	KindAppliedRequest:   func() Message { return new(AppliedRequest) },
 	KindAppliedReply:     func() Message { return new(AppliedReply) },
+	KindLeaving:          func() Message { return new(Leaving) },
 }
