Gateway: hand a call to its shard's owner, relay the answer, hand over again

Cause: any instance behind the balancer takes any call and the owner may die in it. Change: a table of requests with their possible holders; "not run" is answered only when every holder denied the call, a second owner's text is relayed only if it continues the first's. Ruled out: believing a second owner's "not run" for a call that a lost owner may have run (test TestNotRunNeedsTheWordOfEveryHolder). Nothing measured.

--- /dev/null
+++ b/internal/gateway/answers.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// holder finds the request that an owner speaks of; it returns nil for a
+// request that has ended or that another owner has by now: a late or crossed
+// answer must not reach the caller twice.
+func (g *Gateway) holder(from structs.InstanceID, id structs.RequestID) *pending {
+	p, ok := g.pending[id]
+	if !ok || p.owner != from {
+		return nil
+	}
+	return p
+}
+
+func (g *Gateway) accepted(id structs.RequestID) {
+	if p, ok := g.pending[id]; ok {
+		p.backoff = retryMin
+	}
+}
+
+// chunk relays the pieces that the caller lacks. Pieces behind a gap are left
+// for the end, which carries the whole text.
+func (g *Gateway) chunk(from structs.InstanceID, msg *structs.CallChunk) {
+	p := g.holder(from, msg.Request)
+	if p == nil || p.call == nil || !p.call.Stream {
+		return
+	}
+	have := p.stream.pieces
+	if msg.Chunk.First > have || msg.Chunk.Next() <= have {
+		return
+	}
+	c := structs.Chunk{
+		First:     have,
+		Texts:     msg.Chunk.Texts[have-msg.Chunk.First:],
+		ToolCalls: msg.Chunk.ToolCalls,
+	}
+	p.stream.add(c.Texts)
+	g.emit(structs.ReplyChunk{Request: p.request, Chunk: c})
+}
+
+func (g *Gateway) callEnd(from structs.InstanceID, msg *structs.CallEnd) {
+	p := g.holder(from, msg.Request)
+	if p == nil || p.call == nil {
+		return
+	}
+	out := msg.Outcome
+	if out.Kind == structs.OutcomeNotRun && p.stream.pieces > 0 {
+		// Part of the answer reached the caller, so the call did run.
+		out.Kind = structs.OutcomeUnknown
+	}
+	if out.Kind == structs.OutcomeNotRun && p.heldElsewhere(from) {
+		// Only the log can tell what an earlier holder did with a call that
+		// may run again; the present owner speaks for itself alone.
+		out.Kind = structs.OutcomeUnknown
+	}
+	if p.call.Stream && out.Kind == structs.OutcomeAnswered {
+		out = g.relayRest(p, out)
+	}
+	g.finish(p, out)
+}
+
+// heldElsewhere tells whether an instance other than the speaker may have
+// taken the request.
+func (p *pending) heldElsewhere(speaker structs.InstanceID) bool {
+	for id := range p.holders {
+		if id != speaker {
+			return true
+		}
+	}
+	return false
+}
+
+// relayRest sends the caller what it lacks of the whole text. A text that does
+// not continue what was sent is never spliced to it.
+func (g *Gateway) relayRest(p *pending, out structs.Outcome) structs.Outcome {
+	if !p.stream.continues(out.Text) {
+		return structs.Outcome{
+			Kind: structs.OutcomeUnknown, Reason: structs.ReasonOwnerLost,
+			Detail: "The answer was cut; ask again with the same idempotency key for the whole one.",
+		}
+	}
+	if rest := out.Text[p.stream.bytes:]; rest != "" {
+		c := structs.Chunk{First: p.stream.pieces, Texts: []string{rest}}
+		p.stream.add(c.Texts)
+		g.emit(structs.ReplyChunk{Request: p.request, Chunk: c})
+	}
+	return out
+}
+
+func (g *Gateway) programReply(from structs.InstanceID, msg *structs.ProgramReply) {
+	p := g.holder(from, msg.Request)
+	if p == nil || p.op == nil {
+		return
+	}
+	delete(g.pending, p.request)
+	g.emit(structs.ReplyProgram{Request: p.request, Outcome: msg.Outcome, Info: msg.Info})
+}
+
+// notOwner takes the speaker's word that it does not have the request and
+// looks further.
+func (g *Gateway) notOwner(now time.Time, from structs.InstanceID, msg *structs.NotOwner) {
+	p := g.holder(from, msg.Request)
+	if p == nil {
+		return
+	}
+	delete(p.holders, from)
+	if msg.Owner == "" || msg.Owner == from || g.members.Suspected(msg.Owner) {
+		g.searchLater(now, p)
+		return
+	}
+	if p.redirected(now) {
+		g.searchLater(now, p)
+		return
+	}
+	g.search(now, p, msg.Owner)
+}
+
+// redirected bounds the redirects that are followed at once: views of the
+// membership may differ for a while and send a request in circles.
+func (p *pending) redirected(now time.Time) bool {
+	if !p.redirectAt.IsZero() && now.Sub(p.redirectAt) < retryMin {
+		return true
+	}
+	p.redirectAt = now
+	return false
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/members"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const request = structs.RequestID("g-1")
+
+// rig is a gateway among three instances, with one streamed call submitted.
+type rig struct {
+	t    *testing.T
+	view *members.View
+	g    *Gateway
+	// owner is the instance that was sent the call last.
+	owner structs.InstanceID
+}
+
+func newRig(t *testing.T) *rig {
+	view := members.New(structs.Peer{ID: "g", Region: "r"})
+	list := wire.MemberList{Version: 1}
+	for _, id := range []string{"a", "b", "c"} {
+		list.Members = append(list.Members, wire.Member{ID: id, Role: wire.MemberRoleInstance, State: wire.MemberStateLive, Region: "r"})
+	}
+	view.Tick(start, []structs.Event{structs.MembersListed{List: list}})
+	cfg := structs.DefaultInstanceConfig(view.Self(), "1")
+	r := &rig{t: t, view: view, g: New(cfg, view)}
+	r.tick(start, structs.CallerSubmit{
+		Request: request, Deadline: start.Add(time.Minute),
+		Call: &structs.Call{Program: structs.NewProgramID("r", start, [10]byte{1}), Kind: structs.CallChat, Stream: true},
+	})
+	return r
+}
+
+// tick runs one tick, the view's first as in the instance, and notes where the
+// call went.
+func (r *rig) tick(now time.Time, events ...structs.Event) []structs.Command {
+	r.view.Tick(now, events)
+	cmds := r.g.Tick(now, events)
+	for _, cmd := range cmds {
+		if send, ok := cmd.(structs.SendPeer); ok {
+			if _, ok := send.Msg.(*structs.Submit); ok {
+				r.owner = send.To
+			}
+		}
+	}
+	return cmds
+}
+
+func (r *rig) from(msg structs.Message) structs.Event {
+	return structs.PeerMessage{From: r.owner, Msg: msg}
+}
+
+func (r *rig) end(cmds []structs.Command) structs.Outcome {
+	r.t.Helper()
+	var ends []structs.Outcome
+	for _, cmd := range cmds {
+		if end, ok := cmd.(structs.ReplyEnd); ok {
+			ends = append(ends, end.Outcome)
+		}
+	}
+	if len(ends) != 1 {
+		r.t.Fatalf("%d final answers in %v, want 1", len(ends), cmds)
+	}
+	return ends[0]
+}
+
+func TestLostOwnerHandsOverWithoutRepeatingPieces(t *testing.T) {
+	r := newRig(t)
+	first := r.owner
+	r.tick(start, r.from(&structs.CallChunk{Request: request, Chunk: structs.Chunk{Texts: []string{"one ", "two "}}}))
+	r.tick(start, structs.PeerDown{Peer: first})
+	if r.owner == first {
+		t.Fatal("the call stayed at the lost owner")
+	}
+	cmds := r.tick(start, r.from(&structs.CallChunk{Request: request, Chunk: structs.Chunk{First: 1, Texts: []string{"two ", "three"}}}))
+	chunk, ok := cmds[0].(structs.ReplyChunk)
+	if !ok || chunk.Chunk.First != 2 || len(chunk.Chunk.Texts) != 1 {
+		t.Fatalf("relayed %v, want only the third piece", cmds)
+	}
+	out := r.end(r.tick(start, r.from(&structs.CallEnd{Request: request, Outcome: structs.Outcome{Kind: structs.OutcomeAnswered, Text: "one two three"}})))
+	if out.Kind != structs.OutcomeAnswered {
+		t.Fatalf("outcome %+v", out)
+	}
+}
+
+func TestAnotherTextIsNotSpliced(t *testing.T) {
+	r := newRig(t)
+	r.tick(start, r.from(&structs.CallChunk{Request: request, Chunk: structs.Chunk{Texts: []string{"one "}}}))
+	r.tick(start, structs.PeerDown{Peer: r.owner})
+	out := r.end(r.tick(start, r.from(&structs.CallEnd{Request: request, Outcome: structs.Outcome{Kind: structs.OutcomeAnswered, Text: "uno due"}})))
+	if out.Kind != structs.OutcomeUnknown {
+		t.Fatalf("outcome %+v, want unknown", out)
+	}
+}
+
+func TestAnswerOfAFormerOwnerIsDropped(t *testing.T) {
+	r := newRig(t)
+	first := r.owner
+	r.tick(start, structs.PeerDown{Peer: first})
+	late := structs.PeerMessage{From: first, Msg: &structs.CallEnd{Request: request, Outcome: structs.Outcome{Kind: structs.OutcomeAnswered}}}
+	if cmds := r.tick(start, late); len(cmds) != 0 {
+		t.Fatalf("late answer relayed: %v", cmds)
+	}
+}
+
+func TestNotRunNeedsTheWordOfEveryHolder(t *testing.T) {
+	r := newRig(t)
+	r.tick(start, structs.PeerDown{Peer: r.owner})
+	out := r.end(r.tick(start, r.from(&structs.CallEnd{Request: request, Outcome: structs.Outcome{Kind: structs.OutcomeNotRun, Reason: structs.ReasonOverloaded}})))
+	if out.Kind != structs.OutcomeUnknown {
+		t.Fatalf("outcome %+v: the lost owner may have run the call", out)
+	}
+}
+
+func TestNoOwnerIsNotRun(t *testing.T) {
+	r := newRig(t)
+	now := start
+	for i := 0; i < 100; i++ {
+		cmds := r.tick(now, r.from(&structs.NotOwner{Request: request}))
+		if len(cmds) > 0 {
+			if _, ok := cmds[0].(structs.ReplyEnd); ok {
+				if out := r.end(cmds); out.Kind != structs.OutcomeNotRun || out.RetryAfter == 0 {
+					t.Fatalf("outcome %+v", out)
+				}
+				return
+			}
+		}
+		now = r.g.NextWake()
+		r.tick(now)
+	}
+	t.Fatal("the gateway never gave up")
+}
+
+func TestDeadlineEndsTheRequestOnce(t *testing.T) {
+	r := newRig(t)
+	out := r.end(r.tick(start.Add(time.Minute + endGrace)))
+	if out.Kind != structs.OutcomeUnknown || out.Reason != structs.ReasonDeadline {
+		t.Fatalf("outcome %+v", out)
+	}
+	if r.g.InFlight() != 0 {
+		t.Fatal("the request is still held")
+	}
+}
--- /dev/null
+++ b/internal/gateway/gather.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// gather is a question put to many instances, answered when all answered, are
+// lost, or the deadline passed.
+type gather struct {
+	request  structs.RequestID
+	deadline time.Time
+	waiting  map[structs.InstanceID]bool
+	missing  []structs.InstanceID
+	limit    int
+	programs []structs.ProgramInfo
+	// applied is nil for a question about programs.
+	applied map[structs.InstanceID]uint64
+}
+
+func (g *Gateway) gatherPrograms(now time.Time, ev structs.CallerPrograms) {
+	c := g.newGather(ev.Request, ev.Deadline)
+	c.limit = ev.Limit
+	for _, id := range c.order() {
+		g.emit(structs.SendPeer{To: id, Msg: &structs.ProgramsRequest{Request: ev.Request, Team: ev.Team, Limit: ev.Limit}})
+	}
+	g.gatherDone(c)
+}
+
+func (g *Gateway) gatherApplied(now time.Time, ev structs.SettingsApplied) {
+	c := g.newGather(ev.Request, ev.Deadline)
+	c.applied = map[structs.InstanceID]uint64{}
+	for _, id := range c.order() {
+		g.emit(structs.SendPeer{To: id, Msg: &structs.AppliedRequest{Request: ev.Request}})
+	}
+	g.gatherDone(c)
+}
+
+func (g *Gateway) newGather(id structs.RequestID, deadline time.Time) *gather {
+	c := &gather{request: id, deadline: deadline, waiting: map[structs.InstanceID]bool{}}
+	for _, p := range g.members.Peers() {
+		if g.members.Suspected(p.ID) {
+			c.missing = append(c.missing, p.ID)
+			continue
+		}
+		c.waiting[p.ID] = true
+	}
+	g.gathers[id] = c
+	return c
+}
+
+func (c *gather) order() []structs.InstanceID {
+	ids := make([]structs.InstanceID, 0, len(c.waiting))
+	for id := range c.waiting {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (g *Gateway) programsReply(from structs.InstanceID, msg *structs.ProgramsReply) {
+	c, ok := g.gathers[msg.Request]
+	if !ok || !c.waiting[from] {
+		return
+	}
+	delete(c.waiting, from)
+	c.programs = append(c.programs, msg.Programs...)
+	g.gatherDone(c)
+}
+
+func (g *Gateway) appliedReply(from structs.InstanceID, msg *structs.AppliedReply) {
+	c, ok := g.gathers[msg.Request]
+	if !ok || !c.waiting[from] || c.applied == nil {
+		return
+	}
+	delete(c.waiting, from)
+	c.applied[from] = msg.Next
+	g.gatherDone(c)
+}
+
+func (g *Gateway) gatherPeerDown(peer structs.InstanceID) {
+	for _, id := range g.gatherIDs() {
+		c := g.gathers[id]
+		if !c.waiting[peer] {
+			continue
+		}
+		delete(c.waiting, peer)
+		c.missing = append(c.missing, peer)
+		g.gatherDone(c)
+	}
+}
+
+func (g *Gateway) gatherTimers(now time.Time) {
+	for _, id := range g.gatherIDs() {
+		c := g.gathers[id]
+		if c.deadline.After(now) {
+			continue
+		}
+		c.missing = append(c.missing, c.order()...)
+		c.waiting = nil
+		g.gatherDone(c)
+	}
+}
+
+func (g *Gateway) gatherIDs() []structs.RequestID {
+	ids := make([]structs.RequestID, 0, len(g.gathers))
+	for id := range g.gathers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// gatherDone answers if nothing is awaited any more.
+func (g *Gateway) gatherDone(c *gather) {
+	if len(c.waiting) > 0 {
+		return
+	}
+	delete(g.gathers, c.request)
+	if c.applied != nil {
+		g.emit(structs.ReplyApplied{Request: c.request, Applied: c.applied, Missing: c.missing})
+		return
+	}
+	slices.SortFunc(c.programs, func(a, b structs.ProgramInfo) int { return a.Created.Compare(b.Created) })
+	if c.limit > 0 && len(c.programs) > c.limit {
+		c.programs = c.programs[:c.limit]
+	}
+	g.emit(structs.ReplyPrograms{Request: c.request, Programs: c.programs, Missing: c.missing})
+}
