Dispatcher: queue, late binding, permits, and a first set of rules

Cause: owners need a dispatcher to ask for permits. Change: package dispatch (soft state, pure Tick) and package policy (one rule a file). A call and its permit are one object with one timer; a class and team has one sorted list, since every order key is constant in time. Conclusion: grants, refusals and finishes work by messages; rules are to be measured and revised.

--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// call is a call that waits for a permit or holds one.
+type call struct {
+	pool  *pool
+	owner structs.InstanceID
+	// request is the last one received.
+	request *structs.PermitRequest
+	order   policy.Call
+	class   int
+	key     time.Duration
+	arrived time.Time
+	// deadline is when the call must have ended, zero for none.
+	deadline time.Time
+	// ownerDown is set since the owner was reported dead.
+	ownerDown bool
+
+	// target holds the permit; nil while the call waits.
+	target *target
+	// placed is the target last placed at and granted the time of it.
+	granted time.Time
+	// prefill is the estimated own prefill time and queued the prefill that
+	// was ahead of it.
+	prefill, queued time.Duration
+
+	// timer is the call's next timer: its deadline, the drop after its
+	// owner's death, or the end of a permit that nobody returned.
+	timer      time.Time
+	timerIndex int
+}
+
+func (c *call) waiting() bool { return c.target == nil }
+
+func (c *call) run() structs.RunID { return c.request.Ref.Run }
+
+func (c *call) program() structs.ProgramID { return c.request.Ref.Program }
+
+// noTimer is the index of a call without a timer.
+const noTimer = -1
+
+// timerHeap orders calls by their timers.
+type timerHeap []*call
+
+// Len implements heap.Interface.
+func (h timerHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].timer.Equal(h[j].timer) {
+		return h[i].timer.Before(h[j].timer)
+	}
+	return h[i].run() < h[j].run()
+}
+
+// Swap implements heap.Interface.
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].timerIndex, h[j].timerIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) {
+	c := x.(*call)
+	c.timerIndex = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	c.timerIndex = noTimer
+	return c
+}
+
+// setTimer moves a call's timer; the zero time removes it.
+func (d *Dispatcher) setTimer(c *call, at time.Time) {
+	if c.timerIndex != noTimer {
+		heap.Remove(&d.timers, c.timerIndex)
+	}
+	c.timer = at
+	if !at.IsZero() {
+		heap.Push(&d.timers, c)
+	}
+}
+
+// endedRuns remembers the last runs that ended, so that a late duplicate of
+// their request is not queued again.
+type endedRuns struct {
+	known map[structs.RunID]struct{}
+	ring  []structs.RunID
+	next  int
+}
+
+// endedKept is the number of ended runs remembered.
+const endedKept = 1024
+
+func newEndedRuns() endedRuns {
+	return endedRuns{known: make(map[structs.RunID]struct{}, endedKept), ring: make([]structs.RunID, endedKept)}
+}
+
+func (e *endedRuns) add(run structs.RunID) {
+	if _, ok := e.known[run]; ok {
+		return
+	}
+	delete(e.known, e.ring[e.next])
+	e.ring[e.next] = run
+	e.known[run] = struct{}{}
+	e.next = (e.next + 1) % endedKept
+}
+
+func (e *endedRuns) has(run structs.RunID) bool {
+	_, ok := e.known[run]
+	return ok
+}
--- /dev/null
+++ b/internal/dispatch/finish.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// finish returns a permit and learns from the run.
+func (d *Dispatcher) finish(now time.Time, m *structs.PermitFinish) {
+	p := d.findPool(m.Pool)
+	if p == nil {
+		return
+	}
+	p.used = now
+	c := d.calls[m.Ref.Run]
+	if c == nil || c.waiting() {
+		return
+	}
+	t := c.target
+	d.forget(c)
+	d.ended.add(c.run())
+	p.shares.Add(c.request.Team, m.Took-p.estimates.CallTime, c.request.Weight)
+	p.learn(now, c, t, m)
+	p.keep(now, c, t, m)
+}
+
+// learn updates the pool's estimates and the target's health.
+func (p *pool) learn(now time.Time, c *call, t *target, m *structs.PermitFinish) {
+	switch m.Failure {
+	case structs.RunOK:
+	case structs.RunNotSent, structs.RunBroken, structs.RunTimeout:
+		p.targetFailed(now, t)
+		return
+	default:
+		return
+	}
+	expected := p.estimates.CallTime
+	uncached := max(0, m.Usage.PromptTokens-m.Usage.CachedTokens)
+	if p.service.Kind == structs.ServiceEngine {
+		expected = c.queued + p.estimates.Expected(uncached, m.Usage.CompletionTokens)
+	}
+	ratio := float64(m.Took) / float64(max(time.Millisecond, expected))
+	t.health.Succeed(p.service.Rules, now, ratio, p.mayEject())
+	p.estimates.Add(policy.Sample{
+		Uncached: uncached, Completion: m.Usage.CompletionTokens,
+		FirstToken: m.FirstToken, Took: m.Took, Queued: c.queued,
+	})
+}
--- /dev/null
+++ b/internal/dispatch/grant.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// candidates is the number of waiting calls looked at in one pass.
+	candidates = 64
+	// prefillLimit is the granted prefill up to which a target takes more:
+	// what is queued inside an engine is out of the order's reach.
+	prefillLimit = 10 * time.Millisecond
+	// intervalGain is the weight of a new sample of the grant interval.
+	intervalGain = 0.05
+)
+
+// grantWaiting grants the best waiting calls as long as targets take them.
+func (d *Dispatcher) grantWaiting(now time.Time, p *pool) {
+	p.wakeAt = time.Time{}
+	for p.queue.size > 0 {
+		if !p.anyEligible() {
+			d.refuseAll(p)
+			return
+		}
+		if !p.anyOpen(now) || !d.grantPass(now, p) {
+			break
+		}
+	}
+	if p.queue.size == 0 {
+		p.lastGrant = time.Time{}
+		return
+	}
+	p.setWake(now)
+}
+
+// grantPass looks once at the best waiting calls, in order, and tells whether
+// it granted all of them. A call that waits for a target lets others pass.
+func (d *Dispatcher) grantPass(now time.Time, p *pool) bool {
+	for _, t := range p.targets {
+		t.awaited = 0
+	}
+	best := p.bestCalls()
+	granted := 0
+	for _, c := range best {
+		options := p.options(now, c)
+		choice := policy.Place(p.service.Rules, options, p.lastPlaced)
+		if choice.Index < 0 {
+			continue
+		}
+		t := p.targets[choice.Index]
+		if choice.Wait {
+			t.awaited += options[choice.Index].Prefill
+			continue
+		}
+		p.lastPlaced = choice.Index
+		d.grant(now, c, t, options[choice.Index])
+		granted++
+	}
+	return granted == len(best) && granted > 0
+}
+
+// bestCalls gives the calls to look at first.
+func (p *pool) bestCalls() []*call {
+	floors := make(map[int]time.Duration)
+	for _, l := range p.queue.lanes {
+		if _, ok := floors[l.class]; !ok {
+			floors[l.class] = p.shares.Floor(p.queue.backlogged(l.class))
+		}
+	}
+	return p.queue.first(candidates, func(l *lane) bool {
+		return p.shares.Over(p.service.Rules, l.team, floors[l.class])
+	})
+}
+
+func (p *pool) anyEligible() bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return !t.gone && !t.info.Leaving })
+}
+
+func (p *pool) anyOpen(now time.Time) bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return p.open(now, t) })
+}
+
+// open tells whether a target takes a call now. Without late binding it always
+// does, and calls queue at the target.
+func (p *pool) open(now time.Time, t *target) bool {
+	if !t.eligible() {
+		return false
+	}
+	if !p.service.Rules.LateBinding {
+		return true
+	}
+	return t.load() < t.health.Slots(p.service.Slots) && t.backlog(now) <= prefillLimit
+}
+
+// refuseAll answers the waiting calls of a pool that has no target.
+func (d *Dispatcher) refuseAll(p *pool) {
+	var waiting []*call
+	p.queue.each(func(c *call) { waiting = append(waiting, c) })
+	for _, c := range waiting {
+		d.refuseWaiting(c, structs.ReasonNoTarget, noTargetPause)
+	}
+}
+
+// options lists what each target of the pool means for a call.
+func (p *pool) options(now time.Time, c *call) []policy.Option {
+	options := make([]policy.Option, len(p.targets))
+	for i, t := range p.targets {
+		options[i] = p.option(now, c, t)
+	}
+	if slices.ContainsFunc(options, func(o policy.Option) bool { return !o.Excluded && !o.Avoided }) {
+		for i := range options {
+			options[i].Excluded = options[i].Excluded || options[i].Avoided
+		}
+	}
+	return options
+}
+
+func (p *pool) option(now time.Time, c *call, t *target) policy.Option {
+	if !t.eligible() {
+		return policy.Option{Excluded: true}
+	}
+	m := c.request
+	cached := t.cache.cached(m)
+	uncached := max(0, m.PromptTokens-cached)
+	option := policy.Option{
+		Open: p.open(now, t), Avoided: slices.Contains(m.Avoid, t.info.ID),
+		Running: t.load(), Backlog: t.backlog(now) + t.awaited,
+		Prefill: time.Duration(uncached) * p.estimates.PrefillPerToken,
+		Cached:  cached, Slowness: t.health.Slowness,
+	}
+	if slots := t.health.Slots(p.service.Slots); p.service.Rules.LateBinding && t.load() >= slots {
+		option.Delay = p.estimates.CallTime / time.Duration(max(1, slots))
+	}
+	if p.service.Rules.EvictionTerm && p.service.Rules.Placement == policy.PlaceCost {
+		option.Eviction = p.evictionCost(now, t, uncached)
+	}
+	return option
+}
+
+// grant gives a waiting call a permit at a target.
+func (d *Dispatcher) grant(now time.Time, c *call, t *target, option policy.Option) {
+	p := c.pool
+	p.queue.remove(c)
+	known := p.programs[c.program()]
+	known.waiting--
+	known.waited += now.Sub(c.arrived)
+	c.prefill, c.queued = option.Prefill, t.backlog(now)
+	p.countGrant(now)
+	d.hold(now, c, t)
+	d.send(c.owner, &structs.PermitGrant{Pool: p.id, Ref: c.request.Ref, Target: t.info})
+}
+
+// hold books a permit of a call at a target.
+func (d *Dispatcher) hold(now time.Time, c *call, t *target) {
+	p := c.pool
+	c.target, c.granted = t, now
+	t.add(c)
+	t.prefillUntil = laterOf(now, t.prefillUntil).Add(c.prefill)
+	p.use(now, c)
+	p.shares.Add(c.request.Team, p.estimates.CallTime, c.request.Weight)
+	d.setTimer(c, now.Add(p.service.Timeout+permitGrace))
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// countGrant learns the interval of grants while calls wait.
+func (p *pool) countGrant(now time.Time) {
+	if !p.lastGrant.IsZero() {
+		p.interval += time.Duration(intervalGain * float64(now.Sub(p.lastGrant)-p.interval))
+	}
+	p.lastGrant = now
+}
+
+// setWake sets the time at which the next target has done enough prefill.
+func (p *pool) setWake(now time.Time) {
+	for _, t := range p.targets {
+		if t.eligible() && t.load() < t.health.Slots(p.service.Slots) && t.backlog(now) > prefillLimit {
+			p.wakeAt = earliest(p.wakeAt, t.prefillUntil.Add(-prefillLimit))
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// ownerDropWait is how long the waiting calls of a dead owner are kept
+	// unless it sends them again.
+	ownerDropWait = 5 * time.Second
+	// permitGrace is added to the service timeout before a permit that
+	// nobody returned is taken back.
+	permitGrace = 5 * time.Second
+	// noTargetPause is when a call may come again that found no target.
+	noTargetPause = time.Second
+)
+
+// request queues a call, registers a running one, or answers a request that
+// came again.
+func (d *Dispatcher) request(now time.Time, from structs.InstanceID, m *structs.PermitRequest) {
+	p := d.poolFor(now, m.Pool)
+	p.used = now
+	known := d.calls[m.Ref.Run]
+	switch {
+	case known != nil && (known.target != nil || m.Running == ""):
+		d.requestAgain(now, from, known, m)
+	case m.Running != "":
+		if known != nil {
+			d.forget(known)
+		}
+		d.register(now, from, p, m)
+	case d.ended.has(m.Ref.Run):
+		return
+	default:
+		d.enqueue(now, from, p, m)
+	}
+}
+
+// requestAgain answers a duplicate: a waiting call goes on waiting, a granted
+// one is told its grant again unless the owner knows it.
+func (d *Dispatcher) requestAgain(now time.Time, from structs.InstanceID, c *call, m *structs.PermitRequest) {
+	c.owner, c.ownerDown = from, false
+	if c.waiting() {
+		d.rearm(now, c)
+		d.send(from, &structs.PermitQueued{Ref: m.Ref})
+		return
+	}
+	if m.Running == "" {
+		d.send(from, &structs.PermitGrant{Pool: m.Pool, Ref: m.Ref, Target: c.target.info})
+	}
+}
+
+// register takes over a call that runs at a target by an earlier dispatcher's
+// permit.
+func (d *Dispatcher) register(now time.Time, from structs.InstanceID, p *pool, m *structs.PermitRequest) {
+	t := p.target(m.Running)
+	if t == nil {
+		return
+	}
+	c := d.newCall(now, from, p, m)
+	d.calls[m.Ref.Run] = c
+	d.hold(now, c, t)
+}
+
+func (d *Dispatcher) newCall(now time.Time, from structs.InstanceID, p *pool, m *structs.PermitRequest) *call {
+	c := &call{pool: p, owner: from, request: m, arrived: now, timerIndex: noTimer}
+	if m.Remaining > 0 {
+		c.deadline = now.Add(m.Remaining)
+	}
+	known := p.program(now, m.Ref.Program, m.Team)
+	waited := known.waited + m.Waited
+	c.order = policy.Call{
+		Run: m.Ref.Run, Team: m.Team, Priority: m.Priority,
+		Arrived: now.Sub(d.epoch), Served: m.Served,
+		Elapsed: max(m.Served, m.Age-waited), Waited: waited,
+		Slack: m.Slack, HasDeadline: m.HasDeadline,
+	}
+	p.rank(c)
+	return c
+}
+
+func (d *Dispatcher) enqueue(now time.Time, from structs.InstanceID, p *pool, m *structs.PermitRequest) {
+	if !p.budget.Allow(m.Attempt) {
+		d.refuse(from, m, structs.ReasonOverloaded, policy.RetryBudgetPause)
+		return
+	}
+	c := d.newCall(now, from, p, m)
+	if verdict := d.admit(p, c); !verdict.Admit {
+		d.refuse(from, m, verdict.Reason, verdict.RetryAfter)
+		return
+	}
+	if m.SharedKey != "" {
+		p.sharedKeys[m.SharedKey] = struct{}{}
+	}
+	p.programReturned(now, c)
+	p.joinShares(c)
+	d.calls[m.Ref.Run] = c
+	p.queue.add(c)
+	d.rearm(now, c)
+	d.send(from, &structs.PermitQueued{Ref: m.Ref})
+}
+
+func (d *Dispatcher) admit(p *pool, c *call) policy.Verdict {
+	m := c.request
+	return policy.Admit(p.service.Rules, policy.Load{
+		Waiting: p.queue.size, Limit: p.service.QueueLimit,
+		TeamWaiting: p.queue.teamSize(m.Team), TeamLimit: d.settings.Policy(m.Team).MaxQueued,
+		Ahead: p.queue.ahead(c), Interval: p.interval, CallTime: p.estimates.CallTime,
+		Remaining: m.Remaining,
+	})
+}
+
+// joinShares starts the team's account if it was not backlogged.
+func (p *pool) joinShares(c *call) {
+	teams := p.queue.backlogged(c.class)
+	for _, team := range teams {
+		if team == c.request.Team {
+			return
+		}
+	}
+	p.shares.Join(c.request.Team, p.shares.Floor(teams))
+}
+
+func (d *Dispatcher) refuse(to structs.InstanceID, m *structs.PermitRequest, reason structs.Reason, after time.Duration) {
+	d.send(to, &structs.PermitRefuse{Pool: m.Pool, Ref: m.Ref, Reason: reason, RetryAfter: after})
+}
+
+// refuseWaiting ends a waiting call without a permit.
+func (d *Dispatcher) refuseWaiting(c *call, reason structs.Reason, after time.Duration) {
+	d.forget(c)
+	d.refuse(c.owner, c.request, reason, after)
+}
+
+// forget removes a call from the queue or its target.
+func (d *Dispatcher) forget(c *call) {
+	d.setTimer(c, time.Time{})
+	delete(d.calls, c.run())
+	if c.waiting() {
+		c.pool.queue.remove(c)
+		c.pool.programs[c.program()].waiting--
+		return
+	}
+	c.target.remove(c)
+	c.pool.unuse(c)
+}
+
+// rearm sets the timer of a waiting call.
+func (d *Dispatcher) rearm(now time.Time, c *call) {
+	at := c.lastStart()
+	if c.ownerDown {
+		at = earliest(at, now.Add(ownerDropWait))
+	}
+	d.setTimer(c, at)
+}
+
+// lastStart is the latest start with which the call can meet its deadline,
+// zero if it has none.
+func (c *call) lastStart() time.Time {
+	if c.deadline.IsZero() {
+		return time.Time{}
+	}
+	return c.deadline.Add(-min(c.pool.estimates.CallTime, c.request.Remaining/2))
+}
+
+// cancel takes back a waiting call or a permit that was not used.
+func (d *Dispatcher) cancel(_ time.Time, m *structs.PermitCancel) {
+	if c := d.calls[m.Ref.Run]; c != nil {
+		d.forget(c)
+	}
+	d.ended.add(m.Ref.Run)
+}
+
+// peerDown starts the wait for a dead owner's waiting calls to be sent again.
+func (d *Dispatcher) peerDown(now time.Time, peer structs.InstanceID) {
+	for _, p := range d.pools {
+		p.queue.each(func(c *call) {
+			if c.owner == peer && !c.ownerDown {
+				c.ownerDown = true
+				d.rearm(now, c)
+			}
+		})
+	}
+}
+
+// expire ends the calls whose timer is over.
+func (d *Dispatcher) expire(now time.Time) {
+	for len(d.timers) > 0 && !d.timers[0].timer.After(now) {
+		c := d.timers[0]
+		switch {
+		case !c.waiting():
+			d.forget(c)
+			d.ended.add(c.run())
+		case c.ownerDown:
+			d.refuseWaiting(c, structs.ReasonOwnerUnavailable, noTargetPause)
+		default:
+			d.refuseWaiting(c, structs.ReasonDeadline, c.pool.estimatedWait(c))
+		}
+	}
+}
+
+// estimatedWait is the expected time until a waiting call starts.
+func (p *pool) estimatedWait(c *call) time.Duration {
+	return time.Duration(p.queue.ahead(c)+1) * p.interval
+}
--- /dev/null
+++ b/internal/policy/order.go
@@ -0,0 +1,71 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Names of the order rules.
+const (
+	OrderFCFS   = "fcfs"
+	OrderLAS    = "las"
+	OrderSlack  = "slack"
+	OrderHybrid = "hybrid"
+)
+
+const (
+	// noDeadlineSlack ranks calls of programs without a deadline under the
+	// slack rule.
+	noDeadlineSlack = time.Hour
+	// stretchFactor is the delay that the hybrid rule allows a call, as a
+	// share of its program's latency so far.
+	stretchFactor = 0.5
+	// slackShare is the share of the program's slack that the hybrid rule
+	// allows one call to wait.
+	slackShare = 0.25
+)
+
+// Key ranks a call within its class; the lowest goes first. All keys are
+// constant in time, so a queue need not be sorted again: a rank that falls
+// linearly with the wait is the same order as one that grows with the arrival.
+func Key(rules structs.Rules, call Call) time.Duration {
+	switch rules.Order {
+	case OrderLAS:
+		return lasKey(rules, call)
+	case OrderSlack:
+		return slackKey(call)
+	case OrderHybrid:
+		return hybridKey(call)
+	default:
+		return call.Arrived
+	}
+}
+
+// lasKey is least attained service with linear aging: a wait of Aging times
+// the service difference makes up for it.
+func lasKey(rules structs.Rules, call Call) time.Duration {
+	if rules.Aging <= 0 {
+		return call.Served
+	}
+	return call.Arrived + time.Duration(rules.Aging*float64(call.Served))
+}
+
+func slackKey(call Call) time.Duration {
+	if !call.HasDeadline {
+		return call.Arrived + noDeadlineSlack
+	}
+	return call.Arrived + call.Slack
+}
+
+// hybridKey is a due time: arrival plus a delay in proportion to the program's
+// latency so far, less what it has waited already. It bounds the slowdown of
+// each program alike, so a short program goes before a long one, and a long one
+// is overtaken only for a bounded time. A close deadline brings it forward.
+func hybridKey(call Call) time.Duration {
+	allowed := time.Duration(stretchFactor*float64(call.Elapsed)) - call.Waited
+	if call.HasDeadline {
+		allowed = min(allowed, time.Duration(slackShare*float64(call.Slack)))
+	}
+	return call.Arrived + allowed
+}
--- /dev/null
+++ b/internal/policy/placement.go
@@ -0,0 +1,132 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Names of the placement rules.
+const (
+	PlaceRoundRobin  = "round-robin"
+	PlaceLeastLoaded = "least-loaded"
+	PlaceAffinity    = "affinity"
+	PlaceCost        = "cost"
+)
+
+// Option is one target that a call could be placed at.
+type Option struct {
+	// Excluded tells that the target may not get the call, and Avoided that
+	// it should only if there is no other.
+	Excluded, Avoided bool
+	// Open tells that the target takes a call now; else Delay is the
+	// expected time until it does.
+	Open  bool
+	Delay time.Duration
+	// Running counts the calls at the target.
+	Running int
+	// Backlog is the expected time until the prefill queued at the target
+	// is done.
+	Backlog time.Duration
+	// Prefill is the time to process the part of the prompt that is not
+	// cached there.
+	Prefill time.Duration
+	// Cached is the part of the prompt cached there, in tokens.
+	Cached int64
+	// Eviction is the expected time to recompute what the placement evicts.
+	Eviction time.Duration
+	// Slowness is the target's time for the same work over that of the
+	// pool; 1 is usual.
+	Slowness float64
+}
+
+func (o Option) takes() bool { return o.Open && !o.Excluded }
+
+// Choice is the decision of a placement rule.
+type Choice struct {
+	// Index is the option chosen, -1 if none can take the call.
+	Index int
+	// Wait tells that waiting for the option is better than any open one.
+	Wait bool
+}
+
+var noChoice = Choice{Index: -1}
+
+// Place chooses the target of a call. last is the index of the option that
+// the last placement of the pool took, for round robin.
+func Place(rules structs.Rules, options []Option, last int) Choice {
+	switch rules.Placement {
+	case PlaceRoundRobin:
+		return placeRoundRobin(options, last)
+	case PlaceAffinity:
+		return placeAffinity(options)
+	case PlaceCost:
+		return placeCost(rules, options)
+	default:
+		return placeLeastLoaded(options)
+	}
+}
+
+func placeRoundRobin(options []Option, last int) Choice {
+	for i := range options {
+		index := (last + 1 + i) % len(options)
+		if options[index].takes() {
+			return Choice{Index: index}
+		}
+	}
+	return noChoice
+}
+
+func placeLeastLoaded(options []Option) Choice {
+	best := noChoice
+	for i, option := range options {
+		if option.takes() && (best.Index < 0 || option.Running < options[best.Index].Running) {
+			best.Index = i
+		}
+	}
+	return best
+}
+
+func placeAffinity(options []Option) Choice {
+	best := placeLeastLoaded(options)
+	for i, option := range options {
+		if option.takes() && option.Cached > options[best.Index].Cached {
+			best.Index = i
+		}
+	}
+	return best
+}
+
+// placeCost takes the option of least cost. If that one is not open, the call
+// waits for it, as in delay scheduling: its delay is part of its cost.
+func placeCost(rules structs.Rules, options []Option) Choice {
+	best := noChoice
+	var least time.Duration
+	for i, option := range options {
+		if option.Excluded {
+			continue
+		}
+		cost := Cost(rules, option)
+		if best.Index < 0 || cost < least {
+			best, least = Choice{Index: i, Wait: !option.Open}, cost
+		}
+	}
+	return best
+}
+
+// Cost is the expected time that a placement costs: the call's own delay and
+// prefill, the delay that its prefill causes the calls that run there, and the
+// recomputation of what it evicts.
+func Cost(rules structs.Rules, option Option) time.Duration {
+	prefill := time.Duration(float64(option.Prefill) * max(1, option.Slowness))
+	cost := option.Delay + option.Backlog + prefill
+	cost += time.Duration(option.Running) * (prefill + stepCostPerSequence)
+	if rules.EvictionTerm {
+		cost += option.Eviction
+	}
+	return cost
+}
+
+// stepCostPerSequence is what one more running call costs another over the
+// run, by a longer step.
+const stepCostPerSequence = 2 * time.Millisecond
--- /dev/null
+++ b/internal/policy/retrybudget.go
@@ -0,0 +1,34 @@
+package policy
+
+import "time"
+
+// Bounds of the retry budget.
+const (
+	// retryShare is the share of fresh requests that may be retries.
+	retryShare = 0.2
+	// retryBurst is the number of retries that may come at once.
+	retryBurst = 20
+	// RetryBudgetPause is when a retry that was refused may come again.
+	RetryBudgetPause = time.Second
+)
+
+// RetryBudget limits further attempts to a share of the fresh requests, so
+// that retries do not multiply an overload.
+type RetryBudget struct{ credit float64 }
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() RetryBudget { return RetryBudget{credit: retryBurst} }
+
+// Allow takes a request into account and tells whether it may go on. Attempt
+// 0 is a fresh request.
+func (b *RetryBudget) Allow(attempt int) bool {
+	if attempt == 0 {
+		b.credit = min(retryBurst, b.credit+retryShare)
+		return true
+	}
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
