--- /dev/null
+++ b/internal/journal/done.go
@@ -0,0 +1,94 @@
+package journal
+
+import "github.com/banyanglade/banyanglade/internal/structs"
+
+// applyDone records an outcome. Which of two outcomes of one key stands does
+// not depend on the order in which a live owner and a reader of the log meet
+// them: an answer beats "unknown", then the newer epoch beats the older.
+func (s *State) applyDone(h Header, b *Done) {
+	p := s.program(h, b.CallID)
+	p.Services[b.Service] = true
+	delete(p.Open, b.Run)
+	p.dropRuns(b.Key)
+	old := p.Calls[b.Key]
+	if old != nil && old.Run == b.Run {
+		p.correct(old, h, b)
+		return
+	}
+	p.charge(h.Epoch, b.Chunk, b.Cost)
+	if b.CacheTokens > 0 {
+		p.place(b.Target, b.Service, b.CacheTokens, h.TimeMS)
+	}
+	p.ServedNS += b.TookNS
+	if old != nil && !supersedes(h, b, old) {
+		return
+	}
+	if old == nil {
+		p.advance(b)
+	}
+	p.Calls[b.Key] = newCall(h, b)
+}
+
+// correct replaces the unknown outcome of a run by what was learnt later.
+func (p *Program) correct(old *Call, h Header, b *Done) {
+	if old.Outcome.Kind != structs.OutcomeUnknown || b.Outcome.Kind != structs.OutcomeAnswered {
+		return
+	}
+	p.charge(old.Epoch, b.Chunk, b.Cost.Minus(old.Cost))
+	p.ServedNS += b.TookNS
+	if b.CacheTokens > 0 {
+		p.place(b.Target, b.Service, b.CacheTokens, h.TimeMS)
+	}
+	p.Calls[b.Key] = newCall(h, b)
+}
+
+func newCall(h Header, b *Done) *Call {
+	return &Call{
+		Run: b.Run, Epoch: h.Epoch, TimeMS: h.TimeMS, Lane: b.Lane, Number: b.Number, Digest: b.Digest,
+		NotRepeatable: b.NotRepeatable, Cost: b.Cost, Outcome: b.Outcome,
+	}
+}
+
+func supersedes(h Header, b *Done, old *Call) bool {
+	oldKnown := old.Outcome.Kind == structs.OutcomeAnswered
+	newKnown := b.Outcome.Kind == structs.OutcomeAnswered
+	if oldKnown != newKnown {
+		return newKnown
+	}
+	return h.Epoch > old.Epoch
+}
+
+func (p *Program) charge(epoch structs.Epoch, fromChunk bool, cost Amount) {
+	p.Spent = p.Spent.Plus(cost)
+	if !fromChunk {
+		p.Direct = p.Direct.Plus(cost)
+		return
+	}
+	c := p.chunk(epoch)
+	c.Used = c.Used.Plus(cost)
+}
+
+// advance moves the lane past a call that was done for the first time.
+func (p *Program) advance(b *Done) {
+	p.Turns++
+	l := p.Lane(b.Lane)
+	l.Last = max(l.Last, b.Number)
+	// A late record of an earlier call must not set the history back.
+	if b.HistoryCount > 0 && (b.Number == 0 || b.Number >= l.Last) {
+		l.HistoryCount, l.HistoryDigest = b.HistoryCount, b.HistoryDigest
+	}
+	if l.RepeatDigest == b.Digest {
+		l.RepeatCount++
+		return
+	}
+	l.RepeatDigest, l.RepeatCount = b.Digest, 1
+}
+
+// dropRuns forgets the repeatable runs of a call that is done.
+func (p *Program) dropRuns(key string) {
+	for id, run := range p.Open {
+		if run.Key == key && !run.NotRepeatable {
+			delete(p.Open, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/record.go
@@ -0,0 +1,262 @@
+package journal
+
+import (
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Kind tags a record in the log. Numbers are part of the format.
+type Kind uint8
+
+// Kinds of records.
+const (
+	KindClaim        Kind = 1
+	KindOpen         Kind = 2
+	KindReserve      Kind = 3
+	KindIntent       Kind = 4
+	KindStarted      Kind = 5
+	KindDone         Kind = 6
+	KindAbandoned    Kind = 7
+	KindSettled      Kind = 8
+	KindClosed       Kind = 9
+	KindReleased     Kind = 10
+	KindLedgerGrant  Kind = 11
+	KindLedgerReturn Kind = 12
+	KindCredit       Kind = 13
+	KindSnapshot     Kind = 14
+)
+
+// Fenced tells whether a record of the kind is void behind a newer claim. The
+// others state facts that stay true whoever owns the shard.
+func (k Kind) Fenced() bool {
+	switch k {
+	case KindStarted, KindDone, KindAbandoned, KindSettled, KindLedgerReturn:
+		return false
+	default:
+		return true
+	}
+}
+
+// Header identifies a record. A writer's sequence numbers ascend in the log,
+// so that a repeat of an append whose reply was lost is seen as a duplicate.
+type Header struct {
+	Epoch    structs.Epoch
+	Writer   string
+	Sequence uint64
+	// Snapshot is the offset to read from to find the newest snapshot known
+	// to the writer, plus one; 0 if there is none.
+	Snapshot uint64
+	// TimeMS is the writer's clock in Unix milliseconds.
+	TimeMS int64
+}
+
+// Body is the kind-specific part of a record.
+type Body interface{ Kind() Kind }
+
+// Record is one decoded journal record.
+type Record struct {
+	Header
+	Body Body
+}
+
+// Claim makes its writer the owner of the shard in the header's epoch.
+type Claim struct{ Instance structs.InstanceID }
+
+// Open creates a program.
+type Open struct {
+	Program structs.ProgramID
+	Team    structs.Team
+}
+
+// Amount is a sum of tokens and fees.
+type Amount struct {
+	Tokens int64
+	Fees   int64
+}
+
+// Plus adds two amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{Tokens: a.Tokens + b.Tokens, Fees: a.Fees + b.Fees}
+}
+
+// Minus subtracts an amount.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{Tokens: a.Tokens - b.Tokens, Fees: a.Fees - b.Fees}
+}
+
+// AtMost tells whether no part of a exceeds b.
+func (a Amount) AtMost(b Amount) bool { return a.Tokens <= b.Tokens && a.Fees <= b.Fees }
+
+// IsZero tells whether both parts are zero.
+func (a Amount) IsZero() bool { return a == Amount{} }
+
+// Max takes the larger of each part.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{Tokens: max(a.Tokens, b.Tokens), Fees: max(a.Fees, b.Fees)}
+}
+
+// Reserve adds a chunk to what the owner of the epoch may spend on repeatable
+// calls of a program. It must count before any of it is spent.
+type Reserve struct {
+	Program structs.ProgramID
+	Amount  Amount
+}
+
+// CallID names a call within a shard. Team and Single let a record create the
+// row of a program that was never opened (a single call).
+type CallID struct {
+	Program structs.ProgramID
+	Team    structs.Team
+	Single  bool
+	Lane    structs.Lane
+	Number  uint64
+	// Key is the idempotency key; the run id stands in if the caller gave
+	// none.
+	Key    string
+	Digest structs.Digest
+	Run    structs.RunID
+}
+
+// Intent precedes the only send of a not-repeatable call. Hold is the worst
+// case of its cost, counted as spent until the call is done or abandoned.
+type Intent struct {
+	CallID
+	Service structs.ServiceName
+	Hold    Amount
+	// HistoryCount and HistoryDigest are the conversation after the call's
+	// request, for the lane's history if the outcome is never known.
+	HistoryCount  int
+	HistoryDigest structs.ChainDigest
+}
+
+// Started tells that a run was or is about to be sent to a target, which may
+// hold cache of the program from now on.
+type Started struct {
+	CallID
+	Service       structs.ServiceName
+	Target        structs.TargetID
+	NotRepeatable bool
+	// Cache tells that the target keeps prefix cache for programs.
+	Cache bool
+}
+
+// Done is the final outcome of a call that was or may have been sent.
+type Done struct {
+	CallID
+	Service       structs.ServiceName
+	Target        structs.TargetID
+	NotRepeatable bool
+	// Chunk tells that the cost comes from the writer's chunk (see Reserve).
+	Chunk   bool
+	Cost    Amount
+	Outcome structs.Outcome
+	// CacheTokens is the prefix that the target holds afterwards.
+	CacheTokens   int64
+	TookNS        int64
+	HistoryCount  int
+	HistoryDigest structs.ChainDigest
+}
+
+// Abandoned tells that a call with an Intent was not sent and never will be.
+type Abandoned struct {
+	Program structs.ProgramID
+	Run     structs.RunID
+}
+
+// Settled tells that the owner of the header's epoch spends no more from its
+// chunk of a program: what it used stands in its Done records.
+type Settled struct{ Program structs.ProgramID }
+
+// Closed ends a program.
+type Closed struct {
+	Program structs.ProgramID
+	Reason  structs.Reason
+}
+
+// Released tells that a target confirmed that it holds no cache of a program.
+type Released struct {
+	Program structs.ProgramID
+	Target  structs.TargetID
+}
+
+// LedgerGrant hands a part of a team path's budget to a shard.
+type LedgerGrant struct {
+	Team    structs.Team
+	Account structs.ShardRef
+	Grant   string
+	Amount  Amount
+}
+
+// LedgerReturn gives back what was left of a grant.
+type LedgerReturn struct {
+	Team   structs.Team
+	Grant  string
+	Amount Amount
+}
+
+// Credit records a grant at the shard that received it.
+type Credit struct {
+	Team   structs.Team
+	Grant  string
+	Amount Amount
+}
+
+// Snapshot is one part of an encoded State, taken when the stream was applied
+// up to Next. All parts are appended in one batch.
+type Snapshot struct {
+	Next  uint64
+	Part  int
+	Parts int
+	Data  []byte
+}
+
+// Kind tags of the bodies.
+func (*Claim) Kind() Kind        { return KindClaim }
+func (*Open) Kind() Kind         { return KindOpen }
+func (*Reserve) Kind() Kind      { return KindReserve }
+func (*Intent) Kind() Kind       { return KindIntent }
+func (*Started) Kind() Kind      { return KindStarted }
+func (*Done) Kind() Kind         { return KindDone }
+func (*Abandoned) Kind() Kind    { return KindAbandoned }
+func (*Settled) Kind() Kind      { return KindSettled }
+func (*Closed) Kind() Kind       { return KindClosed }
+func (*Released) Kind() Kind     { return KindReleased }
+func (*LedgerGrant) Kind() Kind  { return KindLedgerGrant }
+func (*LedgerReturn) Kind() Kind { return KindLedgerReturn }
+func (*Credit) Kind() Kind       { return KindCredit }
+func (*Snapshot) Kind() Kind     { return KindSnapshot }
+
+// newBody makes an empty body of a kind, nil if the kind is unknown.
+func newBody(kind Kind) Body {
+	switch kind {
+	case KindClaim:
+		return new(Claim)
+	case KindOpen:
+		return new(Open)
+	case KindReserve:
+		return new(Reserve)
+	case KindIntent:
+		return new(Intent)
+	case KindStarted:
+		return new(Started)
+	case KindDone:
+		return new(Done)
+	case KindAbandoned:
+		return new(Abandoned)
+	case KindSettled:
+		return new(Settled)
+	case KindClosed:
+		return new(Closed)
+	case KindReleased:
+		return new(Released)
+	case KindLedgerGrant:
+		return new(LedgerGrant)
+	case KindLedgerReturn:
+		return new(LedgerReturn)
+	case KindCredit:
+		return new(Credit)
+	case KindSnapshot:
+		return new(Snapshot)
+	default:
+		return nil
+	}
+}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -53,6 +53,10 @@
 	Have int
 	// Suspects are instances that the gateway finds unreachable.
 	Suspects []InstanceID
+	// Resubmitted tells that the gateway handed this request to another
+	// owner before and has no outcome of it: that owner may have run it, so
+	// an owner that does not run it must not answer "not run".
+	Resubmitted bool
 }
 
 // Withdraw tells the owner that the caller is gone.
