Thin peer transport and platform clients

Cause: the core needs adapters for messages between instances, the log and the membership list. Change: package peer (WebSocket, CBOR, HMAC handshake, heartbeats), package platform (appends, tails, membership polls), package eventsink (backpressure towards the loop).

--- /dev/null
+++ b/internal/peer/accept.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+// Handler returns the handler of the peer listener, to be mounted at Route.
+func (t *Transport) Handler() http.Handler {
+	return http.HandlerFunc(t.serve)
+}
+
+func (t *Transport) serve(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	closed := t.closed
+	if !closed {
+		t.work.Add(1)
+	}
+	t.mu.Unlock()
+	if closed {
+		http.Error(w, errClosed.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer t.work.Done()
+	if err := t.checkTLS(r); err != nil {
+		t.refuse(r, err)
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
+	select {
+	case t.handshakes <- struct{}{}:
+	default:
+		t.refuse(r, errors.New("too many connections that are not authenticated"))
+		http.Error(w, "too many handshakes", http.StatusServiceUnavailable)
+		return
+	}
+	s, err := t.accept(w, r)
+	<-t.handshakes
+	if err != nil {
+		t.refuse(r, err)
+		return
+	}
+	t.runSession(s)
+}
+
+// checkTLS checks that the dialer showed a verified certificate where TLS alone
+// authenticates it.
+func (t *Transport) checkTLS(r *http.Request) error {
+	if len(t.cfg.Key) > 0 {
+		return nil
+	}
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return errors.New("a verified client certificate is needed")
+	}
+	return nil
+}
+
+// accept upgrades the connection and runs the handshake.
+func (t *Transport) accept(w http.ResponseWriter, r *http.Request) (*session, error) {
+	options := websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled}
+	conn, err := websocket.Accept(w, r, &options)
+	if err != nil {
+		return nil, errors.Wrap(err, "upgrade")
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.PeerTimeout)
+	defer cancel()
+	remote, err := t.handshaker.accept(ctx, conn)
+	if err != nil {
+		_ = conn.Close(websocket.StatusPolicyViolation, closeReason(err))
+		return nil, errors.Wrap(err, "handshake")
+	}
+	return newSession(t, remote, conn), nil
+}
+
+func (t *Transport) refuse(r *http.Request, err error) {
+	t.metrics.refused.Inc(1)
+	t.logger.Warn("peer connection refused", "remote", r.RemoteAddr, "error", err)
+}
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Defaults of a Config.
+const (
+	DefaultPeerTimeout       = time.Second
+	DefaultHeartbeatInterval = 250 * time.Millisecond
+	DefaultWriteTimeout      = 3 * time.Second
+	DefaultMaxFrame          = 16 << 20
+	DefaultQueueFrames       = 8192
+	DefaultQueueBytes        = 64 << 20
+	DefaultMaxHandshakes     = 64
+
+	// MinKeyBytes is the least length of the shared key.
+	MinKeyBytes = 16
+)
+
+// ErrConfig is the error of a Config that cannot be used.
+var ErrConfig = errors.New("invalid peer transport configuration")
+
+// Config holds the settings of a Transport. Zero values of all but Self and
+// Key take the defaults above.
+type Config struct {
+	// Self is this instance.
+	Self structs.Peer
+	// Incarnation is unique for each start of the process.
+	Incarnation string
+	// Key is the secret that all instances share, at least MinKeyBytes long.
+	// It may be empty only if TLS demands verified client certificates.
+	Key []byte
+	// TLS is used to dial; nil dials plain TCP. The listener that serves the
+	// Handler must use the same configuration.
+	TLS *tls.Config
+	// PeerTimeout is the liveness timeout of a watched instance, and bounds a
+	// dial with its handshake and a probe.
+	PeerTimeout time.Duration
+	// HeartbeatInterval is the time between two pings; a jitter of up to a
+	// fifth is added.
+	HeartbeatInterval time.Duration
+	// WriteTimeout bounds the write of one frame to a slow reader.
+	WriteTimeout time.Duration
+	// MaxFrame is the size of the largest frame, in bytes.
+	MaxFrame int
+	// QueueFrames and QueueBytes bound what waits to be written to one
+	// instance.
+	QueueFrames int
+	QueueBytes  int
+	// MaxHandshakes bounds the connections that are not yet authenticated.
+	MaxHandshakes int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.MaxFrame, DefaultMaxFrame)
+	setDefault(&c.QueueFrames, DefaultQueueFrames)
+	setDefault(&c.QueueBytes, DefaultQueueBytes)
+	setDefault(&c.MaxHandshakes, DefaultMaxHandshakes)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c Config) validate() error {
+	if c.Self.ID == "" || c.Incarnation == "" {
+		return errors.Wrap(ErrConfig, "the instance id and incarnation are needed")
+	}
+	if len(c.Key) == 0 && c.verifiesClients() {
+		return nil
+	}
+	if len(c.Key) < MinKeyBytes {
+		return errors.Wrapf(ErrConfig, "the shared key needs at least %d bytes", MinKeyBytes)
+	}
+	return nil
+}
+
+// verifiesClients tells whether TLS alone authenticates the other side.
+func (c Config) verifiesClients() bool {
+	return c.TLS != nil && c.TLS.ClientAuth == tls.RequireAndVerifyClientCert
+}
--- /dev/null
+++ b/internal/peer/dial.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+// Route is the path of the peer listener that Handler serves.
+const Route = "/peer"
+
+func newDialClient(cfg Config) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     cfg.TLS,
+		TLSHandshakeTimeout: cfg.PeerTimeout,
+	}}
+}
+
+func (t *Transport) dialURL(address string) string {
+	if t.cfg.TLS != nil {
+		return "wss://" + address + Route
+	}
+	return "ws://" + address + Route
+}
+
+// connect tells whether a link has a connection or is being dialed, and dials
+// it if neither. It returns false if the address is unknown or the instance
+// could not be reached a moment ago. The mutex is held.
+func (t *Transport) connect(l *link) bool {
+	if l.current != nil || l.dialing {
+		return true
+	}
+	if l.address == "" || time.Now().Before(l.notBefore) {
+		return false
+	}
+	address := l.address
+	l.dialing = t.spawn(func() { t.dialLink(l, address) })
+	return l.dialing
+}
+
+// dialLink dials an instance and runs the session until it ends.
+func (t *Transport) dialLink(l *link, address string) {
+	s, err := t.dial(l, address)
+	t.mu.Lock()
+	l.dialing = false
+	if err != nil {
+		t.dialFailed(l, err)
+	}
+	t.mu.Unlock()
+	if err != nil {
+		return
+	}
+	t.runSession(s)
+}
+
+func (t *Transport) dial(l *link, address string) (*session, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.PeerTimeout)
+	defer cancel()
+	options := websocket.DialOptions{HTTPClient: t.client, CompressionMode: websocket.CompressionDisabled}
+	conn, _, err := websocket.Dial(ctx, t.dialURL(address), &options)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	remote, err := t.handshaker.dial(ctx, conn, l.id)
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, errors.Wrap(err, "handshake")
+	}
+	return newSession(t, remote, conn), nil
+}
+
+// dialFailed drops what waits for the instance and tells the loop. The mutex is
+// held.
+func (t *Transport) dialFailed(l *link, err error) {
+	l.notBefore = time.Now().Add(l.redial.NextBackOff())
+	t.metrics.dialsFailed.Inc(1)
+	t.logger.Warn("peer cannot be reached", "peer", l.id, "error", err)
+	if l.current != nil {
+		return
+	}
+	t.drop(l)
+	t.liveness.down(l.id)
+}
+
+// runSession adopts a session, runs it, and cleans up after it.
+func (t *Transport) runSession(s *session) {
+	l := t.adopt(s)
+	if l == nil {
+		s.cancel(errClosed)
+		_ = s.conn.CloseNow()
+		return
+	}
+	err := s.run()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	delete(l.sessions, s)
+	if l.current == s {
+		t.breakLink(l, err)
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ugorji/go/codec"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Kinds of the transport's own frames. Lower numbers are structs.MessageKind.
+const (
+	kindHello    structs.MessageKind = 240
+	kindWelcome  structs.MessageKind = 241
+	kindConfirm  structs.MessageKind = 242
+	kindAccepted structs.MessageKind = 243
+	kindPing     structs.MessageKind = 250
+	kindPong     structs.MessageKind = 251
+)
+
+const (
+	// headerBytes is the length of a frame before its body.
+	headerBytes = 2
+	// maxDepth bounds the nesting of a body; the messages nest less deep.
+	maxDepth = 16
+	// maxInitLen bounds the elements allocated ahead for a collection on the
+	// word of its length field.
+	maxInitLen = 1024
+)
+
+// Errors of a frame.
+var (
+	ErrVersion  = errors.New("peer speaks another protocol version")
+	ErrFrame    = errors.New("malformed frame")
+	ErrTooLarge = errors.New("frame is too large")
+)
+
+var handle = newHandle()
+
+func newHandle() *codec.CborHandle {
+	h := &codec.CborHandle{TimeRFC3339: true}
+	h.StructToArray = true
+	h.MaxDepth = maxDepth
+	h.MaxInitLen = maxInitLen
+	return h
+}
+
+// EncodeFrame encodes a message as a frame.
+func EncodeFrame(msg structs.Message) ([]byte, error) {
+	return encodeBody(msg.Kind(), msg)
+}
+
+func encodeBody(kind structs.MessageKind, body any) ([]byte, error) {
+	var encoded []byte
+	if err := codec.NewEncoderBytes(&encoded, handle).Encode(body); err != nil {
+		return nil, errors.Wrapf(err, "encode message of kind %d", kind)
+	}
+	frame := make([]byte, 0, headerBytes+len(encoded))
+	frame = append(frame, structs.ProtocolVersion, byte(kind))
+	return append(frame, encoded...), nil
+}
+
+// DecodeFrame decodes a frame that holds a message. It returns ErrVersion or
+// ErrFrame.
+func DecodeFrame(frame []byte) (structs.Message, error) {
+	kind, body, err := splitFrame(frame)
+	if err != nil {
+		return nil, err
+	}
+	msg := structs.NewMessage(kind)
+	if msg == nil {
+		return nil, errors.Wrapf(ErrFrame, "unknown message kind %d", kind)
+	}
+	if err := decodeBody(body, msg); err != nil {
+		return nil, errors.Wrapf(err, "message of kind %d", kind)
+	}
+	return msg, nil
+}
+
+// splitFrame checks the version and splits a frame into its kind and body.
+func splitFrame(frame []byte) (structs.MessageKind, []byte, error) {
+	if len(frame) < headerBytes {
+		return 0, nil, errors.Wrap(ErrFrame, "shorter than its header")
+	}
+	if frame[0] != structs.ProtocolVersion {
+		return 0, nil, errors.Wrapf(ErrVersion, "version %d, wanted %d", frame[0], structs.ProtocolVersion)
+	}
+	return structs.MessageKind(frame[1]), frame[headerBytes:], nil
+}
+
+// decodeBody decodes a body into the struct that target points to. A body must
+// be an array, as every struct is encoded.
+func decodeBody(body []byte, target any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Wrapf(ErrFrame, "decode %s: %v", reflect.TypeOf(target), r)
+		}
+	}()
+	decoder := codec.NewDecoderBytes(body, handle)
+	if err := decoder.Decode(target); err != nil {
+		return errors.Wrapf(ErrFrame, "decode: %v", err)
+	}
+	if decoder.NumBytesRead() != len(body) {
+		return errors.Wrap(ErrFrame, "bytes after the body")
+	}
+	return nil
+}
+
+// carriesCall tells whether a message carries a call's data; all others count
+// as control traffic.
+func carriesCall(kind structs.MessageKind) bool {
+	switch kind {
+	case structs.KindSubmit, structs.KindCallChunk, structs.KindCallEnd:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Waits between two dials to an instance that cannot be reached.
+const (
+	minRedial = 50 * time.Millisecond
+	maxRedial = time.Second
+)
+
+// link is what the transport knows of one instance. The transport's mutex
+// guards it.
+type link struct {
+	id structs.InstanceID
+	// address is where the instance was last resolved to, empty if unknown.
+	address string
+	// queue holds the frames for current, or for the connection that is
+	// being dialed.
+	queue *sendQueue
+	// current is the session written to, nil if none.
+	current  *session
+	sessions map[*session]struct{}
+	dialing  bool
+	probing  bool
+	watched  bool
+	// lastHeard is when a heartbeat was answered, or when waiting for one
+	// began.
+	lastHeard time.Time
+	redial    *backoff.ExponentialBackOff
+	// notBefore is the earliest time of the next dial.
+	notBefore time.Time
+}
+
+func (t *Transport) newLink(id structs.InstanceID) *link {
+	redial := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(minRedial),
+		backoff.WithMaxInterval(maxRedial),
+		backoff.WithMaxElapsedTime(0),
+	)
+	return &link{
+		id:       id,
+		queue:    t.newQueue(),
+		sessions: make(map[*session]struct{}),
+		redial:   redial,
+	}
+}
+
+func (t *Transport) newQueue() *sendQueue {
+	return newSendQueue(t.cfg.QueueFrames, t.cfg.QueueBytes)
+}
+
+// linkTo finds or makes the link to an instance and refreshes its address. It
+// runs on the loop's goroutine with the mutex held.
+func (t *Transport) linkTo(id structs.InstanceID) *link {
+	l := t.findLink(id)
+	if peer, ok := t.resolve(id); ok {
+		l.address = peer.Address
+	}
+	return l
+}
+
+func (t *Transport) findLink(id structs.InstanceID) *link {
+	l, ok := t.links[id]
+	if !ok {
+		l = t.newLink(id)
+		t.links[id] = l
+	}
+	return l
+}
+
+// idle tells whether nothing is lost by forgetting the link.
+func (l *link) idle(now time.Time) bool {
+	return len(l.sessions) == 0 && !l.dialing && !l.probing && !l.watched && now.After(l.notBefore)
+}
+
+// drop forgets the frames that wait.
+func (t *Transport) drop(l *link) {
+	frames, _ := l.queue.size()
+	if frames > 0 {
+		t.metrics.framesLost.Inc(int64(frames))
+	}
+	l.queue = t.newQueue()
+}
+
+// breakLink ends all sessions of a link for a reason and posts PeerDown. The
+// mutex is held.
+func (t *Transport) breakLink(l *link, reason error) {
+	for s := range l.sessions {
+		s.cancel(reason)
+	}
+	clear(l.sessions)
+	l.current = nil
+	t.drop(l)
+	t.liveness.down(l.id)
+	t.metrics.broken.Inc(1)
+	t.logger.Warn("peer connection broken", "peer", l.id, "error", reason)
+}
+
+// adopt takes an authenticated connection into the link of its instance. It
+// returns nil if the transport is closed.
+func (t *Transport) adopt(s *session) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil
+	}
+	l := t.findLink(s.remote.ID)
+	if old := l.current; old != nil && old.remote.Incarnation != s.remote.Incarnation {
+		t.breakLink(l, errReplaced)
+	}
+	l.sessions[s] = struct{}{}
+	if l.current == nil {
+		l.current = s
+		s.queue = l.queue
+		l.lastHeard = time.Now()
+	} else {
+		s.queue = t.newQueue()
+		// The other side may have lost the present connection.
+		t.startProbe(l)
+	}
+	l.redial.Reset()
+	l.notBefore = time.Time{}
+	t.liveness.up(l.id)
+	return l
+}
--- /dev/null
+++ b/internal/peer/probe.go
@@ -0,0 +1,52 @@
+package peer
+
+import "time"
+
+// startProbe probes a link unless a probe is under way. Without a connection,
+// dialing one gives the answer. The mutex is held.
+func (t *Transport) startProbe(l *link) {
+	if l.probing {
+		return
+	}
+	if l.current == nil {
+		if !t.connect(l) {
+			t.liveness.down(l.id)
+		}
+		return
+	}
+	s := l.current
+	l.probing = t.spawn(func() { t.probe(l, s) })
+}
+
+// probe asks for a heartbeat over a session and reports the result.
+func (t *Transport) probe(l *link, s *session) {
+	answered := t.awaitHeartbeat(s)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.probing = false
+	switch {
+	case t.closed:
+	case answered:
+		t.liveness.up(l.id)
+	case l.current == s:
+		t.breakLink(l, errSilent)
+	case l.current == nil:
+		t.liveness.down(l.id)
+	}
+}
+
+// awaitHeartbeat tells whether a heartbeat came back within the liveness
+// timeout.
+func (t *Transport) awaitHeartbeat(s *session) bool {
+	answered := s.ping()
+	timer := time.NewTimer(t.cfg.PeerTimeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-s.ctx.Done():
+		return false
+	case <-timer.C:
+		return s.delivering.Load()
+	}
+}
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Errors that end a session.
+var (
+	errClosed   = errors.New("transport closed")
+	errSilent   = errors.New("no heartbeat answer within the liveness timeout")
+	errReplaced = errors.New("instance connected again with a new incarnation")
+	errWrite    = errors.New("write failed or timed out")
+)
+
+// session is one authenticated connection to an instance.
+type session struct {
+	transport *Transport
+	remote    identity
+	conn      *websocket.Conn
+	// queue holds the frames to write; it is set when a link adopts the
+	// session.
+	queue *sendQueue
+	// ctx ends when the session must; its cause is the reason.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// delivering is true while a received message waits for room in the
+	// loop's queue.
+	delivering atomic.Bool
+
+	mu       sync.Mutex
+	lastPing uint64
+	waiting  map[uint64]chan struct{}
+}
+
+func newSession(t *Transport, remote identity, conn *websocket.Conn) *session {
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	return &session{
+		transport: t, remote: remote, conn: conn,
+		ctx: ctx, cancel: cancel,
+		waiting: make(map[uint64]chan struct{}),
+	}
+}
+
+// run reads and writes until the session ends and returns the reason.
+func (s *session) run() error {
+	s.conn.SetReadLimit(int64(s.transport.cfg.MaxFrame))
+	group, ctx := errgroup.WithContext(s.ctx)
+	group.Go(func() error { return s.readLoop(ctx) })
+	group.Go(func() error { return s.writeLoop(ctx) })
+	err := group.Wait()
+	if s.ctx.Err() != nil {
+		err = context.Cause(s.ctx)
+	}
+	s.cancel(err)
+	s.close(err)
+	return err
+}
+
+// close closes the connection, telling the other side of a malformed frame.
+func (s *session) close(err error) {
+	if errors.Is(err, ErrVersion) || errors.Is(err, ErrFrame) {
+		_ = s.conn.Close(websocket.StatusPolicyViolation, closeReason(err))
+	}
+	_ = s.conn.CloseNow()
+}
+
+func (s *session) readLoop(ctx context.Context) error {
+	for {
+		_, frame, err := s.conn.Read(ctx)
+		if err != nil {
+			return errors.Wrap(err, "read")
+		}
+		if err := s.receive(ctx, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *session) receive(ctx context.Context, frame []byte) error {
+	kind, body, err := splitFrame(frame)
+	if err != nil {
+		return err
+	}
+	s.transport.traffic.received(kind, len(frame))
+	switch kind {
+	case kindPing:
+		return s.receivePing(body)
+	case kindPong:
+		return s.receivePong(body)
+	}
+	msg, err := DecodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	s.delivering.Store(true)
+	defer s.delivering.Store(false)
+	if !s.transport.sink.Deliver(ctx, structs.PeerMessage{From: s.remote.ID, Msg: msg}) {
+		return errClosed
+	}
+	return nil
+}
+
+func (s *session) writeLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.queue.wake:
+		}
+		if err := s.writeQueued(ctx); err != nil {
+			return errors.Mark(err, errWrite)
+		}
+	}
+}
+
+func (s *session) writeQueued(ctx context.Context) error {
+	for frame := s.queue.pop(); frame != nil; frame = s.queue.pop() {
+		if err := s.write(ctx, frame); err != nil {
+			return err
+		}
+		s.transport.traffic.sent(structs.MessageKind(frame[1]), len(frame))
+	}
+	return nil
+}
+
+func (s *session) write(ctx context.Context, frame []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, s.transport.cfg.WriteTimeout)
+	defer cancel()
+	return s.conn.Write(ctx, websocket.MessageBinary, frame)
+}
+
+// ping sends a heartbeat and returns a channel that is closed when it came
+// back.
+func (s *session) ping() <-chan struct{} {
+	s.mu.Lock()
+	s.lastPing++
+	number := s.lastPing
+	answered := make(chan struct{})
+	s.waiting[number] = answered
+	s.mu.Unlock()
+	s.queue.pushUrgent(heartbeatFrame(kindPing, number))
+	return answered
+}
+
+func (s *session) receivePing(body []byte) error {
+	number, err := heartbeatNumber(body)
+	if err != nil {
+		return err
+	}
+	s.queue.pushUrgent(heartbeatFrame(kindPong, number))
+	return nil
+}
+
+func (s *session) receivePong(body []byte) error {
+	number, err := heartbeatNumber(body)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	for waiting, answered := range s.waiting {
+		if waiting <= number {
+			close(answered)
+			delete(s.waiting, waiting)
+		}
+	}
+	s.mu.Unlock()
+	s.transport.heard(s)
+	return nil
+}
+
+func heartbeatFrame(kind structs.MessageKind, number uint64) []byte {
+	return binary.AppendUvarint([]byte{structs.ProtocolVersion, byte(kind)}, number)
+}
+
+func heartbeatNumber(body []byte) (uint64, error) {
+	number, size := binary.Uvarint(body)
+	if size <= 0 || size != len(body) {
+		return 0, errors.Wrap(ErrFrame, "heartbeat number")
+	}
+	return number, nil
+}
+
+// maxCloseReason is the longest reason of a WebSocket close frame, in bytes.
+const maxCloseReason = 120
+
+func closeReason(err error) string {
+	reason := err.Error()
+	return reason[:min(len(reason), maxCloseReason)]
+}
--- /dev/null
+++ b/internal/peer/stats.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Stats counts the traffic between this instance and its peers since the
+// start. Control is heartbeats and all messages that do not carry a call.
+type Stats struct {
+	ControlBytesSent     uint64
+	ControlBytesReceived uint64
+	DataBytesSent        uint64
+	DataBytesReceived    uint64
+	FramesSent           uint64
+	FramesReceived       uint64
+	// Sessions is the number of open connections, QueuedFrames and
+	// QueuedBytes what waits to be written to all instances.
+	Sessions     int
+	QueuedFrames int
+	QueuedBytes  int
+}
+
+// Stats returns the present counts.
+func (t *Transport) Stats() Stats {
+	s := t.traffic.stats()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		s.Sessions += len(l.sessions)
+		frames, bytes := l.queue.size()
+		s.QueuedFrames += frames
+		s.QueuedBytes += bytes
+	}
+	return s
+}
+
+// direction counts the traffic of one direction.
+type direction struct {
+	control, data, frames atomic.Uint64
+
+	controlBytes, dataBytes, frameCount tally.Counter
+}
+
+func newDirection(scope tally.Scope) *direction {
+	return &direction{
+		controlBytes: scope.Counter("control_bytes"),
+		dataBytes:    scope.Counter("data_bytes"),
+		frameCount:   scope.Counter("frames"),
+	}
+}
+
+func (d *direction) count(kind structs.MessageKind, size int) {
+	d.frames.Add(1)
+	d.frameCount.Inc(1)
+	if carriesCall(kind) {
+		d.data.Add(uint64(size))
+		d.dataBytes.Inc(int64(size))
+		return
+	}
+	d.control.Add(uint64(size))
+	d.controlBytes.Inc(int64(size))
+}
+
+// traffic counts frames in both directions.
+type traffic struct{ out, in *direction }
+
+func newTraffic(scope tally.Scope) traffic {
+	return traffic{
+		out: newDirection(scope.SubScope("sent")),
+		in:  newDirection(scope.SubScope("received")),
+	}
+}
+
+func (t traffic) sent(kind structs.MessageKind, size int)     { t.out.count(kind, size) }
+func (t traffic) received(kind structs.MessageKind, size int) { t.in.count(kind, size) }
+
+func (t traffic) stats() Stats {
+	return Stats{
+		ControlBytesSent:     t.out.control.Load(),
+		ControlBytesReceived: t.in.control.Load(),
+		DataBytesSent:        t.out.data.Load(),
+		DataBytesReceived:    t.in.data.Load(),
+		FramesSent:           t.out.frames.Load(),
+		FramesReceived:       t.in.frames.Load(),
+	}
+}
+
+// metrics counts what goes wrong.
+type metrics struct {
+	refused       tally.Counter
+	dialsFailed   tally.Counter
+	broken        tally.Counter
+	framesLost    tally.Counter
+	framesInvalid tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		refused:       scope.Counter("handshakes_refused"),
+		dialsFailed:   scope.Counter("dials_failed"),
+		broken:        scope.Counter("connections_broken"),
+		framesLost:    scope.Counter("frames_lost"),
+		framesInvalid: scope.Counter("frames_invalid"),
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/platform/eventsink"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Resolver finds an instance in the membership. The transport calls it only
+// from within Send, Probe and Watch, thus on the goroutine of their caller.
+type Resolver func(structs.InstanceID) (structs.Peer, bool)
+
+// Transport carries out SendPeer, ProbePeer and WatchPeers and posts
+// PeerMessage, PeerUp and PeerDown. Its methods never block, but for Close.
+type Transport struct {
+	cfg        Config
+	handshaker handshaker
+	resolve    Resolver
+	sink       *eventsink.Sink
+	liveness   *liveness
+	client     *http.Client
+	logger     *slog.Logger
+	traffic    traffic
+	metrics    metrics
+	// handshakes holds a token for each connection not yet authenticated.
+	handshakes chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu     sync.Mutex
+	closed bool
+	links  map[structs.InstanceID]*link
+	work   sync.WaitGroup
+}
+
+// New makes a Transport that runs until Close or until the context ends. It
+// returns ErrConfig if the configuration cannot be used.
+func New(
+	ctx context.Context, cfg Config, post func(structs.Event) bool, resolve Resolver,
+	scope tally.Scope, logger *slog.Logger,
+) (*Transport, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	sink := eventsink.New(post, scope)
+	t := &Transport{
+		cfg:        cfg,
+		handshaker: handshaker{id: cfg.Self.ID, incarnation: cfg.Incarnation, key: cfg.Key},
+		resolve:    resolve,
+		sink:       sink,
+		liveness:   newLiveness(sink),
+		client:     newDialClient(cfg),
+		logger:     logger,
+		traffic:    newTraffic(scope),
+		metrics:    newMetrics(scope),
+		handshakes: make(chan struct{}, cfg.MaxHandshakes),
+		ctx:        ctx,
+		cancel:     cancel,
+		links:      make(map[structs.InstanceID]*link),
+	}
+	t.work.Go(func() { t.liveness.run(ctx) })
+	t.work.Go(t.monitor)
+	return t, nil
+}
+
+// Close ends all connections and waits for the transport's goroutines.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.cancel(errClosed)
+	t.work.Wait()
+	t.client.CloseIdleConnections()
+}
+
+// spawn runs f on a goroutine that Close waits for. The mutex is held.
+func (t *Transport) spawn(f func()) bool {
+	if t.closed {
+		return false
+	}
+	t.work.Go(f)
+	return true
+}
+
+// Send sends a message to an instance, dialing it if there is no connection.
+// If the message cannot be queued or the connection breaks, it is lost and
+// PeerDown is posted.
+func (t *Transport) Send(to structs.InstanceID, msg structs.Message) {
+	frame, err := EncodeFrame(msg)
+	if err == nil && len(frame) > t.cfg.MaxFrame {
+		err = errors.Wrapf(ErrTooLarge, "%d bytes", len(frame))
+	}
+	if err != nil {
+		t.metrics.framesInvalid.Inc(1)
+		t.logger.Error("message cannot be sent", "peer", to, "kind", msg.Kind(), "error", err)
+		t.liveness.down(to)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.linkTo(to)
+	if !t.connect(l) {
+		t.metrics.framesLost.Inc(1)
+		t.liveness.down(to)
+		return
+	}
+	if err := l.queue.push(frame); err != nil {
+		t.metrics.framesLost.Inc(1)
+		t.breakLink(l, err)
+	}
+}
+
+// Probe asks an instance for a heartbeat. The answer is PeerUp or, after the
+// liveness timeout at the latest, PeerDown.
+func (t *Transport) Probe(to structs.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startProbe(t.linkTo(to))
+}
+
+// Watch sets the instances that get heartbeats.
+func (t *Transport) Watch(peers []structs.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setWatched(peers)
+}
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of the configurations.
+const (
+	DefaultAppendTimeout      = time.Second
+	DefaultAppendQueueRecords = 256
+	DefaultAppendQueueBytes   = 32 << 20
+	DefaultPollWait           = 5 * time.Second
+	DefaultReplySlack         = time.Second
+	DefaultEmptyReadInterval  = time.Second
+	DefaultMinBackoff         = 100 * time.Millisecond
+	DefaultMaxBackoff         = 2 * time.Second
+	DefaultReadRecords        = 256
+	DefaultMaxReply           = 32 << 20
+	DefaultMembersInterval    = time.Second
+	DefaultMembersRepeat      = 30
+	DefaultMembersTimeout     = time.Second
+)
+
+// ErrConfig is the error of a configuration that cannot be used.
+var ErrConfig = errors.New("invalid platform configuration")
+
+// LogConfig holds the settings of a Log. Zero values of all but URL take the
+// defaults above.
+type LogConfig struct {
+	// URL is the base URL of the log service.
+	URL string
+	// AppendTimeout bounds one append.
+	AppendTimeout time.Duration
+	// AppendQueueRecords and AppendQueueBytes bound what waits to be
+	// appended to one stream.
+	AppendQueueRecords int
+	AppendQueueBytes   int
+	// PollWait is how long the log holds a read at the end of a stream.
+	PollWait time.Duration
+	// ReplySlack is how long after PollWait the answer must be there.
+	ReplySlack time.Duration
+	// EmptyReadInterval is the least time between two LogRead events without
+	// records for one stream.
+	EmptyReadInterval time.Duration
+	// MinBackoff and MaxBackoff bound the wait after a failed read.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// ReadRecords is the largest number of records asked for in one read.
+	ReadRecords int
+	// MaxReply bounds the body of a reply, in bytes.
+	MaxReply int64
+}
+
+func (c LogConfig) withDefaults() LogConfig {
+	setDefault(&c.AppendTimeout, DefaultAppendTimeout)
+	setDefault(&c.AppendQueueRecords, DefaultAppendQueueRecords)
+	setDefault(&c.AppendQueueBytes, DefaultAppendQueueBytes)
+	setDefault(&c.PollWait, DefaultPollWait)
+	setDefault(&c.ReplySlack, DefaultReplySlack)
+	setDefault(&c.EmptyReadInterval, DefaultEmptyReadInterval)
+	setDefault(&c.MinBackoff, DefaultMinBackoff)
+	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&c.ReadRecords, DefaultReadRecords)
+	setDefault(&c.MaxReply, DefaultMaxReply)
+	return c
+}
+
+// MembersConfig holds the settings of Members. Zero values of all but URL take
+// the defaults above.
+type MembersConfig struct {
+	// URL is the base URL of the membership service.
+	URL string
+	// Interval is the time between two polls; jitter changes it by up to a
+	// tenth.
+	Interval time.Duration
+	// Repeat is the number of polls after which an unchanged list is posted
+	// again.
+	Repeat int
+	// Timeout bounds one poll.
+	Timeout time.Duration
+}
+
+func (c MembersConfig) withDefaults() MembersConfig {
+	setDefault(&c.Interval, DefaultMembersInterval)
+	setDefault(&c.Repeat, DefaultMembersRepeat)
+	setDefault(&c.Timeout, DefaultMembersTimeout)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// checkURL returns ErrConfig unless base is an absolute http or https URL.
+func checkURL(base string) error {
+	parsed, err := url.Parse(base)
+	if err != nil {
+		return errors.Mark(err, ErrConfig)
+	}
+	if parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return errors.Wrap(ErrConfig, "the URL of a platform service must be http://host or https://host")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/eventsink/eventsink.go
@@ -0,0 +1,79 @@
+// Package eventsink hands the events of an adapter to the loop of the
+// instance. The loop's queue is bounded: an event that must not be lost waits
+// for room, which holds its producer back; any other event is dropped and
+// counted.
+package eventsink
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Waits between two attempts to put an event into a full queue.
+const (
+	minWait = time.Millisecond
+	maxWait = 20 * time.Millisecond
+)
+
+// Sink posts events to the loop. It is safe for concurrent use.
+type Sink struct {
+	post    func(structs.Event) bool
+	dropped tally.Counter
+	waited  tally.Counter
+}
+
+// New makes a Sink. The function post tries to put an event into the loop's
+// queue without blocking; false means that the queue is full or the loop has
+// stopped.
+func New(post func(structs.Event) bool, scope tally.Scope) *Sink {
+	return &Sink{
+		post:    post,
+		dropped: scope.Counter("events_dropped"),
+		waited:  scope.Counter("events_waited"),
+	}
+}
+
+// Deliver posts an event that must not be lost. It blocks while the queue is
+// full and returns false only if the context ended first.
+func (s *Sink) Deliver(ctx context.Context, event structs.Event) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if s.post(event) {
+		return true
+	}
+	s.waited.Inc(1)
+	return s.retry(ctx, event)
+}
+
+func (s *Sink) retry(ctx context.Context, event structs.Event) bool {
+	wait := minWait
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+		}
+		if s.post(event) {
+			return true
+		}
+		wait = min(2*wait, maxWait)
+		timer.Reset(wait)
+	}
+}
+
+// Offer posts an event that may be lost. It never blocks and tells whether the
+// event was taken.
+func (s *Sink) Offer(event structs.Event) bool {
+	if s.post(event) {
+		return true
+	}
+	s.dropped.Inc(1)
+	return false
+}
--- /dev/null
+++ b/internal/platform/members.go
@@ -0,0 +1,113 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/platform/eventsink"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	// membersReplyLimit bounds a membership list, in bytes.
+	membersReplyLimit = 8 << 20
+	// jitterShare is the part of the poll interval that jitter may add or
+	// take away.
+	jitterShare = 10
+)
+
+// Members polls the membership list and posts MembersListed when it changes,
+// and every so often when it does not.
+type Members struct {
+	cfg    MembersConfig
+	sink   *eventsink.Sink
+	client *http.Client
+	logger *slog.Logger
+	polls  tally.Counter
+	failed tally.Counter
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// NewMembers starts polling until Close or until the context ends. It returns
+// ErrConfig if the configuration cannot be used.
+func NewMembers(
+	ctx context.Context, cfg MembersConfig, post func(structs.Event) bool,
+	scope tally.Scope, logger *slog.Logger,
+) (*Members, error) {
+	if err := checkURL(cfg.URL); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	m := &Members{
+		cfg:    cfg.withDefaults(),
+		sink:   eventsink.New(post, scope),
+		client: newClient(),
+		logger: logger,
+		polls:  scope.Counter("polls"),
+		failed: scope.Counter("polls_failed"),
+		cancel: cancel,
+	}
+	m.work.Go(func() { m.run(ctx) })
+	return m, nil
+}
+
+// Close stops polling and waits for the goroutine.
+func (m *Members) Close() {
+	m.cancel()
+	m.work.Wait()
+	m.client.CloseIdleConnections()
+}
+
+func (m *Members) run(ctx context.Context) {
+	var posted *wire.MemberList
+	sinceposted := 0
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		sinceposted++
+		list, ok := m.poll(ctx)
+		if ok && (sinceposted >= m.cfg.Repeat || changed(posted, list)) && m.sink.Offer(structs.MembersListed{List: list}) {
+			posted, sinceposted = &list, 0
+		}
+		timer.Reset(m.wait())
+	}
+}
+
+func (m *Members) poll(ctx context.Context) (wire.MemberList, bool) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer cancel()
+	var list wire.MemberList
+	m.polls.Inc(1)
+	url := strings.TrimSuffix(m.cfg.URL, "/") + wire.MembersRoute
+	if err := getJSON(ctx, m.client, url, membersReplyLimit, &list); err != nil {
+		m.failed.Inc(1)
+		m.logger.Warn("membership poll failed", "error", err)
+		return wire.MemberList{}, false
+	}
+	return list, true
+}
+
+func changed(posted *wire.MemberList, list wire.MemberList) bool {
+	return posted == nil || posted.Version != list.Version || !slices.Equal(posted.Members, list.Members)
+}
+
+func (m *Members) wait() time.Duration {
+	jitter := m.cfg.Interval / jitterShare
+	return m.cfg.Interval - jitter + rand.N(2*jitter+1)
+}
