--- a/cmd/standins/args.go
+++ b/cmd/standins/args.go
@@ -40,10 +40,10 @@
 	EngineService   string        `arg:"--engine-service" default:"model" help:"service of the engines"`
 	Slots           int           `arg:"--slots" help:"sequences that an engine runs at once"`
 	StepBase        time.Duration `arg:"--step-base" help:"duration of an engine step besides the costs"`
-	StepSequence    time.Duration `arg:"--step-sequence" help:"cost of each running sequence in a step"`
-	StepPrefill     time.Duration `arg:"--step-prefill" help:"cost of each prompt token processed in a step"`
+	StepSequence    time.Duration `arg:"--step-sequence" help:"cost of each running sequence in a step, negative for none"`
+	StepPrefill     time.Duration `arg:"--step-prefill" help:"cost of each prompt token processed in a step, negative for none"`
 	PrefillChunk    int           `arg:"--prefill-chunk" help:"prompt tokens processed in a step at most"`
-	CacheCapacity   int64         `arg:"--cache-capacity" help:"size of the prefix cache in tokens"`
+	CacheCapacity   int64         `arg:"--cache-capacity" help:"size of the prefix cache in tokens, negative for none"`
 	LoadLag         time.Duration `arg:"--load-lag" help:"age of load reports"`
 	CacheLag        time.Duration `arg:"--cache-lag" help:"delay of cache events"`
 	CacheGap        float64       `arg:"--cache-gap" help:"share of cache events lost, 0 to 1"`
--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -7,6 +7,10 @@
 //
 //	{"log":"http://…","members":"http://…","targets":[…]}
 //
+// Faults are set by POST /standin/faults on each URL; POST /standin/stop on a
+// target ends it as a crash does; GET /standin/ledger on a target lists what it
+// ran, and GET /standin/stats on the log what was appended.
+//
 // It ends with status 0 on SIGTERM or SIGINT, and with --exit-with-parent also
 // when its standard input closes.
 package main
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,8 +17,8 @@
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
-// Cluster is a running set of stand-ins. Its methods are not safe for
-// concurrent use; the stand-ins themselves are.
+// Cluster is a running set of stand-ins. It is safe for concurrent use after
+// Start, but for the maps, which are only to be read.
 type Cluster struct {
 	Log     *logservice.Service
 	Members *members.List
@@ -27,9 +28,16 @@
 
 	ready   Ready
 	servers []*standin.Server
+
+	mu sync.Mutex
+	// targets holds those not stopped.
 	targets map[string]runningTarget
 }
 
+// StopRoute is a route of every target of a cluster. A POST is answered with
+// status 202 and then does what StopTarget does.
+const StopRoute = "/standin/stop"
+
 // runningTarget is what StopTarget ends.
 type runningTarget struct {
 	server *standin.Server
@@ -123,18 +131,32 @@
 
 // register serves a target and puts it into the membership list.
 func (c *Cluster) register(member wire.Member, handler http.Handler, closeTarget func()) error {
-	server, err := standin.Listen(standin.LoopbackAddress, handler)
+	server, err := standin.Listen(standin.LoopbackAddress, c.stoppable(member.ID, handler))
 	if err != nil {
 		closeTarget()
 		return errors.Wrapf(err, "target %s", member.ID)
 	}
 	member.Address = server.URL
+	c.mu.Lock()
 	c.targets[member.ID] = runningTarget{server: server, close: closeTarget}
+	c.mu.Unlock()
 	c.ready.Targets = append(c.ready.Targets, member)
 	c.Members.Put(member)
 	return nil
 }
 
+// stoppable adds the route that stops a target.
+func (c *Cluster) stoppable(id string, handler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.HandleFunc("POST "+StopRoute, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusAccepted)
+		_ = http.NewResponseController(w).Flush()
+		go c.StopTarget(id)
+	})
+	return mux
+}
+
 func newTarget(place Place, serviceName string, number int) wire.Member {
 	return wire.Member{
 		ID:         fmt.Sprintf("%s-%s-%d", place.DataCentre, serviceName, number),
@@ -155,19 +177,34 @@
 // are gone, while the membership list still shows it. It returns false for an
 // unknown or stopped target.
 func (c *Cluster) StopTarget(id string) bool {
-	target, ok := c.targets[id]
+	target, ok := c.takeTarget(id)
 	if !ok {
 		return false
 	}
-	target.close()
 	target.server.Close()
-	delete(c.targets, id)
+	target.close()
 	return true
 }
 
+// takeTarget removes a target from those to be stopped.
+func (c *Cluster) takeTarget(id string) (runningTarget, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	target, ok := c.targets[id]
+	delete(c.targets, id)
+	return target, ok
+}
+
+// running returns the ids of the targets not stopped.
+func (c *Cluster) running() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.targets))
+}
+
 // Close stops everything.
 func (c *Cluster) Close() {
-	for _, id := range slices.Collect(maps.Keys(c.targets)) {
+	for _, id := range c.running() {
 		c.StopTarget(id)
 	}
 	for _, server := range c.servers {
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -16,7 +16,7 @@
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, standin.MaxBodyBytes))
 	if err != nil {
-		return
+		standin.DropConnection()
 	}
 	var chat wire.ChatRequest
 	if err := json.Unmarshal(body, &chat); err != nil || len(chat.Messages) == 0 {
@@ -140,20 +140,18 @@
 			standin.WriteJSON(w, http.StatusOK, of.reply(*finished))
 			return
 		}
-		if !s.wait(r, changed) {
-			return
-		}
+		s.wait(r, changed)
 	}
 }
 
-// wait returns false when the caller is gone or the engine closes.
-func (s *Server) wait(r *http.Request, changed <-chan struct{}) bool {
+// wait returns at the change. When the caller is gone or the engine closes, it
+// drops the connection instead, so that no reply looks complete.
+func (s *Server) wait(r *http.Request, changed <-chan struct{}) {
 	select {
 	case <-changed:
-		return true
 	case <-r.Context().Done():
-		return false
+		standin.DropConnection()
 	case <-s.closing:
-		return false
+		standin.DropConnection()
 	}
 }
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,11 +58,12 @@
 	if !ok {
 		return Finished{}, false
 	}
-	if wasRunning := remove(&m.running, cancelled); wasRunning {
+	if slices.Contains(m.running, cancelled) {
 		m.leaveSlot(cancelled)
-	} else {
-		remove(&m.waiting, cancelled)
 	}
+	isCancelled := func(other *sequence) bool { return other == cancelled }
+	m.running = slices.DeleteFunc(m.running, isCancelled)
+	m.waiting = slices.DeleteFunc(m.waiting, isCancelled)
 	delete(m.byID, id)
 	return cancelled.finished(FinishCancelled), true
 }
@@ -130,31 +132,29 @@
 	}
 	m.isPlanned = false
 	var result StepResult
-	still := m.running[:0:0]
 	for _, running := range m.running {
 		if running.step() {
 			token := TokenEvent{ID: running.request.ID, Index: running.made - 1}
 			result.Tokens = append(result.Tokens, token)
 		}
-		if !running.complete() {
-			m.storeShared(running)
-			still = append(still, running)
-			continue
+		m.storeShared(running)
+		if running.complete() {
+			m.leaveSlot(running)
+			delete(m.byID, running.request.ID)
+			result.Finished = append(result.Finished, running.finished(running.reason()))
 		}
-		m.leaveSlot(running)
-		delete(m.byID, running.request.ID)
-		result.Finished = append(result.Finished, running.finished(running.reason()))
 	}
-	m.running = still
+	m.running = slices.DeleteFunc(m.running, (*sequence).complete)
 	return result
 }
 
 // storeShared caches a shared prefix as soon as it is processed, so that the
 // next program of the team hits it while this one runs.
 func (m *Model) storeShared(running *sequence) {
-	if running.request.SharedKey == "" || running.prefilled < running.request.SharedTokens {
+	if running.sharedStored || running.prefilled < running.request.SharedTokens {
 		return
 	}
+	running.sharedStored = true
 	m.cache.store(running.request.SharedKey, running.sharedDone())
 }
 
@@ -168,14 +168,3 @@
 		m.cache.store(left.request.SharedKey, left.sharedDone())
 	}
 }
-
-// remove drops an item from a list and tells whether it was there.
-func remove(list *[]*sequence, item *sequence) bool {
-	for i, candidate := range *list {
-		if candidate == item {
-			*list = append((*list)[:i:i], (*list)[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
--- a/internal/standin/engine/model_cache.go
+++ b/internal/standin/engine/model_cache.go
@@ -22,7 +22,8 @@
 }
 
 // DrainCacheEvents returns the cache events since the last call. Sequence
-// numbers start at 0 and have no gaps.
+// numbers start at 0 and have no gaps. A driver that does not need them must
+// still call this from time to time, or they pile up.
 func (m *Model) DrainCacheEvents() []wire.CacheEvent {
 	events := m.cache.events
 	m.cache.events = nil
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -68,6 +68,7 @@
 	ended := s.streams[finished.ID]
 	ended.finished = &finished
 	ended.endedAt = now
+	s.ended = append(s.ended, ended)
 	ended.wake()
 	tokens := int64(finished.CompletionTokens)
 	if finished.Reason == FinishCancelled {
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -13,6 +13,9 @@
 	// and plannedToken whether the step makes a token.
 	planned      int
 	plannedToken bool
+	// sharedStored tells that the whole shared prefix is cached, where it
+	// stays while the sequence runs.
+	sharedStored bool
 }
 
 // begin puts the sequence into a slot with the given number of cached tokens.
@@ -20,6 +23,7 @@
 func (s *sequence) begin(cached int) {
 	s.cached = max(0, min(cached, s.request.PromptTokens-1))
 	s.prefilled = s.cached
+	s.sharedStored = s.cached >= s.request.SharedTokens
 }
 
 // plan takes up to budget prompt tokens and returns how many it took.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -17,9 +17,11 @@
 	gate     *faults.Gate
 	ledger   *ledger.Ledger
 
-	mu          sync.Mutex
-	model       *Model
-	streams     map[string]*stream
+	mu      sync.Mutex
+	model   *Model
+	streams map[string]*stream
+	// ended lists the kept streams that ended, in that order.
+	ended       []*stream
 	nextID      uint64
 	loads       standin.History[wire.EngineLoad]
 	cacheEvents *eventLog
@@ -95,7 +97,7 @@
 func (s *Server) heldWhileHung(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.gate.WaitWhileHung(r.Context()) != nil {
-			return
+			standin.DropConnection()
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -154,9 +156,8 @@
 
 // forgetStreams drops the streams that ended too long ago.
 func (s *Server) forgetStreams(now time.Time) {
-	for id, ended := range s.streams {
-		if ended.finished != nil && now.Sub(ended.endedAt) > s.settings.KeepStreams {
-			delete(s.streams, id)
-		}
+	for len(s.ended) > 0 && now.Sub(s.ended[0].endedAt) > s.settings.KeepStreams {
+		delete(s.streams, s.ended[0].id)
+		s.ended = s.ended[1:]
 	}
 }
--- a/internal/standin/engine/sse.go
+++ b/internal/standin/engine/sse.go
@@ -73,8 +73,6 @@
 		if drop && (from >= of.length/2 || finished != nil) {
 			standin.DropConnection()
 		}
-		if !s.wait(r, changed) {
-			return
-		}
+		s.wait(r, changed)
 	}
 }
--- a/internal/standin/logservice/handler.go
+++ b/internal/standin/logservice/handler.go
@@ -43,7 +43,7 @@
 			return
 		}
 		if s.delay(r.Context()) != nil {
-			return
+			standin.DropConnection()
 		}
 		stream := r.PathValue("stream")
 		if !streamName.MatchString(stream) {
--- a/internal/standin/service/run.go
+++ b/internal/standin/service/run.go
@@ -16,23 +16,20 @@
 func (s *Service) serveAny(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, standin.MaxBodyBytes))
 	if err != nil {
-		return
+		standin.DropConnection()
 	}
 	key := r.Header.Get(wire.HeaderIdempotencyKey)
 	s.outcomes.arrive(key)
 	defer s.outcomes.leave(key)
 	if s.gate.WaitWhileHung(r.Context()) != nil {
-		return
+		standin.DropConnection()
 	}
 	if s.gate.TakeFail() {
 		standin.WriteError(w, http.StatusServiceUnavailable, "failed before running")
 		return
 	}
 	outcome, ok := s.outcome(r, key, body)
-	if !ok {
-		return
-	}
-	if s.gate.TakeDropReply() {
+	if !ok || s.gate.TakeDropReply() {
 		standin.DropConnection()
 	}
 	writeOutcome(w, outcome)
@@ -74,12 +71,12 @@
 // such a request is here and not ended, it waits: "not run" would be wrong.
 func (s *Service) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	if s.gate.WaitWhileHung(r.Context()) != nil {
-		return
+		standin.DropConnection()
 	}
 	outcome, err := s.outcomes.ask(r.Context(), r.PathValue("key"))
 	switch {
 	case err != nil:
-		return
+		standin.DropConnection()
 	case outcome == nil:
 		standin.WriteError(w, http.StatusNotFound, "no request with this key ran")
 	default:
