Stand-ins: test that a stopped target gives no whole reply

Cause: mended this fault without a test of it. Ruled out: nothing further. Change: a request that runs on an engine and on a plain target while each is stopped must end without a whole reply.

--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/banyanglade/banyanglade/internal/wire"
@@ -60,6 +61,48 @@
 	}
 }
 
+func TestStopLeavesNoWholeReply(t *testing.T) {
+	cluster, err := Start(Settings{
+		Places:  []Place{{Region: "r1", DataCentre: "dc1"}},
+		Engines: EngineGroup{Service: "model", Count: 1},
+		Plain:   ServiceGroup{Service: "plain", Count: 1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Close)
+	engine, plain := cluster.Ready().Targets[0], cluster.Ready().Targets[1]
+	chat := `{"messages":[{"role":"user","content":"tokens=999999"}]}`
+	for url, stop := range map[string]struct {
+		id      string
+		entries func() []wire.LedgerEntry
+	}{
+		engine.Address + wire.ChatRoute:      {engine.ID, cluster.Engines[engine.ID].Ledger().Entries},
+		plain.Address + "/x?delay_ms=999999": {plain.ID, cluster.Services[plain.ID].Ledger().Entries},
+	} {
+		whole := make(chan bool)
+		go func() { whole <- postsWhole(url, chat) }()
+		for len(stop.entries()) == 0 {
+			runtime.Gosched()
+		}
+		cluster.StopTarget(stop.id)
+		if <-whole {
+			t.Errorf("%s: a stopped target gave a whole reply", stop.id)
+		}
+	}
+}
+
+// postsWhole tells whether a reply came with its whole body.
+func postsWhole(url, body string) bool {
+	response, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
 func healthy(target wire.Member) bool {
 	response, err := http.Get(target.Address + wire.HealthRoute)
 	if err != nil {
