--- a/internal/structs/call.go
+++ b/internal/structs/call.go
@@ -191,3 +191,12 @@
 	// Targets lists the targets that may hold cache of the program.
 	Targets []TargetID
 }
+
+// TargetKey is the idempotency key of the call at its target: the call's Key
+// made unique over all programs, empty if Key is.
+func (c *Call) TargetKey() string {
+	if c.Key == "" {
+		return ""
+	}
+	return string(c.Program) + ":" + c.Key
+}
