HTTP adapter: chat completions, services and programs

Cause: callers need the usual HTTP protocol in front of the pure core. Weighed: one channel per request against a bounded buffer per request; a channel bounds the number of chunks but not their bytes, so the buffer is counted in bytes and the core's loop never blocks on a slow caller. Ruled out: taking an undated Idempotency-Key for a not-repeatable call without a program, since the program id made from it changes with the period and a retry would run again. Change: internal/httpapi with streamed and whole chat completions, plain services, programs, problem documents, metrics.

--- /dev/null
+++ b/internal/httpapi/auth.go
@@ -0,0 +1,109 @@
+package httpapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	maxBearer    = 1024
+	rootName     = "root"
+)
+
+// authenticate finds the principal of a request. While the instance starts,
+// its keys are not known yet, so an unknown key is no reason for a 401.
+func (s *Server) authenticate(c *gin.Context) {
+	principal, ok := s.principalOf(c.GetHeader("Authorization"))
+	if ok {
+		infoOf(c).principal = principal
+	}
+	health := s.core.Health()
+	switch {
+	case health.State == HealthStarting && !principal.Root():
+		s.fail(c, refuse(structs.ReasonStarting, "%s", health.Detail).retryAfter(localRetryAfter))
+	case !ok:
+		s.fail(c, refuse(structs.ReasonUnauthorized, "expected the header Authorization: Bearer and a known key"))
+	default:
+		c.Next()
+	}
+}
+
+func (s *Server) principalOf(header string) (Principal, bool) {
+	// Authentication schemes are compared without case.
+	if len(header) <= len(bearerPrefix) || !strings.EqualFold(header[:len(bearerPrefix)], bearerPrefix) {
+		return Principal{}, false
+	}
+	key := header[len(bearerPrefix):]
+	if len(key) > maxBearer {
+		return Principal{}, false
+	}
+	if s.isRootKey(key) {
+		return Principal{Name: rootName, Operator: true}, true
+	}
+	principal, ok := s.core.Authenticate(key)
+	if !ok || principal.Team == "" && !principal.Operator {
+		return Principal{}, false
+	}
+	return principal, true
+}
+
+func (s *Server) isRootKey(key string) bool {
+	if s.config.RootKeyHash == "" {
+		return false
+	}
+	sum := sha256.Sum256([]byte(key))
+	have := hex.EncodeToString(sum[:])
+	want := strings.ToLower(s.config.RootKeyHash)
+	return subtle.ConstantTimeCompare([]byte(have), []byte(want)) == 1
+}
+
+func (s *Server) requireOperator(c *gin.Context) {
+	if !infoOf(c).principal.Operator {
+		s.fail(c, refuse(structs.ReasonForbidden, "the route is for operators"))
+		return
+	}
+	c.Next()
+}
+
+func (s *Server) requireRoot(c *gin.Context) {
+	if !infoOf(c).principal.Root() {
+		s.fail(c, refuse(structs.ReasonForbidden, "the route is for operators of the whole tree"))
+		return
+	}
+	c.Next()
+}
+
+// teamFor gives the team that a principal acts for: its own or one below it.
+func teamFor(principal Principal, wanted structs.Team) (structs.Team, *Problem) {
+	if wanted == "" {
+		return principal.Team, nil
+	}
+	if !validTreePath(string(wanted)) {
+		return "", refuse(structs.ReasonInvalid, "expected a team path such as lakeshore/clearance")
+	}
+	if !principal.Team.Contains(wanted) {
+		return "", refuse(structs.ReasonForbidden, "the key does not reach this team")
+	}
+	return wanted, nil
+}
+
+// validTreePath tells whether a path of the settings tree has segments that
+// are neither empty nor relative.
+func validTreePath(path string) bool {
+	if !validName(path, maxTeamLength) {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/httpapi/body.go
@@ -0,0 +1,53 @@
+package httpapi
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// readBody reads a request's body, bounded in size, time, and together with
+// all other bodies. release gives its room back and must be called at the end
+// of the request; it is never nil.
+func (s *Server) readBody(c *gin.Context) (body []byte, release func(), problem *Problem) {
+	size := s.config.MaxBody
+	if length := c.Request.ContentLength; length > size {
+		c.Header("Connection", "close")
+		return nil, func() {}, refuse(structs.ReasonTooLarge, "the body is larger than %d bytes", size)
+	} else if length >= 0 {
+		size = length
+	}
+	if !s.limits.bodies.TryAcquire(size) {
+		return nil, func() {}, busy("too many bytes of requests are in flight at this instance")
+	}
+	body, problem = s.readWithin(c, size)
+	unused := size - int64(len(body))
+	s.limits.bodies.Release(unused)
+	return body, func() { s.limits.bodies.Release(size - unused) }, problem
+}
+
+// readWithin reads at most size bytes of the body before the body timeout.
+func (s *Server) readWithin(c *gin.Context, size int64) ([]byte, *Problem) {
+	control := http.NewResponseController(c.Writer)
+	_ = control.SetReadDeadline(s.config.Now().Add(s.config.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, size))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	c.Header("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(structs.ReasonTooLarge, "the body is larger than %d bytes", size)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refuse(ReasonTimeout, "the body did not come within %s", s.config.BodyTimeout)
+	}
+	return nil, refuse(structs.ReasonInvalid, "the body could not be read to its end")
+}
--- /dev/null
+++ b/internal/httpapi/chat_test.go
@@ -0,0 +1,198 @@
+package httpapi
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	chatRoute  = "/v1/chat/completions"
+	chatBody   = `{"model":"mark-agents","messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hello"}]}`
+	streamBody = `{"model":"mark-agents","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+)
+
+var answered = structs.Outcome{
+	Kind: structs.OutcomeAnswered, Text: "a b c", Finish: "stop",
+	Usage: structs.Usage{PromptTokens: 4, CompletionTokens: 3},
+}
+
+func TestChatReply(t *testing.T) {
+	f := newFixture(t, nil)
+	f.answerWith(answered)
+	response, body := f.do(http.MethodPost, chatRoute, chatBody)
+	if response.StatusCode != http.StatusOK || response.Header.Get(HeaderOutcome) != outcomeAnswered {
+		t.Fatalf("status %d, outcome %q: %s", response.StatusCode, response.Header.Get(HeaderOutcome), body)
+	}
+	var reply wire.ChatReply
+	if err := json.Unmarshal([]byte(body), &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Choices[0].Message.Content != "a b c" || *reply.Choices[0].FinishReason != "stop" || reply.Usage.TotalTokens != 7 {
+		t.Fatalf("reply %s", body)
+	}
+	call := f.submitted().Call
+	if response.Header.Get(HeaderProgram) != string(call.Program) || !call.Single {
+		t.Fatalf("program %q, call %+v", response.Header.Get(HeaderProgram), call)
+	}
+	f.noEvents()
+}
+
+func TestChatCallFilled(t *testing.T) {
+	f := newFixture(t, nil)
+	f.answerWith(answered)
+	program := newProgramID(testRegion, f.api.config.Now())
+	_, _ = f.do(http.MethodPost, chatRoute, chatBody, HeaderProgram, string(program), HeaderLane, "sub",
+		HeaderCall, "7", HeaderNotRepeatable, "true", HeaderFork, "true", HeaderFee, "12", HeaderTeam, "lakeshore/clearance")
+	call := f.submitted().Call
+	if call.Program != program || call.Lane != "sub" || call.Number != 7 || call.Key != "sub/7" || call.Single {
+		t.Errorf("identity %+v", call)
+	}
+	if !call.NotRepeatable || !call.Fork || call.Fee != 12 || call.Team != "lakeshore/clearance" {
+		t.Errorf("marks %+v", call)
+	}
+	if call.PromptTokens != 4 || call.MaxTokens != 1024 || call.SharedTokens != 2 || len(call.History) != 2 {
+		t.Errorf("lengths %+v", call)
+	}
+	if call.SharedKey != "prefix-"+"4f3ac5a1e28ef2b4" && len(call.SharedKey) != len("prefix-")+16 {
+		t.Errorf("shared key %q", call.SharedKey)
+	}
+	var sent wire.ChatRequest
+	if err := json.Unmarshal(call.Body, &sent); err != nil || sent.MaxTokens != 1024 || sent.Model != "mark-agents" {
+		t.Errorf("body %s: %v", call.Body, err)
+	}
+}
+
+// readEvents reads server-sent events until the stream ends.
+func readEvents(t *testing.T, response *http.Response) []string {
+	t.Helper()
+	defer response.Body.Close()
+	var events []string
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if line := scanner.Text(); line != "" {
+			events = append(events, line)
+		}
+	}
+	return events
+}
+
+func decodeChunk(t *testing.T, line string) wire.ChatChunk {
+	t.Helper()
+	var chunk wire.ChatChunk
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk); err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	return chunk
+}
+
+// streamed joins the texts of events and checks their indexes.
+func streamed(t *testing.T, events []string) string {
+	t.Helper()
+	var text strings.Builder
+	for i, line := range events {
+		if line == "data: [DONE]" {
+			break
+		}
+		chunk := decodeChunk(t, line)
+		if chunk.Index != i {
+			t.Errorf("event %d has index %d", i, chunk.Index)
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+	return text.String()
+}
+
+func TestStreamOrder(t *testing.T) {
+	cases := map[string][]structs.Chunk{
+		"in order":  {{First: 0, Texts: []string{"a", " b"}}, {First: 2, Texts: []string{" c"}}},
+		"repeated":  {{First: 0, Texts: []string{"a"}}, {First: 0, Texts: []string{"a", " b"}}, {First: 1, Texts: []string{" b"}}, {First: 2, Texts: []string{" c"}}},
+		"gap":       {{First: 0, Texts: []string{"a", " b"}}, {First: 3, Texts: []string{" z"}}},
+		"no chunks": nil,
+	}
+	for name, chunks := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.core.answer = func(event structs.Event) []structs.Command {
+				submit := event.(structs.CallerSubmit)
+				var commands []structs.Command
+				for _, chunk := range chunks {
+					commands = append(commands, structs.ReplyChunk{Request: submit.Request, Chunk: chunk})
+				}
+				return append(commands, structs.ReplyEnd{Request: submit.Request, Outcome: answered})
+			}
+			response, err := http.DefaultClient.Do(f.request(http.MethodPost, chatRoute, streamBody))
+			if err != nil {
+				t.Fatal(err)
+			}
+			events := readEvents(t, response)
+			if text := streamed(t, events); text != answered.Text {
+				t.Errorf("text %q", text)
+			}
+			if events[len(events)-1] != "data: [DONE]" {
+				t.Errorf("no end mark: %q", events)
+			}
+			last := decodeChunk(t, events[len(events)-2])
+			if last.Usage == nil || last.Choices[0].FinishReason == nil || *last.Choices[0].FinishReason != "stop" {
+				t.Errorf("last %+v", last)
+			}
+		})
+	}
+}
+
+func TestStreamFailureBeforeFirstPieceIsDocument(t *testing.T) {
+	f := newFixture(t, nil)
+	f.answerWith(structs.Outcome{Kind: structs.OutcomeNotRun, Reason: structs.ReasonNoTarget})
+	response, body := f.do(http.MethodPost, chatRoute, streamBody)
+	checkProblem(t, response, body, structs.ReasonNoTarget, http.StatusServiceUnavailable, outcomeNotRun)
+}
+
+func TestStreamFailureAfterFirstPieceIsEvent(t *testing.T) {
+	outcomes := map[string]structs.Outcome{
+		"unknown": {Kind: structs.OutcomeUnknown, Reason: structs.ReasonOwnerLost},
+		"spliced": {Kind: structs.OutcomeAnswered, Text: "another answer"},
+		"shorter": {Kind: structs.OutcomeAnswered, Text: ""},
+	}
+	for name, outcome := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			response, err := startStream(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.api.Deliver(structs.ReplyEnd{Request: structs.RequestID(response.Header.Get(HeaderRequest)), Outcome: outcome})
+			events := readEvents(t, response)
+			if len(events) != 3 || events[1] != "event: error" {
+				t.Fatalf("events %q", events)
+			}
+			var problem Problem
+			if err := json.Unmarshal([]byte(strings.TrimPrefix(events[2], "data: ")), &problem); err != nil {
+				t.Fatal(err)
+			}
+			if problem.Outcome != outcomeUnknown || problem.Instance == "" {
+				t.Errorf("problem %+v", problem)
+			}
+		})
+	}
+}
+
+// startStream starts a streamed call and waits for the first piece, "x".
+func startStream(f *fixture) (*http.Response, error) {
+	f.core.set(func(c *fakeCore) {
+		c.answer = func(event structs.Event) []structs.Command {
+			submit, ok := event.(structs.CallerSubmit)
+			if !ok {
+				return nil
+			}
+			return []structs.Command{structs.ReplyChunk{Request: submit.Request, Chunk: structs.Chunk{Texts: []string{"x"}}}}
+		}
+	})
+	response, err := http.DefaultClient.Do(f.request(http.MethodPost, chatRoute, streamBody))
+	f.submitted()
+	return response, err
+}
--- /dev/null
+++ b/internal/httpapi/chatrequest.go
@@ -0,0 +1,260 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	roleSystem    = "system"
+	roleAssistant = "assistant"
+	maxRoleLength = 32
+	textPartType  = "text"
+	// maxSafeInteger bounds numbers to those that JSON readers agree on.
+	maxSafeInteger = 1 << 53
+)
+
+// Fields of a chat request that the adapter reads. The others go to the engine
+// as they are.
+const (
+	fieldModel               = "model"
+	fieldMessages            = "messages"
+	fieldMaxTokens           = "max_tokens"
+	fieldMaxCompletionTokens = "max_completion_tokens"
+	fieldStream              = "stream"
+	fieldTools               = "tools"
+	fieldChoices             = "n"
+)
+
+var knownFields = []string{
+	fieldModel, fieldMessages, fieldMaxTokens, fieldMaxCompletionTokens,
+	fieldStream, fieldTools, fieldChoices,
+}
+
+// chatRequest is a chat completion request, checked.
+type chatRequest struct {
+	model     string
+	messages  []wire.ChatMessage
+	tools     []byte
+	maxTokens int64
+	stream    bool
+	// fields are all top-level fields, for the engine.
+	fields map[string]json.RawMessage
+}
+
+// parseChatRequest checks a chat completion request. A maxTokens above limit
+// is lowered to it.
+func parseChatRequest(body []byte, limit int64) (*chatRequest, *Problem) {
+	if !utf8.Valid(body) {
+		return nil, refuse(structs.ReasonInvalid, "the body is not valid UTF-8")
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return nil, refuse(structs.ReasonInvalid, "the body is not a JSON object")
+	}
+	if problem := checkFieldCase(fields); problem != nil {
+		return nil, problem
+	}
+	request := &chatRequest{fields: fields, tools: fields[fieldTools]}
+	for _, parse := range []func() *Problem{
+		request.parseModel, request.parseStream, request.parseChoices,
+		request.parseMessages, func() *Problem { return request.parseMaxTokens(limit) },
+	} {
+		if problem := parse(); problem != nil {
+			return nil, problem
+		}
+	}
+	return request, nil
+}
+
+// checkFieldCase refuses a field that differs from a known one in case only:
+// an engine with a lenient reader would take it for that field.
+func checkFieldCase(fields map[string]json.RawMessage) *Problem {
+	for name := range fields {
+		for _, known := range knownFields {
+			if name != known && strings.EqualFold(name, known) {
+				return refuse(structs.ReasonInvalid, "field %q: expected %q", name, known)
+			}
+		}
+	}
+	return nil
+}
+
+func (r *chatRequest) parseModel() *Problem {
+	return r.decode(fieldModel, &r.model, "a string")
+}
+
+func (r *chatRequest) parseStream() *Problem {
+	return r.decode(fieldStream, &r.stream, "true or false")
+}
+
+// parseChoices refuses several choices: their tokens are not in the budget.
+func (r *chatRequest) parseChoices() *Problem {
+	choices := int64(1)
+	if problem := r.decode(fieldChoices, &choices, "1"); problem != nil {
+		return problem
+	}
+	if choices != 1 {
+		return refuse(structs.ReasonInvalid, "field %q: expected 1", fieldChoices)
+	}
+	return nil
+}
+
+func (r *chatRequest) parseMaxTokens(limit int64) *Problem {
+	const expected = "a whole number greater than 0"
+	r.maxTokens = min(defaultCompletionTokens, limit)
+	for _, field := range []string{fieldMaxTokens, fieldMaxCompletionTokens} {
+		if r.absent(field) {
+			continue
+		}
+		if problem := r.decode(field, &r.maxTokens, expected); problem != nil {
+			return problem
+		}
+		if r.maxTokens <= 0 || r.maxTokens > maxSafeInteger {
+			return refuse(structs.ReasonInvalid, "field %q: expected %s", field, expected)
+		}
+	}
+	r.maxTokens = min(r.maxTokens, limit)
+	return nil
+}
+
+func (r *chatRequest) parseMessages() *Problem {
+	var raw []json.RawMessage
+	if problem := r.decode(fieldMessages, &raw, "a list of messages"); problem != nil {
+		return problem
+	}
+	if len(raw) == 0 {
+		return refuse(structs.ReasonInvalid, "field %q: expected at least one message", fieldMessages)
+	}
+	r.messages = make([]wire.ChatMessage, 0, len(raw))
+	for i, one := range raw {
+		message, problem := parseMessage(one, fieldMessages+"["+strconv.Itoa(i)+"]")
+		if problem != nil {
+			return problem
+		}
+		r.messages = append(r.messages, message)
+	}
+	return nil
+}
+
+func (r *chatRequest) absent(field string) bool {
+	raw, ok := r.fields[field]
+	return !ok || bytes.Equal(raw, []byte("null"))
+}
+
+// decode reads a field into value, which keeps what it holds if the field is
+// absent or null.
+func (r *chatRequest) decode(field string, value any, expected string) *Problem {
+	if r.absent(field) {
+		return nil
+	}
+	if err := json.Unmarshal(r.fields[field], value); err != nil {
+		return refuse(structs.ReasonInvalid, "field %q: expected %s", field, expected)
+	}
+	return nil
+}
+
+// rawMessage is a message whose content is still undecoded.
+type rawMessage struct {
+	Role       string          `json:"role"`
+	Content    json.RawMessage `json:"content"`
+	Name       string          `json:"name"`
+	ToolCallID string          `json:"tool_call_id"`
+	ToolCalls  json.RawMessage `json:"tool_calls"`
+}
+
+func parseMessage(raw []byte, at string) (wire.ChatMessage, *Problem) {
+	var message rawMessage
+	if err := json.Unmarshal(raw, &message); err != nil {
+		return wire.ChatMessage{}, refuse(structs.ReasonInvalid, "%s: expected a message", at)
+	}
+	if message.Role == "" || len(message.Role) > maxRoleLength || !printable(message.Role) {
+		return wire.ChatMessage{}, refuse(structs.ReasonInvalid, "%s.role: expected a role", at)
+	}
+	content, ok := parseContent(message.Content)
+	if !ok {
+		return wire.ChatMessage{}, refuse(structs.ReasonInvalid, "%s.content: expected a string or text parts", at)
+	}
+	calls, ok := parseToolCalls(message.ToolCalls)
+	if !ok {
+		return wire.ChatMessage{}, refuse(structs.ReasonInvalid, "%s.tool_calls: expected a list", at)
+	}
+	return wire.ChatMessage{
+		Role: message.Role, Content: content, Name: message.Name,
+		ToolCallID: message.ToolCallID, ToolCalls: calls,
+	}, nil
+}
+
+// contentPart is one part of a message's content.
+type contentPart struct {
+	Type string  `json:"type"`
+	Text *string `json:"text"`
+}
+
+// parseContent reads a message's content: a string, null, or text parts, which
+// are joined.
+func parseContent(raw []byte) (string, bool) {
+	if len(raw) == 0 {
+		return "", true
+	}
+	var text *string
+	if json.Unmarshal(raw, &text) == nil {
+		if text == nil {
+			return "", true
+		}
+		return *text, true
+	}
+	var parts []contentPart
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", false
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != textPartType || part.Text == nil {
+			return "", false
+		}
+		joined.WriteString(*part.Text)
+	}
+	return joined.String(), true
+}
+
+// parseToolCalls checks that tool calls are a list and removes white space, so
+// that the digest of a message does not depend on it.
+func parseToolCalls(raw []byte) ([]byte, bool) {
+	var calls []json.RawMessage
+	if len(raw) == 0 {
+		return nil, true
+	}
+	if json.Unmarshal(raw, &calls) != nil {
+		return nil, false
+	}
+	if len(calls) == 0 {
+		return nil, true
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, raw) != nil {
+		return nil, false
+	}
+	return compact.Bytes(), true
+}
+
+// encode gives the request for the engine: the caller's fields, with those
+// that the adapter has read as it understood them.
+func (r *chatRequest) encode(model string) ([]byte, error) {
+	fields := make(map[string]any, len(r.fields))
+	for name, value := range r.fields {
+		fields[name] = value
+	}
+	delete(fields, fieldMaxCompletionTokens)
+	fields[fieldModel] = model
+	fields[fieldMessages] = r.messages
+	fields[fieldMaxTokens] = r.maxTokens
+	fields[fieldStream] = r.stream
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/internal/httpapi/chatstream.go
@@ -0,0 +1,236 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	contentTypeEvents = "text/event-stream"
+	streamEnd         = "data: [DONE]\n\n"
+)
+
+// errSpliced is the error of an outcome whose text does not begin with the
+// pieces that the caller has.
+var errSpliced = errors.New("the answer differs from the part already sent")
+
+// streamChat runs a streamed chat completion. Until the first piece has come
+// the answer may still be a problem document with its status; later a failure
+// is an event.
+func (s *Server) streamChat(c *gin.Context, call *structs.Call, deadline time.Time) {
+	event := structs.CallerSubmit{Request: infoOf(c).id, Call: call, Deadline: deadline}
+	p, problem := s.post(c, event, deadline, s.config.MaxBuffer)
+	if problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	defer p.close()
+	defer interruptWrites(p.ctx, c.Writer)()
+	stream := newChatStream(infoOf(c))
+	for {
+		chunks, final, err := p.next()
+		if errors.Is(err, errNoReply) {
+			s.failStream(c, p, stream, noReply())
+			return
+		}
+		if err != nil {
+			s.abandon(c, err)
+		}
+		for _, chunk := range chunks {
+			stream.addChunk(chunk)
+		}
+		if final != nil {
+			s.endStream(c, p, stream, final)
+			return
+		}
+		s.sendStream(c, p, stream)
+	}
+}
+
+// endStream writes the rest of a streamed answer, or its failure.
+func (s *Server) endStream(c *gin.Context, p *pending, stream *chatStream, final structs.Command) {
+	reply, ok := final.(structs.ReplyEnd)
+	if !ok {
+		s.failStream(c, p, stream, newProblem(ReasonInternal, outcomeUnknown, "the instance gave an answer of another kind"))
+		return
+	}
+	if reply.Outcome.Kind != structs.OutcomeAnswered {
+		s.failStream(c, p, stream, problemOf(reply.Outcome))
+		return
+	}
+	if err := stream.finish(reply.Outcome); err != nil {
+		s.log.Error("streamed answer", "request", infoOf(c).id, "program", infoOf(c).program, "error", err)
+		s.failStream(c, p, stream, newProblem(structs.ReasonTargetFailed, outcomeUnknown, err.Error()))
+		return
+	}
+	s.noteAnswer(c, reply.Outcome)
+	s.sendStream(c, p, stream)
+}
+
+// failStream gives a problem as a document if nothing was sent yet, else as an
+// event.
+func (s *Server) failStream(c *gin.Context, p *pending, stream *chatStream, problem *Problem) {
+	if !stream.sent {
+		s.fail(c, problem)
+		return
+	}
+	s.noteProblem(c, problem)
+	stream.addError(problem)
+	s.sendStream(c, p, stream)
+}
+
+// sendStream writes the events that are waiting in the stream.
+func (s *Server) sendStream(c *gin.Context, p *pending, stream *chatStream) {
+	if stream.out.Len() == 0 {
+		return
+	}
+	if !stream.sent {
+		stream.sent = true
+		s.startEvents(c)
+	}
+	s.setWriteDeadline(c.Writer)
+	if p.ctx.Err() != nil {
+		// The deadline above may have undone interruptWrites.
+		s.abandon(c, contextCause(p))
+	}
+	_, err := c.Writer.Write(stream.out.Bytes())
+	if err == nil {
+		err = http.NewResponseController(c.Writer).Flush()
+	}
+	if err != nil {
+		s.abandon(c, contextCause(p))
+	}
+	stream.out.Reset()
+}
+
+// startEvents writes the headers of a streamed answer. A replayed answer is
+// known before they are written; any other is on its way to being answered.
+func (s *Server) startEvents(c *gin.Context) {
+	info := infoOf(c)
+	if info.outcome != outcomeReplayed {
+		c.Header(HeaderOutcome, outcomeAnswered)
+	}
+	c.Header("Content-Type", contentTypeEvents)
+	c.Header("Cache-Control", "no-store")
+	c.Header(HeaderProgram, string(info.program))
+	c.Writer.WriteHeader(http.StatusOK)
+}
+
+// chatStream turns the chunks of an answer into server-sent events. It drops
+// pieces that come twice or behind a gap; what is then missing at the end comes
+// from the outcome, which holds the whole text.
+type chatStream struct {
+	id      string
+	created int64
+	model   string
+	// out is the events to be written.
+	out bytes.Buffer
+	// sent tells that the headers are written.
+	sent bool
+	// next is the index of the next piece; text and length are the hash and
+	// the length in bytes of the pieces before it.
+	next   int
+	text   *xxhash.Digest
+	length int
+}
+
+func newChatStream(info *requestInfo) *chatStream {
+	return &chatStream{
+		id: replyIDPrefix + string(info.id), created: info.started.Unix(),
+		model: string(info.service), text: xxhash.New(),
+	}
+}
+
+// addChunk takes the pieces of a chunk that are new. Tool calls are taken whole
+// from the outcome.
+func (s *chatStream) addChunk(chunk structs.Chunk) {
+	if chunk.First > s.next || chunk.Next() <= s.next {
+		return
+	}
+	for _, text := range chunk.Texts[s.next-chunk.First:] {
+		s.addPiece(text)
+	}
+}
+
+// addPiece writes the event of one piece.
+func (s *chatStream) addPiece(text string) {
+	s.addEvent(&wire.ChatMessage{Role: roleAssistant, Content: text}, nil, nil)
+	// Writes to a hash do not fail.
+	_, _ = s.text.WriteString(text)
+	s.length += len(text)
+	s.next++
+}
+
+// finish writes what is left of an answer: text that did not come as a chunk,
+// tool calls, the finish reason and the usage.
+func (s *chatStream) finish(outcome structs.Outcome) error {
+	if s.length > len(outcome.Text) || xxhash.Sum64String(outcome.Text[:s.length]) != s.text.Sum64() {
+		return errSpliced
+	}
+	calls, err := indexToolCalls(outcome.ToolCalls)
+	if err != nil {
+		return err
+	}
+	if rest := outcome.Text[s.length:]; rest != "" {
+		s.addPiece(rest)
+	}
+	if len(calls) > 0 {
+		s.addEvent(&wire.ChatMessage{Role: roleAssistant, ToolCalls: calls}, nil, nil)
+	}
+	finish := outcome.Finish
+	usage := wireUsage(outcome.Usage)
+	s.addEvent(&wire.ChatMessage{Role: roleAssistant}, &finish, &usage)
+	s.out.WriteString(streamEnd)
+	return nil
+}
+
+func (s *chatStream) addEvent(delta *wire.ChatMessage, finish *string, usage *wire.Usage) {
+	// The chunk holds nothing that JSON cannot encode: indexToolCalls has
+	// checked the tool calls.
+	body, _ := json.Marshal(wire.ChatChunk{
+		ID: s.id, Object: objectChunk, Created: s.created, Model: s.model, Index: s.next,
+		Choices: []wire.ChatChoice{{Delta: delta, FinishReason: finish}}, Usage: usage,
+	})
+	s.out.WriteString("data: ")
+	s.out.Write(body)
+	s.out.WriteString("\n\n")
+}
+
+// addError writes the event of a failure. The stream then has no end mark.
+func (s *chatStream) addError(problem *Problem) {
+	s.out.WriteString("event: error\ndata: ")
+	s.out.Write(problem.encode())
+	s.out.WriteString("\n\n")
+}
+
+// indexToolCalls gives each tool call its index, which the protocol wants in a
+// streamed answer only.
+func indexToolCalls(raw []byte) ([]byte, error) {
+	if len(raw) == 0 {
+		return nil, nil
+	}
+	var calls []map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &calls); err != nil {
+		return nil, errors.Wrap(err, "tool calls of the answer")
+	}
+	for i, call := range calls {
+		if call == nil {
+			return nil, errors.New("tool calls of the answer: expected objects")
+		}
+		index, err := json.Marshal(i)
+		if err != nil {
+			return nil, errors.Wrap(err, "tool call index")
+		}
+		call["index"] = index
+	}
+	return json.Marshal(calls)
+}
--- /dev/null
+++ b/internal/httpapi/config.go
@@ -0,0 +1,89 @@
+package httpapi
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBody          = 4 << 20
+	DefaultMaxBodies        = 256 << 20
+	DefaultMaxBuffer        = 256 << 10
+	DefaultMaxConcurrent    = 4096
+	DefaultMaxTokens        = 32_768
+	DefaultHeaderTimeout    = 5 * time.Second
+	DefaultBodyTimeout      = 30 * time.Second
+	DefaultWriteTimeout     = 10 * time.Second
+	DefaultOperatorTimeout  = 10 * time.Second
+	DefaultReplyGrace       = 2 * time.Second
+	DefaultIdleTimeout      = 2 * time.Minute
+	maxHeaderBytes          = 32 << 10
+	defaultCompletionTokens = 1024
+)
+
+// Config is the configuration of a Server. Zero values take the defaults.
+type Config struct {
+	// Instance and Incarnation make request identifiers unique over all
+	// instances and restarts.
+	Instance    structs.InstanceID
+	Incarnation string
+	// Region is the region of the programs opened here.
+	Region structs.Region
+	// RootKeyHash is the hexadecimal SHA-256 of the root operator's key;
+	// empty for no root operator.
+	RootKeyHash string
+	// MaxBody bounds one request body in bytes, and MaxBodies all bodies
+	// held at a time.
+	MaxBody   int64
+	MaxBodies int64
+	// MaxBuffer bounds the bytes of a streamed answer that wait for a slow
+	// caller.
+	MaxBuffer int
+	// MaxConcurrent bounds the callers' requests in flight.
+	MaxConcurrent int
+	// MaxTokens is the most tokens that one answer may ask for; more is
+	// lowered to it.
+	MaxTokens int64
+	// HeaderTimeout and BodyTimeout bound the reading of a request, and
+	// WriteTimeout each write of an answer.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	WriteTimeout  time.Duration
+	// OperatorTimeout bounds requests about programs and settings.
+	OperatorTimeout time.Duration
+	// ReplyGrace is how long past a request's deadline the adapter waits
+	// for the core's answer before it reports the outcome as unknown. It
+	// only guards against a core that has stopped.
+	ReplyGrace time.Duration
+	// Metrics serves GET /metrics; nil leaves the route out.
+	Metrics *Metrics
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	setDefault(&c.MaxBodies, DefaultMaxBodies)
+	c.MaxBodies = max(c.MaxBodies, c.MaxBody)
+	setDefault(&c.MaxBuffer, DefaultMaxBuffer)
+	setDefault(&c.MaxConcurrent, DefaultMaxConcurrent)
+	setDefault(&c.MaxTokens, DefaultMaxTokens)
+	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.OperatorTimeout, DefaultOperatorTimeout)
+	setDefault(&c.ReplyGrace, DefaultReplyGrace)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/httpapi/headers.go
@@ -0,0 +1,225 @@
+package httpapi
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// Headers of requests and answers.
+const (
+	// HeaderProgram names the program of a call, in both directions.
+	HeaderProgram = "Banyanglade-Program"
+	// HeaderTeam chooses a team below the key's own.
+	HeaderTeam = "Banyanglade-Team"
+	// HeaderService names the service of a chat completion, in place of the
+	// model.
+	HeaderService = "Banyanglade-Service"
+	// HeaderLane names the lane of a call.
+	HeaderLane = "Banyanglade-Lane"
+	// HeaderCall is the number of a call in its lane, from 1.
+	HeaderCall = "Banyanglade-Call"
+	// HeaderNotRepeatable marks a call that runs at most once.
+	HeaderNotRepeatable = "Banyanglade-Not-Repeatable"
+	// HeaderFork allows a call's messages to leave the known history.
+	HeaderFork = "Banyanglade-Fork"
+	// HeaderDeadline is the most time for an answer, in milliseconds.
+	HeaderDeadline = "Banyanglade-Deadline-Ms"
+	// HeaderFee is the cost of a call in the team's currency units.
+	HeaderFee = "Banyanglade-Fee"
+	// HeaderOutcome tells what became of a call: answered, replayed, not-run
+	// or unknown.
+	HeaderOutcome = "Banyanglade-Outcome"
+	// HeaderRequest is the identifier of the request, for the logs.
+	HeaderRequest = "Banyanglade-Request"
+	// HeaderIdempotencyKey is the usual idempotency header.
+	HeaderIdempotencyKey = wire.HeaderIdempotencyKey
+)
+
+const (
+	ownHeaderPrefix = "Banyanglade-"
+
+	maxKeyLength     = 255
+	maxLaneLength    = 128
+	maxTeamLength    = 255
+	maxServiceLength = 128
+	maxFee           = 1 << 40
+	maxDeadlineMS    = 24 * 60 * 60 * 1000
+)
+
+// requestHeaders are the own headers that a request may carry. Any other is
+// refused: a misspelled mark must not be ignored.
+var requestHeaders = map[string]bool{
+	HeaderProgram: true, HeaderTeam: true, HeaderService: true, HeaderLane: true,
+	HeaderCall: true, HeaderNotRepeatable: true, HeaderFork: true,
+	HeaderDeadline: true, HeaderFee: true,
+}
+
+// singleHeaders may occur once only.
+var singleHeaders = []string{HeaderIdempotencyKey, "Authorization", "Content-Type"}
+
+// callHeaders are the headers of a call, checked.
+type callHeaders struct {
+	program       structs.ProgramID
+	team          structs.Team
+	service       structs.ServiceName
+	lane          structs.Lane
+	number        uint64
+	key           string
+	notRepeatable bool
+	fork          bool
+	fee           int64
+	// wait is the most time for an answer; 0 if the caller gave none.
+	wait time.Duration
+}
+
+// checkHeaders refuses headers that are unknown or given more than once.
+func checkHeaders(header http.Header) *Problem {
+	for name, values := range header {
+		if !strings.HasPrefix(name, ownHeaderPrefix) {
+			continue
+		}
+		if !requestHeaders[name] {
+			return refuse(structs.ReasonInvalid, "header %s is unknown", name)
+		}
+		if len(values) > 1 {
+			return refuse(structs.ReasonInvalid, "header %s is given more than once", name)
+		}
+	}
+	for _, name := range singleHeaders {
+		if len(header.Values(name)) > 1 {
+			return refuse(structs.ReasonInvalid, "header %s is given more than once", name)
+		}
+	}
+	return nil
+}
+
+// parseCallHeaders reads the headers of a call.
+func parseCallHeaders(header http.Header) (callHeaders, *Problem) {
+	p := headerParser{header: header}
+	h := callHeaders{
+		program:       p.program(),
+		team:          structs.Team(p.name(HeaderTeam, maxTeamLength)),
+		service:       structs.ServiceName(p.name(HeaderService, maxServiceLength)),
+		lane:          structs.Lane(p.name(HeaderLane, maxLaneLength)),
+		number:        uint64(p.number(HeaderCall, 1, 1<<53)),
+		key:           p.key(),
+		notRepeatable: p.flag(HeaderNotRepeatable),
+		fork:          p.flag(HeaderFork),
+		fee:           p.number(HeaderFee, 0, maxFee),
+		wait:          time.Duration(p.number(HeaderDeadline, 1, maxDeadlineMS)) * time.Millisecond,
+	}
+	if p.problem != nil {
+		return callHeaders{}, p.problem
+	}
+	if h.program == "" && (h.lane != "" || h.number != 0 || h.fork) {
+		return callHeaders{}, refuse(structs.ReasonInvalid,
+			"%s, %s and %s need %s", HeaderLane, HeaderCall, HeaderFork, HeaderProgram)
+	}
+	return h, nil
+}
+
+// headerParser reads single headers and keeps the first problem.
+type headerParser struct {
+	header  http.Header
+	problem *Problem
+}
+
+func (p *headerParser) fail(name, expected string) {
+	if p.problem == nil {
+		p.problem = refuse(structs.ReasonInvalid, "header %s: expected %s", name, expected)
+	}
+}
+
+func (p *headerParser) program() structs.ProgramID {
+	id := structs.ProgramID(p.header.Get(HeaderProgram))
+	if id != "" && !validProgramID(id) {
+		p.fail(HeaderProgram, "a program id as this service gave it")
+	}
+	return id
+}
+
+func (p *headerParser) name(header string, limit int) string {
+	value := p.header.Get(header)
+	if value != "" && !validName(value, limit) {
+		p.fail(header, "letters, digits and . _ - : / only, at most "+strconv.Itoa(limit))
+	}
+	return value
+}
+
+func (p *headerParser) key() string {
+	value := p.header.Get(HeaderIdempotencyKey)
+	if len(value) > maxKeyLength || !printable(value) {
+		p.fail(HeaderIdempotencyKey, "printable ASCII, at most "+strconv.Itoa(maxKeyLength))
+	}
+	return value
+}
+
+func (p *headerParser) flag(header string) bool {
+	switch p.header.Get(header) {
+	case "", "false":
+		return false
+	case "true":
+		return true
+	}
+	p.fail(header, "true or false")
+	return false
+}
+
+func (p *headerParser) number(header string, least, most int64) int64 {
+	value := p.header.Get(header)
+	if value == "" {
+		return 0
+	}
+	number, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || number < least || number > most {
+		p.fail(header, "a whole number from "+strconv.FormatInt(least, 10)+" to "+strconv.FormatInt(most, 10))
+		return 0
+	}
+	return number
+}
+
+// validName tells whether a name is made of the characters that names of
+// lanes, teams and services may have.
+func validName(name string, limit int) bool {
+	if name == "" || len(name) > limit {
+		return false
+	}
+	for i := range len(name) {
+		if !nameCharacter(name[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func nameCharacter(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return strings.IndexByte("._-:/", c) >= 0
+}
+
+func printable(value string) bool {
+	for i := range len(value) {
+		if value[i] < ' ' || value[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// validProgramID tells whether an identifier has the only form that
+// structs.NewProgramID makes.
+func validProgramID(id structs.ProgramID) bool {
+	if !validName(string(id), maxLaneLength) || strings.ToLower(string(id)) != string(id) {
+		return false
+	}
+	_, _, err := id.Parse()
+	return err == nil
+}
--- /dev/null
+++ b/internal/httpapi/middleware.go
@@ -0,0 +1,150 @@
+package httpapi
+
+import (
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const infoKey = "banyanglade.request"
+
+// Outcome words of the access log besides those of answers.
+const (
+	outcomeDone = "done"
+	outcomeGone = "caller-gone"
+	outcomeCut  = "cut-off"
+)
+
+// requestInfo is what the adapter knows of one request, for the answer's
+// headers, the access log and the metrics. It holds no keys and no bodies.
+type requestInfo struct {
+	id        structs.RequestID
+	started   time.Time
+	principal Principal
+	program   structs.ProgramID
+	team      structs.Team
+	service   structs.ServiceName
+	lane      structs.Lane
+	number    uint64
+	outcome   string
+	reason    structs.Reason
+}
+
+func infoOf(c *gin.Context) *requestInfo {
+	return c.MustGet(infoKey).(*requestInfo)
+}
+
+// observe gives each request its identifier, and logs and counts its end.
+func (s *Server) observe(c *gin.Context) {
+	info := &requestInfo{id: s.ids.next(), started: s.config.Now(), outcome: outcomeDone}
+	c.Set(infoKey, info)
+	c.Header(HeaderRequest, string(info.id))
+	// A connection keeps the write deadline of the request before.
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(time.Time{})
+	s.metrics.begin()
+	defer s.finish(c, info)
+	c.Next()
+}
+
+func (s *Server) finish(c *gin.Context, info *requestInfo) {
+	took := s.config.Now().Sub(info.started)
+	route := c.FullPath()
+	s.metrics.end(route, c.Writer.Status(), info.outcome, took)
+	s.log.LogAttrs(c.Request.Context(), slog.LevelInfo, "request",
+		slog.String("request", string(info.id)),
+		slog.String("method", c.Request.Method),
+		slog.String("route", route),
+		slog.Int("status", c.Writer.Status()),
+		slog.String("outcome", info.outcome),
+		slog.String("reason", string(info.reason)),
+		slog.String("principal", info.principal.Name),
+		slog.String("team", string(info.team)),
+		slog.String("program", string(info.program)),
+		slog.String("lane", string(info.lane)),
+		slog.Uint64("call", info.number),
+		slog.String("service", string(info.service)),
+		slog.Float64("ms", float64(took.Microseconds())/1000),
+	)
+}
+
+// recoverPanic answers a request whose handler panicked. Whether its call ran
+// is not known.
+func (s *Server) recoverPanic(c *gin.Context) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(http.ErrAbortHandler)
+		}
+		s.metrics.panics.Inc(1)
+		s.log.Error("handler panicked", "request", infoOf(c).id, "panic", cause, "stack", string(debug.Stack()))
+		if c.Writer.Written() {
+			panic(http.ErrAbortHandler)
+		}
+		s.fail(c, newProblem(ReasonInternal, outcomeUnknown, "the instance failed while it handled the request"))
+	}()
+	c.Next()
+}
+
+// checkRequest refuses requests whose headers are not what they seem.
+func (s *Server) checkRequest(c *gin.Context) {
+	if problem := checkHeaders(c.Request.Header); problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	c.Next()
+}
+
+// limit bounds the callers' requests in flight.
+func (s *Server) limit(c *gin.Context) {
+	if !s.limits.requests.TryAcquire(1) {
+		s.fail(c, busy("too many requests are in flight at this instance"))
+		return
+	}
+	defer s.limits.requests.Release(1)
+	c.Next()
+}
+
+// fail answers with a problem document and ends the request.
+func (s *Server) fail(c *gin.Context, problem *Problem) {
+	s.noteProblem(c, problem)
+	s.setWriteDeadline(c.Writer)
+	problem.write(c.Writer)
+	c.Abort()
+}
+
+// noteProblem fills what the document and the log share.
+func (s *Server) noteProblem(c *gin.Context, problem *Problem) {
+	info := infoOf(c)
+	problem.Instance = string(info.id)
+	info.outcome = problem.Outcome
+	info.reason = structs.Reason(problem.Type[len(problemTypePrefix):])
+	if info.program != "" {
+		c.Header(HeaderProgram, string(info.program))
+	}
+}
+
+// abandon closes the connection of a request that cannot be answered any more.
+// It does not return.
+func (s *Server) abandon(c *gin.Context, cause error) {
+	info := infoOf(c)
+	info.outcome = outcomeGone
+	if errors.Is(cause, errSlowCaller) {
+		info.outcome = outcomeCut
+		s.metrics.cutOff.Inc(1)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) setWriteDeadline(w http.ResponseWriter) {
+	// Writers that have no deadline are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(s.config.Now().Add(s.config.WriteTimeout))
+}
--- /dev/null
+++ b/internal/httpapi/plain.go
@@ -0,0 +1,128 @@
+package httpapi
+
+import (
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	servicesRoute    = "/v1/services/"
+	maxPathLength    = 8 << 10
+	maxContentType   = 255
+	lowestFinal      = 200
+	highestFinal     = 599
+	outOfRangeDetail = "the target answered with a status that is not final"
+)
+
+// plain runs a request to a tool or plain service.
+func (s *Server) plain(c *gin.Context) {
+	body, release, problem := s.readBody(c)
+	defer release()
+	if problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	call, deadline, problem := s.plainCall(c, body)
+	if problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	event := structs.CallerSubmit{Request: infoOf(c).id, Call: call, Deadline: deadline}
+	reply, ok := ask[structs.ReplyEnd](s, c, event, deadline)
+	if !ok {
+		return
+	}
+	s.answerPlain(c, reply.Outcome)
+}
+
+func (s *Server) answerPlain(c *gin.Context, outcome structs.Outcome) {
+	if outcome.Kind != structs.OutcomeAnswered {
+		s.fail(c, problemOf(outcome))
+		return
+	}
+	if outcome.Status < lowestFinal || outcome.Status > highestFinal {
+		s.fail(c, newProblem(structs.ReasonTargetFailed, outcomeUnknown, outOfRangeDetail))
+		return
+	}
+	s.noteAnswer(c, outcome)
+	s.writeBody(c, outcome.Status, outcome.ContentType, outcome.Body)
+}
+
+// plainCall makes the call of a request to a tool or plain service. Of the
+// request's headers only the content type goes on to the target.
+func (s *Server) plainCall(c *gin.Context, body []byte) (*structs.Call, time.Time, *Problem) {
+	h, problem := parseCallHeaders(c.Request.Header)
+	if problem != nil {
+		return nil, time.Time{}, problem
+	}
+	name, path, problem := servicePath(c.Request.URL)
+	if problem != nil {
+		return nil, time.Time{}, problem
+	}
+	service, problem := s.plainService(h.service, name)
+	if problem != nil {
+		return nil, time.Time{}, problem
+	}
+	contentType := c.Request.Header.Get("Content-Type")
+	if len(contentType) > maxContentType || !printable(contentType) {
+		return nil, time.Time{}, refuse(ReasonUnsupportedMedia, "the content type is malformed")
+	}
+	call, deadline, problem := s.newCall(c, h, service)
+	if problem != nil {
+		return nil, time.Time{}, problem
+	}
+	call.Kind = structs.CallPlain
+	call.Method, call.Path, call.ContentType, call.Body = c.Request.Method, path, contentType, body
+	call.Digest = requestDigest(call.Service, call.Method, path, contentType, body)
+	return call, deadline, nil
+}
+
+// plainService finds the service of a plain request. A model engine is none:
+// its other routes are for banyanglade itself.
+func (s *Server) plainService(header, name structs.ServiceName) (structs.Service, *Problem) {
+	if header != "" && header != name {
+		return structs.Service{}, refuse(structs.ReasonInvalid, "the header %s and the path differ", HeaderService)
+	}
+	service, ok := s.core.Settings().Service(name)
+	if !ok {
+		return structs.Service{}, refuse(structs.ReasonUnknownService, "there is no service %q", name)
+	}
+	if service.Kind == structs.ServiceEngine {
+		return structs.Service{}, refuse(structs.ReasonInvalid, "service %q serves models only", name)
+	}
+	return service, nil
+}
+
+// servicePath splits a request's address into the service and what its target
+// gets: the rest of the path as the caller escaped it, with the query string.
+func servicePath(address *url.URL) (structs.ServiceName, string, *Problem) {
+	rest, found := strings.CutPrefix(address.EscapedPath(), servicesRoute)
+	name, path, split := strings.Cut(rest, "/")
+	if !found || !split || !validName(name, maxServiceLength) {
+		return "", "", refuse(structs.ReasonInvalid, "expected the path %s{service}/{path}", servicesRoute)
+	}
+	path = "/" + path
+	if address.RawQuery != "" {
+		path += "?" + address.RawQuery
+	}
+	if len(path) > maxPathLength || !printable(path) || hasDotSegment(address.Path) {
+		return "", "", refuse(structs.ReasonInvalid, "the path is too long, has a . or .. segment, or control characters")
+	}
+	return structs.ServiceName(name), path, nil
+}
+
+// hasDotSegment tells whether a decoded path has a segment that a target could
+// read as a step to another path.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(strings.ReplaceAll(path, `\`, "/"), "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/httpapi/wait.go
@@ -0,0 +1,120 @@
+package httpapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// errNoReply is the error of a request that the core did not answer by its
+// deadline.
+var errNoReply = errors.New("no reply of the core")
+
+// pending is a request posted to the core.
+type pending struct {
+	server   *Server
+	ctx      context.Context
+	exchange *exchange
+	timer    *time.Timer
+}
+
+// post registers the request and posts its event. On success the caller must
+// call close. limit bounds the waiting chunks in bytes, 0 for none wanted.
+func (s *Server) post(c *gin.Context, event structs.Event, deadline time.Time, limit int) (*pending, *Problem) {
+	ctx, cancel := context.WithCancelCause(c.Request.Context())
+	e := newExchange(infoOf(c).id, limit, cancel)
+	s.exchanges.add(e)
+	if !s.core.Post(event) {
+		s.exchanges.remove(e.id)
+		cancel(nil)
+		return nil, busy("the instance's queue is full or the instance has stopped")
+	}
+	wait := deadline.Sub(s.config.Now()) + s.config.ReplyGrace
+	return &pending{server: s, ctx: ctx, exchange: e, timer: time.NewTimer(wait)}, nil
+}
+
+// close forgets the request, and tells the core if nobody waits for its answer
+// any more.
+func (p *pending) close() {
+	p.timer.Stop()
+	p.server.exchanges.remove(p.exchange.id)
+	p.exchange.cancel(nil)
+	if p.exchange.ended() {
+		return
+	}
+	if !p.server.core.Post(structs.CallerGone{Request: p.exchange.id}) {
+		p.server.metrics.lostGone.Inc(1)
+	}
+}
+
+// next waits for chunks or for the command that ends the request. The error is
+// errNoReply, or the cause for which the request's context ended.
+func (p *pending) next() ([]structs.Chunk, structs.Command, error) {
+	for {
+		chunks, final := p.exchange.take()
+		if len(chunks) > 0 || final != nil {
+			return chunks, final, nil
+		}
+		select {
+		case <-p.exchange.wake:
+		case <-p.ctx.Done():
+			return nil, nil, context.Cause(p.ctx)
+		case <-p.timer.C:
+			return nil, nil, errNoReply
+		}
+	}
+}
+
+// final waits for the command that ends the request.
+func (p *pending) final() (structs.Command, error) {
+	for {
+		_, command, err := p.next()
+		if err != nil || command != nil {
+			return command, err
+		}
+	}
+}
+
+// noReply is the problem of a request that the core did not answer in time.
+func noReply() *Problem {
+	return newProblem(structs.ReasonDeadline, outcomeUnknown, "the instance did not answer by the deadline")
+}
+
+// ask posts an event and waits for its answer. On failure it answers the
+// request itself and returns false.
+func ask[T structs.Command](s *Server, c *gin.Context, event structs.Event, deadline time.Time) (T, bool) {
+	var none T
+	p, problem := s.post(c, event, deadline, 0)
+	if problem != nil {
+		s.fail(c, problem)
+		return none, false
+	}
+	defer p.close()
+	command, err := p.final()
+	if errors.Is(err, errNoReply) {
+		s.fail(c, noReply())
+		return none, false
+	}
+	if err != nil {
+		s.abandon(c, err)
+	}
+	reply, ok := command.(T)
+	if !ok {
+		s.log.Error("wrong kind of reply of the core", "request", infoOf(c).id)
+		s.fail(c, newProblem(ReasonInternal, outcomeUnknown, "the instance gave an answer of another kind"))
+	}
+	return reply, ok
+}
+
+// contextCause gives the cause for which a request's context ended, or
+// errSlowCaller if a write failed while it still lasted.
+func contextCause(p *pending) error {
+	if cause := context.Cause(p.ctx); cause != nil {
+		return cause
+	}
+	return errSlowCaller
+}
