Thin target runner: runs, resume, cancel, outcomes, load and cache

Cause: the core needs an adapter that carries out its commands at targets. Change: package target; the send passes a gate at the connection, so that a request is written once, not after NotAfter, and RunNotSent means that no byte was written.

--- /dev/null
+++ b/internal/target/chat.go
@@ -0,0 +1,200 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	// endOfStream is the data of the last event of a chat stream.
+	endOfStream = "[DONE]"
+	// finishCancelled is the finish reason of a stream that was cancelled.
+	finishCancelled = "cancelled"
+	// maxPieces bounds the pieces of one RunChunk.
+	maxPieces = 256
+)
+
+// errUnfinished is the error of a chat stream that ends without a finish
+// reason.
+var errUnfinished = errors.New("chat stream ended without a finish reason")
+
+// readChat reads the answer of an engine to a chat completion.
+func (r *Runner) readChat(one *run, reply *http.Response) result {
+	switch status := reply.StatusCode; {
+	case status == http.StatusOK:
+		return r.readStream(one, reply.Body, 0)
+	case status == http.StatusConflict:
+		return result{failure: structs.RunFenced, detail: "the engine refused the fencing number"}
+	case refusesRun(status):
+		return result{failure: structs.RunNotSent, detail: "the engine refused the call: " + http.StatusText(status)}
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return r.readPlain(one, reply)
+	}
+	return result{failure: structs.RunBroken, detail: "the engine failed: " + http.StatusText(reply.StatusCode)}
+}
+
+// readStream reads a chat stream from piece index from on and posts its pieces
+// as they come.
+func (r *Runner) readStream(one *run, body io.Reader, from int) result {
+	events := newEventReader(body)
+	s := newChatStream(from, r.cfg.MaxAnswer)
+	for {
+		data, err := events.next()
+		if err == nil && string(data) != endOfStream {
+			err = s.add(data)
+		} else if err == nil {
+			err = io.EOF
+		}
+		if err != nil || s.mustFlush() || !events.ready() {
+			r.flush(one, s)
+		}
+		if err != nil {
+			return s.end(one, err)
+		}
+	}
+}
+
+// flush posts the pieces that were read since the last flush.
+func (r *Runner) flush(one *run, s *chatStream) {
+	chunk, ok := s.take()
+	if !ok {
+		return
+	}
+	if one.firstToken == 0 {
+		one.firstToken = r.cfg.Now().Sub(one.sentAt())
+		r.metrics.firstToken.Record(one.firstToken)
+	}
+	r.sink.Deliver(one.ctx, structs.RunChunk{Run: one.id, Chunk: chunk})
+}
+
+// end makes the result of a stream that an error or its end stopped.
+func (s *chatStream) end(one *run, err error) result {
+	if s.finish == finishCancelled {
+		return result{failure: structs.RunCancelled, detail: "the engine says that the run was cancelled"}
+	}
+	if errors.Is(err, io.EOF) && s.finish != "" {
+		return result{outcome: s.outcome()}
+	}
+	if errors.Is(err, ErrAnswerTooLarge) {
+		return result{
+			failure: structs.RunBroken, detail: err.Error(),
+			outcome: structs.Outcome{Reason: structs.ReasonTooLarge},
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		err = errUnfinished
+	}
+	return one.failed(err)
+}
+
+// chatStream puts the pieces of a chat answer together.
+type chatStream struct {
+	next int
+	// blanks is the number of chunks without content that were seen from
+	// index next on. They count as empty pieces only if content follows at a
+	// higher index.
+	blanks  int
+	pending structs.Chunk
+	text    []byte
+	limit   int64
+	tools   toolCalls
+	finish  string
+	usage   wire.Usage
+}
+
+func newChatStream(from int, limit int64) *chatStream {
+	return &chatStream{next: from, limit: limit, pending: structs.Chunk{First: from}}
+}
+
+// add takes one event of the stream.
+func (s *chatStream) add(data []byte) error {
+	var chunk wire.ChatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return errors.Wrap(err, "chat chunk")
+	}
+	if chunk.Usage != nil {
+		s.usage = *chunk.Usage
+	}
+	if len(chunk.Choices) == 0 {
+		return nil
+	}
+	choice := chunk.Choices[0]
+	if err := s.addPiece(chunk.Index, choice); err != nil {
+		return err
+	}
+	if choice.FinishReason != nil {
+		s.finish = *choice.FinishReason
+	}
+	return nil
+}
+
+// addPiece adds the piece of a chunk if it has one. A piece seen before is
+// dropped, one that leaves a gap is an error.
+func (s *chatStream) addPiece(index int, choice wire.ChatChoice) error {
+	delta := choice.Delta
+	if delta == nil || (delta.Content == "" && len(delta.ToolCalls) == 0) {
+		if index == s.next+s.blanks && choice.FinishReason == nil {
+			s.blanks++
+		}
+		return nil
+	}
+	if index < s.next {
+		return nil
+	}
+	if index > s.next+s.blanks {
+		return errors.Newf("chat stream has a gap: piece %d where %d was due", index, s.next)
+	}
+	for s.next < index {
+		s.push("")
+	}
+	s.push(delta.Content)
+	s.blanks = 0
+	if len(s.text) > int(s.limit) {
+		return ErrAnswerTooLarge
+	}
+	return s.addTools(delta.ToolCalls)
+}
+
+func (s *chatStream) push(text string) {
+	s.pending.Texts = append(s.pending.Texts, text)
+	s.text = append(s.text, text...)
+	s.next++
+}
+
+func (s *chatStream) addTools(delta wire.RawJSON) error {
+	if len(delta) == 0 {
+		return nil
+	}
+	s.pending.ToolCalls = delta
+	return s.tools.merge(delta)
+}
+
+// mustFlush tells whether no further piece may join the pending ones.
+func (s *chatStream) mustFlush() bool {
+	return len(s.pending.Texts) >= maxPieces || len(s.pending.ToolCalls) > 0
+}
+
+// take gives the pending pieces, false if there are none.
+func (s *chatStream) take() (structs.Chunk, bool) {
+	chunk := s.pending
+	s.pending = structs.Chunk{First: s.next}
+	return chunk, len(chunk.Texts) > 0
+}
+
+func (s *chatStream) outcome() structs.Outcome {
+	return structs.Outcome{
+		Kind: structs.OutcomeAnswered, Status: http.StatusOK,
+		Text: string(s.text), ToolCalls: s.tools.encode(), Finish: s.finish,
+		Usage: structs.Usage{
+			PromptTokens:     int64(s.usage.PromptTokens),
+			CachedTokens:     int64(s.usage.CachedTokens),
+			CompletionTokens: int64(s.usage.CompletionTokens),
+		},
+	}
+}
--- /dev/null
+++ b/internal/target/config.go
@@ -0,0 +1,70 @@
+package target
+
+import (
+	"crypto/tls"
+	"time"
+)
+
+// Defaults of a Config.
+const (
+	DefaultRunTimeout     = time.Minute
+	DefaultControlTimeout = time.Second
+	DefaultLoadInterval   = 250 * time.Millisecond
+	DefaultHealthInterval = time.Second
+	DefaultMaxRuns        = 4096
+	DefaultMaxReleases    = 32
+	DefaultMaxAnswer      = 16 << 20
+	DefaultCancelRetries  = 4
+	DefaultCancelBackoff  = 50 * time.Millisecond
+)
+
+// Config holds the settings of a Runner. Zero values take the defaults above.
+type Config struct {
+	// TLS is used for targets with an https address; nil takes the system's
+	// certificate authorities.
+	TLS *tls.Config
+	// RunTimeout bounds a run whose command gives no timeout.
+	RunTimeout time.Duration
+	// ControlTimeout bounds a dial, and each request that is not a run.
+	ControlTimeout time.Duration
+	// LoadInterval is the time between two polls of an engine's load and
+	// cache events, HealthInterval between two health checks of another
+	// target. Jitter changes both by up to a tenth.
+	LoadInterval   time.Duration
+	HealthInterval time.Duration
+	// MaxRuns bounds the runs in flight; one more is RunNotSent.
+	MaxRuns int
+	// MaxReleases bounds the cache releases in flight; others wait.
+	MaxReleases int
+	// MaxAnswer bounds an answer, in bytes.
+	MaxAnswer int64
+	// CancelRetries is how often a failed cancel is repeated, and
+	// CancelBackoff the first wait.
+	CancelRetries uint64
+	CancelBackoff time.Duration
+	// Now is the clock of NotAfter; nil is time.Now.
+	Now func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.RunTimeout, DefaultRunTimeout)
+	setDefault(&c.ControlTimeout, DefaultControlTimeout)
+	setDefault(&c.LoadInterval, DefaultLoadInterval)
+	setDefault(&c.HealthInterval, DefaultHealthInterval)
+	setDefault(&c.MaxRuns, DefaultMaxRuns)
+	setDefault(&c.MaxReleases, DefaultMaxReleases)
+	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
+	setDefault(&c.CancelRetries, DefaultCancelRetries)
+	setDefault(&c.CancelBackoff, DefaultCancelBackoff)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/target/control.go
@@ -0,0 +1,121 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// get makes a GET request and returns the status and the bounded body.
+func (r *Runner) get(ctx context.Context, address string) (status int, body []byte, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	return r.do(request)
+}
+
+func (r *Runner) do(request *http.Request) (status int, body []byte, err error) {
+	request.Header.Set("User-Agent", userAgent)
+	reply, err := r.clients.control.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer closeBody(reply.Body)
+	body, err = readBounded(reply.Body, r.cfg.MaxAnswer)
+	return reply.StatusCode, body, err
+}
+
+// getJSON makes a GET request and decodes the answer, which must be 200.
+func (r *Runner) getJSON(ctx context.Context, address string, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.ControlTimeout)
+	defer cancel()
+	status, body, err := r.get(ctx, address)
+	if err != nil {
+		return err
+	}
+	return decodeOK(status, body, target)
+}
+
+// postJSON posts a value, nil for no body, and decodes the answer, which must
+// be 200, into reply unless that is nil.
+func (r *Runner) postJSON(address string, value, reply any) error {
+	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ControlTimeout)
+	defer cancel()
+	var body io.Reader
+	if value != nil {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	status, answer, err := r.do(request)
+	if err != nil {
+		return err
+	}
+	return decodeOK(status, answer, reply)
+}
+
+func decodeOK(status int, body []byte, target any) error {
+	if status != http.StatusOK {
+		return errors.Newf("status %d", status)
+	}
+	if target == nil {
+		return nil
+	}
+	return json.Unmarshal(body, target)
+}
+
+// releaseKey names a cache release in flight.
+type releaseKey struct {
+	target  structs.TargetID
+	program structs.ProgramID
+}
+
+// ReleaseCache asks a target to drop a program's cache. The answer is
+// CacheReleased; a second command while the first is in flight shares it.
+func (r *Runner) ReleaseCache(command structs.ReleaseCache) {
+	key := releaseKey{target: command.Target.ID, program: command.Program}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, releasing := r.releasing[key]; releasing {
+		return
+	}
+	r.releasing[key] = struct{}{}
+	r.spawn(func() { r.release(key, command) })
+}
+
+func (r *Runner) release(key releaseKey, command structs.ReleaseCache) {
+	select {
+	case <-r.ctx.Done():
+		return
+	case r.releases <- struct{}{}:
+	}
+	var reply struct {
+		HeldTokens *int64 `json:"held_tokens"`
+	}
+	order := wire.CacheRelease{Program: string(command.Program)}
+	err := r.postJSON(joinURL(command.Target.Address, wire.CacheReleaseRoute), order, &reply)
+	<-r.releases
+	r.mu.Lock()
+	delete(r.releasing, key)
+	r.mu.Unlock()
+	done := err == nil && reply.HeldTokens != nil && *reply.HeldTokens == 0
+	if !done {
+		r.metrics.releasesFailed.Inc(1)
+	}
+	r.sink.Deliver(r.ctx, structs.CacheReleased{Target: command.Target.ID, Program: command.Program, Done: done})
+}
--- /dev/null
+++ b/internal/target/resume.go
@@ -0,0 +1,106 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// ResumeRun attaches to a chat stream from a piece index on. The text of the
+// outcome begins at that piece.
+func (r *Runner) ResumeRun(command structs.ResumeRun) {
+	r.begin(command.Run, command.Target.ID, command.Timeout, nil, func(one *run) result {
+		return r.resume(one, command)
+	})
+}
+
+func (r *Runner) resume(one *run, command structs.ResumeRun) result {
+	address := streamURL(command.Target, command.Run) + "?from=" + strconv.Itoa(command.From)
+	request, err := http.NewRequestWithContext(one.ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return one.failed(err)
+	}
+	reply, err := r.clients.control.Do(request)
+	if err != nil {
+		return one.failed(err)
+	}
+	defer closeBody(reply.Body)
+	if reply.StatusCode != http.StatusOK {
+		return one.failed(errors.Newf("the engine cannot resume the stream: %s", http.StatusText(reply.StatusCode)))
+	}
+	return r.readStream(one, reply.Body, command.From)
+}
+
+func streamURL(target structs.Target, id structs.RunID) string {
+	return joinURL(target.Address, wire.StreamsRoute) + "/" + url.PathEscape(string(id))
+}
+
+// CancelRun ends a run. If the run is in flight here, its RunEnded follows. An
+// engine is told to stop the stream; a failed order is repeated a few times.
+func (r *Runner) CancelRun(command structs.CancelRun) {
+	engine := r.isEngine(command.Target)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if one := r.runs[command.Run]; one != nil {
+		one.cancel(errCancelled)
+	}
+	if engine {
+		r.spawn(func() { r.cancelStream(command) })
+	}
+}
+
+func (r *Runner) cancelStream(command structs.CancelRun) {
+	address := streamURL(command.Target, command.Run) + "/cancel"
+	waits := backoff.NewExponentialBackOff(backoff.WithInitialInterval(r.cfg.CancelBackoff))
+	limited := backoff.WithMaxRetries(waits, r.cfg.CancelRetries)
+	err := backoff.Retry(func() error {
+		return r.postJSON(address, nil, nil)
+	}, backoff.WithContext(limited, r.ctx))
+	if err != nil {
+		r.metrics.cancelsFailed.Inc(1)
+		r.logger.Warn("cancel failed", "run", command.Run, "target", command.Target.ID, "error", err)
+	}
+}
+
+// AskOutcome asks a target whether it ran the request with a key (see
+// structs.Call.TargetKey). The answer is OutcomeAsked.
+func (r *Runner) AskOutcome(command structs.AskOutcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spawn(func() {
+		asked := r.askOutcome(command)
+		r.sink.Deliver(r.ctx, asked)
+	})
+}
+
+func (r *Runner) askOutcome(command structs.AskOutcome) structs.OutcomeAsked {
+	asked := structs.OutcomeAsked{Run: command.Run}
+	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ControlTimeout)
+	defer cancel()
+	address := joinURL(command.Target.Address, wire.OutcomesRoute) + "/" + url.PathEscape(command.Key)
+	status, body, err := r.get(ctx, address)
+	if err != nil {
+		r.logger.Warn("outcome cannot be asked", "run", command.Run, "target", command.Target.ID, "error", err)
+		return asked
+	}
+	if status == http.StatusNotFound {
+		asked.Reached = true
+		return asked
+	}
+	var reply wire.OutcomeReply
+	if status != http.StatusOK || json.Unmarshal(body, &reply) != nil || reply.Status == 0 {
+		r.logger.Warn("unusable answer about an outcome", "run", command.Run, "target", command.Target.ID, "status", status)
+		return asked
+	}
+	asked.Reached, asked.Found = true, true
+	asked.Outcome = plainAnswer(reply.Status, reply.ContentType, reply.Body)
+	return asked
+}
--- /dev/null
+++ b/internal/target/start.go
@@ -0,0 +1,101 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// ErrAnswerTooLarge is the error of an answer above the limit.
+var ErrAnswerTooLarge = errors.New("answer of the target is too large")
+
+// StartRun sends a call to a target, once. Its end comes as RunEnded.
+func (r *Runner) StartRun(command structs.StartRun) {
+	g := newGate(command.NotAfter, r.cfg.Now)
+	r.begin(command.Run, command.Target.ID, command.Timeout, g, func(one *run) result {
+		return r.runCall(one, command)
+	})
+}
+
+func (r *Runner) runCall(one *run, command structs.StartRun) result {
+	request, err := newRunRequest(withGate(one.ctx, one.gate), command)
+	if err != nil {
+		return one.failed(err)
+	}
+	client := r.clients.repeatable
+	if command.Call.NotRepeatable {
+		client = r.clients.single
+	}
+	reply, err := client.Do(request)
+	if err != nil {
+		return one.failed(err)
+	}
+	defer closeBody(reply.Body)
+	if command.Call.Kind == structs.CallChat {
+		return r.readChat(one, reply)
+	}
+	return r.readPlain(one, reply)
+}
+
+// readPlain reads the answer of a tool or plain service.
+func (r *Runner) readPlain(one *run, reply *http.Response) result {
+	body, err := readBounded(reply.Body, r.cfg.MaxAnswer)
+	if errors.Is(err, ErrAnswerTooLarge) {
+		return result{
+			failure: structs.RunBroken, detail: err.Error(),
+			outcome: structs.Outcome{Reason: structs.ReasonTooLarge},
+		}
+	}
+	if err != nil {
+		return one.failed(err)
+	}
+	if saysNotRun(reply, body) {
+		return result{failure: structs.RunNotSent, detail: "the target says that it did not run the request"}
+	}
+	return result{outcome: plainAnswer(reply.StatusCode, reply.Header.Get("Content-Type"), body)}
+}
+
+func plainAnswer(status int, contentType string, body []byte) structs.Outcome {
+	return structs.Outcome{
+		Kind: structs.OutcomeAnswered, Status: status, ContentType: contentType, Body: body,
+	}
+}
+
+// saysNotRun tells whether a service refused a request before running it. Only
+// a problem document that says so counts.
+func saysNotRun(reply *http.Response, body []byte) bool {
+	if !refusesRun(reply.StatusCode) {
+		return false
+	}
+	mediaType, _, err := mime.ParseMediaType(reply.Header.Get("Content-Type"))
+	if err != nil || mediaType != "application/problem+json" {
+		return false
+	}
+	var problem struct {
+		Outcome string `json:"outcome"`
+	}
+	return json.Unmarshal(body, &problem) == nil && problem.Outcome == "not-run"
+}
+
+// refusesRun tells whether a status is that of a refusal for overload or
+// unavailability.
+func refusesRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// readBounded reads a body; one above the limit is ErrAnswerTooLarge.
+func readBounded(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, ErrAnswerTooLarge
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/target/watch.go
@@ -0,0 +1,164 @@
+package target
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// jitterShare is the part of a poll interval that jitter may add or take away.
+const jitterShare = 10
+
+// watch polls one target.
+type watch struct {
+	runner *Runner
+	target structs.Target
+	engine bool
+	cancel context.CancelFunc
+	// from is the sequence of the next cache event. lost tells that events
+	// before it were lost since the last TargetCache.
+	from uint64
+	lost bool
+}
+
+// WatchTargets sets the targets that are polled. Engines report their load and
+// cache events. For others a TargetLoad without figures tells that the health
+// check passed.
+func (r *Runner) WatchTargets(command structs.WatchTargets) {
+	engines := make(map[structs.TargetID]bool, len(command.Targets))
+	for _, target := range command.Targets {
+		engines[target.ID] = r.isEngine(target)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, w := range r.watches {
+		if _, wanted := engines[id]; !wanted {
+			w.cancel()
+			delete(r.watches, id)
+		}
+	}
+	for _, target := range command.Targets {
+		r.startWatch(target, engines[target.ID])
+	}
+}
+
+// startWatch polls a target unless it is polled at that address already. The
+// mutex is held.
+func (r *Runner) startWatch(target structs.Target, engine bool) {
+	if old := r.watches[target.ID]; old != nil {
+		if old.target.Address == target.Address && old.engine == engine {
+			return
+		}
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	w := &watch{runner: r, target: target, engine: engine, cancel: cancel}
+	r.watches[target.ID] = w
+	r.spawn(func() { w.run(ctx) })
+}
+
+func (w *watch) run(ctx context.Context) {
+	defer w.cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		w.poll(ctx)
+		timer.Reset(w.wait())
+	}
+}
+
+func (w *watch) wait() time.Duration {
+	interval := w.runner.cfg.HealthInterval
+	if w.engine {
+		interval = w.runner.cfg.LoadInterval
+	}
+	jitter := interval / jitterShare
+	return interval - jitter + rand.N(2*jitter+1)
+}
+
+func (w *watch) poll(ctx context.Context) {
+	err := w.pollHealth(ctx)
+	if w.engine {
+		err = w.pollEngine(ctx)
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	w.runner.metrics.pollsFailed.Inc(1)
+	w.runner.sink.Offer(structs.TargetUnreachable{Target: w.target.ID})
+}
+
+// pollHealth checks a target that is not an engine. Any answer below 500 shows
+// that it is there.
+func (w *watch) pollHealth(ctx context.Context) error {
+	if w.engine {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.runner.cfg.ControlTimeout)
+	defer cancel()
+	status, _, err := w.runner.get(ctx, joinURL(w.target.Address, wire.HealthRoute))
+	if err != nil {
+		return err
+	}
+	if status >= http.StatusInternalServerError {
+		return errors.Newf("status %d", status)
+	}
+	w.runner.sink.Offer(structs.TargetLoad{Target: w.target.ID})
+	return nil
+}
+
+func (w *watch) pollEngine(ctx context.Context) error {
+	var load wire.EngineLoad
+	if err := w.runner.getJSON(ctx, joinURL(w.target.Address, wire.LoadRoute), &load); err != nil {
+		return err
+	}
+	w.runner.sink.Offer(structs.TargetLoad{Target: w.target.ID, Load: load})
+	var page wire.CacheEvents
+	address := joinURL(w.target.Address, wire.CacheEventsRoute) + "?from=" + strconv.FormatUint(w.from, 10)
+	if err := w.runner.getJSON(ctx, address, &page); err != nil {
+		return err
+	}
+	w.report(page)
+	return nil
+}
+
+// report posts the events that are new. Events that were lost, at the engine or
+// here, show as a gap before the next ones.
+func (w *watch) report(page wire.CacheEvents) {
+	if page.Next < w.from {
+		// The engine counts anew: it was restarted.
+		w.from, w.lost = 0, true
+	}
+	var fresh []wire.CacheEvent
+	for _, event := range page.Events {
+		if event.Sequence < w.from {
+			continue
+		}
+		w.lost = w.lost || event.Sequence > w.from
+		fresh = append(fresh, event)
+		w.from = event.Sequence + 1
+	}
+	if page.Next > w.from {
+		w.from, w.lost = page.Next, true
+	}
+	if len(fresh) == 0 && !w.lost {
+		return
+	}
+	if w.lost {
+		w.runner.metrics.cacheGaps.Inc(1)
+	}
+	taken := w.runner.sink.Offer(structs.TargetCache{Target: w.target.ID, Gap: w.lost, Events: fresh})
+	w.lost = !taken
+}
