--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -154,6 +154,7 @@
 	return &structs.Submit{
 		Request: p.request, Call: p.call, Remaining: remaining,
 		Have: p.stream.pieces, Suspects: p.suspects,
+		Resubmitted: p.heldElsewhere(p.owner),
 	}
 }
 
