--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,141 @@
+#!/usr/bin/env bash
+# Searches the models in this folder with spin: every property of every model,
+# then every seeded fault, which the named property must find.
+set -euo pipefail
+export LC_ALL=C
+
+here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+jobs_max=4		# searches at a time
+mem_mb=2500		# memory bound of one search
+depth=100000		# depth bound of one search
+time_max=120		# seconds for one search
+
+if ! command -v spin >/dev/null 2>&1; then
+	echo "spec: spin is missing, installing Debian's package"
+	as_root=
+	[ "$(id -u)" -eq 0 ] || as_root=sudo
+	if ! { $as_root apt-get update -q && $as_root apt-get install -y -q --no-install-recommends spin; } >&2; then
+		echo "spec: FAIL: cannot install spin; install it with: apt-get install spin" >&2
+		exit 2
+	fi
+fi
+for tool in spin gcc timeout; do
+	if ! command -v "$tool" >/dev/null 2>&1; then
+		echo "spec: FAIL: $tool is missing" >&2
+		exit 2
+	fi
+done
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# model | property | macros always set | what it says
+# Property "cycle" searches PROP=8 (no monitor) for any cycle of the state graph.
+properties() {
+	grep -v '^#' <<'END'
+owner|1||at most one send of a not-repeatable call
+owner|2||"not run" is never answered for what ran or will run
+owner|6||one owner an epoch, the one the log names
+owner|7||each call ends once faults cease (end states)
+owner|cycle||every run is finite, so end states are reached
+config|5||one accepted value a version, verdicts true
+config|7||each operator hears a verdict once faults cease
+config|cycle||every run is finite, so end states are reached
+END
+}
+
+# model | property that must find it | macros | what is broken
+faults() {
+	grep -v '^#' <<'END'
+owner|6|NO_READBACK_CLAIM|no read-back of the claim
+owner|6|VOID_CLAIM|void Claim of a taken epoch accepted
+owner|1|NO_READBACK_INTENT|no read-back of the Intent
+owner|1|RETRY_SEND|second send after the target's reply was lost
+owner|1|ABANDON_BY_CALL|Abandoned voids the call's other Intents
+owner|2|NOTRUN_KEEPS_INTENT|"not run" while the Intent may be in the log, then sent
+owner|2|NOTRUN_TO_RETRY|"not run" to a retry whose earlier delivery is open
+owner|7|WAIT_REPLY|lost append reply waited for without reading
+config|5|NO_READBACK|"accepted" on the append's reply
+config|5|STALE_BASE|stale base accepted
+config|5|LAST_COPY|verdict taken from a duplicate
+config|5|RETRY_NEW_BASE|retry of a change with a fresh base
+config|7|WAIT_REPLY|lost append reply waited for without reading
+END
+}
+
+# Searches one model; leaves its summary in $work/$1: errors, states, depth, complete, reason.
+search() {
+	local id=$1 model=$2 prop=$3 macros=$4 dir flags=(-DSAFETY) run=() n=$3 m
+	dir=$work/$id.d
+	mkdir "$dir"
+	cd "$dir"
+	if [ "$prop" = cycle ]; then
+		n=8 flags=(-DNP) run=(-l)
+	fi
+	local defs=("-DPROP=$n")
+	for m in $macros; do defs+=("-D$m"); done
+	if ! spin -a "${defs[@]}" "$here/$model.pml" >spin.out 2>&1 ||
+		! gcc -O2 -w "${flags[@]}" "-DMEMLIM=$mem_mb" -o pan pan.c >>spin.out 2>&1; then
+		echo "0 0 0 no build-failed" >"$work/$id"
+		return 0
+	fi
+	local rc=0
+	timeout "$time_max" ./pan "${run[@]}" "-m$depth" >pan.out 2>&1 || rc=$?
+	local errors states reached complete=yes reason=none
+	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.out | tail -1)
+	reached=$(sed -n 's/.*depth reached \([0-9]*\),.*/\1/p' pan.out | tail -1)
+	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.out | tail -1)
+	if [ "$rc" -ne 0 ] || [ -z "$errors" ] || grep -Eq 'max search depth too small|MEMLIM|Search not completed|out of memory' pan.out; then
+		complete=no
+	fi
+	if grep -q 'assertion violated' pan.out; then
+		reason=assertion
+	elif grep -q 'invalid end state' pan.out; then
+		reason=end-state
+	elif grep -q 'non-progress cycle' pan.out; then
+		reason=cycle
+	elif [ "${errors:-0}" != 0 ]; then
+		reason=$(grep -m1 '^pan:[0-9]*:' pan.out | tr ' ' '_' || echo other)
+	fi
+	echo "${errors:-none} ${states:-0} ${reached:-0} $complete $reason" >"$work/$id"
+	rm -f pan pan.?
+}
+
+id=0
+while IFS='|' read -r model prop macros _; do
+	id=$((id + 1))
+	while [ "$(jobs -rp | wc -l)" -ge "$jobs_max" ]; do wait -n; done
+	search "$id" "$model" "$prop" "$macros" &
+done < <(properties; faults)
+wait
+
+bad=0 held=0 broken=0 found=0 missed=0 id=0 total=0
+while IFS='|' read -r model prop macros text; do
+	id=$((id + 1))
+	read -r errors states reached complete reason <"$work/$id"
+	verdict=holds
+	if [ "$errors" != 0 ]; then
+		verdict="VIOLATED ($reason)"
+	elif [ "$complete" != yes ]; then
+		verdict="NOT SHOWN ($reason, search incomplete)"
+	fi
+	if [ "$verdict" = holds ]; then held=$((held + 1)); else broken=$((broken + 1)) bad=1; fi
+	total=$((total + states))
+	printf 'spec: %-7s property %-5s %-16s states %9s depth %5s complete %-3s %s: %s\n' \
+		"$model" "$prop" "${macros:--}" "$states" "$reached" "$complete" "$verdict" "$text"
+done < <(properties)
+while IFS='|' read -r model prop macros text; do
+	id=$((id + 1))
+	read -r errors states reached complete reason <"$work/$id"
+	# A process stuck outside its end label is what property 7 forbids; no other property may be met that way.
+	if [ "$errors" != 0 ] && [ "$errors" != none ] &&
+		{ [ "$reason" = assertion ] || { [ "$prop" = 7 ] && [ "$reason" = end-state ]; }; }; then
+		verdict="found by property $prop" found=$((found + 1))
+	else
+		verdict="NOT FOUND by property $prop ($reason, complete $complete)" missed=$((missed + 1)) bad=1
+	fi
+	printf 'spec: %-7s fault %-25s states %9s %s: %s\n' "$model" "$macros" "$states" "$verdict" "$text"
+done < <(faults)
+
+echo "spec: properties held $held, broken or not shown $broken; faults found $found, not found $missed; states $total; $SECONDS s"
+exit "$bad"
