settings: tree, schema, resolution, credentials, file check

Cause: operators steer through a tree of settings on the log; every instance must reach the same tree from the same records.

Change: a path's version is the offset of its last record plus one; a record applies whole or not at all; outcomes by change id make a duplicate harmless and a lost change final.

--- /dev/null
+++ b/internal/settings/suggest.go
@@ -0,0 +1,40 @@
+package settings
+
+// maxSuggestDistance is the largest edit distance of a suggestion.
+const maxSuggestDistance = 3
+
+// nearest finds the known name that differs least from a given one, false if
+// none is near.
+func nearest(name string, known []string) (string, bool) {
+	if len(name) > MaxSegmentBytes {
+		return "", false
+	}
+	best, bestDistance := "", maxSuggestDistance+1
+	for _, candidate := range known {
+		if d := editDistance(name, candidate); d < bestDistance {
+			best, bestDistance = candidate, d
+		}
+	}
+	return best, best != "" && bestDistance < len(best)
+}
+
+// editDistance is the Levenshtein distance of two short texts.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j+1]+1, row[j]+1, diagonal+cost)
+			diagonal, row[j+1] = row[j+1], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/settings/tree.go
@@ -0,0 +1,287 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Tree is the state of the settings, applied up to an offset of the settings
+// stream. It implements structs.Settings. Only one goroutine may change it; any
+// may read it.
+type Tree struct {
+	mu      sync.RWMutex
+	next    uint64
+	entries map[string]*entry
+	size    int
+	// outcomes remembers the last maxOutcomes change ids, oldest first in
+	// outcomeOrder.
+	outcomes     map[string]Outcome
+	outcomeOrder []string
+	skipped      uint64
+	view         *view
+}
+
+var _ structs.Settings = (*Tree)(nil)
+
+// entry is one path of the tree. A removed path keeps its version, so that a
+// change made from an older version stays stale.
+type entry struct {
+	Version uint64         `codec:"n"`
+	Value   []byte         `codec:"v,omitempty"`
+	Author  string         `codec:"a,omitempty"`
+	TimeMS  int64          `codec:"t,omitempty"`
+	History []HistoryEntry `codec:"h,omitempty"`
+}
+
+func (e *entry) valueOrNone() []byte {
+	if e == nil {
+		return nil
+	}
+	return e.Value
+}
+
+func (e *entry) versionOrNone() uint64 {
+	if e == nil {
+		return 0
+	}
+	return e.Version
+}
+
+// Outcome tells what became of a record that the tree has applied.
+type Outcome struct {
+	Accepted bool `codec:"k,omitempty"`
+	// Offset is the record's offset on the log.
+	Offset uint64 `codec:"o"`
+	// Path is the path that a lost record lost, Version the version that was
+	// in force there and Winner its author; for an accepted record the first
+	// path, the new version and the record's own author.
+	Path    string `codec:"p"`
+	Version uint64 `codec:"n"`
+	Winner  string `codec:"w,omitempty"`
+	// Digest is the digest of the record's changes.
+	Digest uint64 `codec:"d"`
+}
+
+// NewTree makes an empty tree that expects offset 0.
+func NewTree() *Tree {
+	return &Tree{entries: make(map[string]*entry), outcomes: make(map[string]Outcome)}
+}
+
+// Next is the offset of the next record to apply.
+func (t *Tree) Next() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.next
+}
+
+// Skipped counts the records that could not be read or broke a limit.
+func (t *Tree) Skipped() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.skipped
+}
+
+// Outcome tells what became of the record that carried a change id, false if
+// the tree has applied none lately.
+func (t *Tree) Outcome(changeID string) (Outcome, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	outcome, ok := t.outcomes[changeID]
+	return outcome, ok
+}
+
+// Version is the version of a path, 0 if it never had a value.
+func (t *Tree) Version(path string) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.entries[path].versionOrNone()
+}
+
+// Apply applies the record at an offset. Offsets below Next were applied before
+// and are ignored; the caller sees to it that no offset is left out. A record
+// that cannot be read is counted and skipped.
+func (t *Tree) Apply(offset uint64, data []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if offset < t.next {
+		return
+	}
+	t.next = offset + 1
+	r, err := decodeRecord(data)
+	if err != nil {
+		t.skipped++
+		return
+	}
+	if r.Snapshot != nil {
+		return
+	}
+	t.applyChanges(offset, r.Changes)
+}
+
+// applyChanges applies all changes of a record or none.
+func (t *Tree) applyChanges(offset uint64, changes []recordChange) {
+	for _, change := range changes {
+		if _, seen := t.outcomes[change.ChangeID]; seen {
+			return
+		}
+	}
+	outcome := t.judge(offset, changes)
+	t.remember(changes, outcome)
+	if !outcome.Accepted {
+		return
+	}
+	for _, change := range changes {
+		t.store(offset, change)
+	}
+	t.view = nil
+}
+
+// judge decides whether a record takes effect.
+func (t *Tree) judge(offset uint64, changes []recordChange) Outcome {
+	digest := changesDigest(changes)
+	for _, change := range changes {
+		present := t.entries[change.Path]
+		if present.versionOrNone() == change.Base {
+			continue
+		}
+		lost := Outcome{Offset: offset, Path: change.Path, Version: present.versionOrNone(), Digest: digest}
+		if present != nil {
+			lost.Winner = present.Author
+		}
+		return lost
+	}
+	paths, size := t.sizeAfter(plainChanges(changes))
+	if paths > MaxPaths || size > MaxTreeBytes {
+		t.skipped++
+		return Outcome{Offset: offset, Path: changes[0].Path, Digest: digest}
+	}
+	first := changes[0]
+	return Outcome{Accepted: true, Offset: offset, Path: first.Path, Version: offset + 1,
+		Winner: first.Author, Digest: digest}
+}
+
+func (t *Tree) store(offset uint64, change recordChange) {
+	e := t.entries[change.Path]
+	if e == nil {
+		e = new(entry)
+		t.entries[change.Path] = e
+		t.size += len(change.Path)
+	}
+	t.size += len(change.Value) - len(e.Value)
+	e.Version, e.Value = offset+1, change.Value
+	e.Author, e.TimeMS = change.Author, change.TimeMS
+	e.addHistory(HistoryEntry{Version: e.Version, Author: e.Author, TimeMS: e.TimeMS, Value: e.Value})
+}
+
+// remember keeps the outcome under each change id of the record.
+func (t *Tree) remember(changes []recordChange, outcome Outcome) {
+	for _, change := range changes {
+		if _, seen := t.outcomes[change.ChangeID]; seen {
+			continue
+		}
+		t.outcomes[change.ChangeID] = outcome
+		t.outcomeOrder = append(t.outcomeOrder, change.ChangeID)
+	}
+	for len(t.outcomeOrder) > maxOutcomes {
+		delete(t.outcomes, t.outcomeOrder[0])
+		t.outcomeOrder = t.outcomeOrder[1:]
+	}
+}
+
+// sizeAfter gives the number of paths and the bytes after changes.
+func (t *Tree) sizeAfter(changes []structs.SettingChange) (paths, size int) {
+	paths, size = len(t.entries), t.size
+	for _, change := range changes {
+		present := t.entries[change.Path]
+		if present == nil {
+			paths++
+			size += len(change.Path)
+		}
+		size += len(change.Value) - len(present.valueOrNone())
+	}
+	return paths, size
+}
+
+func plainChanges(changes []recordChange) []structs.SettingChange {
+	list := make([]structs.SettingChange, len(changes))
+	for i, c := range changes {
+		list[i] = structs.SettingChange{Path: c.Path, Base: c.Base, Value: c.Value, ChangeID: c.ChangeID, Author: c.Author}
+	}
+	return list
+}
+
+// changesDigest tells records with the same change id apart.
+func changesDigest(changes []recordChange) uint64 {
+	digest := xxhash.New()
+	for _, change := range changes {
+		_, _ = digest.WriteString(change.Path)
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write(change.Value)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
+
+// Entry is one path of the tree as operators see it.
+type Entry struct {
+	Path string `json:"path"`
+	// Value is JSON; the hash of a credential is cut short.
+	Value   []byte `json:"-"`
+	Version uint64 `json:"version"`
+	Author  string `json:"author"`
+	// Time is the author's wall clock.
+	Time time.Time `json:"time"`
+	// Digest is the digest of the whole value, to compare it with a file.
+	Digest string `json:"digest"`
+	// Removed marks a path without a value; its version is the base of the
+	// next change.
+	Removed bool `json:"removed,omitempty"`
+}
+
+// Get gives one path, also a removed one, false if it never had a value.
+func (t *Tree) Get(path string) (Entry, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[path]
+	if !ok {
+		return Entry{}, false
+	}
+	return e.shown(path), true
+}
+
+// List gives the path and all below it, removed ones included, in order of
+// path. The empty path lists all.
+func (t *Tree) List(path string) []Entry {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []Entry
+	for at, e := range t.entries {
+		if path == "" || at == path || strings.HasPrefix(at, path+"/") {
+			list = append(list, e.shown(at))
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Path, b.Path) })
+	return list
+}
+
+func (e *entry) shown(path string) Entry {
+	return Entry{
+		Path: path, Value: redact(path, e.Value), Version: e.Version, Author: e.Author,
+		Time: time.UnixMilli(e.TimeMS).UTC(), Digest: ValueDigest(e.Value), Removed: len(e.Value) == 0,
+	}
+}
+
+// redact hides what operators must not see of a value.
+func redact(path string, value []byte) []byte {
+	loc, err := parsePath(path)
+	if err != nil || loc.Credential == "" || len(value) == 0 {
+		return value
+	}
+	return redactCredential(value)
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,192 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// ValidationError tells why a change cannot be published.
+type ValidationError struct {
+	Path string
+	// Value is the refused value; it is empty for a credential.
+	Value string
+	// Detail is what is wrong and Expected what is wanted instead.
+	Detail   string
+	Expected string
+}
+
+// Error gives the whole reason in one line.
+func (e *ValidationError) Error() string {
+	text := e.Path + ": " + e.Detail
+	if e.Value != "" {
+		text += ": " + e.Value
+	}
+	if e.Expected != "" {
+		text += "; expected " + e.Expected
+	}
+	return text
+}
+
+// Validate checks changes against the schema and returns every error found. It
+// does not look at the present tree; see Tree.Validate.
+func Validate(changes []structs.SettingChange) []*ValidationError {
+	if len(changes) == 0 || len(changes) > MaxChanges {
+		return []*ValidationError{{Detail: fmt.Sprintf("%d changes", len(changes)),
+			Expected: fmt.Sprintf("1 to %d changes", MaxChanges)}}
+	}
+	var found []*ValidationError
+	seen := make(map[string]bool, len(changes))
+	for _, change := range changes {
+		if seen[change.Path] {
+			found = append(found, &ValidationError{Path: clip(change.Path), Detail: "the path is changed twice",
+				Expected: "one change of a path"})
+		}
+		seen[change.Path] = true
+		if err := validateChange(change); err != nil {
+			found = append(found, err)
+		}
+	}
+	return found
+}
+
+func validateChange(change structs.SettingChange) *ValidationError {
+	if change.ChangeID == "" || len(change.ChangeID) > MaxChangeIDBytes {
+		return &ValidationError{Path: clip(change.Path), Detail: "bad change id",
+			Expected: fmt.Sprintf("a unique id of 1 to %d bytes", MaxChangeIDBytes)}
+	}
+	if len(change.Author) > MaxChangeIDBytes {
+		return &ValidationError{Path: clip(change.Path), Detail: "author too long",
+			Expected: fmt.Sprintf("at most %d bytes", MaxChangeIDBytes)}
+	}
+	_, err := canonicalValue(change.Path, change.Value)
+	return err
+}
+
+// canonicalValue gives the canonical JSON of a path's value; empty stays empty.
+func canonicalValue(path string, value []byte) ([]byte, *ValidationError) {
+	loc, err := parsePath(path)
+	if err != nil {
+		return nil, &ValidationError{Path: clip(path), Detail: err.Error()}
+	}
+	expected, canonical, refused := lookupKey(path, loc)
+	if refused != nil {
+		return nil, refused
+	}
+	if len(value) == 0 {
+		return nil, nil
+	}
+	wrong := &ValidationError{Path: path, Value: shownValue(loc, value), Detail: "wrong value", Expected: expected}
+	if len(value) > MaxValueBytes {
+		wrong.Detail = fmt.Sprintf("value longer than %d bytes", MaxValueBytes)
+		return nil, wrong
+	}
+	raw, ok := decodeJSON(value)
+	if !ok {
+		wrong.Detail = "not a JSON value"
+		return nil, wrong
+	}
+	data, ok := canonical(raw)
+	if !ok {
+		return nil, wrong
+	}
+	return data, nil
+}
+
+// lookupKey finds the schema of a path.
+func lookupKey(path string, loc location) (string, func(any) ([]byte, bool), *ValidationError) {
+	switch {
+	case loc.Credential != "" && loc.Team == "":
+		return "", nil, &ValidationError{Path: path, Detail: "the root has no credentials",
+			Expected: "teams/<team path>/credentials/<name>; the root operator's key is a flag of the instances"}
+	case loc.Credential != "":
+		return credentialExpected, canonicalCredential, nil
+	case loc.Service != "":
+		if f, ok := serviceFields.byName[loc.Key]; ok {
+			return f.expected, f.canonical, nil
+		}
+		return "", nil, unknownKey(path, loc.Key, serviceFields.names())
+	}
+	if f, ok := policyFields.byName[loc.Key]; ok {
+		return f.expected, f.canonical, nil
+	}
+	return "", nil, unknownKey(path, loc.Key, policyFields.names())
+}
+
+func canonicalCredential(raw any) ([]byte, bool) {
+	value, ok := decodeCredential(raw)
+	if !ok {
+		return nil, false
+	}
+	value.SHA256 = strings.ToLower(value.SHA256)
+	data, err := json.Marshal(value)
+	return data, err == nil
+}
+
+// shownValue is a refused value as a message may show it.
+func shownValue(loc location, value []byte) string {
+	if loc.Credential != "" {
+		return ""
+	}
+	return clip(string(value))
+}
+
+func unknownKey(path, key string, known []string) *ValidationError {
+	expected := "one of " + strings.Join(known, ", ")
+	if near, ok := nearest(key, known); ok {
+		expected = fmt.Sprintf("did you mean %q? Known keys: %s", near, strings.Join(known, ", "))
+	}
+	return &ValidationError{Path: path, Detail: fmt.Sprintf("unknown key %q", key), Expected: expected}
+}
+
+// Validate checks changes against the schema and against the present tree:
+// every service keeps a kind, and the tree keeps within its limits.
+func (t *Tree) Validate(changes []structs.SettingChange) []*ValidationError {
+	found := Validate(changes)
+	if len(found) > 0 {
+		return found
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if err := t.checkSize(changes); err != nil {
+		return []*ValidationError{err}
+	}
+	return t.checkKinds(changes)
+}
+
+// checkKinds refuses keys of a service that has no kind after the changes.
+func (t *Tree) checkKinds(changes []structs.SettingChange) []*ValidationError {
+	after := make(map[string]bool)
+	for _, change := range changes {
+		after[change.Path] = len(change.Value) > 0
+	}
+	var found []*ValidationError
+	for _, change := range changes {
+		loc, err := parsePath(change.Path)
+		if err != nil || loc.Service == "" || len(change.Value) == 0 {
+			continue
+		}
+		kindPath := servicesArea + "/" + string(loc.Service) + "/" + kindKey
+		has, changed := after[kindPath]
+		if !changed {
+			has = len(t.entries[kindPath].valueOrNone()) > 0
+		}
+		if !has {
+			found = append(found, &ValidationError{Path: change.Path, Detail: "the service has no kind",
+				Expected: "a value for " + kindPath + " too"})
+		}
+	}
+	return found
+}
+
+// checkSize refuses changes that would take the tree over its limits.
+func (t *Tree) checkSize(changes []structs.SettingChange) *ValidationError {
+	paths, size := t.sizeAfter(changes)
+	if paths > MaxPaths || size > MaxTreeBytes {
+		return &ValidationError{Path: changes[0].Path, Detail: "the tree would be too large",
+			Expected: fmt.Sprintf("at most %d paths (removed ones included) and %d bytes", MaxPaths, MaxTreeBytes)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// decodeJSON decodes one JSON value, numbers as json.Number.
+func decodeJSON(data []byte) (any, bool) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var raw any
+	if err := decoder.Decode(&raw); err != nil {
+		return nil, false
+	}
+	if decoder.More() || len(bytes.TrimSpace(data[decoder.InputOffset():])) > 0 {
+		return nil, false
+	}
+	return raw, true
+}
+
+// valueType is the type and range of a key's value.
+type valueType[V any] struct {
+	// expected tells an operator what is wanted.
+	expected string
+	// decode takes a value as decodeJSON gives it.
+	decode func(raw any) (V, bool)
+	// encode gives the canonical form, to be marshalled as JSON.
+	encode func(V) any
+}
+
+func plain[V any](v V) any { return v }
+
+func integerType[N ~int | ~int64](least, most N) valueType[N] {
+	decode := func(raw any) (N, bool) {
+		number, ok := raw.(json.Number)
+		if !ok {
+			return 0, false
+		}
+		n, err := number.Int64()
+		return N(n), err == nil && n >= int64(least) && n <= int64(most)
+	}
+	return valueType[N]{fmt.Sprintf("a whole number from %d to %d", least, most), decode, plain[N]}
+}
+
+func numberType(least, most float64) valueType[float64] {
+	decode := func(raw any) (float64, bool) {
+		number, ok := raw.(json.Number)
+		if !ok {
+			return 0, false
+		}
+		n, err := number.Float64()
+		return n, err == nil && n >= least && n <= most
+	}
+	return valueType[float64]{fmt.Sprintf("a number from %g to %g", least, most), decode, plain[float64]}
+}
+
+func booleanType() valueType[bool] {
+	decode := func(raw any) (bool, bool) {
+		b, ok := raw.(bool)
+		return b, ok
+	}
+	return valueType[bool]{"true or false", decode, plain[bool]}
+}
+
+func choiceType[S ~string](choices ...S) valueType[S] {
+	names := make([]string, len(choices))
+	for i, choice := range choices {
+		names[i] = fmt.Sprintf("%q", string(choice))
+	}
+	decode := func(raw any) (S, bool) {
+		s, ok := raw.(string)
+		return S(s), ok && slices.Contains(choices, S(s))
+	}
+	return valueType[S]{"one of " + strings.Join(names, ", "), decode, plain[S]}
+}
+
+func durationType(least, most time.Duration) valueType[time.Duration] {
+	decode := func(raw any) (time.Duration, bool) {
+		s, ok := raw.(string)
+		if !ok {
+			return 0, false
+		}
+		d, err := time.ParseDuration(s)
+		return d, err == nil && d >= least && d <= most
+	}
+	encode := func(d time.Duration) any { return d.String() }
+	expected := fmt.Sprintf(`a duration from "%s" to "%s", such as "30s"`, least, most)
+	return valueType[time.Duration]{expected, decode, encode}
+}
