structs: SettingsRequest tells what the sender has

Cause: asking peers for newer settings while the log is down should not move the whole state each time. Ruled out: AppliedRequest, whose reply the gateway takes. Change: one additive field, zero value as before. Conclusion: a peer without a newer state answers with its offset only.

--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -248,10 +248,12 @@
 	State []byte
 }
 
-// SettingsRequest asks a peer for its settings state.
-type SettingsRequest struct{}
+// SettingsRequest asks a peer for its settings state. Have is the offset that
+// the sender has applied up to; a peer without a newer state sends none.
+type SettingsRequest struct{ Have uint64 }
 
-// SettingsState is a peer's settings state, applied up to Next.
+// SettingsState is a peer's settings state, applied up to Next; 0 if the peer has
+// not caught up itself. State is empty if it is not newer than was asked.
 type SettingsState struct {
 	Next  uint64
 	State []byte
