--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -77,7 +77,7 @@
 	case *Claim:
 		s.Epoch, s.Writer, s.Owner = r.Epoch, r.Writer, b.Instance
 	case *Open:
-		s.program(r.Header, CallID{Program: b.Program, Team: b.Team})
+		s.program(r.Header, CallID{Program: b.Program, Team: b.Team, Single: b.Single})
 	case *Reserve:
 		s.applyReserve(r.Header, b)
 	case *Intent:
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -65,6 +65,8 @@
 type Open struct {
 	Program structs.ProgramID
 	Team    structs.Team
+	// Single marks the program of a single call: it ends with the call.
+	Single bool
 }
 
 // Amount is a sum of tokens and fees.
--- /dev/null
+++ b/internal/owner/budget.go
@@ -0,0 +1,163 @@
+package owner
+
+import (
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// chunkShare is the part of a program's budget that one reservation takes at
+// most beyond what the call needs: an owner that dies loses it.
+const chunkShare = 16
+
+// worst is the most that a call can cost.
+func (c *call) worst() journal.Amount {
+	a := journal.Amount{Fees: c.spec.Fee}
+	if c.spec.Kind == structs.CallChat {
+		a.Tokens = c.spec.PromptTokens + c.spec.MaxTokens
+	}
+	return a
+}
+
+// limits gives the program's budget; 0 is no bound.
+func (p *program) limits() journal.Amount {
+	policy := p.policy()
+	return journal.Amount{Tokens: policy.ProgramTokens, Fees: policy.ProgramFees}
+}
+
+// left is what may still be reserved or held: the budget less all that is
+// committed in the log or on its way there.
+func (p *program) left() journal.Amount {
+	limit := p.limits()
+	left := limit.Minus(p.pending)
+	if row := p.row(); row != nil {
+		left = left.Minus(row.Committed())
+	}
+	// No bound leaves plenty of that part.
+	if limit.Tokens == 0 {
+		left.Tokens = unbounded
+	}
+	if limit.Fees == 0 {
+		left.Fees = unbounded
+	}
+	return left
+}
+
+const unbounded = 1 << 60
+
+// chunkFree is the part of this epoch's chunk that no call holds.
+func (p *program) chunkFree() journal.Amount {
+	var free journal.Amount
+	if row := p.row(); row != nil {
+		if chunk := row.Chunks[p.shard.epoch]; chunk != nil && !chunk.Settled {
+			free = chunk.Reserved.Minus(chunk.Used).Minus(p.held)
+		}
+	}
+	limit := p.limits()
+	if limit.Tokens == 0 {
+		free.Tokens = unbounded
+	}
+	if limit.Fees == 0 {
+		free.Fees = unbounded
+	}
+	return free
+}
+
+// reserve holds a repeatable call's worst case from the chunk, after a further
+// reservation if the chunk is too small.
+func (c *call) reserve() {
+	p := c.prog
+	need := c.worst()
+	limit := p.limits()
+	if limit.IsZero() {
+		c.askPermit()
+		return
+	}
+	free := p.chunkFree()
+	if need.AtMost(free) {
+		c.hold, c.chunk = need, true
+		p.held = p.held.Plus(need)
+		c.askPermit()
+		return
+	}
+	c.phase = phaseReserve
+	missing := need.Minus(free).Max(journal.Amount{})
+	if !missing.AtMost(p.left()) {
+		c.refuseBudget()
+		return
+	}
+	if c.shard.logDown() {
+		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+		return
+	}
+	if !p.reserving {
+		p.writeReserve(missing)
+	}
+}
+
+// refuseBudget refuses a call for want of budget. What other calls hold may
+// come back, so that asking again helps only then.
+func (c *call) refuseBudget() {
+	if !c.prog.held.IsZero() || !c.prog.pending.IsZero() {
+		c.refuse(structs.ReasonBudget, busyRetryAfter)
+		return
+	}
+	c.refuse(structs.ReasonBudget, 0)
+}
+
+func (p *program) writeReserve(missing journal.Amount) {
+	amount := p.chunkSize(missing)
+	p.pending = p.pending.Plus(amount)
+	p.reserving = true
+	// A single call's program has no record before its first: Open makes it.
+	if p.row() == nil {
+		p.shard.app.push(&journal.Open{Program: p.id, Team: p.team, Single: true}, urgent, nil)
+	}
+	p.shard.app.push(&journal.Reserve{Program: p.id, Amount: amount}, urgent, func() {
+		p.pending = p.pending.Minus(amount)
+		p.reserving = false
+		p.reserved()
+	})
+}
+
+// chunkSize rounds a reservation up, so that the next calls need none.
+func (p *program) chunkSize(missing journal.Amount) journal.Amount {
+	limit, left := p.limits(), p.left()
+	amount := missing
+	if missing.Tokens > 0 {
+		share := min(p.policy().ChunkTokens, limit.Tokens/chunkShare)
+		amount.Tokens = min(max(missing.Tokens, share), left.Tokens)
+	}
+	return amount
+}
+
+// reserved takes up the calls that waited for a reservation.
+func (p *program) reserved() {
+	for _, c := range p.sortedCalls() {
+		if c.phase == phaseReserve {
+			c.reserve()
+		}
+	}
+}
+
+// releaseHold gives back what a call held.
+func (c *call) releaseHold() {
+	if c.chunk {
+		c.prog.held = c.prog.held.Minus(c.hold)
+	}
+	c.hold, c.chunk = journal.Amount{}, false
+}
+
+// settleAll records that this instance spends no more from its chunks of a
+// lost shard; it tells whether it wrote something.
+func (s *shard) settleAll() bool {
+	wrote := false
+	for _, id := range journal.SortedKeys(s.state.Programs) {
+		chunk := s.state.Programs[id].Chunks[s.epoch]
+		if chunk == nil || chunk.Settled {
+			continue
+		}
+		s.app.push(&journal.Settled{Program: id}, lazy, nil)
+		wrote = true
+	}
+	return wrote
+}
--- /dev/null
+++ b/internal/owner/claim.go
@@ -0,0 +1,201 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// take decides whether this instance serves a message for a shard that it does
+// not own now: it begins to claim and holds the message, or says who is better.
+func (s *shard) take(from structs.InstanceID, msg structs.Message, suspects []structs.InstanceID) {
+	switch s.tenure {
+	case tenureProbing, tenureLocating, tenureReplaying, tenureClaiming:
+		if s.logDown() {
+			s.o.refuseMessage(from, msg, structs.ReasonLogUnavailable, logRetryAfter)
+			return
+		}
+		s.hold(from, msg)
+		return
+	}
+	owner, mine := s.candidate(suspects)
+	switch {
+	case s.o.draining:
+		s.o.notOwner(from, msg, owner)
+	case owner == s.o.cfg.Self.ID:
+		s.hold(from, msg)
+		s.begin(true)
+	case mine:
+		s.hold(from, msg)
+		s.tenure, s.probed = tenureProbing, owner
+		s.o.emit(structs.ProbePeer{To: owner})
+	default:
+		s.o.notOwner(from, msg, owner)
+	}
+}
+
+// candidate gives the instance that should own the shard, and whether this one
+// comes next if the suspects are down.
+func (s *shard) candidate(suspects []structs.InstanceID) (structs.InstanceID, bool) {
+	self := s.o.cfg.Self.ID
+	if s.recentlyLost() && !slices.Contains(suspects, s.winner) {
+		return s.winner, false
+	}
+	owner, ok := s.o.members.OwnerOf(s.ref)
+	if !ok {
+		return "", false
+	}
+	if owner == self || !slices.Contains(suspects, owner) {
+		return owner, false
+	}
+	for _, id := range s.o.members.Ranked(s.ref) {
+		if !s.usable(id) || slices.Contains(suspects, id) && id != self {
+			continue
+		}
+		return owner, id == self
+	}
+	return owner, false
+}
+
+func (s *shard) usable(id structs.InstanceID) bool {
+	peer, ok := s.o.members.Peer(id)
+	return ok && !peer.Leaving && !s.o.members.Suspected(id)
+}
+
+// recentlyLost keeps two instances with different membership views from
+// claiming a shard in turns.
+func (s *shard) recentlyLost() bool {
+	if s.winner == "" || s.winner == s.o.cfg.Self.ID || !s.usable(s.winner) {
+		return false
+	}
+	return s.o.now.Sub(s.lostAt) < lostQuiet
+}
+
+func (s *shard) hold(from structs.InstanceID, msg structs.Message) {
+	if len(s.held) >= maxHeld {
+		s.o.refuseMessage(from, msg, structs.ReasonOverloaded, busyRetryAfter)
+		return
+	}
+	h := &heldMessage{from: from, msg: msg, arrived: s.o.now}
+	h.deadline = s.o.after(remainingOf(msg)-answerMargin, func() { s.expire(h) })
+	s.held = append(s.held, h)
+	if m, ok := msg.(*structs.Submit); ok {
+		s.o.send(from, &structs.SubmitAccepted{Request: m.Request})
+	}
+}
+
+func (s *shard) expire(h *heldMessage) {
+	if i := slices.Index(s.held, h); i >= 0 {
+		s.held = slices.Delete(s.held, i, i+1)
+		s.o.refuseMessage(h.from, h.msg, structs.ReasonDeadline, 0)
+	}
+}
+
+// begin reads the stream, then claims if wanted or if work is owed.
+func (s *shard) begin(wanted bool) {
+	s.reset()
+	s.wanted = wanted
+	s.tenure = tenureLocating
+	s.o.emit(structs.LogTailEnd{Stream: s.stream})
+	s.watchLog()
+}
+
+// watchLog refuses what is held if the log does not answer in time.
+func (s *shard) watchLog() {
+	s.o.timers.stop(s.waiting)
+	s.waiting = s.o.after(confirmTimeout, func() {
+		switch s.tenure {
+		case tenureLocating, tenureReplaying, tenureClaiming:
+			s.readDown = true
+			s.refuseHeld(structs.ReasonLogUnavailable)
+			s.watchLog()
+		}
+	})
+}
+
+func (s *shard) refuseHeld(reason structs.Reason) {
+	for _, h := range s.takeHeld() {
+		s.o.refuseMessage(h.from, h.msg, reason, logRetryAfter)
+	}
+}
+
+func (s *shard) takeHeld() []*heldMessage {
+	held := s.held
+	s.held = nil
+	for _, h := range held {
+		s.o.timers.stop(h.deadline)
+	}
+	return held
+}
+
+// claim appends the claim of the next epoch. It takes effect for this instance
+// only when it is read back as the first of its epoch.
+func (s *shard) claim() {
+	s.tenure = tenureClaiming
+	s.epoch = s.state.Epoch + 1
+	s.app.push(&journal.Claim{Instance: s.o.cfg.Self.ID}, urgent, nil)
+	s.watchLog()
+}
+
+// caughtUp runs when the stream was replayed to its end.
+func (s *shard) caughtUp() {
+	s.o.timers.stop(s.waiting)
+	if s.o.draining || !s.wanted && len(s.held) == 0 && !s.owesWork() {
+		s.leave()
+		return
+	}
+	s.claim()
+}
+
+// won runs when the own claim was read back as the first of its epoch.
+func (s *shard) won() {
+	s.o.timers.stop(s.waiting)
+	s.tenure = tenureOwned
+	s.claimedAt = s.o.now
+	s.winner = ""
+	s.recover()
+	for _, h := range s.takeHeld() {
+		s.o.redeliver(h)
+	}
+}
+
+// lose runs when another instance's claim was read: whatever was not sent is
+// dropped at once; what was sent is awaited and recorded as unfenced facts.
+func (s *shard) lose(winner structs.InstanceID) {
+	claimed := s.tenure == tenureOwned
+	s.tenure = tenureLost
+	s.winner, s.lostAt = winner, s.o.now
+	s.o.timers.stop(s.waiting)
+	s.app.dropFenced()
+	for _, h := range s.takeHeld() {
+		s.o.notOwner(h.from, h.msg, winner)
+	}
+	if claimed {
+		s.dropUnsent(winner)
+	}
+	s.leaveIfDone()
+}
+
+// leaveIfDone forgets a lost shard once nothing of it is in flight.
+func (s *shard) leaveIfDone() {
+	if s.tenure != tenureLost || s.calls > 0 || s.app.unfenced() > 0 {
+		return
+	}
+	if s.settleAll() {
+		return
+	}
+	s.leave()
+}
+
+func (s *shard) leave() {
+	s.o.emit(structs.LogStop{Stream: s.stream})
+	for _, h := range s.takeHeld() {
+		s.o.notOwner(h.from, h.msg, s.winner)
+	}
+	for _, p := range s.sortedPrograms() {
+		p.stop()
+	}
+	s.reset()
+	s.tenure = tenureNone
+}
--- /dev/null
+++ b/internal/owner/order.go
@@ -0,0 +1,178 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// lane is the live row of a lane: its waiting calls and the one that runs.
+type lane struct {
+	name    structs.Lane
+	queue   []*call
+	current *call
+	// blocked counts runs of an earlier owner that may still be sent.
+	blocked int
+	gap     *timer
+}
+
+func (p *program) laneOf(name structs.Lane) *lane {
+	l := p.lanes[name]
+	if l == nil {
+		l = &lane{name: name}
+		p.lanes[name] = l
+	}
+	return l
+}
+
+// insert queues a call: numbered calls in the order of their numbers, others
+// in order of arrival behind them.
+func (l *lane) insert(c *call) {
+	c.lane = l
+	at := len(l.queue)
+	for at > 0 && c.spec.Number > 0 && l.queue[at-1].spec.Number > c.spec.Number {
+		at--
+	}
+	l.queue = slices.Insert(l.queue, at, c)
+}
+
+func (l *lane) remove(c *call) {
+	if l.current == c {
+		l.current = nil
+	}
+	if i := slices.Index(l.queue, c); i >= 0 {
+		l.queue = slices.Delete(l.queue, i, i+1)
+	}
+}
+
+// last is the number of the lane's last call that was done.
+func (p *program) last(name structs.Lane) uint64 {
+	row := p.row()
+	if row == nil || row.Lanes[name] == nil {
+		return 0
+	}
+	return row.Lanes[name].Last
+}
+
+// advance starts the next call of each lane that is free.
+func (p *program) advance() {
+	if !p.shard.owned() {
+		return
+	}
+	for _, name := range journal.SortedKeys(p.lanes) {
+		l := p.lanes[name]
+		if l == nil {
+			continue
+		}
+		p.advanceLane(l)
+		if l.current == nil && len(l.queue) == 0 && l.blocked == 0 {
+			p.shard.o.timers.stop(l.gap)
+			delete(p.lanes, name)
+		}
+	}
+}
+
+// advanceLane keeps the order of the lane: one call at a time, and a numbered
+// call only right behind its predecessor.
+func (p *program) advanceLane(l *lane) {
+	for l.current == nil && l.blocked == 0 && len(l.queue) > 0 {
+		c := l.queue[0]
+		last := p.last(l.name)
+		if c.spec.Number > 0 && c.spec.Number <= last && !c.redo {
+			c.refuse(structs.ReasonStaleNumber, 0)
+			continue
+		}
+		if c.spec.Number > last+1 {
+			p.watchGap(l)
+			return
+		}
+		p.shard.o.timers.stop(l.gap)
+		l.queue = l.queue[1:]
+		l.current = c
+		c.start()
+	}
+}
+
+// watchGap refuses the calls behind a missing number after a while.
+func (p *program) watchGap(l *lane) {
+	o := p.shard.o
+	if l.gap != nil && l.gap.index >= 0 {
+		return
+	}
+	l.gap = o.after(p.policy().GapTimeout, func() { p.onGap(l) })
+}
+
+func (p *program) onGap(l *lane) {
+	if l.current != nil || l.blocked > 0 {
+		return
+	}
+	for _, c := range slices.Clone(l.queue) {
+		if c.spec.Number > p.last(l.name)+1 && c.phase == phaseQueued {
+			c.refuse(structs.ReasonOrderGap, time.Second)
+		}
+	}
+}
+
+// start runs the checks that need the lane's past, then makes the call's cost
+// and intent durable before it asks for a permit.
+func (c *call) start() {
+	p := c.prog
+	if reason := p.breaksPolicy(c); reason != structs.ReasonNone {
+		c.refuse(reason, 0)
+		if reason != structs.ReasonHistoryFork {
+			p.close(reason)
+		}
+		return
+	}
+	if c.resume() {
+		return
+	}
+	if c.notRepeatable {
+		c.writeIntent()
+		return
+	}
+	c.reserve()
+}
+
+// breaksPolicy checks turns, loops and history.
+func (p *program) breaksPolicy(c *call) structs.Reason {
+	row := p.row()
+	if row == nil {
+		return structs.ReasonNone
+	}
+	policy := p.policy()
+	if policy.ProgramTurns > 0 && row.Turns >= policy.ProgramTurns {
+		return structs.ReasonTurns
+	}
+	l := row.Lanes[c.spec.Lane]
+	if l == nil {
+		return structs.ReasonNone
+	}
+	if policy.LoopRepeats > 0 && l.RepeatDigest == c.spec.Digest && l.RepeatCount+1 >= policy.LoopRepeats {
+		return structs.ReasonLoop
+	}
+	if forks(l, c.spec) {
+		return structs.ReasonHistoryFork
+	}
+	return structs.ReasonNone
+}
+
+// forks tells whether the call's messages leave the lane's known history.
+func forks(l *journal.Lane, spec *structs.Call) bool {
+	if spec.Kind != structs.CallChat || spec.Fork || l.HistoryCount == 0 {
+		return false
+	}
+	n := l.HistoryCount
+	return len(spec.History) < n || spec.History[n-1] != l.HistoryDigest
+}
+
+// history gives the lane's history after the call.
+func (c *call) history() (int, structs.ChainDigest) {
+	n := len(c.spec.History)
+	if n == 0 {
+		return 0, structs.ChainDigest{}
+	}
+	return n, c.spec.History[n-1]
+}
--- /dev/null
+++ b/internal/owner/peers.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+func (o *Owner) onPeerUp(peer structs.InstanceID) {
+	for _, s := range o.sortedShards() {
+		if s.tenure == tenureProbing && s.probed == peer {
+			s.tenure = tenureNone
+			for _, h := range s.takeHeld() {
+				o.notOwner(h.from, h.msg, peer)
+			}
+		}
+	}
+	o.refreshPools("")
+}
+
+// onPeerDown claims the shards that waited for the instance's liveness, and
+// lets calls of its callers linger.
+func (o *Owner) onPeerDown(peer structs.InstanceID) {
+	for _, s := range o.sortedShards() {
+		if s.tenure == tenureProbing && s.probed == peer {
+			s.begin(true)
+		}
+		s.detach(peer)
+	}
+	o.refreshPools(peer)
+}
+
+func (s *shard) detach(gateway structs.InstanceID) {
+	for _, p := range s.sortedPrograms() {
+		for _, c := range p.sortedCalls() {
+			c.detach(gateway)
+		}
+	}
+}
+
+func (c *call) detach(gateway structs.InstanceID) {
+	found := false
+	for _, w := range c.waiters {
+		if w.from == gateway {
+			w.detached, found = true, true
+		}
+	}
+	if found {
+		c.lingerIfDeserted()
+	}
+}
+
+// onMembers takes up the shards of this instance that may owe work, and asks
+// new dispatchers.
+func (o *Owner) onMembers() {
+	o.refreshPools("")
+	if o.draining {
+		return
+	}
+	for id := range o.cfg.Shards {
+		shardID := structs.ShardID(id)
+		owner, ok := o.members.OwnerOf(o.refOf(shardID))
+		if !ok || owner != o.cfg.Self.ID {
+			continue
+		}
+		if s := o.shardRow(shardID); s.tenure == tenureNone && !s.inspected {
+			s.inspected = true
+			s.begin(false)
+		}
+	}
+}
+
+// onDrain stops taking calls: what was not sent goes to other instances, what
+// runs is let end.
+func (o *Owner) onDrain() {
+	o.draining = true
+	for _, s := range o.sortedShards() {
+		next := s.successor()
+		for _, h := range s.takeHeld() {
+			o.notOwner(h.from, h.msg, next)
+		}
+		if s.owned() {
+			s.dropUnsent(next)
+			s.settleAll()
+		}
+	}
+}
+
+// dropUnsent hands the calls that were not sent back to their gateways.
+func (s *shard) dropUnsent(next structs.InstanceID) {
+	for _, p := range s.sortedPrograms() {
+		for _, c := range p.sortedCalls() {
+			c.handBack(next)
+		}
+	}
+}
+
+// handBack drops a call that no run may be on its way for; another owner may
+// run it. An outcome that waits to count is answered.
+func (c *call) handBack(next structs.InstanceID) {
+	switch c.phase {
+	case phaseRunning, phaseAsking, phaseEnded:
+		return
+	case phaseRecording:
+		c.answer(c.outcome)
+		c.end()
+		return
+	}
+	c.abandon()
+	for _, w := range slices.Clone(c.waiters) {
+		c.removeWaiter(w)
+		c.shard.o.send(w.from, &structs.NotOwner{Request: w.request, Owner: next})
+	}
+	c.end()
+}
+
+// cancelRuns stops the program's running calls.
+func (p *program) cancelRuns() {
+	for _, c := range p.sortedCalls() {
+		c.cancel(structs.ReasonCancelled)
+	}
+}
+
+// onLogDown refuses at once what cannot go on without the log; repeatable
+// calls go on within the reserved chunk.
+func (s *shard) onLogDown() {
+	for _, p := range s.sortedPrograms() {
+		for _, c := range p.sortedCalls() {
+			switch c.phase {
+			case phaseReserve, phaseIntent, phaseConfirm:
+				c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+			case phaseQueued, phasePermit:
+				if c.notRepeatable {
+					c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+				}
+			case phaseRecording:
+				c.answer(c.outcome)
+				c.end()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/permit.go
@@ -0,0 +1,229 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// pool is the row of a pool whose dispatcher this instance asks for permits.
+type pool struct {
+	id         structs.PoolID
+	dispatcher structs.InstanceID
+	// calls are those that wait for or hold a permit.
+	calls map[structs.RunID]*call
+}
+
+func (o *Owner) poolOf(service structs.ServiceName) *pool {
+	id := structs.PoolID{Service: service, Region: o.cfg.Self.Region}
+	p := o.pools[id]
+	if p == nil {
+		p = &pool{id: id, calls: make(map[structs.RunID]*call)}
+		p.dispatcher, _ = o.members.DispatcherOf(id)
+		o.pools[id] = p
+	}
+	return p
+}
+
+// askPermit queues the call at its pool's dispatcher.
+func (c *call) askPermit() {
+	if c.run == "" {
+		c.run = c.shard.o.newRun()
+	}
+	c.phase = phasePermit
+	c.joinPool()
+	c.requestPermit()
+}
+
+func (c *call) joinPool() {
+	c.pool = c.shard.o.poolOf(c.spec.Service)
+	c.pool.calls[c.run] = c
+	c.shard.o.runs[c.run] = c
+}
+
+// requestPermit sends the permit request and repeats it until it is queued,
+// then seldom, in case the dispatcher forgot it.
+func (c *call) requestPermit() {
+	o := c.shard.o
+	o.timers.stop(c.timer)
+	if c.pool.dispatcher == "" {
+		c.pool.dispatcher, _ = o.members.DispatcherOf(c.pool.id)
+	}
+	if c.pool.dispatcher != "" {
+		o.send(c.pool.dispatcher, c.permitRequest())
+	}
+	wait := permitResend
+	if c.queuedAt {
+		wait = permitRefresh
+	}
+	if c.phase == phasePermit {
+		c.timer = o.after(wait, c.requestPermit)
+	}
+}
+
+func (c *call) permitRequest() *structs.PermitRequest {
+	o, p := c.shard.o, c.prog
+	policy := p.policy()
+	r := &structs.PermitRequest{
+		Pool: c.pool.id, Ref: structs.CallRef{Program: c.spec.Program, Run: c.run}, Team: p.team,
+		Priority: policy.Priority, Weight: policy.Weight,
+		Remaining: c.deadline().Sub(o.now), Waited: o.now.Sub(c.arrived),
+		NotRepeatable: c.notRepeatable, Attempt: c.attempt, Avoid: c.avoid,
+		PromptTokens: c.spec.PromptTokens, MaxTokens: c.spec.MaxTokens,
+		SharedKey: c.spec.SharedKey, SharedTokens: c.spec.SharedTokens,
+	}
+	if c.phase == phaseRunning {
+		r.Running = c.target.ID
+	}
+	c.addProgram(r, policy.Deadline)
+	return r
+}
+
+// addProgram fills in what the order of programs depends on.
+func (c *call) addProgram(r *structs.PermitRequest, deadline time.Duration) {
+	row := c.prog.row()
+	created := c.arrived
+	if row != nil {
+		created = time.UnixMilli(row.CreatedMS)
+		r.Served = time.Duration(row.ServedNS)
+		r.Turns = row.Turns
+		for _, id := range journal.SortedKeys(row.Placements) {
+			pl := row.Placements[id]
+			if pl.Service == c.spec.Service {
+				r.Hints = append(r.Hints, structs.CacheHint{Target: id, Tokens: pl.Tokens})
+			}
+		}
+	}
+	r.Age = max(0, c.shard.o.now.Sub(created))
+	if deadline > 0 {
+		r.HasDeadline, r.Slack = true, deadline-r.Age
+	}
+}
+
+func (o *Owner) onPermitQueued(from structs.InstanceID, m *structs.PermitQueued) {
+	c := o.runs[m.Ref.Run]
+	if c == nil || c.phase != phasePermit || from != c.pool.dispatcher {
+		return
+	}
+	c.queuedAt = true
+	o.timers.stop(c.timer)
+	c.timer = o.after(permitRefresh, c.requestPermit)
+}
+
+// onPermitGrant runs the call, or gives the permit back if it is not wanted.
+func (o *Owner) onPermitGrant(from structs.InstanceID, m *structs.PermitGrant) {
+	c := o.runs[m.Ref.Run]
+	if c != nil && c.phase == phasePermit && from == c.pool.dispatcher {
+		c.target = m.Target
+		c.send()
+		return
+	}
+	if c != nil && c.pool != nil && c.target.ID == m.Target.ID && from == c.pool.dispatcher {
+		// A repeated grant of the permit that is in use.
+		return
+	}
+	o.send(from, &structs.PermitFinish{
+		Pool: m.Pool, Ref: m.Ref, Target: m.Target.ID, Failure: structs.RunNotSent,
+	})
+}
+
+func (o *Owner) onPermitRefuse(from structs.InstanceID, m *structs.PermitRefuse) {
+	c := o.runs[m.Ref.Run]
+	if c == nil || c.phase != phasePermit || from != c.pool.dispatcher {
+		return
+	}
+	c.refuse(m.Reason, m.RetryAfter)
+}
+
+// leavePool takes a permit request back if no run holds the permit.
+func (c *call) leavePool() {
+	if c.pool == nil {
+		return
+	}
+	ref := structs.CallRef{Program: c.spec.Program, Run: c.run}
+	switch c.phase {
+	case phasePermit:
+		c.toDispatcher(&structs.PermitCancel{Pool: c.pool.id, Ref: ref})
+	case phaseConfirm:
+		c.toDispatcher(&structs.PermitFinish{
+			Pool: c.pool.id, Ref: ref, Target: c.target.ID, Failure: structs.RunNotSent,
+		})
+	}
+	c.quitPool()
+}
+
+// quitPool forgets the permit.
+func (c *call) quitPool() {
+	if c.pool == nil {
+		return
+	}
+	delete(c.pool.calls, c.run)
+	delete(c.shard.o.runs, c.run)
+	if len(c.pool.calls) == 0 {
+		delete(c.shard.o.pools, c.pool.id)
+	}
+	c.pool = nil
+	c.queuedAt = false
+}
+
+func (c *call) toDispatcher(msg structs.Message) {
+	if c.pool.dispatcher != "" {
+		c.shard.o.send(c.pool.dispatcher, msg)
+	}
+}
+
+// finishPermit returns the permit after a run ended.
+func (c *call) finishPermit(e structs.RunEnded) {
+	if c.pool == nil {
+		return
+	}
+	c.toDispatcher(&structs.PermitFinish{
+		Pool: c.pool.id, Ref: structs.CallRef{Program: c.spec.Program, Run: c.run},
+		Target: c.target.ID, Failure: e.Failure, Usage: e.Outcome.Usage, Took: e.Took,
+		FirstToken: e.FirstToken, CacheTokens: c.cacheTokens(e.Outcome), Pausing: c.prog.pausing(c),
+	})
+	c.quitPool()
+}
+
+// pausing tells whether the program has no call but this one.
+func (p *program) pausing(c *call) bool {
+	return len(p.calls) == 1 && p.calls[c.key] == c && !p.closing
+}
+
+// refreshPools asks new dispatchers again for every permit, also for those in
+// use. lost is an instance whose memory of requests may be gone.
+func (o *Owner) refreshPools(lost structs.InstanceID) {
+	for _, id := range o.sortedPools() {
+		p := o.pools[id]
+		now, _ := o.members.DispatcherOf(id)
+		if now == p.dispatcher && now != lost {
+			continue
+		}
+		p.dispatcher = now
+		for _, run := range journal.SortedKeys(p.calls) {
+			p.calls[run].queuedAt = false
+			p.calls[run].reregister()
+		}
+	}
+}
+
+func (c *call) reregister() {
+	switch c.phase {
+	case phasePermit:
+		c.requestPermit()
+	case phaseRunning:
+		c.toDispatcher(c.permitRequest())
+	}
+}
+
+func (o *Owner) sortedPools() []structs.PoolID {
+	ids := make([]structs.PoolID, 0, len(o.pools))
+	for id := range o.pools {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b structs.PoolID) int { return cmp.Compare(a.Service, b.Service) })
+	return ids
+}
--- /dev/null
+++ b/internal/owner/program.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// program is the live row of a program. The durable row is in the shard's
+// state and may be missing for a single call that has no record yet.
+type program struct {
+	shard *shard
+	id    structs.ProgramID
+	team  structs.Team
+	lanes map[structs.Lane]*lane
+	calls map[string]*call
+	// held is what running calls may take from the chunk; pending is the sum
+	// of reservations and Intents that are not counted yet.
+	held    journal.Amount
+	pending journal.Amount
+	// reserving is the reservation not counted yet.
+	reserving bool
+	// closing tells that Closed is on its way into the log.
+	closing bool
+	// opening holds the requests that wait for Open or Closed to count.
+	opening  []*programWaiter
+	idle     *timer
+	release  *timer
+	backoff  time.Duration
+	recovery map[structs.RunID]*recovery
+}
+
+// programWaiter is a gateway that waits for a program operation.
+type programWaiter struct {
+	request structs.RequestID
+	from    structs.InstanceID
+	timer   *timer
+}
+
+// live gives the live row of a program, made if missing.
+func (s *shard) live(id structs.ProgramID, team structs.Team) *program {
+	p := s.programs[id]
+	if p != nil {
+		return p
+	}
+	p = &program{
+		shard: s, id: id, team: team, lanes: make(map[structs.Lane]*lane),
+		calls: make(map[string]*call), recovery: make(map[structs.RunID]*recovery),
+	}
+	s.programs[id] = p
+	p.watchIdle()
+	return p
+}
+
+func (p *program) row() *journal.Program { return p.shard.row(p.id) }
+
+func (p *program) policy() structs.Policy { return p.shard.o.settings.Policy(p.team) }
+
+// closedFor tells whether the program takes no new call.
+func (p *program) closedFor(spec *structs.Call) bool {
+	if p.closing {
+		return true
+	}
+	row := p.row()
+	return row != nil && (row.Closed || row.Single && !spec.Single)
+}
+
+func (p *program) add(c *call) {
+	p.calls[c.key] = c
+	p.shard.calls++
+	p.laneOf(c.spec.Lane).insert(c)
+	p.shard.o.timers.stop(p.idle)
+}
+
+// end takes a call off its tables; its lane goes on.
+func (c *call) end() {
+	if c.phase == phaseEnded {
+		return
+	}
+	o, p := c.shard.o, c.prog
+	c.releaseHold()
+	c.leavePool()
+	c.phase = phaseEnded
+	o.timers.stop(c.timer)
+	o.timers.stop(c.linger)
+	delete(o.runs, c.run)
+	if p.calls[c.key] == c {
+		delete(p.calls, c.key)
+	}
+	c.shard.calls--
+	c.lane.remove(c)
+	if len(p.calls) == 0 {
+		p.quiet()
+	}
+	if c.shard.tenure == tenureLost {
+		c.shard.leaveIfDone()
+		return
+	}
+	p.advance()
+}
+
+// quiet runs when the program has no call any more.
+func (p *program) quiet() {
+	if !p.shard.owned() {
+		return
+	}
+	p.watchIdle()
+	row := p.row()
+	if row != nil && row.Single && len(p.recovery) == 0 {
+		p.close(structs.ReasonNone)
+	}
+	p.startRelease()
+	p.dropIfEmpty()
+}
+
+// dropIfEmpty forgets a live row that stands for nothing durable.
+func (p *program) dropIfEmpty() {
+	if p.row() == nil && len(p.calls) == 0 && len(p.opening) == 0 {
+		p.stop()
+		delete(p.shard.programs, p.id)
+	}
+}
+
+func (p *program) stop() {
+	t := &p.shard.o.timers
+	t.stop(p.idle)
+	t.stop(p.release)
+	for _, w := range p.opening {
+		t.stop(w.timer)
+	}
+	for _, id := range journal.SortedKeys(p.recovery) {
+		t.stop(p.recovery[id].timer)
+	}
+}
+
+// reasonIdle closes a program that had no call for the policy's idle time.
+const reasonIdle structs.Reason = "idle"
+
+// watchIdle closes the program after the policy's idle time without a call.
+func (p *program) watchIdle() {
+	o := p.shard.o
+	o.timers.stop(p.idle)
+	if d := p.policy().IdleTimeout; d > 0 {
+		p.idle = o.after(d, p.onIdle)
+	}
+}
+
+func (p *program) onIdle() {
+	if len(p.calls) == 0 && p.shard.owned() {
+		p.close(reasonIdle)
+	}
+}
+
+// close ends the program: no new call is taken, calls that were not sent are
+// refused and its cache is released once no call runs.
+func (p *program) close(reason structs.Reason) {
+	row := p.row()
+	if p.closing || row != nil && row.Closed {
+		return
+	}
+	p.closing = true
+	p.shard.o.timers.stop(p.idle)
+	for _, c := range p.sortedCalls() {
+		if !c.mayHaveRun() && c.phase != phaseEnded {
+			c.refuse(structs.ReasonProgramClosed, 0)
+		}
+	}
+	if p.row() == nil {
+		return
+	}
+	u := urgency(len(p.opening) > 0)
+	p.shard.app.push(&journal.Closed{Program: p.id, Reason: reason}, u, p.onClosed)
+}
+
+func (p *program) onClosed() {
+	p.answerWaiters()
+	p.tellGone()
+	p.startRelease()
+}
+
+func (p *program) sortedCalls() []*call {
+	list := make([]*call, 0, len(p.calls))
+	for _, key := range journal.SortedKeys(p.calls) {
+		list = append(list, p.calls[key])
+	}
+	return list
+}
+
+func (o *Owner) onProgramRequest(from structs.InstanceID, m *structs.ProgramRequest) {
+	region, _, err := m.Program.Parse()
+	if err != nil || region != o.cfg.Self.Region {
+		o.refuseMessage(from, m, structs.ReasonUnknownProgram, 0)
+		return
+	}
+	s := o.shardRow(structs.ShardOf(m.Program, o.cfg.Shards))
+	switch {
+	case s.owned() && !o.draining:
+		s.operate(from, m)
+	case s.owned() || s.tenure == tenureLost:
+		o.notOwner(from, m, s.successor())
+	default:
+		s.take(from, m, nil)
+	}
+}
+
+// operate carries out an operation on a program of an owned shard.
+func (s *shard) operate(from structs.InstanceID, m *structs.ProgramRequest) {
+	row := s.row(m.Program)
+	if m.Op == structs.ProgramOpen && row == nil {
+		s.open(from, m)
+		return
+	}
+	if row == nil {
+		s.o.refuseMessage(from, m, structs.ReasonUnknownProgram, 0)
+		return
+	}
+	if !m.Team.Contains(row.Team) {
+		s.o.refuseMessage(from, m, structs.ReasonForeignProgram, 0)
+		return
+	}
+	p := s.live(m.Program, row.Team)
+	if row.Closed || m.Op == structs.ProgramOpen || m.Op == structs.ProgramShow {
+		p.reply(from, m.Request)
+		return
+	}
+	p.wait(from, m)
+	if m.Op == structs.ProgramCancel {
+		p.cancelRuns()
+	}
+	p.close(structs.ReasonNone)
+}
+
+// open journals a program; it is answered once the record counts.
+func (s *shard) open(from structs.InstanceID, m *structs.ProgramRequest) {
+	_, created, _ := m.Program.Parse()
+	switch {
+	case s.logDown():
+		s.o.refuseMessage(from, m, structs.ReasonLogUnavailable, logRetryAfter)
+		return
+	case s.o.now.Sub(created) > s.o.settings.Policy(m.Team).IdempotencyWindow:
+		s.o.refuseMessage(from, m, structs.ReasonTooOld, 0)
+		return
+	case len(s.state.Programs) >= maxShardPrograms || s.app.full():
+		s.o.refuseMessage(from, m, structs.ReasonOverloaded, busyRetryAfter)
+		return
+	}
+	p := s.live(m.Program, m.Team)
+	p.wait(from, m)
+	if len(p.opening) == 1 {
+		s.app.push(&journal.Open{Program: m.Program, Team: m.Team}, urgent, p.answerWaiters)
+	}
+}
+
+// wait adds a gateway that is answered when the program's record counts, or
+// with "unknown" if that takes too long.
+func (p *program) wait(from structs.InstanceID, m *structs.ProgramRequest) {
+	w := &programWaiter{request: m.Request, from: from}
+	w.timer = p.shard.o.after(min(confirmTimeout, m.Remaining), func() {
+		for i, other := range p.opening {
+			if other == w {
+				p.opening = append(p.opening[:i:i], p.opening[i+1:]...)
+			}
+		}
+		out := unknown(structs.ReasonLogUnavailable)
+		out.RetryAfter = logRetryAfter
+		p.shard.o.send(from, &structs.ProgramReply{Request: m.Request, Outcome: out})
+	})
+	p.opening = append(p.opening, w)
+}
+
+func (p *program) answerWaiters() {
+	waiters := p.opening
+	p.opening = nil
+	for _, w := range waiters {
+		p.shard.o.timers.stop(w.timer)
+		p.reply(w.from, w.request)
+	}
+}
+
+func (p *program) reply(to structs.InstanceID, request structs.RequestID) {
+	p.shard.o.send(to, &structs.ProgramReply{
+		Request: request, Outcome: structs.Outcome{Kind: structs.OutcomeAnswered}, Info: p.info(),
+	})
+}
--- /dev/null
+++ b/internal/owner/recovery.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// recovery is a not-repeatable run of an earlier owner whose outcome is not
+// known. It is never run again. Its lane waits until the earlier owner's
+// outcome was read, or until that owner can send nothing more.
+type recovery struct {
+	prog  *program
+	run   *journal.OpenRun
+	timer *timer
+}
+
+// recover takes up what earlier owners left open.
+func (s *shard) recover() {
+	for _, id := range journal.SortedKeys(s.state.Programs) {
+		row := s.state.Programs[id]
+		p := s.live(id, row.Team)
+		for _, run := range row.OpenRuns() {
+			if run.NotRepeatable && run.Epoch < s.epoch {
+				p.recoverRun(run)
+			}
+		}
+		if row.Closed || row.Single {
+			p.quiet()
+		}
+	}
+}
+
+func (p *program) recoverRun(run *journal.OpenRun) {
+	r := &recovery{prog: p, run: run}
+	p.recovery[run.Run] = r
+	p.laneOf(run.Lane).blocked++
+	r.timer = p.shard.o.after(p.shard.o.cfg.RecoveryWait, r.expire)
+}
+
+// recoverCall lets a call wait for the run that an earlier owner has of it.
+func (p *program) recoverCall(c *call) {
+	if p.recovering(c.key) {
+		c.phase = phaseRecovery
+	}
+}
+
+// recovering tells whether an earlier owner may have run the call of a key.
+func (p *program) recovering(key string) bool {
+	for _, r := range p.recovery {
+		if r.run.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// onForeign takes a fact that an earlier owner recorded late.
+func (s *shard) onForeign(rec journal.Record) {
+	switch b := rec.Body.(type) {
+	case *journal.Done:
+		s.learnt(b.Program, b.Run)
+	case *journal.Abandoned:
+		s.learnt(b.Program, b.Run)
+	}
+}
+
+func (s *shard) learnt(id structs.ProgramID, run structs.RunID) {
+	p := s.programs[id]
+	if p == nil {
+		return
+	}
+	if r := p.recovery[run]; r != nil {
+		r.resolve()
+	}
+}
+
+// expire runs when the earlier owner can send nothing more.
+func (r *recovery) expire() {
+	o := r.prog.shard.o
+	service, _ := o.settings.Service(r.run.Service)
+	if !service.AskByKey {
+		r.conclude(false, structs.Outcome{})
+		return
+	}
+	targets := o.members.Targets(r.run.Service)
+	if t, ok := o.findTarget(r.run.Service, r.run.Target); ok {
+		targets = []structs.Target{t}
+	}
+	o.ask(r.run.Run, r.run.Program, r.run.Key, targets, r.conclude)
+}
+
+// conclude records the outcome that the target told, or that it is unknown, so
+// that every retry hears the same.
+func (r *recovery) conclude(found bool, out structs.Outcome) {
+	p := r.prog
+	if p.recovery[r.run.Run] != r || !p.shard.owned() {
+		return
+	}
+	cost := r.run.Hold
+	if found {
+		out.Kind = structs.OutcomeAnswered
+		cost.Tokens = out.Usage.Tokens()
+	} else {
+		out = unknown(structs.ReasonOwnerLost)
+	}
+	p.shard.app.push(&journal.Done{
+		CallID: r.run.CallID, Service: r.run.Service, Target: r.run.Target, NotRepeatable: true,
+		Cost: cost, Outcome: out, HistoryCount: r.run.HistoryCount, HistoryDigest: r.run.HistoryDigest,
+	}, urgent, nil)
+	r.resolve()
+}
+
+// resolve frees the lane. Calls that waited for the run get its outcome, or
+// their turn if the run was abandoned.
+func (r *recovery) resolve() {
+	p := r.prog
+	p.shard.o.timers.stop(r.timer)
+	delete(p.recovery, r.run.Run)
+	p.laneOf(r.run.Lane).blocked--
+	for _, c := range p.sortedCalls() {
+		if c.phase != phaseRecovery || c.key != r.run.Key {
+			continue
+		}
+		record := p.row().Calls[c.key]
+		if record == nil {
+			c.phase = phaseQueued
+			continue
+		}
+		out := record.Outcome
+		out.Replayed = true
+		c.answer(out)
+		c.end()
+	}
+	p.advance()
+	p.quietIfIdle()
+}
+
+func (p *program) quietIfIdle() {
+	if len(p.calls) == 0 {
+		p.quiet()
+	}
+}
--- /dev/null
+++ b/internal/owner/release.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// startRelease asks every target that ever held cache of a closed program to
+// drop it, once no call of the program runs.
+func (p *program) startRelease() {
+	row := p.row()
+	if row == nil || !row.Closed || len(p.calls) > 0 || len(row.Placements) == 0 || !p.shard.owned() {
+		return
+	}
+	if p.release != nil && p.release.index >= 0 {
+		return
+	}
+	p.backoff = releaseRetry
+	p.releaseAll()
+}
+
+// releaseAll repeats the orders until each target confirmed.
+func (p *program) releaseAll() {
+	row := p.row()
+	if row == nil || len(row.Placements) == 0 || !p.shard.owned() {
+		return
+	}
+	o := p.shard.o
+	for _, id := range journal.SortedKeys(row.Placements) {
+		if target, ok := o.findTarget(row.Placements[id].Service, id); ok {
+			o.emit(structs.ReleaseCache{Target: target, Program: p.id})
+		}
+	}
+	p.release = o.after(p.backoff, p.releaseAll)
+	p.backoff = min(2*p.backoff, releaseRetryMax)
+}
+
+func (o *Owner) onCacheReleased(e structs.CacheReleased) {
+	region, _, err := e.Program.Parse()
+	if err != nil || region != o.cfg.Self.Region || !e.Done {
+		return
+	}
+	s := o.shards[structs.ShardOf(e.Program, o.cfg.Shards)]
+	if s == nil || !s.owned() {
+		return
+	}
+	row := s.row(e.Program)
+	if row == nil || !row.Closed || row.Placements[e.Target] == nil {
+		return
+	}
+	s.app.push(&journal.Released{Program: e.Program, Target: e.Target}, lazy, func() {
+		if p := s.programs[e.Program]; p != nil && len(p.row().Placements) == 0 {
+			o.timers.stop(p.release)
+		}
+	})
+}
+
+// tellGone tells the dispatchers of the program's pools that it ended.
+func (p *program) tellGone() {
+	row := p.row()
+	if row == nil {
+		return
+	}
+	for _, service := range journal.SortedKeys(row.Services) {
+		pool := structs.PoolID{Service: service, Region: p.shard.o.cfg.Self.Region}
+		if d, ok := p.shard.o.members.DispatcherOf(pool); ok {
+			p.shard.o.send(d, &structs.ProgramGone{Pool: pool, Program: p.id})
+		}
+	}
+}
+
+// owesWork tells whether the shard needs an owner though no call waits.
+func (s *shard) owesWork() bool {
+	for _, p := range s.state.Programs {
+		if !p.Closed || len(p.Placements) > 0 || slices.ContainsFunc(p.OpenRuns(), isNotRepeatable) {
+			return true
+		}
+	}
+	return false
+}
+
+func isNotRepeatable(run *journal.OpenRun) bool { return run.NotRepeatable }
--- /dev/null
+++ b/internal/owner/replay.go
@@ -0,0 +1,209 @@
+package owner
+
+import (
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// replay holds the records read before the snapshot that they follow is found.
+type replay struct {
+	records []readRecord
+	parts   []*journal.Snapshot
+}
+
+type readRecord struct {
+	offset uint64
+	record journal.Record
+}
+
+func (o *Owner) onLogRead(e structs.LogRead) {
+	s := o.streams[e.Stream]
+	if s == nil || s.tenure == tenureNone || s.tenure == tenureProbing {
+		return
+	}
+	if s.tenure == tenureLocating {
+		s.locate(e)
+		return
+	}
+	// Reads of an earlier position may still arrive after LogTail moved it;
+	// a read that would leave a gap is dropped.
+	if e.From > s.next || e.Next < s.next {
+		return
+	}
+	s.readDown, s.failures = false, 0
+	for _, r := range e.Records {
+		if r.Offset >= s.next {
+			s.read(r)
+		}
+		if s.tenure == tenureNone {
+			return
+		}
+	}
+	s.next = max(s.next, e.Next)
+	if e.Next >= e.End {
+		s.atEnd()
+	}
+}
+
+// locate finds the place to read from: the newest record's header tells where
+// the newest snapshot is.
+func (s *shard) locate(e structs.LogRead) {
+	s.readDown, s.failures = false, 0
+	from := uint64(0)
+	if len(e.Records) > 0 {
+		last := e.Records[len(e.Records)-1]
+		if rec, err := journal.Decode(last.Data); err == nil && rec.Snapshot > 0 {
+			from = rec.Snapshot - 1
+		}
+	}
+	s.replayFrom(from, from > 0)
+}
+
+// replayFrom starts reading at an offset. If a snapshot is expected the state
+// before it is not complete, so records wait until it is found.
+func (s *shard) replayFrom(from uint64, snapshot bool) {
+	s.tenure = tenureReplaying
+	s.next = from
+	if snapshot {
+		s.replay = new(replay)
+	}
+	s.o.emit(structs.LogTail{Stream: s.stream, From: from})
+	s.watchLog()
+}
+
+func (o *Owner) onLogReadFailed(e structs.LogReadFailed) {
+	s := o.streams[e.Stream]
+	if s == nil {
+		return
+	}
+	if !e.Truncated {
+		s.readFailed()
+		return
+	}
+	if s.tenure == tenureReplaying && e.First > s.next {
+		s.state = journal.NewState()
+		s.replayFrom(e.First, true)
+	}
+}
+
+// readFailures is how many failed reads in a row mean that the log is down.
+const readFailures = 2
+
+func (s *shard) readFailed() {
+	s.failures++
+	if s.readDown || s.failures < readFailures {
+		return
+	}
+	s.readDown = true
+	switch s.tenure {
+	case tenureLocating, tenureReplaying, tenureClaiming:
+		s.refuseHeld(structs.ReasonLogUnavailable)
+	case tenureOwned:
+		s.onLogDown()
+	}
+}
+
+// read takes one record of the stream.
+func (s *shard) read(r wire.LogRecord) {
+	s.next = r.Offset + 1
+	rec, err := journal.Decode(r.Data)
+	if err != nil {
+		s.garbage++
+		return
+	}
+	if s.replay != nil {
+		s.collect(readRecord{offset: r.Offset, record: rec})
+		return
+	}
+	s.apply(r.Offset, rec)
+}
+
+// collect keeps a record until the snapshot is complete.
+func (s *shard) collect(r readRecord) {
+	s.replay.records = append(s.replay.records, r)
+	part, ok := r.record.Body.(*journal.Snapshot)
+	if !ok {
+		return
+	}
+	if part.Part == 0 {
+		s.replay.parts = nil
+	}
+	s.replay.parts = append(s.replay.parts, part)
+	if len(s.replay.parts) != part.Parts || part.Part != part.Parts-1 {
+		return
+	}
+	var data []byte
+	for _, p := range s.replay.parts {
+		data = append(data, p.Data...)
+	}
+	state, err := journal.DecodeState(data)
+	if err != nil {
+		s.garbage++
+		return
+	}
+	s.load(state)
+}
+
+// load starts from a snapshot and applies the records that it lacks.
+func (s *shard) load(state *journal.State) {
+	records := s.replay.records
+	s.replay = nil
+	s.state = state
+	for _, r := range records {
+		if r.offset >= state.Next {
+			s.apply(r.offset, r.record)
+		}
+	}
+}
+
+// apply gives a record its effect and tells the live rows.
+func (s *shard) apply(offset uint64, rec journal.Record) {
+	verdict := s.state.Apply(offset, rec)
+	if verdict == journal.Void {
+		s.void++
+	}
+	if rec.Writer == s.o.writer {
+		s.app.onRead(rec.Sequence, verdict)
+	}
+	if verdict != journal.Counted {
+		return
+	}
+	if claim, ok := rec.Body.(*journal.Claim); ok {
+		s.onClaim(rec, claim)
+		return
+	}
+	if rec.Writer != s.o.writer && s.owned() {
+		s.onForeign(rec)
+	}
+}
+
+// onClaim keeps the invariant that an owner stops at the first newer claim.
+func (s *shard) onClaim(rec journal.Record, claim *journal.Claim) {
+	switch s.tenure {
+	case tenureClaiming:
+		if rec.Writer == s.o.writer && rec.Epoch == s.epoch {
+			s.won()
+			return
+		}
+		s.lose(claim.Instance)
+	case tenureOwned:
+		s.lose(claim.Instance)
+	case tenureLost:
+		s.winner = claim.Instance
+	}
+}
+
+// atEnd runs when the stream was read to its end.
+func (s *shard) atEnd() {
+	if s.replay != nil {
+		s.load(s.state)
+	}
+	s.readAt = s.o.now
+	switch s.tenure {
+	case tenureReplaying:
+		s.caughtUp()
+	case tenureLost:
+		s.leaveIfDone()
+	}
+}
--- /dev/null
+++ b/internal/owner/run.go
@@ -0,0 +1,312 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// writeIntent makes the Intent of a not-repeatable call durable. The permit is
+// asked for only once it counts, so that a later owner always knows of a send.
+func (c *call) writeIntent() {
+	p := c.prog
+	need := c.worst()
+	if !need.AtMost(p.left()) {
+		c.refuseBudget()
+		return
+	}
+	if c.shard.logDown() {
+		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+		return
+	}
+	c.run = c.shard.o.newRun()
+	c.phase, c.intent, c.hold = phaseIntent, true, need
+	p.pending = p.pending.Plus(need)
+	count, digest := c.history()
+	intent := &journal.Intent{
+		CallID: c.id(), Service: c.spec.Service, Hold: need, HistoryCount: count, HistoryDigest: digest,
+	}
+	c.shard.app.push(intent, urgent, func() {
+		// From here on the durable row holds the worst case.
+		p.pending = p.pending.Minus(need)
+		if c.phase == phaseIntent {
+			c.askPermit()
+		}
+	})
+}
+
+// send runs the call at the granted target. A not-repeatable call is sent only
+// if the stream was read so recently that a newer owner still waits; else the
+// log has to prove first that there is none.
+func (c *call) send() {
+	c.shard.o.timers.stop(c.timer)
+	if !c.notRepeatable || c.shard.fresh() {
+		c.startRun(true)
+		return
+	}
+	c.phase = phaseConfirm
+	c.timer = c.shard.o.after(confirmTimeout, func() {
+		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+	})
+	c.shard.app.push(c.started(), urgent, func() {
+		if c.phase == phaseConfirm {
+			c.shard.o.timers.stop(c.timer)
+			c.startRun(false)
+		}
+	})
+}
+
+func (c *call) started() *journal.Started {
+	return &journal.Started{
+		CallID: c.id(), Service: c.spec.Service, Target: c.target.ID,
+		NotRepeatable: c.notRepeatable, Cache: c.service.Kind == structs.ServiceEngine,
+	}
+}
+
+// startRun gives the only StartRun of a run.
+func (c *call) startRun(record bool) {
+	o := c.shard.o
+	c.phase = phaseRunning
+	c.sentRuns++
+	if record && (c.notRepeatable || c.spec.Kind == structs.CallChat) {
+		c.shard.app.push(c.started(), urgency(c.spec.Stream), nil)
+	}
+	o.emit(structs.StartRun{
+		Run: c.run, Target: c.target, Call: c.spec, Fencing: uint64(c.shard.epoch),
+		Timeout: c.runTimeout(), NotAfter: o.now.Add(o.cfg.SendWindow),
+	})
+}
+
+func (c *call) runTimeout() time.Duration {
+	left := c.deadline().Sub(c.shard.o.now)
+	if c.service.Timeout > 0 {
+		return min(left, c.service.Timeout)
+	}
+	return left
+}
+
+// resume attaches to the run that an earlier owner of the shard started, if
+// its journal names it. Pieces that were delivered are never followed by those
+// of another run.
+func (c *call) resume() bool {
+	if c.notRepeatable {
+		return false
+	}
+	run := c.openRun()
+	delivered := c.delivered()
+	if run == nil || !c.spec.Stream || c.spec.Kind != structs.CallChat {
+		if delivered {
+			c.finish(unknown(structs.ReasonTargetFailed), c.worst(), structs.RunEnded{})
+		}
+		return delivered
+	}
+	target, ok := c.shard.o.findTarget(run.Service, run.Target)
+	if !ok {
+		if delivered {
+			c.finish(unknown(structs.ReasonTargetFailed), c.worst(), structs.RunEnded{})
+		}
+		return delivered
+	}
+	c.run, c.target, c.phase = run.Run, target, phaseRunning
+	c.sentRuns++
+	c.joinPool()
+	c.requestPermit()
+	c.resumeRun()
+	return true
+}
+
+func (c *call) resumeRun() {
+	c.resumes++
+	c.shard.o.emit(structs.ResumeRun{
+		Run: c.run, Target: c.target, From: len(c.pieces), Timeout: c.runTimeout(),
+	})
+}
+
+// openRun finds the started run of the call's key, if its end is not known.
+func (c *call) openRun() *journal.OpenRun {
+	row := c.prog.row()
+	if row == nil {
+		return nil
+	}
+	for _, run := range row.OpenRuns() {
+		if run.Key == c.key && !run.NotRepeatable && run.Target != "" {
+			return run
+		}
+	}
+	return nil
+}
+
+// delivered tells whether some gateway has got pieces of the answer.
+func (c *call) delivered() bool {
+	return slices.ContainsFunc(c.waiters, func(w *waiter) bool { return w.next > 0 })
+}
+
+func (o *Owner) findTarget(service structs.ServiceName, id structs.TargetID) (structs.Target, bool) {
+	for _, t := range o.members.Targets(service) {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return structs.Target{}, false
+}
+
+// onRunChunk takes pieces in order; those that are known are skipped, and a
+// chunk behind a gap is left for the whole answer.
+func (o *Owner) onRunChunk(e structs.RunChunk) {
+	c := o.runs[e.Run]
+	if c == nil || c.phase != phaseRunning || e.Chunk.First > len(c.pieces) {
+		return
+	}
+	if known := len(c.pieces) - e.Chunk.First; known < len(e.Chunk.Texts) {
+		c.pieces = append(c.pieces, e.Chunk.Texts[known:]...)
+	}
+	for _, w := range c.waiters {
+		c.forward(w)
+	}
+}
+
+func (o *Owner) onRunEnded(e structs.RunEnded) {
+	c := o.runs[e.Run]
+	if c == nil || c.phase != phaseRunning {
+		return
+	}
+	if e.Failure == structs.RunBroken && c.canResume() {
+		c.resumeRun()
+		return
+	}
+	c.finishPermit(e)
+	switch e.Failure {
+	case structs.RunOK:
+		c.answered(e)
+	case structs.RunNotSent, structs.RunFenced:
+		c.sentRuns--
+		c.notSent(e)
+	default:
+		c.broken(e)
+	}
+}
+
+func (c *call) canResume() bool {
+	return c.spec.Stream && c.spec.Kind == structs.CallChat && c.cancelled == "" &&
+		c.resumes < maxResumes && len(c.pieces) > 0
+}
+
+func (c *call) answered(e structs.RunEnded) {
+	out := e.Outcome
+	out.Kind = structs.OutcomeAnswered
+	if len(c.pieces) > 0 && c.resumes > 0 {
+		// A resumed run reports only what came after the resume.
+		out.Text = strings.Join(c.pieces, "")
+	}
+	cost := journal.Amount{Tokens: out.Usage.Tokens(), Fees: c.spec.Fee}
+	c.finish(out, cost, e)
+}
+
+// notSent runs when the target certainly did not get the request.
+func (c *call) notSent(e structs.RunEnded) {
+	if c.cancelled != "" {
+		c.refuse(c.cancelled, 0)
+		return
+	}
+	if c.attempt < c.prog.policy().Retries && c.shard.owned() && e.Failure != structs.RunFenced {
+		c.tryAgain(e.Target)
+		return
+	}
+	c.refuse(structs.ReasonNoTarget, busyRetryAfter)
+}
+
+// tryAgain asks for another permit. The Intent of a not-repeatable call covers
+// one send, and none has happened, so its run id stays.
+func (c *call) tryAgain(avoid structs.TargetID) {
+	c.attempt++
+	if avoid != "" {
+		c.avoid = append(c.avoid, avoid)
+	}
+	if !c.notRepeatable {
+		c.run = ""
+	}
+	c.askPermit()
+}
+
+// broken runs when the request may have run and its answer is lost.
+func (c *call) broken(e structs.RunEnded) {
+	retry := !c.notRepeatable && c.cancelled == "" && e.Failure == structs.RunBroken &&
+		!c.delivered() && c.attempt < c.prog.policy().Retries && c.shard.owned()
+	if retry {
+		c.pieces = nil
+		c.tryAgain(e.Target)
+		return
+	}
+	reason := structs.ReasonTargetFailed
+	if c.cancelled != "" {
+		reason = c.cancelled
+	} else if e.Failure == structs.RunTimeout {
+		reason = structs.ReasonDeadline
+	}
+	if c.notRepeatable && c.service.AskByKey && e.Failure != structs.RunCancelled {
+		c.askTarget(reason, e)
+		return
+	}
+	c.finish(unknown(reason), c.worst(), e)
+}
+
+// askTarget asks the target what became of a broken run.
+func (c *call) askTarget(reason structs.Reason, e structs.RunEnded) {
+	c.phase = phaseAsking
+	c.shard.o.ask(c.run, c.spec.Program, c.spec.Key, []structs.Target{c.target}, func(found bool, out structs.Outcome) {
+		if !found {
+			c.finish(unknown(reason), c.worst(), e)
+			return
+		}
+		out.Kind = structs.OutcomeAnswered
+		c.finish(out, journal.Amount{Tokens: out.Usage.Tokens(), Fees: c.spec.Fee}, e)
+	})
+}
+
+// cancel stops a run whose outcome nobody waits for.
+func (c *call) cancel(reason structs.Reason) {
+	if c.phase != phaseRunning || c.cancelled != "" {
+		return
+	}
+	c.cancelled = reason
+	c.shard.o.emit(structs.CancelRun{Run: c.run, Target: c.target})
+}
+
+// finish records the outcome of a call that was or may have been sent. The
+// record of a not-repeatable call counts before its answer goes out, unless
+// the log is down: an answer is never held back for it.
+func (c *call) finish(out structs.Outcome, cost journal.Amount, e structs.RunEnded) {
+	o := c.shard.o
+	count, digest := c.history()
+	done := &journal.Done{
+		CallID: c.id(), Service: c.spec.Service, Target: c.target.ID, NotRepeatable: c.notRepeatable,
+		Chunk: c.chunk, Cost: cost, Outcome: out, CacheTokens: c.cacheTokens(out), TookNS: int64(e.Took),
+		HistoryCount: count, HistoryDigest: digest,
+	}
+	if !c.notRepeatable || c.shard.logDown() || len(c.waiters) == 0 {
+		c.shard.app.push(done, lazy, nil)
+		c.answer(out)
+		c.end()
+		return
+	}
+	c.phase, c.outcome = phaseRecording, out
+	record := func() {
+		if c.phase == phaseRecording {
+			c.answer(c.outcome)
+			c.end()
+		}
+	}
+	c.timer = o.after(confirmTimeout, record)
+	c.shard.app.push(done, urgent, record)
+}
+
+// cacheTokens estimates the prefix that the target holds after the call.
+func (c *call) cacheTokens(out structs.Outcome) int64 {
+	if c.service.Kind != structs.ServiceEngine || out.Kind != structs.OutcomeAnswered {
+		return 0
+	}
+	return out.Usage.Tokens()
+}
--- a/internal/structs/commands.go
+++ b/internal/structs/commands.go
@@ -114,7 +114,9 @@
 type AskOutcome struct {
 	Run    RunID
 	Target Target
-	Key    string
+	// Program scopes Key, as in StartRun's Call.
+	Program ProgramID
+	Key     string
 }
 
 // WatchTargets lists the targets whose load and cache events are wanted.
