HTTP adapter: tests of bad input, settings and metrics; whole tool calls

Cause: bad input, settings and the text format of metrics had no tests. Found by the new tests: an answer whose tool calls are not JSON was reported as a fault of the instance (500) instead of the target (502) when it was not streamed. Ruled out: resetting the write deadline at the start of a request, since net/http lifts it after each request already (the test records the deadlines set on the connection). Change: tool calls of an answer are checked before its headers.

--- a/internal/httpapi/auth.go
+++ b/internal/httpapi/auth.go
@@ -24,10 +24,9 @@
 	if ok {
 		infoOf(c).principal = principal
 	}
-	health := s.core.Health()
 	switch {
-	case health.State == HealthStarting && !principal.Root():
-		s.fail(c, refuse(structs.ReasonStarting, "%s", health.Detail).retryAfter(localRetryAfter))
+	case !principal.Root() && s.core.Health().State == HealthStarting:
+		s.fail(c, s.starting())
 	case !ok:
 		s.fail(c, refuse(structs.ReasonUnauthorized, "expected the header Authorization: Bearer and a known key"))
 	default:
@@ -35,6 +34,20 @@
 	}
 }
 
+// requireStarted refuses calls while the services are not known yet.
+func (s *Server) requireStarted(c *gin.Context) {
+	if s.core.Health().State == HealthStarting {
+		s.fail(c, s.starting())
+		return
+	}
+	c.Next()
+}
+
+func (s *Server) starting() *Problem {
+	detail := s.core.Health().Detail
+	return refuse(structs.ReasonStarting, "%s", detail).retryAfter(localRetryAfter)
+}
+
 func (s *Server) principalOf(header string) (Principal, bool) {
 	// Authentication schemes are compared without case.
 	if len(header) <= len(bearerPrefix) || !strings.EqualFold(header[:len(bearerPrefix)], bearerPrefix) {
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -34,6 +34,9 @@
 
 // readWithin reads at most size bytes of the body before the body timeout.
 func (s *Server) readWithin(c *gin.Context, size int64) ([]byte, *Problem) {
+	if c.Request.Body == http.NoBody {
+		return nil, nil
+	}
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetReadDeadline(s.config.Now().Add(s.config.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, size))
--- a/internal/httpapi/chat.go
+++ b/internal/httpapi/chat.go
@@ -45,6 +45,10 @@
 		s.fail(c, problemOf(reply.Outcome))
 		return
 	}
+	if _, err := indexToolCalls(reply.Outcome.ToolCalls); err != nil {
+		s.fail(c, newProblem(structs.ReasonTargetFailed, outcomeUnknown, err.Error()))
+		return
+	}
 	s.noteAnswer(c, reply.Outcome)
 	s.writeJSON(c, http.StatusOK, chatReply(infoOf(c), reply.Outcome))
 }
--- a/internal/httpapi/chat_test.go
+++ b/internal/httpapi/chat_test.go
@@ -196,3 +196,45 @@
 	f.submitted()
 	return response, err
 }
+
+func TestStreamedToolCalls(t *testing.T) {
+	f := newFixture(t, nil)
+	outcome := answered
+	outcome.ToolCalls = []byte(`[{"id":"c1","type":"function"},{"id":"c2"}]`)
+	f.answerWith(outcome)
+	response, err := http.DefaultClient.Do(f.request(http.MethodPost, chatRoute, streamBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := readEvents(t, response)
+	calls := decodeChunk(t, events[1]).Choices[0].Delta.ToolCalls
+	if string(calls) != `[{"id":"c1","index":0,"type":"function"},{"id":"c2","index":1}]` {
+		t.Errorf("tool calls %s", calls)
+	}
+	_, body := f.do(http.MethodPost, chatRoute, chatBody)
+	if !strings.Contains(body, `"tool_calls":[{"id":"c1","type":"function"},{"id":"c2"}]`) {
+		t.Errorf("whole answer %s", body)
+	}
+	for _, bad := range []string{"{", "[1]", "[null]", "{}"} {
+		outcome.ToolCalls = []byte(bad)
+		f.answerWith(outcome)
+		for _, request := range []string{streamBody, chatBody} {
+			response, body := f.do(http.MethodPost, chatRoute, request)
+			checkProblem(t, response, body, structs.ReasonTargetFailed, http.StatusBadGateway, outcomeUnknown)
+		}
+	}
+}
+
+func TestReplayedStream(t *testing.T) {
+	f := newFixture(t, nil)
+	outcome := answered
+	outcome.Replayed = true
+	f.answerWith(outcome)
+	response, err := http.DefaultClient.Do(f.request(http.MethodPost, chatRoute, streamBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := streamed(t, readEvents(t, response)); text != answered.Text || response.Header.Get(HeaderOutcome) != outcomeReplayed {
+		t.Errorf("text %q, outcome %q", text, response.Header.Get(HeaderOutcome))
+	}
+}
--- a/internal/httpapi/chatrequest.go
+++ b/internal/httpapi/chatrequest.go
@@ -18,6 +18,12 @@
 	textPartType  = "text"
 	// maxSafeInteger bounds numbers to those that JSON readers agree on.
 	maxSafeInteger = 1 << 53
+
+	maxFields       = 200
+	maxMessages     = 10_000
+	maxContentParts = 1000
+	// maxToolCalls bounds the tool calls of one message, in bytes.
+	maxToolCalls = 256 << 10
 )
 
 // Fields of a chat request that the adapter reads. The others go to the engine
@@ -54,9 +60,9 @@
 	if !utf8.Valid(body) {
 		return nil, refuse(structs.ReasonInvalid, "the body is not valid UTF-8")
 	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
-		return nil, refuse(structs.ReasonInvalid, "the body is not a JSON object")
+	fields, err := decodeObject(body, maxFields)
+	if err != nil {
+		return nil, refuse(structs.ReasonInvalid, "the body is not a JSON object: %v", err)
 	}
 	if problem := checkFieldCase(fields); problem != nil {
 		return nil, problem
@@ -125,12 +131,9 @@
 }
 
 func (r *chatRequest) parseMessages() *Problem {
-	var raw []json.RawMessage
-	if problem := r.decode(fieldMessages, &raw, "a list of messages"); problem != nil {
-		return problem
-	}
-	if len(raw) == 0 {
-		return refuse(structs.ReasonInvalid, "field %q: expected at least one message", fieldMessages)
+	raw, err := decodeList(r.fields[fieldMessages], maxMessages)
+	if err != nil || len(raw) == 0 {
+		return refuse(structs.ReasonInvalid, "field %q: expected a list of 1 to %d messages", fieldMessages, maxMessages)
 	}
 	r.messages = make([]wire.ChatMessage, 0, len(raw))
 	for i, one := range raw {
@@ -210,13 +213,14 @@
 		}
 		return *text, true
 	}
-	var parts []contentPart
-	if json.Unmarshal(raw, &parts) != nil {
+	parts, err := decodeList(raw, maxContentParts)
+	if err != nil {
 		return "", false
 	}
 	var joined strings.Builder
-	for _, part := range parts {
-		if part.Type != textPartType || part.Text == nil {
+	for _, one := range parts {
+		var part contentPart
+		if json.Unmarshal(one, &part) != nil || part.Type != textPartType || part.Text == nil {
 			return "", false
 		}
 		joined.WriteString(*part.Text)
@@ -224,24 +228,27 @@
 	return joined.String(), true
 }
 
-// parseToolCalls checks that tool calls are a list and removes white space, so
-// that the digest of a message does not depend on it.
+// parseToolCalls reads a list of tool calls and writes it again in one form, so
+// that the digest of a message does not depend on white space, escapes or the
+// order of fields.
 func parseToolCalls(raw []byte) ([]byte, bool) {
-	var calls []json.RawMessage
 	if len(raw) == 0 {
 		return nil, true
 	}
-	if json.Unmarshal(raw, &calls) != nil {
+	if len(raw) > maxToolCalls {
+		return nil, false
+	}
+	var calls []any
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	if decoder.Decode(&calls) != nil {
 		return nil, false
 	}
 	if len(calls) == 0 {
 		return nil, true
 	}
-	var compact bytes.Buffer
-	if json.Compact(&compact, raw) != nil {
-		return nil, false
-	}
-	return compact.Bytes(), true
+	written, err := json.Marshal(calls)
+	return written, err == nil
 }
 
 // encode gives the request for the engine: the caller's fields, with those
--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -9,9 +9,9 @@
 // Defaults of Config.
 const (
 	DefaultMaxBody          = 4 << 20
-	DefaultMaxBodies        = 256 << 20
-	DefaultMaxBuffer        = 256 << 10
-	DefaultMaxConcurrent    = 4096
+	DefaultMaxBodies        = 64 << 20
+	DefaultMaxBuffer        = 128 << 10
+	DefaultMaxConcurrent    = 2048
 	DefaultMaxTokens        = 32_768
 	DefaultHeaderTimeout    = 5 * time.Second
 	DefaultBodyTimeout      = 30 * time.Second
--- a/internal/httpapi/exchange.go
+++ b/internal/httpapi/exchange.go
@@ -39,7 +39,8 @@
 }
 
 // addChunk keeps a chunk for the handler, or cuts the request off if the
-// caller has not read enough of those before.
+// caller has not read enough of those before. One chunk always has room,
+// however large.
 func (e *exchange) addChunk(chunk structs.Chunk) {
 	if e.limit == 0 {
 		return
@@ -49,13 +50,14 @@
 	if e.cut || e.final != nil {
 		return
 	}
-	e.bytes += chunkSize(chunk)
-	if e.bytes > e.limit {
+	size := chunkSize(chunk)
+	if e.bytes > 0 && e.bytes+size > e.limit {
 		e.cut = true
 		e.chunks = nil
 		e.cancel(errSlowCaller)
 		return
 	}
+	e.bytes += size
 	e.chunks = append(e.chunks, chunk)
 	e.signal()
 }
--- /dev/null
+++ b/internal/httpapi/failure_test.go
@@ -0,0 +1,386 @@
+package httpapi
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// hangUp starts a request, waits for its event, and closes its connection.
+func hangUp(f *fixture, request *http.Request) structs.RequestID {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if response, err := http.DefaultClient.Do(request.WithContext(ctx)); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}()
+	id := f.submitted().Request
+	cancel()
+	<-done
+	return id
+}
+
+func TestCallerGone(t *testing.T) {
+	for name, body := range map[string]string{"whole": chatBody, "streamed": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			id := hangUp(f, f.request(http.MethodPost, chatRoute, body))
+			if gone := nextEvent[structs.CallerGone](f); gone.Request != id {
+				t.Errorf("gone %q, want %q", gone.Request, id)
+			}
+			// Commands of a request that is gone are dropped.
+			f.api.Deliver(structs.ReplyChunk{Request: id, Chunk: structs.Chunk{Texts: []string{"x"}}})
+			f.api.Deliver(structs.ReplyEnd{Request: id, Outcome: answered})
+			f.api.Deliver(structs.DrainDone{})
+			if len(f.api.exchanges.exchanges) != 0 {
+				t.Error("the request is still registered")
+			}
+		})
+	}
+}
+
+func TestNoCallerGoneAfterAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	f.answerWith(answered)
+	for range 3 {
+		_, _ = f.do(http.MethodPost, chatRoute, streamBody)
+		f.submitted()
+	}
+	f.noEvents()
+}
+
+// pipeListener gives connections that hold no bytes in flight, so that a write
+// blocks until the other side reads.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func (l *pipeListener) dial() net.Conn {
+	near, far := net.Pipe()
+	l.conns <- far
+	return near
+}
+
+func TestSlowCallerIsCutOff(t *testing.T) {
+	f := newFixture(t, func(c *Config) {
+		c.WriteTimeout = time.Hour
+		c.MaxBuffer = 8 << 10
+	})
+	listener := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+	server := f.api.HTTPServer()
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := listener.dial()
+	_, err := io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+callerKey+
+		"\r\nContent-Length: "+strconv.Itoa(len(streamBody))+"\r\n\r\n"+streamBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := f.submitted().Request
+	text := strings.Repeat("x", 4<<10)
+	f.api.Deliver(structs.ReplyChunk{Request: id, Chunk: structs.Chunk{Texts: []string{text}}})
+	waitTaken(f, id)
+	// Nobody reads, so that the handler now blocks in a write for an hour
+	// unless the full buffer ends it.
+	for i := 1; i <= 3; i++ {
+		f.api.Deliver(structs.ReplyChunk{Request: id, Chunk: structs.Chunk{First: i, Texts: []string{text}}})
+	}
+	if gone := nextEvent[structs.CallerGone](f); gone.Request != id {
+		t.Errorf("gone %q, want %q", gone.Request, id)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || strings.HasSuffix(string(answer), "0\r\n\r\n") || strings.Contains(string(answer), "[DONE]") {
+		t.Errorf("the answer looks whole: %v, %d bytes", err, len(answer))
+	}
+}
+
+// waitTaken waits until a handler has emptied its exchange.
+func waitTaken(f *fixture, id structs.RequestID) {
+	e, ok := f.api.exchanges.find(id)
+	if !ok {
+		f.t.Fatal("the request is not registered")
+	}
+	for {
+		e.mu.Lock()
+		empty := len(e.chunks) == 0
+		e.mu.Unlock()
+		if empty {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+func TestWriteDeadlineOfLastRequestDoesNotCutNext(t *testing.T) {
+	f := newFixture(t, nil)
+	conns := &deadlineConns{}
+	server := f.api.HTTPServer()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(conns.wrap(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.url = "http://" + listener.Addr().String()
+	f.answerWith(answered)
+	for range 2 {
+		_, _ = f.do(http.MethodPost, chatRoute, chatBody)
+		f.submitted()
+	}
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	var set []bool
+	for _, deadline := range conns.deadlines {
+		if bounded := !deadline.IsZero(); len(set) == 0 || set[len(set)-1] != bounded {
+			set = append(set, bounded)
+		}
+	}
+	// The server lifts the deadline after each request; that of the second
+	// answer may come after this look.
+	if len(set) < 3 || !slices.Equal(set[:3], []bool{true, false, true}) {
+		t.Errorf("write deadlines %v", conns.deadlines)
+	}
+}
+
+// deadlineConns records the write deadlines set on connections.
+type deadlineConns struct {
+	mu        sync.Mutex
+	deadlines []time.Time
+}
+
+type recordingListener struct {
+	net.Listener
+	conns *deadlineConns
+}
+
+type recordingConn struct {
+	net.Conn
+	conns *deadlineConns
+}
+
+func (d *deadlineConns) wrap(l net.Listener) net.Listener { return recordingListener{l, d} }
+
+func (l recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return recordingConn{conn, l.conns}, err
+}
+
+func (c recordingConn) SetWriteDeadline(t time.Time) error {
+	c.conns.mu.Lock()
+	c.conns.deadlines = append(c.conns.deadlines, t)
+	c.conns.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func TestCoreThatDoesNotAnswer(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.ReplyGrace = time.Nanosecond })
+	response, body := f.do(http.MethodPost, chatRoute, chatBody, HeaderDeadline, "1")
+	checkProblem(t, response, body, structs.ReasonDeadline, http.StatusGatewayTimeout, outcomeUnknown)
+	id := f.submitted().Request
+	if gone := nextEvent[structs.CallerGone](f); gone.Request != id {
+		t.Errorf("gone %q", gone.Request)
+	}
+}
+
+func TestCoreQueueFull(t *testing.T) {
+	f := newFixture(t, nil)
+	f.core.set(func(c *fakeCore) { c.full = true })
+	for _, body := range []string{chatBody, streamBody} {
+		response, text := f.do(http.MethodPost, chatRoute, body)
+		problem := checkProblem(t, response, text, structs.ReasonOverloaded, http.StatusServiceUnavailable, outcomeNotRun)
+		if problem.RetryAfterMS == 0 {
+			t.Error("no Retry-After")
+		}
+	}
+}
+
+func TestReplyOfAnotherKind(t *testing.T) {
+	f := newFixture(t, nil)
+	f.core.set(func(c *fakeCore) {
+		c.answer = func(event structs.Event) []structs.Command {
+			if submit, ok := event.(structs.CallerSubmit); ok {
+				return []structs.Command{structs.ReplyApplied{Request: submit.Request}}
+			}
+			return nil
+		}
+	})
+	for _, body := range []string{chatBody, streamBody} {
+		response, text := f.do(http.MethodPost, chatRoute, body)
+		checkProblem(t, response, text, ReasonInternal, http.StatusInternalServerError, outcomeUnknown)
+	}
+}
+
+func TestPanicIsAnsweredAsUnknown(t *testing.T) {
+	f := newFixture(t, nil)
+	f.core.set(func(c *fakeCore) { c.answer = func(structs.Event) []structs.Command { panic("broken") } })
+	response, body := f.do(http.MethodPost, chatRoute, chatBody)
+	checkProblem(t, response, body, ReasonInternal, http.StatusInternalServerError, outcomeUnknown)
+	if len(f.api.exchanges.exchanges) != 0 {
+		t.Error("the request is still registered")
+	}
+}
+
+func TestTooManyRequests(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.MaxConcurrent = 1 })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.do(http.MethodPost, chatRoute, chatBody)
+	}()
+	first := f.submitted()
+	response, body := f.do(http.MethodPost, chatRoute, chatBody)
+	problem := checkProblem(t, response, body, structs.ReasonOverloaded, http.StatusServiceUnavailable, outcomeNotRun)
+	if problem.RetryAfterMS == 0 {
+		t.Error("no Retry-After")
+	}
+	// Operators still get through.
+	dump, _ := f.do(http.MethodGet, "/debug/state", "", "Authorization", "Bearer "+rootKey)
+	if dump.StatusCode != http.StatusOK {
+		t.Errorf("dump: status %d", dump.StatusCode)
+	}
+	f.api.Deliver(structs.ReplyEnd{Request: first.Request, Outcome: answered})
+	<-done
+	f.answerWith(answered)
+	response, _ = f.do(http.MethodPost, chatRoute, chatBody)
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("afterwards: status %d", response.StatusCode)
+	}
+}
+
+func TestTooManyBodyBytes(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.MaxBody, c.MaxBodies = 1000, 1000 })
+	body := strings.Replace(chatBody, "hello", strings.Repeat("x", 600), 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.do(http.MethodPost, chatRoute, body)
+	}()
+	first := f.submitted()
+	response, text := f.do(http.MethodPost, chatRoute, body)
+	checkProblem(t, response, text, structs.ReasonOverloaded, http.StatusServiceUnavailable, outcomeNotRun)
+	f.api.Deliver(structs.ReplyEnd{Request: first.Request, Outcome: answered})
+	<-done
+	f.answerWith(answered)
+	for range 3 {
+		request := f.request(http.MethodPost, chatRoute, "")
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(body)), -1
+		if response, text := f.send(request); response.StatusCode != http.StatusOK {
+			t.Errorf("afterwards: %d %s", response.StatusCode, text)
+		}
+	}
+}
+
+func TestSlowBody(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.BodyTimeout = time.Nanosecond })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+callerKey+
+		"\r\nContent-Length: 100\r\n\r\n{")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body)
+	checkProblem(t, response, string(body), ReasonTimeout, http.StatusRequestTimeout, outcomeNotRun)
+	if !response.Close {
+		t.Error("the connection stays open")
+	}
+}
+
+func TestRequestIDsAreUnique(t *testing.T) {
+	seen := make(map[structs.RequestID]bool)
+	for _, ids := range []*requestIDs{
+		newRequestIDs("duluth-1", "i1"), newRequestIDs("duluth-1", "i2"), newRequestIDs("erie-1", "i1"),
+	} {
+		for range 1000 {
+			id := ids.next()
+			if seen[id] {
+				t.Fatalf("%q twice", id)
+			}
+			seen[id] = true
+		}
+	}
+}
+
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	f := newFixture(t, nil)
+	f.core.set(func(c *fakeCore) {
+		c.answer = func(event structs.Event) []structs.Command {
+			submit := event.(structs.CallerSubmit)
+			outcome := answered
+			outcome.Text = string(submit.Call.Program)
+			return []structs.Command{structs.ReplyEnd{Request: submit.Request, Outcome: outcome}}
+		}
+	})
+	var group sync.WaitGroup
+	for range 200 {
+		group.Go(func() {
+			response, body := f.do(http.MethodPost, chatRoute, chatBody)
+			if !strings.Contains(body, response.Header.Get(HeaderProgram)) {
+				t.Errorf("program %q: %s", response.Header.Get(HeaderProgram), body)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestDumpFailure(t *testing.T) {
+	core := &failingCore{fakeCore{health: Health{State: HealthReady}}}
+	api := New(Config{RootKeyHash: hashKey(rootKey)}, core, tally.NoopScope, slog.New(slog.DiscardHandler))
+	f := newFixture(t, nil)
+	f.api = api
+	server := api.HTTPServer()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.url = "http://" + listener.Addr().String()
+	response, body := f.do(http.MethodGet, "/debug/state", "", "Authorization", "Bearer "+rootKey)
+	checkProblem(t, response, body, ReasonInternal, http.StatusInternalServerError, outcomeNotRun)
+}
+
+type failingCore struct{ fakeCore }
+
+func (*failingCore) Dump(context.Context) (any, error) { return nil, errors.New("stopped") }
--- /dev/null
+++ b/internal/httpapi/json.go
@@ -0,0 +1,107 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Errors of bounded JSON reading.
+var (
+	errNotObject  = errors.New("expected an object")
+	errNotList    = errors.New("expected a list")
+	errTooMany    = errors.New("too many elements")
+	errRepeated   = errors.New("a field is given more than once")
+	errSecondJSON = errors.New("more than one JSON value")
+)
+
+// decodeObject reads the fields of a JSON object without decoding their
+// values. It refuses repeated fields, of which readers differ in the one they
+// take, and more fields than limit before it has memory for them.
+func decodeObject(body []byte, limit int) (map[string]json.RawMessage, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := expectOpen(decoder, '{', errNotObject); err != nil {
+		return nil, err
+	}
+	fields := make(map[string]json.RawMessage)
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		// Tokens where a field begins are strings.
+		name, _ := token.(string)
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return nil, err
+		}
+		if _, repeated := fields[name]; repeated {
+			return nil, errRepeated
+		}
+		if len(fields) == limit {
+			return nil, errTooMany
+		}
+		fields[name] = value
+	}
+	return fields, expectEnd(decoder)
+}
+
+// decodeList reads the elements of a JSON list without decoding them, at most
+// limit.
+func decodeList(raw []byte, limit int) ([]json.RawMessage, error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if err := expectOpen(decoder, '[', errNotList); err != nil {
+		return nil, err
+	}
+	var list []json.RawMessage
+	for decoder.More() {
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return nil, err
+		}
+		if len(list) == limit {
+			return nil, errTooMany
+		}
+		list = append(list, value)
+	}
+	return list, expectEnd(decoder)
+}
+
+func expectOpen(decoder *json.Decoder, open json.Delim, wrong error) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	if token != open {
+		return wrong
+	}
+	return nil
+}
+
+// expectEnd reads the closing mark and checks that nothing follows it.
+func expectEnd(decoder *json.Decoder) error {
+	if _, err := decoder.Token(); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errSecondJSON
+	}
+	return nil
+}
+
+// decodeStrict reads a JSON body that may hold no other fields than value's.
+func decodeStrict(body []byte, value any) *Problem {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return refuse(structs.ReasonInvalid, "the body is not the JSON that the route expects: %v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return refuse(structs.ReasonInvalid, "the body holds more than one JSON value")
+	}
+	return nil
+}
--- a/internal/httpapi/metrics.go
+++ b/internal/httpapi/metrics.go
@@ -32,13 +32,12 @@
 }
 
 func newServerMetrics(scope tally.Scope) *serverMetrics {
-	sub := scope.SubScope("http")
 	return &serverMetrics{
-		scope:    sub,
-		gauge:    sub.Gauge("requests_in_flight"),
-		panics:   sub.Counter("panics"),
-		cutOff:   sub.Counter("slow_callers_cut_off"),
-		lostGone: sub.Counter("caller_gone_not_posted"),
+		scope:    scope,
+		gauge:    scope.Gauge("requests_in_flight"),
+		panics:   scope.Counter("panics"),
+		cutOff:   scope.Counter("slow_callers_cut_off"),
+		lostGone: scope.Counter("caller_gone_not_posted"),
 	}
 }
 
--- a/internal/httpapi/middleware.go
+++ b/internal/httpapi/middleware.go
@@ -45,8 +45,6 @@
 	info := &requestInfo{id: s.ids.next(), started: s.config.Now(), outcome: outcomeDone}
 	c.Set(infoKey, info)
 	c.Header(HeaderRequest, string(info.id))
-	// A connection keeps the write deadline of the request before.
-	_ = http.NewResponseController(c.Writer).SetWriteDeadline(time.Time{})
 	s.metrics.begin()
 	defer s.finish(c, info)
 	c.Next()
--- a/internal/httpapi/operators.go
+++ b/internal/httpapi/operators.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
@@ -20,3 +21,23 @@
 	}
 	s.writeJSON(c, status, health)
 }
+
+// dump gives the state of this instance.
+func (s *Server) dump(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), s.config.OperatorTimeout)
+	defer cancel()
+	state, err := s.core.Dump(ctx)
+	if err != nil {
+		s.log.Error("state dump", "request", infoOf(c).id, "error", err)
+		s.fail(c, refuse(ReasonInternal, "the state could not be read"))
+		return
+	}
+	s.writeJSON(c, http.StatusOK, state)
+}
+
+// drain begins the graceful shutdown of this instance.
+func (s *Server) drain(c *gin.Context) {
+	s.log.Info("drain asked for", "request", infoOf(c).id, "principal", infoOf(c).principal.Name)
+	s.core.Drain()
+	s.writeJSON(c, http.StatusAccepted, Health{State: HealthDraining})
+}
--- a/internal/httpapi/programs.go
+++ b/internal/httpapi/programs.go
@@ -1,8 +1,6 @@
 package httpapi
 
 import (
-	"bytes"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -208,16 +206,3 @@
 	}
 	return limit, nil
 }
-
-// decodeStrict reads a JSON body that may hold no other fields than value's.
-func decodeStrict(body []byte, value any) *Problem {
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
-		return refuse(structs.ReasonInvalid, "the body is not the JSON that the route expects: %v", err)
-	}
-	if decoder.More() {
-		return refuse(structs.ReasonInvalid, "the body holds more than one JSON value")
-	}
-	return nil
-}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -77,7 +77,7 @@
 		s.fail(c, refuse(ReasonMethodNotAllowed, "the path does not take this method"))
 	})
 	s.publicRoutes(engine)
-	s.callerRoutes(engine.Group("/v1", s.limit, s.authenticate))
+	s.callerRoutes(engine.Group("/v1", s.limit, s.authenticate, s.requireStarted))
 	s.operatorRoutes(engine.Group("", s.authenticate, s.requireOperator))
 	return engine
 }
@@ -100,4 +100,10 @@
 
 func (s *Server) operatorRoutes(group gin.IRoutes) {
 	group.GET("/v1/programs", s.listPrograms)
+	group.GET("/v1/settings", s.getSetting)
+	group.PUT("/v1/settings", s.putSettings)
+	group.GET("/v1/settings/history", s.settingHistory)
+	group.GET("/v1/settings/applied", s.settingsApplied)
+	group.GET("/debug/state", s.requireRoot, s.dump)
+	group.POST("/v1/drain", s.requireRoot, s.drain)
 }
--- /dev/null
+++ b/internal/httpapi/settings.go
@@ -0,0 +1,201 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	teamsSubtree     = "teams/"
+	maxChanges       = 1000
+	maxChangeID      = 128
+	maxSettingLength = 512
+)
+
+// changeRequest is one change in the body of PUT /v1/settings.
+type changeRequest struct {
+	Path string `json:"path"`
+	// Base is the version that the author saw, 0 if none.
+	Base uint64 `json:"base"`
+	// Value is the new value; absent or null removes the value.
+	Value json.RawMessage `json:"value"`
+	// ChangeID makes a retry of the change apply once; one is made if absent.
+	ChangeID string `json:"change_id"`
+}
+
+// changesRequest is the body of PUT /v1/settings.
+type changesRequest struct {
+	Changes []changeRequest `json:"changes"`
+}
+
+// changesReply is the answer to changes that are in force.
+type changesReply struct {
+	Status  structs.SettingsStatus `json:"status"`
+	Version uint64                 `json:"version"`
+	Offset  uint64                 `json:"offset"`
+	// ChangeIDs are those of the changes, in order.
+	ChangeIDs []string `json:"change_ids"`
+}
+
+// appliedReply tells which settings offset each instance has applied.
+type appliedReply struct {
+	Applied map[structs.InstanceID]uint64 `json:"applied"`
+	Missing []structs.InstanceID          `json:"missing"`
+}
+
+func (s *Server) getSetting(c *gin.Context) {
+	s.readSetting(c, s.core.Setting)
+}
+
+func (s *Server) settingHistory(c *gin.Context) {
+	s.readSetting(c, s.core.SettingHistory)
+}
+
+func (s *Server) readSetting(c *gin.Context, read func(string) (any, bool)) {
+	path := c.Query("path")
+	if problem := checkSettingPath(infoOf(c).principal, path); problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	value, ok := read(path)
+	if !ok {
+		s.fail(c, refuse(ReasonNotFound, "there is nothing at this path"))
+		return
+	}
+	s.writeJSON(c, http.StatusOK, value)
+}
+
+// checkSettingPath refuses a path that is malformed or that the principal does
+// not reach. The empty path is the whole tree.
+func checkSettingPath(principal Principal, path string) *Problem {
+	if path != "" && (len(path) > maxSettingLength || !validTreePath(path)) {
+		return refuse(structs.ReasonInvalid, "path: expected segments such as teams/lakeshore/priority")
+	}
+	if principal.Root() {
+		return nil
+	}
+	team, found := strings.CutPrefix(path, teamsSubtree)
+	if !found || !principal.Team.Contains(structs.Team(team)) {
+		return refuse(structs.ReasonForbidden, "the key reaches %s%s only", teamsSubtree, principal.Team)
+	}
+	return nil
+}
+
+func (s *Server) putSettings(c *gin.Context) {
+	changes, problem := s.readChanges(c)
+	if problem != nil {
+		s.fail(c, problem)
+		return
+	}
+	info := infoOf(c)
+	deadline := s.config.Now().Add(s.config.OperatorTimeout)
+	reply, ok := ask[structs.ReplySettings](s, c, structs.SettingsPropose{
+		Request: info.id, Changes: changes, Deadline: deadline,
+	}, deadline)
+	if !ok {
+		return
+	}
+	if reply.Result.Status != structs.SettingsAccepted {
+		s.fail(c, settingsProblem(reply.Result))
+		return
+	}
+	answer := changesReply{
+		Status: reply.Result.Status, Version: reply.Result.Version, Offset: reply.Result.Offset,
+		ChangeIDs: make([]string, 0, len(changes)),
+	}
+	for _, change := range changes {
+		answer.ChangeIDs = append(answer.ChangeIDs, change.ChangeID)
+	}
+	s.writeJSON(c, http.StatusOK, answer)
+}
+
+func (s *Server) readChanges(c *gin.Context) ([]structs.SettingChange, *Problem) {
+	body, release, problem := s.readBody(c)
+	defer release()
+	if problem != nil {
+		return nil, problem
+	}
+	if problem := requireJSON(c.Request); problem != nil {
+		return nil, problem
+	}
+	var request changesRequest
+	if problem := decodeStrict(body, &request); problem != nil {
+		return nil, problem
+	}
+	if len(request.Changes) == 0 || len(request.Changes) > maxChanges {
+		return nil, refuse(structs.ReasonInvalid, "changes: expected 1 to %d", maxChanges)
+	}
+	principal := infoOf(c).principal
+	changes := make([]structs.SettingChange, 0, len(request.Changes))
+	for _, one := range request.Changes {
+		change, problem := newChange(principal, one)
+		if problem != nil {
+			return nil, problem
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func newChange(principal Principal, request changeRequest) (structs.SettingChange, *Problem) {
+	if request.Path == "" {
+		return structs.SettingChange{}, refuse(structs.ReasonInvalid, "path: expected the path of a setting")
+	}
+	if problem := checkSettingPath(principal, request.Path); problem != nil {
+		problem.Path = request.Path
+		return structs.SettingChange{}, problem
+	}
+	if len(request.ChangeID) > maxChangeID || !printable(request.ChangeID) {
+		return structs.SettingChange{}, refuse(structs.ReasonInvalid,
+			"change_id: expected printable ASCII, at most %d", maxChangeID)
+	}
+	if request.ChangeID == "" {
+		request.ChangeID = ulid.Make().String()
+	}
+	value := []byte(request.Value)
+	if bytes.Equal(value, []byte("null")) {
+		value = nil
+	}
+	return structs.SettingChange{
+		Path: request.Path, Base: request.Base, Value: value,
+		ChangeID: request.ChangeID, Author: principal.Name,
+	}, nil
+}
+
+// settingsProblem makes the problem of a proposal that was not accepted.
+func settingsProblem(result structs.SettingsResult) *Problem {
+	var problem *Problem
+	switch result.Status {
+	case structs.SettingsLost:
+		problem = refuse(ReasonSettingsLost, "%s", result.Detail)
+	case structs.SettingsInvalid:
+		problem = refuse(structs.ReasonInvalid, "%s", result.Detail)
+	case structs.SettingsNotPublished:
+		problem = refuse(structs.ReasonLogUnavailable, "%s", result.Detail).retryAfter(localRetryAfter)
+	default:
+		problem = newProblem(ReasonSettingsUnknown, outcomeUnknown, result.Detail)
+	}
+	problem.Path, problem.Expected = result.Path, result.Expected
+	problem.Version, problem.Offset, problem.Winner = result.Version, result.Offset, result.Winner
+	return problem
+}
+
+// settingsApplied tells which instance has applied which settings offset.
+func (s *Server) settingsApplied(c *gin.Context) {
+	deadline := s.config.Now().Add(s.config.OperatorTimeout)
+	reply, ok := ask[structs.ReplyApplied](s, c, structs.SettingsApplied{
+		Request: infoOf(c).id, Deadline: deadline,
+	}, deadline)
+	if ok {
+		s.writeJSON(c, http.StatusOK, appliedReply{
+			Applied: reply.Applied, Missing: append([]structs.InstanceID{}, reply.Missing...),
+		})
+	}
+}
--- a/internal/httpapi/wait.go
+++ b/internal/httpapi/wait.go
@@ -28,9 +28,16 @@
 	ctx, cancel := context.WithCancelCause(c.Request.Context())
 	e := newExchange(infoOf(c).id, limit, cancel)
 	s.exchanges.add(e)
-	if !s.core.Post(event) {
-		s.exchanges.remove(e.id)
-		cancel(nil)
+	posted := false
+	defer func() {
+		// Also if the core panicked.
+		if !posted {
+			s.exchanges.remove(e.id)
+			cancel(nil)
+		}
+	}()
+	posted = s.core.Post(event)
+	if !posted {
 		return nil, busy("the instance's queue is full or the instance has stopped")
 	}
 	wait := deadline.Sub(s.config.Now()) + s.config.ReplyGrace
