settings: proposer that follows the log and answers operators

Cause: an operator must hear what the log decided, an instance must not serve before it knows the settings, and retention must not eat them.

--- /dev/null
+++ b/internal/settings/catchup.go
@@ -0,0 +1,163 @@
+package settings
+
+import (
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// maxGapRecords bounds the records held while the tree has a gap.
+const maxGapRecords = 4096
+
+// Sources of the state that an instance started with.
+const (
+	sourceLog  = "log"
+	sourcePeer = "peer"
+)
+
+// catchUp follows the settings stream.
+type catchUp struct {
+	// done is set once, by which source.
+	done   bool
+	source string
+	// target is the end of the stream seen first; reading through it ends
+	// the catch-up.
+	target   uint64
+	targeted bool
+	// next is the offset that the reader is at.
+	next uint64
+	// logDown tells that the last read failed.
+	logDown bool
+	// gap tells that records between the tree's offset and gapStart are no
+	// longer retained. held are the records from gapStart on, to be applied
+	// on top of a snapshot.
+	gap      bool
+	gapStart uint64
+	held     []wire.LogRecord
+	// behind tells that the log ends before the tree's offset, which only a
+	// log that lost records does.
+	behind bool
+}
+
+// stuck tells that the log cannot bring the tree up to date for now: it is down,
+// or it has been read to its end and the gap is still there.
+func (c *catchUp) stuck() bool {
+	return c.logDown || c.gap && c.targeted && c.next >= c.target
+}
+
+// lost tells that no settings are left: the log dropped its first records, holds
+// no snapshot, and this instance has no state of its own.
+func (p *Proposer) lost() bool {
+	c := &p.catchUp
+	return c.gap && !c.done && !c.logDown && c.stuck() && p.tree.Next() == 0
+}
+
+// tail starts or moves the reading of the stream.
+func (p *Proposer) tail(from uint64) {
+	p.catchUp.next = from
+	p.emit(structs.LogTail{Stream: structs.SettingsStream, From: from})
+}
+
+func (p *Proposer) logRead(ev structs.LogRead) {
+	c := &p.catchUp
+	c.logDown = false
+	if !c.targeted {
+		c.targeted, c.target = true, ev.End
+	}
+	c.behind = ev.End < p.tree.Next()
+	for _, rec := range ev.Records {
+		if rec.Offset < c.next {
+			continue
+		}
+		if rec.Offset > c.next {
+			// The reader left records out: read them.
+			p.tail(c.next)
+			return
+		}
+		c.next = rec.Offset + 1
+		p.take(rec)
+	}
+	p.checkCaughtUp()
+}
+
+func (p *Proposer) checkCaughtUp() {
+	c := &p.catchUp
+	if !c.done && !c.gap && c.targeted && p.tree.Next() >= c.target {
+		c.done, c.source = true, sourceLog
+	}
+}
+
+// take applies a record, or holds it while the tree has a gap.
+func (p *Proposer) take(rec wire.LogRecord) {
+	r, err := decodeRecord(rec.Data)
+	isSnapshot := err == nil && r.Snapshot != nil
+	if isSnapshot {
+		p.checkpoint.seen(p.recordTime(rec))
+	}
+	c := &p.catchUp
+	if !c.gap {
+		p.checkpoint.count(p.recordTime(rec), isSnapshot)
+		p.tree.applyRecord(rec.Offset, r, err)
+		return
+	}
+	c.hold(rec)
+	if isSnapshot && r.Snapshot.Next >= c.gapStart && r.Snapshot.Next <= rec.Offset {
+		p.tree.restore(r.Snapshot)
+		p.closeGap()
+	}
+}
+
+// hold keeps a record for after the gap. Dropping the oldest widens the gap.
+func (c *catchUp) hold(rec wire.LogRecord) {
+	c.held = append(c.held, rec)
+	if len(c.held) > maxGapRecords {
+		c.held = c.held[1:]
+		c.gapStart = c.held[0].Offset
+	}
+}
+
+// closeGap applies the held records if the tree now reaches them.
+func (p *Proposer) closeGap() {
+	c := &p.catchUp
+	if !c.gap || p.tree.Next() < c.gapStart {
+		return
+	}
+	held := c.held
+	c.gap, c.held = false, nil
+	for _, rec := range held {
+		p.tree.Apply(rec.Offset, rec.Data)
+	}
+}
+
+func (p *Proposer) logReadFailed(ev structs.LogReadFailed) {
+	c := &p.catchUp
+	if !ev.Truncated {
+		c.logDown = true
+		return
+	}
+	c.logDown = false
+	if ev.First > p.tree.Next() {
+		c.gap, c.gapStart, c.held = true, ev.First, nil
+		p.tail(ev.First)
+		return
+	}
+	p.tail(p.tree.Next())
+}
+
+// takeState takes over a peer's state if it is newer.
+func (p *Proposer) takeState(state []byte) {
+	took, err := p.tree.Restore(state)
+	if err != nil {
+		p.exchange.malformed++
+		return
+	}
+	if !took {
+		return
+	}
+	p.checkpoint.restored(p.now, p.retention())
+	p.closeGap()
+	if p.tree.Next() > p.catchUp.next {
+		p.catchUp.held = nil
+		p.tail(p.tree.Next())
+	}
+	p.checkCaughtUp()
+}
--- a/internal/settings/credential.go
+++ b/internal/settings/credential.go
@@ -30,6 +30,7 @@
 const (
 	credentialExpected = `{"role": "caller" or "operator", "sha256": 64 hex digits (the SHA-256 of the key)}`
 	shownHexDigits     = 8
+	hiddenValue        = `"(hidden)"`
 )
 
 // credentialValue is the value of a credential in the tree.
@@ -79,12 +80,12 @@
 func redactCredential(value []byte) []byte {
 	var credential credentialValue
 	if json.Unmarshal(value, &credential) != nil || len(credential.SHA256) < shownHexDigits {
-		return []byte(`"(hidden)"`)
+		return []byte(hiddenValue)
 	}
 	credential.SHA256 = credential.SHA256[:shownHexDigits] + "..."
 	shown, err := json.Marshal(credential)
 	if err != nil {
-		return []byte(`"(hidden)"`)
+		return []byte(hiddenValue)
 	}
 	return shown
 }
--- a/internal/settings/history.go
+++ b/internal/settings/history.go
@@ -4,10 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
-	"time"
 )
 
-// HistoryEntry is one past change of a path.
+// HistoryEntry is one past change of a path as the tree keeps it.
 type HistoryEntry struct {
 	Version uint64 `codec:"n"`
 	Author  string `codec:"a,omitempty"`
@@ -17,9 +16,6 @@
 	Value []byte `codec:"v,omitempty"`
 }
 
-// Time is the author's wall clock at the change.
-func (h HistoryEntry) Time() time.Time { return time.UnixMilli(h.TimeMS).UTC() }
-
 func (e *entry) addHistory(change HistoryEntry) {
 	e.History = append(e.History, change)
 	if len(e.History) > HistoryLength {
@@ -27,23 +23,6 @@
 	}
 }
 
-// History gives the last changes of a path, newest first. Hashes of credentials
-// are cut short. A tree restored from a large snapshot may know fewer.
-func (t *Tree) History(path string) []HistoryEntry {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e, ok := t.entries[path]
-	if !ok {
-		return nil
-	}
-	list := slices.Clone(e.History)
-	slices.Reverse(list)
-	for i := range list {
-		list[i].Value = redact(path, list[i].Value)
-	}
-	return list
-}
-
 // ValueDigest is a short digest of a value's canonical JSON. It lets a client
 // compare a value of a file with one whose secrets it is not shown.
 func ValueDigest(value []byte) string {
--- /dev/null
+++ b/internal/settings/show.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Entry is one path of the tree as operators see it.
+type Entry struct {
+	Path string `json:"path"`
+	// Value is absent for a removed path; the hash of a credential is cut
+	// short.
+	Value   json.RawMessage `json:"value,omitempty"`
+	Version uint64          `json:"version"`
+	Author  string          `json:"author"`
+	// Time is the author's wall clock.
+	Time time.Time `json:"time"`
+	// Digest is ValueDigest of the whole value, to compare it with a file.
+	Digest string `json:"digest,omitempty"`
+	// Removed marks a path without a value; its version is the base of the
+	// next change.
+	Removed bool `json:"removed,omitempty"`
+}
+
+// Listing is a part of the tree, applied up to the offset Next.
+type Listing struct {
+	Next    uint64  `json:"next"`
+	Entries []Entry `json:"entries"`
+}
+
+// PastChange is one change in the history of a path.
+type PastChange struct {
+	Path    string          `json:"path"`
+	Version uint64          `json:"version"`
+	Author  string          `json:"author"`
+	Time    time.Time       `json:"time"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Removed bool            `json:"removed,omitempty"`
+}
+
+// HistoryListing is the retained changes of a part of the tree, newest first.
+type HistoryListing struct {
+	Next    uint64       `json:"next"`
+	Changes []PastChange `json:"changes"`
+}
+
+// Get gives one path, also a removed one, false if it never had a value.
+func (t *Tree) Get(path string) (Entry, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[path]
+	if !ok {
+		return Entry{}, false
+	}
+	return e.shown(path), true
+}
+
+// Listing gives a path and all below it, removed ones included, in order of
+// path; false if there is nothing. The empty path lists all and is always true.
+func (t *Tree) Listing(path string) (Listing, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	list := Listing{Next: t.next, Entries: []Entry{}}
+	for at, e := range t.entries {
+		if within(path, at) {
+			list.Entries = append(list.Entries, e.shown(at))
+		}
+	}
+	slices.SortFunc(list.Entries, func(a, b Entry) int { return strings.Compare(a.Path, b.Path) })
+	return list, path == "" || len(list.Entries) > 0
+}
+
+// HistoryListing gives the retained changes of a path and of all below it,
+// newest first; false if there are none.
+func (t *Tree) HistoryListing(path string) (HistoryListing, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	list := HistoryListing{Next: t.next, Changes: []PastChange{}}
+	for at, e := range t.entries {
+		if !within(path, at) {
+			continue
+		}
+		for _, h := range e.History {
+			list.Changes = append(list.Changes, h.shown(at))
+		}
+	}
+	slices.SortFunc(list.Changes, func(a, b PastChange) int {
+		if a.Version != b.Version {
+			return compareNewestFirst(a.Version, b.Version)
+		}
+		return strings.Compare(a.Path, b.Path)
+	})
+	return list, path == "" || len(list.Changes) > 0
+}
+
+func compareNewestFirst(a, b uint64) int {
+	if a > b {
+		return -1
+	}
+	return 1
+}
+
+// within tells whether a path is the root or lies at or below it.
+func within(root, path string) bool {
+	return root == "" || path == root || strings.HasPrefix(path, root+"/")
+}
+
+func (e *entry) shown(path string) Entry {
+	shown := Entry{Path: path, Version: e.Version, Author: e.Author, Time: wallTime(e.TimeMS)}
+	if len(e.Value) == 0 {
+		shown.Removed = true
+		return shown
+	}
+	shown.Value, shown.Digest = redact(path, e.Value), ValueDigest(e.Value)
+	return shown
+}
+
+func (h HistoryEntry) shown(path string) PastChange {
+	return PastChange{
+		Path: path, Version: h.Version, Author: h.Author, Time: wallTime(h.TimeMS),
+		Value: redact(path, h.Value), Removed: len(h.Value) == 0,
+	}
+}
+
+func wallTime(milliseconds int64) time.Time { return time.UnixMilli(milliseconds).UTC() }
+
+// redact gives a value as operators may see it. A value that is not JSON, which
+// only a faulty program writes, is hidden so that the listing stays JSON.
+func redact(path string, value []byte) json.RawMessage {
+	if len(value) == 0 {
+		return nil
+	}
+	loc, err := parsePath(path)
+	if err == nil && loc.Credential != "" {
+		return redactCredential(value)
+	}
+	if !json.Valid(value) {
+		return json.RawMessage(hiddenValue)
+	}
+	return value
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -1,10 +1,7 @@
 package settings
 
 import (
-	"slices"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -56,6 +53,8 @@
 // Outcome tells what became of a record that the tree has applied.
 type Outcome struct {
 	Accepted bool `codec:"k,omitempty"`
+	// TooLarge: it would have taken the tree over its limits.
+	TooLarge bool `codec:"z,omitempty"`
 	// Offset is the record's offset on the log.
 	Offset uint64 `codec:"o"`
 	// Path is the path that a lost record lost, Version the version that was
@@ -105,32 +104,32 @@
 
 // Apply applies the record at an offset. Offsets below Next were applied before
 // and are ignored; the caller sees to it that no offset is left out. A record
-// that cannot be read is counted and skipped.
+// that cannot be read is counted and skipped. A snapshot changes nothing, since
+// the tree has applied what it holds.
 func (t *Tree) Apply(offset uint64, data []byte) {
+	r, err := decodeRecord(data)
+	t.applyRecord(offset, r, err)
+}
+
+// applyRecord applies a decoded record; err tells that it could not be read.
+func (t *Tree) applyRecord(offset uint64, r record, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if offset < t.next {
 		return
 	}
 	t.next = offset + 1
-	r, err := decodeRecord(data)
 	if err != nil {
 		t.skipped++
 		return
 	}
-	if r.Snapshot != nil {
-		return
+	if r.Snapshot == nil {
+		t.applyChanges(offset, r.Changes)
 	}
-	t.applyChanges(offset, r.Changes)
 }
 
 // applyChanges applies all changes of a record or none.
 func (t *Tree) applyChanges(offset uint64, changes []recordChange) {
-	for _, change := range changes {
-		if _, seen := t.outcomes[change.ChangeID]; seen {
-			return
-		}
-	}
 	outcome := t.judge(offset, changes)
 	t.remember(changes, outcome)
 	if !outcome.Accepted {
@@ -146,26 +145,30 @@
 func (t *Tree) judge(offset uint64, changes []recordChange) Outcome {
 	digest := changesDigest(changes)
 	for _, change := range changes {
-		present := t.entries[change.Path]
-		if present.versionOrNone() == change.Base {
-			continue
-		}
-		lost := Outcome{Offset: offset, Path: change.Path, Version: present.versionOrNone(), Digest: digest}
-		if present != nil {
-			lost.Winner = present.Author
+		_, seen := t.outcomes[change.ChangeID]
+		if seen || t.entries[change.Path].versionOrNone() != change.Base {
+			return t.lost(offset, change.Path, digest)
 		}
-		return lost
 	}
 	paths, size := t.sizeAfter(plainChanges(changes))
 	if paths > MaxPaths || size > MaxTreeBytes {
 		t.skipped++
-		return Outcome{Offset: offset, Path: changes[0].Path, Digest: digest}
+		return Outcome{TooLarge: true, Offset: offset, Path: changes[0].Path, Digest: digest}
 	}
 	first := changes[0]
 	return Outcome{Accepted: true, Offset: offset, Path: first.Path, Version: offset + 1,
 		Winner: first.Author, Digest: digest}
 }
 
+// lost is the outcome of a record that lost a path to its present version.
+func (t *Tree) lost(offset uint64, path string, digest uint64) Outcome {
+	outcome := Outcome{Offset: offset, Path: path, Digest: digest}
+	if present := t.entries[path]; present != nil {
+		outcome.Version, outcome.Winner = present.Version, present.Author
+	}
+	return outcome
+}
+
 func (t *Tree) store(offset uint64, change recordChange) {
 	e := t.entries[change.Path]
 	if e == nil {
@@ -179,7 +182,8 @@
 	e.addHistory(HistoryEntry{Version: e.Version, Author: e.Author, TimeMS: e.TimeMS, Value: e.Value})
 }
 
-// remember keeps the outcome under each change id of the record.
+// remember keeps the outcome under each change id of the record. The first
+// outcome of an id stays.
 func (t *Tree) remember(changes []recordChange, outcome Outcome) {
 	for _, change := range changes {
 		if _, seen := t.outcomes[change.ChangeID]; seen {
@@ -227,61 +231,3 @@
 	}
 	return digest.Sum64()
 }
-
-// Entry is one path of the tree as operators see it.
-type Entry struct {
-	Path string `json:"path"`
-	// Value is JSON; the hash of a credential is cut short.
-	Value   []byte `json:"-"`
-	Version uint64 `json:"version"`
-	Author  string `json:"author"`
-	// Time is the author's wall clock.
-	Time time.Time `json:"time"`
-	// Digest is the digest of the whole value, to compare it with a file.
-	Digest string `json:"digest"`
-	// Removed marks a path without a value; its version is the base of the
-	// next change.
-	Removed bool `json:"removed,omitempty"`
-}
-
-// Get gives one path, also a removed one, false if it never had a value.
-func (t *Tree) Get(path string) (Entry, bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e, ok := t.entries[path]
-	if !ok {
-		return Entry{}, false
-	}
-	return e.shown(path), true
-}
-
-// List gives the path and all below it, removed ones included, in order of
-// path. The empty path lists all.
-func (t *Tree) List(path string) []Entry {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var list []Entry
-	for at, e := range t.entries {
-		if path == "" || at == path || strings.HasPrefix(at, path+"/") {
-			list = append(list, e.shown(at))
-		}
-	}
-	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Path, b.Path) })
-	return list
-}
-
-func (e *entry) shown(path string) Entry {
-	return Entry{
-		Path: path, Value: redact(path, e.Value), Version: e.Version, Author: e.Author,
-		Time: time.UnixMilli(e.TimeMS).UTC(), Digest: ValueDigest(e.Value), Removed: len(e.Value) == 0,
-	}
-}
-
-// redact hides what operators must not see of a value.
-func redact(path string, value []byte) []byte {
-	loc, err := parsePath(path)
-	if err != nil || loc.Credential == "" || len(value) == 0 {
-		return value
-	}
-	return redactCredential(value)
-}
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -31,6 +31,16 @@
 	return data
 }
 
+func listed(tree *Tree) []Entry {
+	list, _ := tree.Listing("")
+	return list.Entries
+}
+
+func past(tree *Tree, path string) []PastChange {
+	list, _ := tree.HistoryListing(path)
+	return list.Changes
+}
+
 // treeOf applies one record of first values.
 func treeOf(t *testing.T, values map[string]string) *Tree {
 	t.Helper()
@@ -153,7 +163,7 @@
 		path := fmt.Sprintf("teams/t%d/priority", i)
 		tree.Apply(uint64(i), encode(t, record{Changes: []recordChange{change(path, 0, "1")}}))
 	}
-	if got := len(tree.List("")); got != MaxPaths {
+	if got := len(listed(tree)); got != MaxPaths {
 		t.Fatalf("%d paths", got)
 	}
 	refused := tree.Validate([]structs.SettingChange{{Path: "teams/x/priority", Value: []byte("1"), ChangeID: "x"}})
@@ -171,7 +181,7 @@
 	for i := range uint64(HistoryLength + 5) {
 		tree.Apply(i, encode(t, record{Changes: []recordChange{change("teams/a/max_queued", i, fmt.Sprint(i+1))}}))
 	}
-	history := tree.History("teams/a/max_queued")
+	history := past(tree, "teams/a/max_queued")
 	if len(history) != HistoryLength || history[0].Version != HistoryLength+5 || string(history[0].Value) != "37" {
 		t.Fatalf("%d entries, first %+v", len(history), history[0])
 	}
@@ -206,7 +216,7 @@
 					}
 				}
 			}
-			return len(steps) <= cut || fmt.Sprint(tree.List("")) == fmt.Sprint(restored.List(""))
+			return len(steps) <= cut || fmt.Sprint(listed(tree)) == fmt.Sprint(listed(restored))
 		},
 		gen.SliceOf(gen.IntRange(0, 59)), gen.IntRange(0, 20),
 	))
--- a/internal/settings/validate_test.go
+++ b/internal/settings/validate_test.go
@@ -124,7 +124,7 @@
 	if _, ok := tree.Authenticate("other"); ok {
 		t.Fatal("a wrong key is accepted")
 	}
-	shown := fmt.Sprintf("%s %s", tree.List("")[0].Value, tree.History("teams/lakeshore/credentials/ada")[0].Value)
+	shown := fmt.Sprintf("%s %s", listed(tree)[0].Value, past(tree, "teams/lakeshore/credentials/ada")[0].Value)
 	if strings.Contains(shown, hash) || !strings.Contains(shown, hash[:8]+"...") {
 		t.Fatalf("shown: %s", shown)
 	}
