Peer transport: tests; one dial at a time; bounded connections of one peer

Cause: TestMessagesInOrderBothWaysOverOneConnection found two connections in 1 of 20 runs: between the end of a dial and the adoption of its connection a Send dialed again. Ruled out: a second dial by the monitor (nothing was watched). Change: adopting a dialed connection ends the dial under the same lock.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -44,15 +44,11 @@
 // dialLink dials an instance and runs the session until it ends.
 func (t *Transport) dialLink(l *link, address string) {
 	s, err := t.dial(l, address)
-	t.mu.Lock()
-	l.dialing = false
 	if err != nil {
 		t.dialFailed(l, err)
-	}
-	t.mu.Unlock()
-	if err != nil {
 		return
 	}
+	s.dialed = true
 	t.runSession(s)
 }
 
@@ -72,9 +68,11 @@
 	return newSession(t, remote, conn), nil
 }
 
-// dialFailed drops what waits for the instance and tells the loop. The mutex is
-// held.
+// dialFailed drops what waits for the instance and tells the loop.
 func (t *Transport) dialFailed(l *link, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.dialing = false
 	l.notBefore = time.Now().Add(l.redial.NextBackOff())
 	t.metrics.dialsFailed.Inc(1)
 	t.logger.Warn("peer cannot be reached", "peer", l.id, "error", err)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,6 +39,7 @@
 var handle = newHandle()
 
 func newHandle() *codec.CborHandle {
+	// The codec keeps microseconds of a time.
 	h := &codec.CborHandle{TimeRFC3339: true}
 	h.StructToArray = true
 	h.MaxDepth = maxDepth
--- /dev/null
+++ b/internal/peer/frame_test.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// allKinds is the number of message kinds tried.
+const allKinds = 256
+
+// fill sets every field of a value to something other than its zero.
+func fill(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
+	case reflect.Struct:
+		if v.Type() == reflect.TypeFor[time.Time]() {
+			v.Set(reflect.ValueOf(time.Date(2026, 3, 4, 5, 6, 7, 89_000, time.UTC)))
+			return
+		}
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(v.Index(0))
+		fill(v.Index(1))
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i))
+		}
+	case reflect.Map:
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		fill(key)
+		fill(value)
+		v.Set(reflect.MakeMap(v.Type()))
+		v.SetMapIndex(key, value)
+	case reflect.String:
+		v.SetString("text")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(1.5)
+	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uint:
+		v.SetUint(200)
+	default:
+		v.SetInt(-300)
+	}
+}
+
+func TestEveryMessageKeepsItsFields(t *testing.T) {
+	for kind := range allKinds {
+		msg := structs.NewMessage(structs.MessageKind(kind))
+		if msg == nil {
+			continue
+		}
+		for _, filled := range []bool{false, true} {
+			if filled {
+				fill(reflect.ValueOf(msg).Elem())
+			}
+			got, err := DecodeFrame(mustEncode(t, msg))
+			if err != nil {
+				t.Fatalf("%T: %v", msg, err)
+			}
+			if !reflect.DeepEqual(got, msg) {
+				t.Errorf("got %+v, wanted %+v", got, msg)
+			}
+		}
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	for kind := range allKinds {
+		msg := structs.NewMessage(structs.MessageKind(kind))
+		if msg == nil {
+			continue
+		}
+		fill(reflect.ValueOf(msg).Elem())
+		frame, err := EncodeFrame(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	header := []byte{structs.ProtocolVersion, byte(structs.KindSubmit)}
+	f.Add([]byte{})
+	f.Add(append(header, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff))
+	f.Add(append(header, 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff))
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		msg, err := DecodeFrame(frame)
+		if err != nil {
+			return
+		}
+		if _, err := EncodeFrame(msg); err != nil {
+			t.Fatalf("a decoded message cannot be encoded: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/harness_test.go
@@ -0,0 +1,262 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testKey = []byte("a test key that is long enough")
+
+// node is a Transport with its listener and what it posted.
+type node struct {
+	*Transport
+	t       *testing.T
+	address string
+	events  chan structs.Event
+	scope   tally.TestScope
+	logs    *lockedBuffer
+	peers   sync.Map
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+func newNode(t *testing.T, id structs.InstanceID, edit ...func(*Config)) *node {
+	t.Helper()
+	cfg := Config{Self: structs.Peer{ID: id}, Incarnation: "first", Key: testKey}
+	for _, f := range edit {
+		f(&cfg)
+	}
+	n := &node{t: t, events: make(chan structs.Event, 4096), scope: tally.NewTestScope("", nil), logs: new(lockedBuffer)}
+	post := func(event structs.Event) bool {
+		select {
+		case n.events <- event:
+			return true
+		default:
+			return false
+		}
+	}
+	transport, err := New(context.Background(), cfg, post, n.resolve, n.scope, slog.New(slog.NewJSONHandler(n.logs, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Transport = transport
+	server := httptest.NewServer(transport.Handler())
+	n.address = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(server.Close)
+	t.Cleanup(transport.Close)
+	return n
+}
+
+func (n *node) resolve(id structs.InstanceID) (structs.Peer, bool) {
+	address, ok := n.peers.Load(id)
+	if !ok {
+		return structs.Peer{}, false
+	}
+	return structs.Peer{ID: id, Address: address.(string)}, true
+}
+
+// await returns the first event that match accepts and skips those before it.
+func (n *node) await(match func(structs.Event) bool) structs.Event {
+	n.t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case event := <-n.events:
+			if match(event) {
+				return event
+			}
+		case <-timeout:
+			n.t.Fatalf("no such event at %s; log:\n%s", n.cfg.Self.ID, n.logs.text())
+		}
+	}
+}
+
+func (n *node) awaitEvent(want structs.Event) {
+	n.t.Helper()
+	n.await(func(event structs.Event) bool { return event == want })
+}
+
+func (n *node) awaitMessage(from structs.InstanceID) structs.Message {
+	n.t.Helper()
+	event := n.await(func(event structs.Event) bool {
+		message, ok := event.(structs.PeerMessage)
+		return ok && message.From == from
+	})
+	return event.(structs.PeerMessage).Msg
+}
+
+func (n *node) count(name string) int64 {
+	if counter, ok := n.scope.Snapshot().Counters()[name+"+"]; ok {
+		return counter.Value()
+	}
+	return 0
+}
+
+func (n *node) awaitCount(name string) {
+	n.t.Helper()
+	for deadline := time.Now().Add(patience); n.count(name) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			n.t.Fatalf("%s is 0; log:\n%s", name, n.logs.text())
+		}
+	}
+}
+
+// relay forwards TCP connections; each direction can be stopped.
+type relay struct {
+	listener          net.Listener
+	target            string
+	forward, backward atomic.Bool
+	work              sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target}
+	r.work.Go(r.accept)
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		r.mu.Lock()
+		r.conns = append(r.conns, in, out)
+		r.mu.Unlock()
+		r.work.Go(func() { r.pipe(out, in, &r.forward) })
+		r.work.Go(func() { r.pipe(in, out, &r.backward) })
+	}
+}
+
+// pipe copies until a connection closes. While stopped it drops what it reads,
+// as a network does whose packets are lost.
+func (r *relay) pipe(to, from net.Conn, stopped *atomic.Bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !stopped.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.mu.Unlock()
+	r.work.Wait()
+}
+
+// deafListener accepts connections and never reads from them.
+func deafListener(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// rawPeer is a connection that speaks what the test wants.
+func rawPeer(t *testing.T, n *node) *websocket.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	conn, _, err := websocket.Dial(ctx, "ws://"+n.address+Route, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	return conn
+}
+
+// authenticated is a raw peer after a good handshake.
+func authenticated(t *testing.T, n *node, id structs.InstanceID) *websocket.Conn {
+	t.Helper()
+	conn := rawPeer(t, n)
+	h := handshaker{id: id, incarnation: "raw", key: testKey}
+	if _, err := h.dial(context.Background(), conn, n.cfg.Self.ID); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func sendRaw(t *testing.T, conn *websocket.Conn, frame []byte) {
+	t.Helper()
+	if err := conn.Write(context.Background(), websocket.MessageBinary, frame); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitClosed waits until the other side closed a connection.
+func awaitClosed(t *testing.T, conn *websocket.Conn) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		if _, _, err := conn.Read(ctx); err != nil {
+			if ctx.Err() != nil {
+				t.Fatal("the connection stayed open")
+			}
+			return err
+		}
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -102,8 +102,11 @@
 	t.logger.Warn("peer connection broken", "peer", l.id, "error", reason)
 }
 
+// maxSessions bounds the connections to one instance.
+const maxSessions = 4
+
 // adopt takes an authenticated connection into the link of its instance. It
-// returns nil if the transport is closed.
+// returns nil if the transport is closed or there are too many connections.
 func (t *Transport) adopt(s *session) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,9 +114,17 @@
 		return nil
 	}
 	l := t.findLink(s.remote.ID)
+	if s.dialed {
+		l.dialing = false
+	}
 	if old := l.current; old != nil && old.remote.Incarnation != s.remote.Incarnation {
 		t.breakLink(l, errReplaced)
 	}
+	if len(l.sessions) >= maxSessions {
+		t.logger.Warn("too many connections to one peer", "peer", l.id)
+		t.startProbe(l)
+		return nil
+	}
 	l.sessions[s] = struct{}{}
 	if l.current == nil {
 		l.current = s
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -26,6 +26,8 @@
 	transport *Transport
 	remote    identity
 	conn      *websocket.Conn
+	// dialed tells that this instance opened the connection.
+	dialed bool
 	// queue holds the frames to write; it is set when a link adopts the
 	// session.
 	queue *sendQueue
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,297 @@
+package peer
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+func withdraw(i int) *structs.Withdraw {
+	return &structs.Withdraw{Request: structs.RequestID(fmt.Sprint(i))}
+}
+
+func quick(c *Config) {
+	c.PeerTimeout = 300 * time.Millisecond
+	c.HeartbeatInterval = 50 * time.Millisecond
+}
+
+func TestMessagesInOrderBothWaysOverOneConnection(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	const messages = 500
+	for i := range messages {
+		a.Send("b", withdraw(i))
+	}
+	for i := range messages {
+		if got := b.awaitMessage("a").(*structs.Withdraw); *got != *withdraw(i) {
+			t.Fatalf("got %v, wanted message %d", got, i)
+		}
+	}
+	// The membership does not show a to b yet.
+	b.Send("a", withdraw(0))
+	a.awaitMessage("b")
+	if s := a.Stats(); s.Sessions != 1 || s.DataBytesSent != 0 || s.ControlBytesSent == 0 || s.FramesSent != messages {
+		t.Fatalf("stats %+v", s)
+	}
+}
+
+func TestBothDialAtOnce(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	b.peers.Store(structs.InstanceID("a"), a.address)
+	const messages = 200
+	for i := range messages {
+		a.Send("b", withdraw(i))
+		b.Send("a", withdraw(i))
+	}
+	for i := range messages {
+		if *b.awaitMessage("a").(*structs.Withdraw) != *withdraw(i) || *a.awaitMessage("b").(*structs.Withdraw) != *withdraw(i) {
+			t.Fatalf("message %d out of order", i)
+		}
+	}
+}
+
+func TestWrongKeyIsRefused(t *testing.T) {
+	const secret = "another key that is long enough"
+	a := newNode(t, "a", func(c *Config) { c.Key = []byte(secret) })
+	b := newNode(t, "b")
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	b.peers.Store(structs.InstanceID("a"), a.address)
+	a.Send("b", withdraw(0))
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+	b.awaitCount("handshakes_refused")
+	if text := a.logs.text() + b.logs.text(); !strings.Contains(text, ErrKey.Error()) || strings.Contains(text, secret) {
+		t.Fatalf("log: %s", text)
+	}
+}
+
+func TestAcceptorChecksTheDialersProof(t *testing.T) {
+	b := newNode(t, "b")
+	conn := rawPeer(t, b)
+	self := identity{ID: "a", Incarnation: "raw", Nonce: newNonce()}
+	hi, _ := encodeBody(kindHello, &hello{From: self, To: "b"})
+	sendRaw(t, conn, hi)
+	// The acceptor's own proof must not serve as the dialer's.
+	var reply welcome
+	if err := readFrame(t.Context(), conn, kindWelcome, &reply); err != nil {
+		t.Fatal(err)
+	}
+	reflected, _ := encodeBody(kindConfirm, &confirm{Proof: reply.Proof})
+	sendRaw(t, conn, reflected)
+	if err := awaitClosed(t, conn); !strings.Contains(err.Error(), ErrKey.Error()) {
+		t.Fatal(err)
+	}
+}
+
+func TestBadFramesAreRefused(t *testing.T) {
+	hi, _ := encodeBody(kindHello, &hello{From: identity{ID: "a", Nonce: newNonce()}, To: "b"})
+	old := append([]byte{structs.ProtocolVersion - 1}, hi[1:]...)
+	other, _ := encodeBody(kindHello, &hello{From: identity{ID: "a", Nonce: newNonce()}, To: "c"})
+	for name, frame := range map[string][]byte{
+		"old version": old, "garbage": []byte("GET / HTTP/1.1"), "empty": {}, "other instance": other,
+		"oversized": make([]byte, handshakeLimit+1), "message before the handshake": {structs.ProtocolVersion, byte(structs.KindWithdraw), 0x80},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newNode(t, "b")
+			conn := rawPeer(t, b)
+			sendRaw(t, conn, frame)
+			_ = awaitClosed(t, conn)
+			b.awaitCount("handshakes_refused")
+		})
+	}
+}
+
+func TestBadFramesAfterTheHandshake(t *testing.T) {
+	good, _ := EncodeFrame(withdraw(1))
+	for name, frame := range map[string][]byte{
+		"old version": append([]byte{structs.ProtocolVersion - 1}, good[1:]...), "unknown kind": {structs.ProtocolVersion, 200, 0x80},
+		"garbage body": {structs.ProtocolVersion, byte(structs.KindSubmit), 0xff, 0xff}, "bytes after the body": append(good, 0),
+		"oversized": make([]byte, 5000), "bad heartbeat": {structs.ProtocolVersion, byte(kindPing)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newNode(t, "b", func(c *Config) { c.MaxFrame = 4096 })
+			conn := authenticated(t, b, "a")
+			sendRaw(t, conn, good)
+			b.awaitMessage("a")
+			sendRaw(t, conn, frame)
+			_ = awaitClosed(t, conn)
+			b.awaitEvent(structs.PeerDown{Peer: "a"})
+			sendRaw(t, authenticated(t, b, "c"), good)
+			b.awaitMessage("c")
+		})
+	}
+}
+
+func TestCutPeerIsNoticedAndFoundAgain(t *testing.T) {
+	for name, cut := range map[string]func(*relay, bool){
+		"both ways": func(r *relay, on bool) { r.forward.Store(on); r.backward.Store(on) },
+		"there":     func(r *relay, on bool) { r.forward.Store(on) },
+		"back":      func(r *relay, on bool) { r.backward.Store(on) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newNode(t, "a", quick), newNode(t, "b", quick)
+			r := newRelay(t, b.address)
+			a.peers.Store(structs.InstanceID("b"), r.address())
+			a.Watch([]structs.InstanceID{"b"})
+			a.awaitEvent(structs.PeerUp{Peer: "b"})
+			cut(r, true)
+			a.awaitEvent(structs.PeerDown{Peer: "b"})
+			cut(r, false)
+			a.awaitEvent(structs.PeerUp{Peer: "b"})
+		})
+	}
+}
+
+func TestOneWayCutIsNoticedWhileMessagesArrive(t *testing.T) {
+	a, b := newNode(t, "a", quick), newNode(t, "b", quick)
+	r := newRelay(t, b.address)
+	a.peers.Store(structs.InstanceID("b"), r.address())
+	a.Watch([]structs.InstanceID{"b"})
+	a.awaitEvent(structs.PeerUp{Peer: "b"})
+	r.forward.Store(true)
+	down := make(chan struct{})
+	go func() {
+		defer close(down)
+		a.awaitEvent(structs.PeerDown{Peer: "b"})
+	}()
+	for i := 0; ; i++ {
+		b.Send("a", withdraw(i))
+		select {
+		case <-down:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+func TestFrozenPeerIsNoticed(t *testing.T) {
+	b := newNode(t, "b", quick)
+	conn := authenticated(t, b, "a")
+	b.awaitEvent(structs.PeerUp{Peer: "a"})
+	// The peer reads nothing from here on, though its connection stays open.
+	b.Watch([]structs.InstanceID{"a"})
+	b.awaitEvent(structs.PeerDown{Peer: "a"})
+	_ = awaitClosed(t, conn)
+}
+
+func TestConnectionsOfOnePeerAreBounded(t *testing.T) {
+	b := newNode(t, "b")
+	for range maxSessions {
+		authenticated(t, b, "a")
+		b.awaitEvent(structs.PeerUp{Peer: "a"})
+	}
+	_ = awaitClosed(t, authenticated(t, b, "a"))
+	if n := b.Stats().Sessions; n != maxSessions {
+		t.Fatalf("%d sessions", n)
+	}
+}
+
+func TestConnectionsBeforeTheHandshakeAreBounded(t *testing.T) {
+	b := newNode(t, "b", func(c *Config) { c.MaxHandshakes, c.PeerTimeout = 1, patience })
+	first := rawPeer(t, b)
+	_, reply, err := websocket.Dial(t.Context(), "ws://"+b.address+Route, nil)
+	if err == nil || reply.StatusCode != http.StatusServiceUnavailable {
+		t.Fatal(reply, err)
+	}
+	_ = first.CloseNow()
+}
+
+func TestUnansweringPeer(t *testing.T) {
+	a := newNode(t, "a", quick)
+	a.peers.Store(structs.InstanceID("b"), deafListener(t))
+	a.Probe("b")
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+	a.Probe("nobody")
+	a.awaitEvent(structs.PeerDown{Peer: "nobody"})
+	a.Send("nobody", withdraw(0))
+	a.awaitEvent(structs.PeerDown{Peer: "nobody"})
+}
+
+func TestProbeOfAnOpenConnection(t *testing.T) {
+	a, b := newNode(t, "a", quick), newNode(t, "b", quick)
+	r := newRelay(t, b.address)
+	a.peers.Store(structs.InstanceID("b"), r.address())
+	for range 3 {
+		a.Probe("b")
+		a.awaitEvent(structs.PeerUp{Peer: "b"})
+	}
+	r.backward.Store(true)
+	a.Probe("b")
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+}
+
+func TestOverflowBreaksTheConnection(t *testing.T) {
+	a := newNode(t, "a", func(c *Config) { c.QueueFrames = 8 })
+	a.peers.Store(structs.InstanceID("b"), deafListener(t))
+	for i := range 9 {
+		a.Send("b", withdraw(i))
+	}
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+	if a.count("frames_lost") != 9 {
+		t.Fatalf("%d frames counted as lost", a.count("frames_lost"))
+	}
+}
+
+func TestMessageAboveTheLimitIsReported(t *testing.T) {
+	a := newNode(t, "a", func(c *Config) { c.MaxFrame = 1024 })
+	a.Send("b", &structs.Submit{Call: &structs.Call{Body: make([]byte, 2048)}})
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+}
+
+func TestSlowReaderIsCutOff(t *testing.T) {
+	b := newNode(t, "b", func(c *Config) { c.WriteTimeout = 100 * time.Millisecond })
+	conn := authenticated(t, b, "a")
+	sendRaw(t, conn, mustEncode(t, withdraw(0)))
+	b.awaitMessage("a")
+	for range 16 {
+		b.Send("a", &structs.Submit{Call: &structs.Call{Body: make([]byte, 1<<20)}})
+	}
+	b.awaitEvent(structs.PeerDown{Peer: "a"})
+}
+
+func TestRestartedPeerReplacesItsConnection(t *testing.T) {
+	b := newNode(t, "b")
+	first := authenticated(t, b, "a")
+	b.awaitEvent(structs.PeerUp{Peer: "a"})
+	second := rawPeer(t, b)
+	h := handshaker{id: "a", incarnation: "second", key: testKey}
+	if _, err := h.dial(t.Context(), second, "b"); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitEvent(structs.PeerDown{Peer: "a"})
+	b.awaitEvent(structs.PeerUp{Peer: "a"})
+	_ = awaitClosed(t, first)
+	b.Send("a", withdraw(7))
+	if kind, _, err := second.Read(t.Context()); err != nil || kind != websocket.MessageBinary {
+		t.Fatal(kind, err)
+	}
+}
+
+func TestFullLoopHoldsThePeerBack(t *testing.T) {
+	a, b := newNode(t, "a", quick), newNode(t, "b", quick)
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	messages := 2 * cap(b.events)
+	for i := range messages {
+		a.Send("b", withdraw(i))
+	}
+	for i := range messages {
+		if got := b.awaitMessage("a").(*structs.Withdraw); *got != *withdraw(i) {
+			t.Fatalf("got %v, wanted message %d", got, i)
+		}
+	}
+}
+
+func mustEncode(t *testing.T, msg structs.Message) []byte {
+	t.Helper()
+	frame, err := EncodeFrame(msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
