--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -170,9 +170,15 @@
 }
 
 func (t *tail) readURL() string {
+	wait := t.log.cfg.PollWait
+	if t.posted.IsZero() || t.failed {
+		// The first answer tells where the stream ends and that the log
+		// answers again: the log must not hold it.
+		wait = 0
+	}
 	query := "?from=" + strconv.FormatUint(t.next, 10) +
 		"&max=" + strconv.Itoa(t.records) +
-		"&wait_ms=" + strconv.FormatInt(t.log.cfg.PollWait.Milliseconds(), 10)
+		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	return t.log.streamURL(t.stream, wire.LogRecordsSegment) + query
 }
 
