cli: one binary with the operators' commands; example settings

Cause: an operator needs one binary to run an instance, check and publish settings, and see and cancel programs, with errors that say what to do. Ruled out: guessing the base of a change on the server (a stale read would overwrite another's change); comparing credentials by their shown digits. Change: go-arg commands with flags and BANYANGLADE_ variables, values checked with flag and reason, secrets that print as (hidden); a client of the HTTP routes with problems in one line and exit codes 0, 1, 2; settings and environments of both users, parsed and checked by tests. Conclusion: run waits for package node to be wired in.

--- /dev/null
+++ b/internal/cli/args.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+)
+
+// Args is the whole command line.
+type Args struct {
+	Run      *RunCommand      `arg:"subcommand:run" help:"run an instance"`
+	Settings *SettingsCommand `arg:"subcommand:settings" help:"read, check and change the settings"`
+	Programs *ProgramsCommand `arg:"subcommand:programs" help:"list, show and cancel programs"`
+	Status   *StatusCommand   `arg:"subcommand:status" help:"tell whether an instance is healthy and ready"`
+	Dump     *DumpCommand     `arg:"subcommand:dump" help:"print the state of an instance as JSON"`
+	Drain    *DrainCommand    `arg:"subcommand:drain" help:"shut an instance down gracefully"`
+	Version  *VersionCommand  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is the head of the help text.
+func (Args) Description() string {
+	return "banyanglade schedules the calls of agent programs onto model engines, tool\n" +
+		"services and plain services."
+}
+
+// Epilogue is the end of the help text.
+func (Args) Epilogue() string {
+	return "Each flag can be given as an environment variable too. The client commands\n" +
+		"talk to any instance: give --server or BANYANGLADE_SERVER, and an operator's\n" +
+		"key in BANYANGLADE_KEY.\n\n" +
+		"Exit codes: 0 success, 1 failure or refusal, 2 wrong usage."
+}
+
+// SettingsCommand groups the commands on settings.
+type SettingsCommand struct {
+	Get     *SettingsGet     `arg:"subcommand:get" help:"show the settings at and below a path"`
+	Set     *SettingsSet     `arg:"subcommand:set" help:"change or remove one setting"`
+	History *SettingsHistory `arg:"subcommand:history" help:"show the last changes at and below a path"`
+	Check   *SettingsCheck   `arg:"subcommand:check" help:"check a settings file without an instance"`
+	Publish *SettingsPublish `arg:"subcommand:publish" help:"check a settings file and publish what differs"`
+	Applied *SettingsApplied `arg:"subcommand:applied" help:"show which instance has applied which settings"`
+}
+
+// ProgramsCommand groups the commands on programs.
+type ProgramsCommand struct {
+	List   *ProgramsList   `arg:"subcommand:list" help:"list the programs of the region"`
+	Show   *ProgramsShow   `arg:"subcommand:show" help:"show one program"`
+	Cancel *ProgramsCancel `arg:"subcommand:cancel" help:"cancel one program and what it has running"`
+}
+
+// VersionCommand prints the version.
+type VersionCommand struct{}
+
+func (*VersionCommand) execute(_ context.Context, p *Program) error {
+	_, err := fmt.Fprintln(p.Out, programName, p.Version)
+	return err
+}
--- /dev/null
+++ b/internal/cli/program.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+const programName = "banyanglade"
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Program is the command line with its surroundings.
+type Program struct {
+	// Version is what "version" prints.
+	Version string
+	// RunInstance runs an instance until the context ends and it has
+	// drained.
+	RunInstance func(ctx context.Context, config RunConfig) error
+	Out         io.Writer
+	Err         io.Writer
+}
+
+// command is a subcommand that was chosen.
+type command interface {
+	execute(ctx context.Context, p *Program) error
+}
+
+// errUsage is the error of a command line that parses but makes no sense.
+var errUsage = errors.New("wrong usage")
+
+// errReported is the error of a failure that has been printed already.
+var errReported = errors.New("reported")
+
+// Main parses the arguments (without the program's name), runs the command and
+// gives the exit code.
+func (p *Program) Main(ctx context.Context, arguments []string) int {
+	var args Args
+	parser, err := arg.NewParser(arg.Config{Program: programName}, &args)
+	if err != nil {
+		fmt.Fprintln(p.Err, "error:", err)
+		return exitUsage
+	}
+	err = parser.Parse(arguments)
+	if errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(p.Out, parser.SubcommandNames()...)
+		return exitOK
+	}
+	if err != nil {
+		return p.usage(parser, err)
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		return p.usage(parser, errors.New("a command is missing"))
+	}
+	return p.finish(parser, chosen.execute(ctx, p))
+}
+
+// finish prints an error and gives the exit code.
+func (p *Program) finish(parser *arg.Parser, err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errUsage):
+		return p.usage(parser, err)
+	case errors.Is(err, errReported):
+		return exitFailed
+	}
+	fmt.Fprintln(p.Err, "error:", err)
+	return exitFailed
+}
+
+func (p *Program) usage(parser *arg.Parser, err error) int {
+	_ = parser.WriteUsageForSubcommand(p.Err, parser.SubcommandNames()...)
+	fmt.Fprintln(p.Err, "error:", err)
+	return exitUsage
+}
