Owner: a late Done of an earlier owner frees the lane

Cause: an owner that claims while an earlier owner's Done is still on its way queued the next call of the lane behind a gap; the Done counted but nothing advanced the lane, and the gap's timer refused only real gaps, so the call waited for its deadline. Ruled out: a stopped loop (goroutine dump shows it waiting), a lost log read (event trace shows the record read). Change: advance after each foreign fact.

--- /dev/null
+++ b/internal/owner/handover_test.go
@@ -0,0 +1,77 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// TestLateDoneOfAnEarlierOwnerFreesTheLane: the earlier owner answered call 1
+// and lost the shard before it recorded the answer; call 2 is already here when
+// the record comes.
+func TestLateDoneOfAnEarlierOwnerFreesTheLane(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	self := w.ids[0]
+	cfg := structs.DefaultInstanceConfig(structs.Peer{ID: self, Region: testRegion}, "second")
+	o := New(cfg, view{w: w, self: self}, view{w: w, self: self})
+	now := w.now
+	id := structs.NewProgramID(testRegion, now, [10]byte{7})
+	first, second := testCall(id, 1, false), testCall(id, 2, false)
+	stream := structs.ShardRef{Region: testRegion, Shard: structs.ShardOf(id, cfg.Shards)}.Stream()
+
+	var records []wire.LogRecord
+	add := func(epoch structs.Epoch, writer string, sequence uint64, body journal.Body) wire.LogRecord {
+		data := journal.Encode(journal.Record{
+			Header: journal.Header{Epoch: epoch, Writer: writer, Sequence: sequence}, Body: body,
+		})
+		records = append(records, wire.LogRecord{Offset: uint64(len(records)), Data: data})
+		return records[len(records)-1]
+	}
+	add(1, "old/1", 1, &journal.Claim{Instance: "old"})
+	add(1, "old/1", 2, &journal.Open{Program: id, Team: second.Team})
+
+	o.Tick(now, []structs.Event{structs.PeerMessage{From: self, Msg: &structs.Submit{Request: "r", Call: second, Remaining: time.Minute}}})
+	o.Tick(now, []structs.Event{structs.LogRead{Stream: stream, From: 1, Records: records[1:], Next: 2, End: 2}})
+	cmds := o.Tick(now, []structs.Event{structs.LogRead{Stream: stream, Records: records, Next: 2, End: 2}})
+	claim := appended(t, cmds)
+	claimed := wire.LogRecord{Offset: 2, Data: claim.Records[0]}
+	records = append(records, claimed)
+	cmds = o.Tick(now, []structs.Event{structs.LogRead{Stream: stream, From: 2, Records: records[2:], Next: 3, End: 3}})
+	if permits(cmds) != 0 {
+		t.Fatal("call 2 started before call 1 was known to be done")
+	}
+	done := add(1, "old/1", 3, &journal.Done{
+		CallID:  journal.CallID{Program: id, Team: first.Team, Number: 1, Key: first.Key, Digest: first.Digest, Run: "old-run"},
+		Outcome: structs.Outcome{Kind: structs.OutcomeAnswered},
+	})
+	cmds = o.Tick(now, []structs.Event{structs.LogRead{Stream: stream, From: 3, Records: []wire.LogRecord{done}, Next: 4, End: 4}})
+	if permits(cmds) != 1 {
+		t.Fatalf("call 2 still waits after call 1 is done: %v", cmds)
+	}
+}
+
+func appended(t *testing.T, cmds []structs.Command) structs.LogAppend {
+	t.Helper()
+	for _, cmd := range cmds {
+		if a, ok := cmd.(structs.LogAppend); ok {
+			return a
+		}
+	}
+	t.Fatalf("no append in %v", cmds)
+	return structs.LogAppend{}
+}
+
+func permits(cmds []structs.Command) int {
+	n := 0
+	for _, cmd := range cmds {
+		if send, ok := cmd.(structs.SendPeer); ok {
+			if _, ok := send.Msg.(*structs.PermitRequest); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -71,7 +71,11 @@
 	}
 	if r := p.recovery[run]; r != nil {
 		r.resolve()
+		return
 	}
+	// The lane's last number may have grown: a call that waited for its
+	// predecessor can start.
+	p.advance()
 }
 
 // expire runs when the earlier owner can send nothing more.
