--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets for developers and CI. Each does its own set-up on a fresh machine.
+
+GO ?= go
+BIN := bin
+
+.PHONY: all build quickstart test lint spec proofs bench fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Builds, starts the stand-ins and three instances, runs a program and shows
+# what happened. KEEP=1 leaves everything up until interrupted.
+quickstart: build
+	$(BIN)/quickstart -instance $(BIN)/banyanglade $(if $(KEEP),-keep)
+
+# All checks that CI makes.
+test: lint spec
+	bash scripts/gotest.sh
+	$(MAKE) quickstart
+
+lint:
+	bash scripts/lint.sh
+
+spec:
+	bash spec/check.sh
+
+# Runs the proofs of docs/PROOFS.md with one line each.
+proofs: build
+	bash scripts/proofs.sh
+
+bench: build
+	bash scripts/bench.sh
+
+# A minute of fuzzing for each target; the seeds alone run in "make test".
+fuzz:
+	bash scripts/fuzz.sh
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/quickstart/tour.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// tour is one program's way through the instances.
+type tour struct {
+	cluster  *testkit.Cluster
+	program  string
+	messages []wire.ChatMessage
+	number   int
+}
+
+func newTour(cluster *testkit.Cluster) *tour {
+	return &tour{
+		cluster:  cluster,
+		messages: []wire.ChatMessage{{Role: "system", Content: "You draft trademark applications for small makers."}},
+	}
+}
+
+// client gives a caller of the n-th instance, as a balancer would pick it.
+func (t *tour) client(n int) *testkit.Client {
+	p := t.cluster.Instances[n%len(t.cluster.Instances)]
+	return testkit.NewClient(p.Server, testkit.CallerKey)
+}
+
+func (t *tour) run(ctx context.Context) error {
+	var err error
+	if t.program, err = t.client(0).Open(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("Program %s is open.\n\n", t.program)
+	fmt.Printf("%-4s %-40s %-11s %-10s %s\n", "call", "what", "instance", "outcome", "time")
+	steps := []func(context.Context) error{t.search, t.draft, t.file, t.fileAgain, t.loseOwner, t.close}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return t.checkLedger()
+}
+
+func (t *tour) search(ctx context.Context) error {
+	return t.chat(ctx, 1, "Search for marks like Heron Lake Honey. tokens=40", true)
+}
+
+func (t *tour) draft(ctx context.Context) error {
+	return t.chat(ctx, 2, "Draft the application. tokens=24", false)
+}
+
+func (t *tour) file(ctx context.Context) error { return t.submit(ctx, 0, "answered") }
+
+func (t *tour) fileAgain(ctx context.Context) error {
+	t.number--
+	return t.submit(ctx, 1, "replayed")
+}
+
+// loseOwner kills one instance in the middle of the program.
+func (t *tour) loseOwner(ctx context.Context) error {
+	victim := t.cluster.Instances[2]
+	victim.Kill()
+	t.cluster.Remove(victim)
+	fmt.Printf("     %s is killed.\n", victim.ID)
+	return t.chat(ctx, 0, "Summarize for the member. tokens=16", true)
+}
+
+func (t *tour) close(ctx context.Context) error {
+	answer, err := t.client(1).Close(ctx, t.program)
+	if err != nil {
+		return err
+	}
+	if answer.Problem != nil {
+		return errors.Newf("close: %s", answer.Body)
+	}
+	return nil
+}
+
+func (t *tour) chat(ctx context.Context, instance int, prompt string, stream bool) error {
+	t.number++
+	t.messages = append(t.messages, wire.ChatMessage{Role: "user", Content: prompt})
+	request := wire.ChatRequest{Model: testkit.ModelService, Messages: t.messages, MaxTokens: 100, Stream: stream}
+	answer, err := t.client(instance).Chat(ctx, request, testkit.Call{Program: t.program, Number: t.number})
+	if err != nil {
+		return err
+	}
+	if !answer.OK() {
+		return errors.Newf("call %d: status %d, cut %v: %s %+v", t.number, answer.Status, answer.Cut, answer.Body, answer.Problem)
+	}
+	t.messages = append(t.messages, wire.ChatMessage{Role: "assistant", Content: answer.Text})
+	what := "chat, whole"
+	if stream {
+		what = fmt.Sprintf("chat, streamed in %d pieces", answer.Pieces)
+	}
+	t.print(what, instance, answer)
+	return nil
+}
+
+func (t *tour) submit(ctx context.Context, instance int, want string) error {
+	t.number++
+	call := testkit.Call{Program: t.program, Number: t.number, Key: "filing-1", NotRepeatable: true, Fee: 250}
+	path := "/v1/services/" + testkit.FilingService + "/applications"
+	answer, err := t.client(instance).Do(ctx, http.MethodPost, path, []byte(`{"mark":"Heron Lake Honey"}`), call)
+	if err != nil {
+		return err
+	}
+	if answer.Outcome != want {
+		return errors.Newf("filing: outcome %q, want %q: %s", answer.Outcome, want, answer.Body)
+	}
+	t.print("filing, not repeatable", instance, answer)
+	return nil
+}
+
+func (t *tour) print(what string, instance int, answer *testkit.Answer) {
+	p := t.cluster.Instances[instance%len(t.cluster.Instances)]
+	fmt.Printf("%-4d %-40s %-11s %-10s %s\n", t.number, what, p.ID, answer.Outcome, answer.Took.Round(time.Millisecond))
+}
+
+// checkLedger reads at the targets that the filing ran once.
+func (t *tour) checkLedger() error {
+	sent := 0
+	for _, service := range t.cluster.Services {
+		for _, entry := range service.Ledger().Entries() {
+			if entry.Program == t.program {
+				sent++
+			}
+		}
+	}
+	fmt.Printf("\nThe filing was sent twice by the caller and ran %d time(s) at the targets.\n", sent)
+	if sent != 1 {
+		return errors.Newf("the filing ran %d times", sent)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/instance/route.go
@@ -0,0 +1,98 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// inputs are the events of one round by component.
+type inputs struct {
+	view     []structs.Event
+	settings []structs.Event
+	gateway  []structs.Event
+	owner    []structs.Event
+	dispatch []structs.Event
+	replies  []structs.Command
+}
+
+func (in *inputs) all(ev structs.Event) {
+	in.view = append(in.view, ev)
+	in.settings = append(in.settings, ev)
+	in.gateway = append(in.gateway, ev)
+	in.owner = append(in.owner, ev)
+	in.dispatch = append(in.dispatch, ev)
+}
+
+// route gives each event to the components that it concerns.
+func (i *Instance) route(now time.Time, events []structs.Event) inputs {
+	var in inputs
+	for _, ev := range events {
+		i.routeOne(now, &in, ev)
+	}
+	return in
+}
+
+func (i *Instance) routeOne(now time.Time, in *inputs, ev structs.Event) {
+	switch ev := ev.(type) {
+	case structs.CallerSubmit, structs.CallerProgram:
+		i.admit(now, in, ev)
+	case structs.CallerPrograms, structs.SettingsApplied, structs.CallerGone:
+		in.gateway = append(in.gateway, ev)
+	case structs.SettingsPropose:
+		in.settings = append(in.settings, ev)
+	case structs.DrainStart:
+		i.startDrain(now, in, ev)
+	case structs.PeerDown:
+		i.interest.down(ev.Peer)
+		in.all(ev)
+	case structs.PeerUp, structs.MembersListed:
+		in.all(ev)
+	case structs.PeerMessage:
+		i.routeMessage(in, ev)
+	case structs.LogAppended:
+		in.log(ev.Stream, ev)
+	case structs.LogAppendFailed:
+		in.log(ev.Stream, ev)
+	case structs.LogRead:
+		in.log(ev.Stream, ev)
+	case structs.LogReadFailed:
+		in.log(ev.Stream, ev)
+	case structs.RunChunk, structs.RunEnded, structs.OutcomeAsked:
+		in.owner = append(in.owner, ev)
+	case structs.CacheReleased:
+		in.owner = append(in.owner, ev)
+		in.dispatch = append(in.dispatch, ev)
+	case structs.TargetLoad, structs.TargetUnreachable, structs.TargetCache:
+		in.dispatch = append(in.dispatch, ev)
+	}
+}
+
+func (in *inputs) log(stream string, ev structs.Event) {
+	if stream == structs.SettingsStream {
+		in.settings = append(in.settings, ev)
+		return
+	}
+	in.owner = append(in.owner, ev)
+}
+
+// routeMessage gives a peer's message to the role that it is for.
+func (i *Instance) routeMessage(in *inputs, ev structs.PeerMessage) {
+	i.interest.received(ev.From, ev.Msg)
+	switch msg := ev.Msg.(type) {
+	case *structs.Leaving:
+		in.all(ev)
+	case *structs.SubmitAccepted, *structs.CallChunk, *structs.CallEnd, *structs.NotOwner,
+		*structs.ProgramReply, *structs.ProgramsReply, *structs.AppliedReply:
+		in.gateway = append(in.gateway, ev)
+	case *structs.ProgramsRequest:
+		reply := &structs.ProgramsReply{Request: msg.Request, Programs: i.owner.Programs(msg.Team, msg.Limit)}
+		in.replies = append(in.replies, structs.SendPeer{To: ev.From, Msg: reply})
+	case *structs.PermitRequest, *structs.PermitCancel, *structs.PermitFinish, *structs.ProgramGone:
+		in.dispatch = append(in.dispatch, ev)
+	case *structs.SettingsRequest, *structs.SettingsState, *structs.AppliedRequest:
+		in.settings = append(in.settings, ev)
+	default:
+		in.owner = append(in.owner, ev)
+	}
+}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -27,6 +27,8 @@
 // structs.Members and changes only in Tick.
 type View struct {
 	self structs.Peer
+	// generation counts the changes of the tables of peers.
+	generation uint64
 	// list holds the peers as the membership list last showed them.
 	list     []structs.Peer
 	version  uint64
@@ -56,6 +58,9 @@
 	return v
 }
 
+// Generation counts the changes of Peers.
+func (v *View) Generation() uint64 { return v.generation }
+
 // Listed tells whether a membership list was ever received.
 func (v *View) Listed() bool { return v.listed }
 
@@ -183,6 +188,7 @@
 // rebuild makes the tables of peers anew. This instance is always in them,
 // since a lagging list may lack it.
 func (v *View) rebuild() {
+	v.generation++
 	byID := map[structs.InstanceID]structs.Peer{}
 	for _, p := range v.list {
 		_, announced := v.announced[p.ID]
--- /dev/null
+++ b/internal/node/carry.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// carry hands one command of the core to the adapter that carries it out. It
+// runs on the loop and does not block.
+func (n *node) carry(cmd structs.Command) {
+	a := n.adapters
+	switch cmd := cmd.(type) {
+	case structs.ReplyChunk, structs.ReplyEnd, structs.ReplyProgram,
+		structs.ReplyPrograms, structs.ReplySettings, structs.ReplyApplied:
+		a.http.Deliver(cmd)
+	case structs.SendPeer:
+		a.peers.Send(cmd.To, cmd.Msg)
+	case structs.ProbePeer:
+		a.peers.Probe(cmd.To)
+	case structs.WatchPeers:
+		a.peers.Watch(cmd.Peers)
+	case structs.LogAppend:
+		a.log.Append(cmd)
+	case structs.LogTail:
+		a.log.Tail(cmd)
+	case structs.LogTailEnd:
+		a.log.TailEnd(cmd)
+	case structs.LogStop:
+		a.log.Stop(cmd)
+	default:
+		n.carryTarget(cmd)
+	}
+}
+
+// carryTarget handles the commands towards targets and the instance's own life.
+func (n *node) carryTarget(cmd structs.Command) {
+	targets := n.adapters.targets
+	switch cmd := cmd.(type) {
+	case structs.StartRun:
+		targets.StartRun(cmd)
+	case structs.ResumeRun:
+		targets.ResumeRun(cmd)
+	case structs.CancelRun:
+		targets.CancelRun(cmd)
+	case structs.AskOutcome:
+		targets.AskOutcome(cmd)
+	case structs.WatchTargets:
+		targets.WatchTargets(cmd)
+	case structs.ReleaseCache:
+		targets.ReleaseCache(cmd)
+	case structs.Ready:
+		n.log.Info("readiness", "ready", cmd.Ready, "reason", cmd.Reason)
+		n.mirror.setReady(cmd)
+	case structs.DrainDone:
+		close(n.drained)
+	default:
+		panic("invariant broken: a command without an adapter")
+	}
+}
--- /dev/null
+++ b/internal/node/facade.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+
+	"github.com/banyanglade/banyanglade/internal/httpapi"
+	"github.com/banyanglade/banyanglade/internal/instance"
+	"github.com/banyanglade/banyanglade/internal/settings"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// facade is the core as the HTTP adapter sees it.
+type facade struct {
+	loop   *loop
+	mirror *mirror
+	tree   *settings.Tree
+}
+
+var _ httpapi.Core = (*facade)(nil)
+
+// Post hands an event to the loop without blocking.
+func (f *facade) Post(event structs.Event) bool { return f.loop.post(event) }
+
+// Settings gives the settings tree, which is safe for concurrent reads.
+func (f *facade) Settings() structs.Settings { return f.tree }
+
+// Authenticate finds the principal of a key.
+func (f *facade) Authenticate(key string) (httpapi.Principal, bool) {
+	credential, ok := f.tree.Authenticate(key)
+	if !ok {
+		return httpapi.Principal{}, false
+	}
+	return httpapi.Principal{
+		Name:     credential.Name,
+		Team:     credential.Team,
+		Operator: credential.Role == settings.RoleOperator,
+	}, true
+}
+
+// Dump gives the state of the instance through the loop.
+func (f *facade) Dump(ctx context.Context) (any, error) {
+	var state instance.State
+	err := f.loop.ask(ctx, func(core *instance.Instance) { state = core.Dump() })
+	return state, err
+}
+
+// Health tells whether the instance takes traffic.
+func (f *facade) Health() httpapi.Health {
+	ready := f.mirror.readiness()
+	switch {
+	case ready.Ready:
+		return httpapi.Health{State: httpapi.HealthReady}
+	case ready.Reason == instance.ReasonDraining:
+		return httpapi.Health{State: httpapi.HealthDraining, Detail: ready.Reason}
+	default:
+		return httpapi.Health{State: httpapi.HealthStarting, Detail: ready.Reason}
+	}
+}
+
+// Drain begins the graceful shutdown.
+func (f *facade) Drain() { f.loop.post(structs.DrainStart{}) }
+
+// Setting gives a part of the settings tree.
+func (f *facade) Setting(path string) (any, bool) { return f.tree.Listing(path) }
+
+// SettingHistory gives the retained changes of a part of the settings tree.
+func (f *facade) SettingHistory(path string) (any, bool) { return f.tree.HistoryListing(path) }
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/instance"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// queueLength bounds the events that wait for the loop.
+	queueLength = 16384
+	// maxBatch bounds the events of one tick.
+	maxBatch = 1024
+)
+
+// ErrStopped is the error of a request to a loop that has stopped.
+var ErrStopped = errors.New("the instance has stopped")
+
+// loop runs the core: the only goroutine that touches it. An event wakes it at
+// once; without events it sleeps until the core's next timer.
+type loop struct {
+	core   *instance.Instance
+	events chan structs.Event
+	asks   chan func(*instance.Instance)
+	// carry carries out one command. It must not block.
+	carry func(structs.Command)
+	// after runs after each tick, on the loop.
+	after   func(*instance.Instance)
+	stopped chan struct{}
+	closed  atomic.Bool
+	metrics loopMetrics
+}
+
+type loopMetrics struct {
+	ticks    tally.Counter
+	events   tally.Counter
+	commands tally.Counter
+	refused  tally.Counter
+	duration tally.Histogram
+}
+
+func newLoop(core *instance.Instance, m *metrics) *loop {
+	scope := m.scope
+	buckets := tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 2, 16)
+	return &loop{
+		core:    core,
+		events:  make(chan structs.Event, queueLength),
+		asks:    make(chan func(*instance.Instance)),
+		stopped: make(chan struct{}),
+		metrics: loopMetrics{
+			ticks:    scope.Counter("core_ticks"),
+			events:   scope.Counter("core_events"),
+			commands: scope.Counter("core_commands"),
+			refused:  scope.Counter("core_events_refused"),
+			duration: scope.Histogram("core_tick_duration", buckets),
+		},
+	}
+}
+
+// post hands an event to the loop without blocking. False means that the queue
+// is full or the loop has stopped, and that the event was dropped.
+func (l *loop) post(ev structs.Event) bool {
+	if l.closed.Load() {
+		return false
+	}
+	select {
+	case l.events <- ev:
+		return true
+	default:
+		l.metrics.refused.Inc(1)
+		return false
+	}
+}
+
+// ask runs f on the loop between two ticks. It returns ErrStopped or the
+// context's error if f did not run.
+func (l *loop) ask(ctx context.Context, f func(*instance.Instance)) error {
+	done := make(chan struct{})
+	wrapped := func(core *instance.Instance) {
+		f(core)
+		close(done)
+	}
+	select {
+	case l.asks <- wrapped:
+	case <-l.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+	return nil
+}
+
+// run ticks until the context ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.stopped)
+	defer l.closed.Store(true)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		batch, ok := l.wait(ctx, timer)
+		if !ok {
+			return
+		}
+		l.tick(batch)
+		timer.Reset(l.untilWake())
+	}
+}
+
+// wait blocks for an event or a timer and returns what is queued by then.
+func (l *loop) wait(ctx context.Context, timer *time.Timer) ([]structs.Event, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case f := <-l.asks:
+			f(l.core)
+		case ev := <-l.events:
+			return l.drain(ev), true
+		case <-timer.C:
+			return nil, true
+		}
+	}
+}
+
+func (l *loop) drain(first structs.Event) []structs.Event {
+	batch := []structs.Event{first}
+	for len(batch) < maxBatch {
+		select {
+		case ev := <-l.events:
+			batch = append(batch, ev)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (l *loop) tick(batch []structs.Event) {
+	started := time.Now()
+	cmds := l.core.Tick(started, batch)
+	for _, cmd := range cmds {
+		l.carry(cmd)
+	}
+	l.after(l.core)
+	l.metrics.ticks.Inc(1)
+	l.metrics.events.Inc(int64(len(batch)))
+	l.metrics.commands.Inc(int64(len(cmds)))
+	l.metrics.duration.RecordDuration(time.Since(started))
+}
+
+// untilWake gives the time to the core's next timer, an hour if there is none.
+func (l *loop) untilWake() time.Duration {
+	next := l.core.NextWake()
+	if next.IsZero() {
+		return time.Hour
+	}
+	return max(time.Until(next), 0)
+}
--- /dev/null
+++ b/internal/node/wiring.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"github.com/banyanglade/banyanglade/internal/httpapi"
+	"github.com/banyanglade/banyanglade/internal/instance"
+	"github.com/banyanglade/banyanglade/internal/peer"
+	"github.com/banyanglade/banyanglade/internal/platform"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/target"
+)
+
+const (
+	// metricsInterval is the time between two reports of the metrics scope.
+	metricsInterval = time.Second
+	// headerTimeout bounds the reading of a peer's request header.
+	headerTimeout = 5 * time.Second
+	// incarnationBytes is the length of the random part of an incarnation.
+	incarnationBytes = 8
+)
+
+// listeners are the open sockets of an instance.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+}
+
+func newListeners(cfg Config) (*listeners, error) {
+	callers, err := net.Listen("tcp", cfg.CallerListen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	peers, err := net.Listen("tcp", cfg.PeerListen)
+	if err != nil {
+		_ = callers.Close()
+		return nil, errors.Wrap(err, "listen for instances")
+	}
+	return &listeners{callers: callers, peers: peers}, nil
+}
+
+// metrics are the scope that all parts count in, and its report.
+type metrics struct {
+	report *httpapi.Metrics
+	scope  tally.Scope
+}
+
+func newMetrics(life fx.Lifecycle) *metrics {
+	report := httpapi.NewMetrics()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "banyanglade", Separator: "_", Reporter: report,
+	}, metricsInterval)
+	life.Append(fx.StopHook(closer.Close))
+	return &metrics{report: report, scope: scope}
+}
+
+func newInstance(cfg Config, l *listeners) (*instance.Instance, structs.InstanceConfig, error) {
+	random := make([]byte, incarnationBytes)
+	if _, err := rand.Read(random); err != nil {
+		return nil, structs.InstanceConfig{}, errors.Wrap(err, "random incarnation")
+	}
+	config := structs.DefaultInstanceConfig(cfg.self(l.peers.Addr()), hex.EncodeToString(random))
+	config.Shards = cfg.Shards
+	config.Retention = cfg.Retention
+	config.Seed = uint64(time.Now().UnixNano())
+	return instance.New(config), config, nil
+}
+
+// adapters carry out the core's commands.
+type adapters struct {
+	http    *httpapi.Server
+	peers   *peer.Transport
+	log     *platform.Log
+	members *platform.Members
+	targets *target.Runner
+}
+
+// adapterParams are what the adapters are made of.
+type adapterParams struct {
+	fx.In
+
+	Config   Config
+	Instance structs.InstanceConfig
+	Core     *instance.Instance
+	Loop     *loop
+	Mirror   *mirror
+	Metrics  *metrics
+	Log      *slog.Logger
+}
+
+func newAdapters(p adapterParams) (*adapters, error) {
+	var a adapters
+	var err error
+	ctx := context.Background()
+	scope := p.Metrics.scope
+	a.peers, err = peer.New(ctx, peer.Config{
+		Self: p.Instance.Self, Incarnation: p.Instance.Incarnation,
+		Key: p.Config.PeerKey, PeerTimeout: p.Instance.PeerTimeout,
+	}, p.Loop.post, p.Mirror.peer, scope.SubScope("peer"), p.Log)
+	if err != nil {
+		return nil, err
+	}
+	a.log, err = platform.NewLog(ctx, platform.LogConfig{URL: p.Config.LogURL},
+		p.Loop.post, scope.SubScope("log"), p.Log)
+	if err != nil {
+		return nil, err
+	}
+	a.members, err = platform.NewMembers(ctx, platform.MembersConfig{URL: p.Config.MembersURL},
+		p.Loop.post, scope.SubScope("members"), p.Log)
+	if err != nil {
+		return nil, err
+	}
+	a.targets = target.New(ctx, target.Config{}, p.kind, p.Loop.post, scope.SubScope("target"), p.Log)
+	a.http = httpapi.New(p.httpConfig(), &facade{loop: p.Loop, mirror: p.Mirror, tree: p.Core.Tree()},
+		scope.SubScope("http"), p.Log)
+	return &a, nil
+}
+
+func (p adapterParams) kind(name structs.ServiceName) (structs.ServiceKind, bool) {
+	service, ok := p.Core.Tree().Service(name)
+	return service.Kind, ok
+}
+
+func (p adapterParams) httpConfig() httpapi.Config {
+	return httpapi.Config{
+		Instance: p.Instance.Self.ID, Incarnation: p.Instance.Incarnation,
+		Region: p.Instance.Self.Region, RootKeyHash: p.Config.RootKeyHash,
+		MaxBody: p.Config.MaxBody, Metrics: p.Metrics.report,
+	}
+}
+
+// register starts the loop and the servers with the app and stops them in
+// reverse order.
+func register(life fx.Lifecycle, n *node, l *listeners) {
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := n.adapters.http.HTTPServer()
+	peers := &http.Server{Handler: n.adapters.peers.Handler(), ReadHeaderTimeout: headerTimeout}
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go n.loop.run(ctx)
+			go n.serve(callers, l.callers)
+			go n.serve(peers, l.peers)
+			n.log.Info("listening", "callers", l.callers.Addr().String(), "peers", l.peers.Addr().String())
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			err := callers.Shutdown(stop)
+			n.closeAdapters()
+			cancel()
+			<-n.loop.stopped
+			return errors.CombineErrors(err, peers.Close())
+		},
+	})
+}
+
+// serve reports a server's failure; a closed server is none.
+func (n *node) serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+func (n *node) startDrain() { n.loop.post(structs.DrainStart{}) }
+
+func (n *node) closeAdapters() {
+	n.adapters.targets.Close()
+	n.adapters.peers.Close()
+	n.adapters.members.Close()
+	n.adapters.log.Close()
+}
--- a/internal/structs/config.go
+++ b/internal/structs/config.go
@@ -20,6 +20,9 @@
 	RecoveryWait time.Duration
 	// SendWindow bounds the time from a decision to send to the send.
 	SendWindow time.Duration
+	// DrainDelay is how long a draining instance goes on relaying new
+	// requests, until the balancer has seen that it is not ready.
+	DrainDelay time.Duration
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 }
@@ -29,6 +32,6 @@
 	return InstanceConfig{
 		Self: self, Incarnation: incarnation, Shards: 64,
 		PeerTimeout: time.Second, RecoveryWait: 2 * time.Second,
-		SendWindow: time.Second, Retention: 24 * time.Hour,
+		SendWindow: time.Second, DrainDelay: 2 * time.Second, Retention: 24 * time.Hour,
 	}
 }
--- /dev/null
+++ b/internal/testkit/client.go
@@ -0,0 +1,232 @@
+package testkit
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// Client is a caller or operator of one instance.
+type Client struct {
+	Server string
+	Key    string
+	HTTP   *http.Client
+}
+
+// NewClient returns a client that opens a connection for each request, as
+// callers behind a balancer do.
+func NewClient(server, key string) *Client {
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &Client{Server: server, Key: key, HTTP: &http.Client{Transport: transport}}
+}
+
+// Call is one call as a caller makes it.
+type Call struct {
+	Program       string
+	Lane          string
+	Number        int
+	Key           string
+	NotRepeatable bool
+	Deadline      time.Duration
+	Fee           int
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	// Outcome is the header Banyanglade-Outcome.
+	Outcome string
+	Program string
+	Body    []byte
+	// Text is the text of a chat answer and Pieces its streamed pieces.
+	Text   string
+	Pieces int
+	// Problem is the problem document of a refusal.
+	Problem *Problem
+	// FirstPiece is the time to the first piece of a streamed answer, Took
+	// the time to the end.
+	FirstPiece time.Duration
+	Took       time.Duration
+	// Cut tells that the connection ended before the answer did.
+	Cut bool
+}
+
+// Problem is a problem document (RFC 9457) as instances write it.
+type Problem struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Detail       string `json:"detail"`
+	Outcome      string `json:"outcome"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// OK tells whether the call was answered whole.
+func (a *Answer) OK() bool { return a.Status == http.StatusOK && a.Problem == nil && !a.Cut }
+
+// SettingsChange is one change in the body of PUT /v1/settings.
+type SettingsChange struct {
+	Path     string `json:"path"`
+	Base     uint64 `json:"base"`
+	Value    any    `json:"value"`
+	ChangeID string `json:"change_id"`
+}
+
+// Publish proposes changes and returns the reply's body.
+func (c *Client) Publish(ctx context.Context, changes ...SettingsChange) (*Answer, error) {
+	body, err := json.Marshal(map[string]any{"changes": changes})
+	if err != nil {
+		return nil, err
+	}
+	return c.Do(ctx, http.MethodPut, "/v1/settings", body, Call{})
+}
+
+// Open opens a program and returns its id.
+func (c *Client) Open(ctx context.Context) (string, error) {
+	answer, err := c.Do(ctx, http.MethodPost, "/v1/programs", []byte("{}"), Call{})
+	if err != nil {
+		return "", err
+	}
+	if answer.Program == "" || answer.Problem != nil {
+		return "", errors.Newf("open: status %d: %s", answer.Status, answer.Body)
+	}
+	return answer.Program, nil
+}
+
+// Close closes a program.
+func (c *Client) Close(ctx context.Context, program string) (*Answer, error) {
+	return c.Do(ctx, http.MethodDelete, "/v1/programs/"+program, nil, Call{})
+}
+
+// Chat makes a chat completion.
+func (c *Client) Chat(ctx context.Context, request wire.ChatRequest, call Call) (*Answer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	return c.Do(ctx, http.MethodPost, wire.ChatRoute, body, call)
+}
+
+// Do makes one request. A connection that broke before the status line is an
+// error; one that broke later is an Answer with Cut set.
+func (c *Client) Do(ctx context.Context, method, path string, body []byte, call Call) (*Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.Server+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if len(body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	setCall(request.Header, call)
+	started := time.Now()
+	reply, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	answer := &Answer{
+		Status: reply.StatusCode, Outcome: reply.Header.Get("Banyanglade-Outcome"),
+		Program: reply.Header.Get("Banyanglade-Program"),
+	}
+	if strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream") {
+		answer.readStream(reply.Body, started)
+	} else {
+		answer.readWhole(reply.Body)
+	}
+	answer.Took = time.Since(started)
+	return answer, nil
+}
+
+func setCall(header http.Header, call Call) {
+	set := func(name, value string) {
+		if value != "" && value != "0" {
+			header.Set(name, value)
+		}
+	}
+	set("Banyanglade-Program", call.Program)
+	set("Banyanglade-Lane", call.Lane)
+	set("Banyanglade-Call", fmt.Sprint(call.Number))
+	set("Idempotency-Key", call.Key)
+	set("Banyanglade-Deadline-Ms", fmt.Sprint(call.Deadline.Milliseconds()))
+	set("Banyanglade-Fee", fmt.Sprint(call.Fee))
+	if call.NotRepeatable {
+		set("Banyanglade-Not-Repeatable", "true")
+	}
+}
+
+func (a *Answer) readWhole(body io.Reader) {
+	var err error
+	a.Body, err = io.ReadAll(body)
+	a.Cut = err != nil
+	if a.Status >= http.StatusBadRequest {
+		a.takeProblem(a.Body)
+		return
+	}
+	var chat wire.ChatReply
+	if json.Unmarshal(a.Body, &chat) == nil && len(chat.Choices) > 0 && chat.Choices[0].Message != nil {
+		a.Text = chat.Choices[0].Message.Content
+	}
+}
+
+func (a *Answer) takeProblem(body []byte) {
+	var p Problem
+	if json.Unmarshal(body, &p) == nil && p.Type != "" {
+		a.Problem = &p
+	}
+}
+
+// readStream reads server-sent events until the end mark.
+func (a *Answer) readStream(body io.Reader, started time.Time) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 64<<10), 16<<20)
+	a.Cut = true
+	isError := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		if line == "event: error" {
+			isError = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if isError {
+			a.takeProblem([]byte(data))
+			a.Cut = false
+			return
+		}
+		if data == "[DONE]" {
+			a.Cut = false
+			return
+		}
+		a.takePiece(data, started)
+	}
+}
+
+func (a *Answer) takePiece(data string, started time.Time) {
+	var chunk wire.ChatChunk
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return
+	}
+	delta := chunk.Choices[0].Delta
+	if delta == nil || delta.Content == "" {
+		return
+	}
+	if a.Pieces == 0 {
+		a.FirstPiece = time.Since(started)
+	}
+	a.Pieces++
+	a.Text += delta.Content
+}
--- /dev/null
+++ b/internal/testkit/process.go
@@ -0,0 +1,156 @@
+package testkit
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// listeningMessage is the log message that tells an instance's addresses.
+const listeningMessage = "listening"
+
+// Process is one instance as a process.
+type Process struct {
+	ID         string
+	DataCentre string
+	// Server is the base URL for callers, Peer the address for instances.
+	Server string
+	Peer   string
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error
+	log    *logBuffer
+}
+
+// listening is the log line that an instance writes once it listens.
+type listening struct {
+	Message string `json:"msg"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+}
+
+// startProcess starts a command and waits until it logged its addresses.
+func startProcess(binary string, env []string, logDir string, p *Process) error {
+	p.cmd = exec.Command(binary, "run")
+	p.cmd.Env = append(os.Environ(), env...)
+	p.exited = make(chan struct{})
+	p.log = &logBuffer{}
+	if err := p.log.openFile(logDir, p.ID); err != nil {
+		return err
+	}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		return errors.Wrap(err, "pipe")
+	}
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	found := make(chan listening, 1)
+	go p.read(stderr, found)
+	select {
+	case line := <-found:
+		p.Server = "http://" + line.Callers
+		p.Peer = line.Peers
+		return nil
+	case <-p.exited:
+		return errors.Newf("instance %s ended before it listened: %v\n%s", p.ID, p.err, p.Log())
+	}
+}
+
+// read keeps the process's log and finds its addresses, then waits for its end.
+func (p *Process) read(stderr io.Reader, found chan<- listening) {
+	scanner := bufio.NewScanner(stderr)
+	scanner.Buffer(make([]byte, 0, 64<<10), 4<<20)
+	for scanner.Scan() {
+		p.log.add(scanner.Text())
+		var line listening
+		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Message == listeningMessage {
+			found <- line
+		}
+	}
+	p.err = p.cmd.Wait()
+	p.log.close()
+	close(p.exited)
+}
+
+// Kill ends the process at once (SIGKILL) and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// Pause freezes the process (SIGSTOP).
+func (p *Process) Pause() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on (SIGCONT).
+func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks for a graceful shutdown (SIGTERM).
+func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Exited is closed once the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// ExitCode is the exit code of an ended process.
+func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
+
+// PID is the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Log gives the last lines of the process's log.
+func (p *Process) Log() string { return p.log.String() }
+
+// logBuffer keeps the last lines of a log, and writes all to a file if there is
+// one.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines []string
+	file  *os.File
+}
+
+const logLines = 2000
+
+// openFile opens the log file of an instance in a folder, none if it is empty.
+func (b *logBuffer) openFile(dir, id string) error {
+	if dir == "" {
+		return nil
+	}
+	var err error
+	b.file, err = os.Create(filepath.Join(dir, id+".log"))
+	return errors.Wrap(err, "log file")
+}
+
+func (b *logBuffer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.file != nil {
+		_ = b.file.Close()
+	}
+}
+
+func (b *logBuffer) add(line string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.file != nil {
+		_, _ = b.file.WriteString(line + "\n")
+	}
+	b.lines = append(b.lines, line)
+	if len(b.lines) > logLines {
+		b.lines = b.lines[len(b.lines)-logLines:]
+	}
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Join(b.lines, "\n")
+}
--- /dev/null
+++ b/internal/testkit/settings.go
@@ -0,0 +1,95 @@
+package testkit
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/banyanglade/banyanglade/internal/standin/cluster"
+	"github.com/banyanglade/banyanglade/internal/standin/engine"
+)
+
+// Services, team and keys of the kit's usual settings.
+const (
+	ModelService  = "model"
+	ToolService   = "tool"
+	FilingService = "filing"
+	TeamPath      = "harbour"
+	CallerKey     = "testkit-caller-key"
+	OperatorKey   = "testkit-operator-key"
+)
+
+// UsualStandins are the stand-ins of the kit's usual cluster: three data
+// centres, each with an engine, a tool target and a filing target.
+func UsualStandins() cluster.Settings {
+	return cluster.Settings{
+		Places: []cluster.Place{
+			{Region: "lakes", DataCentre: "north"},
+			{Region: "lakes", DataCentre: "east"},
+			{Region: "lakes", DataCentre: "south"},
+		},
+		Engines: cluster.EngineGroup{
+			Service: ModelService, Count: 1,
+			Settings: engine.Settings{KeepStreams: engine.DefaultKeepStreams},
+		},
+		Tools: cluster.ServiceGroup{Service: ToolService, Count: 1},
+		Plain: cluster.ServiceGroup{Service: FilingService, Count: 1},
+	}
+}
+
+// UsualSettings are the changes that name the usual services and one team with
+// a caller's and an operator's key.
+func UsualSettings() []SettingsChange {
+	return Changes(map[string]any{
+		"services/" + ModelService + "/kind":            "engine",
+		"services/" + ToolService + "/kind":             "tool",
+		"services/" + FilingService + "/kind":           "plain",
+		"services/" + FilingService + "/not_repeatable": true,
+		"teams/" + TeamPath + "/credentials/caller":     map[string]string{"role": "caller", "sha256": HashKey(CallerKey)},
+		"teams/" + TeamPath + "/credentials/operator":   map[string]string{"role": "operator", "sha256": HashKey(OperatorKey)},
+	})
+}
+
+// Changes makes first changes (of base version 0) from paths and values.
+func Changes(values map[string]any) []SettingsChange {
+	var changes []SettingsChange
+	for path, value := range values {
+		changes = append(changes, SettingsChange{Path: path, Value: value, ChangeID: ulid.Make().String()})
+	}
+	return changes
+}
+
+// Configure publishes the changes and waits until each instance knows the
+// caller's key.
+func (c *Cluster) Configure(ctx context.Context, changes []SettingsChange) error {
+	root := NewClient(c.Instances[0].Server, RootKey)
+	answer, err := root.Publish(ctx, changes...)
+	if err != nil {
+		return errors.Wrap(err, "publish the settings")
+	}
+	if answer.Status != http.StatusOK {
+		return errors.Newf("publish the settings: status %d: %s", answer.Status, answer.Body)
+	}
+	for _, p := range c.Instances {
+		if err := c.waitKey(ctx, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) waitKey(ctx context.Context, p *Process) error {
+	caller := NewClient(p.Server, CallerKey)
+	return Poll(ctx, func() error {
+		answer, err := caller.Do(ctx, http.MethodGet, "/v1/programs/unknown", nil, Call{})
+		if err != nil {
+			return err
+		}
+		if answer.Status == http.StatusUnauthorized {
+			return errors.Newf("instance %s does not know the caller's key yet", p.ID)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/scripts/gotest.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs the Go tests under the race detector. A test listed in KNOWN-RED.txt
+# (one a line: test, cause, issue; three at most) may fail; it is still run and
+# its verdict printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+known=KNOWN-RED.txt
+skip=()
+if [ -s "$known" ]; then
+	if [ "$(grep -c . "$known")" -gt 3 ]; then
+		echo "$known lists more than three tests" >&2
+		exit 1
+	fi
+	names=$(cut -d, -f1 "$known" | paste -sd'|')
+	skip=(-skip "^($names)\$")
+	echo "KNOWN RED, run apart and not counted:"
+	cat "$known"
+	go test -race -count=1 -run "^($names)\$" ./... | grep -E '^(---|ok|FAIL)' || true
+fi
+go test -race -count=1 "${skip[@]}" ./...
