--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -113,6 +113,7 @@
 			c.refuse(structs.ReasonOrderGap, time.Second)
 		}
 	}
+	p.advance()
 }
 
 // start runs the checks that need the lane's past, then makes the call's cost
