settings: suggestion in the detail, a test of concurrent reads

Cause: a trial of the whole binary printed 'expected did you mean'; adapters read the tree from goroutines of their own, which no test showed. Change: the suggestion stands beside the unknown key; the property of racing proposers has its own file. Conclusion: no change of the interface.

--- /dev/null
+++ b/internal/settings/property_test.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Whatever is proposed where, with whatever faults, reads and restarts: offsets
+// and versions only grow, no version of a path has two values, who heard
+// accepted won, who heard lost or not-published is not in force, and in the end
+// all trees agree.
+func TestProposersAgreeProperty(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("one winner for each version, never back", prop.ForAll(
+		func(steps []int) bool { return runSchedule(t, steps) },
+		gen.SliceOfN(60, gen.IntRange(0, 9999)),
+	))
+	properties.TestingRun(t)
+}
+
+func runSchedule(t *testing.T, steps []int) bool {
+	w := newWorld(t)
+	ids := []structs.InstanceID{"a", "b", "c"}
+	for _, id := range ids {
+		w.start(id)
+	}
+	checker := newChecker()
+	for i, step := range steps {
+		n := w.nodes[ids[step%len(ids)]]
+		scheduleStep(w, n, i, step/len(ids))
+		if !checker.check(t, w) {
+			return false
+		}
+	}
+	w.down, w.faults = false, nil
+	w.pass(15*time.Second, time.Second)
+	return checker.check(t, w) && checker.final(t, w)
+}
+
+func scheduleStep(w *fakeWorld, n *fakeNode, i, step int) {
+	action, argument := step%9, step/9
+	switch action {
+	case 0, 1, 2:
+		team := []string{"x", "y"}[argument%2]
+		base := n.tree.Version("teams/" + team + "/priority")
+		w.propose(n, structs.RequestID(fmt.Sprintf("%d", i)), priority(team, base, argument%100))
+	case 3, 4:
+		w.read(n)
+	case 5:
+		w.faults = append(w.faults, appendFault(argument%5))
+	case 6:
+		w.down = argument%2 == 0
+	case 7:
+		w.now = w.now.Add(time.Duration(argument%4) * time.Second)
+		w.tick(n)
+	case 8:
+		if argument%4 == 0 {
+			w.start(n.id)
+		} else {
+			w.tick(n)
+		}
+	}
+}
+
+// checker follows what the instances show.
+type checker struct {
+	values   map[string]string
+	versions map[*fakeNode]map[string]uint64
+	results  map[string]structs.SettingsResult
+}
+
+func newChecker() *checker {
+	return &checker{
+		values: make(map[string]string), versions: make(map[*fakeNode]map[string]uint64),
+		results: make(map[string]structs.SettingsResult),
+	}
+}
+
+func (c *checker) check(t *testing.T, w *fakeWorld) bool {
+	for _, n := range w.nodes {
+		if c.versions[n] == nil {
+			c.versions[n] = make(map[string]uint64)
+		}
+		for _, e := range listed(n.tree) {
+			key := fmt.Sprintf("%s@%d", e.Path, e.Version)
+			if old, ok := c.values[key]; ok && old != string(e.Value) {
+				t.Logf("%s is %s and %s", key, old, e.Value)
+				return false
+			}
+			c.values[key] = string(e.Value)
+			if e.Version < c.versions[n][e.Path] {
+				t.Logf("%s went back at %s", key, n.id)
+				return false
+			}
+			c.versions[n][e.Path] = e.Version
+		}
+		for request, result := range n.replies {
+			c.results["id-"+string(request)] = result
+		}
+	}
+	return true
+}
+
+// final compares the answers with the log itself.
+func (c *checker) final(t *testing.T, w *fakeWorld) bool {
+	truth := NewTree()
+	for _, rec := range w.records {
+		truth.Apply(rec.Offset, rec.Data)
+	}
+	for _, n := range w.nodes {
+		if !n.CaughtUp() || fmt.Sprint(listed(n.tree)) != fmt.Sprint(listed(truth)) {
+			t.Logf("%s differs from the log", n.id)
+			return false
+		}
+	}
+	for id, result := range c.results {
+		outcome, onLog := truth.Outcome(id)
+		accepted := onLog && outcome.Accepted
+		wrong := result.Status == structs.SettingsAccepted && !accepted ||
+			result.Status == structs.SettingsLost && accepted ||
+			result.Status == structs.SettingsNotPublished && onLog
+		if wrong {
+			t.Logf("%s heard %s, on the log %+v", id, result.Status, outcome)
+			return false
+		}
+	}
+	return true
+}
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -242,3 +243,35 @@
 		t.Fatal("garbage restored")
 	}
 }
+
+// Adapters read the tree from their own goroutines while the core changes it.
+func TestTreeIsReadWhileItChanges(t *testing.T) {
+	tree := NewTree()
+	records := make([][]byte, 200)
+	for i := range records {
+		records[i] = encode(t, record{Changes: []recordChange{change("teams/a/max_queued", uint64(i), fmt.Sprint(i+1))}})
+	}
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			last := 0
+			for last < len(records) {
+				p := tree.Policy("a")
+				if queued := p.MaxQueued; queued != structs.DefaultPolicy().MaxQueued {
+					if queued < last {
+						t.Errorf("went back from %d to %d", last, queued)
+						return
+					}
+					last = queued
+				}
+				tree.Services()
+				tree.Authenticate("key")
+				tree.Listing("")
+			}
+		})
+	}
+	for i, data := range records {
+		tree.Apply(uint64(i), data)
+	}
+	readers.Wait()
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -134,11 +134,11 @@
 }
 
 func unknownKey(path, key string, known []string) *ValidationError {
-	expected := "one of " + strings.Join(known, ", ")
+	detail := fmt.Sprintf("unknown key %q", key)
 	if near, ok := nearest(key, known); ok {
-		expected = fmt.Sprintf("did you mean %q? Known keys: %s", near, strings.Join(known, ", "))
+		detail += fmt.Sprintf(", did you mean %q?", near)
 	}
-	return &ValidationError{Path: path, Detail: fmt.Sprintf("unknown key %q", key), Expected: expected}
+	return &ValidationError{Path: path, Detail: detail, Expected: "one of " + strings.Join(known, ", ")}
 }
 
 // Validate checks changes against the schema and against the present tree:
