HTTP adapter: refusals before the body; engine errors; large last chunk

Causes, each with a test that failed before the change: - A refusal (401, 503) of a request whose body had not come waited for the body without a bound, since net/http drains it to keep the connection (TestRefusalDoesNotWaitForTheBody hung). Now the connection closes behind such an answer. - A body that no handler reads, as on /healthz, held its goroutine for ever (TestBodyThatNobodyReadsHoldsNothing hung). Now every body has a read deadline. - An engine's own HTTP error was answered as an empty completion with status 200 (TestEngineErrorIsPassedOn). - A long rest of a replayed answer in one chunk cut off a caller that reads (TestLargeChunkDoesNotCutOffCallerThatReads). - A path with two slashes behind the service reached the core (TestServicesOfCalls). Ruled out: full duplex in net/http, since a body that times out then is not told apart from the next request.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -18,7 +18,6 @@
 func (s *Server) readBody(c *gin.Context) (body []byte, release func(), problem *Problem) {
 	size := s.config.MaxBody
 	if length := c.Request.ContentLength; length > size {
-		c.Header("Connection", "close")
 		return nil, func() {}, refuse(structs.ReasonTooLarge, "the body is larger than %d bytes", size)
 	} else if length >= 0 {
 		size = length
@@ -32,19 +31,19 @@
 	return body, func() { s.limits.bodies.Release(size - unused) }, problem
 }
 
-// readWithin reads at most size bytes of the body before the body timeout.
+// readWithin reads at most size bytes of the body, before the deadline that
+// checkRequest has set.
 func (s *Server) readWithin(c *gin.Context, size int64) ([]byte, *Problem) {
 	if c.Request.Body == http.NoBody {
 		return nil, nil
 	}
-	control := http.NewResponseController(c.Writer)
-	_ = control.SetReadDeadline(s.config.Now().Add(s.config.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, size))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		infoOf(c).bodyRead = true
+		// From here on a read only waits for the caller to hang up.
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Time{})
 		return body, nil
 	}
-	c.Header("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/httpapi/chatstream.go
+++ b/internal/httpapi/chatstream.go
@@ -67,6 +67,10 @@
 		s.failStream(c, p, stream, problemOf(reply.Outcome))
 		return
 	}
+	if isEngineError(reply.Outcome) {
+		s.endWithEngineError(c, p, stream, reply.Outcome)
+		return
+	}
 	if err := stream.finish(reply.Outcome); err != nil {
 		s.log.Error("streamed answer", "request", infoOf(c).id, "program", infoOf(c).program, "error", err)
 		s.failStream(c, p, stream, newProblem(structs.ReasonTargetFailed, outcomeUnknown, err.Error()))
@@ -76,6 +80,16 @@
 	s.sendStream(c, p, stream)
 }
 
+// endWithEngineError passes on the engine's own refusal, which cannot follow a
+// part of an answer.
+func (s *Server) endWithEngineError(c *gin.Context, p *pending, stream *chatStream, outcome structs.Outcome) {
+	if stream.sent {
+		s.failStream(c, p, stream, newProblem(structs.ReasonTargetFailed, outcomeUnknown, "the engine failed behind a part of its answer"))
+		return
+	}
+	s.answerPlain(c, outcome)
+}
+
 // failStream gives a problem as a document if nothing was sent yet, else as an
 // event.
 func (s *Server) failStream(c *gin.Context, p *pending, stream *chatStream, problem *Problem) {
--- a/internal/httpapi/exchange.go
+++ b/internal/httpapi/exchange.go
@@ -20,7 +20,8 @@
 // loop fills it without blocking and the request's handler empties it.
 type exchange struct {
 	id structs.RequestID
-	// limit bounds the bytes of waiting chunks; 0 drops chunks.
+	// limit is the bytes of waiting chunks from which on no other is taken; 0
+	// drops all chunks.
 	limit int
 	// cancel ends the request's context, with errSlowCaller as cause.
 	cancel context.CancelCauseFunc
@@ -39,8 +40,8 @@
 }
 
 // addChunk keeps a chunk for the handler, or cuts the request off if the
-// caller has not read enough of those before. One chunk always has room,
-// however large.
+// caller has left too many bytes of those before waiting. The last chunk may
+// exceed the limit: the rest of a replayed answer comes as one.
 func (e *exchange) addChunk(chunk structs.Chunk) {
 	if e.limit == 0 {
 		return
@@ -50,14 +51,13 @@
 	if e.cut || e.final != nil {
 		return
 	}
-	size := chunkSize(chunk)
-	if e.bytes > 0 && e.bytes+size > e.limit {
+	if e.bytes >= e.limit {
 		e.cut = true
 		e.chunks = nil
 		e.cancel(errSlowCaller)
 		return
 	}
-	e.bytes += size
+	e.bytes += chunkSize(chunk)
 	e.chunks = append(e.chunks, chunk)
 	e.signal()
 }
--- a/internal/httpapi/middleware.go
+++ b/internal/httpapi/middleware.go
@@ -32,8 +32,10 @@
 	service   structs.ServiceName
 	lane      structs.Lane
 	number    uint64
-	outcome   string
-	reason    structs.Reason
+	// bodyRead tells that the request's body was read to its end.
+	bodyRead bool
+	outcome  string
+	reason   structs.Reason
 }
 
 func infoOf(c *gin.Context) *requestInfo {
@@ -92,8 +94,12 @@
 	c.Next()
 }
 
-// checkRequest refuses requests whose headers are not what they seem.
+// checkRequest refuses requests whose headers are not what they seem, and
+// bounds the time for the body, also where no handler reads it.
 func (s *Server) checkRequest(c *gin.Context) {
+	if c.Request.Body != http.NoBody {
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(s.config.Now().Add(s.config.BodyTimeout))
+	}
 	if problem := checkHeaders(c.Request.Header); problem != nil {
 		s.fail(c, problem)
 		return
@@ -114,11 +120,22 @@
 // fail answers with a problem document and ends the request.
 func (s *Server) fail(c *gin.Context, problem *Problem) {
 	s.noteProblem(c, problem)
+	leaveBody(c)
 	s.setWriteDeadline(c.Writer)
 	problem.write(c.Writer)
 	c.Abort()
 }
 
+// leaveBody lets the answer go out before the request's body has come: without
+// it the server first waits for the rest of the body, to use the connection
+// again.
+func leaveBody(c *gin.Context) {
+	if infoOf(c).bodyRead || c.Request.Body == http.NoBody {
+		return
+	}
+	c.Header("Connection", "close")
+}
+
 // noteProblem fills what the document and the log share.
 func (s *Server) noteProblem(c *gin.Context, problem *Problem) {
 	info := infoOf(c)
--- a/internal/httpapi/plain.go
+++ b/internal/httpapi/plain.go
@@ -113,6 +113,9 @@
 	if len(path) > maxPathLength || !printable(path) || hasDotSegment(address.Path) {
 		return "", "", refuse(structs.ReasonInvalid, "the path is too long, has a . or .. segment, or control characters")
 	}
+	if strings.HasPrefix(path, "//") {
+		return "", "", refuse(structs.ReasonInvalid, "the path after the service starts with two slashes")
+	}
 	return structs.ServiceName(name), path, nil
 }
 
