--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -1,6 +1,8 @@
 package settings
 
-// Limits of the tree. They bound the memory and the snapshot of an instance.
+// Limits of the tree. They bound the memory and the snapshot of an instance. They
+// decide which records take effect, so all instances must have the same: a change
+// of one needs a new recordVersion.
 const (
 	// MaxPathBytes bounds a path.
 	MaxPathBytes = 256
@@ -16,8 +18,9 @@
 	MaxTreeBytes = 512 << 10
 	// MaxChanges bounds the changes of one record.
 	MaxChanges = 1024
-	// MaxRecordBytes bounds one record on the log.
-	MaxRecordBytes = 2 << 20
+	// MaxRecordBytes bounds one record on the log. The snapshot of a full
+	// tree fits.
+	MaxRecordBytes = 4 << 20
 	// MaxChangeIDBytes bounds a change id and an author.
 	MaxChangeIDBytes = 128
 	// MaxFileBytes bounds a settings file.
