Owner: a randomized fault schedule, and what it found

Cause: two answers were unsafe when a gateway had handed a request to a second owner. (1) The second owner's refusal said 'not run' though the first had run the call, or still held it: a refusal of a resubmitted request is 'unknown' now. (2) Pieces of one run were followed by those of another: chunks and ends name their run, and Submit.HaveRun tells which one a gateway has pieces of. Also a resume that was not sent says nothing of the run, so it no longer counts as 'not sent'.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -81,9 +81,11 @@
 
 // waiter is a gateway that waits for a call's outcome.
 type waiter struct {
-	request  structs.RequestID
-	from     structs.InstanceID
+	request structs.RequestID
+	from    structs.InstanceID
+	// next is the first piece that the gateway lacks; run made those before.
 	next     int
+	run      structs.RunID
 	deadline time.Time
 	timer    *timer
 	// detached tells that the connection to the gateway broke.
@@ -102,20 +104,43 @@
 func (c *call) attach(from structs.InstanceID, m *structs.Submit) {
 	o := c.shard.o
 	c.resubmitted = c.resubmitted || m.Resubmitted || m.Have > 0
-	w := &waiter{request: m.Request, from: from, next: m.Have, deadline: o.now.Add(m.Remaining)}
+	w := &waiter{request: m.Request, from: from, next: m.Have, run: m.HaveRun, deadline: o.now.Add(m.Remaining)}
 	w.timer = o.after(max(0, m.Remaining-answerMargin), func() { c.onDeadline(w) })
 	c.waiters = append(c.waiters, w)
 	o.requests[m.Request] = c
 	o.timers.stop(c.linger)
+	if c.started() {
+		c.dropStrangers()
+	}
 	c.forward(w)
 }
 
+// started tells whether the run of the call's answer is fixed.
+func (c *call) started() bool {
+	return c.phase == phaseRunning || c.phase == phaseAsking || c.phase == phaseRecording
+}
+
+// dropStrangers answers the gateways that have pieces of another run: what they
+// passed on cannot be made whole.
+func (c *call) dropStrangers() {
+	for _, w := range slices.Clone(c.waiters) {
+		if w.next == 0 || w.run == c.run {
+			continue
+		}
+		c.removeWaiter(w)
+		c.shard.o.send(w.from, &structs.CallEnd{Request: w.request, Outcome: unknown(structs.ReasonTargetFailed)})
+	}
+}
+
 // reattach takes a repeated Submit of a request that is waiting already.
 func (c *call) reattach(from structs.InstanceID, m *structs.Submit) {
 	for _, w := range c.waiters {
 		if w.request == m.Request {
-			w.from, w.next, w.detached = from, m.Have, false
+			w.from, w.next, w.run, w.detached = from, m.Have, m.HaveRun, false
 			c.shard.o.timers.stop(c.linger)
+			if c.started() {
+				c.dropStrangers()
+			}
 			c.forward(w)
 			return
 		}
@@ -128,8 +153,8 @@
 		return
 	}
 	chunk := structs.Chunk{First: w.next, Texts: slices.Clone(c.pieces[w.next:])}
-	w.next = chunk.Next()
-	c.shard.o.send(w.from, &structs.CallChunk{Request: w.request, Chunk: chunk})
+	w.next, w.run = chunk.Next(), c.run
+	c.shard.o.send(w.from, &structs.CallChunk{Request: w.request, Run: c.run, Chunk: chunk})
 }
 
 // deadline is the latest time by which some gateway needs the outcome.
@@ -146,7 +171,7 @@
 // answer gives every waiter the outcome.
 func (c *call) answer(out structs.Outcome) {
 	for _, w := range c.takeWaiters() {
-		c.shard.o.send(w.from, &structs.CallEnd{Request: w.request, Outcome: out})
+		c.shard.o.send(w.from, &structs.CallEnd{Request: w.request, Run: c.run, Outcome: out})
 	}
 }
 
--- a/internal/owner/idempotency.go
+++ b/internal/owner/idempotency.go
@@ -34,7 +34,10 @@
 	}
 	out := record.Outcome
 	out.Replayed = true
-	o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
+	if m.Have > 0 && m.HaveRun != record.Run {
+		out = unknown(structs.ReasonTargetFailed)
+	}
+	o.send(from, &structs.CallEnd{Request: m.Request, Run: record.Run, Outcome: out})
 	return true
 }
 
--- /dev/null
+++ b/internal/owner/random_test.go
@@ -0,0 +1,337 @@
+package owner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// seedVariable replays one schedule: OWNER_SEED=n go test -run RandomFaults.
+const seedVariable = "OWNER_SEED"
+
+// scheduleCount is the number of schedules of one test run; countVariable sets
+// another.
+const (
+	scheduleCount = 300
+	countVariable = "OWNER_SCHEDULES"
+)
+
+func TestRandomFaults(t *testing.T) {
+	if text := os.Getenv(seedVariable); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := runSchedule(t, seed); len(s.violations) > 0 {
+			t.Fatalf("%s\n%s", strings.Join(s.w.trace, "\n"), strings.Join(s.violations, "\n"))
+		}
+		return
+	}
+	var total schedule
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = scheduleCount
+	if n, err := strconv.Atoi(os.Getenv(countVariable)); err == nil {
+		parameters.MinSuccessfulTests = n
+	}
+	parameters.MaxShrinkCount = 0
+	properties := gopter.NewProperties(parameters)
+	properties.Property("what must hold holds under faults", prop.ForAll(func(seed uint64) string {
+		s := runSchedule(t, seed)
+		total.faults += s.faults
+		total.answered += s.answered
+		total.calls += len(s.w.all)
+		if len(s.violations) > 0 {
+			return fmt.Sprintf("%s=%d: %s", seedVariable, seed, strings.Join(s.violations, "; "))
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	t.Logf("%d faults, %d requests, %d answered", total.faults, total.calls, total.answered)
+}
+
+// schedule is one run of callers under random faults.
+type schedule struct {
+	w          *world
+	rng        *rand.Rand
+	faults     int
+	calls      int
+	answered   int
+	calm       bool
+	violations []string
+}
+
+// caller issues the calls of one lane in order.
+type caller struct {
+	s       *schedule
+	program structs.ProgramID
+	lane    structs.Lane
+	number  uint64
+	tries   int
+}
+
+const callsPerLane = 12
+
+func runSchedule(t testing.TB, seed uint64) *schedule {
+	w := newWorld(t, seed, 3)
+	s := &schedule{w: w, rng: rand.New(rand.NewPCG(seed, 2))}
+	w.policy.ProgramTokens, w.policy.ProgramFees = 4000, 120
+	w.policy.GapTimeout = 2 * time.Second
+	w.policy.LoopRepeats = 0
+	w.askable = seed%2 == 0
+	w.runTime = 50 * time.Millisecond
+	w.behave = s.behave
+	programs := []structs.ProgramID{w.program(1), w.program(2)}
+	w.faults = faults{lostReply: 0.1, dropped: 0.05, refused: 0.05, lateCommands: 3 * time.Second}
+	for _, id := range programs {
+		for _, lane := range []structs.Lane{"", "sub"} {
+			c := &caller{s: s, program: id, lane: lane}
+			c.next()
+		}
+	}
+	for range 100 {
+		s.inject()
+		w.run(200 * time.Millisecond)
+	}
+	s.heal()
+	w.run(5 * time.Minute)
+	s.check(programs)
+	return s
+}
+
+func (s *schedule) behave(structs.StartRun) structs.RunFailure {
+	switch roll := s.rng.Float64(); {
+	case s.calm || roll < 0.9:
+		return structs.RunOK
+	case roll < 0.95:
+		return structs.RunNotSent
+	default:
+		return structs.RunBroken
+	}
+}
+
+// inject brings about one fault, often none.
+func (s *schedule) inject() {
+	w := s.w
+	id := w.ids[s.rng.IntN(len(w.ids))]
+	n := w.nodes[id]
+	span := time.Duration(s.rng.Int64N(int64(5 * time.Second)))
+	switch roll := s.rng.Float64(); {
+	case roll < 0.04 && n.alive:
+		w.kill(id)
+		w.after(span, func() {
+			if !n.alive {
+				w.log("start %s", id)
+				w.start(id)
+			}
+		})
+	case roll < 0.10 && n.alive && !n.paused:
+		w.pause(id, span)
+	case roll < 0.12 && !w.logDown:
+		w.log("log down for %s", span)
+		w.logDown = true
+		w.after(span, func() { w.logDown = false })
+	case roll < 0.15 && n.alive && !n.cut:
+		w.log("cut %s from the log for %s", id, span)
+		life := n.life
+		n.cut = true
+		w.after(span, func() { n.cut = n.cut && n.life != life })
+	default:
+		return
+	}
+	s.faults++
+}
+
+func (s *schedule) heal() {
+	w := s.w
+	w.log("heal")
+	s.calm = true
+	w.faults = faults{}
+	w.logDown = false
+	for _, id := range w.ids {
+		n := w.nodes[id]
+		n.cut = false
+		if !n.alive {
+			w.start(id)
+		}
+	}
+}
+
+// next issues the lane's next call, sometimes with one more behind it or twice.
+func (c *caller) next() {
+	c.number++
+	c.tries = 0
+	if c.number <= callsPerLane {
+		c.try()
+	}
+}
+
+func (c *caller) spec() *structs.Call {
+	spec := testCall(c.program, c.number, c.number%2 == 0)
+	spec.Lane = c.lane
+	spec.Key = fmt.Sprintf("%s-%d", c.lane, c.number)
+	spec.Stream = c.number%3 == 0
+	return spec
+}
+
+func (c *caller) try() {
+	c.tries++
+	w := c.s.w
+	r := w.submit(c.spec(), 10*time.Second)
+	if c.s.rng.Float64() < 0.1 {
+		w.after(10*time.Millisecond, func() { w.submit(c.spec(), 10*time.Second) })
+	}
+	c.watch(r)
+}
+
+// watch waits for the outcome, then goes on or tries the same call again.
+func (c *caller) watch(r *request) {
+	w := c.s.w
+	if r.outcome == nil {
+		w.after(50*time.Millisecond, func() { c.watch(r) })
+		return
+	}
+	switch {
+	case r.kind() == structs.OutcomeAnswered:
+		c.s.answered++
+		c.next()
+	case r.reason() == structs.ReasonBudget || c.tries > 40:
+		return
+	case r.kind() == structs.OutcomeUnknown && r.call.NotRepeatable && c.tries > 3:
+		c.next()
+	default:
+		w.after(max(time.Second, r.outcome.RetryAfter), c.try)
+	}
+}
+
+func (s *schedule) fail(format string, args ...any) {
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+func (s *schedule) check(programs []structs.ProgramID) {
+	s.checkSends()
+	s.checkOrder()
+	s.checkAnswers()
+	s.checkBudget(programs)
+	s.checkProgress(programs)
+}
+
+func callName(c *structs.Call) string { return fmt.Sprintf("%s/%s", c.Program, c.Key) }
+
+// checkSends: a not-repeatable call is sent at most once, and every send is on
+// behalf of a request that was not answered "not run".
+func (s *schedule) checkSends() {
+	count := make(map[string]int)
+	for _, send := range s.w.sends {
+		name := callName(send.call)
+		count[name]++
+		if send.call.NotRepeatable && count[name] > 1 {
+			s.fail("%s was sent %d times", name, count[name])
+		}
+		if !s.wanted(send) {
+			s.fail("%s ran at %s though every request for it was answered 'not run'", name, send.at.Sub(testStart))
+		}
+	}
+}
+
+func (s *schedule) wanted(send send) bool {
+	for _, r := range s.w.all {
+		if callName(r.call) == callName(send.call) && !r.at.After(send.at) && r.kind() != structs.OutcomeNotRun {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOrder: the first sends of a lane's calls are in the order of numbers. A
+// send that slipped past its NotAfter is left out: no clock can order it.
+func (s *schedule) checkOrder() {
+	seen := make(map[string]bool)
+	high := make(map[string]uint64)
+	for _, send := range s.w.sends {
+		name := callName(send.call)
+		lane := fmt.Sprintf("%s/%s", send.call.Program, send.call.Lane)
+		if seen[name] || send.late {
+			continue
+		}
+		seen[name] = true
+		if send.call.Number < high[lane] {
+			s.fail("%s was first sent after call %d", name, high[lane])
+		}
+		high[lane] = max(high[lane], send.call.Number)
+	}
+}
+
+// checkAnswers: an answer is that of a run of the same call, whole, and all
+// answers of a not-repeatable call are the same.
+func (s *schedule) checkAnswers() {
+	answers := make(map[string]string)
+	for _, r := range s.w.all {
+		if r.kind() != structs.OutcomeAnswered {
+			continue
+		}
+		name := callName(r.call)
+		if !s.ran(name, r.outcome.Text) {
+			s.fail("%s got %q, no answer of its runs", name, r.outcome.Text)
+		}
+		if old, ok := answers[name]; ok && old != r.outcome.Text && r.call.NotRepeatable {
+			s.fail("%s got %q and %q", name, old, r.outcome.Text)
+		}
+		answers[name] = r.outcome.Text
+		if got := strings.Join(r.pieces, ""); !strings.HasPrefix(r.outcome.Text, got) {
+			s.fail("%s got pieces %q of %q", name, got, r.outcome.Text)
+		}
+	}
+}
+
+func (s *schedule) ran(name, text string) bool {
+	for _, send := range s.w.sends {
+		if callName(send.call) == name && text == "answer of "+string(send.run) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *schedule) checkBudget(programs []structs.ProgramID) {
+	for _, id := range programs {
+		var tokens, fees int64
+		for _, send := range s.w.sends {
+			if send.call.Program == id {
+				tokens += send.cost
+				fees += send.call.Fee
+			}
+		}
+		if tokens > s.w.policy.ProgramTokens || fees > s.w.policy.ProgramFees {
+			s.fail("program %s spent %d tokens and %d fees", id, tokens, fees)
+		}
+	}
+}
+
+// checkProgress: once faults ceased every request has its outcome and a new
+// program runs a call.
+func (s *schedule) checkProgress(programs []structs.ProgramID) {
+	for _, r := range s.w.all {
+		if r.outcome == nil {
+			s.fail("%s has no outcome", r.id)
+		}
+		if r.reason() == "gateway-deadline" && r.at.After(testStart.Add(25*time.Second)) {
+			s.fail("%s heard nothing though no fault was left", r.id)
+		}
+	}
+	id := s.w.program(3)
+	r := s.w.submit(testCall(id, 1, true), time.Minute)
+	s.w.run(time.Second)
+	if r.kind() != structs.OutcomeAnswered {
+		s.fail("after the faults a call got kind %d %s", r.kind(), r.reason())
+	}
+}
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -132,6 +132,8 @@
 		}
 		out := record.Outcome
 		out.Replayed = true
+		c.run = record.Run
+		c.dropStrangers()
 		c.answer(out)
 		c.end()
 	}
--- a/internal/owner/refuse.go
+++ b/internal/owner/refuse.go
@@ -16,7 +16,8 @@
 }
 
 // refusal is the outcome of a request that this owner does not run. It says
-// "not run" only if no earlier owner may have run it.
+// "not run" only if the request was handed to no other instance: another one
+// may have run it, or may still hold it and come to own the shard.
 func refusal(reason structs.Reason, retryAfter time.Duration, resubmitted bool) structs.Outcome {
 	if resubmitted {
 		out := unknown(reason)
@@ -36,7 +37,7 @@
 	if c.phase == phaseEnded {
 		return
 	}
-	out := refusal(reason, retryAfter, c.mayHaveRun() || c.resubmitted && !c.notRepeatable)
+	out := refusal(reason, retryAfter, c.mayHaveRun() || c.resubmitted)
 	c.abandon()
 	c.answer(out)
 	c.end()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -51,7 +51,7 @@
 	c.timer = c.shard.o.after(confirmTimeout, func() {
 		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
 	})
-	c.shard.app.push(c.started(), urgent, func() {
+	c.shard.app.push(c.startedRecord(), urgent, func() {
 		if c.phase == phaseConfirm {
 			c.shard.o.timers.stop(c.timer)
 			c.startRun(false)
@@ -59,7 +59,7 @@
 	})
 }
 
-func (c *call) started() *journal.Started {
+func (c *call) startedRecord() *journal.Started {
 	return &journal.Started{
 		CallID: c.id(), Service: c.spec.Service, Target: c.target.ID,
 		NotRepeatable: c.notRepeatable, Cache: c.service.Kind == structs.ServiceEngine,
@@ -72,7 +72,7 @@
 	c.phase = phaseRunning
 	c.sentRuns++
 	if record && (c.notRepeatable || c.spec.Kind == structs.CallChat) {
-		c.shard.app.push(c.started(), urgency(c.spec.Stream), nil)
+		c.shard.app.push(c.startedRecord(), urgency(c.spec.Stream), nil)
 	}
 	o.emit(structs.StartRun{
 		Run: c.run, Target: c.target, Call: c.spec, Fencing: uint64(c.shard.epoch),
@@ -90,27 +90,24 @@
 
 // resume attaches to the run that an earlier owner of the shard started, if
 // its journal names it. Pieces that were delivered are never followed by those
-// of another run.
+// of another run. It tells whether the call needs no run of its own.
 func (c *call) resume() bool {
 	if c.notRepeatable {
 		return false
 	}
-	run := c.openRun()
-	delivered := c.delivered()
-	if run == nil || !c.spec.Stream || c.spec.Kind != structs.CallChat {
-		if delivered {
-			c.finish(unknown(structs.ReasonTargetFailed), c.worst(), structs.RunEnded{})
-		}
-		return delivered
+	had := c.delivered()
+	target, ok := c.resumable()
+	c.dropStrangers()
+	if had && len(c.waiters) == 0 {
+		// The earlier owner's chunk counts the cost.
+		c.run = c.shard.o.newRun()
+		c.finish(unknown(structs.ReasonTargetFailed), journal.Amount{}, structs.RunEnded{})
+		return true
 	}
-	target, ok := c.shard.o.findTarget(run.Service, run.Target)
 	if !ok {
-		if delivered {
-			c.finish(unknown(structs.ReasonTargetFailed), c.worst(), structs.RunEnded{})
-		}
-		return delivered
+		return false
 	}
-	c.run, c.target, c.phase = run.Run, target, phaseRunning
+	c.target, c.phase = target, phaseRunning
 	c.sentRuns++
 	c.joinPool()
 	c.requestPermit()
@@ -118,6 +115,19 @@
 	return true
 }
 
+// resumable finds the target that runs the call for an earlier owner.
+func (c *call) resumable() (structs.Target, bool) {
+	run := c.openRun()
+	if run == nil || !c.spec.Stream || c.spec.Kind != structs.CallChat {
+		return structs.Target{}, false
+	}
+	target, ok := c.shard.o.findTarget(run.Service, run.Target)
+	if ok {
+		c.run = run.Run
+	}
+	return target, ok
+}
+
 func (c *call) resumeRun() {
 	c.resumes++
 	c.shard.o.emit(structs.ResumeRun{
@@ -182,7 +192,6 @@
 	case structs.RunOK:
 		c.answered(e)
 	case structs.RunNotSent, structs.RunFenced:
-		c.sentRuns--
 		c.notSent(e)
 	default:
 		c.broken(e)
@@ -205,8 +214,14 @@
 	c.finish(out, cost, e)
 }
 
-// notSent runs when the target certainly did not get the request.
+// notSent runs when the target certainly did not get the request. A resume that
+// was not sent says nothing of the run itself.
 func (c *call) notSent(e structs.RunEnded) {
+	if c.resumes > 0 {
+		c.broken(e)
+		return
+	}
+	c.sentRuns--
 	if c.cancelled != "" {
 		c.refuse(c.cancelled, 0)
 		return
@@ -233,10 +248,10 @@
 
 // broken runs when the request may have run and its answer is lost.
 func (c *call) broken(e structs.RunEnded) {
-	retry := !c.notRepeatable && c.cancelled == "" && e.Failure == structs.RunBroken &&
+	retry := !c.notRepeatable && c.cancelled == "" && e.Failure != structs.RunTimeout &&
 		!c.delivered() && c.attempt < c.prog.policy().Retries && c.shard.owned()
 	if retry {
-		c.pieces = nil
+		c.pieces, c.resumes = nil, 0
 		c.tryAgain(e.Target)
 		return
 	}
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -61,7 +61,7 @@
 	}
 	p, reason := s.programOf(m.Call)
 	if reason != structs.ReasonNone {
-		s.refuseNew(from, m, reason, 0)
+		o.refuseSubmit(from, m, reason, 0)
 		return
 	}
 	if p.replayed(from, m, key) {
@@ -70,7 +70,7 @@
 	// What an earlier owner may have run is not refused as "not run".
 	if !p.recovering(key) {
 		if reason, after := s.admission(p, m, key); reason != structs.ReasonNone {
-			s.refuseNew(from, m, reason, after)
+			o.refuseSubmit(from, m, reason, after)
 			p.dropIfEmpty()
 			return
 		}
@@ -99,15 +99,6 @@
 	return &c
 }
 
-// refuseNew refuses a call of an owned shard. An earlier owner cannot have sent
-// a not-repeatable call without an Intent that this owner has read.
-func (s *shard) refuseNew(from structs.InstanceID, m *structs.Submit, reason structs.Reason, after time.Duration) {
-	service, _ := s.o.settings.Service(m.Call.Service)
-	repeatable := !m.Call.NotRepeatable && !service.NotRepeatable
-	out := refusal(reason, after, repeatable && (m.Resubmitted || m.Have > 0))
-	s.o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
-}
-
 // programOf finds the live row of a call's program.
 func (s *shard) programOf(spec *structs.Call) (*program, structs.Reason) {
 	row := s.row(spec.Program)
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -84,6 +84,7 @@
 	at       time.Time
 	deadline time.Time
 	pieces   []string
+	run      structs.RunID
 	tried    int
 	resub    bool
 	outcome  *structs.Outcome
@@ -97,11 +98,13 @@
 	life   int
 	alive  bool
 	paused bool
-	cut    bool
-	inbox  []structs.Event
-	tails  map[string]uint64
-	wake   time.Time
-	cmds   []structs.Command
+	// suspected tells that the others find it unreachable.
+	suspected bool
+	cut       bool
+	inbox     []structs.Event
+	tails     map[string]uint64
+	wake      time.Time
+	cmds      []structs.Command
 }
 
 type worldEvent struct {
@@ -151,7 +154,7 @@
 func (w *world) start(id structs.InstanceID) {
 	n := w.nodes[id]
 	n.life++
-	n.alive, n.paused, n.cut = true, false, false
+	n.alive, n.paused, n.cut, n.suspected = true, false, false, false
 	n.inbox, n.cmds, n.tails = nil, nil, make(map[string]uint64)
 	cfg := structs.DefaultInstanceConfig(structs.Peer{ID: id, Region: testRegion}, fmt.Sprint(n.life))
 	cfg.Shards = 1
@@ -166,8 +169,32 @@
 	w.after(100*time.Millisecond, func() { w.tellDown(id) })
 }
 
+// pause stops an instance for a while; after a second the others notice.
+func (w *world) pause(id structs.InstanceID, d time.Duration) {
+	n := w.nodes[id]
+	life := n.life
+	w.log("pause %s for %s", id, d)
+	n.paused = true
+	if d > time.Second {
+		w.after(time.Second, func() {
+			if n.life == life && n.alive {
+				w.tellDown(id)
+			}
+		})
+	}
+	w.after(d, func() {
+		if n.life != life || !n.alive {
+			return
+		}
+		w.log("resume %s", id)
+		n.paused, n.suspected = false, false
+		n.tick()
+	})
+}
+
 // tellDown lets everyone know that an instance does not answer.
 func (w *world) tellDown(id structs.InstanceID) {
+	w.nodes[id].suspected = true
 	for _, other := range w.ids {
 		if other != id {
 			w.nodes[other].deliver(structs.PeerDown{Peer: id})
@@ -429,6 +456,12 @@
 
 func (w *world) resumeRun(n *node, c structs.ResumeRun) {
 	life := n.life
+	if !slices.ContainsFunc(w.sends, func(s send) bool { return s.run == c.Run }) {
+		w.after(networkTime, func() {
+			w.deliverTo(n.id, life, structs.RunEnded{Run: c.Run, Target: c.Target.ID, Failure: structs.RunBroken})
+		})
+		return
+	}
 	text := "answer of " + string(c.Run)
 	w.stream(n, c.Run, text, c.From, structs.RunOK)
 	w.after(w.runTime+networkTime, func() {
@@ -506,7 +539,7 @@
 	r.to = to
 	r.tried++
 	m := &structs.Submit{
-		Request: r.id, Call: r.call, Remaining: r.deadline.Sub(w.now), Have: len(r.pieces),
+		Request: r.id, Call: r.call, Remaining: r.deadline.Sub(w.now), Have: len(r.pieces), HaveRun: r.run,
 		Suspects: suspects, Resubmitted: r.resub,
 	}
 	w.log("submit %s %s %d key %s to %s resubmitted %v", r.id, r.call.Lane, r.call.Number, r.call.Key, to, r.resub)
@@ -538,11 +571,11 @@
 		w.programs[m.Request] = *m
 	case *structs.CallChunk:
 		if r := w.requests[m.Request]; r.to == from && r.outcome == nil && m.Chunk.First <= len(r.pieces) {
-			r.pieces = append(r.pieces[:m.Chunk.First], m.Chunk.Texts...)
+			r.pieces, r.run = append(r.pieces[:m.Chunk.First], m.Chunk.Texts...), m.Run
 		}
 	case *structs.CallEnd:
 		r := w.requests[m.Request]
-		if r.outcome == nil && (r.to == from || m.Outcome.Kind == structs.OutcomeAnswered) {
+		if r.outcome == nil && (r.to == from || m.Outcome.Kind == structs.OutcomeAnswered && m.Run == r.run) {
 			w.end(r, m.Outcome)
 		}
 	case *structs.NotOwner:
@@ -554,6 +587,10 @@
 	}
 }
 
+func (w *world) live(id structs.InstanceID) bool {
+	return w.nodes[id].alive && !w.nodes[id].suspected
+}
+
 // view is the membership and settings view of one owner; it follows the truth
 // at once, except that a paused instance still looks live.
 type view struct {
@@ -566,10 +603,10 @@
 	return structs.Peer{ID: id, Region: testRegion}, v.w.nodes[id] != nil
 }
 func (v view) Peers() []structs.Peer                { return nil }
-func (v view) Suspected(id structs.InstanceID) bool { return !v.w.nodes[id].alive }
+func (v view) Suspected(id structs.InstanceID) bool { return !v.w.live(id) }
 func (v view) OwnerOf(structs.ShardRef) (structs.InstanceID, bool) {
 	for _, id := range v.w.ids {
-		if v.w.nodes[id].alive {
+		if v.w.live(id) {
 			return id, true
 		}
 	}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -51,6 +51,9 @@
 	// Have is the index of the first chunk piece that the gateway lacks:
 	// greater than 0 when it submits again after an owner was lost.
 	Have int
+	// HaveRun is CallChunk.Run of the pieces that the gateway has; pieces of
+	// another run must not follow them.
+	HaveRun RunID
 	// Suspects are instances that the gateway finds unreachable.
 	Suspects []InstanceID
 	// Resubmitted tells that the gateway handed this request to another
@@ -68,13 +71,17 @@
 // CallChunk carries a part of a streamed answer to the gateway.
 type CallChunk struct {
 	Request RequestID
-	Chunk   Chunk
+	// Run is the run that made the pieces.
+	Run   RunID
+	Chunk Chunk
 }
 
 // CallEnd carries the outcome to the gateway. Text of a streamed chat answer
 // is whole here too; the gateway takes from it what it lacks.
 type CallEnd struct {
 	Request RequestID
+	// Run is the run that made the answer, empty if none did.
+	Run     RunID
 	Outcome Outcome
 }
 
