--- a/internal/httpapi/auth_test.go
+++ b/internal/httpapi/auth_test.go
@@ -124,7 +124,7 @@
 	_, _ = f.do(http.MethodPost, chatRoute, body, HeaderIdempotencyKey, "idempotency-secret")
 	_, _ = f.do(http.MethodPost, chatRoute, body+"{")
 	_, _ = f.do(http.MethodPost, chatRoute, body, "Authorization", "Bearer wrong-secret")
-	_, _ = f.do(http.MethodGet, "/v1/services/filing-desk/x?token=query-secret", "")
+	_, _ = f.do(http.MethodGet, "/v1/services/filing/x?token=query-secret", "")
 	f.core.set(func(c *fakeCore) { c.answer = func(structs.Event) []structs.Command { panic("broken") } })
 	_, _ = f.do(http.MethodPost, chatRoute, body)
 	logs := f.logs.String()
--- a/internal/httpapi/chat_test.go
+++ b/internal/httpapi/chat_test.go
@@ -16,8 +16,8 @@
 
 const (
 	chatRoute  = "/v1/chat/completions"
-	chatBody   = `{"model":"mark-agents","messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hello"}]}`
-	streamBody = `{"model":"mark-agents","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+	chatBody   = `{"model":"model","messages":[{"role":"system","content":"be brief"},{"role":"user","content":"hello"}]}`
+	streamBody = `{"model":"model","stream":true,"messages":[{"role":"user","content":"hello"}]}`
 )
 
 var answered = structs.Outcome{
@@ -66,7 +66,7 @@
 		t.Errorf("shared key %q, want %q", call.SharedKey, want)
 	}
 	var sent wire.ChatRequest
-	if err := json.Unmarshal(call.Body, &sent); err != nil || sent.MaxTokens != 1024 || sent.Model != "mark-agents" {
+	if err := json.Unmarshal(call.Body, &sent); err != nil || sent.MaxTokens != 1024 || sent.Model != "model" {
 		t.Errorf("body %s: %v", call.Body, err)
 	}
 }
--- a/internal/httpapi/chatrequest_test.go
+++ b/internal/httpapi/chatrequest_test.go
@@ -27,7 +27,7 @@
 		`"max_completion_tokens":999999`: DefaultMaxTokens,
 	} {
 		request := mustParse(t, chatWith(fields))
-		encoded, err := request.encode("mark-agents")
+		encoded, err := request.encode("model")
 		if err != nil || request.maxTokens != want || mustParse(t, string(encoded)).maxTokens != want {
 			t.Errorf("%s: %d, encoded %s", fields, request.maxTokens, encoded)
 		}
--- a/internal/httpapi/exposition.go
+++ b/internal/httpapi/exposition.go
@@ -85,14 +85,29 @@
 
 // ReportHistogramValueSamples implements tally.StatsReporter.
 func (m *Metrics) ReportHistogramValueSamples(name string, tags map[string]string,
-	_ tally.Buckets, _, upper float64, samples int64) {
-	m.update(name, typeHistogram, tags, func(s *series) { s.buckets[upper] += samples })
+	buckets tally.Buckets, _, upper float64, samples int64) {
+	m.update(name, typeHistogram, tags, func(s *series) { s.addSamples(buckets.AsValues(), upper, samples) })
 }
 
 // ReportHistogramDurationSamples implements tally.StatsReporter.
 func (m *Metrics) ReportHistogramDurationSamples(name string, tags map[string]string,
-	_ tally.Buckets, _, upper time.Duration, samples int64) {
-	m.update(name, typeHistogram, tags, func(s *series) { s.buckets[upper.Seconds()] += samples })
+	buckets tally.Buckets, _, upper time.Duration, samples int64) {
+	bounds := make([]float64, 0, buckets.Len())
+	for _, bound := range buckets.AsDurations() {
+		bounds = append(bounds, bound.Seconds())
+	}
+	m.update(name, typeHistogram, tags, func(s *series) { s.addSamples(bounds, upper.Seconds(), samples) })
+}
+
+// addSamples counts the samples of one bucket. All bounds are shown from the
+// first sample on, so that every instance shows the same ones.
+func (s *series) addSamples(bounds []float64, upper float64, samples int64) {
+	if len(s.buckets) == 0 {
+		for _, bound := range bounds {
+			s.buckets[bound] = 0
+		}
+	}
+	s.buckets[upper] += samples
 }
 
 func (m *Metrics) update(name, kind string, tags map[string]string, change func(*series)) {
--- a/internal/httpapi/fake_test.go
+++ b/internal/httpapi/fake_test.go
@@ -114,9 +114,9 @@
 
 func (fakeSettings) Service(name structs.ServiceName) (structs.Service, bool) {
 	switch name {
-	case "mark-agents":
+	case "model":
 		return structs.DefaultService(name, structs.ServiceEngine), true
-	case "filing-desk":
+	case "filing":
 		return structs.DefaultService(name, structs.ServicePlain), true
 	case "payments":
 		service := structs.DefaultService(name, structs.ServiceTool)
--- a/internal/httpapi/identity.go
+++ b/internal/httpapi/identity.go
@@ -3,8 +3,7 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -87,29 +86,19 @@
 	return uuidTime(key)
 }
 
-// uuidTime gives the time of a UUID of version 7 in its usual form.
+// The usual form of a UUID of version 7: 8-4-4-4-12 hexadecimal digits, of
+// which the first 12 are the time in Unix milliseconds.
+var uuidForm = regexp.MustCompile(`^([0-9a-fA-F]{8})-([0-9a-fA-F]{4})-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}$`)
+
+// uuidTime gives the time of a UUID of version 7.
 func uuidTime(key string) (time.Time, bool) {
-	const (
-		length         = 36
-		versionAt      = 14
-		variantAt      = 19
-		timeBytes      = 6
-		uuidVersion    = '7'
-		variantDigits  = "89abAB"
-		dashes         = 4
-		decodedInBytes = 16
-	)
-	if len(key) != length || key[versionAt] != uuidVersion || strings.IndexByte(variantDigits, key[variantAt]) < 0 {
-		return time.Time{}, false
-	}
-	if key[8] != '-' || key[13] != '-' || key[18] != '-' || key[23] != '-' {
+	parts := uuidForm.FindStringSubmatch(key)
+	if parts == nil {
 		return time.Time{}, false
 	}
-	raw, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
-	if err != nil || len(raw) != decodedInBytes {
+	milliseconds, err := strconv.ParseInt(parts[1]+parts[2], 16, 64)
+	if err != nil {
 		return time.Time{}, false
 	}
-	var padded [8]byte
-	copy(padded[8-timeBytes:], raw[:timeBytes])
-	return time.UnixMilli(int64(binary.BigEndian.Uint64(padded[:]))), true
+	return time.UnixMilli(milliseconds), true
 }
--- a/internal/httpapi/input_test.go
+++ b/internal/httpapi/input_test.go
@@ -12,11 +12,11 @@
 )
 
 func chatWith(fields string) string {
-	return `{"model":"mark-agents","messages":[{"role":"user","content":"x"}],` + fields + `}`
+	return `{"model":"model","messages":[{"role":"user","content":"x"}],` + fields + `}`
 }
 
 func messagesOf(list string) string {
-	return `{"model":"mark-agents","messages":` + list + `}`
+	return `{"model":"model","messages":` + list + `}`
 }
 
 func TestMalformedChatRequests(t *testing.T) {
@@ -39,7 +39,7 @@
 		"max_tokens a fraction": chatWith(`"max_tokens":1.5`),
 		"max_tokens huge":       chatWith(`"max_tokens":99999999999999999999`),
 		"two choices":           chatWith(`"n":2`),
-		"no messages":           `{"model":"mark-agents"}`,
+		"no messages":           `{"model":"model"}`,
 		"messages empty":        messagesOf("[]"),
 		"messages an object":    messagesOf("{}"),
 		"message null":          messagesOf("[null]"),
@@ -76,20 +76,20 @@
 		reason                      structs.Reason
 		status                      int
 	}{
-		{"POST", chatRoute, strings.Replace(chatBody, "mark-agents", "nothing", 1), "", structs.ReasonUnknownService, 404},
-		{"POST", chatRoute, strings.Replace(chatBody, "mark-agents", "", 1), "", structs.ReasonUnknownService, 404},
-		{"POST", chatRoute, chatBody, "filing-desk", structs.ReasonInvalid, 400},
+		{"POST", chatRoute, strings.Replace(chatBody, "model", "nothing", 1), "", structs.ReasonUnknownService, 404},
+		{"POST", chatRoute, strings.Replace(chatBody, "model", "", 1), "", structs.ReasonUnknownService, 404},
+		{"POST", chatRoute, chatBody, "filing", structs.ReasonInvalid, 400},
 		{"GET", "/v1/services/nothing/x", "", "", structs.ReasonUnknownService, 404},
-		{"GET", "/v1/services/mark-agents/v1/orders", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/x", "", "payments", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/../../settings", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/%2e%2e/x", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/a%2f..%2fx", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/a%5c..%5cx", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk//elsewhere/x", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing%20desk/x", "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk/" + strings.Repeat("x", maxPathLength), "", "", structs.ReasonInvalid, 400},
-		{"GET", "/v1/services/filing-desk", "", "", ReasonNotFound, 404},
+		{"GET", "/v1/services/model/v1/orders", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/x", "", "payments", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/../../settings", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/%2e%2e/x", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/a%2f..%2fx", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/a%5c..%5cx", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing//elsewhere/x", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing%20x/x", "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing/" + strings.Repeat("x", maxPathLength), "", "", structs.ReasonInvalid, 400},
+		{"GET", "/v1/services/filing", "", "", ReasonNotFound, 404},
 		{"GET", "/v2/nothing", "", "", ReasonNotFound, 404},
 		{"GET", chatRoute, "", "", ReasonMethodNotAllowed, 405},
 	}
@@ -146,14 +146,14 @@
 	f.answerWith(structs.Outcome{Kind: structs.OutcomeAnswered, Status: 200})
 	for _, size := range []int{1001, 100_000} {
 		for _, declared := range []int64{int64(size), -1} {
-			request := f.request(http.MethodPost, "/v1/services/filing-desk/", "")
+			request := f.request(http.MethodPost, "/v1/services/filing/", "")
 			request.Body, request.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), declared
 			response, body := f.send(request)
 			checkProblem(t, response, body, structs.ReasonTooLarge, http.StatusRequestEntityTooLarge, outcomeNotRun)
 		}
 	}
 	f.noEvents()
-	response, _ := f.do(http.MethodPost, "/v1/services/filing-desk/", strings.Repeat("x", 1000))
+	response, _ := f.do(http.MethodPost, "/v1/services/filing/", strings.Repeat("x", 1000))
 	if response.StatusCode != http.StatusOK {
 		t.Errorf("a body of the limit: status %d", response.StatusCode)
 	}
@@ -161,7 +161,7 @@
 
 func TestSmuggledHeaders(t *testing.T) {
 	f := newFixture(t, nil)
-	const start = "POST /v1/services/filing-desk/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + callerKey + "\r\n"
+	const start = "POST /v1/services/filing/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + callerKey + "\r\n"
 	for name, headers := range map[string]string{
 		"two lengths":       "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
 		"length not number": "Content-Length: 1a\r\n\r\na",
--- a/internal/httpapi/limits.go
+++ b/internal/httpapi/limits.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -27,7 +28,6 @@
 // busy is the refusal of a request that this instance has no room for. It
 // differs in its status from the core's refusal of a team with too much work.
 func busy(detail string) *Problem {
-	const serviceUnavailable = 503
 	return refuse(structs.ReasonOverloaded, "%s", detail).
-		withStatus(serviceUnavailable).retryAfter(localRetryAfter)
+		withStatus(http.StatusServiceUnavailable).retryAfter(localRetryAfter)
 }
--- a/internal/httpapi/metrics_test.go
+++ b/internal/httpapi/metrics_test.go
@@ -17,9 +17,9 @@
 	scope.Tagged(map[string]string{"b": `x"y\z`, "a": "1"}).Counter("requests").Inc(2)
 	scope.Gauge("in-flight").Update(1.5)
 	scope.Timer("wait").Record(250 * time.Millisecond)
-	histogram := scope.Histogram("took", tally.DurationBuckets{time.Millisecond, time.Second})
+	histogram := scope.Histogram("took", tally.DurationBuckets{time.Millisecond, 100 * time.Millisecond, time.Second})
 	histogram.RecordDuration(time.Microsecond)
-	histogram.RecordDuration(2 * time.Millisecond)
+	histogram.RecordDuration(200 * time.Millisecond)
 	histogram.RecordDuration(time.Minute)
 	// Closing reports what was recorded.
 	if err := closer.Close(); err != nil {
@@ -31,6 +31,7 @@
 app_requests{a="1",b="x\"y\\z"} 2
 # TYPE app_took histogram
 app_took_bucket{le="0.001"} 1
+app_took_bucket{le="0.1"} 1
 app_took_bucket{le="1"} 2
 app_took_bucket{le="+Inf"} 3
 app_took_count 3
--- a/internal/httpapi/plain_test.go
+++ b/internal/httpapi/plain_test.go
@@ -13,7 +13,7 @@
 		Kind: structs.OutcomeAnswered, Status: http.StatusTeapot, ContentType: "text/x-mark",
 		Body: []byte("stamp"), Replayed: true,
 	})
-	response, body := f.do(http.MethodPut, "/v1/services/filing-desk/a%2Fb/c?x=1&y=%20", "\x00\xff",
+	response, body := f.do(http.MethodPut, "/v1/services/filing/a%2Fb/c?x=1&y=%20", "\x00\xff",
 		"Content-Type", "image/tiff", "Cookie", "secret", "Connection", "X-Hop", "X-Hop", "1")
 	if response.StatusCode != http.StatusTeapot || body != "stamp" || response.Header.Get("Content-Type") != "text/x-mark" {
 		t.Fatalf("answer %d %q", response.StatusCode, body)
@@ -25,7 +25,7 @@
 	if call.Method != http.MethodPut || call.Path != "/a%2Fb/c?x=1&y=%20" || string(call.Body) != "\x00\xff" || call.ContentType != "image/tiff" {
 		t.Errorf("call %+v", call)
 	}
-	if call.Kind != structs.CallPlain || call.Service != "filing-desk" || call.NotRepeatable {
+	if call.Kind != structs.CallPlain || call.Service != "filing" || call.NotRepeatable {
 		t.Errorf("call %+v", call)
 	}
 }
@@ -43,12 +43,12 @@
 	f := newFixture(t, nil)
 	f.answerWith(structs.Outcome{Kind: structs.OutcomeAnswered, Status: http.StatusOK, Body: []byte("x")})
 	for _, method := range serviceMethods {
-		response, _ := f.do(method, "/v1/services/filing-desk/", "")
+		response, _ := f.do(method, "/v1/services/filing/", "")
 		if response.StatusCode != http.StatusOK || f.submitted().Call.Method != method {
 			t.Errorf("%s: status %d", method, response.StatusCode)
 		}
 	}
-	response, body := f.do(http.MethodTrace, "/v1/services/filing-desk/", "")
+	response, body := f.do(http.MethodTrace, "/v1/services/filing/", "")
 	checkProblem(t, response, body, ReasonMethodNotAllowed, http.StatusMethodNotAllowed, outcomeNotRun)
 }
 
@@ -56,7 +56,7 @@
 	f := newFixture(t, nil)
 	for _, status := range []int{0, 101, 600} {
 		f.answerWith(structs.Outcome{Kind: structs.OutcomeAnswered, Status: status})
-		response, body := f.do(http.MethodGet, "/v1/services/filing-desk/", "")
+		response, body := f.do(http.MethodGet, "/v1/services/filing/", "")
 		checkProblem(t, response, body, structs.ReasonTargetFailed, http.StatusBadGateway, outcomeUnknown)
 	}
 }
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -58,12 +58,13 @@
 	Winner   string `json:"winner,omitempty"`
 }
 
-// kind is the fixed part of the problems of one reason.
+// problemKind is the fixed part of the problems of one reason.
 type problemKind struct {
 	status int
 	title  string
 }
 
+// problemKinds gives the status and title of each reason.
 var problemKinds = map[structs.Reason]problemKind{
 	structs.ReasonInvalid:          {http.StatusBadRequest, "The request is invalid"},
 	structs.ReasonUnauthorized:     {http.StatusUnauthorized, "The key is missing or unknown"},
--- a/internal/httpapi/settings_test.go
+++ b/internal/httpapi/settings_test.go
@@ -82,7 +82,7 @@
 
 func TestSettingsReach(t *testing.T) {
 	f := newFixture(t, nil)
-	forbidden := []string{"teams/partvedo/weight", "teams/lakeshore2/weight", "services/filing-desk/kind", "teams", "lakeshore"}
+	forbidden := []string{"teams/partvedo/weight", "teams/lakeshore2/weight", "services/filing/kind", "teams", "lakeshore"}
 	malformed := []string{"teams/lakeshore/../partvedo/weight", "teams/lakeshore//weight", "/teams/lakeshore", "teams/lakeshore/a%20b", strings.Repeat("a", 600)}
 	for _, path := range append(append([]string{""}, forbidden...), malformed...) {
 		reason, status := structs.ReasonForbidden, http.StatusForbidden
