--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -164,6 +164,9 @@
 	byte sleft, stook;	/* of the part held as successor */
 	byte sid;
 	bit did;		/* this process has claimed */
+#ifdef SUCCESSOR_BY_NAME
+	byte got;
+#endif
 end_again:	{
 end:	do
 	:: atomic { !e && !did && !cur[i] && claims < 3 && (i == 0 || claims) ->	/* all are alike: 0 begins */
@@ -197,11 +200,14 @@
 		left = 0					/* final: nothing more from this chunk (3) */
 #endif
 		}
+#ifdef SUCCESSOR_BY_NAME
+	:: atomic { hand[i] && !sid && !(got & (1 << (hand[i] - 1))) ->
+		sid = hand[i]; sleft = SUCC;
+		got = got | (1 << (sid - 1)) }			/* remembered by this process only */
+#else
 	:: atomic { hand[i] && !sid -> sid = hand[i]; sleft = SUCC;
-#ifndef SUCCESSOR_BY_NAME
-		hand[i] = 0					/* to this process alone (3) */
+		hand[i] = 0 }					/* to this process alone (3) */
 #endif
-		}
 	:: atomic { sleft -> sleft--; stook++; spend() }
 	:: atomic { sid && !cur[i] ->
 		cur[i] = REC(RETURNED, i, (sid + 1) / 2, (sid + 1) % 2, stook);
@@ -237,6 +243,9 @@
 		restart[i] = 0; landed[i] = 0;
 		e = 0; s = 0; left = 0; took = 0; ce = 0; cs = 0;
 		sleft = 0; stook = 0; sid = 0; did = 0;
+#ifdef SUCCESSOR_BY_NAME
+		got = 0;
+#endif
 		goto end_again } }
 }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -110,11 +110,11 @@
 	if [ "$rc" -ne 0 ] || [ -z "$errors" ] || grep -Eq 'max search depth too small|MEMLIM|Search not completed|out of memory' pan.out; then
 		complete=no
 	fi
-	if grep -q 'assertion violated' pan.out; then
+	if grep -Eq '^pan:[0-9]+: assertion violated' pan.out; then
 		reason=assertion
-	elif grep -q 'invalid end state' pan.out; then
+	elif grep -Eq '^pan:[0-9]+: invalid end state' pan.out; then
 		reason=end-state
-	elif grep -q 'non-progress cycle' pan.out; then
+	elif grep -Eq '^pan:[0-9]+: non-progress cycle' pan.out; then
 		reason=cycle
 	elif [ "${errors:-0}" != 0 ]; then
 		reason=$(grep -m1 '^pan:[0-9]*:' pan.out | tr ' ' '_' || echo other)
