HTTP adapter: probes logged for debugging only; gone callers not counted as slow

Cause: health probes every few seconds would fill the access log; a caller that hung up during a write was counted as cut off for slowness. Ruled out: leaving probes out of the log, since a debug level shows them when wanted. Change: one level for probe routes, one place that names the cause of a failed write.

--- a/internal/httpapi/chatstream.go
+++ b/internal/httpapi/chatstream.go
@@ -114,14 +114,14 @@
 	s.setWriteDeadline(c.Writer)
 	if p.ctx.Err() != nil {
 		// The deadline above may have undone interruptWrites.
-		s.abandon(c, contextCause(p))
+		s.abandon(c, writeCause(p.ctx))
 	}
 	_, err := c.Writer.Write(stream.out.Bytes())
 	if err == nil {
 		err = http.NewResponseController(c.Writer).Flush()
 	}
 	if err != nil {
-		s.abandon(c, contextCause(p))
+		s.abandon(c, writeCause(p.ctx))
 	}
 	stream.out.Reset()
 }
--- a/internal/httpapi/middleware.go
+++ b/internal/httpapi/middleware.go
@@ -21,6 +21,10 @@
 	outcomeCut  = "cut-off"
 )
 
+// probeRoutes are asked every few seconds; their access log lines are for
+// debugging only.
+var probeRoutes = map[string]bool{healthRoute: true, readyRoute: true, metricsRoute: true}
+
 // requestInfo is what the adapter knows of one request, for the answer's
 // headers, the access log and the metrics. It holds no keys and no bodies.
 type requestInfo struct {
@@ -56,7 +60,11 @@
 	took := s.config.Now().Sub(info.started)
 	route := c.FullPath()
 	s.metrics.end(route, c.Writer.Status(), info.outcome, took)
-	s.log.LogAttrs(c.Request.Context(), slog.LevelInfo, "request",
+	level := slog.LevelInfo
+	if probeRoutes[route] {
+		level = slog.LevelDebug
+	}
+	s.log.LogAttrs(c.Request.Context(), level, "request",
 		slog.String("request", string(info.id)),
 		slog.String("method", c.Request.Method),
 		slog.String("route", route),
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -10,6 +10,13 @@
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
+// Routes that need no key.
+const (
+	healthRoute  = "/healthz"
+	readyRoute   = "/readyz"
+	metricsRoute = "/metrics"
+)
+
 // Server answers the HTTP requests of callers and operators.
 type Server struct {
 	config    Config
@@ -83,10 +90,10 @@
 }
 
 func (s *Server) publicRoutes(group gin.IRoutes) {
-	group.GET("/healthz", s.healthz)
-	group.GET("/readyz", s.readyz)
+	group.GET(healthRoute, s.healthz)
+	group.GET(readyRoute, s.readyz)
 	if s.config.Metrics != nil {
-		group.GET("/metrics", gin.WrapH(s.config.Metrics))
+		group.GET(metricsRoute, gin.WrapH(s.config.Metrics))
 	}
 }
 
--- a/internal/httpapi/wait.go
+++ b/internal/httpapi/wait.go
@@ -116,12 +116,3 @@
 	}
 	return reply, ok
 }
-
-// contextCause gives the cause for which a request's context ended, or
-// errSlowCaller if a write failed while it still lasted.
-func contextCause(p *pending) error {
-	if cause := context.Cause(p.ctx); cause != nil {
-		return cause
-	}
-	return errSlowCaller
-}
--- a/internal/httpapi/write.go
+++ b/internal/httpapi/write.go
@@ -31,12 +31,21 @@
 		piece := body[:min(len(body), writePiece)]
 		s.setWriteDeadline(c.Writer)
 		if _, err := c.Writer.Write(piece); err != nil {
-			s.abandon(c, errSlowCaller)
+			s.abandon(c, writeCause(c.Request.Context()))
 		}
 		body = body[len(piece):]
 	}
 }
 
+// writeCause gives the cause of a failed write: the one for which the request's
+// context ended, else a caller that reads too slowly.
+func writeCause(ctx context.Context) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return errSlowCaller
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
