--- a/spec/check.sh
+++ b/spec/check.sh
@@ -40,6 +40,7 @@
 owner|cycle||every run is finite, so end states are reached
 lane|4||calls of a lane start in order, one at a time (lane held)
 lane|4|FENCED|the same, going on behind an unknown outcome at a fencing target
+lane|4|TIMED|the same, going on after a wait that outlasts earlier sends and runs
 lane|7|TWO|both calls end once faults cease
 lane|7|TWO FENCED|both calls end at a fencing target
 lane|cycle|TWO|every run is finite, so end states are reached
@@ -67,6 +68,7 @@
 owner|cycle|ENDLESS_LOSS|appends lost without end (shows that the search for cycles finds one)
 lane|4|GO_ON_UNKNOWN|next call sent behind an unknown outcome, target not fencing
 lane|4|NO_WAIT|next call sent before its predecessor ended
+lane|4|TIMED SHORT_WAIT|the wait outlasts earlier sends, not the runs of them
 lane|4|FENCED REOPEN|call run again though a later Intent of the lane is in the log
 lane|7|TWO WAIT_REPLY|lost append reply waited for without reading
 budget|3|MAXRES=1 MAXRESTART=0 CHUNK_IGNORED|open chunk ignored on takeover
--- a/spec/lane.pml
+++ b/spec/lane.pml
@@ -10,6 +10,9 @@
  * everywhere, and sends call 2 without waiting): more than a caller can do.
  * With FENCED the target refuses a send of an epoch older than the newest it
  * was shown, and a new owner may go on behind an unknown outcome after that.
+ * With TIMED a new owner goes on after a wait that is taken to outlast whatever
+ * an earlier owner may still send and the run of what was sent: an assumption on
+ * time, put into the model as such.
  * The log is kept as its fold, as in owner.pml.
  */
 #ifndef PROP
@@ -82,6 +85,10 @@
 bit refused[2];
 #endif
 
+#ifdef TIMED
+byte armed;		/* bit mask: instances whose Intent of call 1 counts, not sent yet */
+#endif
+
 #define live(d)	(intents & ~abandoned & OF(d))
 
 inline apply(r)
@@ -197,6 +204,11 @@
 #else
 #define passed	(intents & OF(1))
 #endif
+#ifdef SHORT_WAIT
+#define run_over	1
+#else
+#define run_over	(!started[0] || ended[0])
+#endif
 #define mine	(ep == e && own == i)
 
 proctype inst(byte i)
@@ -242,11 +254,11 @@
 #ifdef GO_ON_UNKNOWN
 				:: s0 == UNKNOWN -> k = 1; goto intent
 #endif
-#ifdef FENCED
-				:: s0 == UNKNOWN -> k = 1; goto fencing
+#if defined(FENCED) || defined(TIMED)
+				:: s0 == UNKNOWN -> k = 1; goto behind
 #endif
 				:: s0 == NOTRUN -> finish(1, NOTRUN)
-#if !defined(FENCED) && !defined(GO_ON_UNKNOWN)
+#if !defined(FENCED) && !defined(TIMED) && !defined(GO_ON_UNKNOWN)
 				:: s0 == UNKNOWN -> finish(1, NOTRUN)	/* the lane is held: call 1 may start yet (4) */
 #endif
 				fi
@@ -254,8 +266,11 @@
 		fi }
 	od;
 
+#ifdef TIMED
+behind:	atomic { !armed && !net[0] && run_over };
+#endif
 #ifdef FENCED
-fencing:
+behind:
 	atomic { fence = (fence < e -> e : fence) };
 	/* From here on no send of an older epoch starts; one of this epoch was this owner's. */
 	atomic { (!started[0] || ended[0]) && net[0] != e };
@@ -265,7 +280,12 @@
 wait:	if
 	:: atomic { landed[i] -> landed[i] = 0;
 		if
-		:: mine
+		:: mine ->
+#ifdef TIMED
+			armed = (k == 0 -> armed | (1 << i) : armed)
+#else
+			skip
+#endif
 		:: !mine -> cur[i] = REC(ABANDON, i, e, k); e = 0; k = 0; goto end
 		fi }
 #ifndef WAIT_REPLY
@@ -282,7 +302,11 @@
 		goto end }
 	fi;
 
-	atomic { net[k] = e };			/* the send; may arrive after this owner is gone */
+	atomic {
+#ifdef TIMED
+		armed = armed & ~(1 << i);
+#endif
+		net[k] = e };			/* the send; may arrive after this owner is gone */
 
 #ifdef NO_WAIT
 	if
@@ -297,7 +321,11 @@
 	:: atomic { refused[k] -> finish(k, UNKNOWN); k = 0; goto end }
 #endif
 	fi
-	} unless { atomic { dead[i] -> e = 0; c = 0; k = 0; s0 = 0; s1 = 0; landed[i] = 0 } }
+	} unless { atomic { dead[i] ->
+#ifdef TIMED
+		armed = armed & ~(1 << i);
+#endif
+		e = 0; c = 0; k = 0; s0 = 0; s1 = 0; landed[i] = 0 } }
 }
 
 active proctype killer()
