proofs: failure scenarios at real processes and their independent checker

The checker has been seen red: check_test.go seeds one breach a time into a good history (32 breaches) and wants each found.

--- /dev/null
+++ b/internal/proofs/agent.go
@@ -0,0 +1,169 @@
+package proofs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const programsRoute = "/v1/programs"
+
+// agent is a caller that runs one program: a chain of calls, each after the
+// answer of the one before.
+type agent struct {
+	rig     *Rig
+	rng     *rand.Rand
+	program *Program
+	number  int
+	// made counts the calls, for their keys.
+	made int
+	// fans counts the lanes of sub-agents.
+	fans     int
+	messages []wire.ChatMessage
+}
+
+// newAgent opens a program.
+func (r *Rig) newAgent(ctx context.Context, rng *rand.Rand) (*agent, error) {
+	a := &agent{rig: r, rng: rng, messages: []wire.ChatMessage{
+		{Role: "system", Content: "You draft trademark applications for small makers."},
+	}}
+	id, err := r.open(ctx, rng)
+	if err != nil {
+		return nil, err
+	}
+	a.program = &Program{ID: id, Tokens: r.budget.Tokens, Fees: r.budget.Fees}
+	r.History.addProgram(a.program)
+	return a, nil
+}
+
+// open opens a program at any instance, with one key for all tries.
+func (r *Rig) open(ctx context.Context, rng *rand.Rand) (string, error) {
+	key := ulid.Make().String()
+	limited, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var id string
+	err := testkit.Poll(limited, func() error {
+		short, stop := context.WithTimeout(limited, attemptDeadline+attemptGrace)
+		defer stop()
+		answer, err := testkit.NewClient(r.pick(rng).server, r.key).
+			Do(short, http.MethodPost, programsRoute, []byte("{}"), testkit.Call{Key: key})
+		if err != nil {
+			return err
+		}
+		var view struct {
+			ID string `json:"id"`
+		}
+		if answer.Status >= http.StatusBadRequest || json.Unmarshal(answer.Body, &view) != nil || view.ID == "" {
+			return errors.Newf("open: status %d: %s", answer.Status, answer.Body)
+		}
+		id = view.ID
+		return nil
+	})
+	return id, err
+}
+
+// close closes the program; it is gone once an instance said so.
+func (a *agent) close(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	err := testkit.Poll(limited, func() error {
+		short, stop := context.WithTimeout(limited, attemptDeadline+attemptGrace)
+		defer stop()
+		answer, err := testkit.NewClient(a.rig.pick(a.rng).server, a.rig.key).Close(short, a.program.ID)
+		if err != nil {
+			return err
+		}
+		if answer.Status >= http.StatusBadRequest && answer.Status != http.StatusGone {
+			return errors.Newf("close: status %d: %s", answer.Status, answer.Body)
+		}
+		return nil
+	})
+	if err == nil {
+		a.rig.History.setGone(a.program)
+	}
+	return err
+}
+
+// newCall is the next call of the program's own lane.
+func (a *agent) newCall() *Call {
+	a.number++
+	a.made++
+	return &Call{Program: a.program.ID, Number: a.number, Key: fmt.Sprintf("k%d", a.made)}
+}
+
+// do makes a call of the program's own lane. The number of one that did not run
+// is free for the next.
+func (a *agent) do(ctx context.Context, q request) Attempt {
+	attempt := a.rig.do(ctx, a.rng, q)
+	if attempt.Word == NotRun {
+		a.number--
+	}
+	return attempt
+}
+
+// chat makes the next call a chat of the given length.
+func (a *agent) chat(ctx context.Context, tokens int, stream bool) Attempt {
+	attempt := a.do(ctx, a.chatRequest(tokens, stream))
+	if attempt.Word.whole() {
+		a.messages = append(a.messages, wire.ChatMessage{Role: "assistant", Content: attempt.Text})
+	} else {
+		a.messages = a.messages[:len(a.messages)-1]
+	}
+	return attempt
+}
+
+func (a *agent) chatRequest(tokens int, stream bool) request {
+	call := a.newCall()
+	prompt := fmt.Sprintf("Step %d of the application. tokens=%d", a.made, tokens)
+	a.messages = append(a.messages, wire.ChatMessage{Role: "user", Content: prompt})
+	return chatRequest(call, append([]wire.ChatMessage(nil), a.messages...), tokens, stream)
+}
+
+func (a *agent) tool(ctx context.Context, runTime time.Duration) Attempt {
+	return a.do(ctx, toolRequest(a.newCall(), runTime))
+}
+
+func (a *agent) file(ctx context.Context, fee int, runTime time.Duration) Attempt {
+	return a.do(ctx, filingRequest(a.newCall(), fee, runTime))
+}
+
+// fileTwice submits one filing at two instances at once, with one key.
+func (a *agent) fileTwice(ctx context.Context, fee int, runTime time.Duration) Attempt {
+	q := filingRequest(a.newCall(), fee, runTime)
+	a.rig.History.addCall(q.call)
+	var attempts [2]Attempt
+	var group sync.WaitGroup
+	for i := range attempts {
+		rng := rand.New(rand.NewPCG(a.rng.Uint64(), a.rng.Uint64()))
+		group.Go(func() { attempts[i] = a.rig.retry(ctx, rng, q, patience) })
+	}
+	group.Wait()
+	if attempts[0].Word.whole() {
+		return attempts[0]
+	}
+	return attempts[1]
+}
+
+// fan makes several numbered tool calls of a lane of its own at once, as a
+// sub-agent that does not wait; they run in the order of their numbers.
+func (a *agent) fan(ctx context.Context, lane string, count int, runTime time.Duration) []Attempt {
+	attempts := make([]Attempt, count)
+	var group sync.WaitGroup
+	for _, i := range a.rng.Perm(count) {
+		call := &Call{Program: a.program.ID, Lane: lane, Number: i + 1, Key: fmt.Sprintf("%s-%d", lane, i+1)}
+		rng := rand.New(rand.NewPCG(a.rng.Uint64(), a.rng.Uint64()))
+		group.Go(func() { attempts[i] = a.rig.do(ctx, rng, toolRequest(call, runTime)) })
+	}
+	group.Wait()
+	return attempts
+}
--- /dev/null
+++ b/internal/proofs/check.go
@@ -0,0 +1,125 @@
+package proofs
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Property names a point of what must always hold.
+type Property string
+
+// Properties.
+const (
+	PropertyOrder    Property = "order in a lane"
+	PropertyAnswers  Property = "whole answer to its own request"
+	PropertyBudget   Property = "spending within the budget"
+	PropertyCache    Property = "no cache held for programs that are gone"
+	PropertyNotRun   Property = "not run means not run"
+	PropertyOnce     Property = "not repeatable runs at most once"
+	PropertyIntent   Property = "a not-repeatable run has its intent in the log first"
+	PropertyLost     Property = "no lost answer"
+	PropertyLeaving  Property = "no new work to a leaving target"
+	PropertySettings Property = "accepted settings in force and never reverted"
+	PropertyScenario Property = "scenario"
+)
+
+// Violation is one breach of a property.
+type Violation struct {
+	Property Property
+	Detail   string
+}
+
+func (v Violation) String() string { return string(v.Property) + ": " + v.Detail }
+
+func violation(property Property, format string, args ...any) Violation {
+	return Violation{Property: property, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Verdict is what the checker found.
+type Verdict struct {
+	Counts     Counts
+	Violations []Violation
+}
+
+// Counts are the figures of a scenario's line.
+type Counts struct {
+	Calls    int
+	Answered int
+	Replayed int
+	NotRun   int
+	Unknown  int
+	// Duplicates, Lost and WrongRefusals are violations of their properties.
+	Duplicates    int
+	Lost          int
+	WrongRefusals int
+}
+
+// Check judges the evidence.
+func Check(e Evidence) Verdict {
+	runs := indexRuns(e)
+	var found []Violation
+	for _, check := range []func(Evidence, *runIndex) []Violation{
+		checkExplained, checkOnce, checkNotRun, checkLost, checkOrder, checkAnswers,
+		checkBudget, checkCache, checkIntents, checkLeaving, checkSettings,
+	} {
+		found = append(found, check(e, runs)...)
+	}
+	return Verdict{Counts: count(e, found), Violations: found}
+}
+
+func count(e Evidence, found []Violation) Counts {
+	counts := Counts{
+		Calls: len(e.Calls), Duplicates: countOf(found, PropertyOnce),
+		Lost: countOf(found, PropertyLost), WrongRefusals: countOf(found, PropertyNotRun),
+	}
+	for _, call := range e.Calls {
+		switch call.lastWord() {
+		case Answered:
+			counts.Answered++
+		case Replayed:
+			counts.Replayed++
+		case NotRun:
+			counts.NotRun++
+		case Unknown:
+			counts.Unknown++
+		}
+	}
+	return counts
+}
+
+func countOf(found []Violation, property Property) int {
+	n := 0
+	for _, v := range found {
+		if v.Property == property {
+			n++
+		}
+	}
+	return n
+}
+
+// last is the attempt that ended last, false if there is none.
+func (c Call) last() (Attempt, bool) {
+	if len(c.Attempts) == 0 {
+		return Attempt{}, false
+	}
+	return slices.MaxFunc(c.Attempts, func(a, b Attempt) int { return a.End.Compare(b.End) }), true
+}
+
+// lastWord is the best word that the caller has in the end: an answer if any
+// attempt got one, else that of the last attempt.
+func (c Call) lastWord() Word {
+	for _, a := range c.Attempts {
+		if a.Word.whole() {
+			return a.Word
+		}
+	}
+	last, ok := c.last()
+	if !ok {
+		return Silent
+	}
+	return last.Word
+}
+
+func (c Call) name() string {
+	return fmt.Sprintf("%s call of program %s lane %q number %d key %q", c.Kind, c.Program, c.Lane, c.Number, c.Key)
+}
--- /dev/null
+++ b/internal/proofs/check_runs.go
@@ -0,0 +1,200 @@
+package proofs
+
+import (
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/standin/engine"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// clockSlackMS covers the truncation of times to milliseconds.
+const clockSlackMS = 1
+
+// runIndex finds the runs of each call in the ledgers.
+type runIndex struct {
+	// byCall holds the runs of each call of Evidence.Calls, by its index.
+	byCall [][]wire.LedgerEntry
+	// stray are runs that belong to no call.
+	stray []wire.LedgerEntry
+}
+
+// chatIdentity names a chat at an engine: the program and the body.
+type chatIdentity struct{ program, body string }
+
+func indexRuns(e Evidence) *runIndex {
+	index := &runIndex{byCall: make([][]wire.LedgerEntry, len(e.Calls))}
+	chats := make(map[chatIdentity]int)
+	paths := make(map[string]int)
+	for i, call := range e.Calls {
+		if call.Kind == Chat {
+			chats[chatIdentity{call.Program, call.BodyHash}] = i
+			continue
+		}
+		paths[call.Path] = i
+	}
+	for _, entry := range allEntries(e.Engines) {
+		i, ok := chats[chatIdentity{entry.Program, entry.BodyHash}]
+		index.add(entry, i, ok)
+	}
+	for _, entry := range allEntries(e.Services) {
+		i, ok := paths[entry.Path]
+		index.add(entry, i, ok)
+	}
+	return index
+}
+
+func (x *runIndex) add(entry wire.LedgerEntry, call int, known bool) {
+	if !known {
+		x.stray = append(x.stray, entry)
+		return
+	}
+	x.byCall[call] = append(x.byCall[call], entry)
+}
+
+// allEntries joins ledgers, in order of time.
+func allEntries(ledgers map[string][]wire.LedgerEntry) []wire.LedgerEntry {
+	var all []wire.LedgerEntry
+	for _, entries := range ledgers {
+		all = append(all, entries...)
+	}
+	slices.SortStableFunc(all, func(a, b wire.LedgerEntry) int { return int(a.TimeMS - b.TimeMS) })
+	return all
+}
+
+// checkExplained finds runs of requests that no caller made.
+func checkExplained(_ Evidence, runs *runIndex) []Violation {
+	var found []Violation
+	for _, run := range runs.stray {
+		found = append(found, violation(PropertyAnswers, "target %s ran a request that no caller made: program %s path %s body %s",
+			run.Target, run.Program, run.Path, run.BodyHash))
+	}
+	return found
+}
+
+// checkOnce finds not-repeatable calls that ran twice.
+func checkOnce(e Evidence, runs *runIndex) []Violation {
+	var found []Violation
+	for i, call := range e.Calls {
+		if call.NotRepeatable && len(runs.byCall[i]) > 1 {
+			found = append(found, violation(PropertyOnce, "%s ran %d times: %s", call.name(),
+				len(runs.byCall[i]), describeRuns(runs.byCall[i])))
+		}
+	}
+	return found
+}
+
+// checkNotRun finds runs of attempts that heard "not run".
+func checkNotRun(e Evidence, runs *runIndex) []Violation {
+	var found []Violation
+	for i, call := range e.Calls {
+		if len(call.Attempts) == 0 {
+			continue
+		}
+		for _, run := range runs.byCall[i] {
+			if !call.explains(run) {
+				found = append(found, violation(PropertyNotRun, "%s heard %s but ran at %s, time %d",
+					call.name(), describeAttempts(call), run.Target, run.TimeMS))
+				continue
+			}
+			last, _ := call.last()
+			if last.Word == NotRun && run.TimeMS > last.End.UnixMilli()+clockSlackMS {
+				found = append(found, violation(PropertyNotRun, "%s ran at %s, time %d, after its last word %s",
+					call.name(), run.Target, run.TimeMS, describeAttempts(call)))
+			}
+		}
+	}
+	return found
+}
+
+// explains tells whether the run can be that of an attempt which did not hear
+// "not run": the run began after the attempt, and before its answer if it had
+// one.
+func (c Call) explains(run wire.LedgerEntry) bool {
+	for _, a := range c.Attempts {
+		if a.Word == NotRun || a.Word == Unreached || run.TimeMS < a.Start.UnixMilli()-clockSlackMS {
+			continue
+		}
+		if !a.Word.whole() || run.TimeMS <= a.End.UnixMilli()+clockSlackMS {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLost finds calls without a final word and attempts that broke or fell
+// silent at an instance that no fault touched.
+func checkLost(e Evidence, _ *runIndex) []Violation {
+	var found []Violation
+	for _, call := range e.Calls {
+		if word := call.lastWord(); !word.final() {
+			found = append(found, violation(PropertyLost, "%s ended without a word: %s", call.name(), describeAttempts(call)))
+			continue
+		}
+		for _, a := range call.Attempts {
+			if (a.Word == Broken || a.Word == Silent) && !e.disturbed(a) {
+				found = append(found, violation(PropertyLost, "%s: attempt at %s, to which nothing was done, was %s after %s",
+					call.name(), a.Instance, a.Word, a.End.Sub(a.Start)))
+			}
+		}
+	}
+	return found
+}
+
+func (e Evidence) disturbed(a Attempt) bool {
+	return slices.ContainsFunc(e.Disturbed, func(d Disturbance) bool { return d.covers(a) })
+}
+
+// checkLeaving finds runs at targets that had left.
+func checkLeaving(e Evidence, _ *runIndex) []Violation {
+	var found []Violation
+	for _, d := range e.Leaving {
+		limit := d.At.Add(d.Within).UnixMilli()
+		for _, run := range slices.Concat(e.Engines[d.Target], e.Services[d.Target]) {
+			if run.TimeMS > limit {
+				found = append(found, violation(PropertyLeaving, "target %s got program %s %d ms after it was leaving",
+					d.Target, run.Program, run.TimeMS-d.At.UnixMilli()))
+			}
+		}
+	}
+	return found
+}
+
+// checkBudget adds up what ran of each program.
+func checkBudget(e Evidence, runs *runIndex) []Violation {
+	tokens, fees := make(map[string]int64), make(map[string]int64)
+	for i, call := range e.Calls {
+		for _, run := range runs.byCall[i] {
+			fees[call.Program] += int64(call.Fee)
+			if call.Kind == Chat {
+				tokens[call.Program] += call.PromptTokens + run.Tokens
+			}
+		}
+	}
+	var found []Violation
+	for _, p := range e.Programs {
+		if p.Tokens > 0 && tokens[p.ID] > p.Tokens {
+			found = append(found, violation(PropertyBudget, "program %s spent %d tokens of %d", p.ID, tokens[p.ID], p.Tokens))
+		}
+		if p.Fees > 0 && fees[p.ID] > p.Fees {
+			found = append(found, violation(PropertyBudget, "program %s spent %d in fees of %d", p.ID, fees[p.ID], p.Fees))
+		}
+	}
+	return found
+}
+
+// checkCache finds cache held for programs that are gone.
+func checkCache(e Evidence, _ *runIndex) []Violation {
+	var found []Violation
+	for _, p := range e.Programs {
+		for target, state := range e.Caches {
+			if p.Gone && state.Programs[p.ID] > 0 {
+				found = append(found, violation(PropertyCache, "engine %s holds %d tokens for program %s, which is gone",
+					target, state.Programs[p.ID], p.ID))
+			}
+		}
+	}
+	return found
+}
+
+// promptTokens is the length of a prompt as the engines count it.
+func promptTokens(messages []wire.ChatMessage) int64 { return int64(engine.PromptTokens(messages)) }
--- /dev/null
+++ b/internal/proofs/check_settings.go
@@ -0,0 +1,101 @@
+package proofs
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// checkSettings judges the operators' changes: one value for each accepted
+// version, each accepted change in the log, the newest one in force at every
+// instance, none of those told "lost" in force, and no version that went back.
+func checkSettings(e Evidence, _ *runIndex) []Violation {
+	found := checkAccepted(e)
+	for instance, paths := range e.InForce {
+		for path, setting := range paths {
+			found = append(found, checkInForce(e, instance, path, setting)...)
+		}
+	}
+	return append(found, checkReadings(e)...)
+}
+
+// version names one version of a path.
+type version struct {
+	path   string
+	number uint64
+}
+
+func checkAccepted(e Evidence) []Violation {
+	var found []Violation
+	values := make(map[version]string)
+	for _, c := range e.Changes {
+		if !c.Accepted {
+			continue
+		}
+		id := version{c.Path, c.Version}
+		if other, known := values[id]; known && other != c.Value {
+			found = append(found, violation(PropertySettings, "two values accepted for version %d of %s: %s and %s",
+				c.Version, c.Path, other, c.Value))
+		}
+		values[id] = c.Value
+		if !inSettingsLog(e, c.ChangeID) {
+			found = append(found, violation(PropertySettings, "accepted change %s of %s is not in the log", c.ChangeID, c.Path))
+		}
+	}
+	return found
+}
+
+func inSettingsLog(e Evidence, changeID string) bool {
+	for _, record := range e.Log[structs.SettingsStream] {
+		if bytes.Contains(record.Data, []byte(changeID)) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkInForce judges one path at one instance at the end.
+func checkInForce(e Evidence, instance, path string, setting Setting) []Violation {
+	var found []Violation
+	newest := Change{}
+	for _, c := range e.Changes {
+		if c.Path != path {
+			continue
+		}
+		if c.Lost && c.Value == setting.Value {
+			found = append(found, violation(PropertySettings, "%s has %s = %s, which its author was told lost", instance, path, setting.Value))
+		}
+		if c.Accepted && c.Version > newest.Version {
+			newest = c
+		}
+	}
+	switch {
+	case setting.Version < newest.Version:
+		found = append(found, violation(PropertySettings, "%s has version %d of %s, accepted was %d",
+			instance, setting.Version, path, newest.Version))
+	case setting.Version == newest.Version && newest.Version > 0 && setting.Value != newest.Value:
+		found = append(found, violation(PropertySettings, "%s has %s = %s, accepted was %s",
+			instance, path, setting.Value, newest.Value))
+	}
+	return found
+}
+
+// checkReadings finds versions that went back at an instance.
+func checkReadings(e Evidence) []Violation {
+	type place struct{ instance, path string }
+	newest := make(map[place]uint64)
+	readings := slices.Clone(e.Readings)
+	slices.SortStableFunc(readings, func(a, b Reading) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	var found []Violation
+	for _, r := range readings {
+		at := place{r.Instance, r.Path}
+		if r.Version < newest[at] {
+			found = append(found, violation(PropertySettings, "%s went back from version %d of %s to %d",
+				r.Instance, newest[at], r.Path, r.Version))
+		}
+		newest[at] = max(newest[at], r.Version)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/proofs/check_test.go
@@ -0,0 +1,244 @@
+package proofs
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/standin/engine"
+	"github.com/banyanglade/banyanglade/internal/standin/service"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const testProgram = "lakes-01arz3ndektsv4rrffq69g5fav"
+
+var epochStart = time.UnixMilli(1_000_000)
+
+// at is a time of a test's history, in milliseconds from its start.
+func at(ms int) time.Time { return epochStart.Add(time.Duration(ms) * time.Millisecond) }
+
+func ms(t int) int64 { return at(t).UnixMilli() }
+
+// goodEvidence is a history in which everything holds: a chat, a tool call and
+// a filing of one program, one after the other.
+func goodEvidence() Evidence {
+	messages := []wire.ChatMessage{{Role: "user", Content: "Draft it. tokens=10"}}
+	chat := Call{Program: testProgram, Number: 1, Key: "k1"}
+	chatRequest(&chat, messages, 10, false)
+	tool := Call{Program: testProgram, Number: 2, Key: "k2"}
+	toolRequest(&tool, 20*time.Millisecond)
+	filing := Call{Program: testProgram, Number: 3, Key: "k3"}
+	filingRequest(&filing, 2, 20*time.Millisecond)
+
+	e := Evidence{
+		Programs: []Program{{ID: testProgram, Gone: true, Tokens: 100, Fees: 2}},
+		Engines: map[string][]wire.LedgerEntry{"engine": {
+			{TimeMS: ms(10), Target: "engine", Program: testProgram, BodyHash: chat.BodyHash, Finished: true, Tokens: 10},
+		}},
+		Services: map[string][]wire.LedgerEntry{
+			"tool":   {plainEntry("tool", tool, 110)},
+			"filing": {plainEntry("filing", filing, 210)},
+		},
+		Caches: map[string]wire.CacheState{"engine": {Programs: map[string]int64{}}},
+		Log: map[string][]wire.LogRecord{
+			shardStream(testProgram): {claimRecord(1, "first", 0), intentRecord(1, "first", "k3", 205)},
+			structs.SettingsStream:   {{TimeMS: ms(0), Data: []byte("...change-1...change-2...")}},
+		},
+		Shards: shards,
+		Changes: []Change{
+			{Path: "p", Value: "1", ChangeID: "change-1", Accepted: true, Version: 4},
+			{Path: "p", Value: "2", ChangeID: "change-2", Accepted: true, Version: 7},
+			{Path: "p", Value: "3", ChangeID: "change-3", Lost: true},
+		},
+		InForce:  map[string]map[string]Setting{"one": {"p": {Value: "2", Version: 7}}},
+		Readings: []Reading{{Instance: "one", Path: "p", Version: 4, At: at(1)}, {Instance: "one", Path: "p", Version: 7, At: at(2)}},
+	}
+	chat.Attempts = []Attempt{{Instance: "one", Start: at(5), End: at(50), Word: Answered, Text: chat.Want}}
+	tool.Attempts = []Attempt{{Instance: "one", Start: at(105), End: at(150), Word: Answered, Body: plainAnswer("tool", tool)}}
+	filing.Attempts = []Attempt{{Instance: "one", Start: at(200), End: at(250), Word: Answered, Body: plainAnswer("filing", filing)}}
+	e.Calls = []Call{chat, tool, filing}
+	return e
+}
+
+func plainEntry(target string, call Call, t int) wire.LedgerEntry {
+	return wire.LedgerEntry{
+		TimeMS: ms(t), Target: target, Program: call.Program, Path: call.Path, BodyHash: call.BodyHash, Finished: true,
+	}
+}
+
+func plainAnswer(target string, call Call) []byte {
+	body, _ := json.Marshal(service.Answer{Target: target, Path: call.Path, BodyHash: call.BodyHash})
+	return body
+}
+
+func claimRecord(epoch structs.Epoch, writer string, t int) wire.LogRecord {
+	return logRecord(epoch, writer, t, &journal.Claim{Instance: structs.InstanceID(writer)})
+}
+
+func intentRecord(epoch structs.Epoch, writer, key string, t int) wire.LogRecord {
+	return logRecord(epoch, writer, t, &journal.Intent{CallID: journal.CallID{Program: testProgram, Key: key}})
+}
+
+func logRecord(epoch structs.Epoch, writer string, t int, body journal.Body) wire.LogRecord {
+	record := journal.Record{Header: journal.Header{Epoch: epoch, Writer: writer}, Body: body}
+	return wire.LogRecord{TimeMS: ms(t), Data: journal.Encode(record)}
+}
+
+func TestCheckerAcceptsAGoodHistory(t *testing.T) {
+	verdict := Check(goodEvidence())
+	if len(verdict.Violations) > 0 {
+		t.Fatalf("violations in a good history: %v", verdict.Violations)
+	}
+	if verdict.Counts.Answered != 3 {
+		t.Fatalf("counts %+v", verdict.Counts)
+	}
+}
+
+// refused makes attempts of the call that heard "not run".
+func refused(c *Call, start, end int) {
+	c.Attempts = []Attempt{{Instance: "one", Start: at(start), End: at(end), Word: NotRun}}
+}
+
+// badHistories seeds one breach each into the good history.
+var badHistories = []struct {
+	name     string
+	breaks   func(e *Evidence)
+	property Property
+}{
+	{"a filing runs twice at one target", func(e *Evidence) {
+		second := plainEntry("filing", e.Calls[2], 215)
+		second.Sequence = 1
+		e.Services["filing"] = append(e.Services["filing"], second)
+	}, PropertyOnce},
+	{"a filing runs once at each of two targets", func(e *Evidence) {
+		e.Services["other"] = []wire.LedgerEntry{plainEntry("other", e.Calls[2], 240)}
+	}, PropertyOnce},
+	{"a call that heard not run ran", func(e *Evidence) { refused(&e.Calls[1], 105, 150) }, PropertyNotRun},
+	{"a call that heard not run ran later", func(e *Evidence) { refused(&e.Calls[2], 200, 205) }, PropertyNotRun},
+	{"a broken attempt ran after the last one heard not run", func(e *Evidence) {
+		e.Calls[2].Attempts = []Attempt{
+			{Instance: "dead", Start: at(190), End: at(195), Word: Broken},
+			{Instance: "one", Start: at(196), End: at(200), Word: NotRun},
+		}
+		e.Disturbed = []Disturbance{{Instance: "dead", From: at(194)}}
+	}, PropertyNotRun},
+	{"a call ends without a word", func(e *Evidence) { e.Calls[1].Attempts[0].Word = Silent }, PropertyLost},
+	{"an attempt breaks at an instance that no fault touched", func(e *Evidence) {
+		broken := Attempt{Instance: "two", Start: at(101), End: at(103), Word: Broken}
+		e.Calls[1].Attempts = append([]Attempt{broken}, e.Calls[1].Attempts...)
+	}, PropertyLost},
+	{"a call was never answered at all", func(e *Evidence) { e.Calls[0].Attempts = nil }, PropertyLost},
+	{"a call runs after the next of its lane", func(e *Evidence) {
+		again := plainEntry("tool", e.Calls[1], 230)
+		e.Services["tool"] = append(e.Services["tool"], again)
+		e.Calls[1].Attempts[0].End = at(260)
+	}, PropertyOrder},
+	{"a call begins before the one before it ended", func(e *Evidence) { e.Services["filing"][0].TimeMS = ms(115) }, PropertyOrder},
+	{"the end of an answer is missing", func(e *Evidence) {
+		text := e.Calls[0].Want
+		e.Calls[0].Attempts[0].Text = text[:len(text)-4]
+	}, PropertyAnswers},
+	{"an answer is spliced with that of another prompt", func(e *Evidence) {
+		other := engine.Answer{Program: testProgram, PromptHash: 1}
+		text := e.Calls[0].Want
+		e.Calls[0].Attempts[0].Text = text[:len(text)/2] + other.Text(5, 10)
+	}, PropertyAnswers},
+	{"an answer is that of another program", func(e *Evidence) {
+		e.Calls[0].Attempts[0].Text = engine.Answer{Program: "other"}.Text(0, 10)
+	}, PropertyAnswers},
+	{"an answer is that of another call", func(e *Evidence) {
+		e.Calls[1].Attempts[0].Body = plainAnswer("filing", e.Calls[2])
+	}, PropertyAnswers},
+	{"an answer names a run that the target does not have", func(e *Evidence) {
+		body, _ := json.Marshal(service.Answer{Target: "tool", Sequence: 9, Path: e.Calls[1].Path, BodyHash: e.Calls[1].BodyHash})
+		e.Calls[1].Attempts[0].Body = body
+	}, PropertyAnswers},
+	{"a call is answered that no target ran", func(e *Evidence) { e.Engines["engine"] = nil }, PropertyAnswers},
+	{"a target runs what nobody asked for", func(e *Evidence) {
+		e.Services["tool"] = append(e.Services["tool"], wire.LedgerEntry{TimeMS: ms(300), Target: "tool", Path: "/made-up"})
+	}, PropertyAnswers},
+	{"a target gets another body", func(e *Evidence) { e.Engines["engine"][0].BodyHash = "0" }, PropertyAnswers},
+	{"a program spends more tokens than its budget", func(e *Evidence) { e.Engines["engine"][0].Tokens = 99 }, PropertyBudget},
+	{"a program pays more fees than its budget", func(e *Evidence) { e.Programs[0].Fees = 1 }, PropertyBudget},
+	{"cache is held for a program that is gone", func(e *Evidence) {
+		e.Caches["engine"] = wire.CacheState{Programs: map[string]int64{testProgram: 5}}
+	}, PropertyCache},
+	{"a filing runs without an intent", func(e *Evidence) {
+		e.Log[shardStream(testProgram)] = e.Log[shardStream(testProgram)][:1]
+	}, PropertyIntent},
+	{"a filing runs before its intent", func(e *Evidence) { e.Services["filing"][0].TimeMS = ms(201) }, PropertyIntent},
+	{"a filing runs on an intent behind a newer claim", func(e *Evidence) {
+		e.Log[shardStream(testProgram)] = []wire.LogRecord{
+			claimRecord(1, "first", 0), claimRecord(2, "second", 100), intentRecord(1, "first", "k3", 205),
+		}
+	}, PropertyIntent},
+	{"a filing runs on the intent of one who lost the claim", func(e *Evidence) {
+		e.Log[shardStream(testProgram)] = []wire.LogRecord{
+			claimRecord(1, "first", 0), claimRecord(1, "second", 1), intentRecord(1, "second", "k3", 205),
+		}
+	}, PropertyIntent},
+	{"a leaving target gets work", func(e *Evidence) {
+		e.Leaving = []Departure{{Target: "tool", At: at(50), Within: 10 * time.Millisecond}}
+	}, PropertyLeaving},
+	{"two values are accepted for one version", func(e *Evidence) { e.Changes[0].Version = 7 }, PropertySettings},
+	{"an accepted change is not in the log", func(e *Evidence) { e.Log[structs.SettingsStream] = nil }, PropertySettings},
+	{"an accepted change is not in force", func(e *Evidence) {
+		e.InForce["one"]["p"] = Setting{Value: "1", Version: 4}
+	}, PropertySettings},
+	{"another value is in force", func(e *Evidence) {
+		e.InForce["one"]["p"] = Setting{Value: "9", Version: 7}
+	}, PropertySettings},
+	{"a lost change is in force", func(e *Evidence) {
+		e.InForce["one"]["p"] = Setting{Value: "3", Version: 8}
+	}, PropertySettings},
+	{"a setting goes back", func(e *Evidence) { e.Readings[1].Version = 3 }, PropertySettings},
+}
+
+func TestCheckerFindsEachBreach(t *testing.T) {
+	for _, bad := range badHistories {
+		t.Run(bad.name, func(t *testing.T) {
+			e := goodEvidence()
+			bad.breaks(&e)
+			found := Check(e).Violations
+			if countOf(found, bad.property) == 0 {
+				t.Fatalf("not found: %s; violations %v", bad.property, found)
+			}
+		})
+	}
+}
+
+// What the checker must not call a breach.
+func TestCheckerAllows(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+	}{
+		{"a repeatable call that ran twice before the next", func(e *Evidence) {
+			e.Services["tool"] = append(e.Services["tool"], plainEntry("tool", e.Calls[1], 130))
+		}},
+		{"a refusal before the attempt that ran", func(e *Evidence) {
+			e.Calls[2].Attempts = append([]Attempt{{Instance: "one", Start: at(190), End: at(195), Word: NotRun}}, e.Calls[2].Attempts...)
+		}},
+		{"a broken attempt at a killed instance", func(e *Evidence) {
+			e.Disturbed = []Disturbance{{Instance: "dead", From: at(104)}}
+			e.Calls[1].Attempts = append([]Attempt{{Instance: "dead", Start: at(101), End: at(105), Word: Broken}}, e.Calls[1].Attempts...)
+		}},
+		{"cache of a program that is not gone", func(e *Evidence) {
+			e.Programs[0].Gone = false
+			e.Caches["engine"] = wire.CacheState{Programs: map[string]int64{testProgram: 5}}
+		}},
+		{"an outcome that is not known, with a run", func(e *Evidence) {
+			e.Calls[2].Attempts = []Attempt{{Instance: "one", Start: at(200), End: at(205), Word: Unknown}}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := goodEvidence()
+			c.change(&e)
+			if found := Check(e).Violations; len(found) > 0 {
+				t.Fatalf("violations: %v", found)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/proofs/describe.go
@@ -0,0 +1,49 @@
+package proofs
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// describeAttempts lists what a caller heard, attempt by attempt.
+func describeAttempts(c Call) string {
+	parts := make([]string, 0, len(c.Attempts))
+	for _, a := range c.Attempts {
+		word := string(a.Word)
+		if a.Reason != "" {
+			word += "(" + a.Reason + ")"
+		}
+		parts = append(parts, fmt.Sprintf("%s at %s from %d to %d", word, a.Instance, a.Start.UnixMilli(), a.End.UnixMilli()))
+	}
+	return "[" + strings.Join(parts, "; ") + "]"
+}
+
+func describeRuns(runs []wire.LedgerEntry) string {
+	parts := make([]string, 0, len(runs))
+	for _, run := range runs {
+		parts = append(parts, fmt.Sprintf("%s at %d", run.Target, run.TimeMS))
+	}
+	return "[" + strings.Join(parts, "; ") + "]"
+}
+
+// describeEvidence lists the calls with their attempts and runs, and the owners
+// and changes, for reading after a failure.
+func describeEvidence(e Evidence) string {
+	runs := indexRuns(e)
+	var out strings.Builder
+	for i, c := range e.Calls {
+		fmt.Fprintf(&out, "%s\n  attempts %s\n  runs %s\n", c.name(), describeAttempts(c), describeRuns(runs.byCall[i]))
+	}
+	for _, d := range e.Disturbed {
+		fmt.Fprintf(&out, "disturbed %s from %d to %d\n", d.Instance, d.From.UnixMilli(), d.To.UnixMilli())
+	}
+	for _, c := range e.Changes {
+		fmt.Fprintf(&out, "change %+v\n", c)
+	}
+	for _, r := range e.Readings {
+		fmt.Fprintf(&out, "reading %+v\n", r)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/proofs/faults.go
@@ -0,0 +1,155 @@
+package proofs
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// resumeSlack is how long after a pause an instance may still break or ignore
+// the requests that it had.
+const resumeSlack = 2 * time.Second
+
+// disturb notes that an instance is about to be killed or paused.
+func (r *Rig) disturb(p *testkit.Process) *Disturbance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults++
+	d := &Disturbance{Instance: p.ID, From: time.Now()}
+	r.disturbed = append(r.disturbed, d)
+	return d
+}
+
+// Kill ends an instance at once (SIGKILL). The balancer and the membership list
+// lose it afterwards, unless listed keeps it in the list.
+func (r *Rig) Kill(p *testkit.Process, listed bool) {
+	r.disturb(p)
+	p.Kill()
+	r.closeDoor(p)
+	r.drop(p, listed)
+}
+
+// drop takes an ended process off the instances.
+func (r *Rig) drop(p *testkit.Process, listed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, p)
+	r.Remove(p)
+	if listed {
+		r.Members.Put(r.Member(p, wire.MemberStateLive))
+	}
+}
+
+// Unlist takes an instance off the membership list.
+func (r *Rig) Unlist(p *testkit.Process) { r.Members.Remove(p.ID) }
+
+// Pause freezes an instance (SIGSTOP); the result lets it go on (SIGCONT).
+func (r *Rig) Pause(p *testkit.Process) (resume func() error, err error) {
+	d := r.disturb(p)
+	if err := p.Pause(); err != nil {
+		return nil, errors.Wrap(err, "pause")
+	}
+	return func() error {
+		err := p.Resume()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		d.To = time.Now().Add(resumeSlack)
+		return errors.Wrap(err, "resume")
+	}, nil
+}
+
+// Add starts a further instance and lets the balancer offer it once it is
+// ready.
+func (r *Rig) Add(ctx context.Context) (*testkit.Process, error) {
+	p, err := r.AddUnready()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.WaitReady(ctx, p); err != nil {
+		return nil, err
+	}
+	r.openDoor(p)
+	return p, nil
+}
+
+// AddUnready starts a further instance and does not wait for it.
+func (r *Rig) AddUnready() (*testkit.Process, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, err := r.StartInstance()
+	return p, errors.Wrap(err, "start an instance")
+}
+
+// Replace kills an instance and starts another in its place.
+func (r *Rig) Replace(ctx context.Context, p *testkit.Process) error {
+	r.Kill(p, false)
+	_, err := r.Add(ctx)
+	return err
+}
+
+// drainLimit bounds the wait for a graceful shutdown.
+const drainLimit = 40 * time.Second
+
+// Drain asks an instance to shut down (SIGTERM) and waits for its end. It is no
+// disturbance: it may break no request.
+func (r *Rig) Drain(ctx context.Context, p *testkit.Process) error {
+	r.fault()
+	r.closeDoor(p)
+	if err := p.Terminate(); err != nil {
+		return errors.Wrap(err, "terminate")
+	}
+	limited, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	select {
+	case <-p.Exited():
+	case <-limited.Done():
+		return errors.Newf("instance %s did not end after SIGTERM", p.ID)
+	}
+	r.drop(p, false)
+	if code := p.ExitCode(); code != 0 {
+		return errors.Newf("instance %s ended with code %d after SIGTERM", p.ID, code)
+	}
+	return nil
+}
+
+// SetLog changes the faults of the log service.
+func (r *Rig) SetLog(faults wire.LogFaults) {
+	if faults != (wire.LogFaults{}) {
+		r.fault()
+	}
+	r.Log.SetFaults(faults)
+}
+
+// SetMembers changes the faults of the membership list.
+func (r *Rig) SetMembers(faults wire.MemberFaults) {
+	if faults != (wire.MemberFaults{}) {
+		r.fault()
+	}
+	r.Members.SetFaults(faults)
+}
+
+// SetTarget changes the faults of one target.
+func (r *Rig) SetTarget(id string, faults wire.ServiceFaults) {
+	if faults != (wire.ServiceFaults{}) {
+		r.fault()
+	}
+	if target, ok := r.Engines[id]; ok {
+		target.Faults().Set(faults)
+	}
+	if target, ok := r.Services[id]; ok {
+		target.Faults().Set(faults)
+	}
+}
+
+// Leave marks a target as leaving.
+func (r *Rig) Leave(id string, within time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults++
+	r.leaving = append(r.leaving, Departure{Target: id, At: time.Now(), Within: within})
+	r.Members.SetLeaving(id)
+}
--- /dev/null
+++ b/internal/proofs/load.go
@@ -0,0 +1,169 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Load is a set of agents that run programs at once.
+type Load struct {
+	group sync.WaitGroup
+	mu    sync.Mutex
+	// agents are those whose program is open.
+	agents []*agent
+	errs   []error
+	stop   chan struct{}
+}
+
+// Steps of a program are drawn with these weights.
+var stepWeights = []struct {
+	weight int
+	step   func(ctx context.Context, a *agent) bool
+}{
+	{3, stepChat}, {3, stepStream}, {3, stepTool}, {3, stepFile}, {1, stepFileTwice}, {1, stepFan},
+}
+
+// StartLoad starts programs that each make a number of calls, or go on until
+// Finish if calls is 0.
+func (r *Rig) StartLoad(ctx context.Context, programs, calls int) *Load {
+	l := &Load{stop: make(chan struct{})}
+	for range programs {
+		rng := r.newRand()
+		l.group.Go(func() { l.runPrograms(ctx, r, rng, calls) })
+	}
+	return l
+}
+
+// runPrograms runs one program, or one after the other if calls is 0.
+func (l *Load) runPrograms(ctx context.Context, r *Rig, rng *rand.Rand, calls int) {
+	const callsOfEndless = 8
+	if calls > 0 {
+		l.runProgram(ctx, r, rng, calls)
+		return
+	}
+	for !l.stopped() && ctx.Err() == nil {
+		l.runProgram(ctx, r, rng, callsOfEndless)
+	}
+}
+
+func (l *Load) runProgram(ctx context.Context, r *Rig, rng *rand.Rand, calls int) {
+	a, err := r.newAgent(ctx, rng)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	l.mu.Lock()
+	l.agents = append(l.agents, a)
+	l.mu.Unlock()
+	for range calls {
+		if l.stopped() || !randomStep(ctx, a) {
+			break
+		}
+	}
+	if err := a.close(ctx); err != nil {
+		l.fail(err)
+	}
+}
+
+func (l *Load) stopped() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Load) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.errs = append(l.errs, err)
+}
+
+// Finish lets the programs end after their present call, waits for them, and
+// gives the first error.
+func (l *Load) Finish() error {
+	close(l.stop)
+	return l.Wait()
+}
+
+// Wait waits for the programs and gives the first error.
+func (l *Load) Wait() error {
+	l.group.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.errs) > 0 {
+		return l.errs[0]
+	}
+	return nil
+}
+
+// Programs lists the programs opened so far, newest last.
+func (l *Load) Programs() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := make([]string, 0, len(l.agents))
+	for _, a := range l.agents {
+		ids = append(ids, a.program.ID)
+	}
+	return ids
+}
+
+// randomStep makes one step; false ends the program.
+func randomStep(ctx context.Context, a *agent) bool {
+	total := 0
+	for _, s := range stepWeights {
+		total += s.weight
+	}
+	drawn := a.rng.IntN(total)
+	for _, s := range stepWeights {
+		if drawn < s.weight {
+			return s.step(ctx, a)
+		}
+		drawn -= s.weight
+	}
+	return false
+}
+
+func stepChat(ctx context.Context, a *agent) bool {
+	return a.chat(ctx, 5+a.rng.IntN(40), false).Word.whole()
+}
+
+func stepStream(ctx context.Context, a *agent) bool {
+	return a.chat(ctx, 5+a.rng.IntN(200), true).Word.whole()
+}
+
+func stepTool(ctx context.Context, a *agent) bool {
+	return a.tool(ctx, a.runTime()).Word.whole()
+}
+
+// stepFile goes on after an outcome that is not known: a person looks into it,
+// and the number is used up.
+func stepFile(ctx context.Context, a *agent) bool {
+	word := a.file(ctx, 1, a.runTime()).Word
+	return word.whole() || word == Unknown
+}
+
+func stepFileTwice(ctx context.Context, a *agent) bool {
+	word := a.fileTwice(ctx, 1, a.runTime()).Word
+	return word.whole() || word == Unknown
+}
+
+func stepFan(ctx context.Context, a *agent) bool {
+	const count = 3
+	a.fans++
+	lane := fmt.Sprintf("sub-%d", a.fans)
+	for _, attempt := range a.fan(ctx, lane, count, a.runTime()) {
+		if !attempt.Word.whole() {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *agent) runTime() time.Duration {
+	return time.Duration(5+a.rng.IntN(60)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/proofs/recovery.go
@@ -0,0 +1,82 @@
+package proofs
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Recovery is the time from the SIGKILL of a program's owner to the program's
+// next answer.
+type Recovery struct {
+	Instances int
+	// Times are those of the single kills, in ascending order.
+	Times []time.Duration
+}
+
+// Median is the middle time; of an even number the greater.
+func (r Recovery) Median() time.Duration { return r.Times[len(r.Times)/2] }
+
+// Max is the longest time.
+func (r Recovery) Max() time.Duration { return r.Times[len(r.Times)-1] }
+
+// MeasureRecovery kills the owner of a program again and again in a set of so
+// many instances. With one instance, another is started at the kill. The
+// membership list shows the killed instance until the answer has come.
+func MeasureRecovery(ctx context.Context, binary string, instances, kills int, seed uint64) (Recovery, error) {
+	limited, cancel := context.WithTimeout(ctx, scenarioLimit)
+	defer cancel()
+	rig, err := start(limited, binary, Scenario{Name: "recovery", Instances: instances}, seed)
+	if err != nil {
+		return Recovery{}, err
+	}
+	defer rig.Close()
+	result := Recovery{Instances: instances}
+	a, err := rig.newAgent(limited, rig.newRand())
+	if err != nil {
+		return result, err
+	}
+	for range kills {
+		took, err := a.recoveryOnce(limited)
+		if err != nil {
+			return result, err
+		}
+		result.Times = append(result.Times, took)
+	}
+	slices.Sort(result.Times)
+	return result, nil
+}
+
+// recoveryOnce kills the owner and times the next answer, then starts another
+// instance in its place.
+func (a *agent) recoveryOnce(ctx context.Context) (time.Duration, error) {
+	r := a.rig
+	if got := a.tool(ctx, 0); !got.Word.whole() {
+		return 0, errors.Newf("before the kill a call got %s %s", got.Word, got.Reason)
+	}
+	owner, err := r.untilOwned(ctx, a.program.ID)
+	if err != nil {
+		return 0, err
+	}
+	alone := len(r.others(nil)) == 1
+	killed := time.Now()
+	r.Kill(owner, true)
+	if alone {
+		r.setDoors()
+		if _, err := r.Add(ctx); err != nil {
+			return 0, err
+		}
+	}
+	got := a.tool(ctx, 0)
+	took := time.Since(killed)
+	if !got.Word.whole() {
+		return 0, errors.Newf("after the kill a call got %s %s", got.Word, got.Reason)
+	}
+	r.Unlist(owner)
+	if !alone {
+		_, err = r.Add(ctx)
+	}
+	return took, err
+}
--- /dev/null
+++ b/internal/proofs/relay_test.go
@@ -0,0 +1,70 @@
+package proofs
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo serves connections that send back what they get.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestRelayHoldsOneDirection(t *testing.T) {
+	r, err := newRelay(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	conn, err := net.Dial("tcp", r.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	exchange(t, conn, "a")
+	r.block(false, true)
+	if _, err := conn.Write([]byte("b")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Fatal("a byte passed the blocked direction")
+	}
+	r.block(false, false)
+	_ = conn.SetReadDeadline(time.Time{})
+	readByte(t, conn, "b")
+	exchange(t, conn, "c")
+}
+
+func exchange(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	readByte(t, conn, text)
+}
+
+func readByte(t *testing.T, conn net.Conn, want string) {
+	t.Helper()
+	got := make([]byte, 1)
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != want {
+		t.Fatalf("got %q, %v, want %q", got, err, want)
+	}
+}
