bench: the dispatch core with a virtual clock; the hybrid order by latency so far

Cause: no rule was measured. In the first runs the hybrid order (half the program's latency so far, less its waits) was worse than first come first served under contention: what a long program has waited put it before short ones, and a missed deadline put a program before all. Change: hybrid is arrival + 4 x the program's latency so far, bounded by twice its slack while that is positive. Conclusion: latency so far, pauses included, is the better size of a program than attained service, since slowdown is relative to it.

--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,38 @@
+// Command bench measures the decisions of the dispatcher with a virtual clock;
+// see package bench.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/banyanglade/banyanglade/internal/bench"
+)
+
+type arguments struct {
+	Workload []string      `arg:"--workload,separate" help:"workload to run; repeatable; all by default"`
+	Variant  []string      `arg:"--variant,separate" help:"variant to run; repeatable; all by default"`
+	Seeds    []uint64      `arg:"--seeds" help:"seeds of the workloads"`
+	Runners  int           `arg:"--runners" help:"number of engines"`
+	Load     float64       `arg:"--load" help:"factor of the arrival rates"`
+	Duration time.Duration `arg:"--duration" help:"time in which programs arrive"`
+	Parallel int           `arg:"--parallel" help:"runs at a time"`
+	JSON     string        `arg:"--json" help:"file for the figures as JSON"`
+}
+
+func main() {
+	o := bench.DefaultOptions()
+	args := arguments{
+		Seeds: o.Seeds, Runners: o.Runners, Load: o.Load, Duration: o.Duration, Parallel: o.Parallel,
+	}
+	arg.MustParse(&args)
+	o.Workloads, o.Variants, o.Seeds, o.Runners = args.Workload, args.Variant, args.Seeds, args.Runners
+	o.Load, o.Duration, o.Parallel, o.JSON = args.Load, args.Duration, args.Parallel, args.JSON
+	if err := bench.Run(os.Stdout, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"bytes"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// small are options of a short run.
+func small(workloads ...string) Options {
+	o := DefaultOptions()
+	o.Duration, o.Warmup, o.Seeds = 10*time.Second, 0, []uint64{1}
+	o.Workloads, o.Variants = workloads, []string{Baseline, Full}
+	return o
+}
+
+// A program without sub-agents, alone on an idle system, must take what Alone
+// says, but for its first shared prefix.
+func TestAloneMatchesTheModel(t *testing.T) {
+	o := small()
+	spec := &Program{ID: "p", Team: "a", Chain: Chain{
+		{Input: 1500, Output: 40, Pause: time.Second}, {Input: 300, Output: 20, Pause: time.Second},
+		{Input: 10, Output: 5},
+	}}
+	d := newDriver(o, Workload{}, structs.DefaultRules(), 1)
+	sample := d.run([]*Program{spec})
+	if slowdown := sample.Slowdowns[0][0]; math.Abs(slowdown-1) > 0.001 {
+		t.Fatalf("slowdown alone is %v, want 1", slowdown)
+	}
+}
+
+func TestSameSeedSameFigures(t *testing.T) {
+	o := small("dying", "overload")
+	first, err := Measure(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Measure(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(first, second) {
+		t.Fatalf("two runs of one seed differ:\n%+v\n%+v", first, second)
+	}
+}
+
+func TestRunWritesEveryVariant(t *testing.T) {
+	var out bytes.Buffer
+	if err := Run(&out, small("survey")); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"survey", Baseline, Full, "recomputed %"} {
+		if !bytes.Contains(out.Bytes(), []byte(name)) {
+			t.Errorf("the table lacks %q", name)
+		}
+	}
+	if err := Run(&out, small("none")); err == nil {
+		t.Error("an unknown workload gives no error")
+	}
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,190 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Result is one workload under one variant: the figures of each seed and
+// their mean and spread.
+type Result struct {
+	Workload, Variant string
+	Seeds             []Figures
+}
+
+// ErrUnknownName is returned for a workload or variant that does not exist.
+var ErrUnknownName = errors.New("unknown workload or variant")
+
+// Run measures the chosen workloads and variants and writes a table.
+func Run(w io.Writer, o Options) error {
+	results, err := Measure(o)
+	if err != nil {
+		return err
+	}
+	if err := writeTable(w, o, results); err != nil {
+		return err
+	}
+	if o.JSON == "" {
+		return nil
+	}
+	encoded, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode the figures")
+	}
+	return errors.Wrap(os.WriteFile(o.JSON, encoded, 0o644), "write the figures")
+}
+
+// Measure runs every chosen workload under every chosen variant and seed.
+func Measure(o Options) ([]Result, error) {
+	workloads, err := choose(Workloads(), o.Workloads, func(w Workload) string { return w.Name })
+	if err != nil {
+		return nil, err
+	}
+	variants, err := choose(Variants(), o.Variants, func(v Variant) string { return v.Name })
+	if err != nil {
+		return nil, err
+	}
+	var results []Result
+	for _, workload := range workloads {
+		for _, variant := range variants {
+			results = append(results, Result{
+				Workload: workload.Name, Variant: variant.Name, Seeds: make([]Figures, len(o.Seeds)),
+			})
+		}
+	}
+	var group errgroup.Group
+	group.SetLimit(max(1, o.Parallel))
+	for i, result := range results {
+		workload, variant := workloads[i/len(variants)], variants[i%len(variants)]
+		for j, seed := range o.Seeds {
+			group.Go(func() error {
+				d := newDriver(o, workload, variant.Rules, seed)
+				result.Seeds[j] = d.run(workload.Generate(o, seed)).figures()
+				return nil
+			})
+		}
+	}
+	return results, group.Wait()
+}
+
+func choose[T any](all []T, names []string, name func(T) string) ([]T, error) {
+	if len(names) == 0 {
+		return all, nil
+	}
+	var chosen []T
+	for _, wanted := range names {
+		i := slices.IndexFunc(all, func(item T) bool { return name(item) == wanted })
+		if i < 0 {
+			return nil, errors.Wrapf(ErrUnknownName, "%q", wanted)
+		}
+		chosen = append(chosen, all[i])
+	}
+	return chosen, nil
+}
+
+// column is one figure of the table.
+type column struct {
+	name   string
+	format string
+	value  func(Figures) float64
+}
+
+func columns(classes []int) []column {
+	list := []column{{"mean", "%.2f", func(f Figures) float64 { return f.Mean }}}
+	for _, class := range classes {
+		prefix := fmt.Sprintf("c%d ", class)
+		of := func(get func(ClassFigures) float64) func(Figures) float64 {
+			return func(f Figures) float64 { return get(f.Classes[class]) }
+		}
+		list = append(list,
+			column{prefix + "mean", "%.2f", of(func(c ClassFigures) float64 { return c.Slowdown.Mean })},
+			column{prefix + "p50", "%.2f", of(func(c ClassFigures) float64 { return c.Slowdown.P50 })},
+			column{prefix + "p95", "%.2f", of(func(c ClassFigures) float64 { return c.Slowdown.P95 })},
+			column{prefix + "p99", "%.2f", of(func(c ClassFigures) float64 { return c.Slowdown.P99 })},
+			column{prefix + "max", "%.1f", of(func(c ClassFigures) float64 { return c.Slowdown.Max })},
+			column{prefix + "lat mean s", "%.2f", of(func(c ClassFigures) float64 { return c.Latency.Mean })},
+			column{prefix + "lat p50 s", "%.2f", of(func(c ClassFigures) float64 { return c.Latency.P50 })},
+			column{prefix + "lat p95 s", "%.1f", of(func(c ClassFigures) float64 { return c.Latency.P95 })},
+			column{prefix + "lat p99 s", "%.1f", of(func(c ClassFigures) float64 { return c.Latency.P99 })},
+		)
+	}
+	return append(list,
+		column{"met %", "%.1f", func(f Figures) float64 { return 100 * f.Met }},
+		column{"prefilled %", "%.1f", func(f Figures) float64 { return 100 * f.Prefilled }},
+		column{"recomputed %", "%.1f", func(f Figures) float64 { return 100 * f.Recomputed }},
+		column{"waste gone", "%.0f", func(f Figures) float64 { return f.WasteGone }},
+		column{"waste paused", "%.0f", func(f Figures) float64 { return f.WastePaused }},
+		column{"unfair", "%.2f", func(f Figures) float64 { return f.Unfair }},
+		column{"refused %", "%.1f", func(f Figures) float64 { return 100 * f.Refused }},
+		column{"refused p99 s", "%.3f", func(f Figures) float64 { return f.RefusedAfter }},
+		column{"failed %", "%.1f", func(f Figures) float64 { return 100 * f.Failed }},
+	)
+}
+
+// writeTable writes, for each workload, one row a figure and one column a
+// variant: the mean over the seeds, and the lowest and highest.
+func writeTable(w io.Writer, o Options, results []Result) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "runners %d, load %.2f, arrivals %v after %v, seeds %v; mean [lowest..highest] over seeds\n",
+		o.Runners, o.Load, o.Duration, o.Warmup, o.Seeds)
+	for start := 0; start < len(results); {
+		end := start
+		for end < len(results) && results[end].Workload == results[start].Workload {
+			end++
+		}
+		writeWorkload(table, results[start:end])
+		start = end
+	}
+	return errors.Wrap(table.Flush(), "write the table")
+}
+
+func writeWorkload(w io.Writer, results []Result) {
+	fmt.Fprintf(w, "\n%s (%d programs)\n", results[0].Workload, results[0].Seeds[0].Programs)
+	var classes []int
+	for class := range results[0].Seeds[0].Classes {
+		classes = append(classes, class)
+	}
+	slices.Sort(classes)
+	list := columns(classes)
+	for block := range slices.Chunk(results, variantsPerBlock) {
+		writeBlock(w, list, block)
+	}
+}
+
+// variantsPerBlock is the number of variants side by side.
+const variantsPerBlock = 6
+
+func writeBlock(w io.Writer, list []column, results []Result) {
+	fmt.Fprint(w, "figure")
+	for _, result := range results {
+		fmt.Fprintf(w, "\t%s", result.Variant)
+	}
+	fmt.Fprintln(w)
+	for _, c := range list {
+		fmt.Fprint(w, c.name)
+		for _, result := range results {
+			mean, low, high := spread(result.Seeds, c.value)
+			fmt.Fprintf(w, "\t"+c.format+" ["+c.format+".."+c.format+"]", mean, low, high)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+func spread(seeds []Figures, value func(Figures) float64) (mean, low, high float64) {
+	for i, f := range seeds {
+		v := value(f)
+		if i == 0 {
+			low, high = v, v
+		}
+		mean += v / float64(len(seeds))
+		low, high = min(low, v), max(high, v)
+	}
+	return mean, low, high
+}
--- /dev/null
+++ b/internal/bench/sample.go
@@ -0,0 +1,177 @@
+package bench
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Sample is the raw figures of one run.
+type Sample struct {
+	// Slowdowns and Latencies (in seconds) are by class.
+	Slowdowns, Latencies map[int][]float64
+	// Teams are slowdowns by team.
+	Teams            map[structs.Team][]float64
+	Deadlines, Met   int
+	Programs, Failed int
+	Calls, Refused   int
+	// RefusedAfter is the time from each request to its refusal, in
+	// seconds.
+	RefusedAfter []float64
+	// Prompt, Prefilled and Fresh are tokens: of all prompts, of those
+	// processed, and of those that were new in their calls.
+	Prompt, Prefilled, Fresh int64
+	Waste                    Waste
+}
+
+func newSample() *Sample {
+	return &Sample{
+		Slowdowns: make(map[int][]float64), Latencies: make(map[int][]float64),
+		Teams: make(map[structs.Team][]float64),
+	}
+}
+
+func (s *Sample) measured(d *driver, p *liveProgram) bool {
+	return p.spec.Arrival >= d.options.Warmup
+}
+
+func (s *Sample) call(d *driver, c *liveCall) {
+	if !s.measured(d, c.program) {
+		return
+	}
+	s.Calls++
+	s.Prompt += c.usage.PromptTokens
+	s.Prefilled += c.usage.PromptTokens - c.usage.CachedTokens
+	s.Fresh += int64(c.step.Input)
+}
+
+func (s *Sample) refuse(d *driver, c *liveCall, after time.Duration) {
+	if !s.measured(d, c.program) {
+		return
+	}
+	s.Refused++
+	s.RefusedAfter = append(s.RefusedAfter, after.Seconds())
+}
+
+func (s *Sample) program(d *driver, p *liveProgram) {
+	spec := p.spec
+	if !s.measured(d, p) || !spec.Counted() {
+		return
+	}
+	s.Programs++
+	latency := d.clock.now - spec.Arrival
+	if spec.Deadline > 0 {
+		s.Deadlines++
+		if !p.failed && latency <= spec.Deadline {
+			s.Met++
+		}
+	}
+	if p.failed {
+		s.Failed++
+		return
+	}
+	slowdown := float64(latency) / float64(spec.Alone(d.options))
+	s.Slowdowns[spec.Priority] = append(s.Slowdowns[spec.Priority], slowdown)
+	s.Latencies[spec.Priority] = append(s.Latencies[spec.Priority], latency.Seconds())
+	s.Teams[spec.Team] = append(s.Teams[spec.Team], slowdown)
+}
+
+func (s *Sample) finish(d *driver) {
+	for _, r := range d.runners {
+		r.holds.settle()
+		s.Waste.Gone += r.holds.waste.Gone
+		s.Waste.Paused += r.holds.waste.Paused
+		s.Waste.Held += r.holds.waste.Held
+	}
+}
+
+// Figures are the figures of one run, or of several taken together.
+type Figures struct {
+	// Mean is the mean slowdown of all programs.
+	Mean float64
+	// Classes are by priority.
+	Classes map[int]ClassFigures
+	// Met is the share of deadlines met.
+	Met float64
+	// Prefilled is the share of prompt tokens that were processed and
+	// Recomputed the part of it that was not new.
+	Prefilled, Recomputed float64
+	// WasteGone and WastePaused are in token-seconds per program.
+	WasteGone, WastePaused float64
+	// Unfair is the highest mean slowdown of a team over the lowest.
+	Unfair float64
+	// Refused is the share of requests refused, RefusedAfter the 99th
+	// percentile of the time to the refusal in seconds, and Failed the
+	// share of programs that gave up.
+	Refused, RefusedAfter, Failed float64
+	Programs                      int
+}
+
+// ClassFigures are the figures of one class.
+type ClassFigures struct {
+	Slowdown, Latency Quantiles
+}
+
+// Quantiles summarize a distribution.
+type Quantiles struct{ Mean, P50, P95, P99, Max float64 }
+
+func (s *Sample) figures() Figures {
+	f := Figures{
+		Classes: make(map[int]ClassFigures), Programs: s.Programs,
+		Met:        share(s.Met, s.Deadlines),
+		Prefilled:  share(s.Prefilled, s.Prompt),
+		Recomputed: share(max(0, s.Prefilled-s.Fresh), s.Prompt),
+		Refused:    share(s.Refused, s.Refused+s.Calls),
+		Failed:     share(s.Failed, s.Programs),
+		WasteGone:  s.Waste.Gone / float64(max(1, s.Programs)), WastePaused: s.Waste.Paused / float64(max(1, s.Programs)),
+		RefusedAfter: quantiles(s.RefusedAfter).P99,
+	}
+	var all []float64
+	for _, class := range slices.Sorted(maps.Keys(s.Slowdowns)) {
+		slowdowns := s.Slowdowns[class]
+		f.Classes[class] = ClassFigures{Slowdown: quantiles(slowdowns), Latency: quantiles(s.Latencies[class])}
+		all = append(all, slowdowns...)
+	}
+	f.Mean = quantiles(all).Mean
+	f.Unfair = s.unfair()
+	return f
+}
+
+func (s *Sample) unfair() float64 {
+	least, most := math.Inf(1), 0.0
+	for _, slowdowns := range s.Teams {
+		mean := quantiles(slowdowns).Mean
+		least, most = min(least, mean), max(most, mean)
+	}
+	if most == 0 {
+		return 0
+	}
+	return most / least
+}
+
+func share[N int | int64](part, whole N) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// quantiles gives exact quantiles by the nearest rank.
+func quantiles(values []float64) Quantiles {
+	if len(values) == 0 {
+		return Quantiles{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	sum := 0.0
+	for _, v := range sorted {
+		sum += v
+	}
+	at := func(q float64) float64 { return sorted[int(math.Ceil(q*float64(len(sorted))))-1] }
+	return Quantiles{
+		Mean: sum / float64(len(sorted)), P50: at(0.5), P95: at(0.95), P99: at(0.99),
+		Max: sorted[len(sorted)-1],
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -75,8 +75,8 @@
 	c.order = policy.Call{
 		Run: m.Ref.Run, Team: m.Team, Priority: m.Priority,
 		Arrived: now.Sub(d.epoch), Served: m.Served,
-		Elapsed: max(m.Served, m.Age-waited), Waited: waited,
-		Slack: m.Slack, HasDeadline: m.HasDeadline,
+		Elapsed: max(m.Served, m.Age-waited),
+		Slack:   m.Slack, HasDeadline: m.HasDeadline,
 	}
 	p.rank(c)
 	return c
--- a/internal/policy/call.go
+++ b/internal/policy/call.go
@@ -18,8 +18,6 @@
 	// Elapsed is the program's age at arrival less the time that its calls
 	// waited in the queue: about its latency so far on an idle system.
 	Elapsed time.Duration
-	// Waited is the time that the program's calls have waited in the queue.
-	Waited time.Duration
 	// Slack is the time from arrival to the program's deadline, valid if
 	// HasDeadline.
 	Slack       time.Duration
--- a/internal/policy/order.go
+++ b/internal/policy/order.go
@@ -18,12 +18,12 @@
 	// noDeadlineSlack ranks calls of programs without a deadline under the
 	// slack rule.
 	noDeadlineSlack = time.Hour
-	// stretchFactor is the delay that the hybrid rule allows a call, as a
-	// share of its program's latency so far.
-	stretchFactor = 0.5
-	// slackShare is the share of the program's slack that the hybrid rule
-	// allows one call to wait.
-	slackShare = 0.25
+	// stretchFactor is the delay that the hybrid rule allows a call at an
+	// Aging of 1, as a multiple of its program's latency so far.
+	stretchFactor = 4
+	// slackShare bounds the delay that the hybrid rule allows a call, as a
+	// multiple of its program's slack.
+	slackShare = 2
 )
 
 // Key ranks a call within its class; the lowest goes first. All keys are
@@ -36,7 +36,7 @@
 	case OrderSlack:
 		return slackKey(call)
 	case OrderHybrid:
-		return hybridKey(call)
+		return hybridKey(rules, call)
 	default:
 		return call.Arrived
 	}
@@ -58,14 +58,17 @@
 	return call.Arrived + call.Slack
 }
 
-// hybridKey is a due time: arrival plus a delay in proportion to the program's
-// latency so far, less what it has waited already. It bounds the slowdown of
-// each program alike, so a short program goes before a long one, and a long one
-// is overtaken only for a bounded time. A close deadline brings it forward.
-func hybridKey(call Call) time.Duration {
-	allowed := time.Duration(stretchFactor*float64(call.Elapsed)) - call.Waited
-	if call.HasDeadline {
-		allowed = min(allowed, time.Duration(slackShare*float64(call.Slack)))
+// hybridKey is a due time: arrival plus an allowed delay in proportion to the
+// program's latency so far. A short program goes before a long one, and a call
+// is overtaken only for a bounded time, in proportion to what its program takes
+// anyhow. A close deadline brings it forward.
+func hybridKey(rules structs.Rules, call Call) time.Duration {
+	allowed := stretchFactor * float64(call.Elapsed)
+	if call.HasDeadline && call.Slack > 0 {
+		allowed = min(allowed, slackShare*float64(call.Slack))
 	}
-	return call.Arrived + allowed
+	if rules.Aging <= 0 {
+		return time.Duration(allowed)
+	}
+	return call.Arrived + time.Duration(rules.Aging*allowed)
 }
