Retention: presume long pauses lost; late cache events bring no entry back

Cause: in the workload 'dying' a program that never returned held its prefix for 14 s on average, half of them for the whole idle timeout. Two faults: a stored event that came after the release made a new entry in the record, which was never let go and crowded out real ones; and a pause counted as lost only at the idle timeout. Ruled out: the threshold itself; where it acted, it did so after 2.6 s. Change: a released entry is kept empty until late events are over; an entry made by an event belongs to its program; a pause three times as long as the 99th percentile is presumed lost.

--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -101,12 +101,26 @@
 	}
 }
 
-func (r *cacheRecord) drop(key string) {
-	if entry := r.find(key); entry != nil {
-		r.shrink(entry, 0)
+// drop empties an entry that the target is told to release. The entry is kept
+// for a while, so that late events of what it held do not bring it back.
+func (r *cacheRecord) drop(now time.Time, key string) {
+	entry := r.use(now, key)
+	r.used -= entry.tokens
+	entry.tokens = 0
+}
+
+// prune forgets empty entries once no late event can be about them.
+func (r *cacheRecord) prune(now time.Time) {
+	for element := r.recent.Front(); element != nil; {
+		entry := element.Value.(*cacheEntry)
+		element = element.Next()
+		if entry.tokens == 0 && now.Sub(entry.touched) >= eventLag {
+			r.shrink(entry, 0)
+		}
 	}
 }
 
+// clear empties the record of a target that has lost its cache.
 func (r *cacheRecord) clear() {
 	for element := r.recent.Front(); element != nil; {
 		entry := element.Value.(*cacheEntry)
@@ -129,7 +143,7 @@
 
 // apply takes a cache event into account. Events seen before are skipped, as
 // are those that a later own update overrules.
-func (r *cacheRecord) apply(now time.Time, event wire.CacheEvent, shared bool) {
+func (r *cacheRecord) apply(now time.Time, event wire.CacheEvent, describe func(*cacheEntry)) {
 	if event.Sequence < r.next {
 		return
 	}
@@ -146,7 +160,7 @@
 	case wire.CacheStored:
 		if entry == nil {
 			entry = r.use(now, event.Program)
-			entry.shared = shared
+			describe(entry)
 		}
 		r.set(entry, event.Tokens)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,11 +28,12 @@
 	lastPlaced int
 	programs   map[structs.ProgramID]*program
 	sharedKeys map[string]struct{}
-	pauses     pauseBook
-	releases   []*release
-	shares     *policy.Shares
-	estimates  policy.Estimates
-	budget     policy.RetryBudget
+	// pauses is ordered by team.
+	pauses    []*pauses
+	releases  []*release
+	shares    *policy.Shares
+	estimates policy.Estimates
+	budget    policy.RetryBudget
 	// interval is the average time between grants while calls wait, and
 	// lastGrant the last grant since the queue was empty.
 	interval  time.Duration
@@ -50,7 +51,6 @@
 		id: id, service: service, lastPlaced: -1,
 		programs:   make(map[structs.ProgramID]*program),
 		sharedKeys: make(map[string]struct{}),
-		pauses:     newPauseBook(),
 		shares:     policy.NewShares(),
 		estimates:  policy.NewEstimates(),
 		budget:     policy.NewRetryBudget(),
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"container/list"
 	"slices"
 	"time"
 
@@ -15,6 +17,9 @@
 	// doubles up to releaseRetryMax.
 	releaseRetry    = 200 * time.Millisecond
 	releaseRetryMax = 30 * time.Second
+	// closeGrace is the age of a pause up to which the end of a program is
+	// no lost return: programs are closed shortly after their last call.
+	closeGrace = 250 * time.Millisecond
 	// programIdle is how long a program without calls and cache is known.
 	programIdle = 10 * time.Minute
 )
@@ -25,8 +30,12 @@
 	// waited is the time that its calls have waited in the queue.
 	waited           time.Duration
 	waiting, running int
-	// idleSince is the end of its last run, zero before.
+	// idleSince is the end of its last run, or when it was first seen.
 	idleSince time.Time
+	// pause is its place among the team's open pauses, nil if it does not
+	// pause; presumed tells that it paused so long that it seems lost.
+	pause    *list.Element
+	presumed bool
 	// targets may hold cache of it.
 	targets []*target
 	gone    bool
@@ -41,31 +50,77 @@
 	next    time.Time
 }
 
-// pauseBook keeps the pause lengths by team, and of all teams together for
-// those without enough samples.
-type pauseBook struct {
-	teams map[structs.Team]*policy.Pauses
+// pauses follows the tool pauses of one team.
+type pauses struct {
+	team     structs.Team
+	estimate *policy.Pauses
+	// open lists the programs that pause and are not presumed lost, the
+	// longest first.
+	open list.List
 }
 
-func newPauseBook() pauseBook {
-	return pauseBook{teams: make(map[structs.Team]*policy.Pauses)}
+// teamPauses finds or makes the pauses of a team.
+func (p *pool) teamPauses(team structs.Team) *pauses {
+	i, ok := slices.BinarySearchFunc(p.pauses, team, func(known *pauses, team structs.Team) int {
+		return cmp.Compare(known.team, team)
+	})
+	if !ok {
+		p.pauses = slices.Insert(p.pauses, i, &pauses{team: team, estimate: policy.NewPauses()})
+	}
+	return p.pauses[i]
 }
 
-func (b *pauseBook) team(team structs.Team) *policy.Pauses {
-	known := b.teams[team]
-	if known == nil {
-		known = policy.NewPauses()
-		b.teams[team] = known
+// startPause begins a pause of a program without calls.
+func (p *pool) startPause(now time.Time, known *program) {
+	if known.pause != nil || known.gone || known.waiting+known.running > 0 {
+		return
+	}
+	known.idleSince, known.presumed = now, false
+	known.pause = p.teamPauses(known.team).open.PushBack(known)
+}
+
+// endPause ends a pause: by a further call, or by the end of the program.
+func (p *pool) endPause(now time.Time, known *program, returned bool) {
+	team := p.teamPauses(known.team)
+	switch {
+	case known.pause == nil && !known.presumed:
+		return
+	case returned:
+		team.estimate.Returned(now.Sub(known.idleSince), known.presumed)
+	case !known.presumed && now.Sub(known.idleSince) > closeGrace:
+		team.estimate.Lost()
+	}
+	if known.pause != nil {
+		team.open.Remove(known.pause)
+	}
+	known.pause, known.presumed = nil, false
+}
+
+// presumeLost ends the pauses that are so long that few programs return.
+func (p *pool) presumeLost(now time.Time) {
+	for _, team := range p.pauses {
+		limit := team.estimate.Presume()
+		for front := team.open.Front(); front != nil; front = team.open.Front() {
+			known := front.Value.(*program)
+			if now.Sub(known.idleSince) < limit {
+				break
+			}
+			team.open.Remove(front)
+			known.pause, known.presumed = nil, true
+			team.estimate.Lost()
+		}
 	}
-	return known
 }
 
 func (p *pool) program(now time.Time, id structs.ProgramID, team structs.Team) *program {
 	known := p.programs[id]
 	if known == nil {
-		known = &program{team: team}
+		known = &program{}
 		p.programs[id] = known
 	}
+	if team != "" {
+		known.team = team
+	}
 	if known.idleSince.IsZero() {
 		known.idleSince = now
 	}
@@ -75,9 +130,7 @@
 // programReturned ends a pause by a further call.
 func (p *pool) programReturned(now time.Time, c *call) {
 	known := p.programs[c.program()]
-	if known.waiting+known.running == 0 && len(known.targets) > 0 {
-		p.pauses.team(known.team).Returned(now.Sub(known.idleSince))
-	}
+	p.endPause(now, known, true)
 	known.waiting++
 }
 
@@ -133,6 +186,7 @@
 		p.releaseProgram(now, c.program(), known)
 		return
 	}
+	p.startPause(now, known)
 	if p.service.Rules.Retention == policy.RetainWorth {
 		p.releaseCopies(now, c.program(), known, t)
 	}
@@ -156,9 +210,7 @@
 	if known == nil {
 		return
 	}
-	if known.waiting+known.running == 0 && len(known.targets) > 0 && !known.gone {
-		p.pauses.team(known.team).Lost(now.Sub(known.idleSince))
-	}
+	p.endPause(now, known, false)
 	known.gone = true
 	p.releaseProgram(now, id, known)
 }
@@ -175,7 +227,7 @@
 // release owes a target the release of a program's cache.
 func (p *pool) release(now time.Time, id structs.ProgramID, known *program, t *target, gone bool) {
 	known.targets = slices.DeleteFunc(known.targets, func(other *target) bool { return other == t })
-	t.cache.drop(string(id))
+	t.cache.drop(now, string(id))
 	for _, r := range p.releases {
 		if r.target == t && r.program == id {
 			r.gone = r.gone || gone
@@ -199,8 +251,19 @@
 // cacheReported corrects the record of a target's cache.
 func (p *pool) cacheReported(now time.Time, t *target, e structs.TargetCache) {
 	for _, event := range e.Events {
-		_, shared := p.sharedKeys[event.Program]
-		t.cache.apply(now, event, shared)
+		t.cache.apply(now, event, func(entry *cacheEntry) { p.describe(now, t, entry) })
+	}
+}
+
+// describe fills in what is known of an entry that a cache event made.
+func (p *pool) describe(now time.Time, t *target, entry *cacheEntry) {
+	if _, entry.shared = p.sharedKeys[entry.key]; entry.shared {
+		return
+	}
+	known := p.program(now, structs.ProgramID(entry.key), "")
+	entry.team = known.team
+	if !slices.Contains(known.targets, t) {
+		known.targets = append(known.targets, t)
 	}
 }
 
@@ -210,8 +273,10 @@
 	if p.checkAt.After(now) {
 		return
 	}
+	p.presumeLost(now)
 	for _, t := range p.targets {
 		t.health.Advance(now)
+		t.cache.prune(now)
 		p.letGo(now, t)
 	}
 	p.releases = slices.DeleteFunc(p.releases, func(r *release) bool { return r.target.gone })
@@ -251,7 +316,7 @@
 		if entry.shared || entry.running > 0 || known == nil || known.waiting+known.running > 0 {
 			continue
 		}
-		if !policy.Retain(rules, policy.Hold{ReturnChance: p.returnChance(now, entry), Fill: fill}) {
+		if !policy.Retain(rules, p.returnChance(now, entry), fill) {
 			p.release(now, id, known, t, false)
 		}
 	}
@@ -262,7 +327,7 @@
 	if entry.shared {
 		return 1
 	}
-	return p.pauses.team(entry.team).ReturnChance(now.Sub(entry.touched))
+	return p.teamPauses(entry.team).estimate.ReturnChance(now.Sub(entry.touched))
 }
 
 // evictionCost is the replacement cost of storing so many tokens more.
@@ -274,9 +339,17 @@
 // forgetPrograms drops programs without calls and cache.
 func (p *pool) forgetPrograms(now time.Time) {
 	for id, known := range p.programs {
-		idle := known.waiting+known.running == 0
-		if idle && (known.gone || len(known.targets) == 0 && now.Sub(known.idleSince) > programIdle) {
+		if known.waiting+known.running > 0 {
+			continue
+		}
+		if known.gone || now.Sub(known.idleSince) > programIdle && !known.cached(id) {
+			p.endPause(now, known, false)
 			delete(p.programs, id)
 		}
 	}
 }
+
+// cached tells whether any target is known to hold cache of the program.
+func (k *program) cached(id structs.ProgramID) bool {
+	return slices.ContainsFunc(k.targets, func(t *target) bool { return t.cache.tokens(string(id)) > 0 })
+}
--- a/internal/policy/retention.go
+++ b/internal/policy/retention.go
@@ -14,28 +14,36 @@
 )
 
 const (
-	// pauseBuckets counts the buckets of a pause histogram; bucket i holds
-	// pauses up to firstPause * 2^(i/2).
-	pauseBuckets = 48
-	firstPause   = 10 * time.Millisecond
-	// pauseDecay ages the counts, so that the estimate follows a change.
-	pauseDecay = 0.999
-	// priorReturns and priorLosses are counted before anything is seen, per
-	// histogram.
-	priorReturns = 4
-	priorLosses  = 0.2
+	// pauseBuckets counts the buckets of a pause histogram. Their upper
+	// bounds grow by a factor of 1.5 and 1.33 in turn from firstPause on;
+	// the last one has no bound.
+	pauseBuckets = 40
+	firstPause   = 20 * time.Millisecond
+	// pauseGain is the weight of a new pause in the histogram.
+	pauseGain = 0.002
+	// minPauses is the number of pauses that make an estimate.
+	minPauses = 20
+	// presumeFactor times the length that few pauses exceed is the length
+	// after which a program is presumed lost.
+	presumeFactor   = 3
+	presumeQuantile = 0.99
+	minPresume      = time.Second
 )
 
-// Pauses estimates the length of tool pauses of one team from those that
-// ended: by a return or by the end of the program.
+// Pauses estimates the length of the tool pauses of one team and the chance
+// that a pause never ends. A program that has paused for long is presumed lost
+// until it returns, so that the estimate need not wait for idle timeouts.
 type Pauses struct {
-	returned, lost [pauseBuckets]float64
-	bounds         *[pauseBuckets]time.Duration
+	// returned holds the decayed counts of ended pauses by length, and lost
+	// the decayed count of those that did not end.
+	returned [pauseBuckets]float64
+	lost     float64
+	seen     int
 }
 
 var pauseBounds = makePauseBounds()
 
-func makePauseBounds() *[pauseBuckets]time.Duration {
+func makePauseBounds() [pauseBuckets]time.Duration {
 	var bounds [pauseBuckets]time.Duration
 	for i := range bounds {
 		bounds[i] = firstPause << (i / 2)
@@ -43,14 +51,14 @@
 			bounds[i] += bounds[i] / 2
 		}
 	}
-	return &bounds
+	return bounds
 }
 
 // NewPauses returns an estimate without samples.
-func NewPauses() *Pauses { return &Pauses{bounds: pauseBounds} }
+func NewPauses() *Pauses { return &Pauses{} }
 
-func (p *Pauses) bucket(pause time.Duration) int {
-	for i, bound := range p.bounds {
+func pauseBucket(pause time.Duration) int {
+	for i, bound := range pauseBounds {
 		if pause <= bound {
 			return i
 		}
@@ -58,76 +66,91 @@
 	return pauseBuckets - 1
 }
 
-// Returned counts a pause that ended by a further call.
-func (p *Pauses) Returned(pause time.Duration) {
+// Returned counts a pause that ended by a further call; presumed tells that it
+// was counted as lost before.
+func (p *Pauses) Returned(pause time.Duration, presumed bool) {
+	if presumed {
+		p.lost = max(0, p.lost-pauseGain)
+	}
 	p.decay()
-	p.returned[p.bucket(pause)]++
+	p.returned[pauseBucket(pause)] += pauseGain
 }
 
-// Lost counts a pause that ended without a further call.
-func (p *Pauses) Lost(pause time.Duration) {
+// Lost counts a pause that ended, or seems to have ended, without a further
+// call.
+func (p *Pauses) Lost() {
 	p.decay()
-	p.lost[p.bucket(pause)]++
+	p.lost += pauseGain
 }
 
 func (p *Pauses) decay() {
+	p.seen++
 	for i := range p.returned {
-		p.returned[i] *= pauseDecay
-		p.lost[i] *= pauseDecay
+		p.returned[i] *= 1 - pauseGain
 	}
+	p.lost *= 1 - pauseGain
+}
+
+// Presume gives the length of a pause after which the program is presumed
+// lost.
+func (p *Pauses) Presume() time.Duration {
+	if p.seen < minPauses {
+		return pauseBounds[pauseBuckets-1]
+	}
+	total := p.returnedBeyond(0)
+	sum := 0.0
+	for i, count := range p.returned {
+		sum += count
+		if sum >= presumeQuantile*total {
+			return max(minPresume, presumeFactor*pauseBounds[i])
+		}
+	}
+	return pauseBounds[pauseBuckets-1]
 }
 
 // ReturnChance is the chance that a program that has paused that long comes
-// back.
+// back; 1 as long as too little is known.
 func (p *Pauses) ReturnChance(paused time.Duration) float64 {
-	returns, losses := p.beyond(paused)
-	total := 0.0
-	for i := range p.returned {
-		total += p.returned[i] + p.lost[i]
+	if p.seen < minPauses {
+		return 1
 	}
-	if total < 1 {
-		return priorReturns / (priorReturns + priorLosses)
+	returns := p.returnedBeyond(pauseBucket(paused))
+	if returns == 0 {
+		return 0
 	}
-	return (returns + priorLosses*returns/total) / (returns + losses + priorLosses)
+	return returns / (returns + p.lost)
 }
 
-func (p *Pauses) beyond(paused time.Duration) (returns, losses float64) {
-	for i := p.bucket(paused); i < pauseBuckets; i++ {
-		returns += p.returned[i]
-		losses += p.lost[i]
+// returnedBeyond sums the counts from a bucket on.
+func (p *Pauses) returnedBeyond(bucket int) float64 {
+	sum := 0.0
+	for _, count := range p.returned[bucket:] {
+		sum += count
 	}
-	return returns, losses
+	return sum
 }
 
-// Hold is a cached prefix of a paused program.
-type Hold struct {
-	// ReturnChance is the chance that the program comes back.
-	ReturnChance float64
-	// Fill is the share of the target's cache in use.
-	Fill float64
-}
+// minReturnChance is the least chance of return for which the rule by worth
+// holds a prefix in a cache with room, and minReturnChanceFull in one that is
+// nearly full, where each prefix displaces another.
+const (
+	minReturnChance     = 0.15
+	minReturnChanceFull = 0.4
+	nearlyFull          = 0.85
+)
 
-// Retain tells whether to hold a paused program's prefix. By worth, the chance
-// of its use must beat the pressure on the cache.
-func Retain(rules structs.Rules, hold Hold) bool {
+// Retain tells whether to hold a paused program's prefix, given the chance of
+// its return and the share of the target's cache in use.
+func Retain(rules structs.Rules, chance, fill float64) bool {
 	switch rules.Retention {
 	case RetainNone:
 		return false
 	case RetainWorth:
-		return hold.ReturnChance >= pressure(hold.Fill)
+		if fill >= nearlyFull {
+			return chance >= minReturnChanceFull
+		}
+		return chance >= minReturnChance
 	default:
 		return true
 	}
 }
-
-// pressure is the least chance of return that is worth the memory: small
-// while there is room.
-func pressure(fill float64) float64 {
-	switch {
-	case fill < 0.5:
-		return 0.1
-	case fill < 0.9:
-		return 0.2
-	}
-	return 0.3
-}
