--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -77,7 +77,7 @@
 		return nil, errors.Wrapf(ErrRequest, "method %q is not allowed", call.Method)
 	}
 	path, err := url.ParseRequestURI(call.Path)
-	if err != nil || !strings.HasPrefix(call.Path, "/") || path.Host != "" {
+	if err != nil || !strings.HasPrefix(call.Path, "/") || strings.HasPrefix(call.Path, "//") {
 		return nil, errors.Wrap(ErrRequest, "the path must begin with one / and be a valid request path")
 	}
 	request, err := newSendOnce(ctx, call.Method, joinURL(command.Target.Address, path.RequestURI()), call.Body)
--- a/internal/target/watch.go
+++ b/internal/target/watch.go
@@ -13,6 +13,10 @@
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
+// restartCheckPolls is the number of polls after which a watch checks whether the
+// engine counts its cache events anew.
+const restartCheckPolls = 16
+
 // jitterShare is the part of a poll interval that jitter may add or take away.
 const jitterShare = 10
 
@@ -26,6 +30,8 @@
 	// before it were lost since the last TargetCache.
 	from uint64
 	lost bool
+	// polls counts the polls since the last restart check; see askFrom.
+	polls int
 }
 
 // WatchTargets sets the targets that are polled. Engines report their load and
@@ -97,6 +103,7 @@
 		return
 	}
 	w.runner.metrics.pollsFailed.Inc(1)
+	w.polls = restartCheckPolls
 	w.runner.sink.Offer(structs.TargetUnreachable{Target: w.target.ID})
 }
 
@@ -126,7 +133,7 @@
 	}
 	w.runner.sink.Offer(structs.TargetLoad{Target: w.target.ID, Load: load})
 	var page wire.CacheEvents
-	address := joinURL(w.target.Address, wire.CacheEventsRoute) + "?from=" + strconv.FormatUint(w.from, 10)
+	address := joinURL(w.target.Address, wire.CacheEventsRoute) + "?from=" + strconv.FormatUint(w.askFrom(), 10)
 	if err := w.runner.getJSON(ctx, address, &page); err != nil {
 		return err
 	}
@@ -134,12 +141,25 @@
 	return nil
 }
 
+// askFrom gives the sequence to ask for. After a failed poll, and every so often,
+// it is that of the last event known: an engine that was restarted and has fewer
+// events does not know it.
+func (w *watch) askFrom() uint64 {
+	w.polls++
+	if w.from == 0 || w.polls < restartCheckPolls {
+		return w.from
+	}
+	w.polls = 0
+	return w.from - 1
+}
+
 // report posts the events that are new. Events that were lost, at the engine or
 // here, show as a gap before the next ones.
 func (w *watch) report(page wire.CacheEvents) {
 	if page.Next < w.from {
 		// The engine counts anew: it was restarted.
 		w.from, w.lost = 0, true
+		return
 	}
 	var fresh []wire.CacheEvent
 	for _, event := range page.Events {
