dispatch: the test of late cache events shows the fault

It is replaced by one as strict, with a released copy at another target. Tests: run on a scratch copy of the older code it fails with 'recorded 1010 tokens of a released program, want 0'; here it passes.

--- a/internal/dispatch/cache_test.go
+++ b/internal/dispatch/cache_test.go
@@ -70,15 +70,19 @@
 // A stored event that arrives after the release must not bring the entry
 // back: such entries were never released again and crowded out real ones.
 func TestLateStoreAfterReleaseIsIgnored(t *testing.T) {
-	f := newFixture(t, 1, 1)
-	f.settings.service.Rules.Retention = "none"
-	target := f.runAt("1", "p", 1000)
-	if released := releases(f.last); len(released) != 1 {
-		t.Fatalf("releases %v, want one", released)
+	f := newFixture(t, 2, 1)
+	first := f.runAt("1", "p", 1000)
+	m := request("2", ofProgram("p"), withPrompt(2000), func(m *structs.PermitRequest) {
+		m.Avoid = []structs.TargetID{first}
+	})
+	second := grants(f.send(m))["2"]
+	f.now = f.now.Add(200 * time.Millisecond)
+	if released := releases(f.send(finish(m, second))); len(released) != 1 || released[0].Target.ID != first {
+		t.Fatalf("releases %v, want the copy at %s", released, first)
 	}
 	stored := cacheEvent(1, wire.CacheStored, "p", 1010)
-	f.after(200*time.Millisecond, structs.TargetCache{Target: target, Events: []wire.CacheEvent{stored}})
-	if got := f.held(target, "p"); got != 0 {
+	f.after(200*time.Millisecond, structs.TargetCache{Target: first, Events: []wire.CacheEvent{stored}})
+	if got := f.held(first, "p"); got != 0 {
 		t.Fatalf("recorded %d tokens of a released program, want 0", got)
 	}
 }
