Target runner: AskOutcome asks by the key that was sent

Cause: AskOutcome got the field Program; its Key is the call's own now, and the runner asked for it without the program: each target would answer that no such request ran. Change: the key is formed as StartRun forms it. TestAskOutcome, changed to the new field, failed before the change.

--- a/internal/target/resume.go
+++ b/internal/target/resume.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// AskOutcome asks a target whether it ran the request with a key (see
-// structs.Call.TargetKey). The answer is OutcomeAsked.
+// AskOutcome asks a target whether it ran the request with a program's key, in
+// the form that StartRun sends. The answer is OutcomeAsked.
 func (r *Runner) AskOutcome(command structs.AskOutcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,7 +85,9 @@
 	asked := structs.OutcomeAsked{Run: command.Run}
 	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ControlTimeout)
 	defer cancel()
-	address := joinURL(command.Target.Address, wire.OutcomesRoute) + "/" + url.PathEscape(command.Key)
+	sent := structs.Call{Program: command.Program, Key: command.Key}
+	key := sent.TargetKey()
+	address := joinURL(command.Target.Address, wire.OutcomesRoute) + "/" + url.PathEscape(key)
 	status, body, err := r.get(ctx, address)
 	if err != nil {
 		r.logger.Warn("outcome cannot be asked", "run", command.Run, "target", command.Target.ID, "error", err)
