--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -95,7 +95,7 @@
 	case *Released:
 		s.applyReleased(b)
 	case *LedgerGrant:
-		s.applyLedgerGrant(b)
+		s.applyLedgerGrant(r.Header, b)
 	case *LedgerReturn:
 		s.applyLedgerReturn(b)
 	case *Credit:
@@ -146,13 +146,14 @@
 	}
 	c := p.chunk(h.Epoch)
 	c.Reserved = c.Reserved.Plus(b.Amount)
+	c.Writer = h.Writer
 }
 
 func (s *State) applyIntent(h Header, b *Intent) {
 	p := s.program(h, b.CallID)
 	p.Services[b.Service] = true
 	p.Open[b.Run] = &OpenRun{
-		CallID: b.CallID, Epoch: h.Epoch, Service: b.Service, NotRepeatable: true, Hold: b.Hold,
+		CallID: b.CallID, Epoch: h.Epoch, TimeMS: h.TimeMS, Service: b.Service, NotRepeatable: true, Hold: b.Hold,
 		HistoryCount: b.HistoryCount, HistoryDigest: b.HistoryDigest,
 	}
 }
@@ -168,7 +169,9 @@
 	}
 	run := p.Open[b.Run]
 	if run == nil {
-		run = &OpenRun{CallID: b.CallID, Epoch: h.Epoch, Service: b.Service, NotRepeatable: b.NotRepeatable}
+		run = &OpenRun{
+			CallID: b.CallID, Epoch: h.Epoch, TimeMS: h.TimeMS, Service: b.Service, NotRepeatable: b.NotRepeatable,
+		}
 		p.Open[b.Run] = run
 	}
 	run.Target = b.Target
@@ -193,8 +196,12 @@
 }
 
 func (s *State) applySettled(h Header, b *Settled) {
-	if p := s.Programs[b.Program]; p != nil {
-		p.chunk(h.Epoch).Settled = true
+	p := s.Programs[b.Program]
+	if p == nil {
+		return
+	}
+	if c := p.Chunks[h.Epoch]; c != nil && c.Writer == h.Writer {
+		c.Settled = true
 	}
 }
 
--- a/internal/journal/done.go
+++ b/internal/journal/done.go
@@ -8,43 +8,64 @@
 func (s *State) applyDone(h Header, b *Done) {
 	p := s.program(h, b.CallID)
 	p.Services[b.Service] = true
+	// The cost comes from what the owner that began the run had reserved.
+	epoch := h.Epoch
+	if run := p.Open[b.Run]; run != nil {
+		epoch = run.Epoch
+	}
 	delete(p.Open, b.Run)
 	p.dropRuns(b.Key)
 	old := p.Calls[b.Key]
 	if old != nil && old.Run == b.Run {
-		p.correct(old, h, b)
+		s.correct(p, old, h, b)
 		return
 	}
-	p.charge(h.Epoch, b.Chunk, b.Cost)
-	if b.CacheTokens > 0 {
-		p.place(b.Target, b.Service, b.CacheTokens, h.TimeMS)
-	}
-	p.ServedNS += b.TookNS
+	s.charge(p, epoch, b, b.Cost)
 	if old != nil && !supersedes(h, b, old) {
 		return
 	}
 	if old == nil {
 		p.advance(b)
 	}
-	p.Calls[b.Key] = newCall(h, b)
+	s.record(p, h, b, epoch)
 }
 
 // correct replaces the unknown outcome of a run by what was learnt later.
-func (p *Program) correct(old *Call, h Header, b *Done) {
+func (s *State) correct(p *Program, old *Call, h Header, b *Done) {
 	if old.Outcome.Kind != structs.OutcomeUnknown || b.Outcome.Kind != structs.OutcomeAnswered {
 		return
 	}
-	p.charge(old.Epoch, b.Chunk, b.Cost.Minus(old.Cost))
+	s.charge(p, old.Charged, b, b.Cost.Minus(old.Cost))
+	s.record(p, h, b, old.Charged)
+}
+
+// charge books the cost of a run and what its target holds since.
+func (s *State) charge(p *Program, epoch structs.Epoch, b *Done, cost Amount) {
+	p.Spent = p.Spent.Plus(cost)
 	p.ServedNS += b.TookNS
 	if b.CacheTokens > 0 {
-		p.place(b.Target, b.Service, b.CacheTokens, h.TimeMS)
+		p.place(b.Target, b.Service, b.CacheTokens, p.UpdatedMS)
+	}
+	s.chargeAccounts(p.Team, epoch, cost)
+	if !b.Chunk {
+		p.Direct = p.Direct.Plus(cost)
+		return
 	}
-	p.Calls[b.Key] = newCall(h, b)
+	c := p.chunk(epoch)
+	c.Used = c.Used.Plus(cost)
 }
 
-func newCall(h Header, b *Done) *Call {
+func (s *State) record(p *Program, h Header, b *Done, charged structs.Epoch) {
+	if old := p.Calls[b.Key]; old != nil {
+		s.Bytes -= size(&old.Outcome)
+	}
+	s.Bytes += size(&b.Outcome)
+	p.Calls[b.Key] = newCall(h, b, charged)
+}
+
+func newCall(h Header, b *Done, charged structs.Epoch) *Call {
 	return &Call{
-		Run: b.Run, Epoch: h.Epoch, TimeMS: h.TimeMS, Lane: b.Lane, Number: b.Number, Digest: b.Digest,
+		Run: b.Run, Epoch: h.Epoch, Charged: charged, TimeMS: h.TimeMS, Lane: b.Lane, Number: b.Number, Digest: b.Digest,
 		NotRepeatable: b.NotRepeatable, Cost: b.Cost, Outcome: b.Outcome,
 	}
 }
@@ -58,16 +79,6 @@
 	return h.Epoch > old.Epoch
 }
 
-func (p *Program) charge(epoch structs.Epoch, fromChunk bool, cost Amount) {
-	p.Spent = p.Spent.Plus(cost)
-	if !fromChunk {
-		p.Direct = p.Direct.Plus(cost)
-		return
-	}
-	c := p.chunk(epoch)
-	c.Used = c.Used.Plus(cost)
-}
-
 // advance moves the lane past a call that was done for the first time.
 func (p *Program) advance(b *Done) {
 	p.Turns++
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -91,6 +91,11 @@
 // IsZero tells whether both parts are zero.
 func (a Amount) IsZero() bool { return a == Amount{} }
 
+// Min takes the smaller of each part.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{Tokens: min(a.Tokens, b.Tokens), Fees: min(a.Fees, b.Fees)}
+}
+
 // Max takes the larger of each part.
 func (a Amount) Max(b Amount) Amount {
 	return Amount{Tokens: max(a.Tokens, b.Tokens), Fees: max(a.Fees, b.Fees)}
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -21,6 +21,8 @@
 	Programs map[structs.ProgramID]*Program
 	Ledgers  map[structs.Team]*Ledger
 	Accounts map[structs.Team]*Account
+	// Bytes is the size of all recorded answers.
+	Bytes int64
 	// TimeMS is the greatest time of any record, Unix milliseconds.
 	TimeMS int64
 }
@@ -77,8 +79,10 @@
 
 // Call is an idempotency record: a call that was done.
 type Call struct {
-	Run           structs.RunID
-	Epoch         structs.Epoch
+	Run   structs.RunID
+	Epoch structs.Epoch
+	// Charged is the epoch whose reservations paid for the call.
+	Charged       structs.Epoch
 	TimeMS        int64
 	Lane          structs.Lane
 	Number        uint64
@@ -92,6 +96,7 @@
 type OpenRun struct {
 	CallID
 	Epoch         structs.Epoch
+	TimeMS        int64
 	Service       structs.ServiceName
 	Target        structs.TargetID
 	NotRepeatable bool
@@ -105,6 +110,8 @@
 	Reserved Amount
 	Used     Amount
 	Settled  bool
+	// Writer reserved it; only that writer can settle it.
+	Writer string
 }
 
 // Placement tells how much prefix cache a target held last.
--- a/internal/owner/append.go
+++ b/internal/owner/append.go
@@ -62,8 +62,12 @@
 func (a *appender) push(body journal.Body, u urgency, counted func()) {
 	o := a.s.o
 	o.sequences[a.s.id]++
+	epoch := a.s.epoch
+	if body.Kind() == journal.KindClaim {
+		epoch = a.s.state.Epoch + 1
+	}
 	rec := journal.Record{Header: journal.Header{
-		Epoch: a.s.epoch, Writer: o.writer, Sequence: o.sequences[a.s.id],
+		Epoch: epoch, Writer: o.writer, Sequence: o.sequences[a.s.id],
 		Snapshot: a.s.state.Snapshot, TimeMS: o.now.UnixMilli(),
 	}, Body: body}
 	if appliesAhead(body.Kind()) {
@@ -204,6 +208,11 @@
 			a.queue = append(a.queue, e)
 		}
 	}
+	for _, e := range a.flight {
+		if e.record.Body.Kind().Fenced() {
+			e.counted = nil
+		}
+	}
 	if countUnfenced(a.flight) == 0 {
 		a.flight = nil
 		a.s.o.timers.stop(a.resend)
--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -62,9 +62,22 @@
 	return free
 }
 
+// fund makes the call's cost durable: for a not-repeatable call with its
+// Intent, for others by a reservation.
+func (c *call) fund() {
+	if c.notRepeatable {
+		c.writeIntent()
+		return
+	}
+	c.reserve()
+}
+
 // reserve holds a repeatable call's worst case from the chunk, after a further
 // reservation if the chunk is too small.
 func (c *call) reserve() {
+	if !c.holdTeams() {
+		return
+	}
 	p := c.prog
 	need := c.worst()
 	limit := p.limits()
@@ -134,7 +147,7 @@
 func (p *program) reserved() {
 	for _, c := range p.sortedCalls() {
 		if c.phase == phaseReserve {
-			c.reserve()
+			c.fund()
 		}
 	}
 }
@@ -145,11 +158,16 @@
 		c.prog.held = c.prog.held.Minus(c.hold)
 	}
 	c.hold, c.chunk = journal.Amount{}, false
+	c.releaseTeams()
 }
 
 // settleAll records that this instance spends no more from its chunks of a
 // lost shard; it tells whether it wrote something.
 func (s *shard) settleAll() bool {
+	// What a call in flight will cost is in no record yet.
+	if s.calls > 0 {
+		return false
+	}
 	wrote := false
 	for _, id := range journal.SortedKeys(s.state.Programs) {
 		chunk := s.state.Programs[id].Chunks[s.epoch]
@@ -159,5 +177,6 @@
 		s.app.push(&journal.Settled{Program: id}, lazy, nil)
 		wrote = true
 	}
+	s.returnGrants()
 	return wrote
 }
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -65,6 +65,8 @@
 	// tells that it is taken from the reserved chunk.
 	hold  journal.Amount
 	chunk bool
+	// teams are the team paths whose budgets hold the worst case.
+	teams []structs.Team
 	// pieces are the pieces of the answer received so far.
 	pieces  []string
 	resumes int
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -23,10 +23,12 @@
 	switch {
 	case s.o.draining:
 		s.o.notOwner(from, msg, owner)
+	case s.tenure == tenureLost && s.gap:
+		s.o.notOwner(from, msg, owner)
 	case owner == s.o.cfg.Self.ID:
 		s.hold(from, msg)
-		s.begin(true)
-	case mine:
+		s.regain()
+	case mine && s.tenure == tenureNone:
 		s.hold(from, msg)
 		s.tenure, s.probed = tenureProbing, owner
 		s.o.emit(structs.ProbePeer{To: owner})
@@ -101,6 +103,16 @@
 	s.watchLog()
 }
 
+// regain begins to claim. A shard that was lost while calls of it still run is
+// read up to date, so it can be claimed at once.
+func (s *shard) regain() {
+	if s.tenure == tenureLost {
+		s.claim()
+		return
+	}
+	s.begin(true)
+}
+
 // watchLog refuses what is held if the log does not answer in time.
 func (s *shard) watchLog() {
 	s.o.timers.stop(s.waiting)
@@ -133,7 +145,6 @@
 // only when it is read back as the first of its epoch.
 func (s *shard) claim() {
 	s.tenure = tenureClaiming
-	s.epoch = s.state.Epoch + 1
 	s.app.push(&journal.Claim{Instance: s.o.cfg.Self.ID}, urgent, nil)
 	s.watchLog()
 }
@@ -149,10 +160,11 @@
 }
 
 // won runs when the own claim was read back as the first of its epoch.
-func (s *shard) won() {
+func (s *shard) won(epoch structs.Epoch) {
 	s.o.timers.stop(s.waiting)
-	s.tenure = tenureOwned
-	s.claimedAt = s.o.now
+	s.tenure, s.epoch = tenureOwned, epoch
+	s.claimedAt, s.snapshotAt = s.o.now, s.o.now
+	s.watchSnapshot()
 	s.winner = ""
 	s.recover()
 	for _, h := range s.takeHeld() {
@@ -174,9 +186,29 @@
 	if claimed {
 		s.dropUnsent(winner)
 	}
+	s.forgetPending()
 	s.leaveIfDone()
 }
 
+// forgetPending forgets what waited for fenced records: they are void now.
+func (s *shard) forgetPending() {
+	s.snapshotting = false
+	s.granting = make(map[string]bool)
+	s.grantsPending = make(map[structs.Team]journal.Amount)
+	for _, a := range s.accounts {
+		s.o.timers.stop(a.timer)
+		a.request = nil
+	}
+	for _, p := range s.programs {
+		p.pending, p.reserving, p.closing = journal.Amount{}, false, false
+		for _, r := range p.recovery {
+			s.o.timers.stop(r.timer)
+			p.laneOf(r.run.Lane).blocked = 0
+		}
+		p.recovery = make(map[structs.RunID]*recovery)
+	}
+}
+
 // leaveIfDone forgets a lost shard once nothing of it is in flight.
 func (s *shard) leaveIfDone() {
 	if s.tenure != tenureLost || s.calls > 0 || s.app.unfenced() > 0 {
--- /dev/null
+++ b/internal/owner/ledger.go
@@ -0,0 +1,108 @@
+package owner
+
+import (
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// onBudgetRequest serves the ledger of a team path. A grant is journalled and
+// counts before it is sent, and is the same for a repeated request.
+func (o *Owner) onBudgetRequest(from structs.InstanceID, m *structs.BudgetRequest) {
+	s := o.shardRow(o.ledgerShard(m.Team))
+	if !s.owned() {
+		if !o.draining {
+			s.take(from, m, nil)
+		}
+		return
+	}
+	if o.draining || s.granting[m.Grant] {
+		return
+	}
+	if l := s.state.Ledgers[m.Team]; l != nil {
+		if g, ok := l.Grants[m.Grant]; ok {
+			s.sendGrant(from, m, g.Amount)
+			return
+		}
+	}
+	amount := s.ledgerLeft(m)
+	if m.Tokens > 0 && amount.Tokens <= 0 || m.Fees > 0 && amount.Fees <= 0 {
+		o.send(from, &structs.BudgetGrant{Team: m.Team, Account: m.Account, Grant: m.Grant, Refused: true})
+		return
+	}
+	s.writeGrant(from, m, amount)
+}
+
+// ledgerLeft is how much of a request the budget still allows.
+func (s *shard) ledgerLeft(m *structs.BudgetRequest) journal.Amount {
+	limit := s.teamLimit(m.Team)
+	granted := s.grantsPending[m.Team]
+	if l := s.state.Ledgers[m.Team]; l != nil {
+		granted = granted.Plus(l.Granted)
+	}
+	amount := journal.Amount{Tokens: m.Tokens, Fees: m.Fees}
+	if limit.Tokens > 0 {
+		amount.Tokens = min(amount.Tokens, limit.Tokens-granted.Tokens)
+	}
+	if limit.Fees > 0 {
+		amount.Fees = min(amount.Fees, limit.Fees-granted.Fees)
+	}
+	return amount.Max(journal.Amount{})
+}
+
+func (s *shard) writeGrant(from structs.InstanceID, m *structs.BudgetRequest, amount journal.Amount) {
+	if s.app.full() {
+		return
+	}
+	s.granting[m.Grant] = true
+	s.grantsPending[m.Team] = s.grantsPending[m.Team].Plus(amount)
+	record := &journal.LedgerGrant{Team: m.Team, Account: m.Account, Grant: m.Grant, Amount: amount}
+	s.app.push(record, urgent, func() {
+		delete(s.granting, m.Grant)
+		s.grantsPending[m.Team] = s.grantsPending[m.Team].Minus(amount)
+		s.sendGrant(from, m, amount)
+	})
+}
+
+func (s *shard) sendGrant(to structs.InstanceID, m *structs.BudgetRequest, amount journal.Amount) {
+	s.o.send(to, &structs.BudgetGrant{
+		Team: m.Team, Account: m.Account, Grant: m.Grant, Tokens: amount.Tokens, Fees: amount.Fees,
+	})
+}
+
+// onBudgetReturn takes back what was left of a grant.
+func (o *Owner) onBudgetReturn(m *structs.BudgetReturn) {
+	s := o.shards[o.ledgerShard(m.Team)]
+	if s == nil || !s.owned() {
+		return
+	}
+	s.app.push(&journal.LedgerReturn{
+		Team: m.Team, Grant: m.Grant, Amount: journal.Amount{Tokens: m.Tokens, Fees: m.Fees},
+	}, lazy, nil)
+}
+
+// returnGrants gives back what this instance will not spend of its newest
+// grants. It must have no call left that holds any of it.
+func (s *shard) returnGrants() {
+	for _, team := range journal.SortedKeys(s.state.Accounts) {
+		row := s.state.Accounts[team]
+		chunk := row.Chunks[s.epoch]
+		if chunk == nil || chunk.Settled || row.Epoch != s.epoch {
+			continue
+		}
+		chunk.Settled = true
+		owner, ok := s.o.members.OwnerOf(s.o.refOf(s.o.ledgerShard(team)))
+		if !ok {
+			continue
+		}
+		left := chunk.Reserved.Minus(chunk.Used).Max(journal.Amount{})
+		for _, grant := range journal.SortedKeys(row.Grants) {
+			part := row.Grants[grant].Min(left)
+			left = left.Minus(part)
+			if !part.IsZero() {
+				s.o.send(owner, &structs.BudgetReturn{
+					Team: team, Account: s.ref, Grant: grant, Tokens: part.Tokens, Fees: part.Fees,
+				})
+			}
+		}
+	}
+}
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -13,6 +13,8 @@
 	maxShardCalls = 8192
 	// maxShardPrograms bounds the programs of one shard.
 	maxShardPrograms = 20_000
+	// maxShardBytes bounds the answers recorded in one shard, in bytes.
+	maxShardBytes = 8 << 20
 	// maxPendingRecords bounds the records that wait for the log; beyond it
 	// no call starts.
 	maxPendingRecords = 4096
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -130,11 +130,7 @@
 	if c.resume() {
 		return
 	}
-	if c.notRepeatable {
-		c.writeIntent()
-		return
-	}
-	c.reserve()
+	c.fund()
 }
 
 // breaksPolicy checks turns, loops and history.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -35,21 +35,24 @@
 	lastAppend uint64
 	lastRun    uint64
 	draining   bool
+	// snapshotEvery is the number of records between two snapshots.
+	snapshotEvery uint64
 }
 
 // New makes an owner that owns no shard yet.
 func New(cfg structs.InstanceConfig, members structs.Members, settings structs.Settings) *Owner {
 	return &Owner{
 		cfg: cfg, members: members, settings: settings,
-		writer:    string(cfg.Self.ID) + "/" + cfg.Incarnation,
-		shards:    make(map[structs.ShardID]*shard),
-		streams:   make(map[string]*shard),
-		appends:   make(map[structs.AppendID]*shard),
-		sequences: make(map[structs.ShardID]uint64),
-		requests:  make(map[structs.RequestID]*call),
-		runs:      make(map[structs.RunID]*call),
-		pools:     make(map[structs.PoolID]*pool),
-		asks:      make(map[structs.RunID]*ask),
+		writer:        string(cfg.Self.ID) + "/" + cfg.Incarnation,
+		snapshotEvery: snapshotRecords,
+		shards:        make(map[structs.ShardID]*shard),
+		streams:       make(map[string]*shard),
+		appends:       make(map[structs.AppendID]*shard),
+		sequences:     make(map[structs.ShardID]uint64),
+		requests:      make(map[structs.RequestID]*call),
+		runs:          make(map[structs.RunID]*call),
+		pools:         make(map[structs.PoolID]*pool),
+		asks:          make(map[structs.RunID]*ask),
 	}
 }
 
@@ -118,6 +121,12 @@
 		o.onWithdraw(m)
 	case *structs.ProgramRequest:
 		o.onProgramRequest(from, m)
+	case *structs.BudgetRequest:
+		o.onBudgetRequest(from, m)
+	case *structs.BudgetGrant:
+		o.onBudgetGrant(m)
+	case *structs.BudgetReturn:
+		o.onBudgetReturn(m)
 	case *structs.PermitQueued:
 		o.onPermitQueued(from, m)
 	case *structs.PermitGrant:
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -97,6 +97,9 @@
 		c.shard.leaveIfDone()
 		return
 	}
+	if o.draining && c.shard.owned() {
+		c.shard.settleAll()
+	}
 	p.advance()
 }
 
@@ -197,7 +200,7 @@
 	switch {
 	case s.owned() && !o.draining:
 		s.operate(from, m)
-	case s.owned() || s.tenure == tenureLost:
+	case s.owned():
 		o.notOwner(from, m, s.successor())
 	default:
 		s.take(from, m, nil)
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -33,7 +33,7 @@
 			t.Fatal(err)
 		}
 		if s := runSchedule(t, seed); len(s.violations) > 0 {
-			t.Fatalf("%s\n%s", strings.Join(s.w.trace, "\n"), strings.Join(s.violations, "\n"))
+			t.Fatalf("%s\n%s\n%s", strings.Join(s.w.trace, "\n"), s.w.dump(), strings.Join(s.violations, "\n"))
 		}
 		return
 	}
@@ -83,8 +83,13 @@
 
 func runSchedule(t testing.TB, seed uint64) *schedule {
 	w := newWorld(t, seed, 3)
+	w.shards, w.snapshotEvery = 2, 25
+	for _, id := range w.ids {
+		w.start(id)
+	}
 	s := &schedule{w: w, rng: rand.New(rand.NewPCG(seed, 2))}
 	w.policy.ProgramTokens, w.policy.ProgramFees = 4000, 120
+	w.policy.TeamTokens, w.policy.TeamFees = 6000, 200
 	w.policy.GapTimeout = 2 * time.Second
 	w.policy.LoopRepeats = 0
 	w.askable = seed%2 == 0
@@ -101,6 +106,7 @@
 	for range 100 {
 		s.inject()
 		w.run(200 * time.Millisecond)
+		w.truncate()
 	}
 	s.heal()
 	w.run(5 * time.Minute)
@@ -303,6 +309,7 @@
 }
 
 func (s *schedule) checkBudget(programs []structs.ProgramID) {
+	var teamTokens, teamFees int64
 	for _, id := range programs {
 		var tokens, fees int64
 		for _, send := range s.w.sends {
@@ -314,6 +321,10 @@
 		if tokens > s.w.policy.ProgramTokens || fees > s.w.policy.ProgramFees {
 			s.fail("program %s spent %d tokens and %d fees", id, tokens, fees)
 		}
+		teamTokens, teamFees = teamTokens+tokens, teamFees+fees
+	}
+	if teamTokens > s.w.policy.TeamTokens || teamFees > s.w.policy.TeamFees {
+		s.fail("the team spent %d tokens and %d fees", teamTokens, teamFees)
 	}
 }
 
@@ -328,6 +339,7 @@
 			s.fail("%s heard nothing though no fault was left", r.id)
 		}
 	}
+	s.w.policy.TeamTokens, s.w.policy.TeamFees = 0, 0
 	id := s.w.program(3)
 	r := s.w.submit(testCall(id, 1, true), time.Minute)
 	s.w.run(time.Second)
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -20,7 +20,8 @@
 		row := s.state.Programs[id]
 		p := s.live(id, row.Team)
 		for _, run := range row.OpenRuns() {
-			if run.NotRepeatable && run.Epoch < s.epoch {
+			// A run of this instance from an earlier tenure may still go on.
+			if run.NotRepeatable && run.Epoch < s.epoch && !p.running(run) {
 				p.recoverRun(run)
 			}
 		}
@@ -30,6 +31,12 @@
 	}
 }
 
+// running tells whether a live call made the run.
+func (p *program) running(run *journal.OpenRun) bool {
+	c := p.calls[run.Key]
+	return c != nil && c.run == run.Run
+}
+
 func (p *program) recoverRun(run *journal.OpenRun) {
 	r := &recovery{prog: p, run: run}
 	p.recovery[run.Run] = r
--- a/internal/owner/refuse.go
+++ b/internal/owner/refuse.go
@@ -82,6 +82,8 @@
 		return m.Remaining
 	case *structs.ProgramRequest:
 		return m.Remaining
+	case *structs.BudgetRequest:
+		return ledgerWait
 	default:
 		return 0
 	}
@@ -99,5 +101,7 @@
 		later := *m
 		later.Remaining -= waited
 		o.onProgramRequest(h.from, &later)
+	case *structs.BudgetRequest:
+		o.onBudgetRequest(h.from, m)
 	}
 }
--- a/internal/owner/replay.go
+++ b/internal/owner/replay.go
@@ -8,8 +8,10 @@
 
 // replay holds the records read before the snapshot that they follow is found.
 type replay struct {
+	from    uint64
 	records []readRecord
-	parts   []*journal.Snapshot
+	// parts are the parts of a snapshot by writer.
+	parts map[string][]*journal.Snapshot
 }
 
 type readRecord struct {
@@ -66,7 +68,7 @@
 	s.tenure = tenureReplaying
 	s.next = from
 	if snapshot {
-		s.replay = new(replay)
+		s.replay = &replay{from: from, parts: make(map[string][]*journal.Snapshot)}
 	}
 	s.o.emit(structs.LogTail{Stream: s.stream, From: from})
 	s.watchLog()
@@ -81,9 +83,29 @@
 		s.readFailed()
 		return
 	}
-	if s.tenure == tenureReplaying && e.First > s.next {
+	if s.tenure == tenureLocating {
+		s.o.emit(structs.LogTailEnd{Stream: s.stream})
+		return
+	}
+	if e.First <= s.next {
+		return
+	}
+	switch s.tenure {
+	case tenureReplaying:
 		s.state = journal.NewState()
 		s.replayFrom(e.First, true)
+	case tenureClaiming, tenureOwned, tenureLost:
+		s.skip(e.First)
+	}
+}
+
+// skip goes on behind records that the log dropped before they were read. Any
+// of them may have been a newer claim, so the shard is lost.
+func (s *shard) skip(first uint64) {
+	s.next, s.gap = first, true
+	s.o.emit(structs.LogTail{Stream: s.stream, From: first})
+	if s.tenure != tenureLost {
+		s.lose("")
 	}
 }
 
@@ -119,22 +141,25 @@
 	s.apply(r.Offset, rec)
 }
 
-// collect keeps a record until the snapshot is complete.
+// collect keeps a record until a snapshot is complete that was taken no earlier
+// than where the reading began: then nothing is missing behind it.
 func (s *shard) collect(r readRecord) {
 	s.replay.records = append(s.replay.records, r)
 	part, ok := r.record.Body.(*journal.Snapshot)
-	if !ok {
+	if !ok || part.Next < s.replay.from {
 		return
 	}
+	writer := r.record.Writer
 	if part.Part == 0 {
-		s.replay.parts = nil
+		s.replay.parts[writer] = nil
 	}
-	s.replay.parts = append(s.replay.parts, part)
-	if len(s.replay.parts) != part.Parts || part.Part != part.Parts-1 {
+	parts := append(s.replay.parts[writer], part)
+	s.replay.parts[writer] = parts
+	if len(parts) != part.Parts || part.Part != part.Parts-1 {
 		return
 	}
 	var data []byte
-	for _, p := range s.replay.parts {
+	for _, p := range parts {
 		data = append(data, p.Data...)
 	}
 	state, err := journal.DecodeState(data)
@@ -182,8 +207,8 @@
 func (s *shard) onClaim(rec journal.Record, claim *journal.Claim) {
 	switch s.tenure {
 	case tenureClaiming:
-		if rec.Writer == s.o.writer && rec.Epoch == s.epoch {
-			s.won()
+		if rec.Writer == s.o.writer {
+			s.won(rec.Epoch)
 			return
 		}
 		s.lose(claim.Instance)
@@ -203,6 +228,8 @@
 	switch s.tenure {
 	case tenureReplaying:
 		s.caughtUp()
+	case tenureOwned:
+		s.maybeSnapshot()
 	case tenureLost:
 		s.leaveIfDone()
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -12,6 +12,9 @@
 // writeIntent makes the Intent of a not-repeatable call durable. The permit is
 // asked for only once it counts, so that a later owner always knows of a send.
 func (c *call) writeIntent() {
+	if !c.holdTeams() {
+		return
+	}
 	p := c.prog
 	need := c.worst()
 	if !need.AtMost(p.left()) {
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -36,7 +36,7 @@
 	ref    structs.ShardRef
 	stream string
 	tenure tenure
-	// epoch is the epoch claimed by this instance.
+	// epoch is the newest epoch that this instance won, 0 if none.
 	epoch structs.Epoch
 	state *journal.State
 	// next is the next offset to read.
@@ -59,11 +59,24 @@
 	failures int
 	programs map[structs.ProgramID]*program
 	calls    int
+	accounts map[structs.Team]*account
+	// granting holds the ledger grants not counted yet, grantsPending their
+	// sums by team path.
+	granting      map[string]bool
+	grantsPending map[structs.Team]journal.Amount
 	// wanted tells that the shard is to be claimed once read.
 	wanted  bool
 	waiting *timer
+	// snapshotting tells that a snapshot is on its way into the log,
+	// snapshotAt when the newest one was taken.
+	snapshotting  bool
+	snapshotAt    time.Time
+	snapshotTimer *timer
 	// inspected tells that the stream was read once for owed work.
 	inspected bool
+	// gap tells that records were dropped unread, so that the state is not
+	// complete.
+	gap bool
 	// garbage counts records that could not be decoded, void those refused.
 	garbage int
 	void    int
@@ -99,9 +112,16 @@
 func (s *shard) reset() {
 	s.state = journal.NewState()
 	s.programs = make(map[structs.ProgramID]*program)
+	for _, a := range s.accounts {
+		s.o.timers.stop(a.timer)
+	}
+	s.accounts = make(map[structs.Team]*account)
+	s.granting = make(map[string]bool)
+	s.grantsPending = make(map[structs.Team]journal.Amount)
 	s.replay = nil
 	s.next, s.epoch = 0, 0
-	s.wanted, s.readDown = false, false
+	s.wanted, s.readDown, s.snapshotting, s.gap = false, false, false, false
+	s.o.timers.stop(s.snapshotTimer)
 	s.app.stop()
 	s.app = appender{s: s, tokens: appendBurst, refilled: s.o.now}
 }
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -24,7 +24,7 @@
 		s.submit(from, m)
 	case s.heldAlready(m.Request):
 		o.send(from, &structs.SubmitAccepted{Request: m.Request})
-	case s.owned() || s.tenure == tenureLost:
+	case s.owned():
 		o.notOwner(from, m, s.successor())
 	default:
 		s.take(from, m, m.Suspects)
@@ -140,6 +140,9 @@
 		return structs.ReasonOverloaded, busyRetryAfter
 	case len(s.state.Programs) >= maxShardPrograms && p.row() == nil:
 		return structs.ReasonOverloaded, busyRetryAfter
+	case s.state.Bytes > maxShardBytes:
+		s.purge()
+		return structs.ReasonOverloaded, busyRetryAfter
 	case s.logDown() && (spec.NotRepeatable || service.NotRepeatable):
 		return structs.ReasonLogUnavailable, logRetryAfter
 	case p.stale(spec) && !p.mayRedo(key):
--- /dev/null
+++ b/internal/owner/team.go
@@ -0,0 +1,224 @@
+package owner
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/journal"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// grantShare is the part of a team's budget that one grant takes at most
+	// beyond what the call needs.
+	grantShare = 64
+	// grantRetry repeats a request to the ledger's owner; grantTimeout gives
+	// up on it.
+	grantRetry   = 300 * time.Millisecond
+	grantTimeout = 2 * time.Second
+	// ledgerWait is how long a request waits for its ledger's shard.
+	ledgerWait = time.Second
+)
+
+// account is the live row of this shard's part of a team path's budget.
+type account struct {
+	shard *shard
+	team  structs.Team
+	// held is what running calls may take from the chunk.
+	held journal.Amount
+	// request is the grant asked for, until its credit counts.
+	request *structs.BudgetRequest
+	asked   time.Time
+	timer   *timer
+	// crediting is the grant whose credit was written last.
+	crediting string
+	grants    int
+}
+
+// budgeted lists the paths of a team that have a budget of their own. A path
+// that only inherits its parent's is bounded by the parent's ledger.
+func (s *shard) budgeted(team structs.Team) []structs.Team {
+	var list []structs.Team
+	paths := journal.Ancestors(team)
+	for i, path := range paths {
+		limit := s.teamLimit(path)
+		if limit.IsZero() || i+1 < len(paths) && limit == s.teamLimit(paths[i+1]) {
+			continue
+		}
+		list = append(list, path)
+	}
+	return list
+}
+
+func (s *shard) teamLimit(path structs.Team) journal.Amount {
+	policy := s.o.settings.Policy(path)
+	return journal.Amount{Tokens: policy.TeamTokens, Fees: policy.TeamFees}
+}
+
+func (s *shard) account(team structs.Team) *account {
+	a := s.accounts[team]
+	if a == nil {
+		a = &account{shard: s, team: team}
+		s.accounts[team] = a
+	}
+	return a
+}
+
+// free is the part of the granted chunk that no call holds.
+func (a *account) free() journal.Amount {
+	var free journal.Amount
+	if row := a.shard.state.Accounts[a.team]; row != nil {
+		if chunk := row.Chunks[a.shard.epoch]; chunk != nil && !chunk.Settled {
+			free = chunk.Reserved.Minus(chunk.Used).Minus(a.held)
+		}
+	}
+	limit := a.shard.teamLimit(a.team)
+	if limit.Tokens == 0 {
+		free.Tokens = unbounded
+	}
+	if limit.Fees == 0 {
+		free.Fees = unbounded
+	}
+	return free
+}
+
+// holdTeams holds the call's worst case from the budget of every path of its
+// team. It tells whether it could; if not, the call waits for a grant.
+func (c *call) holdTeams() bool {
+	if c.teams != nil {
+		return true
+	}
+	need := c.worst()
+	paths := c.shard.budgeted(c.prog.team)
+	for _, path := range paths {
+		a := c.shard.account(path)
+		if missing := need.Minus(a.free()).Max(journal.Amount{}); !missing.IsZero() {
+			c.phase = phaseReserve
+			a.ask(missing)
+			return false
+		}
+	}
+	c.teams = paths
+	for _, path := range paths {
+		a := c.shard.account(path)
+		a.held = a.held.Plus(need)
+	}
+	return true
+}
+
+// releaseTeams gives back what the call held.
+func (c *call) releaseTeams() {
+	need := c.worst()
+	for _, path := range c.teams {
+		a := c.shard.account(path)
+		a.held = a.held.Minus(need)
+	}
+	c.teams = nil
+}
+
+// ask asks the ledger's owner for a grant, one at a time.
+func (a *account) ask(missing journal.Amount) {
+	if a.request != nil {
+		return
+	}
+	s := a.shard
+	a.grants++
+	limit, policy := s.teamLimit(a.team), s.o.settings.Policy(a.team)
+	amount := missing
+	if missing.Tokens > 0 {
+		amount.Tokens = max(missing.Tokens, min(policy.ChunkTokens, limit.Tokens/grantShare))
+	}
+	a.request = &structs.BudgetRequest{
+		Team: a.team, Account: s.ref, Tokens: amount.Tokens, Fees: amount.Fees,
+		Grant: s.o.writer + "/" + s.stream + "/" + strconv.FormatUint(uint64(s.epoch), 10) + "/" + strconv.Itoa(a.grants),
+	}
+	a.asked = s.o.now
+	a.sendRequest()
+}
+
+func (a *account) sendRequest() {
+	s := a.shard
+	if s.o.now.Sub(a.asked) >= grantTimeout {
+		a.request = nil
+		s.refuseWaiting(a.team, structs.ReasonOwnerUnavailable, busyRetryAfter)
+		return
+	}
+	if owner, ok := s.o.members.OwnerOf(s.o.refOf(s.o.ledgerShard(a.team))); ok {
+		s.o.send(owner, a.request)
+	}
+	a.timer = s.o.after(grantRetry, a.sendRequest)
+}
+
+// ledgerShard is the shard that keeps a team path's ledger.
+func (o *Owner) ledgerShard(team structs.Team) structs.ShardID {
+	return structs.ShardOf(structs.ProgramID(team), o.cfg.Shards)
+}
+
+// refuseWaiting refuses the calls that wait for a budget of a team path.
+func (s *shard) refuseWaiting(team structs.Team, reason structs.Reason, after time.Duration) {
+	for _, p := range s.sortedPrograms() {
+		if !team.Contains(p.team) {
+			continue
+		}
+		for _, c := range p.sortedCalls() {
+			if c.phase == phaseReserve {
+				c.refuse(reason, after)
+			}
+		}
+	}
+}
+
+// onBudgetGrant journals a grant; it may be spent from once that counts.
+func (o *Owner) onBudgetGrant(m *structs.BudgetGrant) {
+	s := o.shards[m.Account.Shard]
+	if s == nil || !s.owned() || s.accounts[m.Team] == nil {
+		return
+	}
+	a := s.accounts[m.Team]
+	if a.request == nil || a.request.Grant != m.Grant || a.crediting == m.Grant {
+		a.giveBack(m)
+		return
+	}
+	o.timers.stop(a.timer)
+	if m.Refused {
+		a.request = nil
+		s.refuseWaiting(m.Team, structs.ReasonBudget, 0)
+		return
+	}
+	// Until the credit counts, a.request keeps a second grant from being asked
+	// for; a repeat of this one is no second credit.
+	a.crediting = m.Grant
+	credit := &journal.Credit{Team: m.Team, Grant: m.Grant, Amount: journal.Amount{Tokens: m.Tokens, Fees: m.Fees}}
+	s.app.push(credit, urgent, func() {
+		a.request = nil
+		s.credited(m.Team)
+	})
+}
+
+// giveBack returns a grant that came too late to be wanted, unless it is a
+// repeat of one that was credited.
+func (a *account) giveBack(m *structs.BudgetGrant) {
+	s := a.shard
+	if m.Refused || m.Grant == a.crediting {
+		return
+	}
+	if row := s.state.Accounts[m.Team]; row != nil {
+		if _, ok := row.Grants[m.Grant]; ok {
+			return
+		}
+	}
+	if owner, ok := s.o.members.OwnerOf(s.o.refOf(s.o.ledgerShard(m.Team))); ok {
+		s.o.send(owner, &structs.BudgetReturn{
+			Team: m.Team, Account: m.Account, Grant: m.Grant, Tokens: m.Tokens, Fees: m.Fees,
+		})
+	}
+}
+
+// credited takes up the calls that waited for the grant.
+func (s *shard) credited(team structs.Team) {
+	for _, p := range s.sortedPrograms() {
+		if team.Contains(p.team) {
+			p.reserved()
+		}
+	}
+}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -38,9 +40,12 @@
 	streams map[string][][]byte
 	first   map[string]uint64
 	logDown bool
-	faults  faults
-	policy  structs.Policy
-	askable bool
+	shards  int
+	// snapshotEvery replaces the owners' own setting, if set.
+	snapshotEvery uint64
+	faults        faults
+	policy        structs.Policy
+	askable       bool
 	// grants remembers the dispatcher's placement of each run.
 	grants  map[structs.RunID]structs.TargetID
 	refuse  func(*structs.PermitRequest) structs.Reason
@@ -157,8 +162,11 @@
 	n.alive, n.paused, n.cut, n.suspected = true, false, false, false
 	n.inbox, n.cmds, n.tails = nil, nil, make(map[string]uint64)
 	cfg := structs.DefaultInstanceConfig(structs.Peer{ID: id, Region: testRegion}, fmt.Sprint(n.life))
-	cfg.Shards = 1
+	cfg.Shards = max(1, w.shards)
 	n.o = New(cfg, view{w: w, self: id}, view{w: w})
+	if w.snapshotEvery > 0 {
+		n.o.snapshotEvery = w.snapshotEvery
+	}
 	n.deliver(structs.MembersListed{})
 }
 
@@ -376,6 +384,18 @@
 	})
 }
 
+// truncate drops the records that no reader needs any more.
+func (w *world) truncate() {
+	for name, records := range w.streams {
+		if len(records) == 0 {
+			continue
+		}
+		if rec, err := journal.Decode(records[len(records)-1]); err == nil && rec.Snapshot > 0 {
+			w.first[name] = max(w.first[name], rec.Snapshot-1)
+		}
+	}
+}
+
 // pump reads a tailed stream to its end.
 func (w *world) pump(n *node, stream string) {
 	life := n.life
@@ -700,3 +720,13 @@
 			strings.Join(w.trace, "\n"))
 	}
 }
+
+// dump shows the state of every owner.
+func (w *world) dump() string {
+	var out strings.Builder
+	for _, id := range w.ids {
+		text, err := json.Marshal(w.nodes[id].o.Dump())
+		fmt.Fprintf(&out, "%s %s %v\n", id, text, err)
+	}
+	return out.String()
+}
