Peer transport: Close sends what waits before it cuts the connections

Cause: a graceful shutdown ends when nothing is in flight, yet the last answers may still wait in the send queues. TestCloseSendsWhatWaits lost messages: Close cut each connection at once. Ruled out: loss at the receiver (its loop took all that arrived). Change: Close ends the queues, lets each connection write what waits and close with the closing handshake, for at most CloseTimeout (1 s).

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -14,6 +14,7 @@
 	DefaultPeerTimeout       = time.Second
 	DefaultHeartbeatInterval = 250 * time.Millisecond
 	DefaultWriteTimeout      = 3 * time.Second
+	DefaultCloseTimeout      = time.Second
 	DefaultMaxFrame          = 16 << 20
 	DefaultQueueFrames       = 8192
 	DefaultQueueBytes        = 64 << 20
@@ -47,6 +48,8 @@
 	HeartbeatInterval time.Duration
 	// WriteTimeout bounds the write of one frame to a slow reader.
 	WriteTimeout time.Duration
+	// CloseTimeout bounds how long Close goes on sending what waits.
+	CloseTimeout time.Duration
 	// MaxFrame is the size of the largest frame, in bytes.
 	MaxFrame int
 	// QueueFrames and QueueBytes bound what waits to be written to one
@@ -61,6 +64,7 @@
 	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
 	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.CloseTimeout, DefaultCloseTimeout)
 	setDefault(&c.MaxFrame, DefaultMaxFrame)
 	setDefault(&c.QueueFrames, DefaultQueueFrames)
 	setDefault(&c.QueueBytes, DefaultQueueBytes)
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -91,6 +91,7 @@
 		_ = s.conn.CloseNow()
 		return
 	}
+	defer t.running.Done()
 	err := s.run()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -125,6 +125,7 @@
 		t.startProbe(l)
 		return nil
 	}
+	t.running.Add(1)
 	l.sessions[s] = struct{}{}
 	if l.current == nil {
 		l.current = s
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -24,6 +24,8 @@
 	frames [][]byte
 	urgent [][]byte
 	bytes  int
+	// ended tells that no frame follows those that wait.
+	ended bool
 }
 
 func newSendQueue(maxFrames, maxBytes int) *sendQueue {
@@ -55,6 +57,21 @@
 	q.signal()
 }
 
+// end lets the connection close once all that waits is written.
+func (q *sendQueue) end() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ended = true
+	q.signal()
+}
+
+// drained tells whether the queue was ended and nothing waits.
+func (q *sendQueue) drained() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ended && len(q.frames) == 0
+}
+
 func (q *sendQueue) signal() {
 	select {
 	case q.wake <- struct{}{}:
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -131,6 +131,11 @@
 		}
 		s.transport.traffic.sent(structs.MessageKind(frame[1]), len(frame))
 	}
+	if s.queue.drained() {
+		// The closing handshake makes sure that the frames have arrived.
+		_ = s.conn.Close(websocket.StatusGoingAway, errClosed.Error())
+		return errClosed
+	}
 	return nil
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
@@ -39,6 +40,8 @@
 	closed bool
 	links  map[structs.InstanceID]*link
 	work   sync.WaitGroup
+	// running counts the sessions.
+	running sync.WaitGroup
 }
 
 // New makes a Transport that runs until Close or until the context ends. It
@@ -73,16 +76,42 @@
 	return t, nil
 }
 
-// Close ends all connections and waits for the transport's goroutines.
+// Close sends what waits for instances that are connected, bounded by
+// CloseTimeout, then ends all connections and waits for the transport's
+// goroutines.
 func (t *Transport) Close() {
-	t.mu.Lock()
-	t.closed = true
-	t.mu.Unlock()
+	t.endQueues()
+	t.awaitSessions()
 	t.cancel(errClosed)
 	t.work.Wait()
 	t.client.CloseIdleConnections()
 }
 
+func (t *Transport) endQueues() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, l := range t.links {
+		for s := range l.sessions {
+			s.queue.end()
+		}
+	}
+}
+
+func (t *Transport) awaitSessions() {
+	ended := make(chan struct{})
+	go func() {
+		t.running.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(t.cfg.CloseTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+}
+
 // spawn runs f on a goroutine that Close waits for. The mutex is held.
 func (t *Transport) spawn(f func()) bool {
 	if t.closed {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -295,3 +295,32 @@
 	}
 	return frame
 }
+
+func TestCloseSendsWhatWaits(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	a.Probe("b")
+	a.awaitEvent(structs.PeerUp{Peer: "b"})
+	const messages = 2000
+	for i := range messages {
+		a.Send("b", withdraw(i))
+	}
+	a.Close()
+	for i := range messages {
+		if got := b.awaitMessage("a").(*structs.Withdraw); *got != *withdraw(i) {
+			t.Fatalf("got %v, wanted message %d", got, i)
+		}
+	}
+	b.awaitEvent(structs.PeerDown{Peer: "a"})
+}
+
+func TestCloseDoesNotWaitForAFrozenPeer(t *testing.T) {
+	b := newNode(t, "b", func(c *Config) { c.CloseTimeout = 50 * time.Millisecond })
+	conn := authenticated(t, b, "a")
+	b.awaitEvent(structs.PeerUp{Peer: "a"})
+	for range 16 {
+		b.Send("a", &structs.Submit{Call: &structs.Call{Body: make([]byte, 1<<20)}})
+	}
+	b.Close()
+	_ = awaitClosed(t, conn)
+}
