Call.FirstAttempt: the caller declares the first delivery of a key

Cause: the specification (NOTRUN_TO_RETRY) and a trial on the Go core showed a caller's own retry hearing "not run" from an owner that could not read the log while the first delivery had run. An owner that cannot look the key up may say "not run" only to a first delivery, so the caller must be able to say so.

--- a/internal/structs/call.go
+++ b/internal/structs/call.go
@@ -40,6 +40,9 @@
 	// Single marks a call made without a program: the program is closed
 	// when the call ends.
 	Single bool
+	// FirstAttempt tells that the caller sends this key for the first time:
+	// no earlier request with it can have run.
+	FirstAttempt bool
 	// Fork allows the call's messages to leave the lane's known history, as
 	// when an agent compacts its context.
 	Fork   bool
