Adapters: a pause of the own process is no silence of others; one log line an outage

Cause: a probe whose timeout passed while this process was stopped called the other instance down; an outage of the log or the membership list logged each failed attempt.

--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -36,17 +36,25 @@
 }
 
 // awaitHeartbeat tells whether a heartbeat came back within the liveness
-// timeout.
+// timeout. A timeout that passed while this process was paused does not count.
 func (t *Transport) awaitHeartbeat(s *session) bool {
 	answered := s.ping()
+	started := time.Now()
 	timer := time.NewTimer(t.cfg.PeerTimeout)
 	defer timer.Stop()
-	select {
-	case <-answered:
-		return true
-	case <-s.ctx.Done():
-		return false
-	case <-timer.C:
-		return s.delivering.Load()
+	for {
+		select {
+		case <-answered:
+			return true
+		case <-s.ctx.Done():
+			return false
+		case <-timer.C:
+		}
+		now := time.Now()
+		if now.Sub(started) <= pauseIntervals*t.cfg.PeerTimeout {
+			return s.delivering.Load()
+		}
+		started = now
+		timer.Reset(t.cfg.PeerTimeout)
 	}
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -324,3 +324,17 @@
 	b.Close()
 	_ = awaitClosed(t, conn)
 }
+
+func TestOwnPauseIsNotTakenForSilence(t *testing.T) {
+	b := newNode(t, "b", func(c *Config) { c.PeerTimeout, c.HeartbeatInterval = time.Minute, time.Hour })
+	authenticated(t, b, "a")
+	b.awaitEvent(structs.PeerUp{Peer: "a"})
+	b.Watch([]structs.InstanceID{"a"})
+	resumed := time.Now().Add(time.Hour)
+	b.beat(resumed, true)
+	if b.Stats().Sessions != 1 {
+		t.Fatal("the connection was cut after a pause of this process")
+	}
+	b.beat(resumed.Add(2*time.Minute), false)
+	b.awaitEvent(structs.PeerDown{Peer: "a"})
+}
--- a/internal/platform/members.go
+++ b/internal/platform/members.go
@@ -34,6 +34,8 @@
 	logger *slog.Logger
 	polls  tally.Counter
 	failed tally.Counter
+	// failing tells that the last poll failed.
+	failing bool
 
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -71,7 +73,7 @@
 
 func (m *Members) run(ctx context.Context) {
 	var posted *wire.MemberList
-	sinceposted := 0
+	sincePosted := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -80,10 +82,11 @@
 			return
 		case <-timer.C:
 		}
-		sinceposted++
+		sincePosted++
 		list, ok := m.poll(ctx)
-		if ok && (sinceposted >= m.cfg.Repeat || changed(posted, list)) && m.sink.Offer(structs.MembersListed{List: list}) {
-			posted, sinceposted = &list, 0
+		due := ok && (sincePosted >= m.cfg.Repeat || changed(posted, list))
+		if due && m.sink.Offer(structs.MembersListed{List: list}) {
+			posted, sincePosted = &list, 0
 		}
 		timer.Reset(m.wait())
 	}
@@ -97,9 +100,13 @@
 	url := strings.TrimSuffix(m.cfg.URL, "/") + wire.MembersRoute
 	if err := getJSON(ctx, m.client, url, membersReplyLimit, &list); err != nil {
 		m.failed.Inc(1)
-		m.logger.Warn("membership poll failed", "error", err)
+		if !m.failing {
+			m.logger.Warn("membership polls fail", "error", err)
+		}
+		m.failing = true
 		return wire.MemberList{}, false
 	}
+	m.failing = false
 	return list, true
 }
 
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -218,6 +218,9 @@
 		return
 	}
 	t.log.metrics.recordsRead.Inc(int64(len(reply.Records)))
+	if t.failed {
+		t.log.logger.Info("log reads work again", "stream", t.stream)
+	}
 	t.next, t.end, t.posted, t.failed = reply.Next, reply.End, now, false
 }
 
@@ -242,9 +245,11 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.failed = true
 	t.log.metrics.readsFailed.Inc(1)
-	t.log.logger.Warn("log read failed", "stream", t.stream, "error", err)
+	if !t.failed {
+		t.log.logger.Warn("log reads fail", "stream", t.stream, "error", err)
+	}
+	t.failed = true
 	t.log.sink.Deliver(t.ctx, event)
 	t.pause(t.backoff.NextBackOff())
 }
