Admission by lateness; programs that have not begun are refused first

Change: the wait is the time to the due time plus the lateness at which due times are now met; a first call is refused at a quarter of its time; waiting calls are checked again and refused once they are expected to start too late.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -123,6 +123,7 @@
 		column{"waste paused", "%.0f", func(f Figures) float64 { return f.WastePaused }},
 		column{"unfair", "%.2f", func(f Figures) float64 { return f.Unfair }},
 		column{"refused %", "%.1f", func(f Figures) float64 { return 100 * f.Refused }},
+		column{"refused p50 s", "%.3f", func(f Figures) float64 { return f.RefusedMedian }},
 		column{"refused p99 s", "%.3f", func(f Figures) float64 { return f.RefusedAfter }},
 		column{"failed %", "%.1f", func(f Figures) float64 { return 100 * f.Failed }},
 	)
--- a/internal/bench/sample.go
+++ b/internal/bench/sample.go
@@ -107,7 +107,9 @@
 	// percentile of the time to the refusal in seconds, and Failed the
 	// share of programs that gave up.
 	Refused, RefusedAfter, Failed float64
-	Programs                      int
+	// RefusedMedian is the median of the time to the refusal in seconds.
+	RefusedMedian float64
+	Programs      int
 }
 
 // ClassFigures are the figures of one class.
@@ -127,7 +129,7 @@
 		Refused:    share(s.Refused, s.Refused+s.Calls),
 		Failed:     share(s.Failed, s.Programs),
 		WasteGone:  s.Waste.Gone / float64(max(1, s.Programs)), WastePaused: s.Waste.Paused / float64(max(1, s.Programs)),
-		RefusedAfter: quantiles(s.RefusedAfter).P99,
+		RefusedAfter: quantiles(s.RefusedAfter).P99, RefusedMedian: quantiles(s.RefusedAfter).P50,
 	}
 	var all []float64
 	for _, class := range slices.Sorted(maps.Keys(s.Slowdowns)) {
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -86,7 +86,7 @@
 	return CallDump{
 		Run: c.run(), Program: c.program(), Owner: c.owner, Team: c.request.Team,
 		Class: c.class, Place: place + 1, Waited: d.now.Sub(c.arrived).Round(time.Millisecond).String(),
-		Why: p.whyWaiting(d.now, c), StartsIn: p.estimatedWait(c).Round(time.Millisecond).String(),
+		Why: p.whyWaiting(d.now, c), StartsIn: d.expectedWait(d.now, c).Round(time.Millisecond).String(),
 	}
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -38,6 +38,8 @@
 	// lastGrant the last grant since the queue was empty.
 	interval  time.Duration
 	lastGrant time.Time
+	// lateness is by class.
+	lateness map[int]*policy.Lateness
 
 	refreshed time.Time
 	used      time.Time
@@ -54,6 +56,7 @@
 		shares:     policy.NewShares(),
 		estimates:  policy.NewEstimates(),
 		budget:     policy.NewRetryBudget(),
+		lateness:   make(map[int]*policy.Lateness),
 	}
 }
 
@@ -112,6 +115,16 @@
 	c.key = policy.Key(p.service.Rules, c.order)
 }
 
+// late finds or makes the lateness of a class.
+func (p *pool) late(class int) *policy.Lateness {
+	known := p.lateness[class]
+	if known == nil {
+		known = new(policy.Lateness)
+		p.lateness[class] = known
+	}
+	return known
+}
+
 // refreshTargets takes over the membership's view: new targets, those that
 // leave and those that vanished.
 func (p *pool) refreshTargets(now time.Time, members structs.Members) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -87,6 +87,11 @@
 	return count
 }
 
+// waits tells whether any call of a class waits.
+func (q *queue) waits(class int) bool {
+	return slices.ContainsFunc(q.lanes, func(l *lane) bool { return l.class == class })
+}
+
 // backlogged lists the teams that wait in a class, in order.
 func (q *queue) backlogged(class int) []structs.Team {
 	var teams []structs.Team
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -88,7 +88,7 @@
 		return
 	}
 	c := d.newCall(now, from, p, m)
-	if verdict := d.admit(p, c); !verdict.Admit {
+	if verdict := d.admit(now, p, c); !verdict.Admit {
 		d.refuse(from, m, verdict.Reason, verdict.RetryAfter)
 		return
 	}
@@ -103,16 +103,28 @@
 	d.send(from, &structs.PermitQueued{Ref: m.Ref})
 }
 
-func (d *Dispatcher) admit(p *pool, c *call) policy.Verdict {
+func (d *Dispatcher) admit(now time.Time, p *pool, c *call) policy.Verdict {
 	m := c.request
 	return policy.Admit(p.service.Rules, policy.Load{
 		Waiting: p.queue.size, Limit: p.service.QueueLimit,
 		TeamWaiting: p.queue.teamSize(m.Team), TeamLimit: d.settings.Policy(m.Team).MaxQueued,
-		Ahead: p.queue.ahead(c), Interval: p.interval, CallTime: p.estimates.CallTime,
-		Remaining: m.Remaining,
+		Wait: d.expectedWait(now, c), CallTime: p.estimates.CallTime,
+		Remaining: m.Remaining, First: m.Turns == 0 && m.Served == 0,
 	})
 }
 
+// expectedWait is the expected time until a call that waits, or is about to,
+// starts.
+func (d *Dispatcher) expectedWait(now time.Time, c *call) time.Duration {
+	p := c.pool
+	ahead := p.queue.ahead(c)
+	if ahead == 0 {
+		return 0
+	}
+	position := time.Duration(ahead) * p.interval
+	return p.late(c.class).Wait(c.key-now.Sub(d.epoch), position)
+}
+
 // joinShares starts the team's account if it was not backlogged.
 func (p *pool) joinShares(c *call) {
 	teams := p.queue.backlogged(c.class)
@@ -196,12 +208,25 @@
 		case c.ownerDown:
 			d.refuseWaiting(c, structs.ReasonOwnerUnavailable, noTargetPause)
 		default:
-			d.refuseWaiting(c, structs.ReasonDeadline, c.pool.estimatedWait(c))
+			d.refuseWaiting(c, structs.ReasonDeadline, d.expectedWait(now, c))
 		}
 	}
 }
 
-// estimatedWait is the expected time until a waiting call starts.
-func (p *pool) estimatedWait(c *call) time.Duration {
-	return time.Duration(p.queue.ahead(c)+1) * p.interval
+// refuseHopeless answers at once the waiting calls that by now cannot be
+// expected to start in time.
+func (d *Dispatcher) refuseHopeless(now time.Time, p *pool) {
+	if !p.service.Rules.Admission {
+		return
+	}
+	var hopeless []*call
+	p.queue.each(func(c *call) {
+		last := c.lastStart()
+		if !last.IsZero() && now.Add(d.expectedWait(now, c)).After(last) {
+			hopeless = append(hopeless, c)
+		}
+	})
+	for _, c := range hopeless {
+		d.refuseWaiting(c, structs.ReasonOverloaded, d.expectedWait(now, c))
+	}
 }
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -288,6 +288,7 @@
 		r.next = now.Add(r.wait)
 		r.wait = min(releaseRetryMax, 2*r.wait)
 	}
+	d.refuseHopeless(now, p)
 	p.forgetPrograms(now)
 	p.checkAt = time.Time{}
 	if p.busy() || p.holdsCache() {
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -12,15 +12,14 @@
 	Waiting, Limit int
 	// TeamWaiting counts the team's waiting calls and TeamLimit bounds them.
 	TeamWaiting, TeamLimit int
-	// Ahead counts the waiting calls that go before this one.
-	Ahead int
-	// Interval is the recent time between grants while calls waited, 0 if
-	// not known.
-	Interval time.Duration
+	// Wait is the expected wait of the call.
+	Wait time.Duration
 	// CallTime is the usual time of one run.
 	CallTime time.Duration
 	// Remaining is the time to the call's deadline, 0 if it has none.
 	Remaining time.Duration
+	// First tells that the call is the first of its program.
+	First bool
 }
 
 // Verdict is the decision of the admission rule.
@@ -31,28 +30,62 @@
 	RetryAfter time.Duration
 }
 
-// minRetryAfter is the least time after which a refused call may be tried
-// again.
-const minRetryAfter = 250 * time.Millisecond
-
-// Wait is the expected wait of a call with that many ahead.
-func (l Load) Wait() time.Duration { return time.Duration(l.Ahead) * l.Interval }
+const (
+	// minRetryAfter is the least time after which a refused call may be
+	// tried again.
+	minRetryAfter = 250 * time.Millisecond
+	// firstCallShare is the share of its time that the first call of a
+	// program may be expected to wait. An overload is shed where no work is
+	// lost: at programs that have not begun.
+	firstCallShare = 0.25
+)
 
 // Admit decides whether a call may wait. The queue bounds always hold; the
 // check of the expected wait against the deadline is the admission rule.
 func Admit(rules structs.Rules, load Load) Verdict {
 	if load.Waiting >= load.Limit || load.TeamWaiting >= load.TeamLimit {
-		return refuse(structs.ReasonOverloaded, load.Wait()/2)
+		return refuse(load.Wait)
 	}
 	if !rules.Admission || load.Remaining <= 0 {
 		return Verdict{Admit: true}
 	}
-	if late := load.Wait() + load.CallTime - load.Remaining; late > 0 {
-		return refuse(structs.ReasonOverloaded, late)
+	allowed := load.Remaining - min(load.CallTime, load.Remaining/2)
+	if load.First {
+		allowed = min(allowed, time.Duration(firstCallShare*float64(load.Remaining)))
+	}
+	if late := load.Wait - allowed; late > 0 {
+		return refuse(late)
 	}
 	return Verdict{Admit: true}
 }
 
-func refuse(reason structs.Reason, after time.Duration) Verdict {
-	return Verdict{Reason: reason, RetryAfter: max(minRetryAfter, after)}
+func refuse(after time.Duration) Verdict {
+	return Verdict{Reason: structs.ReasonOverloaded, RetryAfter: max(minRetryAfter, after)}
+}
+
+// Lateness follows by how much the calls of a class are granted after their
+// keys, which are due times under the orders with aging. While it is positive,
+// calls are granted in the order of their due times whoever comes later, so
+// the wait of any call is the time to its due time and the lateness.
+type Lateness struct{ average time.Duration }
+
+// latenessGain is the weight of a new grant in the average.
+const latenessGain = 0.05
+
+// Granted counts a grant that came that long after the call's key; last tells
+// that no call of the class waits any more.
+func (l *Lateness) Granted(after time.Duration, last bool) {
+	l.average += time.Duration(latenessGain * float64(after-l.average))
+	if last {
+		l.average = min(0, l.average)
+	}
+}
+
+// Wait is the expected wait of a call with a key that far ahead, given the
+// wait by its position in the queue alone.
+func (l *Lateness) Wait(untilKey, position time.Duration) time.Duration {
+	if l.average <= 0 {
+		return position
+	}
+	return max(position, untilKey+l.average)
 }
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,223 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+func TestAdmit(t *testing.T) {
+	rules := structs.DefaultRules()
+	off := rules
+	off.Admission = false
+	base := Load{Limit: 10, TeamLimit: 10, CallTime: time.Second, Remaining: 10 * time.Second}
+	tests := []struct {
+		name   string
+		rules  structs.Rules
+		change func(*Load)
+		admit  bool
+	}{
+		{"empty queue", rules, func(*Load) {}, true},
+		{"full queue", rules, func(l *Load) { l.Waiting = 10 }, false},
+		{"full queue, rule off", off, func(l *Load) { l.Waiting = 10 }, false},
+		{"full team", rules, func(l *Load) { l.TeamWaiting = 10 }, false},
+		{"starts in time", rules, func(l *Load) { l.Wait = 8 * time.Second }, true},
+		{"starts too late", rules, func(l *Load) { l.Wait = 9500 * time.Millisecond }, false},
+		{"starts too late, rule off", off, func(l *Load) { l.Wait = time.Hour }, true},
+		{"new program behind a long wait", rules, func(l *Load) { l.First, l.Wait = true, 3*time.Second }, false},
+		{"new program behind a short wait", rules, func(l *Load) { l.First, l.Wait = true, 2*time.Second }, true},
+		{"no deadline", rules, func(l *Load) { l.Remaining, l.Wait = 0, time.Hour }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			load := base
+			test.change(&load)
+			verdict := Admit(test.rules, load)
+			if verdict.Admit != test.admit {
+				t.Fatalf("admitted %v, want %v", verdict.Admit, test.admit)
+			}
+			if !verdict.Admit && (verdict.RetryAfter <= 0 || verdict.Reason != structs.ReasonOverloaded) {
+				t.Fatalf("refusal %+v lacks a reason or a time", verdict)
+			}
+		})
+	}
+}
+
+func TestOrderKeys(t *testing.T) {
+	young := Call{Arrived: 10 * time.Second, Served: time.Second, Elapsed: 2 * time.Second}
+	old := Call{Arrived: 9 * time.Second, Served: 20 * time.Second, Elapsed: 40 * time.Second}
+	urgent := Call{Arrived: 11 * time.Second, Served: 20 * time.Second, Elapsed: 40 * time.Second, Slack: time.Second, HasDeadline: true}
+	missed := Call{Arrived: 10 * time.Second, Served: 20 * time.Second, Elapsed: 40 * time.Second, Slack: -time.Hour, HasDeadline: true}
+	tests := []struct {
+		order         string
+		aging         float64
+		first, second Call
+	}{
+		{OrderFCFS, 1, old, young},
+		{OrderLAS, 1, young, old},
+		{OrderLAS, 0, young, old},
+		{OrderSlack, 1, urgent, young},
+		{OrderHybrid, 1, young, old},
+		{OrderHybrid, 0, young, old},
+		{OrderHybrid, 1, urgent, young},
+		{OrderHybrid, 1, young, missed},
+	}
+	for _, test := range tests {
+		rules := structs.Rules{Order: test.order, Aging: test.aging}
+		if a, b := Key(rules, test.first), Key(rules, test.second); a >= b {
+			t.Errorf("%s, aging %v: key %v of %+v is not before %v of %+v", test.order, test.aging, a, test.first, b, test.second)
+		}
+	}
+}
+
+// With aging, no call is overtaken by those that arrive after a bounded time.
+func TestAgingBoundsTheWait(t *testing.T) {
+	for _, order := range []string{OrderFCFS, OrderLAS, OrderSlack, OrderHybrid} {
+		rules := structs.Rules{Order: order, Aging: 1}
+		long := Call{Served: 10 * time.Minute, Elapsed: time.Hour}
+		late := Call{Arrived: noDeadlineSlack + stretchFactor*time.Hour + time.Second, Slack: 0, HasDeadline: true}
+		if Key(rules, long) > Key(rules, late) {
+			t.Errorf("%s: a call is overtaken without bound", order)
+		}
+	}
+}
+
+func TestFairShare(t *testing.T) {
+	rules := structs.Rules{FairShare: true}
+	shares := NewShares()
+	shares.Add("a", 10*time.Second, 1)
+	shares.Add("b", 10*time.Second, 10)
+	floor := shares.Floor([]structs.Team{"a", "b"})
+	if !shares.Over(rules, "a", floor) || shares.Over(rules, "b", floor) {
+		t.Fatalf("usage a %v, b %v: only a is ahead of its share", shares.Usage("a"), shares.Usage("b"))
+	}
+	if shares.Over(structs.Rules{}, "a", floor) {
+		t.Fatal("the rule is off")
+	}
+	shares.Join("c", floor)
+	if shares.Usage("c") != floor {
+		t.Fatalf("a team that comes back starts at %v, want %v", shares.Usage("c"), floor)
+	}
+}
+
+func TestPlace(t *testing.T) {
+	ms := time.Millisecond
+	idle := Option{Open: true, Prefill: 80 * ms, Slowness: 1}
+	holder := Option{Open: true, Running: 4, Prefill: 5 * ms, Cached: 8000, Slowness: 1}
+	busyHolder := Option{Running: 16, Delay: 30 * ms, Prefill: 5 * ms, Cached: 8000, Slowness: 1}
+	fullHolder := Option{Running: 16, Delay: time.Second, Prefill: 5 * ms, Cached: 8000, Slowness: 1}
+	evicting := idle
+	evicting.Eviction = 50 * ms
+	slow := idle
+	slow.Slowness = 10
+	excluded := Option{Excluded: true}
+	tests := []struct {
+		name, rule string
+		options    []Option
+		want       Choice
+	}{
+		{"round robin", PlaceRoundRobin, []Option{idle, idle, idle}, Choice{Index: 1}},
+		{"least loaded", PlaceLeastLoaded, []Option{holder, idle}, Choice{Index: 1}},
+		{"affinity", PlaceAffinity, []Option{idle, holder}, Choice{Index: 1}},
+		{"affinity, holder closed", PlaceAffinity, []Option{idle, busyHolder}, Choice{Index: 0}},
+		{"cost takes the holder", PlaceCost, []Option{idle, holder}, Choice{Index: 1}},
+		{"cost waits a little", PlaceCost, []Option{{Open: true, Prefill: 200 * ms, Slowness: 1}, busyHolder}, Choice{Index: 1, Wait: true}},
+		{"cost does not wait long", PlaceCost, []Option{idle, fullHolder}, Choice{Index: 0}},
+		{"cost counts evictions", PlaceCost, []Option{evicting, idle}, Choice{Index: 1}},
+		{"cost avoids a slow target", PlaceCost, []Option{slow, idle}, Choice{Index: 1}},
+		{"none", PlaceCost, []Option{excluded}, Choice{Index: -1}},
+		{"affinity none", PlaceAffinity, []Option{excluded}, Choice{Index: -1}},
+		{"excluded", PlaceLeastLoaded, []Option{excluded, idle}, Choice{Index: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rules := structs.Rules{Placement: test.rule, EvictionTerm: true}
+			if got := Place(rules, test.options, 0); got != test.want {
+				t.Fatalf("chose %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestEvictionCost(t *testing.T) {
+	victims := []CacheEntry{{Tokens: 1000, Return: 0}, {Tokens: 1000, Return: 0.5}, {Tokens: 1000, Return: 1}}
+	for need, want := range map[int64]time.Duration{
+		0: 0, 1000: 0, 1500: 250 * time.Microsecond, 3000: 1500 * time.Microsecond, 9000: 1500 * time.Microsecond,
+	} {
+		if got := EvictionCost(victims, need, time.Microsecond); got != want {
+			t.Errorf("evicting %d tokens costs %v, want %v", need, got, want)
+		}
+	}
+}
+
+func TestPausesLearnWhoReturns(t *testing.T) {
+	pauses := NewPauses()
+	if pauses.ReturnChance(time.Hour) != 1 {
+		t.Fatal("nothing is known yet, so nothing is to be released")
+	}
+	for i := range 1000 {
+		pauses.Returned(time.Duration(300+i%200)*time.Millisecond, false)
+		if i%10 == 0 {
+			pauses.Lost()
+		}
+	}
+	early, late := pauses.ReturnChance(100*time.Millisecond), pauses.ReturnChance(5*time.Second)
+	if early < 0.85 || late > 0.05 {
+		t.Fatalf("chance of return %v early and %v late", early, late)
+	}
+	if limit := pauses.Presume(); limit < time.Second || limit > 3*time.Second {
+		t.Fatalf("presumed lost after %v", limit)
+	}
+	rules := structs.DefaultRules()
+	if !Retain(rules, early, 0.99) || Retain(rules, late, 0.1) {
+		t.Fatal("want early pauses held and late ones let go")
+	}
+}
+
+func TestHealth(t *testing.T) {
+	rules, now := structs.DefaultRules(), time.Unix(0, 0)
+	h := NewHealth()
+	for range slowRuns {
+		h.Succeed(rules, now, 10, true)
+	}
+	if h.State != Ejected || h.Slots(8) != 0 {
+		t.Fatalf("state %v after slow runs", h.State)
+	}
+	now = h.Until
+	h.Advance(now)
+	if h.State != Probation || h.Slots(8) != 1 {
+		t.Fatalf("state %v after the ejection", h.State)
+	}
+	h.Fail(rules, now, true)
+	if h.State != Ejected || h.Until.Sub(now) <= minEjection {
+		t.Fatalf("a failure on probation: %v for %v, want a longer ejection", h.State, h.Until.Sub(now))
+	}
+	h.Advance(h.Until)
+	for range probationRuns {
+		h.Succeed(rules, now, 1, true)
+	}
+	if h.State != Healthy {
+		t.Fatalf("state %v after good runs", h.State)
+	}
+	for range maxFailures {
+		h.Fail(rules, now, false)
+	}
+	if h.State != Healthy {
+		t.Fatal("ejected although no more targets may be")
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	budget := NewRetryBudget()
+	allowed := 0
+	for range 1000 {
+		budget.Allow(0)
+		if budget.Allow(1) {
+			allowed++
+		}
+	}
+	if limit := retryBurst + 1000*retryShare; float64(allowed) > limit || allowed < 200 {
+		t.Fatalf("%d of 1000 retries allowed, want about %v", allowed, limit)
+	}
+}
