dispatch: hints after a restart, and the end of a call granted elsewhere

Cause: two tests by messages failed: a new dispatcher ignored the owner's hints (TestHintsAfterRestart), and a waiting call that ran by another dispatcher's permit went on waiting and was granted again (TestFinishOfWaitingCallEndsIt). Change: hints fill the record of a program that is not known; a PermitFinish ends a waiting call too. Conclusion: both failed before and pass now.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
@@ -42,3 +45,233 @@
 		t.Fatalf("granted %v while the free target leaves", granted)
 	}
 }
+
+func TestNewTargetTakesWaitingCalls(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.send(request("1"), request("2"))
+	f.members.targets = append(f.members.targets, structs.Target{ID: "t1", Service: testService, Region: "r"})
+	if granted := grants(f.tick(structs.MembersListed{})); granted["2"] != "t1" {
+		t.Fatalf("granted %v, want run 2 at t1", granted)
+	}
+}
+
+func TestRefusedAtOnceWithoutTargets(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.send(request("1"), request("2"))
+	f.members.targets[0].Leaving = true
+	refused := refusals(f.tick(structs.MembersListed{}))
+	if refused["2"] == nil || refused["2"].Reason != structs.ReasonNoTarget || refused["2"].RetryAfter <= 0 {
+		t.Fatalf("refused %+v, want run 2 for want of a target", refused)
+	}
+}
+
+func TestVanishedTargetIsForgotten(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	m := request("1")
+	target := grants(f.send(m))["1"]
+	f.members.targets = f.members.targets[1:]
+	f.tick(structs.MembersListed{})
+	f.send(finish(m, target))
+	f.tick(structs.MembersListed{})
+	if got := len(f.d.findPool(testPool).targets); got != 1 {
+		t.Fatalf("%d targets known, want 1", got)
+	}
+}
+
+func TestRestartRegistersRunningCalls(t *testing.T) {
+	f := newFixture(t, 1, 2)
+	first, second := request("1"), request("2")
+	f.send(first, second)
+	f.restart()
+	for _, m := range []*structs.PermitRequest{first, second} {
+		m.Running = "t0"
+	}
+	if granted := grants(f.send(first, second, request("3"))); len(granted) != 0 {
+		t.Fatalf("granted %v although registered runs fill the target", granted)
+	}
+	if granted := grants(f.send(finish(first, "t0"))); granted["3"] != "t0" {
+		t.Fatalf("granted %v, want run 3", granted)
+	}
+}
+
+// An owner may have run a call by another dispatcher's grant.
+func TestFinishOfWaitingCallEndsIt(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	first, second := request("1"), request("2")
+	f.send(first)
+	f.send(second)
+	f.send(finish(second, "t0"))
+	if granted := grants(f.send(finish(first, "t0"))); len(granted) != 0 || f.d.Waiting() != 0 {
+		t.Fatalf("granted %v, %d wait; want none", granted, f.d.Waiting())
+	}
+}
+
+func TestHintsAfterRestart(t *testing.T) {
+	f := newFixture(t, 3, 4)
+	f.runAt("1", "p", 8000)
+	f.restart()
+	m := request("2", ofProgram("p"), withPrompt(9000), func(m *structs.PermitRequest) {
+		m.Hints = []structs.CacheHint{{Target: "t2", Tokens: 8010}}
+	})
+	if granted := grants(f.send(m)); granted["2"] != "t2" {
+		t.Fatalf("granted %v, want the hinted target", granted)
+	}
+}
+
+func TestOwnerDown(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	running, waiting, again := request("1"), request("2"), request("3")
+	f.send(running, waiting, again)
+	f.tick(structs.PeerDown{Peer: "o"})
+	f.send(again)
+	refused := refusals(f.after(ownerDropWait))
+	if len(refused) != 1 || refused["2"] == nil {
+		t.Fatalf("refused %v, want only run 2, which was not sent again", refused)
+	}
+	if granted := grants(f.after(f.settings.service.Timeout)); len(granted) != 0 {
+		t.Fatalf("granted %v while the dead owner's run may go on", granted)
+	}
+	f.after(permitGrace)
+	if _, held := f.d.calls["1"]; held {
+		t.Fatal("the permit of a dead owner is held for ever")
+	}
+}
+
+func TestDeadlineOfWaitingCall(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.send(request("1"), request("2", func(m *structs.PermitRequest) { m.Remaining = time.Second }))
+	f.now = f.d.NextWake()
+	for range 100 {
+		refused := refusals(f.tick())
+		if refused["2"] != nil {
+			if waited := f.now.Sub(time.Unix(1000, 0)); waited > time.Second {
+				t.Fatalf("refused after %v", waited)
+			}
+			return
+		}
+		f.now = f.d.NextWake()
+	}
+	t.Fatal("not refused")
+}
+
+func TestQueueBounds(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.settings.service.QueueLimit, f.settings.policy.MaxQueued = 4, 2
+	f.send(request("0"))
+	var sent []structs.Message
+	for i := range 8 {
+		sent = append(sent, request(fmt.Sprint(i+1), func(m *structs.PermitRequest) {
+			m.Team = structs.Team(fmt.Sprint(i / 4))
+		}))
+	}
+	refused := refusals(f.send(sent...))
+	if f.d.Waiting() != 4 || len(refused) != 4 {
+		t.Fatalf("%d wait and %d are refused, want 4 each", f.d.Waiting(), len(refused))
+	}
+	for run, m := range refused {
+		if m.RetryAfter <= 0 {
+			t.Errorf("refusal of %s does not tell when to come back", run)
+		}
+	}
+}
+
+func TestHigherClassFirst(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	first := request("1")
+	f.send(first)
+	f.send(request("2"), request("3", func(m *structs.PermitRequest) { m.Priority = 0 }))
+	if granted := grants(f.send(finish(first, "t0"))); granted["3"] != "t0" {
+		t.Fatalf("granted %v, want the call of the higher class", granted)
+	}
+}
+
+func TestChangedOrderSortsTheQueueAgain(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.settings.service.Rules.Classes = false
+	first := request("1")
+	f.send(first)
+	f.send(request("2"), request("3", func(m *structs.PermitRequest) { m.Priority = 0 }))
+	f.settings.service.Rules.Classes = true
+	if granted := grants(f.send(finish(first, "t0"))); granted["3"] != "t0" {
+		t.Fatalf("granted %v, want the call of the higher class", granted)
+	}
+}
+
+// A stream of young programs must not starve an old one of the same class.
+func TestNoStarvation(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	running := request("r0")
+	old := request("old", func(m *structs.PermitRequest) {
+		m.Age, m.Served, m.Remaining = 5*time.Second, 5*time.Second, time.Hour
+	})
+	f.send(running, old)
+	for i := 1; i < 1000; i++ {
+		next := request(fmt.Sprintf("r%d", i), func(m *structs.PermitRequest) { m.Remaining = time.Hour })
+		f.now = f.now.Add(100 * time.Millisecond)
+		granted := grants(f.send(next, finish(running, "t0")))
+		if granted["old"] != "" {
+			return
+		}
+		running = next
+	}
+	t.Fatal("the old program's call waited for 100 s behind young ones")
+}
+
+func TestSlowTargetIsEjected(t *testing.T) {
+	f := newFixture(t, 2, 8)
+	for i := range 40 {
+		m := request(fmt.Sprint(i))
+		target := grants(f.send(m))[m.Ref.Run]
+		f.now = f.now.Add(time.Second)
+		end := finish(m, target)
+		if target == "t0" {
+			end.Took = time.Minute
+		}
+		f.send(end)
+	}
+	if state := f.d.findPool(testPool).target("t0").health.State; state != "ejected" {
+		t.Fatalf("a target that takes 600 times as long is %s", state)
+	}
+}
+
+func TestRetryBudgetRefusesAtOnce(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	refused := 0
+	for i := range 100 {
+		m := request(fmt.Sprint(i), func(m *structs.PermitRequest) { m.Attempt = 1 })
+		for _, r := range refusals(f.send(m)) {
+			if r.RetryAfter <= 0 {
+				t.Fatal("a refused retry is not told when to come back")
+			}
+			refused++
+		}
+	}
+	if refused < 50 {
+		t.Fatalf("%d of 100 retries without fresh requests refused", refused)
+	}
+}
+
+func TestDumpExplainsWaitingCalls(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.send(request("1"), request("2"))
+	if _, err := json.Marshal(f.d.Dump()); err != nil {
+		t.Fatal(err)
+	}
+	dump := f.d.Dump().([]PoolDump)
+	if len(dump) != 1 || len(dump[0].Calls) != 1 || dump[0].Calls[0].Why == "" || dump[0].Calls[0].Place != 1 {
+		t.Fatalf("dump %+v", dump)
+	}
+}
+
+func TestWatchesTheTargetsOfItsPools(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	var watched []structs.Target
+	for _, command := range f.send(request("1")) {
+		if watch, ok := command.(structs.WatchTargets); ok {
+			watched = watch.Targets
+		}
+	}
+	if len(watched) != 2 {
+		t.Fatalf("watches %v", watched)
+	}
+}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -15,12 +15,15 @@
 	}
 	p.used = now
 	c := d.calls[m.Ref.Run]
-	if c == nil || c.waiting() {
+	d.ended.add(m.Ref.Run)
+	if c == nil {
 		return
 	}
 	t := c.target
 	d.forget(c)
-	d.ended.add(c.run())
+	if t == nil {
+		return // it ran by another dispatcher's permit
+	}
 	p.shares.Add(c.request.Team, m.Took-p.estimates.CallTime, c.request.Weight)
 	p.learn(now, c, t, m)
 	p.keep(now, c, t, m)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -70,6 +70,7 @@
 	if m.Remaining > 0 {
 		c.deadline = now.Add(m.Remaining)
 	}
+	p.takeHints(now, m)
 	known := p.program(now, m.Ref.Program, m.Team)
 	waited := known.waited + m.Waited
 	c.order = policy.Call{
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -127,6 +127,26 @@
 	return known
 }
 
+// takeHints records where an unknown program's prefix was held last, as its
+// owner knows it. Of a known program the own record knows better.
+func (p *pool) takeHints(now time.Time, m *structs.PermitRequest) {
+	if p.programs[m.Ref.Program] != nil || p.service.Kind != structs.ServiceEngine {
+		return
+	}
+	known := p.program(now, m.Ref.Program, m.Team)
+	for _, hint := range m.Hints {
+		t := p.target(hint.Target)
+		own := hint.Tokens - m.SharedTokens
+		if t == nil || own <= 0 {
+			continue
+		}
+		entry := t.cache.use(now, string(m.Ref.Program))
+		entry.team = m.Team
+		t.cache.set(entry, max(entry.tokens, own))
+		known.targets = append(known.targets, t)
+	}
+}
+
 // programReturned ends a pause by a further call.
 func (p *pool) programReturned(now time.Time, c *call) {
 	known := p.programs[c.program()]
