Target runner: resumed runs give whole tool calls and all pieces

Cause: a stream resumed in the middle of a tool call gave an outcome that held only the rest of the call, without an error. A resumed run whose context ended before a piece was posted could still end as answered, though the owner puts its text together from the pieces. Change: if a stream resumed behind its first piece has tool calls it is read again from that piece, and only what is new is posted; a resumed run that could not post a piece ends as cancelled or timed out.

--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -9,7 +9,8 @@
 )
 
 // Stats counts the traffic between this instance and its peers since the
-// start. Control is heartbeats and all messages that do not carry a call.
+// start. Control is heartbeats and all messages that do not carry a call. Bytes
+// are those of the frames, without the headers of WebSocket, TLS, TCP and IP.
 type Stats struct {
 	ControlBytesSent     uint64
 	ControlBytesReceived uint64
--- a/internal/target/chat.go
+++ b/internal/target/chat.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -28,7 +29,8 @@
 func (r *Runner) readChat(one *run, reply *http.Response) result {
 	switch status := reply.StatusCode; {
 	case status == http.StatusOK:
-		return r.readStream(one, reply.Body, 0)
+		s := newChatStream(0, 0, r.cfg.MaxAnswer)
+		return s.end(one, r.follow(one, reply.Body, s))
 	case status == http.StatusConflict:
 		return result{failure: structs.RunFenced, detail: "the engine refused the fencing number"}
 	case refusesRun(status):
@@ -39,11 +41,10 @@
 	return result{failure: structs.RunBroken, detail: "the engine failed: " + http.StatusText(reply.StatusCode)}
 }
 
-// readStream reads a chat stream from piece index from on and posts its pieces
-// as they come.
-func (r *Runner) readStream(one *run, body io.Reader, from int) result {
+// follow reads a chat stream to its end, posts the pieces as they come and
+// returns what ended it: io.EOF, or an error.
+func (r *Runner) follow(one *run, body io.Reader, s *chatStream) error {
 	events := newEventReader(body)
-	s := newChatStream(from, r.cfg.MaxAnswer)
 	for {
 		data, err := events.next()
 		if err == nil && string(data) != endOfStream {
@@ -51,26 +52,32 @@
 		} else if err == nil {
 			err = io.EOF
 		}
+		posted := true
 		if err != nil || s.mustFlush() || !events.ready() {
-			r.flush(one, s)
+			posted = r.flush(one, s)
+		}
+		if !posted && one.gate == nil {
+			// The owner needs each piece of a resumed run.
+			return context.Cause(one.ctx)
 		}
 		if err != nil {
-			return s.end(one, err)
+			return err
 		}
 	}
 }
 
-// flush posts the pieces that were read since the last flush.
-func (r *Runner) flush(one *run, s *chatStream) {
+// flush posts the pieces that were read since the last flush. It returns false
+// if the run ended first.
+func (r *Runner) flush(one *run, s *chatStream) bool {
 	chunk, ok := s.take()
 	if !ok {
-		return
+		return true
 	}
 	if one.firstToken == 0 {
 		one.firstToken = r.cfg.Now().Sub(one.sentAt())
 		r.metrics.firstToken.Record(one.firstToken)
 	}
-	r.sink.Deliver(one.ctx, structs.RunChunk{Run: one.id, Chunk: chunk})
+	return r.sink.Deliver(one.ctx, structs.RunChunk{Run: one.id, Chunk: chunk})
 }
 
 // end makes the result of a stream that an error or its end stopped.
@@ -93,9 +100,15 @@
 	return one.failed(err)
 }
 
-// chatStream puts the pieces of a chat answer together.
+// errToolsCut is the error of a stream that was resumed behind its first piece
+// and has tool calls: their beginning may lie before that piece.
+var errToolsCut = errors.New("tool calls in a stream that was resumed behind its first piece")
+
+// chatStream puts the pieces of a chat answer together, from index from on.
+// Those from index post on are given out.
 type chatStream struct {
-	next int
+	from, post int
+	next       int
 	// blanks is the number of chunks without content that were seen from
 	// index next on. They count as empty pieces only if content follows at a
 	// higher index.
@@ -108,8 +121,11 @@
 	usage   wire.Usage
 }
 
-func newChatStream(from int, limit int64) *chatStream {
-	return &chatStream{next: from, limit: limit, pending: structs.Chunk{First: from}}
+func newChatStream(from, post int, limit int64) *chatStream {
+	return &chatStream{
+		from: from, post: post, next: from, limit: limit,
+		pending: structs.Chunk{First: post},
+	}
 }
 
 // add takes one event of the stream.
@@ -150,6 +166,9 @@
 	if index > s.next+s.blanks {
 		return errors.Newf("chat stream has a gap: piece %d where %d was due", index, s.next)
 	}
+	if s.from > 0 && len(delta.ToolCalls) > 0 {
+		return errToolsCut
+	}
 	for s.next < index {
 		s.push("")
 	}
@@ -162,7 +181,9 @@
 }
 
 func (s *chatStream) push(text string) {
-	s.pending.Texts = append(s.pending.Texts, text)
+	if s.next >= s.post {
+		s.pending.Texts = append(s.pending.Texts, text)
+	}
 	s.text = append(s.text, text...)
 	s.next++
 }
@@ -171,7 +192,9 @@
 	if len(delta) == 0 {
 		return nil
 	}
-	s.pending.ToolCalls = delta
+	if len(s.pending.Texts) > 0 {
+		s.pending.ToolCalls = delta
+	}
 	return s.tools.merge(delta)
 }
 
@@ -183,7 +206,7 @@
 // take gives the pending pieces, false if there are none.
 func (s *chatStream) take() (structs.Chunk, bool) {
 	chunk := s.pending
-	s.pending = structs.Chunk{First: s.next}
+	s.pending = structs.Chunk{First: max(s.next, s.post)}
 	return chunk, len(chunk.Texts) > 0
 }
 
--- a/internal/target/doc.go
+++ b/internal/target/doc.go
@@ -11,6 +11,10 @@
 // have run. A not-repeatable call uses a connection of its own: on a connection
 // that was used before, the target's closing it looks like a lost answer.
 //
+// A pause of the process between the check of NotAfter and the system call that
+// writes cannot be excluded: NotAfter bounds when a request is sent as long as
+// the process runs, and nothing that must be safe may rest on it.
+//
 // # How a failure is classified
 //
 //   - No byte of the request was written: RunNotSent.
--- a/internal/target/resume.go
+++ b/internal/target/resume.go
@@ -15,7 +15,9 @@
 )
 
 // ResumeRun attaches to a chat stream from a piece index on. The text of the
-// outcome begins at that piece.
+// outcome begins at that piece, unless the answer has tool calls: then the
+// stream is read again from its first piece, so that the outcome holds them
+// whole, and only the pieces from the index on are posted.
 func (r *Runner) ResumeRun(command structs.ResumeRun) {
 	r.begin(command.Run, command.Target.ID, command.Timeout, nil, func(one *run) result {
 		return r.resume(one, command)
@@ -23,20 +25,31 @@
 }
 
 func (r *Runner) resume(one *run, command structs.ResumeRun) result {
-	address := streamURL(command.Target, command.Run) + "?from=" + strconv.Itoa(command.From)
+	s := newChatStream(command.From, command.From, r.cfg.MaxAnswer)
+	err := r.attach(one, command, s)
+	if errors.Is(err, errToolsCut) {
+		s = newChatStream(0, s.next, r.cfg.MaxAnswer)
+		err = r.attach(one, command, s)
+	}
+	return s.end(one, err)
+}
+
+// attach reads a stream of an engine from the stream's first index on.
+func (r *Runner) attach(one *run, command structs.ResumeRun, s *chatStream) error {
+	address := streamURL(command.Target, command.Run) + "?from=" + strconv.Itoa(s.from)
 	request, err := http.NewRequestWithContext(one.ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return one.failed(err)
+		return err
 	}
 	reply, err := r.clients.control.Do(request)
 	if err != nil {
-		return one.failed(err)
+		return err
 	}
 	defer closeBody(reply.Body)
 	if reply.StatusCode != http.StatusOK {
-		return one.failed(errors.Newf("the engine cannot resume the stream: %s", http.StatusText(reply.StatusCode)))
+		return errors.Newf("the engine cannot resume the stream: %s", http.StatusText(reply.StatusCode))
 	}
-	return r.readStream(one, reply.Body, command.From)
+	return r.follow(one, reply.Body, s)
 }
 
 func streamURL(target structs.Target, id structs.RunID) string {
--- a/internal/target/stream_test.go
+++ b/internal/target/stream_test.go
@@ -158,7 +158,7 @@
 	f.Add([]byte(piece(0, "a") + piece(1, "") + piece(2, "b") + finish(3, "stop")))
 	f.Add([]byte("data: {\"choices\":[{\"delta\":{\"tool_calls\":[{\"index\":0}]}}]}\r\n\r\ndata:x\ndata: y\n\n"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		events, s := newEventReader(strings.NewReader(string(body))), newChatStream(0, 1<<20)
+		events, s := newEventReader(strings.NewReader(string(body))), newChatStream(0, 0, 1<<20)
 		next := 0
 		for {
 			data, err := events.next()
@@ -174,3 +174,48 @@
 		}
 	})
 }
+
+func TestResumeInTheMiddleOfToolCalls(t *testing.T) {
+	delta := func(index int, call string) string {
+		return fmt.Sprintf(`data: {"token_index":%d,"choices":[{"delta":{"tool_calls":[%s]}}]}`+"\n\n", index, call)
+	}
+	stream := []string{
+		piece(0, "a"), delta(1, `{"index":0,"id":"c1","function":{"name":"pay","arguments":"{\"fee\""}}`), piece(2, "b"),
+		delta(3, `{"index":0,"function":{"arguments":":3}"}}`), finish(4, "tool_calls"),
+	}
+	f := newFake(t, func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+		write(w, strings.Join(stream[from:], ""))
+	})
+	f.ResumeRun(structs.ResumeRun{Run: "r", Target: f.target(engineService), From: 2})
+	for _, first := range []int{2, 3} {
+		if chunk := next[structs.RunChunk](f).Chunk; chunk.First != first || len(chunk.Texts) != 1 {
+			t.Fatalf("%+v", chunk)
+		}
+	}
+	ended := next[structs.RunEnded](f)
+	const want = `[{"id":"c1","function":{"name":"pay","arguments":"{\"fee\":3}"}}]`
+	if ended.Failure != structs.RunOK || string(ended.Outcome.ToolCalls) != want || ended.Outcome.Text != "ab" {
+		t.Fatalf("%+v %s", ended, ended.Outcome.ToolCalls)
+	}
+}
+
+// The owner puts the text of a resumed run together from the pieces.
+func TestResumedRunWithoutAllPiecesIsNoAnswer(t *testing.T) {
+	proceed := make(chan struct{})
+	f := newFake(t, func(w http.ResponseWriter, _ *http.Request) {
+		write(w, piece(0, "a"))
+		<-proceed
+		write(w, piece(1, "b")+finish(2, "stop"))
+	})
+	f.ResumeRun(structs.ResumeRun{Run: "r", Target: f.target(engineService)})
+	next[structs.RunChunk](f)
+	for range cap(f.events) {
+		f.post(structs.DrainStart{})
+	}
+	close(proceed)
+	f.CancelRun(structs.CancelRun{Run: "r", Target: f.target(plainService)})
+	if ended := next[structs.RunEnded](f); ended.Failure != structs.RunCancelled {
+		t.Fatalf("%+v", ended)
+	}
+}
