Owner: cost of broken runs, focused tests, NotOwner only for calls without a run

Cause (random schedule): a repeatable call's second run was started on the hold of its first, so that two runs could cost more than was held; a resumed answer without usage cost nothing; a call whose run had broken was handed back with NotOwner, after which another owner called it 'not run'. Each run has its own hold now, an answer without usage costs its worst case, and such a call ends as unknown. A not-repeatable run is let end after its caller's deadline, so that a retry hears its outcome.

--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -9,6 +9,9 @@
 // most beyond what the call needs: an owner that dies loses it.
 const chunkShare = 16
 
+// aheadShare is the part of what is left of a budget that may be reserved ahead.
+const aheadShare = 4
+
 // worst is the most that a call can cost.
 func (c *call) worst() journal.Amount {
 	a := journal.Amount{Fees: c.spec.Fee}
@@ -87,7 +90,7 @@
 	}
 	free := p.chunkFree()
 	if need.AtMost(free) {
-		c.hold, c.chunk = need, true
+		c.hold, c.chunk = c.hold.Plus(need), true
 		p.held = p.held.Plus(need)
 		c.askPermit()
 		return
@@ -152,6 +155,32 @@
 	}
 }
 
+// burn books a run that broke: it may have cost its worst case, so that a further
+// run needs a hold of its own.
+func (c *call) burn() {
+	c.burned = c.burned.Plus(c.worst())
+	c.burns++
+}
+
+// reserveAhead reserves what the next call is likely to need, so that it need
+// not wait for the log, if the budget is ample.
+func (p *program) reserveAhead(need journal.Amount) {
+	s := p.shard
+	if !s.owned() || s.logDown() || s.o.draining || p.reserving || p.limits().IsZero() || p.closing {
+		return
+	}
+	row := p.row()
+	if row == nil || row.Single || row.Closed {
+		return
+	}
+	missing := need.Minus(p.chunkFree()).Max(journal.Amount{})
+	left := p.left()
+	ample := journal.Amount{Tokens: left.Tokens / aheadShare, Fees: left.Fees / aheadShare}
+	if !missing.IsZero() && missing.AtMost(ample) {
+		p.writeReserve(missing)
+	}
+}
+
 // releaseHold gives back what a call held.
 func (c *call) releaseHold() {
 	if c.chunk {
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -65,11 +65,19 @@
 	// tells that it is taken from the reserved chunk.
 	hold  journal.Amount
 	chunk bool
-	// teams are the team paths whose budgets hold the worst case.
-	teams []structs.Team
+	// burned is the worst case of runs that broke before this one.
+	burned journal.Amount
+	burns  int
+	// teams are the team paths whose budgets hold teamHold, for that many
+	// runs.
+	teams    []structs.Team
+	teamHold journal.Amount
+	teamRuns int
 	// pieces are the pieces of the answer received so far.
 	pieces  []string
 	resumes int
+	// foreign tells that an earlier owner started the run.
+	foreign bool
 	// cancelled tells that the run was told to stop, and why.
 	cancelled structs.Reason
 	// queuedAt tells that the dispatcher has the permit request.
@@ -217,7 +225,10 @@
 func (c *call) deserted(reason structs.Reason) {
 	switch c.phase {
 	case phaseRunning:
-		c.cancel(reason)
+		// A not-repeatable run goes on: its outcome is kept for a retry.
+		if !c.notRepeatable {
+			c.cancel(reason)
+		}
 	case phaseAsking, phaseRecording, phaseEnded:
 	default:
 		c.refuse(reason, 0)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,7 +43,7 @@
 func New(cfg structs.InstanceConfig, members structs.Members, settings structs.Settings) *Owner {
 	return &Owner{
 		cfg: cfg, members: members, settings: settings,
-		writer:        string(cfg.Self.ID) + "/" + cfg.Incarnation,
+		writer:        string(cfg.Self.ID) + "." + cfg.Incarnation,
 		snapshotEvery: snapshotRecords,
 		shards:        make(map[structs.ShardID]*shard),
 		streams:       make(map[string]*shard),
@@ -147,9 +147,10 @@
 	return o.timers.set(o.now.Add(d), fire)
 }
 
+// newRun makes a run id. It is a path segment at engines, so it has no slash.
 func (o *Owner) newRun() structs.RunID {
 	o.lastRun++
-	return structs.RunID(o.writer + "/" + strconv.FormatUint(o.lastRun, 10))
+	return structs.RunID(o.writer + "." + strconv.FormatUint(o.lastRun, 10))
 }
 
 func (o *Owner) sortedShards() []*shard {
--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -106,6 +106,11 @@
 		c.end()
 		return
 	}
+	if c.sentRuns > 0 {
+		// A run of it broke, so that no other owner may call it "not run".
+		c.refuse(structs.ReasonOwnerLost, busyRetryAfter)
+		return
+	}
 	c.abandon()
 	for _, w := range slices.Clone(c.waiters) {
 		c.removeWaiter(w)
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -100,6 +100,7 @@
 	if o.draining && c.shard.owned() {
 		c.shard.settleAll()
 	}
+	p.reserveAhead(c.worst())
 	p.advance()
 }
 
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -88,8 +88,9 @@
 		w.start(id)
 	}
 	s := &schedule{w: w, rng: rand.New(rand.NewPCG(seed, 2))}
-	w.policy.ProgramTokens, w.policy.ProgramFees = 4000, 120
-	w.policy.TeamTokens, w.policy.TeamFees = 6000, 200
+	// Some schedules run out of a budget, most do not.
+	w.policy.ProgramTokens, w.policy.ProgramFees = []int64{4000, 1000, 4000, 4000}[seed%4], 120
+	w.policy.TeamTokens, w.policy.TeamFees = []int64{6000, 6000, 1500, 6000}[seed%4], 200
 	w.policy.GapTimeout = 2 * time.Second
 	w.policy.LoopRepeats = 0
 	w.askable = seed%2 == 0
--- a/internal/owner/refuse.go
+++ b/internal/owner/refuse.go
@@ -37,6 +37,12 @@
 	if c.phase == phaseEnded {
 		return
 	}
+	if c.sentRuns > 0 {
+		out := unknown(reason)
+		out.RetryAfter = retryAfter
+		c.finish(out, journal.Amount{}, structs.RunEnded{})
+		return
+	}
 	out := refusal(reason, retryAfter, c.mayHaveRun() || c.resubmitted)
 	c.abandon()
 	c.answer(out)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -83,7 +83,12 @@
 	})
 }
 
+// runTimeout bounds a run. That of a not-repeatable call outlives its caller's
+// deadline, so that a retry hears what became of it.
 func (c *call) runTimeout() time.Duration {
+	if c.notRepeatable && c.service.Timeout > 0 {
+		return c.service.Timeout
+	}
 	left := c.deadline().Sub(c.shard.o.now)
 	if c.service.Timeout > 0 {
 		return min(left, c.service.Timeout)
@@ -103,14 +108,14 @@
 	c.dropStrangers()
 	if had && len(c.waiters) == 0 {
 		// The earlier owner's chunk counts the cost.
-		c.run = c.shard.o.newRun()
+		c.run = ""
 		c.finish(unknown(structs.ReasonTargetFailed), journal.Amount{}, structs.RunEnded{})
 		return true
 	}
 	if !ok {
 		return false
 	}
-	c.target, c.phase = target, phaseRunning
+	c.target, c.phase, c.foreign = target, phaseRunning, true
 	c.sentRuns++
 	c.joinPool()
 	c.requestPermit()
@@ -213,8 +218,16 @@
 		// A resumed run reports only what came after the resume.
 		out.Text = strings.Join(c.pieces, "")
 	}
-	cost := journal.Amount{Tokens: out.Usage.Tokens(), Fees: c.spec.Fee}
-	c.finish(out, cost, e)
+	c.finish(out, c.cost(out), e)
+}
+
+// cost is what an answer cost; the worst case if the target did not tell.
+func (c *call) cost(out structs.Outcome) journal.Amount {
+	cost := c.worst()
+	if used := out.Usage.Tokens(); used > 0 {
+		cost.Tokens = used
+	}
+	return cost
 }
 
 // notSent runs when the target certainly did not get the request. A resume that
@@ -230,15 +243,17 @@
 		return
 	}
 	if c.attempt < c.prog.policy().Retries && c.shard.owned() && e.Failure != structs.RunFenced {
-		c.tryAgain(e.Target)
+		c.prepareRetry(e.Target)
+		c.askPermit()
 		return
 	}
 	c.refuse(structs.ReasonNoTarget, busyRetryAfter)
 }
 
-// tryAgain asks for another permit. The Intent of a not-repeatable call covers
-// one send, and none has happened, so its run id stays.
-func (c *call) tryAgain(avoid structs.TargetID) {
+// prepareRetry readies the call for another permit. The Intent of a
+// not-repeatable call covers one send, and none has happened, so its run id
+// stays.
+func (c *call) prepareRetry(avoid structs.TargetID) {
 	c.attempt++
 	if avoid != "" {
 		c.avoid = append(c.avoid, avoid)
@@ -246,7 +261,6 @@
 	if !c.notRepeatable {
 		c.run = ""
 	}
-	c.askPermit()
 }
 
 // broken runs when the request may have run and its answer is lost.
@@ -254,8 +268,12 @@
 	retry := !c.notRepeatable && c.cancelled == "" && e.Failure != structs.RunTimeout &&
 		!c.delivered() && c.attempt < c.prog.policy().Retries && c.shard.owned()
 	if retry {
-		c.pieces, c.resumes = nil, 0
-		c.tryAgain(e.Target)
+		if !c.foreign {
+			c.burn()
+		}
+		c.pieces, c.resumes, c.foreign = nil, 0, false
+		c.prepareRetry(e.Target)
+		c.fund()
 		return
 	}
 	reason := structs.ReasonTargetFailed
@@ -280,7 +298,7 @@
 			return
 		}
 		out.Kind = structs.OutcomeAnswered
-		c.finish(out, journal.Amount{Tokens: out.Usage.Tokens(), Fees: c.spec.Fee}, e)
+		c.finish(out, c.cost(out), e)
 	})
 }
 
@@ -298,10 +316,13 @@
 // the log is down: an answer is never held back for it.
 func (c *call) finish(out structs.Outcome, cost journal.Amount, e structs.RunEnded) {
 	o := c.shard.o
+	if c.run == "" {
+		c.run = o.newRun()
+	}
 	count, digest := c.history()
 	done := &journal.Done{
 		CallID: c.id(), Service: c.spec.Service, Target: c.target.ID, NotRepeatable: c.notRepeatable,
-		Chunk: c.chunk, Cost: cost, Outcome: out, CacheTokens: c.cacheTokens(out), TookNS: int64(e.Took),
+		Chunk: c.chunk, Cost: cost.Plus(c.burned), Outcome: out, CacheTokens: c.cacheTokens(out), TookNS: int64(e.Took),
 		HistoryCount: count, HistoryDigest: digest,
 	}
 	if !c.notRepeatable || c.shard.logDown() || len(c.waiters) == 0 {
--- /dev/null
+++ b/internal/owner/takeover_test.go
@@ -0,0 +1,184 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// The next call of a lane waits until the old owner can send nothing more, and
+// an owner that was paused with a permit in its queue sends nothing afterwards.
+func TestPausedOwnerSendsNothingLate(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	id := w.program(1)
+	w.noGrant = true
+	first := testCall(id, 1, true)
+	r := w.submit(first, time.Minute)
+	w.run(200 * time.Millisecond)
+	run := w.nodes["o1"].o.requests[r.id].run
+	w.pause("o1", 6*time.Second)
+	paused := w.now
+	w.reply(testDisp, "o1", &structs.PermitGrant{
+		Pool: structs.PoolID{Service: testFiling, Region: testRegion}, Ref: structs.CallRef{Program: id, Run: run},
+		Target: structs.Target{ID: "filing-desk-1", Service: testFiling},
+	})
+	w.run(1100 * time.Millisecond)
+	w.noGrant = false
+	second := w.submit(testCall(id, 2, true), time.Minute)
+	w.run(4 * time.Second)
+	w.want(r, structs.OutcomeUnknown, structs.ReasonOwnerLost)
+	w.want(second, structs.OutcomeAnswered, "")
+	wait := w.nodes["o2"].o.cfg.RecoveryWait
+	if got := w.sends[0].at.Sub(paused); got < time.Second+wait {
+		t.Errorf("call 2 was sent %s after the pause began", got)
+	}
+	w.run(5 * time.Second)
+	if n := w.sendsOf(first); n != 0 {
+		t.Errorf("call 1 was sent %d times after call 2", n)
+	}
+}
+
+func TestNewOwnerCountsTheOpenChunk(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.policy.ProgramTokens = 400
+	id := w.program(1)
+	w.run(time.Second)
+	first := w.submit(testCall(id, 1, false), time.Minute)
+	for first.outcome == nil {
+		w.run(time.Millisecond)
+	}
+	// The answer is out; its record is not in the log yet.
+	w.kill("o1")
+	w.run(3 * time.Second)
+	second := testCall(id, 1, false)
+	second.Key = "again"
+	third := testCall(id, 2, false)
+	a, b := w.submit(second, time.Minute), w.submit(third, time.Minute)
+	w.run(3 * time.Second)
+	w.want(first, structs.OutcomeAnswered, "")
+	w.want(a, structs.OutcomeAnswered, "")
+	w.want(b, structs.OutcomeNotRun, structs.ReasonBudget)
+}
+
+func TestRunningIntentsHoldTheBudget(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.policy.ProgramFees = 25
+	w.runTime = time.Second
+	id := w.program(1)
+	var requests []*request
+	for _, lane := range []structs.Lane{"a", "b", "c"} {
+		c := testCall(id, 1, true)
+		c.Lane, c.Key = lane, string(lane)
+		requests = append(requests, w.submit(c, time.Minute))
+		w.run(100 * time.Millisecond)
+	}
+	w.run(2 * time.Second)
+	w.want(requests[0], structs.OutcomeAnswered, "")
+	w.want(requests[1], structs.OutcomeAnswered, "")
+	w.want(requests[2], structs.OutcomeNotRun, structs.ReasonBudget)
+}
+
+func TestStreamIsResumedByTheNextOwner(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.runTime = 2 * time.Second
+	id := w.program(1)
+	c := testCall(id, 1, false)
+	c.Stream = true
+	r := w.submit(c, time.Minute)
+	for len(r.pieces) == 0 {
+		w.run(10 * time.Millisecond)
+	}
+	w.run(100 * time.Millisecond)
+	w.kill("o1")
+	w.run(6 * time.Second)
+	w.want(r, structs.OutcomeAnswered, "")
+	if len(w.sends) != 1 || len(r.pieces) != 3 {
+		t.Errorf("%d sends, pieces %q", len(w.sends), r.pieces)
+	}
+}
+
+func TestLogOutage(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.policy.ProgramTokens = 5000
+	id := w.program(1)
+	warm := w.submit(testCall(id, 1, false), time.Minute)
+	w.run(time.Second)
+	w.want(warm, structs.OutcomeAnswered, "")
+	w.logDown = true
+	w.pump(w.nodes["o1"], "shard.lakes.0")
+	w.run(time.Second)
+	at := w.now
+	inChunk := w.submit(testCall(id, 2, false), time.Minute)
+	w.run(500 * time.Millisecond)
+	filing := w.submit(testCall(id, 3, true), time.Minute)
+	large := testCall(id, 3, false)
+	large.MaxTokens = 4000
+	w.run(50 * time.Millisecond)
+	tooLarge := w.submit(large, time.Minute)
+	w.run(100 * time.Millisecond)
+	w.want(inChunk, structs.OutcomeAnswered, "")
+	w.want(filing, structs.OutcomeNotRun, structs.ReasonLogUnavailable)
+	w.want(tooLarge, structs.OutcomeNotRun, structs.ReasonLogUnavailable)
+	w.run(10 * time.Minute)
+	w.logDown = false
+	w.run(3 * time.Second)
+	w.kill("o1")
+	w.run(3 * time.Second)
+	again := w.submit(testCall(id, 2, false), time.Minute)
+	w.run(time.Second)
+	w.want(again, structs.OutcomeAnswered, "")
+	if !again.outcome.Replayed || again.outcome.Text != inChunk.outcome.Text {
+		t.Errorf("the record of the outage (since %s) is lost: %+v", at, again.outcome)
+	}
+}
+
+// An append whose reply is lost and whose owner then dies is neither lost nor
+// counted twice.
+func TestLostReplyThenDeath(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.policy.ProgramFees = 15
+	id := w.program(1)
+	w.noGrant = true
+	w.faults.lostReply = 1
+	c := testCall(id, 1, true)
+	r := w.submit(c, time.Minute)
+	w.run(100 * time.Millisecond)
+	w.kill("o1")
+	w.faults.lostReply, w.noGrant = 0, false
+	w.run(5 * time.Second)
+	w.want(r, structs.OutcomeUnknown, structs.ReasonOwnerLost)
+	next := w.submit(testCall(id, 2, true), time.Minute)
+	w.run(time.Second)
+	w.want(next, structs.OutcomeNotRun, structs.ReasonBudget)
+	if len(w.sends) != 0 {
+		t.Errorf("%d sends", len(w.sends))
+	}
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.runTime = 2 * time.Second
+	id := w.program(1)
+	running := w.submit(testCall(id, 1, true), time.Minute)
+	w.run(200 * time.Millisecond)
+	behind := w.submit(testCall(id, 2, true), time.Minute)
+	w.run(100 * time.Millisecond)
+	w.policy.GapTimeout = 10 * time.Second
+	o1 := w.nodes["o1"]
+	o1.suspected = true // The membership list shows it leaving.
+	o1.deliver(structs.DrainStart{})
+	w.run(500 * time.Millisecond)
+	if o1.o.InFlight() == 0 {
+		t.Error("drained while a call runs")
+	}
+	w.run(6 * time.Second)
+	w.want(running, structs.OutcomeAnswered, "")
+	w.want(behind, structs.OutcomeAnswered, "")
+	if n := o1.o.InFlight(); n != 0 {
+		t.Errorf("%d in flight after the drain", n)
+	}
+	if w.sends[0].run == w.sends[1].run || w.nodes["o2"].o.shards[0].tenure != tenureOwned {
+		t.Error("the next owner did not take over")
+	}
+}
--- a/internal/owner/team.go
+++ b/internal/owner/team.go
@@ -82,10 +82,10 @@
 	return free
 }
 
-// holdTeams holds the call's worst case from the budget of every path of its
+// holdTeams holds the worst case of the call's next run from the budget of every path of its
 // team. It tells whether it could; if not, the call waits for a grant.
 func (c *call) holdTeams() bool {
-	if c.teams != nil {
+	if c.teamRuns > c.burns {
 		return true
 	}
 	need := c.worst()
@@ -98,7 +98,8 @@
 			return false
 		}
 	}
-	c.teams = paths
+	c.teams, c.teamRuns = paths, c.teamRuns+1
+	c.teamHold = c.teamHold.Plus(need)
 	for _, path := range paths {
 		a := c.shard.account(path)
 		a.held = a.held.Plus(need)
@@ -108,12 +109,11 @@
 
 // releaseTeams gives back what the call held.
 func (c *call) releaseTeams() {
-	need := c.worst()
 	for _, path := range c.teams {
 		a := c.shard.account(path)
-		a.held = a.held.Minus(need)
+		a.held = a.held.Minus(c.teamHold)
 	}
-	c.teams = nil
+	c.teams, c.teamHold, c.teamRuns = nil, journal.Amount{}, 0
 }
 
 // ask asks the ledger's owner for a grant, one at a time.
