--- /dev/null
+++ b/internal/load/balancer.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+)
+
+// Health checks of the balancer.
+const (
+	healthInterval = 250 * time.Millisecond
+	healthTimeout  = 500 * time.Millisecond
+)
+
+// balancer stands for the platform's: it offers the instances whose readiness
+// check answers.
+type balancer struct {
+	all    []*testkit.Process
+	client *http.Client
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu   sync.Mutex
+	down map[string]bool
+}
+
+func newBalancer(ctx context.Context, instances []*testkit.Process) *balancer {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &balancer{
+		all: append([]*testkit.Process(nil), instances...), client: &http.Client{Timeout: healthTimeout},
+		cancel: cancel, down: make(map[string]bool),
+	}
+	for _, p := range b.all {
+		b.work.Go(func() { b.check(ctx, p) })
+	}
+	return b
+}
+
+func (b *balancer) close() {
+	b.cancel()
+	b.work.Wait()
+	b.client.CloseIdleConnections()
+}
+
+// check asks one instance for its readiness until the context ends.
+func (b *balancer) check(ctx context.Context, p *testkit.Process) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		reply, err := b.client.Get(p.Server + "/readyz")
+		ready := err == nil && reply.StatusCode == http.StatusOK
+		if err == nil {
+			_ = reply.Body.Close()
+		}
+		b.set(p.Server, !ready)
+	}
+}
+
+func (b *balancer) set(server string, down bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down[server] = down
+}
+
+// pick gives the base URL of an instance that is not known to be down, or of
+// any if all are.
+func (b *balancer) pick(random *rand.Rand) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var up []string
+	for _, p := range b.all {
+		if !b.down[p.Server] {
+			up = append(up, p.Server)
+		}
+	}
+	if len(up) == 0 {
+		return b.all[random.IntN(len(b.all))].Server
+	}
+	return up[random.IntN(len(up))]
+}
--- /dev/null
+++ b/internal/load/balancer_test.go
@@ -0,0 +1,33 @@
+package load
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+)
+
+func TestBalancerSkipsWhatIsDown(t *testing.T) {
+	b := &balancer{all: []*testkit.Process{{Server: "a"}, {Server: "b"}}, down: make(map[string]bool)}
+	random := rand.New(rand.NewPCG(1, 1))
+	b.set("a", true)
+	for range 20 {
+		if got := b.pick(random); got != "b" {
+			t.Fatalf("picked %s", got)
+		}
+	}
+	b.set("b", true)
+	if got := b.pick(random); got == "" {
+		t.Error("none picked while all are down")
+	}
+}
+
+func TestAloneCountsSteps(t *testing.T) {
+	r := &run{model: DefaultModel()}
+	m := r.model
+	// Two chunks of prompt; the second makes the first of three tokens.
+	want := 4*m.StepBase + 600*m.StepPerPrefillToken + 3*m.StepPerSequence
+	if got := r.alone(600, 3); got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
--- /dev/null
+++ b/internal/load/metrics.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReply bounds the replies that the driver reads.
+const maxReply = 64 << 20
+
+// getJSON reads a JSON document.
+func getJSON(client *http.Client, url string, value any) error {
+	reply, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		return errors.Newf("%s: %s", url, reply.Status)
+	}
+	return json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(value)
+}
+
+// readMetrics reads an instance's metrics, summed over their labels.
+func readMetrics(client *http.Client, server string) (map[string]float64, error) {
+	reply, err := client.Get(server + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(reply.Body, maxReply))
+	if err != nil {
+		return nil, err
+	}
+	return parseMetrics(string(text)), nil
+}
+
+// parseMetrics reads the text format of Prometheus and sums over labels.
+func parseMetrics(text string) map[string]float64 {
+	sums := make(map[string]float64)
+	for _, line := range strings.Split(text, "\n") {
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		cut := strings.LastIndexByte(line, ' ')
+		if cut < 0 {
+			continue
+		}
+		name, _, _ := strings.Cut(line[:cut], "{")
+		value, err := strconv.ParseFloat(line[cut+1:], 64)
+		if err != nil {
+			continue
+		}
+		sums[name] += value
+	}
+	return sums
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ClassFigures are the figures of one class. Times are in milliseconds.
+type ClassFigures struct {
+	Started, Finished, Failed int64
+	Latency, Slowdown         Quantiles
+	FirstToken, BetweenTokens Quantiles
+	Refusals, Retries         int64
+	Unknown                   int64
+	Refused                   map[string]int64
+	PromptTokens              int64
+	// Recomputed are prompt tokens that the program had sent before and that
+	// no cache held.
+	Recomputed int64
+}
+
+// classRecorder collects the figures of one class.
+type classRecorder struct {
+	started, finished, failed  atomic.Int64
+	latency, firstToken, token *histogram
+	slowdown                   *histogram
+	refusals, retries, unknown atomic.Int64
+	prompt, recomputed         atomic.Int64
+
+	mu      sync.Mutex
+	refused map[string]int64
+}
+
+func newClassRecorder() *classRecorder {
+	return &classRecorder{
+		latency: newDurations(), firstToken: newDurations(), token: newDurations(),
+		slowdown: newRatios(), refused: make(map[string]int64),
+	}
+}
+
+// ended notes a program that ended after its latency; alone is its latency on
+// an idle system.
+func (c *classRecorder) ended(latency, alone time.Duration) {
+	c.finished.Add(1)
+	c.latency.duration(latency)
+	c.slowdown.ratio(float64(latency) / float64(alone))
+}
+
+func (c *classRecorder) refuse(reason string) {
+	c.refusals.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[reason]++
+}
+
+// pieces notes the times of the pieces of a streamed answer, from the request.
+func (c *classRecorder) pieces(times []time.Duration) {
+	if len(times) == 0 {
+		return
+	}
+	c.firstToken.duration(times[0])
+	for i := 1; i < len(times); i++ {
+		c.token.duration(times[i] - times[i-1])
+	}
+}
+
+// merge adds what another recorder collected.
+func (c *classRecorder) merge(other *classRecorder) {
+	c.latency.merge(other.latency)
+	c.slowdown.merge(other.slowdown)
+	c.firstToken.merge(other.firstToken)
+	c.token.merge(other.token)
+	for _, counter := range []struct{ to, from *atomic.Int64 }{
+		{&c.started, &other.started}, {&c.finished, &other.finished}, {&c.failed, &other.failed},
+		{&c.refusals, &other.refusals}, {&c.retries, &other.retries}, {&c.unknown, &other.unknown},
+		{&c.prompt, &other.prompt}, {&c.recomputed, &other.recomputed},
+	} {
+		counter.to.Add(counter.from.Load())
+	}
+	from := other.figures().Refused
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for reason, count := range from {
+		c.refused[reason] += count
+	}
+}
+
+func (c *classRecorder) figures() ClassFigures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refused := make(map[string]int64, len(c.refused))
+	for reason, count := range c.refused {
+		refused[reason] = count
+	}
+	return ClassFigures{
+		Started: c.started.Load(), Finished: c.finished.Load(), Failed: c.failed.Load(),
+		Latency: c.latency.quantiles(), Slowdown: c.slowdown.quantiles(),
+		FirstToken: c.firstToken.quantiles(), BetweenTokens: c.token.quantiles(),
+		Refusals: c.refusals.Load(), Retries: c.retries.Load(), Unknown: c.unknown.Load(),
+		Refused: refused, PromptTokens: c.prompt.Load(), Recomputed: c.recomputed.Load(),
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// maxErrorsShown bounds the failures printed for one scenario.
+const maxErrorsShown = 3
+
+func printScenarioHeader(out io.Writer) {
+	columns := []string{
+		"scenario", "class", "programs", "failed", "slowdown mean", "p50", "p95", "p99 pooled", "p99 by seed",
+		"latency p99 ms", "first token p50/p95 ms", "between tokens p50/p95 ms", "refusals", "retries", "recomputed %",
+		"gone cache %", "left tokens", "appends/s",
+	}
+	fmt.Fprintln(out, row(columns...))
+	fmt.Fprintln(out, row(slices.Repeat([]string{"---"}, len(columns))...))
+}
+
+// printScenario prints one row a class over all seeds.
+func printScenario(out io.Writer, o ScenarioOptions, results []*Result) {
+	for _, class := range o.Classes {
+		pooled := newClassRecorder()
+		var tails, gone, left, appends []float64
+		for _, r := range results {
+			pooled.merge(r.pooled[class.Name])
+			tails = append(tails, r.Classes[class.Name].Slowdown.P99)
+			gone = append(gone, share(r.Waste.Gone, r.Waste.Held))
+			left = append(left, float64(r.Waste.Left))
+			appends = append(appends, r.Appends)
+		}
+		f := pooled.figures()
+		fmt.Fprintln(out, row(
+			results[0].Scenario, class.Name, fmt.Sprint(f.Started), fmt.Sprint(f.Failed),
+			fmt.Sprintf("%.2f", f.Slowdown.Mean), fmt.Sprintf("%.2f", f.Slowdown.P50),
+			fmt.Sprintf("%.2f", f.Slowdown.P95), fmt.Sprintf("%.2f", f.Slowdown.P99), Spread(tails, 2),
+			fmt.Sprintf("%.0f", f.Latency.P99),
+			fmt.Sprintf("%.1f/%.1f", f.FirstToken.P50, f.FirstToken.P95),
+			fmt.Sprintf("%.1f/%.1f", f.BetweenTokens.P50, f.BetweenTokens.P95),
+			refusals(f), fmt.Sprint(f.Retries),
+			fmt.Sprintf("%.1f", share(float64(f.Recomputed), float64(f.PromptTokens))),
+			Spread(gone, 1), Spread(left, 0), Spread(appends, 0),
+		))
+	}
+	printErrors(out, results)
+}
+
+// share is a part in per cent of the whole.
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	const perCent = 100
+	return perCent * part / whole
+}
+
+// refusals lists the refusals by the last segment of their problem type.
+func refusals(f ClassFigures) string {
+	var parts []string
+	for _, problem := range slices.Sorted(maps.Keys(f.Refused)) {
+		name := problem[strings.LastIndexAny(problem, ":/")+1:]
+		parts = append(parts, fmt.Sprintf("%s %d", name, f.Refused[problem]))
+	}
+	if len(parts) == 0 {
+		return "0"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func printErrors(out io.Writer, results []*Result) {
+	for _, r := range results {
+		for i, text := range r.Errors {
+			if i == maxErrorsShown {
+				break
+			}
+			fmt.Fprintf(out, "failed (%s, seed %d): %s\n", r.Scenario, r.Seed, text)
+		}
+	}
+}
--- a/internal/testkit/client.go
+++ b/internal/testkit/client.go
@@ -39,7 +39,8 @@
 	NotRepeatable bool
 	Deadline      time.Duration
 	Fee           int
-	// Attempt counts the deliveries of the key, from 1; 0 sends no header.
+	// Attempt counts the deliveries of the key, from 1. The first is declared
+	// fresh; 0 declares nothing.
 	Attempt int
 }
 
@@ -59,6 +60,10 @@
 	// the time to the end.
 	FirstPiece time.Duration
 	Took       time.Duration
+	// PieceTimes are the times of all pieces of a streamed answer, and Usage
+	// what its last event counts.
+	PieceTimes []time.Duration
+	Usage      wire.Usage
 	// Cut tells that the connection ended before the answer did.
 	Cut bool
 }
@@ -162,7 +167,9 @@
 	set("Idempotency-Key", call.Key)
 	set("Banyanglade-Deadline-Ms", fmt.Sprint(call.Deadline.Milliseconds()))
 	set("Banyanglade-Fee", fmt.Sprint(call.Fee))
-	set("Banyanglade-Attempt", fmt.Sprint(call.Attempt))
+	if call.Attempt == 1 {
+		set("Banyanglade-Fresh", "true")
+	}
 	if call.NotRepeatable {
 		set("Banyanglade-Not-Repeatable", "true")
 	}
@@ -219,17 +226,22 @@
 }
 
 func (a *Answer) takePiece(data string, started time.Time) {
+	at := time.Since(started)
 	var chunk wire.ChatChunk
 	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
 		return
 	}
+	if chunk.Usage != nil {
+		a.Usage = *chunk.Usage
+	}
 	delta := chunk.Choices[0].Delta
 	if delta == nil || delta.Content == "" {
 		return
 	}
 	if a.Pieces == 0 {
-		a.FirstPiece = time.Since(started)
+		a.FirstPiece = at
 	}
+	a.PieceTimes = append(a.PieceTimes, at)
 	a.Pieces++
 	a.Text += delta.Content
 }
