A refusal without a look-up says "not run" only to a fresh key

Change: one rule in Call.Refusal for the gateway, a starting instance and the HTTP limits; the header is Banyanglade-Fresh, a declaration, in place of a count of deliveries.

--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -197,6 +197,9 @@
 // giveUp is the gateway's own final word. "Not run" needs that no instance may
 // hold the request.
 func (g *Gateway) giveUp(p *pending, reason structs.Reason) structs.Outcome {
+	if len(p.holders) == 0 && p.call != nil {
+		return p.call.Refusal(reason, retryAfterSearch)
+	}
 	if len(p.holders) == 0 {
 		return notRun(reason, retryAfterSearch)
 	}
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -23,7 +23,7 @@
 		size = length
 	}
 	if !s.limits.bodies.TryAcquire(size) {
-		return nil, func() {}, busy("too many bytes of requests are in flight at this instance")
+		return nil, func() {}, busy(c.Request.Header, "too many bytes of requests are in flight at this instance")
 	}
 	body, problem = s.readWithin(c, size)
 	unused := size - int64(len(body))
--- a/internal/httpapi/chat_test.go
+++ b/internal/httpapi/chat_test.go
@@ -51,7 +51,7 @@
 	f.answerWith(answered)
 	program := newProgramID(testRegion, f.api.config.Now())
 	_, _ = f.do(http.MethodPost, chatRoute, chatBody, HeaderProgram, string(program), HeaderLane, "sub",
-		HeaderCall, "7", HeaderNotRepeatable, "true", HeaderFork, "true", HeaderFee, "12", HeaderAttempt, "1", HeaderTeam, "lakeshore/clearance")
+		HeaderCall, "7", HeaderNotRepeatable, "true", HeaderFork, "true", HeaderFee, "12", HeaderFresh, "true", HeaderTeam, "lakeshore/clearance")
 	call := f.submitted().Call
 	if call.Program != program || call.Lane != "sub" || call.Number != 7 || call.Key != "sub/7" || call.Single {
 		t.Errorf("identity %+v", call)
--- a/internal/httpapi/headers.go
+++ b/internal/httpapi/headers.go
@@ -27,9 +27,9 @@
 	HeaderNotRepeatable = "Banyanglade-Not-Repeatable"
 	// HeaderFork allows a call's messages to leave the known history.
 	HeaderFork = "Banyanglade-Fork"
-	// HeaderAttempt counts the deliveries of a key, from 1. Only a first
-	// delivery can be refused as not run while the log cannot be read.
-	HeaderAttempt = "Banyanglade-Attempt"
+	// HeaderFresh declares that no earlier delivery of the key can have run:
+	// there was none, or each was refused as not run.
+	HeaderFresh = "Banyanglade-Fresh"
 	// HeaderDeadline is the most time for an answer, in milliseconds.
 	HeaderDeadline = "Banyanglade-Deadline-Ms"
 	// HeaderFee is the cost of a call in the team's currency units.
@@ -51,7 +51,6 @@
 	maxTeamLength    = 255
 	maxServiceLength = 128
 	maxFee           = 1 << 40
-	maxAttempt       = 1 << 20
 	maxDeadlineMS    = 24 * 60 * 60 * 1000
 )
 
@@ -60,7 +59,7 @@
 var requestHeaders = map[string]bool{
 	HeaderProgram: true, HeaderTeam: true, HeaderService: true, HeaderLane: true,
 	HeaderCall: true, HeaderNotRepeatable: true, HeaderFork: true,
-	HeaderDeadline: true, HeaderFee: true, HeaderAttempt: true,
+	HeaderDeadline: true, HeaderFee: true, HeaderFresh: true,
 }
 
 // singleHeaders may occur once only.
@@ -76,8 +75,7 @@
 	key           string
 	notRepeatable bool
 	fork          bool
-	// attempt is the number of the delivery, 0 if the caller gave none.
-	attempt int64
+	fresh         bool
 	fee     int64
 	// wait is the most time for an answer; 0 if the caller gave none.
 	wait time.Duration
@@ -116,7 +114,7 @@
 		key:           p.key(),
 		notRepeatable: p.flag(HeaderNotRepeatable),
 		fork:          p.flag(HeaderFork),
-		attempt:       p.number(HeaderAttempt, 1, maxAttempt),
+		fresh:         p.flag(HeaderFresh),
 		fee:           p.number(HeaderFee, 0, maxFee),
 		wait:          time.Duration(p.number(HeaderDeadline, 1, maxDeadlineMS)) * time.Millisecond,
 	}
--- a/internal/httpapi/limits.go
+++ b/internal/httpapi/limits.go
@@ -27,7 +27,19 @@
 
 // busy is the refusal of a request that this instance has no room for. It
 // differs in its status from the core's refusal of a team with too much work.
-func busy(detail string) *Problem {
-	return refuse(structs.ReasonOverloaded, "%s", detail).
+// An earlier delivery of the request's key is not looked up, so that "not run"
+// is said only of a request that can have none.
+func busy(header http.Header, detail string) *Problem {
+	outcome := outcomeNotRun
+	if mayRepeat(header) {
+		outcome = outcomeUnknown
+	}
+	return newProblem(structs.ReasonOverloaded, outcome, detail).
 		withStatus(http.StatusServiceUnavailable).retryAfter(localRetryAfter)
 }
+
+// mayRepeat tells whether a request may be a further delivery of its key.
+func mayRepeat(header http.Header) bool {
+	keyed := header.Get(HeaderIdempotencyKey) != "" || header.Get(HeaderCall) != ""
+	return keyed && header.Get(HeaderFresh) != "true"
+}
--- a/internal/httpapi/middleware.go
+++ b/internal/httpapi/middleware.go
@@ -118,7 +118,7 @@
 // limit bounds the callers' requests in flight.
 func (s *Server) limit(c *gin.Context) {
 	if !s.limits.requests.TryAcquire(1) {
-		s.fail(c, busy("too many requests are in flight at this instance"))
+		s.fail(c, busy(c.Request.Header, "too many requests are in flight at this instance"))
 		return
 	}
 	defer s.limits.requests.Release(1)
--- a/internal/httpapi/wait.go
+++ b/internal/httpapi/wait.go
@@ -38,7 +38,7 @@
 	}()
 	posted = s.core.Post(event)
 	if !posted {
-		return nil, busy("the instance's queue is full or the instance has stopped")
+		return nil, busy(c.Request.Header, "the instance's queue is full or the instance has stopped")
 	}
 	wait := deadline.Sub(s.config.Now()) + s.config.ReplyGrace
 	return &pending{server: s, ctx: ctx, exchange: e, timer: time.NewTimer(wait)}, nil
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -34,11 +34,11 @@
 		in.gateway = append(in.gateway, ev)
 		return
 	}
-	out := structs.Outcome{Kind: structs.OutcomeNotRun, Reason: reason, RetryAfter: retryAfterStart}
 	switch ev := ev.(type) {
 	case structs.CallerSubmit:
-		in.replies = append(in.replies, structs.ReplyEnd{Request: ev.Request, Outcome: out})
+		in.replies = append(in.replies, structs.ReplyEnd{Request: ev.Request, Outcome: ev.Call.Refusal(reason, retryAfterStart)})
 	case structs.CallerProgram:
+		out := structs.Outcome{Kind: structs.OutcomeNotRun, Reason: reason, RetryAfter: retryAfterStart}
 		in.replies = append(in.replies, structs.ReplyProgram{Request: ev.Request, Outcome: out})
 	}
 }
--- a/internal/structs/call.go
+++ b/internal/structs/call.go
@@ -40,8 +40,9 @@
 	// Single marks a call made without a program: the program is closed
 	// when the call ends.
 	Single bool
-	// FirstAttempt tells that the caller sends this key for the first time:
-	// no earlier request with it can have run.
+	// FirstAttempt tells that no earlier delivery of the key can have run:
+	// the call has no key of the caller's, or the caller declares that there
+	// was none or that each was refused as not run.
 	FirstAttempt bool
 	// Fork allows the call's messages to leave the lane's known history, as
 	// when an agent compacts its context.
@@ -195,6 +196,18 @@
 	Targets []TargetID
 }
 
+// Refusal is the outcome of a call that is refused without looking up earlier
+// deliveries of its key: "not run" would be a guess unless there was none.
+func (c *Call) Refusal(reason Reason, after time.Duration) Outcome {
+	if c.FirstAttempt {
+		return Outcome{Kind: OutcomeNotRun, Reason: reason, RetryAfter: after}
+	}
+	return Outcome{
+		Kind: OutcomeUnknown, Reason: reason, RetryAfter: after,
+		Detail: "This delivery did not run, but earlier ones of the key could not be looked up; ask again with the same key.",
+	}
+}
+
 // TargetKey is the idempotency key of the call at its target: the call's Key
 // made unique over all programs, empty if Key is.
 func (c *Call) TargetKey() string {
