Mutual TLS between instances; gauges and outcome counters

Cause: the peer key alone leaves the traffic between instances readable, and /metrics told nothing of the core's queues. Change: flags for certificate, key and authority; the chain is verified, the name is not, since instances move; gauges of owned shards, waiting calls, owed releases; calls_ended by outcome and reason. Ruled out: names in certificates bound to addresses. Shown: internal/node tests (one authority accepted, another refused, an incomplete set refused).

--- a/cmd/banyanglade/instance.go
+++ b/cmd/banyanglade/instance.go
@@ -24,6 +24,7 @@
 		MembersURL:    cfg.MembersURL,
 		Shards:        cfg.Shards,
 		PeerKey:       []byte(cfg.PeerKey.Reveal()),
+		PeerTLS:       node.PeerTLS{CertFile: cfg.PeerTLSCert, KeyFile: cfg.PeerTLSKey, CAFile: cfg.PeerTLSCA},
 		RootKeyHash:   cfg.RootKeySHA256,
 		Retention:     cfg.Retention,
 		DrainTimeout:  cfg.DrainTimeout,
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -47,6 +47,9 @@
 
 	Shards        int    `arg:"--shards,env:BANYANGLADE_SHARDS" default:"64" help:"number of shards of the region's programs; the same at all instances, never changed"`
 	PeerKey       Secret `arg:"--,env:BANYANGLADE_PEER_KEY" help:"key that all instances share, at least 16 bytes"`
+	PeerTLSCert   string `arg:"--peer-tls-cert,env:BANYANGLADE_PEER_TLS_CERT" placeholder:"FILE" help:"certificate of this instance for mutual TLS with other instances (PEM)"`
+	PeerTLSKey    string `arg:"--peer-tls-key,env:BANYANGLADE_PEER_TLS_KEY" placeholder:"FILE" help:"private key of the certificate (PEM)"`
+	PeerTLSCA     string `arg:"--peer-tls-ca,env:BANYANGLADE_PEER_TLS_CA" placeholder:"FILE" help:"authority that signs the instances' certificates (PEM)"`
 	RootKeySHA256 string `arg:"--root-key-sha256,env:BANYANGLADE_ROOT_KEY_SHA256" placeholder:"HEX" help:"SHA-256 of the root operator's key; without it there is no root operator"`
 
 	LogLevel     slog.Level    `arg:"--log-level,env:BANYANGLADE_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
@@ -189,6 +192,10 @@
 	if n := len(c.PeerKey.Reveal()); n < minPeerKeyBytes || n > maxPeerKeyBytes {
 		return &ConfigError{"peer-key-file", "", "a peer key of at least 16 bytes, here or in BANYANGLADE_PEER_KEY"}
 	}
+	given := c.PeerTLSCert != "" || c.PeerTLSKey != "" || c.PeerTLSCA != ""
+	if given && (c.PeerTLSCert == "" || c.PeerTLSKey == "" || c.PeerTLSCA == "") {
+		return &ConfigError{"peer-tls-cert", c.PeerTLSCert, "--peer-tls-cert, --peer-tls-key and --peer-tls-ca together, or none"}
+	}
 	if c.RootKeySHA256 == "" {
 		return nil
 	}
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -11,6 +11,7 @@
 	switch cmd := cmd.(type) {
 	case structs.ReplyChunk, structs.ReplyEnd, structs.ReplyProgram,
 		structs.ReplyPrograms, structs.ReplySettings, structs.ReplyApplied:
+		n.gauges.count(cmd)
 		a.http.Deliver(cmd)
 	case structs.SendPeer:
 		a.peers.Send(cmd.To, cmd.Msg)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -29,6 +29,8 @@
 	Shards     int
 	// PeerKey authenticates the instances to each other.
 	PeerKey []byte
+	// PeerTLS adds mutual TLS between the instances.
+	PeerTLS PeerTLS
 	// RootKeyHash is the hexadecimal SHA-256 of the root operator's key.
 	RootKeyHash string
 	// Retention is how long the log keeps records.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -155,11 +155,12 @@
 	l.metrics.duration.RecordDuration(time.Since(started))
 }
 
-// untilWake gives the time to the core's next timer, an hour if there is none.
+// untilWake gives the time to the core's next timer, at most the interval of
+// the gauges.
 func (l *loop) untilWake() time.Duration {
 	next := l.core.NextWake()
 	if next.IsZero() {
-		return time.Hour
+		return gaugeInterval
 	}
-	return max(time.Until(next), 0)
+	return min(max(time.Until(next), 0), gaugeInterval)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+
+	"github.com/banyanglade/banyanglade/internal/instance"
 )
 
 // startTimeout and stopTimeout bound the hooks of fx; the drain has its own
@@ -55,20 +57,28 @@
 	loop     *loop
 	mirror   *mirror
 	adapters *adapters
+	gauges   *gauges
 	drained  chan struct{}
 	failed   chan error
 }
 
-func newNode(cfg Config, log *slog.Logger, l *loop, m *mirror, a *adapters) *node {
+func newNode(cfg Config, log *slog.Logger, l *loop, m *mirror, a *adapters, counts *metrics) *node {
 	n := &node{
 		cfg: cfg, log: log, loop: l, mirror: m, adapters: a,
+		gauges:  &gauges{scope: counts.scope},
 		drained: make(chan struct{}), failed: make(chan error, 1),
 	}
 	l.carry = n.carry
-	l.after = m.update
+	l.after = n.afterTick
 	return n
 }
 
+// afterTick brings what others read of the core up to date.
+func (n *node) afterTick(core *instance.Instance) {
+	n.mirror.update(core)
+	n.gauges.report(time.Now(), core)
+}
+
 // waitDrained waits for the signal to end, then until nothing is in flight or
 // the drain timeout has passed.
 func (n *node) waitDrained(ctx context.Context) {
--- /dev/null
+++ b/internal/node/tls_test.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir(), key: newKey(t)}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert = a.sign(template, template, &a.key.PublicKey, "ca.pem")
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (a *authority) sign(template, parent *x509.Certificate, public *ecdsa.PublicKey, name string) *x509.Certificate {
+	a.t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, public, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name, "CERTIFICATE", der)
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	a.t.Helper()
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(a.dir, name), data, 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// instance makes the files of an instance's certificate.
+func (a *authority) instance() PeerTLS {
+	a.t.Helper()
+	key := newKey(a.t)
+	a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "instance"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, &key.PublicKey, "cert.pem")
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write("key.pem", "EC PRIVATE KEY", der)
+	file := func(name string) string { return filepath.Join(a.dir, name) }
+	return PeerTLS{CertFile: file("cert.pem"), KeyFile: file("key.pem"), CAFile: file("ca.pem")}
+}
+
+// shake makes a TLS connection from one configuration to another and returns
+// the errors of both sides.
+func shake(t *testing.T, from, to PeerTLS) (client, server error) {
+	t.Helper()
+	dial, err := from.load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve, err := to.load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		far, err := listener.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		done <- tls.Server(far, serve).HandshakeContext(ctx)
+		_ = far.Close()
+	}()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := tls.Client(near, dial)
+	client = conn.HandshakeContext(ctx)
+	if client == nil {
+		// With TLS 1.3 a refused client hears of it at its first read.
+		_, client = conn.Read(make([]byte, 1))
+	}
+	_ = near.Close()
+	return client, <-done
+}
+
+func TestInstancesOfOneAuthorityTrustEachOther(t *testing.T) {
+	a := newAuthority(t)
+	files := a.instance()
+	if _, err := shake(t, files, files); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAnotherAuthorityIsRefused(t *testing.T) {
+	ours, theirs := newAuthority(t).instance(), newAuthority(t).instance()
+	client, server := shake(t, theirs, ours)
+	if client == nil && server == nil {
+		t.Fatal("a certificate of another authority was accepted")
+	}
+}
+
+func TestIncompleteFilesAreRefused(t *testing.T) {
+	files := newAuthority(t).instance()
+	files.CAFile = ""
+	if _, err := files.load(); err == nil {
+		t.Fatal("accepted without an authority")
+	}
+}
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"log/slog"
 	"net"
@@ -38,9 +39,15 @@
 type listeners struct {
 	callers net.Listener
 	peers   net.Listener
+	// tls is the configuration between instances, nil for none.
+	tls *tls.Config
 }
 
 func newListeners(cfg Config) (*listeners, error) {
+	security, err := cfg.PeerTLS.load()
+	if err != nil {
+		return nil, err
+	}
 	callers, err := net.Listen("tcp", cfg.CallerListen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -52,7 +59,8 @@
 	}
 	return &listeners{
 		callers: netutil.LimitListener(callers, maxCallerConns),
-		peers:   netutil.LimitListener(peers, maxPeerConns),
+		peers:   wrapTLS(netutil.LimitListener(peers, maxPeerConns), security),
+		tls:     security,
 	}, nil
 }
 
@@ -97,6 +105,7 @@
 	fx.In
 
 	Config   Config
+	Listen   *listeners
 	Instance structs.InstanceConfig
 	Core     *instance.Instance
 	Loop     *loop
@@ -112,7 +121,7 @@
 	scope := p.Metrics.scope
 	a.peers, err = peer.New(ctx, peer.Config{
 		Self: p.Instance.Self, Incarnation: p.Instance.Incarnation,
-		Key: p.Config.PeerKey, PeerTimeout: p.Instance.PeerTimeout,
+		Key: p.Config.PeerKey, TLS: p.Listen.tls, PeerTimeout: p.Instance.PeerTimeout,
 	}, p.Loop.post, p.Mirror.peer, scope.SubScope("peer"), p.Log)
 	if err != nil {
 		return nil, err
