--- a/internal/proofs/caller.go
+++ b/internal/proofs/caller.go
@@ -86,10 +86,14 @@
 	answer, err := testkit.NewClient(to.server, r.key).Do(limited, q.method, q.path, q.body, testkit.Call{
 		Program: q.call.Program, Lane: q.call.Lane, Number: q.call.Number, Key: q.call.Key,
 		NotRepeatable: q.call.NotRepeatable, Deadline: deadline, Fee: q.call.Fee,
+		Attempt: r.History.nextDelivery(q.call),
 	})
 	a.End = time.Now()
 	a.Word = wordOf(limited, answer, err)
 	if answer != nil {
+		if answer.Problem == nil && answer.Status >= http.StatusBadRequest {
+			a.Reason = "the target's " + http.StatusText(answer.Status)
+		}
 		a.Status, a.Text, a.Body = answer.Status, answer.Text, answer.Body
 		if p := answer.Problem; p != nil {
 			a.Reason = strings.TrimPrefix(p.Type, problemPrefix)
--- a/internal/proofs/describe.go
+++ b/internal/proofs/describe.go
@@ -1,9 +1,13 @@
 package proofs
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
+	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
@@ -28,6 +32,24 @@
 	return "[" + strings.Join(parts, "; ") + "]"
 }
 
+// describeLog lists the records of the journal streams.
+func describeLog(e Evidence) string {
+	var out strings.Builder
+	for _, stream := range slices.Sorted(maps.Keys(e.Log)) {
+		fmt.Fprintf(&out, "%s\n", stream)
+		for _, r := range e.Log[stream] {
+			rec, err := journal.Decode(r.Data)
+			if err != nil {
+				fmt.Fprintf(&out, "  %d at %d: %d bytes\n", r.Offset, r.TimeMS, len(r.Data))
+				continue
+			}
+			body, _ := json.Marshal(rec.Body)
+			fmt.Fprintf(&out, "  %d at %d: epoch %d of %s, %T %s\n", r.Offset, r.TimeMS, rec.Epoch, rec.Writer, rec.Body, clip(string(body)))
+		}
+	}
+	return out.String()
+}
+
 // describeEvidence lists the calls with their attempts and runs, and the owners
 // and changes, for reading after a failure.
 func describeEvidence(e Evidence) string {
--- a/internal/proofs/evidence.go
+++ b/internal/proofs/evidence.go
@@ -17,8 +17,9 @@
 	Caches map[string]wire.CacheState
 	// Log holds the records of every stream read.
 	Log map[string][]wire.LogRecord
-	// Shards is the number of shards of a region.
-	Shards int
+	// Dropped are the streams whose first records the log keeps no more, so
+	// that what is missing in them proves nothing.
+	Dropped map[string]bool
 	// Disturbed are the times in which a broken connection or silence of an
 	// instance is the fault's doing.
 	Disturbed []Disturbance
--- a/internal/proofs/history.go
+++ b/internal/proofs/history.go
@@ -80,6 +80,9 @@
 	// target.
 	RunTime  time.Duration
 	Attempts []Attempt
+
+	// deliveries counts the attempts begun.
+	deliveries int
 }
 
 // Program is one program of a caller.
@@ -113,6 +116,14 @@
 	h.calls = append(h.calls, call)
 }
 
+// nextDelivery counts an attempt that is about to be made, from 1.
+func (h *History) nextDelivery(call *Call) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call.deliveries++
+	return call.deliveries
+}
+
 // addAttempt records the end of an attempt.
 func (h *History) addAttempt(call *Call, attempt Attempt) {
 	h.mu.Lock()
--- a/internal/proofs/request.go
+++ b/internal/proofs/request.go
@@ -14,26 +14,23 @@
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
-// maxTokens bounds the answer of a chat in tokens; a prompt asks for fewer.
-const maxTokens = 2000
-
-// chatRequest makes the request of a chat whose prompt asks for tokens.
+// chatRequest makes the request of a chat whose answer has so many tokens.
 func chatRequest(call *Call, messages []wire.ChatMessage, tokens int, stream bool) request {
 	call.Kind = Chat
 	call.PromptTokens = promptTokens(messages)
 	call.Want = engine.Answer{Program: call.Program, PromptHash: engine.PromptHash(messages)}.Text(0, tokens)
-	call.BodyHash = engineBodyHash(messages)
+	call.BodyHash = engineBodyHash(messages, tokens)
 	body := encode(wire.ChatRequest{
-		Model: testkit.ModelService, Messages: messages, MaxTokens: maxTokens, Stream: stream,
+		Model: testkit.ModelService, Messages: messages, MaxTokens: tokens, Stream: stream,
 	})
 	return request{call: call, method: http.MethodPost, path: wire.ChatRoute, body: body}
 }
 
 // engineBodyHash is the hash of the body that an engine gets for a chat: the
 // caller's fields in order of name, streamed.
-func engineBodyHash(messages []wire.ChatMessage) string {
+func engineBodyHash(messages []wire.ChatMessage, tokens int) string {
 	fields := map[string]any{
-		"model": testkit.ModelService, "messages": messages, "max_tokens": maxTokens, "stream": true,
+		"model": testkit.ModelService, "messages": messages, "max_tokens": tokens, "stream": true,
 	}
 	return ledger.BodyHash(append(encode(fields), '\n'))
 }
--- a/internal/proofs/scenario.go
+++ b/internal/proofs/scenario.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/standin/cluster"
 	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
 // scenarioLimit bounds one scenario with its start and its end.
@@ -93,6 +94,7 @@
 	}
 	defer rig.Close()
 	err = s.Run(limited, rig)
+	rig.Log.SetFaults(wire.LogFaults{})
 	rig.untilReleased(limited)
 	evidence := rig.collect(limited)
 	result.Verdict = Check(evidence)
@@ -135,6 +137,7 @@
 		write(p.ID+".log", p.Log())
 	}
 	write("history.txt", describeEvidence(e))
+	write("journal.txt", describeLog(e))
 	text := fmt.Sprintf("seed %d\n", result.Seed)
 	for _, v := range result.Violations {
 		text += v.String() + "\n"
