Peer transport: one log line for an instance that cannot be reached

Cause: each failed dial was logged, about one a second for a dead instance. Change: the first one is logged; each is counted. Conclusion: done.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -75,7 +75,10 @@
 	l.dialing = false
 	l.notBefore = time.Now().Add(l.redial.NextBackOff())
 	t.metrics.dialsFailed.Inc(1)
-	t.logger.Warn("peer cannot be reached", "peer", l.id, "error", err)
+	if !l.unreachable {
+		t.logger.Warn("peer cannot be reached", "peer", l.id, "error", err)
+	}
+	l.unreachable = true
 	if l.current != nil {
 		return
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,8 +27,10 @@
 	current  *session
 	sessions map[*session]struct{}
 	dialing  bool
-	probing  bool
-	watched  bool
+	// unreachable tells that the last dial failed.
+	unreachable bool
+	probing     bool
+	watched     bool
 	// lastHeard is when a heartbeat was answered, or when waiting for one
 	// began.
 	lastHeard time.Time
@@ -137,6 +139,7 @@
 		t.startProbe(l)
 	}
 	l.redial.Reset()
+	l.unreachable = false
 	l.notBefore = time.Time{}
 	t.liveness.up(l.id)
 	return l
