--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -21,7 +21,7 @@
 	maxShards       = 1 << 16
 	minPeerKeyBytes = 16
 	maxPeerKeyBytes = 4096
-	minRetention    = time.Minute
+	minRetention    = 10 * time.Second
 	minBody         = 1 << 10
 	maxBody         = 1 << 30
 )
@@ -210,7 +210,7 @@
 	case c.Shards < 1 || c.Shards > maxShards:
 		return &ConfigError{"shards", "", "1 to 65536"}
 	case c.Retention < minRetention:
-		return &ConfigError{"retention", c.Retention.String(), "at least 1m"}
+		return &ConfigError{"retention", c.Retention.String(), "at least 10s"}
 	case c.DrainTimeout <= 0:
 		return &ConfigError{"drain-timeout", c.DrainTimeout.String(), "more than 0"}
 	case c.MaxBody < minBody || c.MaxBody > maxBody:
