--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -26,6 +26,10 @@
 
 	Scenario *scenarioCommand `arg:"subcommand:scenario" help:"the usual workload, quiet and under faults"`
 	Overhead *overheadCommand `arg:"subcommand:overhead" help:"the path's own time beside direct calls at the engines"`
+	Cost     *costCommand     `arg:"subcommand:cost" help:"what an instance spends, by the number of instances"`
+	List     *listCommand     `arg:"subcommand:list" help:"what an idle instance spends, by the length of the membership list"`
+	Changes  *changesCommand  `arg:"subcommand:changes" help:"time until a change of the settings is in force everywhere"`
+	Held     *heldCommand     `arg:"subcommand:held" help:"memory and goroutines of programs and calls that are held"`
 }
 
 type scenarioCommand struct {
@@ -40,6 +44,24 @@
 	Programs int `arg:"--programs" default:"20" help:"programs of each caller and repetition"`
 }
 
+type costCommand struct {
+	Sizes []int `arg:"positional" help:"numbers of instances (default: 3 6 12 24 48)"`
+}
+
+type listCommand struct {
+	Entries []int `arg:"positional" help:"numbers of further entries (default: 1 400 800 1600)"`
+}
+
+type changesCommand struct {
+	Count int     `arg:"--count" default:"40" help:"number of changes"`
+	Rate  float64 `arg:"--rate" default:"2" help:"most changes a second"`
+}
+
+type heldCommand struct {
+	Programs []int `arg:"--programs" help:"numbers of paused programs (default: 0 1000 4000)"`
+	Calls    []int `arg:"--calls" help:"numbers of calls at once (default: 60)"`
+}
+
 func main() {
 	args := arguments{Seeds: []uint64{1}}
 	parser := arg.MustParse(&args)
@@ -51,6 +73,14 @@
 		err = args.scenario(ctx)
 	case args.Overhead != nil:
 		err = args.overhead(ctx)
+	case args.Cost != nil:
+		err = args.cost(ctx)
+	case args.List != nil:
+		err = args.list(ctx)
+	case args.Changes != nil:
+		err = args.changes(ctx)
+	case args.Held != nil:
+		err = args.held(ctx)
 	default:
 		parser.Fail("a subcommand is missing")
 	}
@@ -89,3 +119,39 @@
 	o.Model.StepPerPrefillToken, o.Model.PrefillChunk = -1, engine.DefaultCacheCapacity
 	return load.RunOverhead(ctx, os.Stdout, o)
 }
+
+func (a arguments) costOptions() load.CostOptions {
+	return load.CostOptions{Setup: a.setup(), Window: a.Duration, Repeats: a.Repeats, Seed: a.Seeds[0]}
+}
+
+func (a arguments) cost(ctx context.Context) error {
+	o := a.costOptions()
+	o.Sizes = orDefault(a.Cost.Sizes, 3, 6, 12, 24, 48)
+	return load.RunCost(ctx, os.Stdout, o)
+}
+
+func (a arguments) list(ctx context.Context) error {
+	o := a.costOptions()
+	o.ListEntries = orDefault(a.List.Entries, 1, 400, 800, 1600)
+	return load.RunList(ctx, os.Stdout, o)
+}
+
+func (a arguments) changes(ctx context.Context) error {
+	o := load.ChangeOptions{Setup: a.setup(), Changes: a.Changes.Count, Rate: a.Changes.Rate}
+	return load.RunChanges(ctx, os.Stdout, o)
+}
+
+func (a arguments) held(ctx context.Context) error {
+	o := load.HeldOptions{
+		Setup:    a.setup(),
+		Programs: orDefault(a.Held.Programs, 0, 1000, 4000), Calls: orDefault(a.Held.Calls, 60),
+	}
+	return load.RunHeld(ctx, os.Stdout, o)
+}
+
+func orDefault(values []int, standard ...int) []int {
+	if len(values) == 0 {
+		return standard
+	}
+	return values
+}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -41,6 +41,7 @@
 
 // do makes attempts until one is answered or told for good.
 func (c *caller) do(ctx context.Context, f attemptFunc) (*testkit.Answer, error) {
+	c.figures.calls.Add(1)
 	wait := firstWait
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
 		answer, pause, err := c.attempt(ctx, f, attempt)
--- /dev/null
+++ b/internal/load/held.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+// HeldOptions describe the measurement of programs and calls that are held.
+type HeldOptions struct {
+	Setup
+	// Programs are the numbers of programs that are opened and left paused,
+	// Calls the numbers of calls that wait or run at once.
+	Programs, Calls []int
+}
+
+// heldSettle lets the journals flush before memory is read.
+const heldSettle = 2 * time.Second
+
+// openers is the number of programs opened at once.
+const openers = 32
+
+// RunHeld opens programs with one call each and leaves them paused, then holds
+// calls, and prints the memory and goroutines of the instances.
+func RunHeld(ctx context.Context, out io.Writer, o HeldOptions) error {
+	dir, err := os.MkdirTemp("", "banyanglade-load-")
+	if err != nil {
+		return errors.Wrap(err, "folder for logs")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	o.LogDir = dir
+	fmt.Fprintf(out, "instances %d; means an instance; load average %s\n", o.Instances, LoadAverage())
+	fmt.Fprintln(out, row("held, all instances", "RSS MiB", "goroutines"))
+	fmt.Fprintln(out, row("---", "---", "---"))
+	for _, programs := range o.Programs {
+		if err := o.held(ctx, out, programs, 0); err != nil {
+			return err
+		}
+	}
+	for _, calls := range o.Calls {
+		if err := o.held(ctx, out, 0, calls); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o HeldOptions) held(ctx context.Context, out io.Writer, programs, calls int) error {
+	cluster, err := o.start(ctx)
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	r := newRun(ctx, cluster, o.Model, o.Classes)
+	defer r.close()
+	r.balancer.close()
+	if err := r.openPrograms(ctx, programs); err != nil {
+		return err
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	for i := range calls {
+		group.Go(func() { r.longCall(waiting, uint64(i)) })
+	}
+	sleep(ctx, heldSettle)
+	reading, err := r.read()
+	if err != nil {
+		return err
+	}
+	f := costBetween(reading, reading)
+	count, err := o.meanGoroutines(cluster)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%d programs, %d calls", programs, calls)
+	fmt.Fprintln(out, row(name, fmt.Sprintf("%.1f", f.RSS), fmt.Sprintf("%.0f", count)))
+	return nil
+}
+
+// openPrograms opens programs and makes one short chat in each.
+func (r *run) openPrograms(ctx context.Context, programs int) error {
+	var group sync.WaitGroup
+	failures := make([]error, openers)
+	for worker := range openers {
+		group.Go(func() {
+			c := r.anyCaller(uint64(worker))
+			for n := worker; n < programs && failures[worker] == nil; n += openers {
+				failures[worker] = r.shortProgram(ctx, c)
+			}
+		})
+	}
+	group.Wait()
+	return errors.Join(failures...)
+}
+
+func (r *run) anyCaller(seed uint64) *caller {
+	return &caller{
+		key: callerKey(ClassClearance), http: r.http, balancer: r.balancer,
+		figures: r.figures[ClassClearance], random: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// shortProgram opens a program and makes one chat.
+func (r *run) shortProgram(ctx context.Context, c *caller) error {
+	const output = 4
+	id, err := c.open(ctx)
+	if err != nil {
+		return err
+	}
+	l := &lane{run: r, caller: c, program: id}
+	_, err = l.steps(ctx, []Step{{Kind: StepChat, Input: 1, Output: output}})
+	return err
+}
+
+// longCall makes a chat that runs until it is cancelled.
+func (r *run) longCall(ctx context.Context, seed uint64) {
+	const tokens = 30_000
+	c := r.anyCaller(seed)
+	client := &testkit.Client{Server: r.balancer.pick(c.random), Key: c.key, HTTP: r.http}
+	_, _ = client.Chat(ctx, wire.ChatRequest{
+		Model: testkit.ModelService, MaxTokens: tokens, Stream: true,
+		Messages: []wire.ChatMessage{{Role: "user", Content: fmt.Sprintf("tokens=%d", tokens)}},
+	}, testkit.Call{})
+}
+
+// meanGoroutines ends all instances and gives their mean number of goroutines.
+func (o HeldOptions) meanGoroutines(c *testkit.Cluster) (float64, error) {
+	total := 0
+	for _, p := range c.Instances {
+		count, err := o.goroutines(p)
+		if err != nil {
+			return 0, err
+		}
+		total += count
+	}
+	return float64(total) / float64(len(c.Instances)), nil
+}
+
+// goroutines asks a process for a dump of its goroutines, which ends it, and
+// counts them.
+func (o HeldOptions) goroutines(p *testkit.Process) (int, error) {
+	if err := syscall.Kill(p.PID(), syscall.SIGQUIT); err != nil {
+		return 0, errors.Wrap(err, "signal")
+	}
+	<-p.Exited()
+	dump, err := os.ReadFile(filepath.Join(o.LogDir, p.ID+".log"))
+	return countGoroutines(string(dump)), errors.Wrap(err, "dump")
+}
+
+// countGoroutines counts the headers of a dump.
+func countGoroutines(dump string) int {
+	count := 0
+	for _, line := range strings.Split(dump, "\n") {
+		if strings.HasPrefix(line, "goroutine ") && strings.HasSuffix(line, ":") {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -26,7 +26,7 @@
 	latency, firstToken, token *histogram
 	slowdown                   *histogram
 	refusals, retries, unknown atomic.Int64
-	prompt, recomputed         atomic.Int64
+	prompt, recomputed, calls  atomic.Int64
 
 	mu      sync.Mutex
 	refused map[string]int64
--- a/internal/load/setup.go
+++ b/internal/load/setup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/banyanglade/banyanglade/internal/standin/engine"
 	"github.com/banyanglade/banyanglade/internal/testkit"
@@ -21,6 +20,8 @@
 	IdleTimeout string
 	// Rules are settings below the model service's rules, for baselines.
 	Rules map[string]any
+	// LogDir keeps the instances' whole logs; empty keeps their last lines.
+	LogDir string
 }
 
 // start starts and configures the cluster.
@@ -28,7 +29,7 @@
 	standins := testkit.UsualStandins()
 	standins.Engines.Count = s.Engines
 	standins.Engines.Settings.Model = s.Model
-	c, err := testkit.Start(ctx, testkit.Options{Binary: s.Binary, Instances: s.Instances, Standins: standins})
+	c, err := testkit.Start(ctx, testkit.Options{Binary: s.Binary, Instances: s.Instances, Standins: standins, LogDir: s.LogDir})
 	if err != nil {
 		return nil, err
 	}
@@ -56,11 +57,9 @@
 			values[path+"/idle_timeout"] = s.IdleTimeout
 		}
 	}
-	rules := make(map[string]any, len(s.Rules))
 	for name, value := range s.Rules {
-		rules[service+"/rules/"+name] = value
+		values[service+"/rules/"+name] = value
 	}
-	maps.Copy(values, rules)
 	return values
 }
 
