Owner: 'not run' to a further delivery of a filing only while ownership is proven

Cause: an owner cut off from the log, or paused with an old read in a buffer, answered 'not run' to a repeated delivery of a not-repeatable call that the next owner had sent (the whole-instance schedule found it; a check of it stands in TestRandomFaults now). A read counts as new only if the process was not paused before it; else a Check record is read back first. Without the log the rule of Call.Refusal holds.

--- a/internal/journal/purge.go
+++ b/internal/journal/purge.go
@@ -6,8 +6,9 @@
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
-// KeylessPrefix begins the keys that stand in for the missing key of a caller.
-const KeylessPrefix = "request:"
+// KeylessPrefix begins the keys that stand in for the missing key of a caller;
+// gateways make such keys, too.
+const KeylessPrefix = "request/"
 
 // PurgeProgram forgets a program's idempotency records and repeatable runs from
 // before a time, in Unix milliseconds; those without a caller's key from before
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -23,6 +23,7 @@
 	KindLedgerReturn Kind = 12
 	KindCredit       Kind = 13
 	KindSnapshot     Kind = 14
+	KindCheck        Kind = 15
 )
 
 // Fenced tells whether a record of the kind is void behind a newer claim. The
@@ -207,6 +208,9 @@
 	Amount Amount
 }
 
+// Check has no effect. Reading it back proves that its writer owns the shard.
+type Check struct{}
+
 // Snapshot is one part of an encoded State, taken when the stream was applied
 // up to Next. All parts are appended in one batch.
 type Snapshot struct {
@@ -231,6 +235,7 @@
 func (*LedgerReturn) Kind() Kind { return KindLedgerReturn }
 func (*Credit) Kind() Kind       { return KindCredit }
 func (*Snapshot) Kind() Kind     { return KindSnapshot }
+func (*Check) Kind() Kind        { return KindCheck }
 
 // newBody makes an empty body of a kind, nil if the kind is unknown.
 func newBody(kind Kind) Body {
@@ -263,6 +268,8 @@
 		return new(Credit)
 	case KindSnapshot:
 		return new(Snapshot)
+	case KindCheck:
+		return new(Check)
 	default:
 		return nil
 	}
--- a/internal/owner/append.go
+++ b/internal/owner/append.go
@@ -186,6 +186,9 @@
 	for len(a.flight) > 0 && a.flight[0].record.Sequence <= sequence {
 		e := a.flight[0]
 		a.flight = a.flight[1:]
+		if e.record.Sequence == sequence && verdict == journal.Counted {
+			a.s.provenAt(a.oldest)
+		}
 		if e.record.Sequence == sequence && verdict == journal.Counted && e.counted != nil {
 			e.counted()
 		}
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -49,6 +49,8 @@
 	waiters       []*waiter
 	// redo tells that the key's last run has an unknown outcome.
 	redo bool
+	// lookedUp tells that earlier deliveries of the key would be known.
+	lookedUp bool
 	// resubmitted tells that an earlier owner may have run the call.
 	resubmitted bool
 
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -193,7 +193,7 @@
 
 // forgetPending forgets what waited for fenced records: they are void now.
 func (s *shard) forgetPending() {
-	s.snapshotting = false
+	s.snapshotting, s.verifying = false, false
 	s.granting = make(map[string]bool)
 	s.grantsPending = make(map[structs.Team]journal.Amount)
 	for _, a := range s.accounts {
--- a/internal/owner/idempotency.go
+++ b/internal/owner/idempotency.go
@@ -10,7 +10,7 @@
 	o := p.shard.o
 	if c := p.calls[key]; c != nil {
 		if c.spec.Digest != m.Call.Digest {
-			o.refuseSubmit(from, m, structs.ReasonKeyReused, 0)
+			p.refuseReused(from, m)
 			return true
 		}
 		o.send(from, &structs.SubmitAccepted{Request: m.Request})
@@ -26,7 +26,7 @@
 		return p.openDiffers(from, m, key)
 	}
 	if record.Digest != m.Call.Digest {
-		o.refuseSubmit(from, m, structs.ReasonKeyReused, 0)
+		p.refuseReused(from, m)
 		return true
 	}
 	if p.mayRedo(key) {
@@ -45,7 +45,7 @@
 func (p *program) openDiffers(from structs.InstanceID, m *structs.Submit, key string) bool {
 	for _, run := range p.row().OpenRuns() {
 		if run.Key == key && run.Digest != m.Call.Digest {
-			p.shard.o.refuseSubmit(from, m, structs.ReasonKeyReused, 0)
+			p.refuseReused(from, m)
 			return true
 		}
 	}
@@ -65,3 +65,9 @@
 	}
 	return record.Number == 0 || record.Number >= p.last(record.Lane)
 }
+
+// refuseReused refuses another request under a known key: the request itself
+// never runs, whatever became of the key's first.
+func (p *program) refuseReused(from structs.InstanceID, m *structs.Submit) {
+	p.shard.o.send(from, &structs.CallEnd{Request: m.Request, Outcome: notRun(structs.ReasonKeyReused, 0)})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,9 +16,13 @@
 	// writer is the nonce of this incarnation in journal records.
 	writer string
 
-	now    time.Time
-	out    []structs.Command
-	timers timers
+	now time.Time
+	// tickedAt is the time of the last tick, resumedAt that of the last one
+	// before which this process may have been paused.
+	tickedAt  time.Time
+	resumedAt time.Time
+	out       []structs.Command
+	timers    timers
 
 	shards  map[structs.ShardID]*shard
 	streams map[string]*shard
@@ -69,6 +73,7 @@
 func (o *Owner) Tick(now time.Time, events []structs.Event) []structs.Command {
 	o.now = now
 	o.out = nil
+	o.noticePause()
 	for _, ev := range events {
 		o.handle(ev)
 	}
--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -148,6 +148,7 @@
 // onLogDown refuses at once what cannot go on without the log; repeatable
 // calls go on within the reserved chunk.
 func (s *shard) onLogDown() {
+	s.refuseHeld(structs.ReasonLogUnavailable)
 	for _, p := range s.sortedPrograms() {
 		for _, c := range p.sortedCalls() {
 			switch c.phase {
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -78,6 +78,8 @@
 	lane    structs.Lane
 	number  uint64
 	tries   int
+	// fresh tells that the next delivery of the key is its only one so far.
+	fresh bool
 }
 
 const callsPerLane = 12
@@ -188,14 +190,17 @@
 	spec.Lane = c.lane
 	spec.Key = fmt.Sprintf("%s-%d", c.lane, c.number)
 	spec.Stream = c.number%3 == 0
+	spec.FirstAttempt = c.fresh
 	return spec
 }
 
 func (c *caller) try() {
 	c.tries++
 	w := c.s.w
+	twice := c.s.rng.Float64() < 0.1
+	c.fresh = c.tries == 1 && !twice
 	r := w.submit(c.spec(), 10*time.Second)
-	if c.s.rng.Float64() < 0.1 {
+	if twice {
 		w.after(10*time.Millisecond, func() { w.submit(c.spec(), 10*time.Second) })
 	}
 	c.watch(r)
@@ -227,6 +232,7 @@
 
 func (s *schedule) check(programs []structs.ProgramID) {
 	s.checkSends()
+	s.checkNotRun()
 	s.checkOrder()
 	s.checkAnswers()
 	s.checkBudget(programs)
@@ -260,6 +266,21 @@
 	return false
 }
 
+// checkNotRun: "not run" is said of no not-repeatable call that was sent, also
+// if an earlier delivery of it was.
+func (s *schedule) checkNotRun() {
+	for _, r := range s.w.all {
+		if r.kind() != structs.OutcomeNotRun || !r.call.NotRepeatable {
+			continue
+		}
+		for _, send := range s.w.sends {
+			if callName(send.call) == callName(r.call) && !send.at.After(r.endedAt) {
+				s.fail("%s for %s was answered 'not run' (%s) after its send", r.id, callName(r.call), r.reason())
+			}
+		}
+	}
+}
+
 // checkOrder: the first sends of a lane's calls are in the order of numbers. A
 // send that slipped past its NotAfter is left out: no clock can order it.
 func (s *schedule) checkOrder() {
--- a/internal/owner/refuse.go
+++ b/internal/owner/refuse.go
@@ -16,17 +16,27 @@
 }
 
 // refusal is the outcome of a request that this owner does not run. It says
-// "not run" only if the request was handed to no other instance: another one
-// may have run it, or may still hold it and come to own the shard.
-func refusal(reason structs.Reason, retryAfter time.Duration, resubmitted bool) structs.Outcome {
-	if resubmitted {
+// "not run" only if the request was handed to no other instance, which may have
+// run it or may still hold it, and if earlier deliveries of the key were looked
+// up or are said not to exist.
+func refusal(spec *structs.Call, reason structs.Reason, retryAfter time.Duration, elsewhere, lookedUp bool) structs.Outcome {
+	switch {
+	case elsewhere:
 		out := unknown(reason)
 		out.RetryAfter = retryAfter
 		return out
+	case lookedUp:
+		return notRun(reason, retryAfter)
+	default:
+		return spec.Refusal(reason, retryAfter)
 	}
-	return notRun(reason, retryAfter)
 }
 
+// lookedUp tells whether the shard's state shows every earlier delivery of a
+// key. A not-repeatable call is taken only while the ownership is proven; see
+// verify.
+func (s *shard) lookedUp() bool { return s.owned() && !s.logDown() }
+
 // mayHaveRun tells whether "not run" would be a claim that cannot be made.
 func (c *call) mayHaveRun() bool { return c.sentRuns > 0 || c.phase == phaseRecovery }
 
@@ -43,7 +53,8 @@
 		c.finish(out, journal.Amount{}, structs.RunEnded{})
 		return
 	}
-	out := refusal(reason, retryAfter, c.mayHaveRun() || c.resubmitted)
+	elsewhere := c.mayHaveRun() || c.resubmitted || c.redo
+	out := refusal(c.spec, reason, retryAfter, elsewhere, c.lookedUp)
 	c.abandon()
 	c.answer(out)
 	c.end()
@@ -67,8 +78,9 @@
 	}
 }
 
+// refuseSubmit refuses a request without having looked its key up.
 func (o *Owner) refuseSubmit(from structs.InstanceID, m *structs.Submit, reason structs.Reason, after time.Duration) {
-	out := refusal(reason, after, m.Resubmitted || m.Have > 0)
+	out := refusal(m.Call, reason, after, m.Resubmitted || m.Have > 0, false)
 	o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
 }
 
--- a/internal/owner/replay.go
+++ b/internal/owner/replay.go
@@ -224,7 +224,7 @@
 	if s.replay != nil {
 		s.load(s.state)
 	}
-	s.readAt = s.o.now
+	s.readToEnd()
 	switch s.tenure {
 	case tenureReplaying:
 		s.caughtUp()
--- a/internal/owner/resubmit_test.go
+++ b/internal/owner/resubmit_test.go
@@ -42,7 +42,7 @@
 		for _, resubmitted := range c.flags {
 			now = now.Add(time.Millisecond)
 			o.Tick(now, []structs.Event{structs.PeerMessage{From: testGateway, Msg: &structs.Submit{
-				Request: "r", Call: testCall(id, 1, true), Remaining: time.Minute, Resubmitted: resubmitted,
+				Request: "r", Call: firstAttempt(testCall(id, 1, true)), Remaining: time.Minute, Resubmitted: resubmitted,
 			}}})
 		}
 		// The log never answers, so the shard is not claimed.
@@ -53,6 +53,11 @@
 	}
 }
 
+func firstAttempt(c *structs.Call) *structs.Call {
+	c.FirstAttempt = true
+	return c
+}
+
 // Pieces of one run are never followed by those of another.
 func TestPiecesOfAnotherRun(t *testing.T) {
 	w := newWorld(t, 1, 1)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -35,6 +35,7 @@
 	c.shard.app.push(intent, urgent, func() {
 		// From here on the durable row holds the worst case.
 		p.pending = p.pending.Minus(need)
+		c.lookedUp = true
 		if c.phase == phaseIntent {
 			c.askPermit()
 		}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -52,7 +52,7 @@
 	lostAt time.Time
 	// claimedAt is when the claim was read back.
 	claimedAt time.Time
-	// readAt is when the stream was last read up to its end.
+	// readAt is when the shard was last known to be owned.
 	readAt   time.Time
 	readDown bool
 	// failures counts failed reads since the last that succeeded.
@@ -69,7 +69,9 @@
 	waiting *timer
 	// snapshotting tells that a snapshot is on its way into the log,
 	// snapshotAt when the newest one was taken.
-	snapshotting  bool
+	snapshotting bool
+	// verifying tells that a Check is on its way into the log.
+	verifying     bool
 	snapshotAt    time.Time
 	snapshotTimer *timer
 	purgeTimer    *timer
@@ -120,6 +122,7 @@
 	s.replay = nil
 	s.next, s.epoch = 0, 0
 	s.wanted, s.readDown, s.snapshotting, s.gap = false, false, false, false
+	s.verifying = false
 	s.o.timers.stop(s.snapshotTimer)
 	s.o.timers.stop(s.purgeTimer)
 	s.app.stop()
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -24,10 +24,12 @@
 	}
 	s := o.shardRow(structs.ShardOf(m.Call.Program, o.cfg.Shards))
 	switch {
-	case s.owned() && !o.draining:
-		s.submit(from, m)
 	case s.holdAgain(from, m):
 		o.send(from, &structs.SubmitAccepted{Request: m.Request})
+	case s.owned() && !o.draining && s.unproven(m):
+		s.verify(from, m)
+	case s.owned() && !o.draining:
+		s.submit(from, m)
 	case s.owned():
 		o.notOwner(from, m, s.successor())
 	default:
@@ -74,7 +76,8 @@
 	}
 	p, reason := s.programOf(m.Call)
 	if reason != structs.ReasonNone {
-		o.refuseSubmit(from, m, reason, 0)
+		out := refusal(m.Call, reason, 0, m.Resubmitted || m.Have > 0, s.lookedUp())
+		o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
 		return
 	}
 	if p.replayed(from, m, key) {
@@ -83,7 +86,9 @@
 	// What an earlier owner may have run is not refused as "not run".
 	if !p.recovering(key) {
 		if reason, after := s.admission(p, m, key); reason != structs.ReasonNone {
-			o.refuseSubmit(from, m, reason, after)
+			elsewhere := m.Resubmitted || m.Have > 0 || p.mayRedo(key)
+			out := refusal(m.Call, reason, after, elsewhere, s.lookedUp())
+			o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
 			p.dropIfEmpty()
 			return
 		}
@@ -93,7 +98,7 @@
 	c := &call{
 		shard: s, prog: p, spec: bounded(m.Call, key), key: key, service: service,
 		notRepeatable: m.Call.NotRepeatable || service.NotRepeatable,
-		redo:          p.mayRedo(key), arrived: o.now, phase: phaseQueued,
+		redo:          p.mayRedo(key), lookedUp: s.lookedUp(), arrived: o.now, phase: phaseQueued,
 	}
 	c.attach(from, m)
 	p.add(c)
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -111,8 +111,8 @@
 	at := w.now
 	inChunk := w.submit(testCall(id, 2, false), time.Minute)
 	w.run(500 * time.Millisecond)
-	filing := w.submit(testCall(id, 3, true), time.Minute)
-	large := testCall(id, 3, false)
+	filing := w.submit(firstAttempt(testCall(id, 3, true)), time.Minute)
+	large := firstAttempt(testCall(id, 3, false))
 	large.MaxTokens = 4000
 	w.run(50 * time.Millisecond)
 	tooLarge := w.submit(large, time.Minute)
