A tick costs what changed: timers by a bound, targets compared in place

Ruled out: a heap of timers for the gateway (a lower bound is enough, since most ticks have no due timer). Change: the gateway keeps a lower bound of its timers; the dispatcher compares the targets without building them; an empty proposer allocates nothing.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -194,17 +195,38 @@
 
 // watchTargets asks for the load and cache events of the targets of all pools.
 func (d *Dispatcher) watchTargets() {
-	var targets []structs.Target
-	for _, p := range d.pools {
-		for _, t := range p.targets {
-			if !t.gone {
-				targets = append(targets, t.info)
-			}
+	if d.watchesAll() {
+		return
+	}
+	d.watched = nil
+	for t := range d.presentTargets() {
+		d.watched = append(d.watched, t.info)
+	}
+	d.emit(structs.WatchTargets{Targets: slices.Clone(d.watched)})
+}
+
+// watchesAll tells whether the targets watched are those present. It runs in
+// each tick and allocates nothing.
+func (d *Dispatcher) watchesAll() bool {
+	n := 0
+	for t := range d.presentTargets() {
+		if n == len(d.watched) || d.watched[n] != t.info {
+			return false
 		}
+		n++
 	}
-	if slices.Equal(targets, d.watched) {
-		return
+	return n == len(d.watched)
+}
+
+// presentTargets gives the targets of all pools that are not gone, in order.
+func (d *Dispatcher) presentTargets() iter.Seq[*target] {
+	return func(yield func(*target) bool) {
+		for _, p := range d.pools {
+			for _, t := range p.targets {
+				if !t.gone && !yield(t) {
+					return
+				}
+			}
+		}
 	}
-	d.watched = targets
-	d.emit(structs.WatchTargets{Targets: slices.Clone(targets)})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	gathers map[structs.RequestID]*gather
 	// owners remembers who took a request of a shard last.
 	owners map[structs.ShardRef]structs.InstanceID
+	// wake is a lower bound of the timers of the pending requests, zero if
+	// there are none: a tick without a due timer looks at no row.
+	wake time.Time
 	// cmds collects the commands of the present tick.
 	cmds []structs.Command
 }
@@ -66,10 +69,7 @@
 
 // NextWake gives the earliest timer, zero if there is none.
 func (g *Gateway) NextWake() time.Time {
-	var next time.Time
-	for _, p := range g.pending {
-		next = earliest(next, p.wake())
-	}
+	next := g.wake
 	for _, c := range g.gathers {
 		next = earliest(next, c.deadline)
 	}
@@ -126,15 +126,30 @@
 // runTimers runs in order of request id, so that equal inputs give equal
 // outputs.
 func (g *Gateway) runTimers(now time.Time) {
+	g.gatherTimers(now)
+	if g.wake.IsZero() || g.wake.After(now) {
+		return
+	}
+	for _, id := range g.due(now) {
+		g.pendingTimer(now, g.pending[id])
+	}
+	g.wake = time.Time{}
+	for _, p := range g.pending {
+		g.wakeAt(p.wake())
+	}
+}
+
+// due lists the requests with a due timer in order of id.
+func (g *Gateway) due(now time.Time) []structs.RequestID {
 	var due []structs.RequestID
 	for id, p := range g.pending {
-		if wake := p.wake(); !wake.IsZero() && !wake.After(now) {
+		if !p.wake().After(now) {
 			due = append(due, id)
 		}
 	}
 	slices.Sort(due)
-	for _, id := range due {
-		g.pendingTimer(now, g.pending[id])
-	}
-	g.gatherTimers(now)
+	return due
 }
+
+// wakeAt keeps the bound of the timers below a new one.
+func (g *Gateway) wakeAt(at time.Time) { g.wake = earliest(g.wake, at) }
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -83,7 +83,7 @@
 		// A key of its own lets a second owner recognise the call.
 		p.call.Key = "request/" + string(ev.Request)
 	}
-	g.pending[ev.Request] = p
+	g.hold(p)
 	g.search(now, p, "")
 }
 
@@ -94,7 +94,7 @@
 		return
 	}
 	p.op = &ev
-	g.pending[ev.Request] = p
+	g.hold(p)
 	g.search(now, p, "")
 }
 
@@ -115,6 +115,11 @@
 	}
 }
 
+func (g *Gateway) hold(p *pending) {
+	g.pending[p.request] = p
+	g.wakeAt(p.wake())
+}
+
 // search sends the request to the preferred instance, or to the best that the
 // view knows, or waits.
 func (g *Gateway) search(now time.Time, p *pending, prefer structs.InstanceID) {
@@ -177,6 +182,7 @@
 		return
 	}
 	p.retryAt = now.Add(p.backoff)
+	g.wakeAt(p.retryAt)
 	p.backoff = min(2*p.backoff, retryMax)
 }
 
--- a/internal/settings/proposal.go
+++ b/internal/settings/proposal.go
@@ -159,6 +159,9 @@
 
 // waiting lists the proposals in order of id, so that a run can be repeated.
 func (p *Proposer) waiting() []*proposal {
+	if len(p.pending) == 0 {
+		return nil
+	}
 	list := make([]*proposal, 0, len(p.pending))
 	for _, id := range slices.Sorted(maps.Keys(p.pending)) {
 		list = append(list, p.pending[id])
