Orders to engines: level-triggered, fenced by the pool's epoch

Cause: engines take orders to load models, adapters and versions or to change role; settings had no place for them and nothing gave them.

Change: package orders, a pure component: one controller a pool claims the pool's stream in the log, reads the targets' states and sends what differs. Targets that ignore the fencing number get orders only inside a lease that the next controller waits out. New settings services/<name>/orders/*.

TestSchemaCoversEveryField counted the service keys without the new nested struct; it now counts that struct's fields too and stays as strict.

--- a/internal/instance/dump.go
+++ b/internal/instance/dump.go
@@ -14,6 +14,7 @@
 	Callers      int
 	Owner        any
 	Dispatcher   any
+	Orders       any
 	Settings     any
 }
 
@@ -37,6 +38,7 @@
 		Callers:      i.gateway.InFlight(),
 		Owner:        i.owner.Dump(),
 		Dispatcher:   i.dispatch.Dump(),
+		Orders:       i.orders.Dump(),
 		Settings:     i.proposer.Dump(),
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -11,6 +11,7 @@
 	"github.com/banyanglade/banyanglade/internal/dispatch"
 	"github.com/banyanglade/banyanglade/internal/gateway"
 	"github.com/banyanglade/banyanglade/internal/members"
+	"github.com/banyanglade/banyanglade/internal/orders"
 	"github.com/banyanglade/banyanglade/internal/owner"
 	"github.com/banyanglade/banyanglade/internal/settings"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -27,6 +28,7 @@
 	gateway  *gateway.Gateway
 	owner    *owner.Owner
 	dispatch *dispatch.Dispatcher
+	orders   *orders.Controller
 	tree     *settings.Tree
 	proposer *settings.Proposer
 	interest *interest
@@ -50,6 +52,7 @@
 		gateway:  gateway.New(cfg, view),
 		owner:    owner.New(cfg, view, tree),
 		dispatch: dispatch.New(cfg, view, tree),
+		orders:   orders.New(cfg, view, tree),
 		tree:     tree,
 		proposer: settings.NewProposer(cfg, tree, view),
 		interest: newInterest(cfg.Self.ID),
@@ -93,6 +96,7 @@
 	cmds = append(cmds, i.gateway.Tick(now, in.gateway)...)
 	cmds = append(cmds, i.owner.Tick(now, in.owner)...)
 	cmds = append(cmds, i.dispatch.Tick(now, in.dispatch)...)
+	cmds = append(cmds, i.orders.Tick(now, in.orders)...)
 	cmds = append(cmds, in.replies...)
 	return i.collect(cmds)
 }
@@ -122,7 +126,7 @@
 	var next time.Time
 	for _, at := range []time.Time{
 		i.view.NextWake(), i.proposer.NextWake(), i.gateway.NextWake(),
-		i.owner.NextWake(), i.dispatch.NextWake(), i.drainWake(),
+		i.owner.NextWake(), i.dispatch.NextWake(), i.orders.NextWake(), i.drainWake(),
 	} {
 		if next.IsZero() || (!at.IsZero() && at.Before(next)) {
 			next = at
--- a/internal/instance/route.go
+++ b/internal/instance/route.go
@@ -13,6 +13,7 @@
 	gateway  []structs.Event
 	owner    []structs.Event
 	dispatch []structs.Event
+	orders   []structs.Event
 	replies  []structs.Command
 }
 
@@ -22,6 +23,7 @@
 	in.gateway = append(in.gateway, ev)
 	in.owner = append(in.owner, ev)
 	in.dispatch = append(in.dispatch, ev)
+	in.orders = append(in.orders, ev)
 }
 
 // route gives each event to the components that it concerns.
@@ -63,6 +65,8 @@
 	case structs.CacheReleased:
 		in.owner = append(in.owner, ev)
 		in.dispatch = append(in.dispatch, ev)
+	case structs.OrderSent, structs.OrdersRead:
+		in.orders = append(in.orders, ev)
 	case structs.TargetLoad, structs.TargetUnreachable, structs.TargetCache:
 		in.dispatch = append(in.dispatch, ev)
 	}
@@ -73,6 +77,10 @@
 		in.settings = append(in.settings, ev)
 		return
 	}
+	if structs.IsPoolStream(stream) {
+		in.orders = append(in.orders, ev)
+		return
+	}
 	in.owner = append(in.owner, ev)
 }
 
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -48,6 +48,10 @@
 		targets.WatchTargets(cmd)
 	case structs.ReleaseCache:
 		targets.ReleaseCache(cmd)
+	case structs.ReadOrders:
+		targets.ReadOrders(cmd)
+	case structs.SendOrder:
+		targets.SendOrder(cmd)
 	case structs.Ready:
 		n.log.Info("readiness", "ready", cmd.Ready, "reason", cmd.Reason)
 		n.mirror.setReady(cmd)
--- a/internal/settings/path.go
+++ b/internal/settings/path.go
@@ -13,6 +13,7 @@
 	servicesArea       = "services"
 	teamsArea          = "teams"
 	rulesSegment       = "rules"
+	ordersSegment      = "orders"
 	credentialsSegment = "credentials"
 )
 
@@ -80,10 +81,11 @@
 	switch {
 	case len(segments) == 2:
 		loc.Key = segments[1]
-	case len(segments) == 3 && segments[1] == rulesSegment:
-		loc.Key = rulesSegment + "/" + segments[2]
+	case len(segments) == 3 && (segments[1] == rulesSegment || segments[1] == ordersSegment):
+		loc.Key = segments[1] + "/" + segments[2]
 	default:
-		return location{}, errors.Wrap(ErrPath, "want services/<name>/<key> or services/<name>/rules/<key>")
+		return location{}, errors.Wrap(ErrPath,
+			"want services/<name>/<key>, services/<name>/rules/<key> or services/<name>/orders/<key>")
 	}
 	loc.Service = structs.ServiceName(segments[0])
 	return loc, nil
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -14,6 +14,8 @@
 	maxTokens   = math.MaxInt64 / 4
 	maxDuration = 30 * 24 * time.Hour
 	minTimeout  = time.Millisecond
+	// maxOrderBytes bounds the name of a model, adapter, version or role.
+	maxOrderBytes = 200
 )
 
 // notAbove is the limit of a key that a team may lower but not raise over its
@@ -80,4 +82,10 @@
 	newField("rules/release_gone", booleanType(), func(s *service) *bool { return &s.Rules.ReleaseGone }, nil),
 	newField("rules/admission", booleanType(), func(s *service) *bool { return &s.Rules.Admission }, nil),
 	newField("rules/ejection", booleanType(), func(s *service) *bool { return &s.Rules.Ejection }, nil),
+	newField("orders/model", textType(maxOrderBytes), func(s *service) *string { return &s.Orders.Model }, nil),
+	newField("orders/adapter", textType(maxOrderBytes), func(s *service) *string { return &s.Orders.Adapter }, nil),
+	newField("orders/version", textType(maxOrderBytes), func(s *service) *string { return &s.Orders.Version }, nil),
+	newField("orders/role", textType(maxOrderBytes), func(s *service) *string { return &s.Orders.Role }, nil),
+	newField("orders/parallel", integerType(1, maxCount), func(s *service) *int { return &s.Orders.Parallel }, nil),
+	newField("orders/interval", durationType(0, maxDuration), func(s *service) *time.Duration { return &s.Orders.Interval }, nil),
 )
--- a/internal/settings/validate_test.go
+++ b/internal/settings/validate_test.go
@@ -21,6 +21,10 @@
 		{"teams/a/dead_line", `"30s"`, `did you mean "deadline"?`},
 		{"services/s/rules/order", `"fifo"`, `one of "fcfs", "las"`},
 		{"services/s/rules/odrer", `"las"`, `did you mean "rules/order"?`},
+		{"services/s/orders/model", `""`, "a printable text of 1 to 200 bytes"},
+		{"services/s/orders/model", `"a\u0007b"`, "a printable text"},
+		{"services/s/orders/parallel", `0`, "a whole number from 1"},
+		{"services/s/orders/modle", `"m"`, `did you mean "orders/model"?`},
 		{"services/s/ask_by_key", `1`, "true or false"},
 		{"services/s", `1`, "services/<name>/<key>"},
 		{"Teams/a/priority", `1`, "segment"},
@@ -85,7 +89,8 @@
 	if got, want := len(policyFields.fields), cover(structs.Policy{}, 0); got != want {
 		t.Errorf("%d policy keys for %d fields", got, want)
 	}
-	if got, want := len(serviceFields.fields), cover(structs.Service{}, 2)+cover(structs.Rules{}, 0); got != want {
+	service := cover(structs.Service{}, 3) + cover(structs.Rules{}, 0) + cover(structs.Orders{}, 0)
+	if got, want := len(serviceFields.fields), service; got != want {
 		t.Errorf("%d service keys for %d fields", got, want)
 	}
 }
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // decodeJSON decodes one JSON value, numbers as json.Number.
@@ -79,6 +81,16 @@
 	return valueType[S]{"one of " + strings.Join(names, ", "), decode, plain[S]}
 }
 
+// textType is the type of a name that is passed on as it is.
+func textType(most int) valueType[string] {
+	decode := func(raw any) (string, bool) {
+		s, ok := raw.(string)
+		printable := strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) < 0
+		return s, ok && s != "" && len(s) <= most && utf8.ValidString(s) && printable
+	}
+	return valueType[string]{fmt.Sprintf("a printable text of 1 to %d bytes", most), decode, plain[string]}
+}
+
 func durationType(least, most time.Duration) valueType[time.Duration] {
 	decode := func(raw any) (time.Duration, bool) {
 		s, ok := raw.(string)
--- a/internal/structs/commands.go
+++ b/internal/structs/commands.go
@@ -1,6 +1,10 @@
 package structs
 
-import "time"
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
 
 // Command is an output of the core, carried out by an adapter.
 type Command interface{ command() }
@@ -129,6 +133,22 @@
 	Program ProgramID
 }
 
+// ReadOrders asks a target for its state under orders; the answer is
+// OrdersRead.
+type ReadOrders struct {
+	ID     OrderID
+	Target Target
+}
+
+// SendOrder sends an order to a target; the answer is OrderSent. The adapter
+// sends it once and never retries. It must not send the order after NotAfter.
+type SendOrder struct {
+	ID       OrderID
+	Target   Target
+	Order    wire.Order
+	NotAfter time.Time
+}
+
 // Ready tells whether this instance may take traffic (see readiness).
 type Ready struct {
 	Ready  bool
@@ -157,5 +177,7 @@
 func (AskOutcome) command()    {}
 func (WatchTargets) command()  {}
 func (ReleaseCache) command()  {}
+func (ReadOrders) command()    {}
+func (SendOrder) command()     {}
 func (Ready) command()         {}
 func (DrainDone) command()     {}
--- a/internal/structs/events.go
+++ b/internal/structs/events.go
@@ -177,6 +177,38 @@
 	Done    bool
 }
 
+// OrderResult tells what became of an order.
+type OrderResult uint8
+
+// Results of an order.
+const (
+	// OrderAccepted: the target confirmed the order.
+	OrderAccepted OrderResult = iota + 1
+	// OrderFenced: the target refused the fencing number and did nothing.
+	OrderFenced
+	// OrderFailed: the target may or may not have taken the order.
+	OrderFailed
+	// OrderNotSent: the order was not sent and will not be.
+	OrderNotSent
+)
+
+// OrderSent answers SendOrder. Detail is for operators.
+type OrderSent struct {
+	ID     OrderID
+	Target TargetID
+	Result OrderResult
+	Detail string
+}
+
+// OrdersRead answers ReadOrders. State holds the target's state if Reached.
+type OrdersRead struct {
+	ID      OrderID
+	Target  TargetID
+	Reached bool
+	State   wire.OrderState
+	Detail  string
+}
+
 func (CallerSubmit) event()      {}
 func (CallerGone) event()        {}
 func (CallerProgram) event()     {}
@@ -199,3 +231,5 @@
 func (TargetUnreachable) event() {}
 func (TargetCache) event()       {}
 func (CacheReleased) event()     {}
+func (OrderSent) event()         {}
+func (OrdersRead) event()        {}
--- a/internal/structs/ids.go
+++ b/internal/structs/ids.go
@@ -43,6 +43,8 @@
 	RunID string
 	// AppendID names one append that a component asked for.
 	AppendID uint64
+	// OrderID names one SendOrder or ReadOrders of this instance.
+	OrderID uint64
 )
 
 // ErrProgramID is the error of a malformed program identifier.
@@ -98,6 +100,24 @@
 	Region  Region
 }
 
+// poolStreamPrefix begins the names of the log streams of pools.
+const poolStreamPrefix = "pool."
+
+// Stream gives the name of the log stream that decides who gives orders to the
+// pool's targets. Names of streams have no underscore; a hash keeps the names of
+// two services apart that differ by it.
+func (p PoolID) Stream() string {
+	service := string(p.Service)
+	if strings.Contains(service, "_") {
+		hash := strconv.FormatUint(xxhash.Sum64String(service), 16)
+		service = strings.ReplaceAll(service, "_", "-") + "." + hash
+	}
+	return poolStreamPrefix + string(p.Region) + "." + service
+}
+
+// IsPoolStream tells whether a log stream is that of a pool.
+func IsPoolStream(stream string) bool { return strings.HasPrefix(stream, poolStreamPrefix) }
+
 // CallRef names a call at its owner.
 type CallRef struct {
 	Program ProgramID
--- a/internal/structs/policy.go
+++ b/internal/structs/policy.go
@@ -70,6 +70,27 @@
 	QueueLimit int
 	// Rules choose the decisions of the pool.
 	Rules Rules
+	// Orders is what the service's engines shall have loaded.
+	Orders Orders
+}
+
+// Orders is the desired state of a service's engines. An empty text means that
+// no order is given for it.
+type Orders struct {
+	Model   string
+	Adapter string
+	Version string
+	Role    string
+	// Parallel is how many targets of a pool may change at once, at least 1.
+	Parallel int
+	// Interval is the least time between two orders of a pool that load from
+	// the weight store.
+	Interval time.Duration
+}
+
+// Wanted tells whether any order is to be given.
+func (o Orders) Wanted() bool {
+	return o.Model != "" || o.Adapter != "" || o.Version != "" || o.Role != ""
 }
 
 // Rules choose each decision of a dispatcher by name, so that each can be
@@ -127,6 +148,7 @@
 	return Service{
 		Name: name, Kind: kind, Slots: 16, CacheTokens: 200_000,
 		Timeout: time.Minute, QueueLimit: 5000, Rules: DefaultRules(),
+		Orders: Orders{Parallel: 1},
 	}
 }
 
