--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -19,6 +19,9 @@
 	run := w.nodes["o1"].o.requests[r.id].run
 	w.pause("o1", 6*time.Second)
 	paused := w.now
+	// A read from before the pause waits in a buffer and arrives first.
+	s := w.nodes["o1"].o.shards[0]
+	w.nodes["o1"].deliver(structs.LogRead{Stream: s.stream, From: s.next, Next: s.next, End: s.next})
 	w.reply(testDisp, "o1", &structs.PermitGrant{
 		Pool: structs.PoolID{Service: testFiling, Region: testRegion}, Ref: structs.CallRef{Program: id, Run: run},
 		Target: structs.Target{ID: "filing-desk-1", Service: testFiling},
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -50,6 +50,8 @@
 	grants  map[structs.RunID]structs.TargetID
 	refuse  func(*structs.PermitRequest) structs.Reason
 	noGrant bool
+	// hang lets targets take runs and never tell their end.
+	hang bool
 	// behave decides what a target does with a run.
 	behave    func(structs.StartRun) structs.RunFailure
 	runTime   time.Duration
@@ -106,10 +108,12 @@
 	// suspected tells that the others find it unreachable.
 	suspected bool
 	cut       bool
-	inbox     []structs.Event
-	tails     map[string]uint64
-	wake      time.Time
-	cmds      []structs.Command
+	// silent tells that the log takes nothing from it and never replies.
+	silent bool
+	inbox  []structs.Event
+	tails  map[string]uint64
+	wake   time.Time
+	cmds   []structs.Command
 }
 
 type worldEvent struct {
@@ -357,6 +361,9 @@
 			w.deliverTo(n.id, life, structs.LogAppendFailed{ID: c.ID, Stream: c.Stream, Refused: refused})
 		})
 	}
+	if n.silent {
+		return
+	}
 	roll := w.rng.Float64()
 	switch {
 	case w.logDown || n.cut || roll < w.faults.refused:
@@ -404,6 +411,9 @@
 		if !ok || n.life != life || !n.alive {
 			return
 		}
+		if n.silent {
+			return
+		}
 		if w.logDown || n.cut {
 			n.deliver(structs.LogReadFailed{Stream: stream})
 			w.after(200*time.Millisecond, func() { w.pump(n, stream) })
@@ -445,6 +455,9 @@
 	cost := c.Call.PromptTokens + c.Call.MaxTokens/2
 	w.sends = append(w.sends, send{at: w.now, run: c.Run, call: c.Call, late: late, cost: cost, fencing: c.Fencing})
 	w.log("send %s of %s %d key %s by %s", c.Run, c.Call.Lane, c.Call.Number, c.Call.Key, n.id)
+	if w.hang {
+		return
+	}
 	text := "answer of " + string(c.Run)
 	out := structs.Outcome{Text: text, Body: []byte(text), Status: 200, Usage: structs.Usage{
 		PromptTokens: c.Call.PromptTokens, CompletionTokens: c.Call.MaxTokens / 2,
