--- a/internal/dispatch/cache_test.go
+++ b/internal/dispatch/cache_test.go
@@ -136,3 +136,24 @@
 		t.Fatalf("recorded %d tokens at a target that reports none", got)
 	}
 }
+
+// Letting go of several entries at once must end: a released entry stays in
+// the record for a while and must not be let go again.
+func TestLetsGoOfManyEntriesOnce(t *testing.T) {
+	f := newFixture(t, 1, 8)
+	var runs []*structs.PermitRequest
+	for _, run := range []string{"1", "2", "3", "4"} {
+		runs = append(runs, request(run, withPrompt(1000)))
+		f.send(runs[len(runs)-1])
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	f.settings.service.Rules.Retention = "none"
+	var ends []structs.Message
+	for _, m := range runs {
+		ends = append(ends, finish(m, "t0"))
+	}
+	f.now = f.now.Add(time.Second)
+	if released := releases(f.send(ends...)); len(released) != len(runs) {
+		t.Fatalf("%d releases, want %d", len(released), len(runs))
+	}
+}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -59,6 +59,9 @@
 		p.lastPlaced = choice.Index
 		d.grant(now, c, t, options[choice.Index])
 		granted++
+		if !p.anyOpen(now) {
+			return false
+		}
 	}
 	return granted == len(best) && granted > 0
 }
@@ -105,12 +108,14 @@
 	}
 }
 
-// options lists what each target of the pool means for a call.
+// options lists what each target of the pool means for a call. The list is
+// valid until the next use.
 func (p *pool) options(now time.Time, c *call) []policy.Option {
-	options := make([]policy.Option, len(p.targets))
-	for i, t := range p.targets {
-		options[i] = p.option(now, c, t)
+	options := p.scratch[:0]
+	for _, t := range p.targets {
+		options = append(options, p.option(now, c, t))
 	}
+	p.scratch = options
 	if slices.ContainsFunc(options, func(o policy.Option) bool { return !o.Excluded && !o.Avoided }) {
 		for i := range options {
 			options[i].Excluded = options[i].Excluded || options[i].Avoided
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -41,11 +41,15 @@
 	// lateness is by class.
 	lateness map[int]*policy.Lateness
 
+	// scratch is the memory of the options of one call.
+	scratch []policy.Option
+
 	refreshed time.Time
 	used      time.Time
 	// wakeAt is when a target may open again for the waiting calls, checkAt
-	// the next check of retention, releases and health.
-	wakeAt, checkAt time.Time
+	// the next check of retention, releases and health, and sweepAt the next
+	// one that looks at every call and program.
+	wakeAt, checkAt, sweepAt time.Time
 }
 
 func newPool(id structs.PoolID, service structs.Service) *pool {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -106,7 +106,7 @@
 // first gives up to limit calls, best first: by class, within it the teams
 // that are not over their share, within these by key.
 func (q *queue) first(limit int, over func(*lane) bool) []*call {
-	var best []*call
+	best := make([]*call, 0, min(limit, q.size))
 	for start := 0; start < len(q.lanes) && len(best) < limit; {
 		end := start
 		for end < len(q.lanes) && q.lanes[end].class == q.lanes[start].class {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -117,8 +117,12 @@
 // expectedWait is the expected time until a call that waits, or is about to,
 // starts.
 func (d *Dispatcher) expectedWait(now time.Time, c *call) time.Duration {
+	return d.waitBehind(now, c, c.pool.queue.ahead(c))
+}
+
+// waitBehind is the expected wait of a call with so many ahead.
+func (d *Dispatcher) waitBehind(now time.Time, c *call, ahead int) time.Duration {
 	p := c.pool
-	ahead := p.queue.ahead(c)
 	if ahead == 0 {
 		return 0
 	}
@@ -220,14 +224,12 @@
 	if !p.service.Rules.Admission {
 		return
 	}
-	var hopeless []*call
-	p.queue.each(func(c *call) {
-		last := c.lastStart()
-		if !last.IsZero() && now.Add(d.expectedWait(now, c)).After(last) {
-			hopeless = append(hopeless, c)
+	refused := 0
+	for i, c := range p.queue.first(p.queue.size, func(*lane) bool { return false }) {
+		wait, last := d.waitBehind(now, c, i-refused), c.lastStart()
+		if !last.IsZero() && now.Add(wait).After(last) {
+			d.refuseWaiting(c, structs.ReasonOverloaded, wait)
+			refused++
 		}
-	})
-	for _, c := range hopeless {
-		d.refuseWaiting(c, structs.ReasonOverloaded, d.expectedWait(now, c))
 	}
 }
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -13,6 +13,9 @@
 const (
 	// checkInterval is how often retention, releases and health are checked.
 	checkInterval = 100 * time.Millisecond
+	// sweepInterval is how often every waiting call and program is looked
+	// at.
+	sweepInterval = 500 * time.Millisecond
 	// releaseRetry is the first wait before a release is sent again; it
 	// doubles up to releaseRetryMax.
 	releaseRetry    = 200 * time.Millisecond
@@ -308,8 +311,11 @@
 		r.next = now.Add(r.wait)
 		r.wait = min(releaseRetryMax, 2*r.wait)
 	}
-	d.refuseHopeless(now, p)
-	p.forgetPrograms(now)
+	if !p.sweepAt.After(now) {
+		d.refuseHopeless(now, p)
+		p.forgetPrograms(now)
+		p.sweepAt = now.Add(sweepInterval)
+	}
 	p.checkAt = time.Time{}
 	if p.busy() || p.holdsCache() {
 		p.checkAt = now.Add(checkInterval)
@@ -334,7 +340,7 @@
 		element = element.Prev()
 		id := structs.ProgramID(entry.key)
 		known := p.programs[id]
-		if entry.shared || entry.running > 0 || known == nil || known.waiting+known.running > 0 {
+		if entry.tokens == 0 || entry.shared || entry.running > 0 || known == nil || known.waiting+known.running > 0 {
 			continue
 		}
 		if !policy.Retain(rules, p.returnChance(now, entry), fill) {
