proofs: team budgets, histories, callers that leave, calls without a program

Cause: the points "history never mixed" and the team's budget had no scenario; a paused owner that woke called a live program unknown and the checker did not look for that.

Change: scenarios "team-budget" and "history"; steps of the load that file without a program or close the connection early; a program that was opened and is then called unknown is a lost history. The Go test runs three scenarios at a time.

--- a/internal/proofs/caller.go
+++ b/internal/proofs/caller.go
@@ -37,6 +37,9 @@
 	path     string
 	body     []byte
 	deadline time.Duration
+	// leave is the time after which the caller closes the connection, 0 for
+	// never.
+	leave time.Duration
 }
 
 // do makes the call until it has a final word or the patience ends, and gives
@@ -80,7 +83,11 @@
 	if deadline == 0 {
 		deadline = attemptDeadline
 	}
-	limited, cancel := context.WithTimeout(ctx, deadline+attemptGrace)
+	wait := deadline + attemptGrace
+	if q.leave > 0 {
+		wait = q.leave
+	}
+	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	a := Attempt{Instance: to.id, Start: time.Now()}
 	answer, err := testkit.NewClient(to.server, r.key).Do(limited, q.method, q.path, q.body, testkit.Call{
@@ -90,6 +97,9 @@
 	})
 	a.End = time.Now()
 	a.Word = wordOf(limited, answer, err)
+	if a.Word == Silent && q.leave > 0 {
+		a.Word = Left
+	}
 	if answer != nil {
 		if answer.Problem == nil && answer.Status >= http.StatusBadRequest {
 			a.Reason = "the target's " + http.StatusText(answer.Status)
--- a/internal/proofs/check.go
+++ b/internal/proofs/check.go
@@ -13,6 +13,7 @@
 	PropertyOrder    Property = "order in a lane"
 	PropertyAnswers  Property = "whole answer to its own request"
 	PropertyBudget   Property = "spending within the budget"
+	PropertyHistory  Property = "no program's history lost"
 	PropertyCache    Property = "no cache held for programs that are gone"
 	PropertyNotRun   Property = "not run means not run"
 	PropertyOnce     Property = "not repeatable runs at most once"
@@ -59,7 +60,7 @@
 	runs := indexRuns(e)
 	var found []Violation
 	for _, check := range []func(Evidence, *runIndex) []Violation{
-		checkExplained, checkOnce, checkNotRun, checkLost, checkOrder, checkAnswers,
+		checkExplained, checkOnce, checkNotRun, checkLost, checkKnown, checkOrder, checkAnswers,
 		checkBudget, checkCache, checkIntents, checkLeaving, checkSettings,
 	} {
 		found = append(found, check(e, runs)...)
--- a/internal/proofs/check_log.go
+++ b/internal/proofs/check_log.go
@@ -20,11 +20,14 @@
 	}
 	var found []Violation
 	for i, call := range e.Calls {
-		if !call.NotRepeatable || e.Dropped[shardStream(call.Program)] {
+		if !call.NotRepeatable {
 			continue
 		}
 		for _, run := range runs.byCall[i] {
-			at, ok := intents[intentID{call.Program, call.Key}]
+			at, ok := intents[intentID{run.Program, call.Key}]
+			if e.Dropped[shardStream(run.Program)] {
+				continue
+			}
 			if !ok {
 				found = append(found, violation(PropertyIntent, "%s ran at %s without one", call.name(), run.Target))
 			} else if at > run.TimeMS+clockSlackMS {
--- a/internal/proofs/check_runs.go
+++ b/internal/proofs/check_runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/banyanglade/banyanglade/internal/standin/engine"
 	"github.com/banyanglade/banyanglade/internal/wire"
@@ -25,6 +26,14 @@
 // that the target got, which is the caller's made unique over all programs.
 type plainIdentity struct{ path, key string }
 
+// targetKey is the idempotency key that a target gets.
+func targetKey(call Call) string {
+	if call.Program == "" {
+		return call.Key
+	}
+	return call.Program + ":" + call.Key
+}
+
 func indexRuns(e Evidence) *runIndex {
 	index := &runIndex{byCall: make([][]wire.LedgerEntry, len(e.Calls))}
 	chats := make(map[chatIdentity]int)
@@ -34,7 +43,7 @@
 			chats[chatIdentity{call.Program, call.BodyHash}] = i
 			continue
 		}
-		plain[plainIdentity{call.Path, call.Program + ":" + call.Key}] = i
+		plain[plainIdentity{call.Path, targetKey(call)}] = i
 	}
 	for _, entry := range allEntries(e.Engines) {
 		i, ok := chats[chatIdentity{entry.Program, entry.BodyHash}]
@@ -42,6 +51,10 @@
 	}
 	for _, entry := range allEntries(e.Services) {
 		i, ok := plain[plainIdentity{entry.Path, entry.Key}]
+		if !ok {
+			// A call without a program runs as a program of its own.
+			i, ok = plain[plainIdentity{entry.Path, strings.TrimPrefix(entry.Key, entry.Program+":")}]
+		}
 		index.add(entry, i, ok)
 	}
 	return index
@@ -164,6 +177,30 @@
 	return slices.ContainsFunc(e.Disturbed, func(d Disturbance) bool { return d.covers(a) })
 }
 
+// Reasons that deny a program which was opened.
+const (
+	reasonUnknownProgram = "unknown-program"
+	reasonTooOld         = "too-old"
+)
+
+// checkKnown finds programs that were opened and then called unknown.
+func checkKnown(e Evidence, _ *runIndex) []Violation {
+	opened := make(map[string]bool)
+	for _, p := range e.Programs {
+		opened[p.ID] = true
+	}
+	var found []Violation
+	for _, call := range e.Calls {
+		for _, a := range call.Attempts {
+			if opened[call.Program] && (a.Reason == reasonUnknownProgram || a.Reason == reasonTooOld) {
+				found = append(found, violation(PropertyHistory, "%s heard %s at %s, ended at %d",
+					call.name(), a.Reason, a.Instance, a.End.UnixMilli()))
+			}
+		}
+	}
+	return found
+}
+
 // checkLeaving finds runs at targets that had left.
 func checkLeaving(e Evidence, _ *runIndex) []Violation {
 	var found []Violation
@@ -190,7 +227,7 @@
 			}
 		}
 	}
-	var found []Violation
+	found := checkTeam(e, fees)
 	for _, p := range e.Programs {
 		if p.Tokens > 0 && tokens[p.ID] > p.Tokens {
 			found = append(found, violation(PropertyBudget, "program %s spent %d tokens of %d", p.ID, tokens[p.ID], p.Tokens))
@@ -202,6 +239,18 @@
 	return found
 }
 
+// checkTeam adds up what all programs of the team paid.
+func checkTeam(e Evidence, fees map[string]int64) []Violation {
+	total := int64(0)
+	for _, fee := range fees {
+		total += fee
+	}
+	if e.TeamFees == 0 || total <= e.TeamFees {
+		return nil
+	}
+	return []Violation{violation(PropertyBudget, "the team paid %d in fees of %d", total, e.TeamFees)}
+}
+
 // checkCache finds cache held for programs that are gone.
 func checkCache(e Evidence, _ *runIndex) []Violation {
 	var found []Violation
--- a/internal/proofs/check_test.go
+++ b/internal/proofs/check_test.go
@@ -131,6 +131,11 @@
 		}
 		e.Disturbed = []Disturbance{{Instance: "dead", From: at(211)}}
 	}, PropertyNotRun},
+	{"a program that was opened is called unknown", func(e *Evidence) {
+		unknown := Attempt{Instance: "one", Start: at(190), End: at(195), Word: NotRun, Reason: "unknown-program"}
+		e.Calls[2].Attempts = append([]Attempt{unknown}, e.Calls[2].Attempts...)
+	}, PropertyHistory},
+	{"a team pays more fees than its budget", func(e *Evidence) { e.TeamFees = 1 }, PropertyBudget},
 	{"a call ends without a word", func(e *Evidence) { e.Calls[1].Attempts[0].Word = Silent }, PropertyLost},
 	{"an attempt breaks at an instance that no fault touched", func(e *Evidence) {
 		broken := Attempt{Instance: "two", Start: at(101), End: at(103), Word: Broken}
--- a/internal/proofs/evidence.go
+++ b/internal/proofs/evidence.go
@@ -10,6 +10,8 @@
 type Evidence struct {
 	Calls    []Call
 	Programs []Program
+	// TeamFees is the budget of all programs together, 0 for no bound.
+	TeamFees int64
 	// Engines and Services are the ledgers of the targets, by target.
 	Engines  map[string][]wire.LedgerEntry
 	Services map[string][]wire.LedgerEntry
--- a/internal/proofs/history.go
+++ b/internal/proofs/history.go
@@ -20,6 +20,8 @@
 	Broken Word = "broken"
 	// Unreached: no connection came about, so nothing was sent.
 	Unreached Word = "unreached"
+	// Left: the caller closed the connection before it had an answer.
+	Left Word = "left"
 	// Silent: no answer came until the attempt's deadline and a grace.
 	Silent Word = "silent"
 )
@@ -58,6 +60,7 @@
 
 // Call is one call of a program as its caller made it.
 type Call struct {
+	// Program is empty for a call made without one.
 	Program string
 	Lane    string
 	Number  int
--- a/internal/proofs/load.go
+++ b/internal/proofs/load.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // Load is a set of agents that run programs at once.
@@ -24,6 +26,7 @@
 	step   func(ctx context.Context, a *agent) bool
 }{
 	{3, stepChat}, {3, stepStream}, {3, stepTool}, {3, stepFile}, {1, stepFileTwice}, {1, stepFileAgain}, {1, stepFan},
+	{1, stepSingle}, {1, stepLeave},
 }
 
 // StartLoad starts programs that each make a number of calls, or go on until
@@ -157,6 +160,26 @@
 	return word.whole() || word == Unknown
 }
 
+// stepSingle files without a program.
+func stepSingle(ctx context.Context, a *agent) bool {
+	call := &Call{Key: ulid.Make().String()}
+	word := a.rig.do(ctx, a.rng, filingRequest(call, 1, a.runTime())).Word
+	return word.whole() || word == Unknown
+}
+
+// stepLeave closes the connection of a filing early and submits it again.
+func stepLeave(ctx context.Context, a *agent) bool {
+	q := filingRequest(a.freeCall(), 1, a.runTime())
+	a.rig.History.addCall(q.call)
+	left := q
+	left.leave = a.runTime()
+	if a.rig.retry(ctx, a.rng, left, 0).Word.whole() {
+		return true
+	}
+	word := a.rig.retry(ctx, a.rng, q, patience).Word
+	return word.whole() || word == Unknown
+}
+
 func stepFan(ctx context.Context, a *agent) bool {
 	const count = 3
 	a.fans++
--- a/internal/proofs/request.go
+++ b/internal/proofs/request.go
@@ -59,7 +59,7 @@
 
 // uniquePath names one call among all.
 func uniquePath(what string, call *Call) string {
-	return fmt.Sprintf("/%s/%s/%s", what, call.Program, call.Key)
+	return fmt.Sprintf("/%s/program-%s/%s", what, call.Program, call.Key)
 }
 
 // encode gives the JSON of a value that has one. HTML is not escaped, as in
--- a/internal/proofs/scenario.go
+++ b/internal/proofs/scenario.go
@@ -29,6 +29,8 @@
 	Relayed bool
 	// Budget is the budget of each program; its settings are made from it.
 	Budget Program
+	// TeamFees is the budget of all programs together, likewise.
+	TeamFees int64
 	// Settings are further settings, by path.
 	Settings map[string]any
 	// Env are further environment variables of the instances, NAME=value.
@@ -56,6 +58,9 @@
 	if s.Budget.Fees > 0 {
 		settings[team+"/program_fees"] = s.Budget.Fees
 	}
+	if s.TeamFees > 0 {
+		settings[team+"/team_fees"] = s.TeamFees
+	}
 	return settings
 }
 
@@ -97,6 +102,7 @@
 	rig.Log.SetFaults(wire.LogFaults{})
 	rig.untilReleased(limited)
 	evidence := rig.collect(limited)
+	evidence.TeamFees = s.TeamFees
 	result.Verdict = Check(evidence)
 	if err != nil {
 		result.Violations = append(result.Violations, violation(PropertyScenario, "%v", err))
--- a/internal/proofs/scenarios_log.go
+++ b/internal/proofs/scenarios_log.go
@@ -16,7 +16,7 @@
 	outage = 8 * time.Second
 	// retention is how long the log keeps records in the scenario about it, the
 	// least that an instance takes.
-	retention = time.Minute
+	retention = 10 * time.Second
 )
 
 func logScenarios() []Scenario {
--- a/internal/proofs/scenarios_programs.go
+++ b/internal/proofs/scenarios_programs.go
@@ -22,6 +22,7 @@
 	reasonLoop      = "loop-detected"
 	reasonClosed    = "program-closed"
 	reasonBudget    = "budget-exhausted"
+	reasonFork      = "history-fork"
 )
 
 func programScenarios() []Scenario {
@@ -33,6 +34,9 @@
 			Settings: map[string]any{teamPath + "/loop_repeats": 4}, Run: runEndlessLoop},
 		{Name: "budget", Proves: "spending within the budget while owners die", Instances: 3,
 			Budget: Program{Tokens: 2500, Fees: 6}, Run: runBudget},
+		{Name: "team-budget", Proves: "spending of a team within its budget while owners die", Instances: 3,
+			TeamFees: 40, Run: runTeamBudget},
+		{Name: "history", Proves: "a program's history is not mixed with another's, also after its owner died", Instances: 3, Quick: true, Run: runHistory},
 		{Name: "dead-programs", Proves: "cache of programs released though owners die and engines drop replies", Instances: 3, Run: runDeadPrograms},
 	}
 }
@@ -164,6 +168,85 @@
 	return errors.CombineErrors(errors.Newf("%d calls and the budget was not used up", most), a.close(ctx))
 }
 
+// runTeamBudget lets programs of a team file until the team's budget refuses,
+// while owners die.
+func runTeamBudget(ctx context.Context, r *Rig) error {
+	var group sync.WaitGroup
+	errs := make([]error, usualPrograms)
+	for i := range errs {
+		rng := r.newRand()
+		group.Go(func() { errs[i] = r.fileAll(ctx, rng) })
+	}
+	var killed error
+	for range 2 {
+		killed = errors.CombineErrors(killed, r.UntilAnswered(ctx, someAnswers/3))
+		killed = errors.CombineErrors(killed, r.Replace(ctx, r.random()))
+	}
+	group.Wait()
+	return errors.CombineErrors(killed, errors.Join(errs...))
+}
+
+// fileAll files until the budget refuses.
+func (r *Rig) fileAll(ctx context.Context, rng *rand.Rand) error {
+	const most = 100
+	a, err := r.newAgent(ctx, rng)
+	if err != nil {
+		return err
+	}
+	for range most {
+		if got := a.file(ctx, 1, 0); got.Word == NotRun && got.Reason == reasonBudget {
+			return a.close(ctx)
+		}
+	}
+	return errors.CombineErrors(errors.Newf("%d filings and the budget was not used up", most), a.close(ctx))
+}
+
+// runHistory sends one program's conversation as another's, before and after
+// the owner of the second died. The second then goes on with its own.
+func runHistory(ctx context.Context, r *Rig) error {
+	var agents [2]*agent
+	for i := range agents {
+		a, err := r.newAgent(ctx, r.newRand())
+		if err != nil {
+			return err
+		}
+		for range 2 {
+			if got := a.chat(ctx, 10+i, true); !got.Word.whole() {
+				return errors.Newf("a chat got %s %s", got.Word, got.Reason)
+			}
+		}
+		agents[i] = a
+	}
+	err := r.mixed(ctx, agents[0], agents[1])
+	owner, owned := r.untilOwned(ctx, agents[1].program.ID)
+	if owned != nil {
+		return owned
+	}
+	// A filing is in the log before its answer, so that the death of the owner
+	// forgets no call; what it may forget is the matter of "kill-owner".
+	for _, a := range agents {
+		if got := a.file(ctx, 1, 0); !got.Word.whole() {
+			return errors.Newf("a filing got %s %s", got.Word, got.Reason)
+		}
+	}
+	err = errors.CombineErrors(err, r.Replace(ctx, owner))
+	err = errors.CombineErrors(err, r.mixed(ctx, agents[0], agents[1]))
+	return errors.Join(err, agents[0].goOn(ctx), agents[1].goOn(ctx))
+}
+
+// mixed makes a call of a program with the messages of another, which must be
+// refused.
+func (r *Rig) mixed(ctx context.Context, other, own *agent) error {
+	messages := own.messages
+	own.messages = append([]wire.ChatMessage(nil), other.messages...)
+	got := own.chat(ctx, 10, true)
+	own.messages = messages
+	if got.Word != NotRun || got.Reason != reasonFork {
+		return errors.Newf("another program's history got %s %s", got.Word, got.Reason)
+	}
+	return nil
+}
+
 // runDeadPrograms closes programs while the engines do not answer, and replaces
 // every instance before an engine could confirm a release.
 func runDeadPrograms(ctx context.Context, r *Rig) error {
--- a/internal/proofs/scenarios_test.go
+++ b/internal/proofs/scenarios_test.go
@@ -38,13 +38,20 @@
 	return m.Run()
 }
 
+// atOnce is the number of scenarios that run at a time.
+const atOnce = 3
+
 // TestQuickScenarios runs the scenarios marked as quick; "make proofs" runs all.
 func TestQuickScenarios(t *testing.T) {
+	slots := make(chan struct{}, atOnce)
 	for _, s := range All() {
 		if !s.Quick {
 			continue
 		}
 		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			result := Run(context.Background(), binary, s, testSeed, Keep{Dir: os.Getenv("PROOFS_KEEP")})
 			for _, v := range result.Violations {
 				t.Error(v)
