--- a/internal/httpapi/headers.go
+++ b/internal/httpapi/headers.go
@@ -76,7 +76,7 @@
 	notRepeatable bool
 	fork          bool
 	fresh         bool
-	fee     int64
+	fee           int64
 	// wait is the most time for an answer; 0 if the caller gave none.
 	wait time.Duration
 }
