--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -74,6 +74,9 @@
 		{"fcfs/round-robin", with(plain, func(r *structs.Rules) { r.Placement = "round-robin" })},
 		{Baseline, plain},
 		{"fcfs/least-loaded late", with(plain, func(r *structs.Rules) { r.LateBinding = true })},
+		{"las/affinity late", with(plain, func(r *structs.Rules) {
+			r.Order, r.Aging, r.Classes, r.Placement, r.LateBinding = "las", 1, true, "affinity", true
+		})},
 		{Full, structs.DefaultRules()},
 	}
 	return append(variants, ablations()...)
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -146,12 +146,12 @@
 // Workloads lists the workloads of the reported figures.
 func Workloads() []Workload {
 	clearance := Kind{
-		Team: "clearance", Priority: 0, Rate: 5, Deadline: 20 * time.Second,
+		Team: "clearance", Priority: 0, Rate: 5.3, Deadline: 20 * time.Second,
 		Turns: 2, TurnsMax: 40, TurnsTail: 1.5,
 		Shared: 2000, First: 1000, Input: 400, Output: 80, Pause: 400 * time.Millisecond, Agents: 0.1,
 	}
 	status := Kind{
-		Team: "status", Priority: 5, Rate: 10, Deadline: 30 * time.Second,
+		Team: "status", Priority: 5, Rate: 10.6, Deadline: 30 * time.Second,
 		Turns: 2, TurnsMax: 60, TurnsTail: 1.3,
 		Shared: 2000, First: 800, Input: 500, Output: 60, Pause: 400 * time.Millisecond, Agents: 0.05,
 	}
@@ -164,6 +164,7 @@
 		{Name: "shared-prefixes", Kinds: sharedPrefixes(clearance, status)},
 		{Name: "dying", Kinds: dying(clearance, status)},
 		{Name: "survey", Kinds: survey()},
+		{Name: "greedy-team", Kinds: greedyTeam(status)},
 		{Name: "slow-runner", Kinds: []Kind{clearance, status}, SlowRunner: 10},
 		{Name: "overload", Kinds: overload(clearance, status)},
 	}
@@ -181,7 +182,7 @@
 	for _, kind := range []*Kind{&clearance, &status} {
 		kind.Output, kind.Input, kind.First, kind.Shared = 300, 100, 300, 500
 	}
-	clearance.Rate, status.Rate = 7, 14
+	clearance.Rate, status.Rate = 5.6, 11.2
 	return []Kind{clearance, status}
 }
 
@@ -190,21 +191,22 @@
 	for _, kind := range []*Kind{&clearance, &status} {
 		kind.First, kind.Input, kind.Pause = 6000, 1000, 3*time.Second
 	}
-	clearance.Rate, status.Rate = 3, 6
+	clearance.Rate, status.Rate = 3.5, 7
 	return []Kind{clearance, status}
 }
 
 // filingWeek is a burst of clearance searches with short status lookups
 // behind.
 func filingWeek(clearance, status Kind) []Kind {
-	clearance.Rate, clearance.BurstRate = 3, 10
-	status.Rate, status.TurnsMax, status.TurnsTail = 14, 4, 0
+	clearance.Rate, clearance.BurstRate = 4, 14
+	status.Rate, status.TurnsMax, status.TurnsTail = 20, 4, 0
 	status.Turns = 1
 	return []Kind{clearance, status}
 }
 
 // sharedPrefixes has many teams with long system messages.
 func sharedPrefixes(clearance, status Kind) []Kind {
+	clearance.Rate, status.Rate = 4.2, 8.4
 	clearance.Teams, clearance.Shared = 8, 6000
 	status.Teams, status.Shared = 16, 6000
 	return []Kind{clearance, status}
@@ -212,11 +214,21 @@
 
 // dying has programs that never return from a pause, and loops.
 func dying(clearance, status Kind) []Kind {
+	clearance.Rate, status.Rate = 6, 12
 	clearance.Dying, clearance.Looping = 0.15, 0.05
 	status.Dying, status.Looping = 0.25, 0.05
 	return []Kind{clearance, status}
 }
 
+// greedyTeam is one team that asks for far more than its share beside one that
+// does not, of the same class and weight, in a burst that is too much for all.
+func greedyTeam(status Kind) []Kind {
+	modest, greedy := status, status
+	modest.Team, modest.Rate = "modest", 4
+	greedy.Team, greedy.Rate, greedy.BurstRate = "greedy", 8, 60
+	return []Kind{modest, greedy}
+}
+
 // survey is quick checks from the boat before long reviews.
 func survey() []Kind {
 	return []Kind{
@@ -235,7 +247,7 @@
 
 // overload is more than the engines can do, with short call timeouts.
 func overload(clearance, status Kind) []Kind {
-	clearance.Rate, status.Rate = 10, 40
+	clearance.Rate, status.Rate = 25, 100
 	clearance.CallTimeout, status.CallTimeout = 10*time.Second, 10*time.Second
 	return []Kind{clearance, status}
 }
