bench: a failing runner and the figures of single teams

Cause: the ejection rule and the fair share showed nothing: a slow runner is already avoided by the cost of a placement, and the ratio of the teams' slowdowns cannot tell a fair outcome from an unfair one.

--- a/internal/bench/owner.go
+++ b/internal/bench/owner.go
@@ -41,6 +41,7 @@
 	target                     structs.TargetID
 	asked, granted, submitted  time.Duration
 	firstToken, took, firstAsk time.Duration
+	attempt                    int
 	usage                      structs.Usage
 }
 
@@ -120,7 +121,7 @@
 		Pool: benchPool, Ref: structs.CallRef{Program: p.spec.ID, Run: c.run},
 		Team: p.spec.Team, Priority: p.spec.Priority, Weight: p.spec.Weight,
 		Served: p.served, Age: age, Slack: p.spec.Deadline - age, HasDeadline: p.spec.Deadline > 0,
-		Turns: p.turns, Remaining: timeout,
+		Turns: p.turns, Attempt: c.attempt, Remaining: timeout,
 		PromptTokens: int64(c.prompt()), MaxTokens: 4096,
 		SharedKey: c.sharedKey(), SharedTokens: int64(p.spec.Shared),
 	})
@@ -144,11 +145,27 @@
 	c.then()
 }
 
+// notSent tries a call again that its engine refused without running it.
+func (d *driver) notSent(c *liveCall) {
+	p := c.program
+	delete(d.calls, c.run)
+	p.leave(d.byTarget[c.target])
+	p.calls--
+	d.figures.NotSent++
+	d.toDispatcher(&structs.PermitFinish{
+		Pool: benchPool, Ref: structs.CallRef{Program: p.spec.ID, Run: c.run},
+		Target: c.target, Failure: structs.RunNotSent,
+	})
+	c.attempt++
+	d.ask(c)
+}
+
 // refused tries a refused call again when it was told to.
 func (d *driver) refused(c *liveCall, m *structs.PermitRefuse) {
 	p := c.program
 	delete(d.calls, c.run)
 	p.calls--
+	c.attempt = 0
 	p.refused++
 	d.figures.refuse(d, c, d.clock.now-c.asked)
 	if p.refused > maxRefusals || p.failed {
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -21,6 +21,10 @@
 }
 
 func (r *runner) submit(c *liveCall) {
+	if r.driver.workload.FailingRunner && r.faulty() {
+		r.driver.clock.after(r.driver.options.Hop, func() { r.driver.notSent(c) })
+		return
+	}
 	r.runs[string(c.run)] = c
 	c.submitted = r.driver.clock.now
 	if err := r.model.Submit(c.engineRequest()); err != nil {
@@ -37,12 +41,16 @@
 	r.driver.clock.after(r.model.StepDuration()*time.Duration(r.slowness()), r.endStep)
 }
 
+// faulty tells whether this is the engine with a fault, in the time of it.
+func (r *runner) faulty() bool {
+	now, third := r.driver.clock.now, r.driver.options.Duration/3
+	return r == r.driver.runners[0] && now > third && now < 2*third
+}
+
 // slowness is the factor of a slow runner.
 func (r *runner) slowness() int {
-	d := r.driver
-	third := d.options.Duration / 3
-	if d.workload.SlowRunner > 0 && r == d.runners[0] && d.clock.now > third && d.clock.now < 2*third {
-		return d.workload.SlowRunner
+	if slow := r.driver.workload.SlowRunner; slow > 0 && r.faulty() {
+		return slow
 	}
 	return 1
 }
--- a/internal/bench/sample.go
+++ b/internal/bench/sample.go
@@ -18,6 +18,8 @@
 	Deadlines, Met   int
 	Programs, Failed int
 	Calls, Refused   int
+	// NotSent counts the calls that an engine refused.
+	NotSent int
 	// RefusedAfter is the time from each request to its refusal, in
 	// seconds.
 	RefusedAfter []float64
@@ -101,8 +103,11 @@
 	Prefilled, Recomputed float64
 	// WasteGone and WastePaused are in token-seconds per program.
 	WasteGone, WastePaused float64
-	// Unfair is the highest mean slowdown of a team over the lowest.
-	Unfair float64
+	// TeamLow and TeamHigh are the lowest and highest mean slowdown of a
+	// team.
+	TeamLow, TeamHigh float64
+	// NotSent is the number of attempts that an engine refused, per program.
+	NotSent float64
 	// Refused is the share of requests refused, RefusedAfter the 99th
 	// percentile of the time to the refusal in seconds, and Failed the
 	// share of programs that gave up.
@@ -138,20 +143,18 @@
 		all = append(all, slowdowns...)
 	}
 	f.Mean = quantiles(all).Mean
-	f.Unfair = s.unfair()
+	f.TeamLow, f.TeamHigh = s.teamRange()
+	f.NotSent = share(s.NotSent, s.Programs)
 	return f
 }
 
-func (s *Sample) unfair() float64 {
-	least, most := math.Inf(1), 0.0
+func (s *Sample) teamRange() (low, high float64) {
+	low = math.Inf(1)
 	for _, slowdowns := range s.Teams {
 		mean := quantiles(slowdowns).Mean
-		least, most = min(least, mean), max(most, mean)
+		low, high = min(low, mean), max(high, mean)
 	}
-	if most == 0 {
-		return 0
-	}
-	return most / least
+	return min(low, high), high
 }
 
 func share[N int | int64](part, whole N) float64 {
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -18,6 +18,9 @@
 	// SlowRunner slows the first engine by this factor, 0 for none, in the
 	// middle third of the run.
 	SlowRunner int
+	// FailingRunner makes the first engine refuse every call at once in the
+	// middle third of the run.
+	FailingRunner bool
 }
 
 // Kind is a kind of programs with the same distributions.
@@ -166,6 +169,7 @@
 		{Name: "survey", Kinds: survey()},
 		{Name: "greedy-team", Kinds: greedyTeam(status)},
 		{Name: "slow-runner", Kinds: []Kind{clearance, status}, SlowRunner: 10},
+		{Name: "failing-runner", Kinds: []Kind{clearance, status}, FailingRunner: true},
 		{Name: "overload", Kinds: overload(clearance, status)},
 	}
 }
@@ -198,8 +202,8 @@
 // filingWeek is a burst of clearance searches with short status lookups
 // behind.
 func filingWeek(clearance, status Kind) []Kind {
-	clearance.Rate, clearance.BurstRate = 4, 14
-	status.Rate, status.TurnsMax, status.TurnsTail = 20, 4, 0
+	clearance.Rate, clearance.BurstRate = 5, 20
+	status.Rate, status.TurnsMax, status.TurnsTail = 25, 4, 0
 	status.Turns = 1
 	return []Kind{clearance, status}
 }
@@ -224,8 +228,8 @@
 // does not, of the same class and weight, in a burst that is too much for all.
 func greedyTeam(status Kind) []Kind {
 	modest, greedy := status, status
-	modest.Team, modest.Rate = "modest", 4
-	greedy.Team, greedy.Rate, greedy.BurstRate = "greedy", 8, 60
+	modest.Team, modest.Rate = "modest", 7
+	greedy.Team, greedy.Rate, greedy.BurstRate = "greedy", 14, 110
 	return []Kind{modest, greedy}
 }
 
