Gateway names the run whose pieces a caller has

Cause: without Submit.HaveRun an owner cannot tell whether the run it resumes made the pieces that the caller has, so no stream outlived its owner. Change: the gateway keeps the run of the pieces, hands it over, and drops pieces of another run (TestPiecesOfAnotherRunAreNotJoined fails without the check). Keys with the reserved prefix are refused.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -31,6 +31,10 @@
 		return
 	}
 	have := p.stream.pieces
+	if have > 0 && msg.Run != p.stream.run {
+		// Pieces of two runs are never joined.
+		return
+	}
 	if msg.Chunk.First > have || msg.Chunk.Next() <= have {
 		return
 	}
@@ -39,6 +43,7 @@
 		Texts:     msg.Chunk.Texts[have-msg.Chunk.First:],
 		ToolCalls: msg.Chunk.ToolCalls,
 	}
+	p.stream.run = msg.Run
 	p.stream.add(c.Texts)
 	g.emit(structs.ReplyChunk{Request: p.request, Chunk: c})
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+func TestPiecesOfAnotherRunAreNotJoined(t *testing.T) {
+	r := newRig(t)
+	r.tick(start, r.from(&structs.CallChunk{Request: request, Run: "run-1", Chunk: structs.Chunk{Texts: []string{"one "}}}))
+	cmds := r.tick(start, structs.PeerDown{Peer: r.owner})
+	submit, ok := cmds[0].(structs.SendPeer).Msg.(*structs.Submit)
+	if !ok || submit.Have != 1 || submit.HaveRun != "run-1" {
+		t.Fatalf("handed over as %+v", cmds)
+	}
+	cmds = r.tick(start, r.from(&structs.CallChunk{Request: request, Run: "run-2", Chunk: structs.Chunk{First: 1, Texts: []string{"due"}}}))
+	if len(cmds) != 0 {
+		t.Fatalf("relayed %v", cmds)
+	}
+}
+
 func TestAnswerOfAFormerOwnerIsDropped(t *testing.T) {
 	r := newRig(t)
 	first := r.owner
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
@@ -48,6 +49,8 @@
 // relay is what of a streamed answer went to the caller. The running hash
 // proves that a second owner's text continues the first one's.
 type relay struct {
+	// run is the run that made the pieces.
+	run    structs.RunID
 	pieces int
 	bytes  int
 	hash   *xxhash.Digest
@@ -81,7 +84,7 @@
 	p.call = ev.Call
 	if p.call.Key == "" {
 		// A key of its own lets a second owner recognise the call.
-		p.call.Key = "request/" + string(ev.Request)
+		p.call.Key = journal.KeylessPrefix + string(ev.Request)
 	}
 	g.hold(p)
 	g.search(now, p, "")
@@ -169,7 +172,7 @@
 	}
 	return &structs.Submit{
 		Request: p.request, Call: p.call, Remaining: remaining,
-		Have: p.stream.pieces, Suspects: p.suspects,
+		Have: p.stream.pieces, HaveRun: p.stream.run, Suspects: p.suspects,
 		Resubmitted: p.heldElsewhere(p.owner),
 	}
 }
--- a/internal/httpapi/headers.go
+++ b/internal/httpapi/headers.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -161,6 +162,9 @@
 	if len(value) > maxKeyLength || !printable(value) {
 		p.fail(HeaderIdempotencyKey, "printable ASCII, at most "+strconv.Itoa(maxKeyLength))
 	}
+	if strings.HasPrefix(value, journal.KeylessPrefix) {
+		p.fail(HeaderIdempotencyKey, "a key that does not begin with "+journal.KeylessPrefix)
+	}
 	return value
 }
 
--- a/internal/httpapi/input_test.go
+++ b/internal/httpapi/input_test.go
@@ -105,7 +105,7 @@
 	program := string(newProgramID(testRegion, f.api.config.Now()))
 	cases := [][]string{
 		{HeaderProgram, "nothing"}, {HeaderProgram, strings.ToUpper(program)}, {HeaderProgram, program + "0"},
-		{HeaderLane, "sub"}, {HeaderCall, "1"}, {HeaderFork, "true"},
+		{HeaderIdempotencyKey, "request/1"}, {HeaderLane, "sub"}, {HeaderCall, "1"}, {HeaderFork, "true"},
 		{HeaderProgram, program, HeaderCall, "0"}, {HeaderProgram, program, HeaderCall, "-1"},
 		{HeaderProgram, program, HeaderCall, "1.0"}, {HeaderProgram, program, HeaderCall, "99999999999999999999"},
 		{HeaderProgram, program, HeaderLane, "a b"}, {HeaderProgram, program, HeaderLane, strings.Repeat("l", maxLaneLength+1)},
