--- a/cmd/quickstart/tour.go
+++ b/cmd/quickstart/tour.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,12 +14,17 @@
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
+// killAtPiece is the piece of a streamed answer at which the owner is killed.
+const killAtPiece = 10
+
 // tour is one program's way through the instances.
 type tour struct {
 	cluster  *testkit.Cluster
 	program  string
 	messages []wire.ChatMessage
 	number   int
+	// onPiece hears the pieces of the next streamed answer.
+	onPiece func(number int)
 }
 
 func newTour(cluster *testkit.Cluster) *tour {
@@ -64,13 +71,43 @@
 	return t.submit(ctx, 1, "replayed")
 }
 
-// loseOwner kills one instance in the middle of the program.
+// loseOwner kills the program's owner in the middle of a streamed answer. The
+// caller's instance hands the call to the next owner, which resumes the stream
+// at the engine.
 func (t *tour) loseOwner(ctx context.Context) error {
-	victim := t.cluster.Instances[2]
-	victim.Kill()
-	t.cluster.Remove(victim)
-	fmt.Printf("     %s is killed.\n", victim.ID)
-	return t.chat(ctx, 0, "Summarize for the member. tokens=16", true)
+	owner, err := t.owner(ctx)
+	if err != nil {
+		return err
+	}
+	other := slices.IndexFunc(t.cluster.Instances, func(p *testkit.Process) bool { return p != owner })
+	t.onPiece = func(number int) {
+		if number == killAtPiece {
+			owner.Kill()
+			fmt.Printf("     %s, the program's owner, is killed in the middle of the next answer.\n", owner.ID)
+		}
+	}
+	err = t.chat(ctx, other, "Summarize for the member. tokens=60", true)
+	t.onPiece = nil
+	t.cluster.Remove(owner)
+	return err
+}
+
+// owner finds the instance that owns the program.
+func (t *tour) owner(ctx context.Context) (*testkit.Process, error) {
+	answer, err := t.client(0).Do(ctx, http.MethodGet, "/v1/programs/"+t.program, nil, testkit.Call{})
+	if err != nil {
+		return nil, err
+	}
+	var view struct{ Owner string }
+	if err := json.Unmarshal(answer.Body, &view); err != nil {
+		return nil, errors.Wrapf(err, "program: %s", answer.Body)
+	}
+	for _, p := range t.cluster.Instances {
+		if p.ID == view.Owner {
+			return p, nil
+		}
+	}
+	return nil, errors.Newf("no instance owns the program: %s", answer.Body)
 }
 
 func (t *tour) close(ctx context.Context) error {
@@ -88,7 +125,9 @@
 	t.number++
 	t.messages = append(t.messages, wire.ChatMessage{Role: "user", Content: prompt})
 	request := wire.ChatRequest{Model: testkit.ModelService, Messages: t.messages, MaxTokens: 100, Stream: stream}
-	answer, err := t.client(instance).Chat(ctx, request, testkit.Call{Program: t.program, Number: t.number})
+	client := t.client(instance)
+	client.OnPiece = t.onPiece
+	answer, err := client.Chat(ctx, request, testkit.Call{Program: t.program, Number: t.number})
 	if err != nil {
 		return err
 	}
--- a/internal/testkit/client.go
+++ b/internal/testkit/client.go
@@ -21,6 +21,9 @@
 	Server string
 	Key    string
 	HTTP   *http.Client
+	// OnPiece, if set, hears the number of each piece of a streamed answer as
+	// it comes.
+	OnPiece func(number int)
 }
 
 // NewClient returns a client that opens a connection for each request, as
@@ -147,7 +150,7 @@
 		Program: reply.Header.Get("Banyanglade-Program"),
 	}
 	if strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream") {
-		answer.readStream(reply.Body, started)
+		answer.readStream(reply.Body, started, c.OnPiece)
 	} else {
 		answer.readWhole(reply.Body)
 	}
@@ -197,7 +200,7 @@
 }
 
 // readStream reads server-sent events until the end mark.
-func (a *Answer) readStream(body io.Reader, started time.Time) {
+func (a *Answer) readStream(body io.Reader, started time.Time, onPiece func(int)) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 64<<10), 16<<20)
 	a.Cut = true
@@ -221,11 +224,11 @@
 			a.Cut = false
 			return
 		}
-		a.takePiece(data, started)
+		a.takePiece(data, started, onPiece)
 	}
 }
 
-func (a *Answer) takePiece(data string, started time.Time) {
+func (a *Answer) takePiece(data string, started time.Time, onPiece func(int)) {
 	at := time.Since(started)
 	var chunk wire.ChatChunk
 	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
@@ -244,4 +247,7 @@
 	a.PieceTimes = append(a.PieceTimes, at)
 	a.Pieces++
 	a.Text += delta.Content
+	if onPiece != nil {
+		onPiece(a.Pieces)
+	}
 }
