--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -64,26 +65,19 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxBody, DefaultMaxBody)
-	setDefault(&c.MaxBodies, DefaultMaxBodies)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxBodies = cmp.Or(c.MaxBodies, DefaultMaxBodies)
 	c.MaxBodies = max(c.MaxBodies, c.MaxBody)
-	setDefault(&c.MaxBuffer, DefaultMaxBuffer)
-	setDefault(&c.MaxConcurrent, DefaultMaxConcurrent)
-	setDefault(&c.MaxTokens, DefaultMaxTokens)
-	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
-	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.OperatorTimeout, DefaultOperatorTimeout)
-	setDefault(&c.ReplyGrace, DefaultReplyGrace)
+	c.MaxBuffer = cmp.Or(c.MaxBuffer, DefaultMaxBuffer)
+	c.MaxConcurrent = cmp.Or(c.MaxConcurrent, DefaultMaxConcurrent)
+	c.MaxTokens = cmp.Or(c.MaxTokens, DefaultMaxTokens)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, DefaultHeaderTimeout)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, DefaultBodyTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.OperatorTimeout = cmp.Or(c.OperatorTimeout, DefaultOperatorTimeout)
+	c.ReplyGrace = cmp.Or(c.ReplyGrace, DefaultReplyGrace)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 
@@ -61,24 +62,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.CloseTimeout, DefaultCloseTimeout)
-	setDefault(&c.MaxFrame, DefaultMaxFrame)
-	setDefault(&c.QueueFrames, DefaultQueueFrames)
-	setDefault(&c.QueueBytes, DefaultQueueBytes)
-	setDefault(&c.MaxHandshakes, DefaultMaxHandshakes)
+	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.CloseTimeout = cmp.Or(c.CloseTimeout, DefaultCloseTimeout)
+	c.MaxFrame = cmp.Or(c.MaxFrame, DefaultMaxFrame)
+	c.QueueFrames = cmp.Or(c.QueueFrames, DefaultQueueFrames)
+	c.QueueBytes = cmp.Or(c.QueueBytes, DefaultQueueBytes)
+	c.MaxHandshakes = cmp.Or(c.MaxHandshakes, DefaultMaxHandshakes)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c Config) validate() error {
 	if c.Self.ID == "" || c.Incarnation == "" {
 		return errors.Wrap(ErrConfig, "the instance id and incarnation are needed")
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"net/url"
 	"time"
 
@@ -55,16 +56,16 @@
 }
 
 func (c LogConfig) withDefaults() LogConfig {
-	setDefault(&c.AppendTimeout, DefaultAppendTimeout)
-	setDefault(&c.AppendQueueRecords, DefaultAppendQueueRecords)
-	setDefault(&c.AppendQueueBytes, DefaultAppendQueueBytes)
-	setDefault(&c.PollWait, DefaultPollWait)
-	setDefault(&c.ReplySlack, DefaultReplySlack)
-	setDefault(&c.EmptyReadInterval, DefaultEmptyReadInterval)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&c.ReadRecords, DefaultReadRecords)
-	setDefault(&c.MaxReply, DefaultMaxReply)
+	c.AppendTimeout = cmp.Or(c.AppendTimeout, DefaultAppendTimeout)
+	c.AppendQueueRecords = cmp.Or(c.AppendQueueRecords, DefaultAppendQueueRecords)
+	c.AppendQueueBytes = cmp.Or(c.AppendQueueBytes, DefaultAppendQueueBytes)
+	c.PollWait = cmp.Or(c.PollWait, DefaultPollWait)
+	c.ReplySlack = cmp.Or(c.ReplySlack, DefaultReplySlack)
+	c.EmptyReadInterval = cmp.Or(c.EmptyReadInterval, DefaultEmptyReadInterval)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
+	c.ReadRecords = cmp.Or(c.ReadRecords, DefaultReadRecords)
+	c.MaxReply = cmp.Or(c.MaxReply, DefaultMaxReply)
 	return c
 }
 
@@ -84,19 +85,12 @@
 }
 
 func (c MembersConfig) withDefaults() MembersConfig {
-	setDefault(&c.Interval, DefaultMembersInterval)
-	setDefault(&c.Repeat, DefaultMembersRepeat)
-	setDefault(&c.Timeout, DefaultMembersTimeout)
+	c.Interval = cmp.Or(c.Interval, DefaultMembersInterval)
+	c.Repeat = cmp.Or(c.Repeat, DefaultMembersRepeat)
+	c.Timeout = cmp.Or(c.Timeout, DefaultMembersTimeout)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // checkURL returns ErrConfig unless base is an absolute http or https URL.
 func checkURL(base string) error {
 	parsed, err := url.Parse(base)
--- a/internal/target/config.go
+++ b/internal/target/config.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 )
@@ -47,24 +48,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.RunTimeout, DefaultRunTimeout)
-	setDefault(&c.ControlTimeout, DefaultControlTimeout)
-	setDefault(&c.LoadInterval, DefaultLoadInterval)
-	setDefault(&c.HealthInterval, DefaultHealthInterval)
-	setDefault(&c.MaxRuns, DefaultMaxRuns)
-	setDefault(&c.MaxReleases, DefaultMaxReleases)
-	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
-	setDefault(&c.CancelRetries, DefaultCancelRetries)
-	setDefault(&c.CancelBackoff, DefaultCancelBackoff)
+	c.RunTimeout = cmp.Or(c.RunTimeout, DefaultRunTimeout)
+	c.ControlTimeout = cmp.Or(c.ControlTimeout, DefaultControlTimeout)
+	c.LoadInterval = cmp.Or(c.LoadInterval, DefaultLoadInterval)
+	c.HealthInterval = cmp.Or(c.HealthInterval, DefaultHealthInterval)
+	c.MaxRuns = cmp.Or(c.MaxRuns, DefaultMaxRuns)
+	c.MaxReleases = cmp.Or(c.MaxReleases, DefaultMaxReleases)
+	c.MaxAnswer = cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
+	c.CancelRetries = cmp.Or(c.CancelRetries, DefaultCancelRetries)
+	c.CancelBackoff = cmp.Or(c.CancelBackoff, DefaultCancelBackoff)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -80,7 +81,7 @@
 		r.logger.Error("run is in flight already", "run", id, "target", target)
 		return
 	}
-	setDefault(&timeout, r.cfg.RunTimeout)
+	timeout = cmp.Or(timeout, r.cfg.RunTimeout)
 	one := &run{id: id, target: target, gate: g, started: r.cfg.Now()}
 	if len(r.runs) >= r.cfg.MaxRuns {
 		r.spawn(func() { r.post(one, one.refused()) })
