--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -23,10 +23,8 @@
 	// ownerDown is set since the owner was reported dead.
 	ownerDown bool
 
-	// target holds the permit; nil while the call waits.
+	// target is where the call holds a permit, nil while it waits.
 	target *target
-	// placed is the target last placed at and granted the time of it.
-	granted time.Time
 	// prefill is the estimated own prefill time and queued the prefill that
 	// was ahead of it.
 	prefill, queued time.Duration
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -163,7 +163,7 @@
 // hold books a permit of a call at a target.
 func (d *Dispatcher) hold(now time.Time, c *call, t *target) {
 	p := c.pool
-	c.target, c.granted = t, now
+	c.target = t
 	t.add(c)
 	t.prefillUntil = laterOf(now, t.prefillUntil).Add(c.prefill)
 	p.use(now, c)
