Membership polls with an entity tag

Ruled out: a longer interval (leaving targets must be seen in seconds), deltas of our own on the platform's list. Change: If-None-Match; an unchanged list is a 304 of constant size.

--- a/internal/platform/members.go
+++ b/internal/platform/members.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/platform/eventsink"
@@ -26,7 +27,8 @@
 )
 
 // Members polls the membership list and posts MembersListed when it changes,
-// and every so often when it does not.
+// and every so often when it does not. It asks with the entity tag of the last
+// list, so that an unchanged list costs the same at any length.
 type Members struct {
 	cfg    MembersConfig
 	sink   *eventsink.Sink
@@ -34,6 +36,11 @@
 	logger *slog.Logger
 	polls  tally.Counter
 	failed tally.Counter
+	// unchanged counts the polls that were answered with status 304.
+	unchanged tally.Counter
+	// tag and last are the entity tag and content of the last list read.
+	tag  string
+	last wire.MemberList
 	// failing tells that the last poll failed.
 	failing bool
 
@@ -58,7 +65,9 @@
 		logger: logger,
 		polls:  scope.Counter("polls"),
 		failed: scope.Counter("polls_failed"),
-		cancel: cancel,
+
+		unchanged: scope.Counter("polls_unchanged"),
+		cancel:    cancel,
 	}
 	m.work.Go(func() { m.run(ctx) })
 	return m, nil
@@ -98,7 +107,13 @@
 	var list wire.MemberList
 	m.polls.Inc(1)
 	url := strings.TrimSuffix(m.cfg.URL, "/") + wire.MembersRoute
-	if err := getJSON(ctx, m.client, url, membersReplyLimit, &list); err != nil {
+	tag, err := getTagged(ctx, m.client, url, membersReplyLimit, m.tag, &list)
+	if errors.Is(err, errNotModified) {
+		m.failing = false
+		m.unchanged.Inc(1)
+		return m.last, true
+	}
+	if err != nil {
 		m.failed.Inc(1)
 		if !m.failing {
 			m.logger.Warn("membership polls fail", "error", err)
@@ -107,6 +122,7 @@
 		return wire.MemberList{}, false
 	}
 	m.failing = false
+	m.tag, m.last = tag, list
 	return list, true
 }
 
--- a/internal/platform/members_test.go
+++ b/internal/platform/members_test.go
@@ -60,3 +60,32 @@
 		e.next()
 	}
 }
+
+func TestUnchangedMembersAreNotSentAgain(t *testing.T) {
+	var whole atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", `"7"`)
+		if r.Header.Get("If-None-Match") == `"7"` {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		whole.Add(1)
+		_ = json.NewEncoder(w).Encode(wire.MemberList{Version: 7, Members: []wire.Member{{ID: "a"}}})
+	}))
+	t.Cleanup(server.Close)
+	e := newEvents(t, 16)
+	cfg := MembersConfig{URL: server.URL, Interval: time.Millisecond, Repeat: 2}
+	m, err := NewMembers(context.Background(), cfg, e.post, tally.NoopScope, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	for range 3 {
+		if got := e.next().(structs.MembersListed).List; got.Version != 7 || len(got.Members) != 1 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if n := whole.Load(); n != 1 {
+		t.Fatalf("the list was sent %d times", n)
+	}
+}
--- a/internal/standin/members/handler.go
+++ b/internal/standin/members/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/banyanglade/banyanglade/internal/standin"
 	"github.com/banyanglade/banyanglade/internal/wire"
@@ -25,12 +26,18 @@
 	return mux
 }
 
-func (l *List) serveShown(w http.ResponseWriter, _ *http.Request) {
+func (l *List) serveShown(w http.ResponseWriter, r *http.Request) {
 	shown, err := l.Shown()
 	if err != nil {
 		standin.WriteError(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
+	tag := `"` + strconv.FormatUint(shown.Version, 10) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	standin.WriteJSON(w, http.StatusOK, shown)
 }
 
--- a/internal/wire/platform.go
+++ b/internal/wire/platform.go
@@ -54,6 +54,8 @@
 // MembersRoute is the route of the membership list.
 //
 //	GET /v1/members -> MemberList
+//
+// The reply has an ETag; with If-None-Match an unchanged list is status 304.
 const MembersRoute = "/v1/members"
 
 // MemberList is the membership list as the platform shows it. It lags.
