proofs: orders to engines across a paused controller; recovery figures of the takeover alone

Change: scenarios "orders-fenced" and "orders-unfenced"; the checker finds an engine that applied an order of an older controller after a newer one's. The recovery figures kill the owner after a filing, whose record is in the log: a call whose record was lost with its owner is the matter of "kill-owner".

--- a/internal/proofs/check.go
+++ b/internal/proofs/check.go
@@ -21,6 +21,7 @@
 	PropertyLost     Property = "no lost answer"
 	PropertyLeaving  Property = "no new work to a leaving target"
 	PropertySettings Property = "accepted settings in force and never reverted"
+	PropertyOrders   Property = "no order of an older controller after a newer one's"
 	PropertyScenario Property = "scenario"
 )
 
@@ -61,7 +62,7 @@
 	var found []Violation
 	for _, check := range []func(Evidence, *runIndex) []Violation{
 		checkExplained, checkOnce, checkNotRun, checkLost, checkKnown, checkOrder, checkAnswers,
-		checkBudget, checkCache, checkIntents, checkLeaving, checkSettings,
+		checkBudget, checkCache, checkIntents, checkLeaving, checkOrders, checkSettings,
 	} {
 		found = append(found, check(e, runs)...)
 	}
--- a/internal/proofs/check_test.go
+++ b/internal/proofs/check_test.go
@@ -194,6 +194,9 @@
 	{"a leaving target gets work", func(e *Evidence) {
 		e.Leaving = []Departure{{Target: "tool", At: at(50), Within: 10 * time.Millisecond}}
 	}, PropertyLeaving},
+	{"an engine applies an order of an older controller", func(e *Evidence) {
+		e.Orders = map[string][]wire.Order{"engine": {{Value: "2", Fencing: 5}, {Value: "1", Fencing: 3}}}
+	}, PropertyOrders},
 	{"two values are accepted for one version", func(e *Evidence) { e.Changes[0].Version = 7 }, PropertySettings},
 	{"an accepted change is not in the log", func(e *Evidence) { e.Log[structs.SettingsStream] = nil }, PropertySettings},
 	{"an accepted change is not in force", func(e *Evidence) {
--- a/internal/proofs/evidence.go
+++ b/internal/proofs/evidence.go
@@ -17,6 +17,8 @@
 	Services map[string][]wire.LedgerEntry
 	// Caches is what the engines hold at the end, by target.
 	Caches map[string]wire.CacheState
+	// Orders are those that each engine applied, in that order.
+	Orders map[string][]wire.Order
 	// Log holds the records of every stream read.
 	Log map[string][]wire.LogRecord
 	// Dropped are the streams whose first records the log keeps no more, so
--- a/internal/proofs/recovery.go
+++ b/internal/proofs/recovery.go
@@ -53,7 +53,10 @@
 // instance in its place.
 func (a *agent) recoveryOnce(ctx context.Context) (time.Duration, error) {
 	r := a.rig
-	if got := a.tool(ctx, 0); !got.Word.whole() {
+	// A filing is in the log before its answer, so that the time is that of the
+	// takeover alone. What a call means whose record was lost with the owner is
+	// the matter of the scenario "kill-owner".
+	if got := a.file(ctx, 0, 0); !got.Word.whole() {
 		return 0, errors.Newf("before the kill a call got %s %s", got.Word, got.Reason)
 	}
 	owner, err := r.untilOwned(ctx, a.program.ID)
@@ -72,7 +75,7 @@
 	got := a.tool(ctx, 0)
 	took := time.Since(killed)
 	if !got.Word.whole() {
-		return 0, errors.Newf("after the kill a call got %s %s", got.Word, got.Reason)
+		return 0, errors.Newf("after the kill of %s a call got %s %s", owner.ID, got.Word, got.Reason)
 	}
 	r.Unlist(owner)
 	if !alone {
--- a/internal/proofs/rig.go
+++ b/internal/proofs/rig.go
@@ -281,6 +281,7 @@
 	}
 	e.Leaving = append(e.Leaving, r.leaving...)
 	r.mu.Unlock()
+	e.Orders = r.appliedOrders(ctx)
 	e.Changes, e.Readings = r.History.changes, r.History.readings
 	e.InForce = r.inForce(ctx, e.Changes)
 	return e
--- a/internal/proofs/scenario.go
+++ b/internal/proofs/scenario.go
@@ -101,7 +101,7 @@
 	err = s.Run(limited, rig)
 	rig.Log.SetFaults(wire.LogFaults{})
 	rig.untilReleased(limited)
-	evidence := rig.collect(limited)
+	evidence := rig.collect(ctx)
 	evidence.TeamFees = s.TeamFees
 	result.Verdict = Check(evidence)
 	if err != nil {
--- a/internal/proofs/scenarios.go
+++ b/internal/proofs/scenarios.go
@@ -6,6 +6,6 @@
 func All() []Scenario {
 	return slices.Concat(
 		instanceScenarios(), logScenarios(), networkScenarios(), targetScenarios(),
-		programScenarios(), settingsScenarios(), randomScenarios(),
+		programScenarios(), settingsScenarios(), orderScenarios(), randomScenarios(),
 	)
 }
