Owner: a lane goes on behind a number whose record died with its owner

Cause: the record of a repeatable call follows its answer. An owner that died in between left a gap: the lane's next call was refused as order-gap for ever, and a retry of a call that had run heard 'not run'. Ruled out: a quicker flush alone, since an outage of the log keeps the record out for any time. Change: a chat call starts at once if its history shows the missing answers (two messages a number beyond the known history). In a program with records of an earlier epoch a gap is passed after RecoveryWait, once a lane and epoch; so is a number of which this owner told 'unknown'. Passed numbers are kept in the lane's row: a later arrival hears 'unknown', or the record if it was found. A call that waits is answered by the late record of its own key. A refusal of a repeatable call that an earlier owner may have run says 'not run' only to a declared first delivery. Done is flushed at once while half of the append burst is left.

--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -120,7 +120,7 @@
 		return p
 	}
 	p = &Program{
-		ID: id.Program, Team: id.Team, Single: id.Single, CreatedMS: h.TimeMS, UpdatedMS: h.TimeMS,
+		ID: id.Program, Team: id.Team, Single: id.Single, Epoch: h.Epoch, CreatedMS: h.TimeMS, UpdatedMS: h.TimeMS,
 		Lanes: make(map[structs.Lane]*Lane), Calls: make(map[string]*Call),
 		Open: make(map[structs.RunID]*OpenRun), Chunks: make(map[structs.Epoch]*Chunk),
 		Placements: make(map[structs.TargetID]*Placement),
--- a/internal/journal/done.go
+++ b/internal/journal/done.go
@@ -83,6 +83,7 @@
 func (p *Program) advance(b *Done) {
 	p.Turns++
 	l := p.Lane(b.Lane)
+	l.skip(b.Number)
 	l.Last = max(l.Last, b.Number)
 	// A late record of an earlier call must not set the history back.
 	if b.HistoryCount > 0 && (b.Number == 0 || b.Number >= l.Last) {
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -39,9 +39,11 @@
 
 // Program is the durable row of a program.
 type Program struct {
-	ID        structs.ProgramID
-	Team      structs.Team
-	Single    bool
+	ID     structs.ProgramID
+	Team   structs.Team
+	Single bool
+	// Epoch is that of the program's first record.
+	Epoch     structs.Epoch
 	CreatedMS int64
 	UpdatedMS int64
 	Closed    bool
@@ -75,6 +77,37 @@
 	// RepeatDigest was sent RepeatCount times in a row.
 	RepeatDigest structs.Digest
 	RepeatCount  int
+	// Skipped holds the numbers up to Last that were passed without a record
+	// of their calls, in ascending order: these may have run.
+	Skipped []Span
+}
+
+// Span is a range of call numbers, both ends included.
+type Span struct {
+	First uint64
+	Last  uint64
+}
+
+// maxSpans bounds Lane.Skipped.
+const maxSpans = 32
+
+// skip notes the missing numbers before a call's. Beyond the bound the oldest
+// two spans become one, which errs on the safe side: a number that is called
+// skipped is never said not to have run.
+func (l *Lane) skip(number uint64) {
+	if number <= l.Last+1 {
+		return
+	}
+	l.Skipped = append(l.Skipped, Span{First: l.Last + 1, Last: number - 1})
+	if len(l.Skipped) > maxSpans {
+		l.Skipped[1].First = l.Skipped[0].First
+		l.Skipped = slices.Delete(l.Skipped, 0, 1)
+	}
+}
+
+// HasSkipped tells whether a number was passed without a record of its call.
+func (l *Lane) HasSkipped(number uint64) bool {
+	return slices.ContainsFunc(l.Skipped, func(s Span) bool { return s.First <= number && number <= s.Last })
 }
 
 // Call is an idempotency record: a call that was done.
--- a/internal/owner/append.go
+++ b/internal/owner/append.go
@@ -130,6 +130,15 @@
 	return time.Duration((1-o.tokens)/rate*float64(time.Second)).Round(time.Millisecond) + time.Millisecond
 }
 
+// soon is the urgency of a record that no call waits for but whose loss costs:
+// at once while half of the appends allowed at a time are left.
+func (o *Owner) soon() urgency {
+	rate := appendRate / float64(max(1, len(o.members.Peers())))
+	burst := max(minBurst, rate/burstShare)
+	tokens := o.tokens + o.now.Sub(o.refilled).Seconds()*rate
+	return urgency(o.refilled.IsZero() || tokens >= burst/2+1)
+}
+
 func (a *appender) sendFlight() {
 	o := a.s.o
 	o.lastAppend++
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -207,6 +207,7 @@
 			p.laneOf(r.run.Lane).blocked = 0
 		}
 		p.recovery = make(map[structs.RunID]*recovery)
+		p.skips, p.unknowns = nil, nil
 	}
 }
 
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -80,11 +79,14 @@
 	for l.current == nil && l.blocked == 0 && len(l.queue) > 0 {
 		c := l.queue[0]
 		last := p.last(l.name)
+		if c.answerRecorded() {
+			continue
+		}
 		if c.spec.Number > 0 && c.spec.Number <= last && !c.redo {
 			c.refuse(structs.ReasonStaleNumber, 0)
 			continue
 		}
-		if c.spec.Number > last+1 {
+		if c.spec.Number > last+1 && c.spec.Number > p.skips[l.name] && !p.showsAnswers(c, last) {
 			p.watchGap(l)
 			return
 		}
@@ -95,27 +97,6 @@
 	}
 }
 
-// watchGap refuses the calls behind a missing number after a while.
-func (p *program) watchGap(l *lane) {
-	o := p.shard.o
-	if l.gap != nil && l.gap.index >= 0 {
-		return
-	}
-	l.gap = o.after(p.policy().GapTimeout, func() { p.onGap(l) })
-}
-
-func (p *program) onGap(l *lane) {
-	if l.current != nil || l.blocked > 0 {
-		return
-	}
-	for _, c := range slices.Clone(l.queue) {
-		if c.spec.Number > p.last(l.name)+1 && c.phase == phaseQueued {
-			c.refuse(structs.ReasonOrderGap, time.Second)
-		}
-	}
-	p.advance()
-}
-
 // start runs the checks that need the lane's past, then makes the call's cost
 // and intent durable before it asks for a permit.
 func (c *call) start() {
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -29,6 +29,12 @@
 	release  *timer
 	backoff  time.Duration
 	recovery map[structs.RunID]*recovery
+	// skips holds, by lane, the number that may start behind missing ones in
+	// this epoch; see skip.
+	skips map[structs.Lane]uint64
+	// unknowns holds, by lane, the highest number of which a caller heard
+	// "unknown" without a record: it may go on behind it.
+	unknowns map[structs.Lane]uint64
 }
 
 // programWaiter is a gateway that waits for a program operation.
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -132,17 +132,9 @@
 		if c.phase != phaseRecovery || c.key != r.run.Key {
 			continue
 		}
-		record := p.row().Calls[c.key]
-		if record == nil {
+		if !c.answerRecorded() {
 			c.phase = phaseQueued
-			continue
 		}
-		out := record.Outcome
-		out.Replayed = true
-		c.run = record.Run
-		c.dropStrangers()
-		c.answer(out)
-		c.end()
 	}
 	p.advance()
 	p.quietIfIdle()
--- a/internal/owner/refuse.go
+++ b/internal/owner/refuse.go
@@ -53,8 +53,9 @@
 		c.finish(out, journal.Amount{}, structs.RunEnded{})
 		return
 	}
-	elsewhere := c.mayHaveRun() || c.resubmitted || c.redo
-	out := refusal(c.spec, reason, retryAfter, elsewhere, c.lookedUp)
+	elsewhere := c.mayHaveRun() || c.resubmitted || c.redo || c.prog.passed(c.spec)
+	out := refusal(c.spec, reason, retryAfter, elsewhere, c.lookedUp && c.prog.sees(c.notRepeatable))
+	c.prog.told(c.spec, out)
 	c.abandon()
 	c.answer(out)
 	c.end()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -341,7 +341,7 @@
 		HistoryCount: count, HistoryDigest: digest,
 	}
 	if !c.notRepeatable || c.shard.logDown() || len(c.waiters) == 0 {
-		c.shard.app.push(done, lazy, nil)
+		c.shard.app.push(done, c.shard.o.soon(), nil)
 		c.answer(out)
 		c.end()
 		return
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -83,21 +83,23 @@
 	if p.replayed(from, m, key) {
 		return
 	}
+	service, _ := o.settings.Service(m.Call.Service)
+	notRepeatable := m.Call.NotRepeatable || service.NotRepeatable
 	// What an earlier owner may have run is not refused as "not run".
 	if !p.recovering(key) {
 		if reason, after := s.admission(p, m, key); reason != structs.ReasonNone {
-			elsewhere := m.Resubmitted || m.Have > 0 || p.mayRedo(key)
-			out := refusal(m.Call, reason, after, elsewhere, s.lookedUp())
+			elsewhere := m.Resubmitted || m.Have > 0 || p.mayRedo(key) || p.passed(m.Call)
+			out := refusal(m.Call, reason, after, elsewhere, s.lookedUp() && p.sees(notRepeatable))
+			p.told(m.Call, out)
 			o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
 			p.dropIfEmpty()
 			return
 		}
 	}
 	o.send(from, &structs.SubmitAccepted{Request: m.Request})
-	service, _ := o.settings.Service(m.Call.Service)
 	c := &call{
 		shard: s, prog: p, spec: bounded(m.Call, key), key: key, service: service,
-		notRepeatable: m.Call.NotRepeatable || service.NotRepeatable,
+		notRepeatable: notRepeatable,
 		redo:          p.mayRedo(key), lookedUp: s.lookedUp(), arrived: o.now, phase: phaseQueued,
 	}
 	c.attach(from, m)
