--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -29,6 +29,7 @@
 	Cost     *costCommand     `arg:"subcommand:cost" help:"what an instance spends, by the number of instances"`
 	List     *listCommand     `arg:"subcommand:list" help:"what an idle instance spends, by the length of the membership list"`
 	Changes  *changesCommand  `arg:"subcommand:changes" help:"time until a change of the settings is in force everywhere"`
+	Tokens   *tokensCommand   `arg:"subcommand:tokens" help:"what a call and a token cost"`
 	Held     *heldCommand     `arg:"subcommand:held" help:"memory and goroutines of programs and calls that are held"`
 }
 
@@ -45,7 +46,8 @@
 }
 
 type costCommand struct {
-	Sizes []int `arg:"positional" help:"numbers of instances (default: 3 6 12 24 48)"`
+	Sizes   []int `arg:"positional" help:"numbers of instances (default: 3 6 12 24 48)"`
+	Engines int   `arg:"--engines" default:"1" help:"engines in each of three data centres"`
 }
 
 type listCommand struct {
@@ -57,6 +59,12 @@
 	Rate  float64 `arg:"--rate" default:"2" help:"most changes a second"`
 }
 
+type tokensCommand struct {
+	Tokens  []int `arg:"positional" help:"lengths of the answers (default: 20 200 500)"`
+	Calls   int   `arg:"--calls" default:"200" help:"calls of each length"`
+	Callers int   `arg:"--callers" default:"8" help:"callers at once"`
+}
+
 type heldCommand struct {
 	Programs []int `arg:"--programs" help:"numbers of paused programs (default: 0 1000 4000)"`
 	Calls    []int `arg:"--calls" help:"numbers of calls at once (default: 60)"`
@@ -79,6 +87,8 @@
 		err = args.list(ctx)
 	case args.Changes != nil:
 		err = args.changes(ctx)
+	case args.Tokens != nil:
+		err = args.tokens(ctx)
 	case args.Held != nil:
 		err = args.held(ctx)
 	default:
@@ -126,6 +136,7 @@
 
 func (a arguments) cost(ctx context.Context) error {
 	o := a.costOptions()
+	o.Engines = a.Cost.Engines
 	o.Sizes = orDefault(a.Cost.Sizes, 3, 6, 12, 24, 48)
 	return load.RunCost(ctx, os.Stdout, o)
 }
@@ -141,6 +152,14 @@
 	return load.RunChanges(ctx, os.Stdout, o)
 }
 
+func (a arguments) tokens(ctx context.Context) error {
+	o := load.TokenOptions{
+		Setup: a.setup(), Tokens: orDefault(a.Tokens.Tokens, 20, 200, 500),
+		Calls: a.Tokens.Calls, Callers: a.Tokens.Callers, Repeats: a.Repeats,
+	}
+	return load.RunTokens(ctx, os.Stdout, o)
+}
+
 func (a arguments) held(ctx context.Context) error {
 	o := load.HeldOptions{
 		Setup:    a.setup(),
