Owner: a further permit of a not-repeatable run has a name of its own

Cause: a run that was not sent keeps the run id of its Intent, and asked for its next permit under it. The dispatcher counts that id as ended and ignores it, so the filing waited for ever. Change: the permit's name is the run's, but for a further permit of the same run. Shown failing with the new name off: the permit is given back twice.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -54,7 +54,10 @@
 	// resubmitted tells that an earlier owner may have run the call.
 	resubmitted bool
 
-	run     structs.RunID
+	run structs.RunID
+	// permit is the name of the permit at the dispatcher, the run's but for a
+	// further permit of the same run.
+	permit  structs.RunID
 	service structs.Service
 	attempt int
 	avoid   []structs.TargetID
--- a/internal/owner/permit.go
+++ b/internal/owner/permit.go
@@ -39,9 +39,30 @@
 }
 
 func (c *call) joinPool() {
-	c.pool = c.shard.o.poolOf(c.spec.Service)
-	c.pool.calls[c.run] = c
-	c.shard.o.runs[c.run] = c
+	o := c.shard.o
+	c.pool = o.poolOf(c.spec.Service)
+	c.permit = c.run
+	if c.notRepeatable && c.attempt > 0 {
+		// The run id belongs to the Intent and stays; the dispatcher counts
+		// the permit of that name as ended.
+		c.permit = o.newRun()
+	}
+	c.pool.calls[c.permit] = c
+	o.runs[c.run], o.runs[c.permit] = c, c
+}
+
+// ref names the call to its dispatcher.
+func (c *call) ref() structs.CallRef {
+	return structs.CallRef{Program: c.spec.Program, Run: c.permit}
+}
+
+// permitOf finds the call of a dispatcher's message.
+func (o *Owner) permitOf(from structs.InstanceID, ref structs.CallRef) *call {
+	c := o.runs[ref.Run]
+	if c == nil || c.pool == nil || c.permit != ref.Run || c.pool.dispatcher != from {
+		return nil
+	}
+	return c
 }
 
 // requestPermit sends the permit request and repeats it until it is queued,
@@ -68,7 +89,7 @@
 	o, p := c.shard.o, c.prog
 	policy := p.policy()
 	r := &structs.PermitRequest{
-		Pool: c.pool.id, Ref: structs.CallRef{Program: c.spec.Program, Run: c.run}, Team: p.team,
+		Pool: c.pool.id, Ref: c.ref(), Team: p.team,
 		Priority: policy.Priority, Weight: policy.Weight,
 		Remaining: c.deadline().Sub(o.now), Waited: o.now.Sub(c.arrived),
 		NotRepeatable: c.notRepeatable, Attempt: c.attempt, Avoid: c.avoid,
@@ -104,8 +125,8 @@
 }
 
 func (o *Owner) onPermitQueued(from structs.InstanceID, m *structs.PermitQueued) {
-	c := o.runs[m.Ref.Run]
-	if c == nil || c.phase != phasePermit || from != c.pool.dispatcher {
+	c := o.permitOf(from, m.Ref)
+	if c == nil || c.phase != phasePermit {
 		return
 	}
 	c.queuedAt = true
@@ -115,13 +136,13 @@
 
 // onPermitGrant runs the call, or gives the permit back if it is not wanted.
 func (o *Owner) onPermitGrant(from structs.InstanceID, m *structs.PermitGrant) {
-	c := o.runs[m.Ref.Run]
-	if c != nil && c.phase == phasePermit && from == c.pool.dispatcher {
+	c := o.permitOf(from, m.Ref)
+	if c != nil && c.phase == phasePermit {
 		c.target = m.Target
 		c.send()
 		return
 	}
-	if c != nil && c.pool != nil && c.target.ID == m.Target.ID && from == c.pool.dispatcher {
+	if c != nil && c.target.ID == m.Target.ID {
 		// A repeated grant of the permit that is in use.
 		return
 	}
@@ -131,8 +152,8 @@
 }
 
 func (o *Owner) onPermitRefuse(from structs.InstanceID, m *structs.PermitRefuse) {
-	c := o.runs[m.Ref.Run]
-	if c == nil || c.phase != phasePermit || from != c.pool.dispatcher {
+	c := o.permitOf(from, m.Ref)
+	if c == nil || c.phase != phasePermit {
 		return
 	}
 	c.refuse(m.Reason, m.RetryAfter)
@@ -143,7 +164,7 @@
 	if c.pool == nil {
 		return
 	}
-	ref := structs.CallRef{Program: c.spec.Program, Run: c.run}
+	ref := c.ref()
 	switch c.phase {
 	case phasePermit:
 		c.toDispatcher(&structs.PermitCancel{Pool: c.pool.id, Ref: ref})
@@ -160,7 +181,8 @@
 	if c.pool == nil {
 		return
 	}
-	delete(c.pool.calls, c.run)
+	delete(c.pool.calls, c.permit)
+	delete(c.shard.o.runs, c.permit)
 	delete(c.shard.o.runs, c.run)
 	if len(c.pool.calls) == 0 {
 		delete(c.shard.o.pools, c.pool.id)
@@ -181,7 +203,7 @@
 		return
 	}
 	c.toDispatcher(&structs.PermitFinish{
-		Pool: c.pool.id, Ref: structs.CallRef{Program: c.spec.Program, Run: c.run},
+		Pool: c.pool.id, Ref: c.ref(),
 		Target: c.target.ID, Failure: e.Failure, Usage: e.Outcome.Usage, Took: e.Took,
 		FirstToken: e.FirstToken, CacheTokens: c.cacheTokens(e.Outcome), Pausing: c.prog.pausing(c),
 	})
--- a/internal/owner/proof_test.go
+++ b/internal/owner/proof_test.go
@@ -107,3 +107,28 @@
 	w.want(first, structs.OutcomeUnknown, structs.ReasonDeadline)
 	w.want(second, structs.OutcomeAnswered, "")
 }
+
+// A dispatcher grants a permit once: a run that was not sent asks under another
+// name, while the name in the journal and at the target stays.
+func TestRetryOfANotRepeatableRunHasItsOwnPermit(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	id := w.program(1)
+	tries := 0
+	w.behave = func(structs.StartRun) structs.RunFailure {
+		if tries++; tries == 1 {
+			return structs.RunNotSent
+		}
+		return structs.RunOK
+	}
+	r := w.submit(testCall(id, 1, true), time.Minute)
+	w.run(time.Second)
+	w.want(r, structs.OutcomeAnswered, "")
+	for run, n := range w.finishes {
+		if n != 1 {
+			t.Errorf("permit %s was given back %d times", run, n)
+		}
+	}
+	if intents := w.nodes["o1"].o.shards[0].state.Programs[id].Open; len(intents) != 0 {
+		t.Errorf("open runs %v", intents)
+	}
+}
