--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,14 +13,15 @@
 )
 
 type arguments struct {
-	Workload []string      `arg:"--workload,separate" help:"workload to run; repeatable; all by default"`
-	Variant  []string      `arg:"--variant,separate" help:"variant to run; repeatable; all by default"`
-	Seeds    []uint64      `arg:"--seeds" help:"seeds of the workloads"`
-	Runners  int           `arg:"--runners" help:"number of engines"`
-	Load     float64       `arg:"--load" help:"factor of the arrival rates"`
-	Duration time.Duration `arg:"--duration" help:"time in which programs arrive"`
-	Parallel int           `arg:"--parallel" help:"runs at a time"`
-	JSON     string        `arg:"--json" help:"file for the figures as JSON"`
+	Workload  []string      `arg:"--workload,separate" help:"workload to run; repeatable; all by default"`
+	Variant   []string      `arg:"--variant,separate" help:"variant to run; repeatable; the baselines and the full rule set by default"`
+	Ablations bool          `arg:"--ablations" help:"run also the full rule set with each rule switched off"`
+	Seeds     []uint64      `arg:"--seeds" help:"seeds of the workloads"`
+	Runners   int           `arg:"--runners" help:"number of engines"`
+	Load      float64       `arg:"--load" help:"factor of the arrival rates"`
+	Duration  time.Duration `arg:"--duration" help:"time in which programs arrive"`
+	Parallel  int           `arg:"--parallel" help:"runs at a time"`
+	JSON      string        `arg:"--json" help:"file for the figures as JSON"`
 }
 
 func main() {
@@ -30,6 +31,7 @@
 	}
 	arg.MustParse(&args)
 	o.Workloads, o.Variants, o.Seeds, o.Runners = args.Workload, args.Variant, args.Seeds, args.Runners
+	o.Ablations = args.Ablations
 	o.Load, o.Duration, o.Parallel, o.JSON = args.Load, args.Duration, args.Parallel, args.JSON
 	if err := bench.Run(os.Stdout, o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -9,8 +9,11 @@
 
 // Options describe a measurement.
 type Options struct {
-	// Workloads and Variants choose by name; empty means all.
+	// Workloads and Variants choose by name; empty means all workloads, and
+	// the baselines and the full rule set.
 	Workloads, Variants []string
+	// Ablations adds the full rule set with each rule switched off alone.
+	Ablations bool
 	// Seeds are the seeds of the workloads; each figure is over all.
 	Seeds []uint64
 	// Runners is the number of engines.
@@ -66,11 +69,10 @@
 	Full     = "full"
 )
 
-// Variants lists the baselines, the full rule set, and the full one with each
-// rule switched off alone.
+// Variants lists the baselines and the full rule set.
 func Variants() []Variant {
 	plain := structs.Rules{Order: "fcfs", Placement: "least-loaded", Retention: "all"}
-	variants := []Variant{
+	return []Variant{
 		{"fcfs/round-robin", with(plain, func(r *structs.Rules) { r.Placement = "round-robin" })},
 		{Baseline, plain},
 		{"fcfs/least-loaded late", with(plain, func(r *structs.Rules) { r.LateBinding = true })},
@@ -79,10 +81,10 @@
 		})},
 		{Full, structs.DefaultRules()},
 	}
-	return append(variants, ablations()...)
 }
 
-func ablations() []Variant {
+// Ablations lists the full rule set with each rule switched off alone.
+func Ablations() []Variant {
 	full := structs.DefaultRules()
 	off := func(name string, change func(*structs.Rules)) Variant {
 		return Variant{Name: "full, " + name, Rules: with(full, change)}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	variants, err := choose(Variants(), o.Variants, func(v Variant) string { return v.Name })
+	variants, err := o.variants()
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +74,15 @@
 	return results, group.Wait()
 }
 
+// variants gives the chosen variants.
+func (o Options) variants() ([]Variant, error) {
+	if len(o.Variants) == 0 && !o.Ablations {
+		return Variants(), nil
+	}
+	all := append(Variants(), Ablations()...)
+	return choose(all, o.Variants, func(v Variant) string { return v.Name })
+}
+
 func choose[T any](all []T, names []string, name func(T) string) ([]T, error) {
 	if len(names) == 0 {
 		return all, nil
