Orders: tests of races, pauses, outages, restarts and random schedules

Adapter tests of SendOrder and ReadOrders; the instance core with the real adapters against the stand-in engines. A changed desired state is compared with the state last read: a read for each change starved the orders while settings changed every 100 ms (found by TestOrdersAtTheEndOfALease).

--- /dev/null
+++ b/internal/orders/engine_test.go
@@ -0,0 +1,180 @@
+package orders_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/instance"
+	"github.com/banyanglade/banyanglade/internal/platform"
+	"github.com/banyanglade/banyanglade/internal/standin/engine"
+	"github.com/banyanglade/banyanglade/internal/standin/logservice"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/target"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+const (
+	patience = 60 * time.Second
+	// speed is how much faster than real time the instance's clock goes.
+	speed = 10
+)
+
+// bench is the core of an instance with the real adapters, a log service and
+// two engines: one that checks the fencing number and one that ignores it.
+type bench struct {
+	t       *testing.T
+	clock   func() time.Time
+	core    *instance.Instance
+	events  chan structs.Event
+	log     *platform.Log
+	runner  *target.Runner
+	engines map[string]*restartable
+}
+
+// restartable is an engine that can be replaced at its address.
+type restartable struct {
+	checks bool
+	server atomic.Pointer[engine.Server]
+}
+
+func (r *restartable) restart(t *testing.T) {
+	server := engine.NewServer(engine.Settings{ChecksFencing: r.checks})
+	t.Cleanup(server.Close)
+	r.server.Store(server)
+}
+
+func (r *restartable) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.server.Load().Handler().ServeHTTP(w, request)
+}
+
+// applied lists the orders that took effect since the start.
+func (r *restartable) applied(t *testing.T) (seen []wire.Order) {
+	reply := httptest.NewRecorder()
+	r.ServeHTTP(reply, httptest.NewRequest(http.MethodGet, engine.OrderLogRoute, nil))
+	if err := json.Unmarshal(reply.Body.Bytes(), &seen); err != nil {
+		t.Fatal(err)
+	}
+	return seen
+}
+
+func newBench(t *testing.T) *bench {
+	start := time.Now()
+	b := &bench{
+		t: t, clock: func() time.Time { return start.Add(speed * time.Since(start)) },
+		events: make(chan structs.Event, 1024), engines: map[string]*restartable{},
+	}
+	post := func(ev structs.Event) bool { b.events <- ev; return true }
+	quiet := slog.New(slog.DiscardHandler)
+	server := httptest.NewServer(logservice.New(logservice.Settings{}).Handler())
+	t.Cleanup(server.Close)
+	var err error
+	b.log, err = platform.NewLog(t.Context(), platform.LogConfig{URL: server.URL}, post, tally.NoopScope, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.log.Close)
+	b.runner = target.New(t.Context(), target.Config{Now: b.clock}, nil, post, tally.NoopScope, quiet)
+	t.Cleanup(b.runner.Close)
+	self := structs.Peer{ID: "i", Region: "r"}
+	b.core = instance.New(structs.DefaultInstanceConfig(self, "1"))
+	b.startEngines()
+	return b
+}
+
+// startEngines starts the engines and tells the instance of them.
+func (b *bench) startEngines() {
+	var list wire.MemberList
+	var changes []structs.SettingChange
+	for name, checks := range map[string]bool{"checks": true, "ignores_it": false} {
+		e := &restartable{checks: checks}
+		e.restart(b.t)
+		server := httptest.NewServer(e)
+		b.t.Cleanup(server.Close)
+		b.engines[name] = e
+		list.Members = append(list.Members, wire.Member{
+			ID: name, Role: wire.MemberRoleTarget, Region: "r", Service: name, Address: server.URL,
+		})
+		for key, value := range map[string]string{
+			"kind": `"engine"`, "checks_fencing": fmt.Sprint(checks), "orders/model": `"m1"`, "orders/role": `"prefill"`,
+		} {
+			path := "services/" + name + "/" + key
+			changes = append(changes, structs.SettingChange{Path: path, Value: []byte(value), ChangeID: path})
+		}
+	}
+	b.events <- structs.MembersListed{List: list}
+	b.until(func() bool { return b.core.Dump().Ready })
+	b.events <- structs.SettingsPropose{Request: "s", Changes: changes, Deadline: b.clock().Add(speed * patience)}
+}
+
+// until runs the instance until the condition holds.
+func (b *bench) until(holds func() bool) {
+	b.t.Helper()
+	timeout := time.After(patience)
+	var batch []structs.Event
+	for {
+		for _, cmd := range b.core.Tick(b.clock(), batch) {
+			b.carry(cmd)
+		}
+		if holds() {
+			return
+		}
+		var wake <-chan time.Time
+		if next := b.core.NextWake(); !next.IsZero() {
+			wake = time.After(next.Sub(b.clock()) / speed)
+		}
+		batch = nil
+		select {
+		case ev := <-b.events:
+			batch = []structs.Event{ev}
+		case <-wake:
+		case <-timeout:
+			b.t.Fatalf("not reached: %+v", b.core.Dump().Orders)
+		}
+	}
+}
+
+func (b *bench) carry(cmd structs.Command) {
+	switch cmd := cmd.(type) {
+	case structs.LogAppend:
+		b.log.Append(cmd)
+	case structs.LogTail:
+		b.log.Tail(cmd)
+	case structs.LogTailEnd:
+		b.log.TailEnd(cmd)
+	case structs.ReadOrders:
+		b.runner.ReadOrders(cmd)
+	case structs.SendOrder:
+		b.runner.SendOrder(cmd)
+	case structs.ReplySettings:
+		if cmd.Result.Status != structs.SettingsAccepted {
+			b.t.Fatalf("%+v", cmd.Result)
+		}
+	}
+}
+
+// The real adapters bring the stand-in engines to the desired state, and again
+// after a restart of the engines.
+func TestStandInEngines(t *testing.T) {
+	b := newBench(t)
+	for range 2 {
+		for _, e := range b.engines {
+			e.restart(t)
+			b.until(func() bool { return len(e.applied(t)) == 2 })
+			want := []wire.Order{
+				{Kind: wire.OrderLoadModel, Value: "m1", Fencing: 1}, {Kind: wire.OrderSetRole, Value: "prefill", Fencing: 1},
+			}
+			if got := e.applied(t); !slices.Equal(got, want) {
+				t.Errorf("%+v", got)
+			}
+		}
+	}
+}
--- a/internal/orders/target.go
+++ b/internal/orders/target.go
@@ -70,12 +70,11 @@
 }
 
 // desiredChanged gives up waiting for an order that may be outdated; one that
-// is being sent is awaited.
+// is being sent is awaited. The state last read is compared at once.
 func (t *target) desiredChanged() {
 	if t.asked == 0 {
 		t.order = nil
 	}
-	t.readNow()
 }
 
 // failed notes a failure; the next order has to wait.
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -35,6 +35,7 @@
 	e.state.Fencing = o.Fencing
 	e.applied = append(e.applied, o)
 	e.loading++
+	w.loads = append(w.loads, w.now)
 	w.after(e.slow, func() {
 		e.loading--
 		switch o.Kind {
@@ -68,6 +69,7 @@
 	logDown bool
 	append  func() (delay time.Duration, failed bool)
 	flight  time.Duration // of an order, after the adapter's check
+	last    bool          // adapters send at the last allowed moment
 	engines map[structs.TargetID]*engine
 	leaving map[structs.TargetID]bool
 	orders  structs.Orders
@@ -76,25 +78,24 @@
 	nodes   []*node
 	queue   []later
 	maxLoad int
+	loads   []time.Time
 }
 
 // node is an instance: its controller and its adapters.
 type node struct {
 	structs.Members
 	structs.Settings
-	w       *world
-	id      structs.InstanceID
-	starts  int
-	skew    time.Duration
-	chosen  bool // the node's view names itself
-	paused  bool
-	cut     bool // from the log
-	c       *Controller
-	inbox   []structs.Event
-	outbox  []structs.Command
-	tail    *uint64
-	told    uint64
-	reached bool
+	w      *world
+	id     structs.InstanceID
+	starts int
+	skew   time.Duration
+	chosen bool // the node's view names itself
+	paused bool
+	cut    bool // from the log
+	c      *Controller
+	inbox  []structs.Event
+	outbox []structs.Command
+	tail   *uint64
 }
 
 func newWorld(t *testing.T, checks bool, targets, nodes int) *world {
@@ -152,11 +153,15 @@
 	return []structs.Service{{Name: service, Kind: structs.ServiceEngine, ChecksFencing: n.w.checks, Orders: n.w.orders}}
 }
 
-func (w *world) order(o structs.Orders) { w.orders, w.version = o, w.version+1 }
+// want sets the desired model.
+func (w *world) want(model string) { w.orders.Model, w.version = model, w.version+1 }
 
 func (w *world) after(d time.Duration, do func()) { w.queue = append(w.queue, later{w.now.Add(d), do}) }
 
-// run passes time. Events of all nodes are stable: membership is told each step.
+// window is the time within which a node sends what it decided to send.
+func (w *world) window() time.Duration { return w.nodes[0].c.cfg.SendWindow }
+
+// run passes time. Every node hears of the membership in each step.
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(step)
@@ -182,15 +187,16 @@
 	}
 }
 
-// step lets a node carry out what it decided in the step before, read, and tick.
+// step lets a node carry out what it decided in the step before, take in what it
+// read then, and read. So a pause leaves old reads and orders in its buffers.
 func (n *node) step() {
 	for _, cmd := range n.outbox {
 		n.carry(cmd)
 	}
-	n.readLog()
 	events := append(n.inbox, structs.MembersListed{})
 	n.inbox = nil
 	n.outbox = n.c.Tick(n.w.now.Add(n.skew), events)
+	n.readLog()
 }
 
 func (n *node) readLog() {
@@ -234,7 +240,11 @@
 			answer(structs.OrderSent{ID: cmd.ID, Target: cmd.Target.ID, Result: structs.OrderNotSent})
 			return
 		}
-		w.after(w.flight, func() {
+		flight := w.flight
+		if w.last {
+			flight += cmd.NotAfter.Sub(w.now.Add(n.skew))
+		}
+		w.after(flight, func() {
 			if e := w.engines[cmd.Target.ID]; !e.silent {
 				answer(structs.OrderSent{ID: cmd.ID, Target: cmd.Target.ID, Result: e.order(w, cmd.Order)})
 			}
@@ -298,9 +308,15 @@
 	return nil
 }
 
-// move makes one node the chosen one in all views.
-func (w *world) move(to int) {
-	for i, n := range w.nodes {
-		n.chosen = i == to
+// holds tells whether a node takes itself for the controller.
+func (n *node) holds() bool { return len(n.c.pools) == 1 && n.c.pools[0].phase == phaseHolding }
+
+// claims counts the claims in the log.
+func (w *world) claims() (count int) {
+	for _, rec := range w.records {
+		if r, err := decodeRecord(rec.Offset, rec.Data); err == nil && r.Kind == kindClaim {
+			count++
+		}
 	}
+	return count
 }
