Gateway tells each owner whom it finds unreachable

Ruled out: that the candidate waits for another owner (no shard was held anywhere). Change: each Submit and ProgramRequest carries the suspected instances of the shard's ranking. Shown: TestSuspectsGoWithEachSubmit fails with the request's own suspects only and passes now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -114,6 +115,20 @@
 	}
 }
 
+// TestSuspectsGoWithEachSubmit: also a search after a wait, which starts from
+// the view alone, tells the receiver whom this instance finds unreachable.
+func TestSuspectsGoWithEachSubmit(t *testing.T) {
+	r := newRig(t)
+	lost := r.owner
+	r.tick(start, structs.PeerDown{Peer: lost})
+	r.tick(start, r.from(&structs.NotOwner{Request: request, Owner: lost}))
+	cmds := r.tick(r.g.NextWake())
+	submit, ok := cmds[0].(structs.SendPeer).Msg.(*structs.Submit)
+	if !ok || !slices.Contains(submit.Suspects, lost) {
+		t.Fatalf("sent %+v, want %s among the suspects", cmds[0], lost)
+	}
+}
+
 func TestAnswerOfAFormerOwnerIsDropped(t *testing.T) {
 	r := newRig(t)
 	first := r.owner
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -137,7 +137,7 @@
 	}
 	p.owner = owner
 	p.holders[owner] = true
-	g.emit(structs.SendPeer{To: owner, Msg: p.message(now)})
+	g.emit(structs.SendPeer{To: owner, Msg: g.handover(now, p)})
 }
 
 // pick gives the instance that took a request of the shard last, or else the
@@ -162,17 +162,32 @@
 	return !slices.Contains(p.suspects, id)
 }
 
-func (p *pending) message(now time.Time) structs.Message {
+// suspectsOf lists the instances that the receiver of a request would name as
+// better owners but that this instance finds unreachable. Without them the
+// receiver answers with such an instance until it notices the loss itself, which
+// it may never do: it does not wait for that instance.
+func (g *Gateway) suspectsOf(p *pending) []structs.InstanceID {
+	suspects := slices.Clone(p.suspects)
+	for _, id := range g.members.Ranked(p.shard) {
+		if g.members.Suspected(id) && !slices.Contains(suspects, id) {
+			suspects = append(suspects, id)
+		}
+	}
+	return suspects
+}
+
+// handover is the message that hands the request to an owner.
+func (g *Gateway) handover(now time.Time, p *pending) structs.Message {
 	remaining := p.deadline.Sub(now)
 	if p.op != nil {
 		return &structs.ProgramRequest{
 			Request: p.request, Op: p.op.Op, Program: p.op.Program,
-			Team: p.op.Team, Remaining: remaining,
+			Team: p.op.Team, Remaining: remaining, Suspects: g.suspectsOf(p),
 		}
 	}
 	return &structs.Submit{
 		Request: p.request, Call: p.call, Remaining: remaining,
-		Have: p.stream.pieces, HaveRun: p.stream.run, Suspects: p.suspects,
+		Have: p.stream.pieces, HaveRun: p.stream.run, Suspects: g.suspectsOf(p),
 		Resubmitted: p.heldElsewhere(p.owner),
 	}
 }
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -110,6 +110,8 @@
 	Program   ProgramID
 	Team      Team
 	Remaining time.Duration
+	// Suspects are instances that the gateway finds unreachable.
+	Suspects []InstanceID
 }
 
 // ProgramReply answers a ProgramRequest.
