Admission: the wait of a class that is backlogged without a break

Cause: under overload half of the late refusals came just before the deadline (99th percentile 9.6 s of a call time of 10 s): the mean lateness of granted calls leaves out those that are never granted, so calls of long programs were let in and starved behind new ones. Change: the wait is the time to the due time plus the lateness once the class has been backlogged for 3 s and for half of that wait. Tests: TestLatenessTellsTheWaitOfASaturatedClass is new with the rule.

--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -155,7 +155,7 @@
 	known.waited += now.Sub(c.arrived)
 	c.prefill, c.queued = option.Prefill, t.backlog(now)
 	p.countGrant(now)
-	p.late(c.class).Granted(now.Sub(d.epoch)-c.key, !p.queue.waits(c.class))
+	p.late(c.class).Granted(now.Sub(d.epoch), c.key, !p.queue.waits(c.class))
 	d.hold(now, c, t)
 	d.send(c.owner, &structs.PermitGrant{Pool: p.id, Ref: c.request.Ref, Target: t.info})
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -127,7 +127,7 @@
 		return 0
 	}
 	position := time.Duration(ahead) * p.interval
-	return p.late(c.class).Wait(c.key-now.Sub(d.epoch), position)
+	return p.late(c.class).Wait(now.Sub(d.epoch), c.key, position)
 }
 
 // joinShares starts the team's account if it was not backlogged.
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -64,28 +64,41 @@
 }
 
 // Lateness follows by how much the calls of a class are granted after their
-// keys, which are due times under the orders with aging. While it is positive,
-// calls are granted in the order of their due times whoever comes later, so
-// the wait of any call is the time to its due time and the lateness.
-type Lateness struct{ average time.Duration }
+// keys, which are due times under the orders with aging. While calls of the
+// class wait without a break, they are granted in the order of their due times
+// whoever comes later, so the wait of any call is the time to its due time and
+// the lateness.
+type Lateness struct {
+	average time.Duration
+	// emptied is when the class last had no waiting call.
+	emptied time.Duration
+}
 
-// latenessGain is the weight of a new grant in the average.
-const latenessGain = 0.05
+const (
+	// latenessGain is the weight of a new grant in the average.
+	latenessGain = 0.05
+	// saturatedAfter is how long calls of a class must have waited without
+	// a break for the lateness to tell their wait, and saturatedShare the
+	// same as a share of that wait.
+	saturatedAfter = 3 * time.Second
+	saturatedShare = 0.5
+)
 
-// Granted counts a grant that came that long after the call's key; last tells
-// that no call of the class waits any more.
-func (l *Lateness) Granted(after time.Duration, last bool) {
-	l.average += time.Duration(latenessGain * float64(after-l.average))
+// Granted counts a grant at a time, of a call with a key; last tells that no
+// call of the class waits any more.
+func (l *Lateness) Granted(now, key time.Duration, last bool) {
+	l.average += time.Duration(latenessGain * float64(now-key-l.average))
 	if last {
-		l.average = min(0, l.average)
+		l.emptied = now
 	}
 }
 
-// Wait is the expected wait of a call with a key that far ahead, given the
-// wait by its position in the queue alone.
-func (l *Lateness) Wait(untilKey, position time.Duration) time.Duration {
-	if l.average <= 0 {
+// Wait is the expected wait of a call with a key, given the wait by its
+// position in the queue alone.
+func (l *Lateness) Wait(now, key, position time.Duration) time.Duration {
+	wait := key - now + l.average
+	if now-l.emptied < max(saturatedAfter, time.Duration(saturatedShare*float64(wait))) {
 		return position
 	}
-	return max(position, untilKey+l.average)
+	return max(position, wait)
 }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -221,3 +221,23 @@
 		t.Fatalf("%d of 1000 retries allowed, want about %v", allowed, limit)
 	}
 }
+
+func TestLatenessTellsTheWaitOfASaturatedClass(t *testing.T) {
+	const position = 100 * time.Millisecond
+	var l Lateness
+	l.Granted(0, 0, true)
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		l.Granted(now, now-time.Second, false) // a second behind the due time
+	}
+	now := 20 * time.Second
+	if wait := l.Wait(now, now+4*time.Second, position); wait < 4900*time.Millisecond || wait > 5*time.Second {
+		t.Errorf("wait %v of a call due in 4 s, want about 5 s", wait)
+	}
+	if wait := l.Wait(now, now+time.Hour, position); wait != position {
+		t.Errorf("a backlog of 20 s told of a wait of %v", wait)
+	}
+	l.Granted(now, now, true)
+	if wait := l.Wait(now+time.Second, now+4*time.Second, position); wait != position {
+		t.Errorf("wait %v behind an empty queue, want that by position", wait)
+	}
+}
