Owner: no refusal by state, and no run after a pause, without proof of ownership

Cause: an owner that was superseded and had not read the newer claim refused from what it knew: unknown program, closed, stale number, key reused, history fork, budget, order gap, all final for a client. One that woke from a pause ran repeatable calls at once. A read seen by the owner proves nothing, since it may have waited in a buffer. Change: such a refusal waits for a Check record that was sent after the request came; at most one is on its way a shard, shared by all that wait. A newer claim sends them to the winner; with the log down they hear log-unavailable with a time to come back. The same holds for show and close of a program that is missing, closed or another team's, and for a ledger's refusal. The proof is the time at which an own record that counted was sent, no longer the time of a read. Shown failing by a temporary edit each: no wait at requests, at calls in a lane, at gaps, a proof older than the request, trust after a pause.

--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -114,10 +114,10 @@
 // come back, so that asking again helps only then.
 func (c *call) refuseBudget() {
 	if !c.prog.held.IsZero() || !c.prog.pending.IsZero() {
-		c.refuse(structs.ReasonBudget, busyRetryAfter)
+		c.deny(structs.ReasonBudget, busyRetryAfter, nil)
 		return
 	}
-	c.refuse(structs.ReasonBudget, 0)
+	c.deny(structs.ReasonBudget, 0, nil)
 }
 
 func (p *program) writeReserve(missing journal.Amount) {
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -25,6 +25,8 @@
 	phasePermit phase = "permit"
 	// phaseConfirm: proof from the log that the shard is still owned.
 	phaseConfirm phase = "confirm"
+	// phaseProving: proof from the log that its refusal is right.
+	phaseProving phase = "proving"
 	// phaseRunning: the end of its run.
 	phaseRunning phase = "running"
 	// phaseAsking: the target's word on a broken run.
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -167,7 +167,9 @@
 	s.watchSnapshot()
 	s.watchPurge()
 	s.winner = ""
+	s.o.watchPause()
 	s.recover()
+	s.proven(s.app.oldest)
 	for _, h := range s.takeHeld() {
 		s.o.redeliver(h)
 	}
@@ -193,7 +195,7 @@
 
 // forgetPending forgets what waited for fenced records: they are void now.
 func (s *shard) forgetPending() {
-	s.snapshotting, s.verifying = false, false
+	s.snapshotting, s.checking, s.proofs = false, false, nil
 	s.granting = make(map[string]bool)
 	s.grantsPending = make(map[structs.Team]journal.Amount)
 	for _, a := range s.accounts {
--- a/internal/owner/gap.go
+++ b/internal/owner/gap.go
@@ -80,10 +80,10 @@
 
 // onGap passes the missing numbers or refuses the calls behind them.
 func (p *program) onGap(l *lane) {
-	if l.current != nil || l.blocked > 0 {
+	if !p.shard.owned() || l.current != nil || l.blocked > 0 || len(l.queue) == 0 {
 		return
 	}
-	if len(l.queue) > 0 && p.maySkip(l) {
+	if p.maySkip(l) {
 		if p.skips == nil {
 			p.skips = make(map[structs.Lane]uint64)
 		}
@@ -91,9 +91,24 @@
 		p.advance()
 		return
 	}
+	p.shard.prove(func(proven bool) {
+		reason, after := structs.ReasonOrderGap, gapRetryAfter
+		if !proven {
+			reason, after = structs.ReasonLogUnavailable, logRetryAfter
+		}
+		p.refuseGap(l.name, reason, after)
+	})
+}
+
+// refuseGap refuses a lane's calls behind missing numbers.
+func (p *program) refuseGap(name structs.Lane, reason structs.Reason, after time.Duration) {
+	l := p.lanes[name]
+	if l == nil || l.current != nil || l.blocked > 0 {
+		return
+	}
 	for _, c := range slices.Clone(l.queue) {
-		if c.spec.Number > p.last(l.name)+1 && c.phase == phaseQueued {
-			c.refuse(structs.ReasonOrderGap, gapRetryAfter)
+		if c.spec.Number > p.last(name)+1 && c.phase == phaseQueued {
+			c.refuse(reason, after)
 		}
 	}
 	p.advance()
--- a/internal/owner/idempotency.go
+++ b/internal/owner/idempotency.go
@@ -69,5 +69,8 @@
 // refuseReused refuses another request under a known key: the request itself
 // never runs, whatever became of the key's first.
 func (p *program) refuseReused(from structs.InstanceID, m *structs.Submit) {
+	if p.shard.refutable(from, m) {
+		return
+	}
 	p.shard.o.send(from, &structs.CallEnd{Request: m.Request, Outcome: notRun(structs.ReasonKeyReused, 0)})
 }
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -26,7 +26,11 @@
 	}
 	amount := s.ledgerLeft(m)
 	if m.Tokens > 0 && amount.Tokens <= 0 || m.Fees > 0 && amount.Fees <= 0 {
-		o.send(from, &structs.BudgetGrant{Team: m.Team, Account: m.Account, Grant: m.Grant, Refused: true})
+		s.prove(func(proven bool) {
+			if proven {
+				o.send(from, &structs.BudgetGrant{Team: m.Team, Account: m.Account, Grant: m.Grant, Refused: true})
+			}
+		})
 		return
 	}
 	s.writeGrant(from, m, amount)
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -83,7 +83,8 @@
 			continue
 		}
 		if c.spec.Number > 0 && c.spec.Number <= last && !c.redo {
-			c.refuse(structs.ReasonStaleNumber, 0)
+			l.queue, l.current = l.queue[1:], c
+			c.deny(structs.ReasonStaleNumber, 0, nil)
 			continue
 		}
 		if c.spec.Number > last+1 && c.spec.Number > p.skips[l.name] && !p.showsAnswers(c, last) {
@@ -102,10 +103,11 @@
 func (c *call) start() {
 	p := c.prog
 	if reason := p.breaksPolicy(c); reason != structs.ReasonNone {
-		c.refuse(reason, 0)
-		if reason != structs.ReasonHistoryFork {
-			p.close(reason)
-		}
+		c.deny(reason, 0, func() {
+			if reason != structs.ReasonHistoryFork {
+				p.close(reason)
+			}
+		})
 		return
 	}
 	if c.resume() {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,6 +42,8 @@
 	lastAppend uint64
 	lastRun    uint64
 	draining   bool
+	// heartbeat keeps the ticks close together; see watchPause.
+	heartbeat *timer
 	// inspected holds the shards that were read for owed work since this
 	// instance became first for them; inspecting is the next look.
 	inspected  map[structs.ShardID]bool
--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -148,11 +148,13 @@
 // onLogDown refuses at once what cannot go on without the log; repeatable
 // calls go on within the reserved chunk.
 func (s *shard) onLogDown() {
-	s.refuseHeld(structs.ReasonLogUnavailable)
+	s.disprove()
 	for _, p := range s.sortedPrograms() {
 		for _, c := range p.sortedCalls() {
 			switch c.phase {
-			case phaseReserve, phaseIntent, phaseConfirm:
+			case phaseConfirm:
+				c.unconfirmed()
+			case phaseReserve, phaseIntent:
 				c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
 			case phaseQueued, phasePermit:
 				if c.notRepeatable {
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -210,7 +210,7 @@
 	case s.owned():
 		o.notOwner(from, m, s.successor())
 	default:
-		s.take(from, m, nil)
+		s.take(from, m, m.Suspects)
 	}
 }
 
@@ -221,6 +221,9 @@
 		s.open(from, m)
 		return
 	}
+	if (row == nil || row.Closed || !m.Team.Contains(row.Team)) && s.refutable(from, m) {
+		return
+	}
 	if row == nil {
 		s.o.refuseMessage(from, m, structs.ReasonUnknownProgram, 0)
 		return
--- a/internal/owner/replay.go
+++ b/internal/owner/replay.go
@@ -224,7 +224,6 @@
 	if s.replay != nil {
 		s.load(s.state)
 	}
-	s.readToEnd()
 	switch s.tenure {
 	case tenureReplaying:
 		s.caughtUp()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -43,24 +43,38 @@
 }
 
 // send runs the call at the granted target. A not-repeatable call is sent only
-// if the stream was read so recently that a newer owner still waits; else the
-// log has to prove first that there is none.
+// if the shard was proven owned so recently that a newer owner still waits; any
+// call only if no pause came since. Else the log has to prove it first.
 func (c *call) send() {
 	c.shard.o.timers.stop(c.timer)
-	if !c.notRepeatable || c.shard.fresh() {
+	if c.shard.fresh() || !c.notRepeatable && c.shard.trusted() {
 		c.startRun(true)
 		return
 	}
 	c.phase = phaseConfirm
-	c.timer = c.shard.o.after(confirmTimeout, func() {
-		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
-	})
-	c.shard.app.push(c.startedRecord(), urgent, func() {
+	c.timer = c.shard.o.after(confirmTimeout, c.unconfirmed)
+	confirmed := func() {
 		if c.phase == phaseConfirm {
 			c.shard.o.timers.stop(c.timer)
-			c.startRun(false)
+			c.startRun(!c.notRepeatable)
 		}
-	})
+	}
+	if !c.notRepeatable {
+		c.shard.prove(func(bool) { confirmed() })
+		return
+	}
+	c.shard.app.push(c.startedRecord(), urgent, confirmed)
+}
+
+// unconfirmed runs when the log does not answer: a repeatable call goes on
+// without it.
+func (c *call) unconfirmed() {
+	c.shard.o.timers.stop(c.timer)
+	if c.notRepeatable {
+		c.refuse(structs.ReasonLogUnavailable, logRetryAfter)
+		return
+	}
+	c.startRun(true)
 }
 
 func (c *call) startedRecord() *journal.Started {
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -52,7 +52,7 @@
 	lostAt time.Time
 	// claimedAt is when the claim was read back.
 	claimedAt time.Time
-	// readAt is when the shard was last known to be owned.
+	// readAt is when the shard was last known to be owned; see provenAt.
 	readAt   time.Time
 	readDown bool
 	// failures counts failed reads since the last that succeeded.
@@ -70,8 +70,11 @@
 	// snapshotting tells that a snapshot is on its way into the log,
 	// snapshotAt when the newest one was taken.
 	snapshotting bool
-	// verifying tells that a Check is on its way into the log.
-	verifying     bool
+	// checking tells that a Check is on its way into the log, proofs what
+	// waits for it; proving that the ownership was just proven.
+	checking      bool
+	proving       bool
+	proofs        []proof
 	snapshotAt    time.Time
 	snapshotTimer *timer
 	purgeTimer    *timer
@@ -122,7 +125,7 @@
 	s.replay = nil
 	s.next, s.epoch = 0, 0
 	s.wanted, s.readDown, s.snapshotting, s.gap = false, false, false, false
-	s.verifying = false
+	s.checking, s.proofs = false, nil
 	s.o.timers.stop(s.snapshotTimer)
 	s.o.timers.stop(s.purgeTimer)
 	s.app.stop()
@@ -135,8 +138,8 @@
 // logDown tells whether the log is taken to be unreachable.
 func (s *shard) logDown() bool { return s.readDown || s.app.stalled }
 
-// fresh tells whether the stream was read to its end so recently that an owner
-// which claimed since then still waits out the recovery time.
+// fresh tells whether the shard was owned so recently that an owner which
+// claimed since then still waits out the recovery time.
 func (s *shard) fresh() bool {
 	limit := s.o.cfg.RecoveryWait - s.o.cfg.SendWindow
 	return !s.readDown && s.o.now.Sub(s.readAt) <= limit
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -75,6 +75,9 @@
 		key = journal.KeylessPrefix + string(m.Request)
 	}
 	p, reason := s.programOf(m.Call)
+	if isByState(reason) && s.refutable(from, m) {
+		return
+	}
 	if reason != structs.ReasonNone {
 		out := refusal(m.Call, reason, 0, m.Resubmitted || m.Have > 0, s.lookedUp())
 		o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
@@ -88,6 +91,10 @@
 	// What an earlier owner may have run is not refused as "not run".
 	if !p.recovering(key) {
 		if reason, after := s.admission(p, m, key); reason != structs.ReasonNone {
+			if isByState(reason) && s.refutable(from, m) {
+				p.dropIfEmpty()
+				return
+			}
 			elsewhere := m.Resubmitted || m.Have > 0 || p.mayRedo(key) || p.passed(m.Call)
 			out := refusal(m.Call, reason, after, elsewhere, s.lookedUp() && p.sees(notRepeatable))
 			p.told(m.Call, out)
--- a/internal/owner/team.go
+++ b/internal/owner/team.go
@@ -161,7 +161,11 @@
 			continue
 		}
 		for _, c := range p.sortedCalls() {
-			if c.phase == phaseReserve {
+			switch {
+			case c.phase != phaseReserve:
+			case isByState(reason):
+				c.deny(reason, after, nil)
+			default:
 				c.refuse(reason, after)
 			}
 		}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -110,10 +110,12 @@
 	cut       bool
 	// silent tells that the log takes nothing from it and never replies.
 	silent bool
-	inbox  []structs.Event
-	tails  map[string]uint64
-	wake   time.Time
-	cmds   []structs.Command
+	// lag is the time that reads of the log take more.
+	lag   time.Duration
+	inbox []structs.Event
+	tails map[string]uint64
+	wake  time.Time
+	cmds  []structs.Command
 }
 
 type worldEvent struct {
@@ -406,7 +408,7 @@
 // pump reads a tailed stream to its end.
 func (w *world) pump(n *node, stream string) {
 	life := n.life
-	w.after(networkTime, func() {
+	w.after(networkTime+n.lag, func() {
 		from, ok := n.tails[stream]
 		if !ok || n.life != life || !n.alive {
 			return
