--- a/cmd/proofs/report.go
+++ b/cmd/proofs/report.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanglade/banyanglade/internal/proofs"
@@ -39,6 +40,9 @@
 		})
 	}
 	_ = group.Wait()
+	if ctx.Err() != nil {
+		return errors.Wrap(ctx.Err(), "interrupted, the verdicts above may be of scenarios cut short")
+	}
 	if violated > 0 {
 		fmt.Printf("%d of %d scenarios violated something; repeat with --seed %d\n", violated, len(scenarios), a.Seed)
 		return errViolated
--- a/internal/proofs/agent.go
+++ b/internal/proofs/agent.go
@@ -52,10 +52,12 @@
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var id string
+	var at door
 	err := testkit.Poll(limited, func() error {
 		short, stop := context.WithTimeout(limited, attemptDeadline+attemptGrace)
 		defer stop()
-		answer, err := testkit.NewClient(r.pick(rng).server, r.key).
+		at = r.pick(rng, at.id)
+		answer, err := testkit.NewClient(at.server, r.key).
 			Do(short, http.MethodPost, programsRoute, []byte("{}"), testkit.Call{Key: key})
 		if err != nil {
 			return err
@@ -76,10 +78,12 @@
 func (a *agent) close(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	var at door
 	err := testkit.Poll(limited, func() error {
 		short, stop := context.WithTimeout(limited, attemptDeadline+attemptGrace)
 		defer stop()
-		answer, err := testkit.NewClient(a.rig.pick(a.rng).server, a.rig.key).Close(short, a.program.ID)
+		at = a.rig.pick(a.rng, at.id)
+		answer, err := testkit.NewClient(at.server, a.rig.key).Close(short, a.program.ID)
 		if err != nil {
 			return err
 		}
--- a/internal/proofs/caller.go
+++ b/internal/proofs/caller.go
@@ -52,9 +52,13 @@
 
 func (r *Rig) retry(ctx context.Context, rng *rand.Rand, q request, limit time.Duration) Attempt {
 	until := time.Now().Add(limit)
-	unknowns := 0
+	unknowns, silent := 0, ""
 	for {
-		attempt := r.attempt(ctx, r.pick(rng), q)
+		attempt := r.attempt(ctx, r.pick(rng, silent), q)
+		silent = ""
+		if !attempt.Word.final() {
+			silent = attempt.Instance
+		}
 		wait, again := nextTry(attempt, &unknowns)
 		if !again || time.Now().Add(wait).After(until) || !pause(ctx, wait) {
 			return attempt
--- a/internal/proofs/rig.go
+++ b/internal/proofs/rig.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,11 +120,16 @@
 	return rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
 }
 
-// pick chooses an instance as a balancer does.
-func (r *Rig) pick(rng *rand.Rand) door {
+// pick chooses an instance as a balancer does, another than the one given if
+// there is one: whoever got no answer tries elsewhere.
+func (r *Rig) pick(rng *rand.Rand, other string) door {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.doors[rng.IntN(len(r.doors))]
+	choices := slices.DeleteFunc(slices.Clone(r.doors), func(d door) bool { return d.id == other })
+	if len(choices) == 0 {
+		choices = r.doors
+	}
+	return choices[rng.IntN(len(choices))]
 }
 
 // doorOf gives an instance as callers see it.
