Owner: cache of a gone program is released also where no record names it

Cause: the record of a chat's target follows its send. An owner that died in between left cache at a target that no record names, so nobody released it. Ruled out: an urgent record, which only narrows the window. Change: the Closed record of a program with records of an earlier epoch names every target of every engine service; all are asked until each confirmed or was missing from the membership list for 10 minutes. They stand in the shard's state, so the next owner goes on. A late Started of an earlier owner starts the release again. Shown failing by a temporary edit each: no targets in Closed; targets that left are never given up.

--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -212,6 +212,9 @@
 	}
 	p.Closed, p.Reason = true, b.Reason
 	p.UpdatedMS = max(p.UpdatedMS, h.TimeMS)
+	for _, t := range b.Targets {
+		p.place(t.Target, t.Service, 0, h.TimeMS)
+	}
 }
 
 func (s *State) applyReleased(b *Released) {
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -178,6 +178,15 @@
 type Closed struct {
 	Program structs.ProgramID
 	Reason  structs.Reason
+	// Targets may hold cache of the program without a record that says so:
+	// an earlier owner may have died before it was in the log.
+	Targets []CacheTarget
+}
+
+// CacheTarget names a target that keeps prefix cache for programs.
+type CacheTarget struct {
+	Target  structs.TargetID
+	Service structs.ServiceName
 }
 
 // Released tells that a target confirmed that it holds no cache of a program.
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -39,11 +39,9 @@
 
 // Program is the durable row of a program.
 type Program struct {
-	ID     structs.ProgramID
-	Team   structs.Team
-	Single bool
-	// Epoch is that of the program's first record.
-	Epoch     structs.Epoch
+	ID        structs.ProgramID
+	Team      structs.Team
+	Single    bool
 	CreatedMS int64
 	UpdatedMS int64
 	Closed    bool
@@ -66,6 +64,9 @@
 	// Placements holds the targets that may hold cache of the program.
 	Placements map[structs.TargetID]*Placement
 	Services   map[structs.ServiceName]bool
+	// Epoch is that of the program's first record. It is the last field, as
+	// new ones must be: records and snapshots hold fields by position.
+	Epoch structs.Epoch
 }
 
 // Lane is the durable row of a lane.
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -180,7 +180,7 @@
 		return
 	}
 	u := urgency(len(p.opening) > 0)
-	p.shard.app.push(&journal.Closed{Program: p.id, Reason: reason}, u, p.onClosed)
+	p.shard.app.push(&journal.Closed{Program: p.id, Reason: reason, Targets: p.cacheTargets()}, u, p.onClosed)
 }
 
 func (p *program) onClosed() {
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -64,6 +64,11 @@
 // onForeign takes a fact that an earlier owner recorded late.
 func (s *shard) onForeign(rec journal.Record) {
 	switch b := rec.Body.(type) {
+	case *journal.Started:
+		// The earlier owner's target may hold cache of a closed program.
+		if p := s.programs[b.Program]; p != nil {
+			p.startRelease()
+		}
 	case *journal.Done:
 		s.learnt(b.Program, b.Run)
 	case *journal.Abandoned:
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -2,11 +2,35 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
+// targetGone is how long a target that should drop cache may be missing from the
+// membership list, which may lag, before it is taken to have left.
+const targetGone = 10 * time.Minute
+
+// cacheTargets lists the targets that may hold cache of the program without a
+// record: all, if an earlier owner may have died before its records were in the
+// log. A target that holds none confirms at once.
+func (p *program) cacheTargets() []journal.CacheTarget {
+	if !p.inherited() {
+		return nil
+	}
+	var list []journal.CacheTarget
+	for _, service := range p.shard.o.settings.Services() {
+		if service.Kind != structs.ServiceEngine {
+			continue
+		}
+		for _, t := range p.shard.o.members.Targets(service.Name) {
+			list = append(list, journal.CacheTarget{Target: t.ID, Service: service.Name})
+		}
+	}
+	return list
+}
+
 // startRelease asks every target that ever held cache of a closed program to
 // drop it, once no call of the program runs.
 func (p *program) startRelease() {
@@ -31,6 +55,8 @@
 	for _, id := range journal.SortedKeys(row.Placements) {
 		if target, ok := o.findTarget(row.Placements[id].Service, id); ok {
 			o.emit(structs.ReleaseCache{Target: target, Program: p.id})
+		} else if o.now.Sub(time.UnixMilli(row.UpdatedMS)) > targetGone {
+			p.shard.app.push(&journal.Released{Program: p.id, Target: id}, lazy, nil)
 		}
 	}
 	p.release = o.after(p.backoff, p.releaseAll)
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -64,6 +64,8 @@
 	finishes  map[structs.RunID]int
 	released  map[structs.TargetID]int
 	keepCache bool
+	// noTargets empties the membership list of targets.
+	noTargets bool
 	nextID    int
 	trace     []string
 }
@@ -654,12 +656,22 @@
 	return testDisp, true
 }
 func (v view) Targets(service structs.ServiceName) []structs.Target {
+	if v.w.noTargets {
+		return nil
+	}
 	return []structs.Target{
 		{ID: structs.TargetID(service) + "-1", Service: service}, {ID: structs.TargetID(service) + "-2", Service: service},
 	}
 }
 func (v view) Policy(structs.Team) structs.Policy { return v.w.policy }
-func (v view) Services() []structs.Service        { return nil }
+func (v view) Services() []structs.Service {
+	var list []structs.Service
+	for _, name := range []structs.ServiceName{testChat, testFiling} {
+		s, _ := v.Service(name)
+		list = append(list, s)
+	}
+	return list
+}
 func (v view) Service(name structs.ServiceName) (structs.Service, bool) {
 	switch name {
 	case testChat:
