Peer transport: frames later than the liveness timeout are not delivered

Ruled out: the owner's proof of ownership alone (a window of 1 s stays open by design). Change: the writer stamps the connection with the time since the session's start at most every 50 ms; the reader compares with the fastest stamp so far, without comparing clocks, and ends the connection if what follows was later than the liveness timeout.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -17,6 +17,7 @@
 	kindAccepted structs.MessageKind = 243
 	kindPing     structs.MessageKind = 250
 	kindPong     structs.MessageKind = 251
+	kindStamp    structs.MessageKind = 252
 )
 
 const (
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -37,6 +38,10 @@
 	// delivering is true while a received message waits for room in the
 	// loop's queue.
 	delivering atomic.Bool
+	// lateness is used by the reader, but for its start; stamped is when the
+	// writer stamped last.
+	lateness lateness
+	stamped  time.Time
 
 	mu       sync.Mutex
 	lastPing uint64
@@ -48,7 +53,8 @@
 	return &session{
 		transport: t, remote: remote, conn: conn,
 		ctx: ctx, cancel: cancel,
-		waiting: make(map[uint64]chan struct{}),
+		lateness: lateness{started: time.Now()},
+		waiting:  make(map[uint64]chan struct{}),
 	}
 }
 
@@ -98,6 +104,8 @@
 		return s.receivePing(body)
 	case kindPong:
 		return s.receivePong(body)
+	case kindStamp:
+		return s.receiveStamp(body)
 	}
 	msg, err := DecodeFrame(frame)
 	if err != nil {
@@ -126,6 +134,9 @@
 
 func (s *session) writeQueued(ctx context.Context) error {
 	for frame := s.queue.pop(); frame != nil; frame = s.queue.pop() {
+		if err := s.writeStamp(ctx); err != nil {
+			return err
+		}
 		if err := s.write(ctx, frame); err != nil {
 			return err
 		}
@@ -139,6 +150,15 @@
 	return nil
 }
 
+func (s *session) writeStamp(ctx context.Context) error {
+	frame := s.stamp(time.Now())
+	if frame == nil {
+		return nil
+	}
+	s.transport.traffic.sent(kindStamp, len(frame))
+	return s.write(ctx, frame)
+}
+
 func (s *session) write(ctx context.Context, frame []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, s.transport.cfg.WriteTimeout)
 	defer cancel()
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -55,8 +55,11 @@
 }
 
 func (d *direction) count(kind structs.MessageKind, size int) {
-	d.frames.Add(1)
-	d.frameCount.Inc(1)
+	if kind != kindStamp {
+		// A stamp belongs to the frame behind it.
+		d.frames.Add(1)
+		d.frameCount.Inc(1)
+	}
 	if carriesCall(kind) {
 		d.data.Add(uint64(size))
 		d.dataBytes.Inc(int64(size))
