Quiet engines are polled up to eight times less often

Ruled out: no polls at all (the dispatcher counts its own permits, but evictions and foreign load show only there). Change: the interval is 0.5 s and doubles up to 4 s while an engine has neither work nor events. Measured: not yet at processes; by the interval alone a busy engine costs half and a quiet one a sixteenth of before.

--- a/internal/target/config.go
+++ b/internal/target/config.go
@@ -10,7 +10,7 @@
 const (
 	DefaultRunTimeout     = time.Minute
 	DefaultControlTimeout = time.Second
-	DefaultLoadInterval   = 250 * time.Millisecond
+	DefaultLoadInterval   = 500 * time.Millisecond
 	DefaultHealthInterval = time.Second
 	DefaultMaxRuns        = 4096
 	DefaultMaxReleases    = 32
@@ -30,7 +30,8 @@
 	ControlTimeout time.Duration
 	// LoadInterval is the time between two polls of an engine's load and
 	// cache events, HealthInterval between two health checks of another
-	// target. Jitter changes both by up to a tenth.
+	// target. An engine without work and events is polled up to eight times
+	// less often. Jitter changes both by up to a tenth.
 	LoadInterval   time.Duration
 	HealthInterval time.Duration
 	// MaxRuns bounds the runs in flight; one more is RunNotSent.
--- /dev/null
+++ b/internal/target/quiet_test.go
@@ -0,0 +1,24 @@
+package target
+
+import (
+	"testing"
+	"time"
+)
+
+func TestQuietEnginesArePolledLessOften(t *testing.T) {
+	cfg := Config{LoadInterval: 500 * time.Millisecond}.withDefaults()
+	w := &watch{runner: &Runner{cfg: cfg}, engine: true, quiet: 1}
+	for _, step := range []struct {
+		quiet bool
+		want  time.Duration
+	}{
+		{true, time.Second}, {true, 2 * time.Second}, {true, 4 * time.Second}, {true, 4 * time.Second},
+		{false, 500 * time.Millisecond}, {true, time.Second},
+	} {
+		w.noteQuiet(step.quiet)
+		got := w.wait()
+		if got < step.want-step.want/jitterShare || got > step.want+step.want/jitterShare {
+			t.Fatalf("quiet %v: %s, want about %s", step.quiet, got, step.want)
+		}
+	}
+}
--- a/internal/target/watch.go
+++ b/internal/target/watch.go
@@ -17,6 +17,10 @@
 // engine counts its cache events anew.
 const restartCheckPolls = 16
 
+// maxQuietFactor bounds the growth of an engine's poll interval while it has
+// nothing to tell.
+const maxQuietFactor = 8
+
 // jitterShare is the part of a poll interval that jitter may add or take away.
 const jitterShare = 10
 
@@ -32,6 +36,9 @@
 	lost bool
 	// polls counts the polls since the last restart check; see askFrom.
 	polls int
+	// quiet is the factor of the poll interval: it doubles with each poll that
+	// shows an engine without work and without cache events.
+	quiet int
 }
 
 // WatchTargets sets the targets that are polled. Engines report their load and
@@ -65,7 +72,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	w := &watch{runner: r, target: target, engine: engine, cancel: cancel}
+	w := &watch{runner: r, target: target, engine: engine, cancel: cancel, quiet: 1}
 	r.watches[target.ID] = w
 	r.spawn(func() { w.run(ctx) })
 }
@@ -88,12 +95,22 @@
 func (w *watch) wait() time.Duration {
 	interval := w.runner.cfg.HealthInterval
 	if w.engine {
-		interval = w.runner.cfg.LoadInterval
+		interval = time.Duration(w.quiet) * w.runner.cfg.LoadInterval
 	}
 	jitter := interval / jitterShare
 	return interval - jitter + rand.N(2*jitter+1)
 }
 
+// noteQuiet slows the polls of an engine that has nothing to tell down, and
+// speeds them up at once when it has.
+func (w *watch) noteQuiet(quiet bool) {
+	if !quiet {
+		w.quiet = 1
+		return
+	}
+	w.quiet = min(2*w.quiet, maxQuietFactor)
+}
+
 func (w *watch) poll(ctx context.Context) {
 	err := w.pollHealth(ctx)
 	if w.engine {
@@ -104,6 +121,7 @@
 	}
 	w.runner.metrics.pollsFailed.Inc(1)
 	w.polls = restartCheckPolls
+	w.quiet = 1
 	w.runner.sink.Offer(structs.TargetUnreachable{Target: w.target.ID})
 }
 
@@ -137,6 +155,7 @@
 	if err := w.runner.getJSON(ctx, address, &page); err != nil {
 		return err
 	}
+	w.noteQuiet(load.Running+load.Waiting == 0 && len(page.Events) == 0)
 	w.report(page)
 	return nil
 }
