--- a/internal/orders/doc.go
+++ b/internal/orders/doc.go
@@ -40,6 +40,12 @@
 // (status 409) tells that it was superseded: it stops, and reads the stream
 // again after a while.
 //
+// What is left: a target that forgets the number it has seen when it restarts
+// takes an order of a controller that is cut off from the log, until the
+// controller in office has sent its next one. If the log itself was set up anew,
+// so that offsets begin at 0 again, targets refuse every epoch until they are
+// restarted; the state dump shows the refusals.
+//
 // # Targets that ignore it
 //
 // A target is taken to ignore the number unless both its service's setting
