--- a/internal/proofs/scenarios_instances.go
+++ b/internal/proofs/scenarios_instances.go
@@ -278,7 +278,13 @@
 func (r *Rig) fileUntilIntent(ctx context.Context, a *agent) (<-chan Attempt, error) {
 	q := filingRequest(a.newCall(), 1, 50*time.Millisecond)
 	done := later(func() Attempt { return a.do(ctx, q) })
-	err := r.Until(ctx, "the intent in the log", func() bool { return r.intentInLog(a.program.ID, q.call.Key) })
+	err := r.Until(ctx, "the intent in the log", func() bool {
+		return r.intentInLog(a.program.ID, q.call.Key) || len(done) > 0
+	})
+	if err == nil && !r.intentInLog(a.program.ID, q.call.Key) {
+		got := <-done
+		err = errors.Newf("the filing got %s %s and has no intent in the log", got.Word, got.Reason)
+	}
 	return done, err
 }
 
