--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -36,7 +36,10 @@
 func (n *node) carryTarget(cmd structs.Command) {
 	targets := n.adapters.targets
 	switch cmd := cmd.(type) {
+	case structs.Note:
+		logNote(n.log, cmd)
 	case structs.StartRun:
+		logRun(n.log, cmd)
 		targets.StartRun(cmd)
 	case structs.ResumeRun:
 		targets.ResumeRun(cmd)
--- a/internal/owner/claim.go
+++ b/internal/owner/claim.go
@@ -167,6 +167,7 @@
 	s.watchSnapshot()
 	s.watchPurge()
 	s.winner = ""
+	s.note("shard claimed", "")
 	s.o.watchPause()
 	s.recover()
 	s.proven(s.app.oldest)
@@ -187,6 +188,7 @@
 		s.o.notOwner(h.from, h.msg, winner)
 	}
 	if claimed {
+		s.note("shard lost to a newer claim", winner)
 		s.dropUnsent(winner)
 	}
 	s.forgetPending()
--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -170,6 +170,7 @@
 		return
 	}
 	p.closing = true
+	p.note("program closed", reason)
 	p.shard.o.timers.stop(p.idle)
 	for _, c := range p.sortedCalls() {
 		if !c.mayHaveRun() && c.phase != phaseEnded {
--- a/internal/owner/recovery.go
+++ b/internal/owner/recovery.go
@@ -116,8 +116,10 @@
 	if found {
 		out.Kind = structs.OutcomeAnswered
 		cost.Tokens = out.Usage.Tokens()
+		r.note("outcome of an earlier owner's run found at its target")
 	} else {
 		out = unknown(structs.ReasonOwnerLost)
+		r.note("outcome of an earlier owner's run stays unknown")
 	}
 	p.shard.app.push(&journal.Done{
 		CallID: r.run.CallID, Service: r.run.Service, Target: r.run.Target, NotRepeatable: true,
--- a/internal/structs/commands.go
+++ b/internal/structs/commands.go
@@ -155,6 +155,23 @@
 	Reason string
 }
 
+// Note is a line for the log: what happened to a shard, a program or a call that
+// operators may have to explain later. Empty fields are left out.
+type Note struct {
+	Message string
+	Shard   ShardRef
+	Epoch   Epoch
+	Program ProgramID
+	Team    Team
+	Lane    Lane
+	Number  uint64
+	Run     RunID
+	Target  TargetID
+	Reason  Reason
+	// Other is the instance concerned, if it is another.
+	Other InstanceID
+}
+
 // DrainDone tells that nothing is in flight any more.
 type DrainDone struct{}
 
@@ -180,4 +197,5 @@
 func (ReadOrders) command()    {}
 func (SendOrder) command()     {}
 func (Ready) command()         {}
+func (Note) command()          {}
 func (DrainDone) command()     {}
