--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -110,7 +110,7 @@
 func (a arguments) scenario(ctx context.Context) error {
 	o := load.ScenarioOptions{Setup: a.setup(), Duration: a.Duration, Seeds: a.Seeds, Names: a.Scenario.Names}
 	o.Engines, o.Model.Slots, o.Model.StepBase = a.Scenario.Engines, a.Scenario.Slots, a.Scenario.Step
-	o.IdleTimeout = "5s"
+	o.IdleTimeout = "10s"
 	if len(o.Names) == 0 {
 		for _, f := range load.Faults() {
 			o.Names = append(o.Names, f.Name)
