--- /dev/null
+++ b/internal/instance/world_targets_test.go
@@ -0,0 +1,88 @@
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/wire"
+)
+
+func (n *node) pollMembers() {
+	w := n.w
+	if n.dead || w.nodes[n.id] != n {
+		return
+	}
+	w.version++
+	list := wire.MemberList{Version: w.version}
+	for _, id := range w.ids {
+		list.Members = append(list.Members, wire.Member{ID: string(id), Role: wire.MemberRoleInstance, State: wire.MemberStateLive, Region: string(w.regionOf(id))})
+	}
+	for _, service := range []string{chatService, filingService} {
+		for i := range 2 {
+			list.Members = append(list.Members, wire.Member{
+				ID: fmt.Sprintf("%s-%d-%s", service, i, w.regionOf(n.id)), Role: wire.MemberRoleTarget, State: wire.MemberStateLive,
+				Region: string(w.regionOf(n.id)), Service: service,
+			})
+		}
+	}
+	n.deliver(structs.MembersListed{List: list})
+	w.after(pollEvery, n.pollMembers)
+}
+
+// startRun is the target adapter and the target: it sends once, if it is not
+// too late, and answers.
+func (w *world) startRun(n *node, cmd structs.StartRun) {
+	end := structs.RunEnded{Run: cmd.Run, Target: cmd.Target.ID, Took: 5 * time.Millisecond}
+	if n.dead {
+		return
+	}
+	if n.paused || (!cmd.NotAfter.IsZero() && w.now.After(cmd.NotAfter)) {
+		end.Failure = structs.RunNotSent
+		n.deliver(end)
+		return
+	}
+	w.sends = append(w.sends, sent{at: w.now, call: cmd.Call, run: cmd.Run})
+	w.note("send %s %s from %s", cmd.Call.Program, cmd.Call.Key, n.id)
+	end.Outcome = structs.Outcome{Kind: structs.OutcomeAnswered, Status: 200, Text: answerOf(cmd.Call)}
+	if cmd.Call.Kind == structs.CallPlain {
+		end.Outcome.Body, end.Outcome.Text = []byte(answerOf(cmd.Call)), ""
+	}
+	w.after(5*time.Millisecond+w.delay(400*time.Millisecond), func() { n.deliver(end) })
+}
+
+func answerOf(call *structs.Call) string {
+	return fmt.Sprintf("%s/%s/%x", call.Program, call.Key, call.Digest[:4])
+}
+
+// configure publishes the services through the first instance.
+func (w *world) configure() {
+	values := map[string]any{
+		"services/model/kind": "engine", "services/filing/kind": "plain", "services/filing/timeout": "1s",
+		"teams/harbour/idempotency_window": "1h",
+	}
+	var changes []structs.SettingChange
+	for _, path := range slices.Sorted(mapKeys(values)) {
+		value, _ := json.Marshal(values[path])
+		changes = append(changes, structs.SettingChange{Path: path, Value: value, ChangeID: "change-" + path, Author: "test"})
+	}
+	w.nodes[w.ids[0]].deliver(structs.SettingsPropose{Request: "configure", Changes: changes, Deadline: w.now.Add(time.Minute)})
+	w.run(2 * time.Second)
+	for _, id := range w.ids {
+		if _, ok := w.nodes[id].core.Tree().Service(chatService); !ok {
+			w.t.Fatalf("%s does not know the services", id)
+		}
+	}
+}
+
+func mapKeys(m map[string]any) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -82,14 +81,18 @@
 type eventQueue []timed
 
 func (q eventQueue) Len() int { return len(q) }
+
 func (q eventQueue) Less(i, j int) bool {
 	if !q[i].at.Equal(q[j].at) {
 		return q[i].at.Before(q[j].at)
 	}
 	return q[i].order < q[j].order
 }
+
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(timed)) }
+
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(timed)) }
+
 func (q *eventQueue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
@@ -312,151 +315,8 @@
 	w.after(deathTime, func() { n.deliver(structs.PeerDown{Peer: to}) })
 }
 
-func (n *node) pollMembers() {
-	w := n.w
-	if n.dead || w.nodes[n.id] != n {
-		return
-	}
-	w.version++
-	list := wire.MemberList{Version: w.version}
-	for _, id := range w.ids {
-		list.Members = append(list.Members, wire.Member{ID: string(id), Role: wire.MemberRoleInstance, State: wire.MemberStateLive, Region: string(w.regionOf(id))})
-	}
-	for _, service := range []string{chatService, filingService} {
-		for i := range 2 {
-			list.Members = append(list.Members, wire.Member{
-				ID: fmt.Sprintf("%s-%d-%s", service, i, w.regionOf(n.id)), Role: wire.MemberRoleTarget, State: wire.MemberStateLive,
-				Region: string(w.regionOf(n.id)), Service: service,
-			})
-		}
-	}
-	n.deliver(structs.MembersListed{List: list})
-	w.after(pollEvery, n.pollMembers)
-}
-
-// append carries out an append; its reply may be lost after it took effect.
-func (w *world) append(n *node, cmd structs.LogAppend) {
-	w.after(logDelay, func() {
-		if w.logDown {
-			n.deliver(structs.LogAppendFailed{ID: cmd.ID, Stream: cmd.Stream, Refused: true})
-			return
-		}
-		first := uint64(len(w.log[cmd.Stream]))
-		for i, data := range cmd.Records {
-			w.log[cmd.Stream] = append(w.log[cmd.Stream], wire.LogRecord{Offset: first + uint64(i), TimeMS: w.now.UnixMilli(), Data: data})
-		}
-		w.wakeTails(cmd.Stream)
-		if w.rng.Float64() < w.loseReplies {
-			w.after(time.Second, func() { n.deliver(structs.LogAppendFailed{ID: cmd.ID, Stream: cmd.Stream}) })
-			return
-		}
-		w.after(logDelay, func() { n.deliver(structs.LogAppended{ID: cmd.ID, Stream: cmd.Stream, First: first}) })
-	})
-}
-
-func (w *world) wakeTails(stream string) {
-	for _, id := range w.ids {
-		n := w.nodes[id]
-		if from, ok := n.tails[stream]; ok {
-			n.tail(stream, from, false)
-		}
-	}
-}
-
-// tail reads a stream from an offset and goes on; the first answer comes at
-// once, also when it is empty.
-func (n *node) tail(stream string, from uint64, first bool) {
-	w := n.w
-	n.tails[stream] = from
-	n.generation[stream]++
-	generation := n.generation[stream]
-	w.after(logDelay+w.readDelay[n.id], func() {
-		if n.dead || n.generation[stream] != generation {
-			return
-		}
-		if w.logDown {
-			n.deliver(structs.LogReadFailed{Stream: stream})
-			w.after(500*time.Millisecond, func() {
-				if n.generation[stream] == generation {
-					n.tail(stream, from, true)
-				}
-			})
-			return
-		}
-		all := w.log[stream]
-		end := uint64(len(all))
-		if end > from || first {
-			records := slices.Clone(all[min(from, end):])
-			n.tails[stream] = end
-			n.deliver(structs.LogRead{Stream: stream, From: from, Records: records, Next: max(end, from), End: end})
-		}
-		if generation == n.generation[stream] {
-			w.after(pollEvery, func() {
-				if at, ok := n.tails[stream]; ok && generation == n.generation[stream] {
-					n.tail(stream, at, true)
-				}
-			})
-		}
-	})
-}
-
-// startRun is the target adapter and the target: it sends once, if it is not
-// too late, and answers.
-func (w *world) startRun(n *node, cmd structs.StartRun) {
-	end := structs.RunEnded{Run: cmd.Run, Target: cmd.Target.ID, Took: 5 * time.Millisecond}
-	if n.dead {
-		return
-	}
-	if n.paused || (!cmd.NotAfter.IsZero() && w.now.After(cmd.NotAfter)) {
-		end.Failure = structs.RunNotSent
-		n.deliver(end)
-		return
-	}
-	w.sends = append(w.sends, sent{at: w.now, call: cmd.Call, run: cmd.Run})
-	w.note("send %s %s from %s", cmd.Call.Program, cmd.Call.Key, n.id)
-	end.Outcome = structs.Outcome{Kind: structs.OutcomeAnswered, Status: 200, Text: answerOf(cmd.Call)}
-	if cmd.Call.Kind == structs.CallPlain {
-		end.Outcome.Body, end.Outcome.Text = []byte(answerOf(cmd.Call)), ""
-	}
-	w.after(5*time.Millisecond+w.delay(400*time.Millisecond), func() { n.deliver(end) })
-}
-
-func answerOf(call *structs.Call) string {
-	return fmt.Sprintf("%s/%s/%x", call.Program, call.Key, call.Digest[:4])
-}
-
 const (
 	chatService   = "model"
 	filingService = "filing"
 	testTeam      = structs.Team("harbour")
 )
-
-// configure publishes the services through the first instance.
-func (w *world) configure() {
-	values := map[string]any{
-		"services/model/kind": "engine", "services/filing/kind": "plain", "services/filing/timeout": "1s",
-		"teams/harbour/idempotency_window": "1h",
-	}
-	var changes []structs.SettingChange
-	for _, path := range slices.Sorted(mapKeys(values)) {
-		value, _ := json.Marshal(values[path])
-		changes = append(changes, structs.SettingChange{Path: path, Value: value, ChangeID: "change-" + path, Author: "test"})
-	}
-	w.nodes[w.ids[0]].deliver(structs.SettingsPropose{Request: "configure", Changes: changes, Deadline: w.now.Add(time.Minute)})
-	w.run(2 * time.Second)
-	for _, id := range w.ids {
-		if _, ok := w.nodes[id].core.Tree().Service(chatService); !ok {
-			w.t.Fatalf("%s does not know the services", id)
-		}
-	}
-}
-
-func mapKeys(m map[string]any) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -5,14 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/journal"
 	"github.com/banyanglade/banyanglade/internal/structs"
-	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
 const (
@@ -129,14 +127,18 @@
 type worldQueue []worldEvent
 
 func (q worldQueue) Len() int { return len(q) }
+
 func (q worldQueue) Less(i, j int) bool {
 	if !q[i].at.Equal(q[j].at) {
 		return q[i].at.Before(q[j].at)
 	}
 	return q[i].order < q[j].order
 }
+
 func (q worldQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *worldQueue) Push(x any)   { *q = append(*q, x.(worldEvent)) }
+
+func (q *worldQueue) Push(x any) { *q = append(*q, x.(worldEvent)) }
+
 func (q *worldQueue) Pop() any {
 	old := *q
 	e := old[len(old)-1]
@@ -358,43 +360,6 @@
 	w.after(time.Second, func() { n.deliver(structs.PeerDown{Peer: to}) })
 }
 
-func (w *world) append(n *node, c structs.LogAppend) {
-	life := n.life
-	fail := func(refused bool) {
-		w.after(networkTime, func() {
-			w.deliverTo(n.id, life, structs.LogAppendFailed{ID: c.ID, Stream: c.Stream, Refused: refused})
-		})
-	}
-	if n.silent {
-		return
-	}
-	roll := w.rng.Float64()
-	switch {
-	case w.logDown || n.cut || roll < w.faults.refused:
-		fail(true)
-		return
-	case roll < w.faults.refused+w.faults.dropped:
-		fail(false)
-		return
-	}
-	w.after(networkTime+time.Duration(w.rng.Int64N(int64(3*time.Millisecond))), func() {
-		if w.logDown {
-			fail(true)
-			return
-		}
-		first := uint64(len(w.streams[c.Stream]))
-		w.streams[c.Stream] = append(w.streams[c.Stream], c.Records...)
-		if roll < w.faults.refused+w.faults.dropped+w.faults.lostReply {
-			fail(false)
-		} else {
-			w.deliverTo(n.id, life, structs.LogAppended{ID: c.ID, Stream: c.Stream, First: first})
-		}
-		for _, id := range w.ids {
-			w.pump(w.nodes[id], c.Stream)
-		}
-	})
-}
-
 // truncate drops the records that no reader needs any more.
 func (w *world) truncate() {
 	for name, records := range w.streams {
@@ -407,107 +372,6 @@
 	}
 }
 
-// pump reads a tailed stream to its end.
-func (w *world) pump(n *node, stream string) {
-	life := n.life
-	w.after(networkTime+n.lag, func() {
-		from, ok := n.tails[stream]
-		if !ok || n.life != life || !n.alive {
-			return
-		}
-		if n.silent {
-			return
-		}
-		if w.logDown || n.cut {
-			n.deliver(structs.LogReadFailed{Stream: stream})
-			w.after(200*time.Millisecond, func() { w.pump(n, stream) })
-			return
-		}
-		if from < w.first[stream] {
-			n.deliver(structs.LogReadFailed{Stream: stream, Truncated: true, First: w.first[stream]})
-			return
-		}
-		end := uint64(len(w.streams[stream]))
-		read := structs.LogRead{Stream: stream, From: from, Next: end, End: end}
-		for i := from; i < end; i++ {
-			read.Records = append(read.Records, wire.LogRecord{Offset: i, Data: w.streams[stream][i]})
-		}
-		n.tails[stream] = end
-		n.deliver(read)
-	})
-}
-
-func (w *world) startRun(n *node, c structs.StartRun) {
-	life := n.life
-	end := func(d time.Duration, e structs.RunEnded) {
-		e.Run, e.Target = c.Run, c.Target.ID
-		w.after(d, func() { w.deliverTo(n.id, life, e) })
-	}
-	late := w.now.After(c.NotAfter)
-	if late && w.rng.Float64() < 0.5 {
-		end(networkTime, structs.RunEnded{Failure: structs.RunNotSent})
-		return
-	}
-	failure := structs.RunOK
-	if w.behave != nil {
-		failure = w.behave(c)
-	}
-	if failure == structs.RunNotSent {
-		end(networkTime, structs.RunEnded{Failure: failure})
-		return
-	}
-	cost := c.Call.PromptTokens + c.Call.MaxTokens/2
-	w.sends = append(w.sends, send{at: w.now, run: c.Run, call: c.Call, late: late, cost: cost, fencing: c.Fencing})
-	w.log("send %s of %s %d key %s by %s", c.Run, c.Call.Lane, c.Call.Number, c.Call.Key, n.id)
-	if w.hang {
-		return
-	}
-	text := "answer of " + string(c.Run)
-	out := structs.Outcome{Text: text, Body: []byte(text), Status: 200, Usage: structs.Usage{
-		PromptTokens: c.Call.PromptTokens, CompletionTokens: c.Call.MaxTokens / 2,
-	}}
-	w.after(w.runTime, func() { w.outcomes[string(c.Call.Program)+"/"+c.Call.Key] = out })
-	if c.Call.Stream {
-		w.stream(n, c.Run, text, 0, failure)
-	}
-	if failure != structs.RunOK {
-		end(w.runTime, structs.RunEnded{Failure: failure})
-		return
-	}
-	end(w.runTime+networkTime, structs.RunEnded{Outcome: out, Took: w.runTime})
-}
-
-// stream sends the words of a text as pieces; a broken stream stops halfway.
-func (w *world) stream(n *node, run structs.RunID, text string, from int, failure structs.RunFailure) {
-	life := n.life
-	words := strings.SplitAfter(text, " ")
-	if failure != structs.RunOK {
-		words = words[:len(words)/2]
-	}
-	for i := from; i < len(words); i++ {
-		w.after(w.runTime*time.Duration(i+1-from)/time.Duration(len(words)+1), func() {
-			w.deliverTo(n.id, life, structs.RunChunk{Run: run, Chunk: structs.Chunk{First: i, Texts: words[i : i+1]}})
-		})
-	}
-}
-
-func (w *world) resumeRun(n *node, c structs.ResumeRun) {
-	life := n.life
-	if !slices.ContainsFunc(w.sends, func(s send) bool { return s.run == c.Run }) {
-		w.after(networkTime, func() {
-			w.deliverTo(n.id, life, structs.RunEnded{Run: c.Run, Target: c.Target.ID, Failure: structs.RunBroken})
-		})
-		return
-	}
-	text := "answer of " + string(c.Run)
-	w.stream(n, c.Run, text, c.From, structs.RunOK)
-	w.after(w.runTime+networkTime, func() {
-		words := strings.SplitAfter(text, " ")
-		out := structs.Outcome{Text: strings.Join(words[min(c.From, len(words)):], "")}
-		w.deliverTo(n.id, life, structs.RunEnded{Run: c.Run, Target: c.Target.ID, Outcome: out})
-	})
-}
-
 // receive delivers a message to an owner, the dispatcher or the gateway.
 func (w *world) receive(from, to structs.InstanceID, msg structs.Message) {
 	switch to {
@@ -526,230 +390,10 @@
 	w.after(networkTime, func() { w.receive(from, to, msg) })
 }
 
-func (w *world) dispatch(from structs.InstanceID, msg structs.Message) {
-	switch m := msg.(type) {
-	case *structs.PermitRequest:
-		w.reply(testDisp, from, &structs.PermitQueued{Ref: m.Ref})
-		if m.Running != "" || w.noGrant {
-			return
-		}
-		if w.refuse != nil {
-			if reason := w.refuse(m); reason != "" {
-				w.reply(testDisp, from, &structs.PermitRefuse{Pool: m.Pool, Ref: m.Ref, Reason: reason})
-				return
-			}
-		}
-		target, ok := w.grants[m.Ref.Run]
-		if !ok {
-			target = structs.TargetID(fmt.Sprintf("%s-%d", m.Pool.Service, 1+len(w.grants)%2))
-			w.grants[m.Ref.Run] = target
-		}
-		w.reply(testDisp, from, &structs.PermitGrant{Pool: m.Pool, Ref: m.Ref, Target: structs.Target{ID: target, Service: m.Pool.Service}})
-	case *structs.PermitFinish:
-		w.finishes[m.Ref.Run]++
-		delete(w.grants, m.Ref.Run)
-	case *structs.ProgramGone:
-		w.gone = append(w.gone, *m)
-	}
-}
-
-// submit sends a new request to the owner that the gateway thinks of.
-func (w *world) submit(call *structs.Call, remaining time.Duration) *request {
-	w.nextID++
-	r := &request{
-		id: structs.RequestID(fmt.Sprintf("r%d", w.nextID)), call: call, at: w.now, deadline: w.now.Add(remaining),
-	}
-	w.requests[r.id] = r
-	w.all = append(w.all, r)
-	w.route(r, "", nil)
-	w.after(remaining, func() { w.expire(r) })
-	return r
-}
-
-func (w *world) route(r *request, to structs.InstanceID, suspects []structs.InstanceID) {
-	if r.outcome != nil {
-		return
-	}
-	if to == "" {
-		to, _ = view{w: w}.OwnerOf(structs.ShardRef{})
-	}
-	r.to = to
-	r.tried++
-	m := &structs.Submit{
-		Request: r.id, Call: r.call, Remaining: r.deadline.Sub(w.now), Have: len(r.pieces), HaveRun: r.run,
-		Suspects: suspects, Resubmitted: r.resub,
-	}
-	w.log("submit %s %s %d key %s to %s resubmitted %v", r.id, r.call.Lane, r.call.Number, r.call.Key, to, r.resub)
-	w.reply(testGateway, to, m)
-}
-
-// resubmit asks another owner after one was lost.
-func (w *world) resubmit(r *request, lost structs.InstanceID) {
-	r.resub = true
-	w.route(r, "", []structs.InstanceID{lost})
-}
-
-func (w *world) expire(r *request) {
-	if r.outcome == nil {
-		w.end(r, structs.Outcome{Kind: structs.OutcomeUnknown, Reason: "gateway-deadline"})
-	}
-}
-
-func (w *world) end(r *request, out structs.Outcome) {
-	w.log("end %s key %s kind %d %s %q", r.id, r.call.Key, out.Kind, out.Reason, out.Text)
-	r.outcome, r.endedAt = &out, w.now
-}
-
-// gateway takes answers only from the owner that it asked last: an earlier one
-// cannot speak for it.
-func (w *world) gateway(from structs.InstanceID, msg structs.Message) {
-	switch m := msg.(type) {
-	case *structs.ProgramReply:
-		w.programs[m.Request] = *m
-	case *structs.CallChunk:
-		if r := w.requests[m.Request]; r.to == from && r.outcome == nil && m.Chunk.First <= len(r.pieces) {
-			r.pieces, r.run = append(r.pieces[:m.Chunk.First], m.Chunk.Texts...), m.Run
-		}
-	case *structs.CallEnd:
-		r := w.requests[m.Request]
-		if r.outcome == nil && (r.to == from || m.Outcome.Kind == structs.OutcomeAnswered && m.Run == r.run) {
-			w.end(r, m.Outcome)
-		}
-	case *structs.NotOwner:
-		r := w.requests[m.Request]
-		if r == nil || r.outcome != nil || r.to != from {
-			return
-		}
-		w.after(20*time.Millisecond, func() { w.route(r, m.Owner, nil) })
-	}
-}
-
 func (w *world) live(id structs.InstanceID) bool {
 	return w.nodes[id].alive && !w.nodes[id].suspected
 }
 
-// view is the membership and settings view of one owner; it follows the truth
-// at once, except that a paused instance still looks live.
-type view struct {
-	w    *world
-	self structs.InstanceID
-}
-
-func (v view) Self() structs.Peer { return structs.Peer{ID: v.self, Region: testRegion} }
-func (v view) Peer(id structs.InstanceID) (structs.Peer, bool) {
-	return structs.Peer{ID: id, Region: testRegion}, v.w.nodes[id] != nil
-}
-
-// Peers counts as many as a real region has, for the rate of appends.
-func (v view) Peers() []structs.Peer                { return make([]structs.Peer, 12) }
-func (v view) Suspected(id structs.InstanceID) bool { return !v.w.live(id) }
-func (v view) OwnerOf(structs.ShardRef) (structs.InstanceID, bool) {
-	for _, id := range v.w.ids {
-		if v.w.live(id) {
-			return id, true
-		}
-	}
-	return "", false
-}
-func (v view) Ranked(structs.ShardRef) []structs.InstanceID { return slices.Clone(v.w.ids) }
-func (v view) DispatcherOf(structs.PoolID) (structs.InstanceID, bool) {
-	return testDisp, true
-}
-func (v view) Targets(service structs.ServiceName) []structs.Target {
-	if v.w.noTargets {
-		return nil
-	}
-	return []structs.Target{
-		{ID: structs.TargetID(service) + "-1", Service: service}, {ID: structs.TargetID(service) + "-2", Service: service},
-	}
-}
-func (v view) Policy(structs.Team) structs.Policy { return v.w.policy }
-func (v view) Services() []structs.Service {
-	var list []structs.Service
-	for _, name := range []structs.ServiceName{testChat, testFiling} {
-		s, _ := v.Service(name)
-		list = append(list, s)
-	}
-	return list
-}
-func (v view) Service(name structs.ServiceName) (structs.Service, bool) {
-	switch name {
-	case testChat:
-		return structs.DefaultService(name, structs.ServiceEngine), true
-	case testFiling:
-		s := structs.DefaultService(name, structs.ServicePlain)
-		s.AskByKey = v.w.askable
-		return s, true
-	default:
-		return structs.Service{}, false
-	}
-}
-
-// program opens a program and waits until that is journalled.
-func (w *world) program(n byte) structs.ProgramID {
-	id := structs.NewProgramID(testRegion, testStart, [10]byte{9: n})
-	w.operate(id, structs.ProgramOpen)
-	return id
-}
-
-func (w *world) operate(id structs.ProgramID, op structs.ProgramOp) structs.ProgramReply {
-	w.nextID++
-	request := structs.RequestID(fmt.Sprintf("p%d", w.nextID))
-	to, _ := view{w: w}.OwnerOf(structs.ShardRef{})
-	w.reply(testGateway, to, &structs.ProgramRequest{
-		Request: request, Op: op, Program: id, Team: testTeam, Remaining: time.Second,
-	})
-	w.run(300 * time.Millisecond)
-	return w.programs[request]
-}
-
-// testCall makes a call of a program's own lane.
-func testCall(id structs.ProgramID, number uint64, notRepeatable bool) *structs.Call {
-	c := &structs.Call{
-		Program: id, Team: testTeam, Number: number, Key: fmt.Sprintf("k%d", number), Service: testChat,
-		Kind: structs.CallChat, Digest: structs.Digest{byte(number)}, PromptTokens: 100, MaxTokens: 100,
-	}
-	if notRepeatable {
-		c.NotRepeatable, c.Service, c.Kind, c.Fee = true, testFiling, structs.CallPlain, 10
-		c.PromptTokens, c.MaxTokens = 0, 0
-	}
-	return c
-}
-
-// sendsOf counts the sends of a call's key.
-func (w *world) sendsOf(c *structs.Call) int {
-	n := 0
-	for _, s := range w.sends {
-		if s.call.Program == c.Program && s.call.Key == c.Key {
-			n++
-		}
-	}
-	return n
-}
-
-func (r *request) kind() structs.OutcomeKind {
-	if r.outcome == nil {
-		return 0
-	}
-	return r.outcome.Kind
-}
-
-func (r *request) reason() structs.Reason {
-	if r.outcome == nil {
-		return "none yet"
-	}
-	return r.outcome.Reason
-}
-
-// want fails the test unless the request has that outcome.
-func (w *world) want(r *request, kind structs.OutcomeKind, reason structs.Reason) {
-	w.t.Helper()
-	if r.kind() != kind || r.reason() != reason {
-		w.t.Fatalf("request %s: kind %d reason %q, want %d %q\n%s", r.id, r.kind(), r.reason(), kind, reason,
-			strings.Join(w.trace, "\n"))
-	}
-}
-
 // dump shows the state of every owner.
 func (w *world) dump() string {
 	var out strings.Builder
--- /dev/null
+++ b/internal/owner/world_view_test.go
@@ -0,0 +1,73 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// view is the membership and settings view of one owner; it follows the truth
+// at once, except that a paused instance still looks live.
+type view struct {
+	w    *world
+	self structs.InstanceID
+}
+
+func (v view) Self() structs.Peer { return structs.Peer{ID: v.self, Region: testRegion} }
+
+func (v view) Peer(id structs.InstanceID) (structs.Peer, bool) {
+	return structs.Peer{ID: id, Region: testRegion}, v.w.nodes[id] != nil
+}
+
+// Peers counts as many as a real region has, for the rate of appends.
+func (v view) Peers() []structs.Peer { return make([]structs.Peer, 12) }
+
+func (v view) Suspected(id structs.InstanceID) bool { return !v.w.live(id) }
+
+func (v view) OwnerOf(structs.ShardRef) (structs.InstanceID, bool) {
+	for _, id := range v.w.ids {
+		if v.w.live(id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (v view) Ranked(structs.ShardRef) []structs.InstanceID { return slices.Clone(v.w.ids) }
+
+func (v view) DispatcherOf(structs.PoolID) (structs.InstanceID, bool) {
+	return testDisp, true
+}
+
+func (v view) Targets(service structs.ServiceName) []structs.Target {
+	if v.w.noTargets {
+		return nil
+	}
+	return []structs.Target{
+		{ID: structs.TargetID(service) + "-1", Service: service}, {ID: structs.TargetID(service) + "-2", Service: service},
+	}
+}
+
+func (v view) Policy(structs.Team) structs.Policy { return v.w.policy }
+
+func (v view) Services() []structs.Service {
+	var list []structs.Service
+	for _, name := range []structs.ServiceName{testChat, testFiling} {
+		s, _ := v.Service(name)
+		list = append(list, s)
+	}
+	return list
+}
+
+func (v view) Service(name structs.ServiceName) (structs.Service, bool) {
+	switch name {
+	case testChat:
+		return structs.DefaultService(name, structs.ServiceEngine), true
+	case testFiling:
+		s := structs.DefaultService(name, structs.ServicePlain)
+		s.AskByKey = v.w.askable
+		return s, true
+	default:
+		return structs.Service{}, false
+	}
+}
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/banyanglade/banyanglade/internal/platform/eventsink"
+	"github.com/banyanglade/banyanglade/internal/eventsink"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
--- a/internal/target/runner.go
+++ b/internal/target/runner.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanglade/banyanglade/internal/platform/eventsink"
+	"github.com/banyanglade/banyanglade/internal/eventsink"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
