--- a/internal/journal/codec.go
+++ b/internal/journal/codec.go
@@ -69,5 +69,8 @@
 	if err := codec.NewDecoderBytes(data, handle).Decode(s); err != nil {
 		return nil, errors.Mark(err, ErrRecord)
 	}
+	if !s.complete() {
+		return nil, ErrRecord
+	}
 	return s, nil
 }
