--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -9,6 +9,9 @@
 load() { "$bin/load" --instance "$bin/banyanglade" "$@"; }
 title() { printf '\n== %s (load average %s)\n' "$1" "$(cut -d' ' -f1 /proc/loadavg)"; }
 
+if [ -z "${FULL:-}" ] && [ $# -eq 0 ]; then
+	set -- --seeds 1 --duration 60s
+fi
 title "decisions, virtual clock"
 "$bin/bench" "$@"
 
