Owner: an outage of the log and refused calls are not idleness

Ruled out: a longer default. Change: each request of the program restarts the timer, also a refused one, and it does not close a program while the log is down.

--- a/internal/owner/program.go
+++ b/internal/owner/program.go
@@ -156,7 +156,20 @@
 	}
 }
 
+// touch notes that a request of the program came, also one that is refused.
+func (p *program) touch() {
+	if len(p.calls) == 0 {
+		p.watchIdle()
+	}
+}
+
+// onIdle closes the program, but not while the log is down: its calls may be
+// refused then, so that their absence says nothing of the caller.
 func (p *program) onIdle() {
+	if p.shard.logDown() {
+		p.watchIdle()
+		return
+	}
 	if len(p.calls) == 0 && p.shard.owned() {
 		p.close(reasonIdle)
 	}
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -83,6 +83,7 @@
 		o.send(from, &structs.CallEnd{Request: m.Request, Outcome: out})
 		return
 	}
+	p.touch()
 	if p.replayed(from, m, key) {
 		return
 	}
