--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,85 @@
+// Package call holds what an instance knows of one request of a caller and of
+// a target's answer to it, in the project's own terms.
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is a caller's request as the platform's adapter decodes it.
+type Request struct {
+	// ID names one attempt of the caller.
+	ID string
+	// Program and Session are empty for requests outside programs.
+	Program string
+	Session string
+	// TimeLeft is how long the caller waits, 0 if it did not say.
+	TimeLeft time.Duration
+	// ProgramTimeLeft is the time until the program should be finished, 0 if
+	// unknown.
+	ProgramTimeLeft time.Duration
+	// AffinityKey names the object that the request is about.
+	AffinityKey string
+	// Turn is set for a turn of a program.
+	Turn *Turn
+	// LastEvent is the id of the last event that the caller has of a stream
+	// that it resumes, empty if it starts one.
+	LastEvent string
+}
+
+// Turn is what a program's turn says of its tokens.
+type Turn struct {
+	// Budget is the number of tokens that all turns of the program may
+	// generate.
+	Budget int
+	// MaxTokens is the most that this turn generates.
+	MaxTokens int
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+}
+
+// Send is what an instance adds to a request that it passes on.
+type Send struct {
+	// Target is the id of the target that must run it; any other refuses.
+	Target string
+	// TimeLeft is the time until the work is of no use any more.
+	TimeLeft time.Duration
+	// ResumeAfter is the id of the last event received so far, empty to keep
+	// what the caller sent.
+	ResumeAfter string
+}
+
+// Answer is what the head of a target's answer says besides its status.
+type Answer struct {
+	// RequestID is the request that it answers, empty if it does not say.
+	RequestID string
+	// Signed tells that it is the work of a target.
+	Signed bool
+	// NotRun tells that the target states that it did not run the request.
+	NotRun bool
+	// Load is set if the target reported its load.
+	Load *Load
+	// KeepAlive is how long the target keeps the connection idle, 0 if it did
+	// not say.
+	KeepAlive time.Duration
+}
+
+// Load is the state of a target as it reports it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Codec translates between HTTP headers and the types of this package. The
+// platform's adapter implements it.
+type Codec interface {
+	// Request decodes the header of a caller's request. The error says which
+	// field is malformed.
+	Request(header http.Header) (Request, error)
+	// Outgoing makes the header of a request to a target from the caller's.
+	Outgoing(header http.Header, send Send) http.Header
+	// Answer decodes the head of a target's answer.
+	Answer(status int, header http.Header) Answer
+}
--- a/internal/cli/args.go
+++ b/internal/cli/args.go
@@ -8,6 +8,7 @@
 // Args is the whole command line.
 type Args struct {
 	Run      *RunCommand      `arg:"subcommand:run" help:"run an instance"`
+	Edge     *EdgeCommand     `arg:"subcommand:edge" help:"run an instance on the users' platform"`
 	Settings *SettingsCommand `arg:"subcommand:settings" help:"read, check and change the settings"`
 	Programs *ProgramsCommand `arg:"subcommand:programs" help:"list, show and cancel programs"`
 	Status   *StatusCommand   `arg:"subcommand:status" help:"tell whether an instance is healthy and ready"`
--- /dev/null
+++ b/internal/edge/dump.go
@@ -0,0 +1,23 @@
+package edge
+
+import "github.com/banyanglade/banyanglade/internal/targets"
+
+// state is what an instance tells of itself on request.
+type state struct {
+	Instance        string             `json:"instance"`
+	Ready           bool               `json:"ready"`
+	InFlight        int64              `json:"in_flight"`
+	SettingsVersion int64              `json:"settings_version"`
+	Targets         []targets.Snapshot `json:"targets"`
+}
+
+func (e *edge) dump() state {
+	s := state{
+		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
+		Targets: e.incoming.registry.Snapshot(),
+	}
+	if table := e.server.Table(); table != nil {
+		s.SettingsVersion = table.Version
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,214 @@
+// Package edge runs an instance on the users' platform: it joins the adapter
+// in platform/ with the parts that answer callers, keep budgets and follow the
+// store. The parts are put together by fx.
+package edge
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/feed"
+	"github.com/banyanglade/banyanglade/internal/httpapi"
+	"github.com/banyanglade/banyanglade/internal/logqueue"
+	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/targets"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// stopTimeout bounds the hooks of fx; the drain has its own limit.
+const stopTimeout = 2 * time.Second
+
+// metricsInterval is how often tally reports; the platform reads every 5 s.
+const metricsInterval = 2 * time.Second
+
+// Run runs an instance until the context ends and it has drained.
+func Run(ctx context.Context, options Options, out io.Writer) error {
+	started := time.Now()
+	machine, err := platform.ReadMachine()
+	if err != nil {
+		return err
+	}
+	queue := logqueue.New(out)
+	defer queue.Close()
+	handler := slog.NewJSONHandler(queue, &slog.HandlerOptions{Level: options.LogLevel})
+	log := slog.New(handler).With("instance", machine.Name)
+	if machine.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(machine.MemoryBytes) * memoryShare))
+	}
+	var e *edge
+	app := fx.New(
+		fx.Supply(machine, log, options),
+		fx.Provide(
+			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newBudgets, newServer,
+			newTargetFeed, newEdge,
+		),
+		fx.Populate(&e),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "build the instance")
+	}
+	return e.run(ctx, started)
+}
+
+func newMetrics() (*httpapi.Metrics, tally.Scope) {
+	reporter := httpapi.NewMetrics()
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "banyanglade", Separator: "_", Reporter: reporter, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return reporter, scope
+}
+
+func newStore(machine platform.Machine, scope tally.Scope) *platform.Store {
+	return platform.NewStore(machine.Store.Address, scope)
+}
+
+func newRegistry(machine platform.Machine) *targets.Registry {
+	return targets.NewRegistry(machine.DataCentre)
+}
+
+func newServer(
+	registry *targets.Registry, pool *exchange.Pool, budgets serve.Budgets, scope tally.Scope, log *slog.Logger,
+) *serve.Server {
+	return serve.New(platform.Codec{}, registry, pool, budgets, scope, log)
+}
+
+// edge is a running instance.
+type edge struct {
+	machine  platform.Machine
+	log      *slog.Logger
+	reporter *httpapi.Metrics
+	store    *platform.Store
+	health   *feed.Health
+	pool     *exchange.Pool
+	server   *serve.Server
+	incoming *targetFeed
+
+	settings *feed.Topic
+	targets  *feed.Topic
+
+	work sync.WaitGroup
+}
+
+func newEdge(
+	machine platform.Machine, log *slog.Logger, reporter *httpapi.Metrics, store *platform.Store,
+	health *feed.Health, pool *exchange.Pool, server *serve.Server, incoming *targetFeed,
+) *edge {
+	e := &edge{
+		machine: machine, log: log, reporter: reporter, store: store, health: health,
+		pool: pool, server: server, incoming: incoming,
+	}
+	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
+	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
+	return e
+}
+
+// applySettings puts a version of the operator's settings in force. Offsets
+// order the versions, so an older one never comes after a newer.
+func (e *edge) applySettings(r platform.Record) {
+	if r.Key != platform.KeySettings || len(r.Value) == 0 {
+		return
+	}
+	settings, err := platform.DecodeSettings(r.Value)
+	if err != nil {
+		e.log.Error("settings ignored", "offset", r.Offset, "error", err.Error())
+		return
+	}
+	e.server.SetTable(route.NewTable(settings))
+	e.log.Info("settings in force", "settings_version", settings.Version, "offset", r.Offset,
+		"routes", len(settings.Routes))
+}
+
+// run serves until the context ends, then drains.
+func (e *edge) run(ctx context.Context, started time.Time) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers, err := e.listen(background)
+	if err != nil {
+		return err
+	}
+	e.startWorkers(background)
+	e.log.Info("started", "ms", time.Since(started).Milliseconds(), "callers", e.machine.CallerAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-servers.failed:
+		e.log.Error("a listener failed", "error", err.Error())
+		return err
+	}
+	e.drain(servers)
+	cancel()
+	e.work.Wait()
+	e.log.Info("stopped")
+	return nil
+}
+
+func (e *edge) startWorkers(ctx context.Context) {
+	e.spawn(func() { e.pool.Run(ctx) })
+	e.spawn(func() { e.follow(ctx, e.settings, settingsWait, 0) })
+	e.spawn(func() { e.follow(ctx, e.targets, targetsWait, targetsPause) })
+	e.spawn(func() { e.sweep(ctx) })
+	e.spawn(func() { e.reload(ctx) })
+}
+
+func (e *edge) spawn(work func()) { e.work.Go(work) }
+
+func (e *edge) follow(ctx context.Context, topic *feed.Topic, wait, pause time.Duration) {
+	follower := feed.Follower{
+		Store: e.store, Topic: topic, Wait: wait, Pause: pause, Health: e.health, Log: e.log,
+	}
+	follower.Run(ctx)
+}
+
+// sweep removes targets whose time to register again has passed.
+func (e *edge) sweep(ctx context.Context) {
+	ticker := time.NewTicker(returnTime / 8)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.incoming.sweep(now)
+		}
+	}
+}
+
+// reload checks the settings file again on SIGHUP. What it holds takes effect
+// at the next start; an error is reported at once.
+func (e *edge) reload(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			if _, err := platform.ReadMachine(); err != nil {
+				e.log.Error("settings file is malformed", "error", err.Error())
+				continue
+			}
+			e.log.Info("settings file read again")
+		}
+	}
+}
+
+// ready tells whether callers can be served: settings and targets are known
+// and the instance does not drain.
+func (e *edge) ready() bool {
+	return e.server.Table() != nil && e.targets.Known() && !e.server.Draining()
+}
--- /dev/null
+++ b/internal/edge/listen.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// servers are the listeners of an instance.
+type servers struct {
+	callers *http.Server
+	ready   *http.Server
+	admin   *http.Server
+	failed  chan error
+}
+
+func (e *edge) listen(ctx context.Context) (*servers, error) {
+	base := func(net.Listener) context.Context { return ctx }
+	s := &servers{
+		callers: &http.Server{
+			Handler:           e.server,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       callerIdle,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ConnContext:       serve.ConnContext,
+			BaseContext:       base,
+		},
+		ready:  &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout},
+		admin:  &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: base},
+		failed: make(chan error, 3),
+	}
+	listeners := []struct {
+		server  *http.Server
+		address string
+		watched bool
+	}{
+		{s.admin, e.machine.PeerAddress, false},
+		{s.callers, e.machine.CallerAddress, true},
+		{s.ready, e.machine.ReadyAddress, false},
+	}
+	for _, l := range listeners {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", l.address)
+		}
+		if l.watched {
+			listener = serve.WatchListener(listener)
+		}
+		go s.serve(l.server, listener)
+	}
+	return s, nil
+}
+
+func (s *servers) serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.failed <- err
+	}
+}
+
+// readyHandler answers the platform's readiness checks.
+func (e *edge) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// adminHandler serves other instances and those who look into this one.
+func (e *edge) adminHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET("/metrics", gin.WrapH(e.reporter))
+	engine.GET("/debug/state", func(c *gin.Context) { c.JSON(http.StatusOK, e.dump()) })
+	return engine
+}
+
+// drain stops an instance without cutting a request: it is not ready at once,
+// serves on while the platform notices, and ends when nothing is in flight or
+// the grace period is nearly over.
+func (e *edge) drain(s *servers) {
+	begun := time.Now()
+	e.log.Info("stopping", "in_flight", e.server.InFlight())
+	e.server.Drain()
+	notice := min(drainNotice, e.machine.GracePeriod/2)
+	time.Sleep(notice)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.machine.GracePeriod-drainMargin))
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		e.log.Warn("grace period ended with requests in flight", "in_flight", e.server.InFlight(), "error", err.Error())
+	}
+	for _, server := range []*http.Server{s.ready, s.admin} {
+		if err := server.Close(); err != nil {
+			e.log.Warn("listener not closed", "error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/options.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Options are the settings of an edge instance that the platform's settings
+// file does not hold.
+type Options struct {
+	LogLevel slog.Level `arg:"--log-level,env:BANYANGLADE_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
+}
+
+// Validate checks the options.
+func (o Options) Validate() error { return nil }
+
+// Times of the readers of the store. Each read is priced and counts against
+// the store's limit.
+const (
+	// settingsWait is how long a read for new settings waits at the store. A
+	// cut link is noticed within it, so it bounds how old settings get.
+	settingsWait = 2 * time.Second
+	// targetsPause is the time between two reads of the targets' records,
+	// which change several times a second; targets that leave must get no new
+	// requests after 2 s.
+	targetsPause = 800 * time.Millisecond
+	// targetsWait is how long such a read waits if nothing has changed.
+	targetsWait = time.Second
+	// instancesWait is how long a read for changes of the list of instances
+	// waits: they are rare.
+	instancesWait = 4 * time.Second
+)
+
+const (
+	// drainNotice is the time in which the platform notices that an instance
+	// is not ready: two checks, one each second.
+	drainNotice = 2200 * time.Millisecond
+	// drainMargin is kept of the grace period for the end of the process.
+	drainMargin = 700 * time.Millisecond
+	// memoryShare of the machine's memory is the soft limit of the heap.
+	memoryShare = 0.7
+	// headerTimeout bounds how long a caller takes for a request's head; the
+	// operator's limits are a few seconds.
+	headerTimeout = 10 * time.Second
+	// callerIdle bounds how long a caller's connection stays without a
+	// request; it is longer than any limit that operators set, so that callers
+	// close first.
+	callerIdle = 2 * time.Minute
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+)
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,180 @@
+// Package exchange sends single HTTP/1.1 requests to targets and reads their
+// answers. It never sends a request again by itself: the caller learns how far
+// a send got and decides. Connections are kept and reused; one that shows
+// anything unexpected is closed.
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection. Targets are a few
+	// milliseconds away, and a lost opening packet is sent again after a
+	// second only, so a longer wait does not pay.
+	dialTimeout = 400 * time.Millisecond
+	// defaultIdle is how long a connection is kept if the target does not say.
+	defaultIdle = 4 * time.Second
+	// idleShare of the time that the target states is used, so that a request
+	// does not cross the target's close.
+	idleShare = 0.75
+	// readBuffer is the size of a connection's read buffer, in bytes: an
+	// answer's head with a small body.
+	readBuffer = 2 << 10
+	// sweepInterval is the time between two searches for expired connections.
+	sweepInterval = time.Second
+)
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+}
+
+// conn is a connection to a target.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// reused tells that it carried a request before.
+	reused bool
+	// expires is when it must not be used any more.
+	expires time.Time
+}
+
+// NewPool makes an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		idle:   make(map[string][]*conn),
+	}
+}
+
+// Run closes expired connections until the context ends, then all.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.close()
+			return
+		case now := <-ticker.C:
+			p.sweep(now)
+		}
+	}
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close() // an idle connection has nothing to lose
+		}
+	}
+	clear(p.idle)
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.After(c.expires) {
+				_ = c.Close() // an idle connection has nothing to lose
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// get takes an idle connection that is still in order, or opens one.
+func (p *Pool) get(ctx context.Context, address string, now time.Time) (*conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if now.Before(c.expires) && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close() // it is given up either way
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// takeIdle takes the connection used last, since it is least likely to expire.
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	c := conns[last]
+	conns[last] = nil
+	p.idle[address] = conns[:last]
+	return c
+}
+
+// put keeps a connection whose answer was read to its end.
+func (p *Pool) put(c *conn, keepAlive time.Duration, now time.Time) {
+	idle := defaultIdle
+	if keepAlive > 0 {
+		idle = time.Duration(float64(keepAlive) * idleShare)
+	}
+	c.expires = now.Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close() // nothing is under way on it
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// quiet tells whether nothing has arrived on an idle connection: bytes that
+// nobody asked for, or its end, make it unusable.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var probe [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = peekErr == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/feed/follower.go
@@ -0,0 +1,99 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+const (
+	// callMargin is what a read may take beyond the wait asked for before its
+	// connection counts as cut: the store answers within milliseconds, and
+	// within some hundred when it is slow.
+	callMargin = 900 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed read; it doubles
+	// with each failure. A refused read is priced like any other.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// Store is what a Follower reads from.
+type Store interface {
+	Newest(ctx context.Context, topic string, partition int) (platform.Newest, error)
+	Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) ([]platform.Record, int64, error)
+}
+
+// Follower keeps a Topic up to date from the store.
+type Follower struct {
+	Store Store
+	Topic *Topic
+	// Wait is how long a read waits at the store for a record.
+	Wait time.Duration
+	// Pause is the time between two reads, so that topics with many records
+	// are read in batches.
+	Pause  time.Duration
+	Health *Health
+	Log    *slog.Logger
+}
+
+// Run follows the topic until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	from := int64(-1)
+	failures := 0
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, from)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrTrimmed) {
+			from = -1
+			continue
+		}
+		f.Health.note(f.Topic.Name, err, time.Now(), f.Log)
+		if err != nil {
+			sleep(ctx, min(retryFirst<<min(failures, 8), retryMost))
+			failures++
+			continue
+		}
+		from, failures = next, 0
+		sleep(ctx, f.Pause)
+	}
+}
+
+// step reads the whole topic, or what came after an offset.
+func (f *Follower) step(ctx context.Context, from int64) (int64, error) {
+	if from < 0 {
+		ctx, cancel := context.WithTimeout(ctx, callMargin)
+		defer cancel()
+		list, err := f.Store.Newest(ctx, f.Topic.Name, 0)
+		if err != nil {
+			return from, err
+		}
+		f.Topic.Replace(list)
+		return list.End, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+callMargin)
+	defer cancel()
+	records, next, err := f.Store.Read(ctx, f.Topic.Name, 0, from, f.Wait)
+	if err != nil {
+		return from, err
+	}
+	f.Topic.Merge(records)
+	return next, nil
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/feed/health.go
@@ -0,0 +1,52 @@
+package feed
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// Health is whether the store answers this instance. It is safe for concurrent
+// use.
+type Health struct {
+	mu sync.Mutex
+	// failing holds when each topic's reads began to fail.
+	failing map[string]time.Time
+	// back is when the store last answered again after a failure.
+	back time.Time
+}
+
+// NewHealth makes a Health that finds the store in order.
+func NewHealth() *Health { return &Health{failing: make(map[string]time.Time)} }
+
+// note takes the outcome of a read and logs when the store is lost and when it
+// is back.
+func (h *Health) note(topic string, err error, now time.Time, log *slog.Logger) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	since, failing := h.failing[topic]
+	switch {
+	case err != nil && !failing:
+		h.failing[topic] = now
+		log.Warn("store lost", "topic", topic, "error", err.Error())
+	case err == nil && failing:
+		delete(h.failing, topic)
+		h.back = now
+		log.Info("store is back", "topic", topic, "away_ms", now.Sub(since).Milliseconds())
+	}
+}
+
+// OK tells whether no read fails.
+func (h *Health) OK() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.failing) == 0
+}
+
+// BackSince is when the store last answered again, and false if it does not
+// answer now.
+func (h *Health) BackSince() (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.back, len(h.failing) == 0
+}
--- /dev/null
+++ b/internal/serve/deliver.go
@@ -0,0 +1,181 @@
+package serve
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+const eventStream = "text/event-stream"
+
+// deliver passes a target's answer on and tells whether another send may
+// follow.
+func (x *transfer) deliver(target *targets.Target, resp *exchange.Response, answer call.Answer) bool {
+	x.markRan(target)
+	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
+	if success && !answer.Signed {
+		x.detail = "a success without a target's signature"
+		return x.brokeOff(target)
+	}
+	if x.route.Kind == route.Stream && success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
+		return x.deliverStream(target, resp)
+	}
+	if x.headSent {
+		// A stream that was to go on got a plain answer instead.
+		x.detail = "status " + strconv.Itoa(resp.Status) + " to a resumed stream"
+		return x.brokeOff(target)
+	}
+	return x.deliverWhole(target, resp)
+}
+
+// brokeOff handles an answer that cannot be passed on whole.
+func (x *transfer) brokeOff(target *targets.Target) bool {
+	if x.ctx.Err() != nil {
+		x.giveUpInTime()
+		return false
+	}
+	x.server.targets.Failed(target, time.Now())
+	return x.mayRepeat()
+}
+
+// deliverWhole passes a plain answer on once it is whole, so that a broken one
+// can be repeated or reported as such.
+func (x *transfer) deliverWhole(target *targets.Target, resp *exchange.Response) bool {
+	var body bytes.Buffer
+	if resp.Length > 0 && resp.Length <= maxBuffered {
+		body.Grow(int(resp.Length) + bytes.MinRead)
+	}
+	_, err := body.ReadFrom(io.LimitReader(resp.Body, maxBuffered))
+	if err != nil {
+		x.detail = err.Error()
+		return x.brokeOff(target)
+	}
+	x.server.targets.Succeeded(target)
+	x.reason = reasonServed
+	if resp.Status >= http.StatusInternalServerError {
+		x.reason = reasonTargetFailed
+	}
+	longer := body.Len() == maxBuffered
+	x.copyHead(resp, longer, body.Len())
+	if _, err := x.writer.Write(body.Bytes()); err != nil {
+		x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+		return false
+	}
+	if longer {
+		x.copyRest(resp)
+	}
+	return false
+}
+
+// copyRest passes on what is left of a long plain answer.
+func (x *transfer) copyRest(resp *exchange.Response) {
+	if _, err := io.Copy(x.writer, resp.Body); err != nil {
+		x.detail, x.reason, x.cut = err.Error(), reasonCut, true
+	}
+}
+
+// copyHead passes the head of an answer on.
+func (x *transfer) copyHead(resp *exchange.Response, unknownLength bool, length int) {
+	header := x.writer.Header()
+	closing := header.Get("Connection")
+	for name, values := range resp.Header {
+		if !perConnection(name) {
+			header[name] = values
+		}
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	switch {
+	case x.request.Method == http.MethodHead && resp.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	case !unknownLength && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified:
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+	x.status = resp.Status
+	x.headSent = true
+	x.writer.WriteHeader(resp.Status)
+}
+
+// perConnection tells whether a header of an answer concerns one connection.
+func perConnection(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Proxy-Connection", "Te":
+		return true
+	}
+	return false
+}
+
+// deliverStream passes whole events on as they arrive.
+func (x *transfer) deliverStream(target *targets.Target, resp *exchange.Response) bool {
+	events := newEventReader(resp.Body)
+	flusher := http.NewResponseController(x.writer)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return x.endStream(target, resp)
+		}
+		if err != nil {
+			x.detail = err.Error()
+			return x.brokeOff(target)
+		}
+		if !x.follows(event) {
+			x.detail = "event " + event.id + " behind event " + x.lastEvent
+			return x.brokeOff(target)
+		}
+		if !x.headSent {
+			x.copyHead(resp, true, 0)
+		}
+		x.delivered++
+		x.lastEvent = event.id
+		if _, err := x.writer.Write(event.bytes); err != nil {
+			x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+			return false
+		}
+		if events.buffered() {
+			continue
+		}
+		if err := flusher.Flush(); err != nil {
+			x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+			return false
+		}
+	}
+}
+
+// endStream ends a stream that the target completed.
+func (x *transfer) endStream(target *targets.Target, resp *exchange.Response) bool {
+	x.server.targets.Succeeded(target)
+	if !x.headSent {
+		x.copyHead(resp, true, 0)
+	}
+	x.reason = reasonServed
+	return false
+}
+
+// follows tells whether an event is the next one after the last that went out.
+// Streams whose events carry no numbers are taken as they come.
+func (x *transfer) follows(event event) bool {
+	if event.id == "" || x.lastEvent == "" {
+		return true
+	}
+	last, err := strconv.ParseInt(x.lastEvent, 10, 64)
+	if err != nil {
+		return true
+	}
+	number, err := strconv.ParseInt(event.id, 10, 64)
+	return err == nil && number == last+1
+}
+
+// errTorn tells that a stream ended inside an event.
+var errTorn = errors.New("the stream ended inside an event")
--- /dev/null
+++ b/internal/serve/events.go
@@ -0,0 +1,64 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// eventBuffer is the size of a stream's read buffer, in bytes: a few events.
+const eventBuffer = 2 << 10
+
+// event is one whole event of a stream.
+type event struct {
+	// bytes is the event with the blank line at its end. It is valid until
+	// the next event is read.
+	bytes []byte
+	// id is empty if the event carries none.
+	id string
+}
+
+// eventReader cuts a stream into whole events.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, eventBuffer)}
+}
+
+// buffered tells whether more of the stream has arrived already.
+func (e *eventReader) buffered() bool {
+	if e.reader.Buffered() == 0 {
+		return false
+	}
+	ahead, err := e.reader.Peek(e.reader.Buffered())
+	return err == nil && bytes.Contains(ahead, []byte("\n\n"))
+}
+
+// next reads an event. It returns io.EOF at the end of a whole stream.
+func (e *eventReader) next() (event, error) {
+	e.buffer = e.buffer[:0]
+	id := ""
+	for {
+		line, err := e.reader.ReadSlice('\n')
+		e.buffer = append(e.buffer, line...)
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF && len(e.buffer) > 0 {
+			return event{}, errTorn
+		}
+		if err != nil {
+			return event{}, err
+		}
+		content := bytes.TrimRight(line, "\r\n")
+		if len(content) == 0 {
+			return event{bytes: e.buffer, id: id}, nil
+		}
+		if value, ok := bytes.CutPrefix(content, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/metrics.go
@@ -0,0 +1,79 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// reason is why a request ended as it did.
+type reason string
+
+// Reasons.
+const (
+	reasonServed       reason = "served"
+	reasonTargetFailed reason = "target_answered_failure"
+	reasonMalformed    reason = "malformed"
+	reasonTooLarge     reason = "body_too_large"
+	reasonNoSettings   reason = "no_settings_yet"
+	reasonNoRoute      reason = "no_route"
+	reasonNoTarget     reason = "no_target"
+	reasonTargetsFull  reason = "targets_refused"
+	reasonBudgetSpent  reason = "budget_spent"
+	reasonBudgetOwner  reason = "budget_owner_unreachable"
+	reasonTimedOut     reason = "timed_out"
+	reasonNotSent      reason = "timed_out_before_send"
+	reasonBroken       reason = "target_broke_off"
+	reasonCut          reason = "stream_cut"
+	reasonCallerLeft   reason = "caller_left"
+)
+
+var secondsBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	2 * time.Second, 4 * time.Second, 10 * time.Second,
+}
+
+// metrics of the requests of callers.
+type metrics struct {
+	scope    tally.Scope
+	sends    tally.Counter
+	resumed  tally.Counter
+	byReason map[reason]reasonMetrics
+}
+
+type reasonMetrics struct {
+	count   tally.Counter
+	seconds tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	m := metrics{
+		scope:    scope,
+		sends:    scope.Counter("sends"),
+		resumed:  scope.Counter("streams_resumed"),
+		byReason: make(map[reason]reasonMetrics),
+	}
+	for _, r := range []reason{
+		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
+		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonTimedOut,
+		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
+	} {
+		tagged := scope.Tagged(map[string]string{"reason": string(r)})
+		m.byReason[r] = reasonMetrics{
+			count:   tagged.Counter("requests"),
+			seconds: tagged.Histogram("request_seconds", secondsBuckets),
+		}
+	}
+	return m
+}
+
+func (m *metrics) count(x *transfer, elapsed time.Duration) {
+	m.sends.Inc(int64(x.sends))
+	by := m.byReason[x.reason]
+	if by.count == nil {
+		return
+	}
+	by.count.Inc(1)
+	by.seconds.RecordDuration(elapsed)
+}
--- /dev/null
+++ b/internal/serve/server.go
@@ -0,0 +1,144 @@
+// Package serve answers callers: it finds the route of a request, takes room in
+// its program's budget, sends it to a target and passes the answer on. The
+// instance that reads a request runs it; no other instance is on its way.
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+// Turn is a turn that asks for room in its program's budget.
+type Turn struct {
+	Program string
+	// Budget is the program's whole budget, Most the most that this turn
+	// generates; both in tokens.
+	Budget int
+	Most   int
+	// Retention is how long the program may still come back after its last
+	// turn.
+	Retention time.Duration
+}
+
+// Lease is room in a program's budget.
+type Lease interface {
+	// Settle gives back what was not used. It does not block.
+	Settle(used int)
+}
+
+// Budgets hands out room in programs' budgets.
+type Budgets interface {
+	// Reserve waits for room until the context ends. It returns ErrSpent or
+	// ErrNoOwner if there is none; then the turn must not run.
+	Reserve(ctx context.Context, turn Turn) (Lease, error)
+}
+
+// Server answers callers. It implements http.Handler.
+type Server struct {
+	codec   call.Codec
+	targets *targets.Registry
+	pool    *exchange.Pool
+	budgets Budgets
+	log     *slog.Logger
+	metrics metrics
+
+	table    atomic.Pointer[route.Table]
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New makes a Server without settings: until SetTable it refuses all requests.
+func New(
+	codec call.Codec, registry *targets.Registry, pool *exchange.Pool, budgets Budgets,
+	scope tally.Scope, log *slog.Logger,
+) *Server {
+	return &Server{
+		codec: codec, targets: registry, pool: pool, budgets: budgets,
+		log: log, metrics: newMetrics(scope),
+	}
+}
+
+// SetTable puts a version of the settings in force.
+func (s *Server) SetTable(table *route.Table) { s.table.Store(table) }
+
+// Table is the version in force, nil if none is known.
+func (s *Server) Table() *route.Table { return s.table.Load() }
+
+// Drain makes each answer close its connection from now on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining tells whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// InFlight counts the requests that are being answered.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &transfer{server: s, writer: w, request: r, arrived: time.Now()}
+	x.run()
+	s.finish(x)
+}
+
+// finish logs and counts a request, and cuts the connection if the answer
+// could not be completed.
+func (s *Server) finish(x *transfer) {
+	elapsed := time.Since(x.arrived)
+	s.metrics.count(x, elapsed)
+	s.logOutcome(x, elapsed)
+	if x.cut {
+		// The answer must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logOutcome writes one line for a request that was not served as usual.
+func (s *Server) logOutcome(x *transfer, elapsed time.Duration) {
+	level := slog.LevelInfo
+	if x.reason == reasonServed {
+		level = slog.LevelDebug
+	}
+	if !s.log.Enabled(x.request.Context(), level) {
+		return
+	}
+	var version int64
+	if x.table != nil {
+		version = x.table.Version
+	}
+	routeName := ""
+	if x.route != nil {
+		routeName = x.route.Name
+	}
+	s.log.LogAttrs(x.request.Context(), level, "request ended",
+		slog.String("request", x.call.ID), slog.String("program", x.call.Program),
+		slog.String("reason", string(x.reason)), slog.Int("status", x.status),
+		slog.String("route", routeName), slog.Int64("settings_version", version),
+		slog.String("target", x.lastTarget), slog.Int("sends", x.sends),
+		slog.Int("events", x.delivered), slog.Int64("ms", elapsed.Milliseconds()),
+		slog.String("detail", x.detail),
+	)
+}
+
+// rawPath is the path of a request as the caller sent it.
+func rawPath(uri string) string {
+	if i := strings.IndexByte(uri, '?'); i >= 0 {
+		return uri[:i]
+	}
+	return uri
+}
--- /dev/null
+++ b/internal/targets/targets.go
@@ -0,0 +1,176 @@
+// Package targets keeps the table of targets with what this instance knows of
+// their load and health, and chooses the target of a request.
+package targets
+
+import (
+	"sync"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/call"
+)
+
+// Entry is a target's registration.
+type Entry struct {
+	// ID names one start of a target.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Draining targets take no new requests.
+	Draining bool
+	// ColdRemaining is how much longer it is slow after its start.
+	ColdRemaining time.Duration
+}
+
+// Target is a target with its state at this instance. The fields below the
+// entry are guarded by the mutex of its Registry.
+type Target struct {
+	Entry
+	// inFlight counts this instance's requests at the target.
+	inFlight int
+	// load is the newest report, inFlight as it was then.
+	load           call.Load
+	loadAt         time.Time
+	inFlightAtLoad int
+	// failures counts failures in a row; avoidUntil keeps requests away.
+	failures   int
+	avoidUntil time.Time
+}
+
+const (
+	// loadAge is how long a report of a target's load is believed: a few
+	// requests' duration, as others change it meanwhile.
+	loadAge = 400 * time.Millisecond
+	// avoidFirst and avoidMost bound how long a failing target is avoided; the
+	// time doubles with each failure in a row. The first is about the time in
+	// which a crashed target's successor registers.
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 4 * time.Second
+)
+
+// Registry is the table of targets. It is safe for concurrent use.
+type Registry struct {
+	// dataCentre is where this instance is.
+	dataCentre string
+
+	mu        sync.Mutex
+	byID      map[string]*Target
+	byService map[string][]*Target
+}
+
+// NewRegistry makes an empty table for an instance in a data centre.
+func NewRegistry(dataCentre string) *Registry {
+	return &Registry{
+		dataCentre: dataCentre,
+		byID:       make(map[string]*Target),
+		byService:  make(map[string][]*Target),
+	}
+}
+
+// Put adds or updates a target and tells whether it is new or began to leave.
+func (r *Registry) Put(entry Entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.byID[entry.ID]; ok && t.Service == entry.Service && t.Address == entry.Address {
+		changed := t.Draining != entry.Draining
+		t.Entry = entry
+		return changed
+	}
+	r.remove(entry.ID)
+	t := &Target{Entry: entry}
+	r.byID[entry.ID] = t
+	r.byService[entry.Service] = append(r.byService[entry.Service], t)
+	return true
+}
+
+// Remove drops a target and tells whether it was there.
+func (r *Registry) Remove(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.remove(id)
+}
+
+func (r *Registry) remove(id string) bool {
+	t, ok := r.byID[id]
+	if !ok {
+		return false
+	}
+	delete(r.byID, id)
+	all := r.byService[t.Service]
+	kept := make([]*Target, 0, len(all))
+	for _, other := range all {
+		if other != t {
+			kept = append(kept, other)
+		}
+	}
+	r.byService[t.Service] = kept
+	return true
+}
+
+// IDs lists all targets.
+func (r *Registry) IDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.byID))
+	for id := range r.byID {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Has tells whether a target is registered.
+func (r *Registry) Has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.byID[id]
+	return ok
+}
+
+// Begin counts a request that is sent to a target.
+func (r *Registry) Begin(t *Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.inFlight++
+}
+
+// End counts a request that has ended.
+func (r *Registry) End(t *Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.inFlight--
+}
+
+// Report takes a target's report of its load.
+func (r *Registry) Report(t *Target, load call.Load, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.load, t.loadAt, t.inFlightAtLoad = load, now, t.inFlight
+}
+
+// Succeeded notes that a target answered in order.
+func (r *Registry) Succeeded(t *Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.failures, t.avoidUntil = 0, time.Time{}
+}
+
+// Failed notes that a target could not be reached or broke off, and avoids it
+// for a while.
+func (r *Registry) Failed(t *Target, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := min(avoidFirst<<min(t.failures, 8), avoidMost)
+	t.failures++
+	t.avoidUntil = now.Add(wait)
+}
+
+// busy estimates how many requests run and wait at a target.
+func (t *Target) busy(now time.Time) float64 {
+	if now.Sub(t.loadAt) > loadAge {
+		return float64(t.inFlight)
+	}
+	reported := t.load.Running + t.load.Waiting + t.inFlight - t.inFlightAtLoad
+	return float64(max(reported, t.inFlight))
+}
