--- /dev/null
+++ b/internal/budget/account.go
@@ -0,0 +1,185 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// chunkTurns is how many turns a record makes room for beyond the one that
+// needs it. A loss of accounts costs a program what is left of it.
+const chunkTurns = 2
+
+// account is one program's budget at its owner. All counts are tokens.
+type account struct {
+	program string
+	budget  int
+	// most is the most that any turn seen may generate.
+	most int
+	// charged tells that used may hold more than was generated, since an
+	// earlier owner's accounts were lost.
+	charged bool
+	// used was generated or is charged.
+	used int
+	// leased is the sum of the leases that may still give room back.
+	leased int
+	leases map[structs.RoomLease]lease
+	// limit is never passed by used and leased together.
+	limit int
+	// recorded tells that the store holds a record; want is the limit of the
+	// record to be written, 0 if none is.
+	recorded bool
+	want     int
+	// asks wait for room, in order of arrival.
+	asks      []*ask
+	retention time.Duration
+	touched   time.Time
+}
+
+// lease is room that a turn holds.
+type lease struct {
+	tokens int
+	// lost tells that the turn's instance is gone: the room counts as used
+	// unless the instance comes back and settles.
+	lost bool
+}
+
+// ask is a turn that waits for room. The function reply is called once.
+type ask struct {
+	lease structs.RoomLease
+	most  int
+	reply func(outcome structs.RoomOutcome, owner structs.InstanceID)
+}
+
+// newAccount makes the account of a program without a record.
+func newAccount(program string, budget, losses int) *account {
+	return &account{
+		program: program, budget: budget, charged: losses > 0,
+		used: charge(budget, losses), limit: unrecorded(budget, losses),
+		leases: make(map[structs.RoomLease]lease),
+	}
+}
+
+// restored makes the account of a program from the limit in its record.
+func restored(program string, r accountRecord, retention time.Duration, now time.Time) *account {
+	return &account{
+		program: program, budget: r.Budget, most: r.Most, charged: true,
+		used: r.Limit, limit: r.Limit, recorded: true,
+		leases: make(map[structs.RoomLease]lease), retention: retention, touched: now,
+	}
+}
+
+// ceiling is what used and leased may reach in the end. Where used holds more
+// than was generated, the most of one turn is added: the invariant then still
+// keeps what was generated within the budget and the most of one turn.
+func (a *account) ceiling() int {
+	if a.charged {
+		return a.budget + a.most
+	}
+	return a.budget
+}
+
+// verdict is what an ask gets at the moment.
+type verdict uint8
+
+const (
+	granted verdict = iota
+	// spent: there is no room, and none can come back.
+	spent
+	// awaitSettle: turns under way may give room back.
+	awaitSettle
+	// awaitRecord: there is room once a record is written.
+	awaitRecord
+)
+
+// judge tells what an ask for room gets.
+func (a *account) judge(most int) verdict {
+	need := a.used + a.leased + most
+	switch {
+	case need <= a.limit:
+		return granted
+	case need <= a.ceiling():
+		return awaitRecord
+	case a.leased > 0:
+		return awaitSettle
+	}
+	return spent
+}
+
+// grant gives room to an ask that judge has granted.
+func (a *account) grant(k *ask) {
+	a.leases[k.lease] = lease{tokens: k.most}
+	a.leased += k.most
+}
+
+// wantRecord asks for a record that makes room for a turn and some more.
+func (a *account) wantRecord(most int) {
+	need := a.used + a.leased + most
+	a.want = max(a.want, min(a.ceiling(), need+chunkTurns*most))
+}
+
+// settle ends a lease. It tells whether there was one.
+func (a *account) settle(id structs.RoomLease, used int) bool {
+	l, ok := a.leases[id]
+	if !ok {
+		return false
+	}
+	delete(a.leases, id)
+	if l.lost {
+		a.used -= l.tokens
+	} else {
+		a.leased -= l.tokens
+	}
+	a.used += used
+	return true
+}
+
+// loseHolder counts the leases of an instance that is gone as used.
+func (a *account) loseHolder(holder structs.InstanceID) bool {
+	changed := false
+	for id, l := range a.leases {
+		if id.Holder != holder || l.lost {
+			continue
+		}
+		a.leases[id] = lease{tokens: l.tokens, lost: true}
+		a.leased -= l.tokens
+		a.used += l.tokens
+		changed = true
+	}
+	return changed
+}
+
+// idle tells whether the program cannot come back any more.
+func (a *account) idle(now time.Time) bool {
+	return len(a.asks) == 0 && a.leased == 0 && now.Sub(a.touched) > a.retention
+}
+
+// export is the account as it is handed over.
+func (a *account) export(now time.Time) structs.RoomAccount {
+	out := structs.RoomAccount{
+		Program: a.program, Budget: a.budget, Most: a.most, Charged: a.charged,
+		Used: a.used, Limit: a.limit, Recorded: a.recorded,
+		Retention: a.retention, Idle: now.Sub(a.touched),
+	}
+	for id, l := range a.leases {
+		if !l.lost {
+			out.Leases = append(out.Leases, structs.RoomLeaseSize{Lease: id, Tokens: l.tokens})
+		}
+	}
+	return out
+}
+
+// imported is an account that was handed over.
+func imported(in structs.RoomAccount, now time.Time) *account {
+	a := &account{
+		program: in.Program, budget: in.Budget, most: in.Most, charged: in.Charged,
+		used: in.Used, limit: in.Limit, recorded: in.Recorded,
+		retention: in.Retention, touched: now.Add(-in.Idle),
+		leases: make(map[structs.RoomLease]lease, len(in.Leases)),
+	}
+	for _, l := range in.Leases {
+		a.leases[l.Lease] = lease{tokens: l.Tokens}
+		a.leased += l.Tokens
+	}
+	return a
+}
--- /dev/null
+++ b/internal/budget/claim.go
@@ -0,0 +1,201 @@
+package budget
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+const (
+	// storeTimeout bounds one call to the store, which answers within
+	// milliseconds, and within a few hundred when it is slow.
+	storeTimeout = 700 * time.Millisecond
+	// claimAttempts bounds the tries of one claim; others may write between a
+	// read and the append.
+	claimAttempts = 4
+	// lostRetention is how long accounts from records are kept for programs
+	// that do not come back; a turn that comes sets its route's.
+	lostRetention = 60 * time.Second
+	// maxSequence bounds the first sequence number of an epoch. It is random,
+	// so that another claim under the same epoch is never taken for a repeat
+	// of this one.
+	maxSequence = 1 << 40
+)
+
+// startClaim claims a partition in the background. The mutex is held.
+func (k *Keeper) startClaim(p *partition) {
+	if p.claiming || k.leaving.Load() {
+		return
+	}
+	p.claiming = true
+	k.work.Go(func() { k.claim(p) })
+}
+
+// claim claims a partition and answers the asks that wait for it.
+func (k *Keeper) claim(p *partition) {
+	err := k.tryClaim(p)
+	k.mu.Lock()
+	p.claiming = false
+	parked := p.parked
+	p.parked = nil
+	owned := p.own != nil
+	for _, waiting := range parked {
+		switch {
+		case owned:
+			k.admit(p, waiting.request, waiting.reply)
+		case k.ownerUsable(p):
+			waiting.reply(structs.RoomNotOwner, p.owner)
+		default:
+			waiting.reply(structs.RoomUnavailable, "")
+		}
+	}
+	k.mu.Unlock()
+	if err != nil {
+		k.log.Warn("partition not claimed", "partition", p.number, "error", err.Error())
+		return
+	}
+	if owned {
+		k.broadcast()
+	}
+}
+
+// tryClaim claims a partition, unless a usable instance owns it.
+func (k *Keeper) tryClaim(p *partition) error {
+	var err error
+	for range claimAttempts {
+		var done bool
+		done, err = k.claimOnce(p)
+		if done {
+			return nil
+		}
+		if err != nil && !retryable(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// retryable tells whether a claim may succeed when it is tried again at once:
+// somebody wrote meanwhile, or the outcome is unknown.
+func retryable(err error) bool {
+	return !errors.Is(err, platform.ErrBusy) && !errors.Is(err, platform.ErrRejected)
+}
+
+// claimOnce reads the partition and claims it if nobody else has. It returns
+// true if the partition has an owner now.
+func (k *Keeper) claimOnce(p *partition) (bool, error) {
+	now, err := k.read(p)
+	if err != nil {
+		return false, err
+	}
+	if now.owner != nil && k.adopt(p, now.owner) {
+		return true, nil
+	}
+	claim := ownerRecord{Epoch: 1, Owner: k.self.ID, Address: k.self.Address}
+	if now.owner != nil {
+		claim.Epoch = now.owner.Epoch + 1
+		claim.Losses = now.owner.Losses
+	}
+	clean := k.continues(p, now.owner)
+	if now.owner != nil && !clean {
+		claim.Losses++
+	}
+	sequence := rand.Int64N(maxSequence)
+	err = k.appendClaim(p, claim, sequence, now.end)
+	if err != nil {
+		return false, err
+	}
+	return true, k.install(p, claim, sequence, now, clean)
+}
+
+func (k *Keeper) read(p *partition) (content, error) {
+	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	defer cancel()
+	list, err := k.store.Newest(ctx, topic, p.number)
+	if err != nil {
+		return content{}, err
+	}
+	return decodeContent(list)
+}
+
+// adopt takes the owner in the store for the present one if it is usable, or
+// if it is this instance already. It tells whether that is so.
+func (k *Keeper) adopt(p *partition, owner *ownerRecord) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if owner.Owner == k.self.ID {
+		// An earlier try of this claim took effect without an answer. Its
+		// sequence number is not known any more: claim once more.
+		return p.own != nil && p.own.claimed && p.own.epoch == owner.Epoch
+	}
+	if p.own != nil && p.own.epoch >= owner.Epoch {
+		// The partition was handed over to this instance.
+		return false
+	}
+	if !k.directory.Usable(owner.Owner) {
+		return false
+	}
+	if p.own != nil {
+		k.dropOwnership(p, owner.Owner, "another instance has claimed it")
+	}
+	k.setOwner(p, owner.Owner, owner.Epoch)
+	return true
+}
+
+// continues tells whether this instance has the exact accounts of the owner in
+// the store.
+func (k *Keeper) continues(p *partition, owner *ownerRecord) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return p.own != nil && owner != nil && p.own.epoch == owner.Epoch
+}
+
+func (k *Keeper) appendClaim(p *partition, claim ownerRecord, sequence, end int64) error {
+	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	defer cancel()
+	_, err := k.store.Append(ctx, platform.Append{
+		Topic: topic, Partition: p.number, At: &end,
+		Records: []platform.Record{{Key: ownerKey, Value: encode(claim)}},
+		Writer:  &platform.Writer{Name: writerName, Epoch: claim.Epoch, Sequence: sequence},
+	})
+	return err
+}
+
+// install makes this instance the owner after its claim was appended.
+func (k *Keeper) install(p *partition, claim ownerRecord, sequence int64, now content, clean bool) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if clean && (p.own == nil || now.owner == nil || p.own.epoch != now.owner.Epoch) {
+		// The accounts went between the check and the append: they were
+		// dropped or handed on, so that this claim counts too little.
+		return errors.New("the accounts were given up during the claim")
+	}
+	if !clean {
+		p.own = newOwnership(claim.Epoch, claim.Losses)
+		k.restore(p.own, now)
+	}
+	p.own.epoch, p.own.claimed, p.own.sequence = claim.Epoch, true, sequence
+	k.setOwner(p, k.self.ID, claim.Epoch)
+	k.metrics.claims.Inc(1)
+	if !clean && now.owner != nil {
+		k.metrics.losses.Inc(1)
+	}
+	k.log.Info("partition claimed", "partition", p.number, "epoch", claim.Epoch, "losses", claim.Losses,
+		"exact", clean || now.owner == nil, "recorded_programs", len(now.programs))
+	for a := range p.own.dirty {
+		k.startWrite(p, a)
+	}
+	return nil
+}
+
+// restore makes accounts of the records that an owner left.
+func (k *Keeper) restore(own *ownership, now content) {
+	for program, record := range now.programs {
+		own.accounts[program] = restored(program, record, lostRetention, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/budget/handover.go
@@ -0,0 +1,157 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// handoverTimeout is how long an instance that leaves waits for a successor's
+// answer; a round trip takes a few milliseconds.
+const handoverTimeout = 500 * time.Millisecond
+
+// Leave hands all partitions over to other instances. The Keeper goes on
+// asking other owners for this instance's turns.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.leaving.Store(true)
+	k.directory.SetLeaving(k.self.ID)
+	for _, p := range k.directory.Others() {
+		k.peers.Send(p.ID, new(structs.Leaving))
+	}
+	for _, p := range k.partitions {
+		k.handOver(ctx, p)
+	}
+}
+
+// handOver gives a partition to the first instance that takes it. Only an
+// explicit refusal lets the next one be asked: an answer that does not come
+// may mean that the first has the partition.
+func (k *Keeper) handOver(ctx context.Context, p *partition) {
+	for _, successor := range k.directory.Ranked(p.key()) {
+		if successor == k.self.ID {
+			continue
+		}
+		taken, known := k.handOverTo(ctx, p, successor)
+		if taken || !known {
+			return
+		}
+	}
+}
+
+// handOverTo gives a partition to one instance. It returns whether that has
+// taken it, and whether this is known.
+func (k *Keeper) handOverTo(ctx context.Context, p *partition, successor structs.InstanceID) (taken, known bool) {
+	k.mu.Lock()
+	own := p.own
+	if own == nil {
+		k.mu.Unlock()
+		return true, true
+	}
+	message := k.exportPartition(p)
+	answers := make(chan bool, 1)
+	k.handovers[message.Number] = answers
+	// From here on this instance hands out no room.
+	p.own = nil
+	k.setOwner(p, successor, own.epoch)
+	for _, a := range own.accounts {
+		k.refuseAsks(a, structs.RoomNotOwner, successor)
+	}
+	k.mu.Unlock()
+	k.peers.Send(successor, message)
+	taken, known = k.awaitHandover(ctx, message.Number, answers)
+	k.log.Info("partition handed over", "partition", p.number, "epoch", own.epoch, "successor", successor,
+		"accounts", len(own.accounts), "taken", taken, "known", known)
+	if known && !taken {
+		k.takeBack(p, own)
+	}
+	return taken, known
+}
+
+// exportPartition makes the message that hands a partition over. The mutex is
+// held.
+func (k *Keeper) exportPartition(p *partition) *structs.PartitionHandover {
+	now := time.Now()
+	message := &structs.PartitionHandover{
+		Number: k.nextNumber(), Partition: p.number, Epoch: p.own.epoch, Losses: p.own.losses,
+	}
+	for _, a := range p.own.accounts {
+		message.Accounts = append(message.Accounts, a.export(now))
+	}
+	return message
+}
+
+func (k *Keeper) awaitHandover(ctx context.Context, number uint64, answers chan bool) (taken, known bool) {
+	timer := time.NewTimer(handoverTimeout)
+	defer timer.Stop()
+	defer func() {
+		k.mu.Lock()
+		delete(k.handovers, number)
+		k.mu.Unlock()
+	}()
+	select {
+	case taken = <-answers:
+		if taken {
+			k.metrics.handovers.Inc(1)
+		}
+		return taken, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false, false
+}
+
+// takeBack resumes an ownership that the successor has refused.
+func (k *Keeper) takeBack(p *partition, own *ownership) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p.own != nil || p.epoch > own.epoch {
+		return
+	}
+	p.own = own
+	k.setOwner(p, k.self.ID, own.epoch)
+	for a := range own.dirty {
+		k.startWrite(p, a)
+	}
+}
+
+func (k *Keeper) receiveHandoverReply(m *structs.HandoverReply) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if answers, ok := k.handovers[m.Number]; ok {
+		answers <- m.Accepted
+		delete(k.handovers, m.Number)
+	}
+}
+
+// receiveHandover takes a partition over, unless this instance leaves or knows
+// of a newer owner.
+func (k *Keeper) receiveHandover(from structs.InstanceID, m *structs.PartitionHandover) {
+	accepted := k.takeOver(from, m)
+	k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: accepted})
+	if accepted {
+		k.broadcast()
+	}
+}
+
+func (k *Keeper) takeOver(from structs.InstanceID, m *structs.PartitionHandover) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving.Load() || m.Partition < 0 || m.Partition >= len(k.partitions) {
+		return false
+	}
+	p := k.partitions[m.Partition]
+	if p.own != nil || p.epoch > m.Epoch {
+		return false
+	}
+	now := time.Now()
+	p.own = newOwnership(m.Epoch, m.Losses)
+	for _, a := range m.Accounts {
+		p.own.accounts[a.Program] = imported(a, now)
+	}
+	k.setOwner(p, k.self.ID, m.Epoch)
+	k.log.Info("partition taken over", "partition", p.number, "epoch", m.Epoch, "from", from,
+		"accounts", len(m.Accounts))
+	k.startClaim(p)
+	return true
+}
--- /dev/null
+++ b/internal/budget/keeper.go
@@ -0,0 +1,310 @@
+package budget
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// Store is what a Keeper needs of the platform's store.
+type Store interface {
+	Append(ctx context.Context, a platform.Append) (int64, error)
+	Newest(ctx context.Context, topic string, partition int) (platform.Newest, error)
+}
+
+// Peers sends messages to other instances. Sending never blocks; a message
+// that is lost is followed by PeerDown.
+type Peers interface {
+	Send(to structs.InstanceID, msg structs.Message)
+	Probe(to structs.InstanceID)
+	Watch(peers []structs.InstanceID)
+}
+
+// Health tells whether the store answers this instance.
+type Health interface{ OK() bool }
+
+// Keeper hands out room in programs' budgets: for the partitions that this
+// instance owns by itself, for the others through their owners. It is safe for
+// concurrent use.
+type Keeper struct {
+	self      structs.Peer
+	directory *directory.Directory
+	store     Store
+	peers     Peers
+	health    Health
+	log       *slog.Logger
+	metrics   metrics
+	// ctx ends with the Keeper.
+	ctx     context.Context
+	work    sync.WaitGroup
+	leaving atomic.Bool
+
+	mu         sync.Mutex
+	partitions []*partition
+	// pending are this instance's requests to other owners.
+	pending   map[structs.RoomLease]*pendingAsk
+	handovers map[uint64]chan bool
+	number    uint64
+}
+
+// partition is what this instance knows of one partition. The mutex of the
+// Keeper guards it.
+type partition struct {
+	number int
+	// owner and epoch are the newest known ownership; empty if unknown.
+	owner structs.InstanceID
+	epoch int64
+	// own is set while this instance owns the partition.
+	own *ownership
+	// claiming tells that a claim is under way; parked asks wait for it.
+	claiming bool
+	parked   []parkedAsk
+}
+
+// parkedAsk is an ask that waits for a claim.
+type parkedAsk struct {
+	request structs.RoomRequest
+	reply   func(structs.RoomOutcome, structs.InstanceID)
+}
+
+// New makes a Keeper for a number of partitions that works until the context
+// ends.
+func New(
+	ctx context.Context, dir *directory.Directory, partitions int, store Store, peers Peers, health Health,
+	scope tally.Scope, log *slog.Logger,
+) *Keeper {
+	k := &Keeper{
+		self: dir.Self(), directory: dir, store: store, peers: peers, health: health,
+		log: log, metrics: newMetrics(scope), ctx: ctx,
+		pending:   make(map[structs.RoomLease]*pendingAsk),
+		handovers: make(map[uint64]chan bool),
+	}
+	for i := range partitions {
+		k.partitions = append(k.partitions, &partition{number: i})
+	}
+	return k
+}
+
+// partitionOf is the partition of a program.
+func (k *Keeper) partitionOf(program string) *partition {
+	return k.partitions[xxhash.Sum64String(program)%uint64(len(k.partitions))]
+}
+
+// key is what the rendezvous hash of a partition's owner is made of.
+func (p *partition) key() string { return "budgets/" + strconv.Itoa(p.number) }
+
+// nextNumber numbers leases and handovers. The mutex is held.
+func (k *Keeper) nextNumber() uint64 {
+	k.number++
+	return k.number
+}
+
+// Receive handles an event of the transport between instances.
+func (k *Keeper) Receive(event structs.Event) {
+	switch e := event.(type) {
+	case structs.PeerMessage:
+		k.receiveMessage(e.From, e.Msg)
+	case structs.PeerUp:
+		k.peerUp(e.Peer)
+	case structs.PeerDown:
+		k.peerDown(e.Peer)
+	}
+}
+
+func (k *Keeper) receiveMessage(from structs.InstanceID, msg structs.Message) {
+	switch m := msg.(type) {
+	case *structs.RoomRequest:
+		k.receiveRequest(from, *m)
+	case *structs.RoomReply:
+		k.receiveReply(from, m)
+	case *structs.RoomSettle:
+		k.receiveSettle(m)
+	case *structs.OwnerNotice:
+		k.receiveNotice(from, m)
+	case *structs.PartitionHandover:
+		k.receiveHandover(from, m)
+	case *structs.HandoverReply:
+		k.receiveHandoverReply(m)
+	case *structs.Leaving:
+		k.directory.SetLeaving(from)
+	default:
+		k.log.Warn("message of an unexpected kind ignored", "peer", from, "kind", msg.Kind())
+	}
+}
+
+// sweepInterval is the time between two searches for programs that cannot come
+// back; they may stay some seconds longer.
+const sweepInterval = 5 * time.Second
+
+// claimDelay is how long after its start an instance waits before it claims
+// partitions that nobody asked for, so that instances that start together know
+// each other by then.
+const claimDelay = 1500 * time.Millisecond
+
+// Run keeps the partitions until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	early := time.NewTimer(claimDelay)
+	defer early.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			k.work.Wait()
+			return
+		case <-early.C:
+			k.claimVacant()
+		case now := <-sweep.C:
+			k.sweep(now)
+		}
+	}
+}
+
+// claimVacant claims the partitions without a known usable owner for which
+// this instance ranks first.
+func (k *Keeper) claimVacant() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range k.partitions {
+		if p.own == nil && !k.ownerUsable(p) && k.firstChoice(p) == k.self.ID {
+			k.startClaim(p)
+		}
+	}
+}
+
+// firstChoice is the instance that should own a partition, empty if there is
+// none.
+func (k *Keeper) firstChoice(p *partition) structs.InstanceID {
+	ranked := k.directory.Ranked(p.key())
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0]
+}
+
+// ownerUsable tells whether another instance is known to own the partition and
+// answers.
+func (k *Keeper) ownerUsable(p *partition) bool {
+	return p.owner != "" && p.owner != k.self.ID && k.directory.Usable(p.owner)
+}
+
+// sweep forgets programs that cannot come back.
+func (k *Keeper) sweep(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range k.partitions {
+		if p.own != nil {
+			k.sweepAccounts(p, now)
+		}
+	}
+}
+
+// peerUp notes that an instance answers, and tells it what this one owns.
+func (k *Keeper) peerUp(id structs.InstanceID) {
+	k.directory.SetSilent(id, false)
+	k.mu.Lock()
+	notice := k.ownNotice()
+	k.mu.Unlock()
+	if len(notice.Owned) > 0 {
+		k.peers.Send(id, notice)
+	}
+}
+
+// ownNotice lists what this instance owns. The mutex is held.
+func (k *Keeper) ownNotice() *structs.OwnerNotice {
+	notice := new(structs.OwnerNotice)
+	for _, p := range k.partitions {
+		if p.own != nil {
+			notice.Owned = append(notice.Owned, structs.OwnedPartition{Partition: p.number, Epoch: p.own.epoch})
+		}
+	}
+	return notice
+}
+
+// peerDown notes that an instance does not answer: its turns count at their
+// most, its partitions get another owner, and what was asked of it is asked
+// again elsewhere.
+func (k *Keeper) peerDown(id structs.InstanceID) {
+	k.directory.SetSilent(id, true)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range k.partitions {
+		if p.own != nil {
+			k.loseHolder(p, id)
+		}
+		if p.own == nil && p.owner == id && k.firstChoice(p) == k.self.ID {
+			k.startClaim(p)
+		}
+	}
+	for lease, pending := range k.pending {
+		if pending.asked == id {
+			delete(k.pending, lease)
+			pending.answer <- answer{outcome: lost}
+		}
+	}
+}
+
+// receiveNotice takes over who owns partitions.
+func (k *Keeper) receiveNotice(from structs.InstanceID, notice *structs.OwnerNotice) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, owned := range notice.Owned {
+		if owned.Partition < 0 || owned.Partition >= len(k.partitions) {
+			continue
+		}
+		p := k.partitions[owned.Partition]
+		if owned.Epoch < p.epoch {
+			continue
+		}
+		if p.own != nil && owned.Epoch > p.own.epoch {
+			k.dropOwnership(p, from, "another instance owns it")
+		}
+		if p.own == nil {
+			k.setOwner(p, from, owned.Epoch)
+		}
+	}
+}
+
+// setOwner notes who owns a partition. The mutex is held.
+func (k *Keeper) setOwner(p *partition, owner structs.InstanceID, epoch int64) {
+	changed := p.owner != owner
+	p.owner, p.epoch = owner, max(p.epoch, epoch)
+	if changed {
+		k.watchOwners()
+	}
+}
+
+// watchOwners has the other owners watched, so that a silent one is noticed
+// before a turn waits for it.
+func (k *Keeper) watchOwners() {
+	var watched []structs.InstanceID
+	seen := make(map[structs.InstanceID]bool)
+	for _, p := range k.partitions {
+		if p.owner == "" || p.owner == k.self.ID || seen[p.owner] {
+			continue
+		}
+		seen[p.owner] = true
+		watched = append(watched, p.owner)
+	}
+	k.peers.Watch(watched)
+}
+
+// broadcast tells all instances what this one owns.
+func (k *Keeper) broadcast() {
+	k.mu.Lock()
+	notice := k.ownNotice()
+	k.mu.Unlock()
+	for _, p := range k.directory.Others() {
+		k.peers.Send(p.ID, notice)
+	}
+}
--- /dev/null
+++ b/internal/budget/metrics.go
@@ -0,0 +1,27 @@
+package budget
+
+import "github.com/uber-go/tally/v4"
+
+// metrics of budgets.
+type metrics struct {
+	granted     tally.Counter
+	spent       tally.Counter
+	unavailable tally.Counter
+	claims      tally.Counter
+	losses      tally.Counter
+	handovers   tally.Counter
+	records     tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	s := scope.SubScope("budget")
+	return metrics{
+		granted:     s.Counter("room_granted"),
+		spent:       s.Counter("room_spent"),
+		unavailable: s.Counter("room_unavailable"),
+		claims:      s.Counter("partitions_claimed"),
+		losses:      s.Counter("accounts_lost"),
+		handovers:   s.Counter("partitions_handed_over"),
+		records:     s.Counter("programs_recorded"),
+	}
+}
--- /dev/null
+++ b/internal/budget/ownership.go
@@ -0,0 +1,140 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// ownership is what the owner of a partition keeps. The mutex of the Keeper
+// guards it.
+type ownership struct {
+	// epoch is that of the newest claim in the store that this ownership goes
+	// back to: this instance's own once claimed is set, else that of the
+	// instance which handed the partition over.
+	epoch   int64
+	claimed bool
+	// sequence numbers this instance's appends under its epoch.
+	sequence int64
+	// losses is how often the partition lost its accounts.
+	losses   int
+	accounts map[string]*account
+	// dirty are the accounts with a record to be written.
+	dirty   map[*account]bool
+	writing bool
+}
+
+func newOwnership(epoch int64, losses int) *ownership {
+	return &ownership{
+		epoch: epoch, losses: losses,
+		accounts: make(map[string]*account), dirty: make(map[*account]bool),
+	}
+}
+
+// admit takes a request for room at the owner. The mutex is held.
+func (k *Keeper) admit(p *partition, r structs.RoomRequest, reply func(structs.RoomOutcome, structs.InstanceID)) {
+	a, ok := p.own.accounts[r.Program]
+	if !ok {
+		a = newAccount(r.Program, r.Budget, p.own.losses)
+		p.own.accounts[r.Program] = a
+	}
+	a.touched = time.Now()
+	a.most = max(a.most, r.Most)
+	a.retention = max(a.retention, r.Retention)
+	a.asks = append(a.asks, &ask{lease: r.Lease, most: r.Most, reply: reply})
+	k.serveAsks(p, a)
+}
+
+// serveAsks answers the asks of an account, in order, as far as it can now.
+// The mutex is held.
+func (k *Keeper) serveAsks(p *partition, a *account) {
+	for len(a.asks) > 0 {
+		next := a.asks[0]
+		switch a.judge(next.most) {
+		case granted:
+			a.grant(next)
+			k.metrics.granted.Inc(1)
+			next.reply(structs.RoomGranted, "")
+		case spent:
+			k.metrics.spent.Inc(1)
+			k.log.Info("budget spent", "program", a.program, "partition", p.number, "budget", a.budget,
+				"used", a.used, "most", next.most, "charged", a.charged, "losses", p.own.losses, "epoch", p.own.epoch)
+			next.reply(structs.RoomSpent, "")
+		case awaitSettle:
+			return
+		case awaitRecord:
+			a.wantRecord(next.most)
+			k.startWrite(p, a)
+			return
+		}
+		a.asks = a.asks[1:]
+	}
+}
+
+// refuseAsks answers all asks of an account alike. The mutex is held.
+func (k *Keeper) refuseAsks(a *account, outcome structs.RoomOutcome, owner structs.InstanceID) {
+	for _, waiting := range a.asks {
+		if outcome == structs.RoomUnavailable {
+			k.metrics.unavailable.Inc(1)
+		}
+		waiting.reply(outcome, owner)
+	}
+	a.asks = nil
+}
+
+// receiveSettle ends a lease, or passes the message on to the newest owner.
+func (k *Keeper) receiveSettle(m *structs.RoomSettle) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if m.Partition < 0 || m.Partition >= len(k.partitions) {
+		return
+	}
+	p := k.partitions[m.Partition]
+	if p.own == nil {
+		if k.ownerUsable(p) {
+			k.peers.Send(p.owner, m)
+		}
+		return
+	}
+	k.settle(p, m)
+}
+
+// settle ends a lease at the owner. The mutex is held.
+func (k *Keeper) settle(p *partition, m *structs.RoomSettle) {
+	a, ok := p.own.accounts[m.Program]
+	if !ok || !a.settle(m.Lease, m.Used) {
+		return
+	}
+	a.touched = time.Now()
+	k.serveAsks(p, a)
+}
+
+// loseHolder counts the leases of an instance that is gone as used. The mutex
+// is held.
+func (k *Keeper) loseHolder(p *partition, holder structs.InstanceID) {
+	for _, a := range p.own.accounts {
+		if a.loseHolder(holder) {
+			k.serveAsks(p, a)
+		}
+	}
+}
+
+// sweepAccounts forgets the accounts of programs that cannot come back. The
+// mutex is held.
+func (k *Keeper) sweepAccounts(p *partition, now time.Time) {
+	for name, a := range p.own.accounts {
+		if a.idle(now) && !p.own.dirty[a] {
+			delete(p.own.accounts, name)
+		}
+	}
+}
+
+// dropOwnership ends this instance's ownership. The mutex is held.
+func (k *Keeper) dropOwnership(p *partition, owner structs.InstanceID, why string) {
+	own := p.own
+	p.own = nil
+	k.log.Warn("partition lost", "partition", p.number, "epoch", own.epoch, "owner", owner, "reason", why)
+	for _, a := range own.accounts {
+		k.refuseAsks(a, structs.RoomNotOwner, owner)
+	}
+}
--- /dev/null
+++ b/internal/budget/reserve.go
@@ -0,0 +1,259 @@
+package budget
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// replyTimeout is how long a remote owner may stay silent before another
+	// instance is asked who owns the partition. A round trip takes a few
+	// milliseconds; an owner answers at once unless the turn has to wait.
+	replyTimeout = 300 * time.Millisecond
+	// ownerPatience bounds the search for an owner: its loss is noticed within
+	// the liveness timeout, and a claim takes two calls to the store.
+	ownerPatience = time.Second
+	// ownerPause is the time between two tries to find an owner.
+	ownerPause = 20 * time.Millisecond
+)
+
+// answer is what became of one try to get room.
+type answer struct {
+	outcome structs.RoomOutcome
+	owner   structs.InstanceID
+}
+
+// lost is the outcome of a request whose owner went silent.
+const lost structs.RoomOutcome = 0
+
+// pendingAsk is a request of this instance to another owner.
+type pendingAsk struct {
+	asked   structs.InstanceID
+	request structs.RoomRequest
+	answer  chan answer
+}
+
+// heldRoom is room that a turn of this instance holds.
+type heldRoom struct {
+	keeper  *Keeper
+	request structs.RoomRequest
+}
+
+// Settle gives back what was not used.
+func (h heldRoom) Settle(used int) {
+	h.keeper.receiveSettle(&structs.RoomSettle{
+		Lease: h.request.Lease, Partition: h.request.Partition, Program: h.request.Program, Used: used,
+	})
+}
+
+// Reserve waits for room for a turn. It returns serve.ErrSpent if the budget
+// has none, serve.ErrNoOwner if nobody can hand any out for now, or the error
+// of the context.
+func (k *Keeper) Reserve(ctx context.Context, turn serve.Turn) (serve.Lease, error) {
+	p := k.partitionOf(turn.Program)
+	request := structs.RoomRequest{
+		Partition: p.number, Program: turn.Program, Budget: turn.Budget, Most: turn.Most, Retention: turn.Retention,
+	}
+	search := search{keeper: k, partition: p}
+	started := time.Now()
+	for {
+		got, err := search.try(ctx, &request)
+		if err != nil {
+			return nil, err
+		}
+		switch got.outcome {
+		case structs.RoomGranted:
+			return heldRoom{k, request}, nil
+		case structs.RoomSpent:
+			return nil, serve.ErrSpent
+		}
+		if time.Since(started) > ownerPatience {
+			return nil, serve.ErrNoOwner
+		}
+		if !pause(ctx, ownerPause) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// search finds the owner of a partition for one turn.
+type search struct {
+	keeper    *Keeper
+	partition *partition
+	// unable are instances that could neither hand out room nor claim.
+	unable []structs.InstanceID
+	// suspect is an owner that did not answer this instance.
+	suspect structs.InstanceID
+}
+
+// try asks the instance that should know. Each try has a lease of its own, so
+// that a late answer to an earlier one is told apart.
+func (s *search) try(ctx context.Context, request *structs.RoomRequest) (answer, error) {
+	k := s.keeper
+	answers := make(chan answer, 1)
+	k.mu.Lock()
+	request.Lease = structs.RoomLease{Holder: k.self.ID, Number: k.nextNumber()}
+	request.Suspect = s.suspect
+	asked := s.choose()
+	if asked == k.self.ID {
+		k.request(s.partition, *request, func(outcome structs.RoomOutcome, owner structs.InstanceID) {
+			answers <- answer{outcome, owner}
+		})
+	} else if asked != "" {
+		k.pending[request.Lease] = &pendingAsk{asked: asked, request: *request, answer: answers}
+	}
+	k.mu.Unlock()
+	if asked == "" {
+		return answer{outcome: structs.RoomUnavailable}, nil
+	}
+	if asked != k.self.ID {
+		k.peers.Send(asked, request)
+	}
+	return s.await(ctx, request, asked, answers)
+}
+
+// choose is whom to ask: the known owner, or the instance that should claim
+// the partition. The mutex is held.
+func (s *search) choose() structs.InstanceID {
+	k, p := s.keeper, s.partition
+	if p.own != nil {
+		return k.self.ID
+	}
+	if k.ownerUsable(p) && p.owner != s.suspect && !slices.Contains(s.unable, p.owner) {
+		return p.owner
+	}
+	for _, id := range k.directory.Ranked(p.key()) {
+		if id != s.suspect && !slices.Contains(s.unable, id) {
+			return id
+		}
+	}
+	s.unable = nil
+	return ""
+}
+
+// await waits for the answer of the instance asked.
+func (s *search) await(
+	ctx context.Context, request *structs.RoomRequest, asked structs.InstanceID, answers chan answer,
+) (answer, error) {
+	k := s.keeper
+	timer := time.NewTimer(replyTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-answers:
+			s.learn(asked, got)
+			return got, nil
+		case <-ctx.Done():
+			k.abandon(request, asked, answers)
+			return answer{}, ctx.Err()
+		case <-timer.C:
+			if asked != k.self.ID {
+				// An owner lets a turn wait while others of its program run:
+				// a silent one is found by a heartbeat.
+				k.peers.Probe(asked)
+			}
+		}
+	}
+}
+
+// learn draws the conclusions from an answer.
+func (s *search) learn(asked structs.InstanceID, got answer) {
+	switch got.outcome {
+	case structs.RoomUnavailable:
+		s.unable = append(s.unable, asked)
+	case structs.RoomNotOwner:
+		k := s.keeper
+		k.mu.Lock()
+		if got.owner != "" && got.owner != k.self.ID && s.partition.own == nil {
+			k.setOwner(s.partition, got.owner, 0)
+		}
+		k.mu.Unlock()
+	case lost:
+		s.suspect = asked
+	}
+}
+
+// abandon withdraws a request whose turn is no longer wanted; room that it was
+// or will be given goes back.
+func (k *Keeper) abandon(request *structs.RoomRequest, asked structs.InstanceID, answers chan answer) {
+	k.mu.Lock()
+	delete(k.pending, request.Lease)
+	k.mu.Unlock()
+	if asked != k.self.ID {
+		return // receiveReply gives back what a late answer grants
+	}
+	k.work.Go(func() {
+		select {
+		case got := <-answers:
+			if got.outcome == structs.RoomGranted {
+				heldRoom{k, *request}.Settle(0)
+			}
+		case <-k.ctx.Done():
+		}
+	})
+}
+
+// receiveReply takes the answer of another owner.
+func (k *Keeper) receiveReply(from structs.InstanceID, m *structs.RoomReply) {
+	k.mu.Lock()
+	pending, ok := k.pending[m.Lease]
+	delete(k.pending, m.Lease)
+	k.mu.Unlock()
+	if ok {
+		pending.answer <- answer{outcome: m.Outcome, owner: m.Owner}
+		return
+	}
+	if m.Outcome == structs.RoomGranted {
+		k.peers.Send(from, &structs.RoomSettle{Lease: m.Lease, Partition: m.Partition, Program: m.Program})
+	}
+}
+
+// receiveRequest takes another instance's request for room.
+func (k *Keeper) receiveRequest(from structs.InstanceID, r structs.RoomRequest) {
+	if r.Partition < 0 || r.Partition >= len(k.partitions) {
+		k.log.Warn("request for an unknown partition ignored", "peer", from, "partition", r.Partition)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.request(k.partitions[r.Partition], r, func(outcome structs.RoomOutcome, owner structs.InstanceID) {
+		k.peers.Send(from, &structs.RoomReply{
+			Lease: r.Lease, Outcome: outcome, Owner: owner, Partition: r.Partition, Program: r.Program,
+		})
+	})
+}
+
+// request hands out room if this instance owns the partition, names the owner
+// if another does, and claims the partition if nobody usable does. The mutex
+// is held.
+func (k *Keeper) request(p *partition, r structs.RoomRequest, reply func(structs.RoomOutcome, structs.InstanceID)) {
+	switch {
+	case p.own != nil:
+		k.admit(p, r, reply)
+	case k.ownerUsable(p):
+		if r.Suspect == p.owner {
+			k.peers.Probe(p.owner)
+		}
+		reply(structs.RoomNotOwner, p.owner)
+	case k.leaving.Load() || !k.health.OK():
+		reply(structs.RoomUnavailable, "")
+	default:
+		p.parked = append(p.parked, parkedAsk{r, reply})
+		k.startClaim(p)
+	}
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,160 @@
+// Package directory keeps the list of instances and which of them answer. It
+// decides what is fast, never what is safe: the store's epochs do that.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// separator stands between a machine's name and the number of a start in the
+// id of an instance.
+const separator = "~"
+
+// InstanceID makes the id of one start of the process on a machine.
+func InstanceID(machine, start string) structs.InstanceID {
+	return structs.InstanceID(machine + separator + start)
+}
+
+// MachineOf is the machine that an instance runs on.
+func MachineOf(id structs.InstanceID) string {
+	machine, _, _ := strings.Cut(string(id), separator)
+	return machine
+}
+
+// Directory is the list of instances. It is safe for concurrent use.
+type Directory struct {
+	self structs.Peer
+
+	mu sync.Mutex
+	// byMachine holds the newest start on each machine.
+	byMachine map[string]structs.Peer
+	silent    map[structs.InstanceID]bool
+	leaving   map[structs.InstanceID]bool
+}
+
+// New makes a directory that holds this instance only.
+func New(self structs.Peer) *Directory {
+	return &Directory{
+		self:      self,
+		byMachine: map[string]structs.Peer{MachineOf(self.ID): self},
+		silent:    make(map[structs.InstanceID]bool),
+		leaving:   make(map[structs.InstanceID]bool),
+	}
+}
+
+// Self is this instance.
+func (d *Directory) Self() structs.Peer { return d.self }
+
+// Put adds an instance, or replaces an earlier start on its machine.
+func (d *Directory) Put(p structs.Peer) {
+	machine := MachineOf(p.ID)
+	if machine == MachineOf(d.self.ID) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.byMachine[machine]; ok && old.ID != p.ID {
+		d.forget(old.ID)
+	}
+	d.byMachine[machine] = p
+}
+
+// Remove drops the instance on a machine.
+func (d *Directory) Remove(machine string) {
+	if machine == MachineOf(d.self.ID) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forget(d.byMachine[machine].ID)
+	delete(d.byMachine, machine)
+}
+
+func (d *Directory) forget(id structs.InstanceID) {
+	delete(d.silent, id)
+	delete(d.leaving, id)
+}
+
+// Resolve finds an instance.
+func (d *Directory) Resolve(id structs.InstanceID) (structs.Peer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.byMachine[MachineOf(id)]
+	return p, ok && p.ID == id
+}
+
+// SetSilent notes whether an instance answers.
+func (d *Directory) SetSilent(id structs.InstanceID, silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if silent {
+		d.silent[id] = true
+		return
+	}
+	delete(d.silent, id)
+}
+
+// SetLeaving notes that an instance shuts down.
+func (d *Directory) SetLeaving(id structs.InstanceID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving[id] = true
+}
+
+// Usable tells whether an instance is listed and answers, as far as is known.
+func (d *Directory) Usable(id structs.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.usable(id)
+}
+
+func (d *Directory) usable(id structs.InstanceID) bool {
+	return d.byMachine[MachineOf(id)].ID == id && !d.silent[id]
+}
+
+// Others lists the other instances that answer.
+func (d *Directory) Others() []structs.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var others []structs.Peer
+	for _, p := range d.byMachine {
+		if p.ID != d.self.ID && d.usable(p.ID) {
+			others = append(others, p)
+		}
+	}
+	slices.SortFunc(others, func(a, b structs.Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return others
+}
+
+// Ranked lists the instances that answer and do not leave, by rendezvous
+// hashing of a key, so that a change of one instance moves only what it held.
+func (d *Directory) Ranked(key string) []structs.InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	type scored struct {
+		id    structs.InstanceID
+		score uint64
+	}
+	var all []scored
+	for machine, p := range d.byMachine {
+		if !d.usable(p.ID) || d.leaving[p.ID] {
+			continue
+		}
+		all = append(all, scored{p.ID, xxhash.Sum64String(key + "/" + machine)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]structs.InstanceID, len(all))
+	for i, s := range all {
+		ids[i] = s.id
+	}
+	return ids
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,10 +19,13 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/banyanglade/banyanglade/internal/budget"
+	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/httpapi"
 	"github.com/banyanglade/banyanglade/internal/logqueue"
+	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -49,12 +52,14 @@
 	if machine.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(machine.MemoryBytes) * memoryShare))
 	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	var e *edge
 	app := fx.New(
-		fx.Supply(machine, log, options),
+		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
-			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newBudgets, newServer,
-			newTargetFeed, newEdge,
+			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newDirectory,
+			newTransport, newKeeper, newBudgets, newServer, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -62,7 +67,7 @@
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "build the instance")
 	}
-	return e.run(ctx, started)
+	return e.run(ctx, background, cancel, started)
 }
 
 func newMetrics() (*httpapi.Metrics, tally.Scope) {
@@ -98,8 +103,15 @@
 	server   *serve.Server
 	incoming *targetFeed
 
-	settings *feed.Topic
-	targets  *feed.Topic
+	directory *directory.Directory
+	transport *peer.Transport
+	keeper    *budget.Keeper
+
+	settings  *feed.Topic
+	targets   *feed.Topic
+	instances *feed.Topic
+	// reregister tells that this instance's record has to be written again.
+	reregister chan struct{}
 
 	work sync.WaitGroup
 }
@@ -107,13 +119,16 @@
 func newEdge(
 	machine platform.Machine, log *slog.Logger, reporter *httpapi.Metrics, store *platform.Store,
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, incoming *targetFeed,
+	dir *directory.Directory, transport *peer.Transport, keeper *budget.Keeper,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
 		pool: pool, server: server, incoming: incoming,
+		directory: dir, transport: transport, keeper: keeper, reregister: make(chan struct{}, 1),
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
+	e.instances = feed.NewTopic(topicInstances, applyInstance(dir, e.reregister, log))
 	return e
 }
 
@@ -134,9 +149,7 @@
 }
 
 // run serves until the context ends, then drains.
-func (e *edge) run(ctx context.Context, started time.Time) error {
-	background, cancel := context.WithCancel(context.Background())
-	defer cancel()
+func (e *edge) run(ctx, background context.Context, cancel context.CancelFunc, started time.Time) error {
 	servers, err := e.listen(background)
 	if err != nil {
 		return err
@@ -150,6 +163,7 @@
 		return err
 	}
 	e.drain(servers)
+	e.transport.Close()
 	cancel()
 	e.work.Wait()
 	e.log.Info("stopped")
@@ -160,6 +174,10 @@
 	e.spawn(func() { e.pool.Run(ctx) })
 	e.spawn(func() { e.follow(ctx, e.settings, settingsWait, 0) })
 	e.spawn(func() { e.follow(ctx, e.targets, targetsWait, targetsPause) })
+	e.spawn(func() { e.follow(ctx, e.instances, instancesWait, 0) })
+	e.spawn(func() { e.register(ctx) })
+	e.spawn(func() { e.askPeers(ctx) })
+	e.spawn(func() { e.keeper.Run(ctx) })
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
 }
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -80,6 +81,8 @@
 func (e *edge) adminHandler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
+	engine.GET(peer.Route, gin.WrapH(e.transport.Handler()))
+	engine.GET(topicsPath, e.giveTopics)
 	engine.GET("/metrics", gin.WrapH(e.reporter))
 	engine.GET("/debug/state", func(c *gin.Context) { c.JSON(http.StatusOK, e.dump()) })
 	return engine
@@ -92,8 +95,9 @@
 	begun := time.Now()
 	e.log.Info("stopping", "in_flight", e.server.InFlight())
 	e.server.Drain()
-	notice := min(drainNotice, e.machine.GracePeriod/2)
-	time.Sleep(notice)
+	notice := time.NewTimer(min(drainNotice, e.machine.GracePeriod/2))
+	e.keeper.Leave(context.Background())
+	<-notice.C
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.machine.GracePeriod-drainMargin))
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -3,16 +3,26 @@
 import (
 	"log/slog"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/peer"
 )
 
 // Options are the settings of an edge instance that the platform's settings
 // file does not hold.
 type Options struct {
 	LogLevel slog.Level `arg:"--log-level,env:BANYANGLADE_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
+	PeerKey  string     `arg:"--,env:BANYANGLADE_PEER_KEY" help:"key that all instances share, at least 16 bytes"`
 }
 
 // Validate checks the options.
-func (o Options) Validate() error { return nil }
+func (o Options) Validate() error {
+	if len(o.PeerKey) < peer.MinKeyBytes {
+		return errors.Newf("environment variable BANYANGLADE_PEER_KEY: expected at least %d bytes", peer.MinKeyBytes)
+	}
+	return nil
+}
 
 // Times of the readers of the store. Each read is priced and counts against
 // the store's limit.
@@ -31,6 +41,16 @@
 	instancesWait = 4 * time.Second
 )
 
+// Liveness between instances.
+const (
+	// peerLiveness is how long a watched instance may stay silent. A healthy
+	// one answers within milliseconds; a falsely suspected one costs its
+	// programs what a loss of accounts charges.
+	peerLiveness = 600 * time.Millisecond
+	// peerHeartbeat is the time between two heartbeats to an owner.
+	peerHeartbeat = 200 * time.Millisecond
+)
+
 const (
 	// drainNotice is the time in which the platform notices that an instance
 	// is not ready: two checks, one each second.
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,53 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/budget"
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/feed"
+	"github.com/banyanglade/banyanglade/internal/peer"
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// lifetime is the context of what works in the background of an instance.
+type lifetime struct{ context.Context }
+
+// receiver passes the transport's events on to the keeper, which is made after
+// the transport.
+type receiver struct{ keeper *budget.Keeper }
+
+// post takes one event. Events before the keeper is there are lost, like
+// messages to an instance that is not up yet.
+func (r *receiver) post(event structs.Event) bool {
+	if r.keeper != nil {
+		r.keeper.Receive(event)
+	}
+	return true
+}
+
+func newTransport(
+	life lifetime, dir *directory.Directory, options Options, r *receiver, scope tally.Scope, log *slog.Logger,
+) (*peer.Transport, error) {
+	self := dir.Self()
+	cfg := peer.Config{
+		Self: self, Incarnation: string(self.ID), Key: []byte(options.PeerKey),
+		PeerTimeout: peerLiveness, HeartbeatInterval: peerHeartbeat,
+	}
+	return peer.New(life, cfg, r.post, dir.Resolve, scope, log)
+}
+
+func newKeeper(
+	life lifetime, machine platform.Machine, dir *directory.Directory, store *platform.Store,
+	transport *peer.Transport, health *feed.Health, r *receiver, scope tally.Scope, log *slog.Logger,
+) *budget.Keeper {
+	r.keeper = budget.New(life, dir, machine.Store.Partitions, store, transport, health, scope, log)
+	return r.keeper
+}
+
+func newBudgets(keeper *budget.Keeper) serve.Budgets { return keeper }
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -346,4 +346,11 @@
 	KindAppliedRequest:   func() Message { return new(AppliedRequest) },
 	KindAppliedReply:     func() Message { return new(AppliedReply) },
 	KindLeaving:          func() Message { return new(Leaving) },
+
+	KindRoomRequest:       func() Message { return new(RoomRequest) },
+	KindRoomReply:         func() Message { return new(RoomReply) },
+	KindRoomSettle:        func() Message { return new(RoomSettle) },
+	KindOwnerNotice:       func() Message { return new(OwnerNotice) },
+	KindPartitionHandover: func() Message { return new(PartitionHandover) },
+	KindHandoverReply:     func() Message { return new(HandoverReply) },
 }
