--- a/internal/budget/write.go
+++ b/internal/budget/write.go
@@ -55,13 +55,17 @@
 		own.writing = false
 		return nil
 	}
-	own.sequence++
-	b := &batch{writer: platform.Writer{Name: writerName, Epoch: own.epoch, Sequence: own.sequence}}
+	b := new(batch)
 	for a := range own.dirty {
 		if len(b.accounts) == maxBatch {
 			break
 		}
 		delete(own.dirty, a)
+		if a.want <= a.limit {
+			// The record was written since: a record must never fall below
+			// the limit.
+			continue
+		}
 		b.accounts = append(b.accounts, a)
 		b.wants = append(b.wants, a.want)
 		b.records = append(b.records, platform.Record{
@@ -69,6 +73,12 @@
 			Value: encode(accountRecord{Budget: a.budget, Most: a.most, Limit: a.want}),
 		})
 	}
+	if len(b.accounts) == 0 {
+		own.writing = false
+		return nil
+	}
+	own.sequence++
+	b.writer = platform.Writer{Name: writerName, Epoch: own.epoch, Sequence: own.sequence}
 	return b
 }
 
