--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -30,12 +30,12 @@
 	// settingsWait is how long a read for new settings waits at the store. A
 	// cut link is noticed within it, so it bounds how old settings get.
 	settingsWait = 2 * time.Second
-	// targetsPause is the time between two reads of the targets' records,
-	// which change several times a second; targets that leave must get no new
-	// requests after 2 s.
-	targetsPause = 800 * time.Millisecond
+	// targetsPause is the time between two reads of the targets' records, so
+	// that changes that come together are read together; targets that leave
+	// must get no new requests after 2 s.
+	targetsPause = 100 * time.Millisecond
 	// targetsWait is how long such a read waits if nothing has changed.
-	targetsWait = time.Second
+	targetsWait = 2 * time.Second
 	// instancesWait is how long a read for changes of the list of instances
 	// waits: they are rare.
 	instancesWait = 4 * time.Second
--- a/internal/edge/targetfeed.go
+++ b/internal/edge/targetfeed.go
@@ -56,7 +56,7 @@
 	if !f.registry.Has(id) {
 		return
 	}
-	back, ok := f.health.BackSince()
+	back, ok := f.health.BackSince(platform.TopicTargets)
 	if !ok || time.Since(back) < returnTime {
 		f.lapsed[id] = true
 		return
@@ -75,7 +75,7 @@
 func (f *targetFeed) sweep(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	back, ok := f.health.BackSince()
+	back, ok := f.health.BackSince(platform.TopicTargets)
 	if !ok || now.Sub(back) < returnTime {
 		return
 	}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -15,6 +15,9 @@
 	// connection counts as cut: the store answers within milliseconds, and
 	// within some hundred when it is slow.
 	callMargin = 900 * time.Millisecond
+	// probeMargin is the same for a read after a failure, which does not wait
+	// at the store, so that the store's return is noticed soon.
+	probeMargin = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read; it doubles
 	// with each failure. A refused read is priced like any other.
 	retryFirst = 50 * time.Millisecond
@@ -45,7 +48,7 @@
 	from := int64(-1)
 	failures := 0
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, from)
+		next, err := f.step(ctx, from, failures > 0)
 		if ctx.Err() != nil {
 			return
 		}
@@ -64,8 +67,9 @@
 	}
 }
 
-// step reads the whole topic, or what came after an offset.
-func (f *Follower) step(ctx context.Context, from int64) (int64, error) {
+// step reads the whole topic, or what came after an offset; a probe does not
+// wait for a record.
+func (f *Follower) step(ctx context.Context, from int64, probe bool) (int64, error) {
 	if from < 0 {
 		ctx, cancel := context.WithTimeout(ctx, callMargin)
 		defer cancel()
@@ -76,9 +80,13 @@
 		f.Topic.Replace(list)
 		return list.End, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+callMargin)
+	wait, timeout := f.Wait, f.Wait+callMargin
+	if probe {
+		wait, timeout = 0, probeMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	records, next, err := f.Store.Read(ctx, f.Topic.Name, 0, from, f.Wait)
+	records, next, err := f.Store.Read(ctx, f.Topic.Name, 0, from, wait)
 	if err != nil {
 		return from, err
 	}
--- a/internal/feed/health.go
+++ b/internal/feed/health.go
@@ -12,12 +12,14 @@
 	mu sync.Mutex
 	// failing holds when each topic's reads began to fail.
 	failing map[string]time.Time
-	// back is when the store last answered again after a failure.
-	back time.Time
+	// back is when each topic was last read again after a failure.
+	back map[string]time.Time
 }
 
 // NewHealth makes a Health that finds the store in order.
-func NewHealth() *Health { return &Health{failing: make(map[string]time.Time)} }
+func NewHealth() *Health {
+	return &Health{failing: make(map[string]time.Time), back: make(map[string]time.Time)}
+}
 
 // note takes the outcome of a read and logs when the store is lost and when it
 // is back.
@@ -31,7 +33,7 @@
 		log.Warn("store lost", "topic", topic, "error", err.Error())
 	case err == nil && failing:
 		delete(h.failing, topic)
-		h.back = now
+		h.back[topic] = now
 		log.Info("store is back", "topic", topic, "away_ms", now.Sub(since).Milliseconds())
 	}
 }
@@ -43,10 +45,11 @@
 	return len(h.failing) == 0
 }
 
-// BackSince is when the store last answered again, and false if it does not
-// answer now.
-func (h *Health) BackSince() (time.Time, bool) {
+// BackSince is when a topic was last read again after a failure, and false if
+// its reads fail now.
+func (h *Health) BackSince(topic string) (time.Time, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.back, len(h.failing) == 0
+	_, failing := h.failing[topic]
+	return h.back[topic], !failing
 }
