--- /dev/null
+++ b/internal/budget/handover_test.go
@@ -0,0 +1,101 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// own is what an instance keeps as the owner of a program's partition, nil if
+// it does not own it.
+func (n *node) own(program string) *ownership {
+	n.keeper.mu.Lock()
+	defer n.keeper.mu.Unlock()
+	return n.keeper.partitionOf(program).own
+}
+
+// others lists all instances but one.
+func (w *world) others(n *node) []*node {
+	var others []*node
+	for _, other := range w.all() {
+		if other != n {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// A successor whose answer is lost may have the partition: the old owner must
+// not go on.
+func TestHandoverWithoutAnAnswerIsNotTakenBack(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, 0); err != nil {
+			t.Fatal(err)
+		}
+		owner := w.ownerOf("p")
+		others := w.others(owner)
+		w.mu.Lock()
+		for _, other := range others {
+			w.mute[other.id] = true
+		}
+		w.mu.Unlock()
+		owner.keeper.Leave(t.Context())
+		if owner.own("p") != nil {
+			t.Error("the old owner goes on although its successor may have the partition")
+		}
+	})
+}
+
+// An instance that was handed a partition which another has claimed since has
+// accounts that are no longer exact.
+func TestHandedOverAccountsAreVoidBehindAnotherClaim(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, 0); err != nil {
+			t.Fatal(err)
+		}
+		owner := w.ownerOf("p")
+		w.store.Set(metastore.Fault{Reset: true})
+		owner.keeper.Leave(t.Context())
+		successor := w.ownerOf("p")
+		if successor == nil || successor == owner {
+			t.Fatal("nobody took the partition over")
+		}
+		w.kill(owner)
+		third := w.others(successor)[0]
+		w.store.Set(metastore.Fault{})
+		successor.refused.Store(true)
+		w.mu.Lock()
+		w.mute[third.id] = true
+		w.mu.Unlock()
+		third.inbox <- structs.PeerDown{Peer: successor.id}
+		time.Sleep(time.Second)
+		if third.own("p") == nil {
+			t.Fatal("the third instance did not claim the partition")
+		}
+		w.kill(third)
+		successor.refused.Store(false)
+		time.Sleep(2 * claimInterval)
+		own := successor.own("p")
+		if own == nil || !own.claimed {
+			t.Fatal("the successor did not claim the partition")
+		}
+		if own.losses < 2 {
+			t.Errorf("claimed with epoch %d and %d losses, want 2", own.epoch, own.losses)
+		}
+	})
+}
+
+func TestHandoverFromAnEarlierOwnerIsRefused(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		p := n.keeper.partitions[0]
+		n.keeper.mu.Lock()
+		p.own, p.epoch = nil, 5
+		n.keeper.mu.Unlock()
+		if n.keeper.takeOver(w.all()[1].id, &structs.PartitionHandover{Number: 1, Partition: 0, Epoch: 4}) {
+			t.Error("a handover of an ownership that another claim has ended was taken")
+		}
+	})
+}
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -164,15 +164,15 @@
 // back; they may stay some seconds longer.
 const sweepInterval = 5 * time.Second
 
-// claimDelay is how long after its start an instance waits before it claims
-// partitions that nobody asked for, so that instances that start together know
-// each other by then.
-const claimDelay = 1500 * time.Millisecond
+// claimInterval is the time between two searches for partitions to claim that
+// nobody asked for. The first comes that long after the start, so that
+// instances that start together know each other by then.
+const claimInterval = 1500 * time.Millisecond
 
 // Run keeps the partitions until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	early := time.NewTimer(claimDelay)
-	defer early.Stop()
+	claim := time.NewTicker(claimInterval)
+	defer claim.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -180,21 +180,25 @@
 		case <-ctx.Done():
 			k.stop()
 			return
-		case <-early.C:
-			k.claimVacant()
+		case <-claim.C:
+			if k.health.OK() {
+				k.claimVacant()
+			}
 		case now := <-sweep.C:
 			k.sweep(now)
 		}
 	}
 }
 
-// claimVacant claims the partitions without a known usable owner for which
-// this instance ranks first.
+// claimVacant claims the partitions that were handed to this instance, and
+// those without a known usable owner for which it ranks first.
 func (k *Keeper) claimVacant() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, p := range k.partitions {
-		if p.own == nil && !k.ownerUsable(p) && k.firstChoice(p) == k.self.ID {
+		handed := p.own != nil && !p.own.claimed
+		vacant := p.own == nil && !k.ownerUsable(p) && k.firstChoice(p) == k.self.ID
+		if handed || vacant {
 			k.startClaim(p)
 		}
 	}
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -24,7 +24,7 @@
 		for i := range machines {
 			w.start(string(rune('a' + i)))
 		}
-		time.Sleep(2 * claimDelay)
+		time.Sleep(2 * claimInterval)
 		body(t, w)
 		w.stop()
 	})
@@ -71,7 +71,7 @@
 		for _, machine := range []string{"a", "b", "c"} {
 			w.start(machine)
 		}
-		time.Sleep(2 * claimDelay)
+		time.Sleep(2 * claimInterval)
 		spendAll(t, w, "p", 70)
 		if got := w.delivered["p"]; got > testBudget+testMost {
 			t.Errorf("delivered %d tokens, the budget is %d and a turn's most %d", got, testBudget, testMost)
@@ -184,7 +184,7 @@
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		dead := w.ownerOf("p")
 		w.kill(dead)
-		w.all()[0].refused, w.all()[0].ok = true, false
+		w.all()[0].refused.Store(true)
 		for _, n := range w.all() {
 			if err := w.turn(n, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
 				t.Errorf("turn at %s: %v", n.id, err)
--- a/internal/budget/random_test.go
+++ b/internal/budget/random_test.go
@@ -9,9 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 )
 
@@ -43,16 +40,21 @@
 		for _, m := range machines {
 			w.start(m)
 		}
-		time.Sleep(2 * claimDelay)
+		time.Sleep(2 * claimInterval)
 		var work sync.WaitGroup
 		ends := time.Now().Add(scheduleTime + 4*time.Second)
 		budgets := map[string]int{}
-		for i := range 6 {
+		for i := range 12 {
 			program := fmt.Sprint("p", i)
-			budgets[program] = 500 + 400*i
-			for line := range 3 {
+			budget := 1000 + 500*i
+			budgets[program] = budget
+			starts := time.Duration(r.Int64N(int64(scheduleTime)))
+			for line := range 1 + i%5 {
 				lineSeed := seed*1000 + uint64(i*10+line)
-				work.Go(func() { runProgram(w, program, budgets[program], lineSeed, ends) })
+				work.Go(func() {
+					time.Sleep(starts)
+					runProgram(w, program, budget, lineSeed, ends)
+				})
 			}
 		}
 		begun := time.Now()
@@ -82,13 +84,24 @@
 			continue
 		}
 		runs := time.Duration(20+r.IntN(200)) * time.Millisecond
-		err := w.turn(anyNode(r, nodes), program, budget, testMost, 10*r.IntN(30), runs)
-		if errors.Is(err, serve.ErrSpent) || err != nil {
-			time.Sleep(time.Duration(50+r.IntN(200)) * time.Millisecond)
+		used := testMost - 10*r.IntN(8)
+		err := w.turn(anyNode(r, nodes), program, budget, testMost, used, runs)
+		if err != nil || r.IntN(3) == 0 {
+			time.Sleep(time.Duration(50+r.IntN(900)) * time.Millisecond)
 		}
 	}
 }
 
+// leaveSlowly shuts an instance down; it answers turns for a while yet. Its
+// messages may be lost on the way.
+func leaveSlowly(w *world, n *node, d time.Duration) {
+	w.work.Go(func() {
+		n.keeper.Leave(n.keeper.ctx)
+		time.Sleep(d)
+		w.restart(n)
+	})
+}
+
 // causeTrouble does one thing to the instances or the store.
 func causeTrouble(w *world, r *rand.Rand, machines []string) {
 	nodes := w.all()
@@ -101,18 +114,19 @@
 	n := anyNode(r, nodes)
 	switch r.IntN(12) {
 	case 0, 1:
-		w.kill(n)
-		w.start(machineOf(n))
+		w.restart(n)
 	case 2:
 		for _, n := range nodes {
 			w.kill(n)
 		}
 	case 3, 4:
-		n.keeper.Leave(n.keeper.ctx)
-		w.kill(n)
-		w.start(machineOf(n))
+		leaveSlowly(w, n, time.Duration(r.IntN(1500))*time.Millisecond)
 	case 5:
-		w.cutFor(n, time.Duration(r.IntN(2500))*time.Millisecond)
+		cut := w.cut
+		if r.IntN(2) == 0 {
+			cut = w.mute
+		}
+		w.cutFor(n, cut, time.Duration(r.IntN(2500))*time.Millisecond)
 	case 6:
 		w.store.Set(metastore.Fault{Silent: true})
 	case 7:
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -122,7 +122,8 @@
 		return answer{outcome: structs.RoomUnavailable}, nil
 	}
 	if asked != k.self.ID {
-		k.peers.Send(asked, request)
+		message := *request
+		k.peers.Send(asked, &message)
 	}
 	return s.await(ctx, request, asked, answers)
 }
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,10 +34,14 @@
 
 	mu    sync.Mutex
 	nodes map[structs.InstanceID]*node
-	// cut holds the instances whose messages are lost both ways.
+	// cut holds the instances whose messages are lost both ways, mute those
+	// whose own are lost while they receive what others send.
 	cut   map[structs.InstanceID]bool
+	mute  map[structs.InstanceID]bool
 	lives int
-	work  sync.WaitGroup
+	// stopping tells that no more instances are started.
+	stopping bool
+	work     sync.WaitGroup
 
 	// delivered is what the callers of each program received, in tokens.
 	delivered map[string]int
@@ -48,17 +53,16 @@
 	world  *world
 	id     structs.InstanceID
 	cancel context.CancelFunc
-	ok     bool
 	// refused tells that the store refuses this instance's calls.
-	refused bool
-	// frozen holds back what it would do: messages to it wait.
-	inbox chan structs.Event
+	refused atomic.Bool
+	inbox   chan structs.Event
 }
 
 func newWorld(t *testing.T) *world {
 	return &world{
 		t: t, store: metastore.NewMemory(),
 		nodes: make(map[structs.InstanceID]*node), cut: make(map[structs.InstanceID]bool),
+		mute:      make(map[structs.InstanceID]bool),
 		delivered: make(map[string]int),
 	}
 }
@@ -70,7 +74,7 @@
 	id := directory.InstanceID(machine, fmt.Sprint(w.lives))
 	w.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{world: w, id: id, cancel: cancel, ok: true, inbox: make(chan structs.Event, 10000)}
+	n := &node{world: w, id: id, cancel: cancel, inbox: make(chan structs.Event, 10000)}
 	dir := directory.New(structs.Peer{ID: id, Address: machine})
 	n.keeper = New(ctx, dir, testPartitions, nodeStore{n}, n, n, tally.NoopScope, slog.New(slog.DiscardHandler))
 	w.mu.Lock()
@@ -97,6 +101,19 @@
 	}
 }
 
+// restart kills an instance and starts another on its machine, unless the
+// world stops or the instance is dead already.
+func (w *world) restart(n *node) {
+	w.mu.Lock()
+	_, alive := w.nodes[n.id]
+	alive = alive && !w.stopping
+	w.mu.Unlock()
+	if alive {
+		w.kill(n)
+		w.start(machineOf(n))
+	}
+}
+
 // kill ends an instance; the others notice.
 func (w *world) kill(n *node) {
 	w.mu.Lock()
@@ -111,6 +128,9 @@
 
 // stop ends all instances.
 func (w *world) stop() {
+	w.mu.Lock()
+	w.stopping = true
+	w.mu.Unlock()
 	w.store.Set(metastore.Fault{})
 	for _, n := range w.all() {
 		w.kill(n)
@@ -133,7 +153,7 @@
 		time.Sleep(linkTime)
 		n.world.mu.Lock()
 		target, ok := n.world.nodes[to]
-		ok = ok && !n.world.cut[to] && !n.world.cut[n.id]
+		ok = ok && !n.world.cut[to] && !n.world.cut[n.id] && !n.world.mute[n.id]
 		n.world.mu.Unlock()
 		if !ok {
 			n.inbox <- structs.PeerDown{Peer: to}
@@ -160,20 +180,20 @@
 func (n *node) Watch([]structs.InstanceID) {}
 
 // OK implements Health.
-func (n *node) OK() bool { return n.ok }
+func (n *node) OK() bool { return !n.refused.Load() }
 
 // nodeStore is the store as one instance reaches it.
 type nodeStore struct{ node *node }
 
 func (s nodeStore) Append(ctx context.Context, a platform.Append) (int64, error) {
-	if s.node.refused {
+	if s.node.refused.Load() {
 		return 0, platform.ErrBusy
 	}
 	return s.node.world.store.Append(ctx, a)
 }
 
 func (s nodeStore) Newest(ctx context.Context, topic string, part int) (platform.Newest, error) {
-	if s.node.refused {
+	if s.node.refused.Load() {
 		return platform.Newest{}, platform.ErrBusy
 	}
 	return s.node.world.store.Newest(ctx, topic, part)
@@ -216,11 +236,11 @@
 // machineOf is the machine that an instance runs on.
 func machineOf(n *node) string { return directory.MachineOf(n.id) }
 
-// cutFor cuts an instance off the others for a while. They notice, and so does
-// it.
-func (w *world) cutFor(n *node, d time.Duration) {
+// cutFor cuts an instance off the others for a while, or only what it sends.
+// They notice, and so does it.
+func (w *world) cutFor(n *node, cut map[structs.InstanceID]bool, d time.Duration) {
 	w.mu.Lock()
-	w.cut[n.id] = true
+	cut[n.id] = true
 	w.mu.Unlock()
 	for _, other := range w.all() {
 		if other != n {
@@ -231,7 +251,7 @@
 	w.work.Go(func() {
 		time.Sleep(d)
 		w.mu.Lock()
-		delete(w.cut, n.id)
+		delete(cut, n.id)
 		w.mu.Unlock()
 		for _, other := range w.all() {
 			if other != n {
