--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -68,7 +68,7 @@
 	longer := body.Len() == maxBuffered
 	x.copyHead(resp, longer, body.Len())
 	if _, err := x.writer.Write(body.Bytes()); err != nil {
-		x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+		x.callerGone(err)
 		return false
 	}
 	if longer {
@@ -120,18 +120,19 @@
 // deliverStream passes whole events on as they arrive.
 func (x *transfer) deliverStream(target *targets.Target, resp *exchange.Response) bool {
 	events := newEventReader(resp.Body)
-	flusher := http.NewResponseController(x.writer)
 	for {
 		event, err := events.next()
-		if err == io.EOF {
-			return x.endStream(target, resp)
+		if err == nil && !x.follows(event) {
+			err = errors.Newf("event %s behind event %s", event.id, x.lastEvent)
 		}
-		if err != nil {
+		switch {
+		case err == io.EOF:
+			return x.endStream(target, resp)
+		case err != nil:
 			x.detail = err.Error()
-			return x.brokeOff(target)
-		}
-		if !x.follows(event) {
-			x.detail = "event " + event.id + " behind event " + x.lastEvent
+			if x.flush() != nil {
+				return false
+			}
 			return x.brokeOff(target)
 		}
 		if !x.headSent {
@@ -140,19 +141,32 @@
 		x.delivered++
 		x.lastEvent = event.id
 		if _, err := x.writer.Write(event.bytes); err != nil {
-			x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+			x.callerGone(err)
 			return false
 		}
-		if events.buffered() {
-			continue
-		}
-		if err := flusher.Flush(); err != nil {
-			x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+		if !events.buffered() && x.flush() != nil {
 			return false
 		}
 	}
 }
 
+// flush sends the caller what was written. An error ends the request.
+func (x *transfer) flush() error {
+	if !x.headSent {
+		return nil
+	}
+	err := http.NewResponseController(x.writer).Flush()
+	if err != nil {
+		x.callerGone(err)
+	}
+	return err
+}
+
+// callerGone ends a request whose caller takes no more of the answer.
+func (x *transfer) callerGone(err error) {
+	x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+}
+
 // endStream ends a stream that the target completed.
 func (x *transfer) endStream(target *targets.Target, resp *exchange.Response) bool {
 	x.server.targets.Succeeded(target)
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,373 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("t1", "app", serveText("hello"))
+	got := w.do(w.request("POST", "/once/x%2Fy?a=b&a", "body", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "gone",
+		"Banyanglade-Hold", "forged", "Banyanglade-Deadline-Ms", "1500"))
+	if got.err != nil || got.status != 200 || got.body != "hello" || got.header.Get("Banyanglade-Server-Signature") != "s" {
+		t.Fatalf("got %+v", got)
+	}
+	r := tg.run(0)
+	if r.RequestURI != "/once/x%2Fy?a=b&a" || tg.body[0] != "body" || r.Host != testHost {
+		t.Errorf("target got %s with %q for %s", r.RequestURI, tg.body[0], r.Host)
+	}
+	if r.Header.Get("X-Own") != "kept" || r.Header.Get("X-Hop") != "" || r.Header.Get("Banyanglade-Hold") != "" {
+		t.Errorf("target got header %v", r.Header)
+	}
+	if r.Header.Get("Banyanglade-Expect-Instance") != "t1" {
+		t.Errorf("the send names target %q", r.Header.Get("Banyanglade-Expect-Instance"))
+	}
+	if left, _ := strconv.Atoi(r.Header.Get("Banyanglade-Deadline-Ms")); left < 1 || left > 1500 {
+		t.Errorf("time left passed on: %d ms of 1500", left)
+	}
+}
+
+func TestWithoutSettingsRequestsAreRefusedForNow(t *testing.T) {
+	w := newWorld(t)
+	w.server.table.Store(nil)
+	got := w.do(w.request("GET", "/safe/", ""))
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestUnknownRoute(t *testing.T) {
+	w := newWorld(t)
+	if got := w.do(w.request("GET", "/other/", "")); got.status != 404 {
+		t.Errorf("got %d", got.status)
+	}
+}
+
+func TestRefusalIsTakenToAnotherTarget(t *testing.T) {
+	w := newWorld(t)
+	w.target("full", "app", refuseFull)
+	w.target("free", "app", serveText("ok"))
+	for range 10 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
+
+func TestAllTargetsFull(t *testing.T) {
+	w := newWorld(t)
+	w.target("full", "app", refuseFull)
+	got := w.do(w.request("POST", "/once/", "b"))
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	w := newWorld(t)
+	a := w.target("a", "app", cutConnection)
+	b := w.target("b", "app", cutConnection)
+	got := w.do(w.request("POST", "/once/", "b"))
+	if got.status != 502 {
+		t.Errorf("got %+v, want a status that promises nothing", got)
+	}
+	if n := a.count() + b.count(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func TestRequestOnAStaleConnectionIsNotSentAgain(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("a", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			serveText("ok")(n, rw, r)
+			return
+		}
+		cutConnection(n, rw, r)
+	})
+	w.do(w.request("POST", "/once/", "b"))
+	if got := w.do(w.request("POST", "/once/", "b")); got.status != 502 || tg.count() != 2 {
+		t.Errorf("got %+v after %d sends", got, tg.count())
+	}
+}
+
+func TestUnreachableTargetIsPassedOver(t *testing.T) {
+	w := newWorld(t)
+	gone := w.target("gone", "app", serveText("never"))
+	gone.server.Close()
+	w.target("here", "app", serveText("ok"))
+	for range 5 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
+
+func TestRepeatableRequestIsSentToAsManyTargetsAsAllowed(t *testing.T) {
+	w := newWorld(t)
+	var all []*target
+	for i := range 4 {
+		all = append(all, w.target(fmt.Sprint("t", i), "app", cutConnection))
+	}
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 502 {
+		t.Errorf("got %+v", got)
+	}
+	ran := 0
+	for _, tg := range all {
+		if tg.count() > 0 {
+			ran++
+		}
+	}
+	if ran > 2 {
+		t.Errorf("run by %d targets, the route allows 2", ran)
+	}
+}
+
+func TestCutAnswerOfARepeatableRequestIsRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		sign(rw)
+		if n == 1 {
+			rw.Header().Set("Content-Length", "100")
+			_, _ = rw.Write([]byte("short"))
+			return
+		}
+		_, _ = rw.Write([]byte("whole"))
+	})
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 200 || got.body != "whole" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", func(n int, rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Banyanglade-Request-Id", "another")
+		sign(rw)
+		_, _ = rw.Write([]byte("not yours"))
+		rw.Header().Set("Connection", "close")
+	})
+	if got := w.do(w.request("POST", "/once/", "b", "Banyanglade-Deadline-Ms", "200")); got.status < 500 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", func(_ int, rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("?")) })
+	if got := w.do(w.request("POST", "/once/", "b")); got.status != 502 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestRouteTimeout(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	w.target("a", "app", func(_ int, _ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	if got := w.do(w.request("POST", "/short/", "b")); got.status != 504 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	w := newWorld(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	w.target("a", "app", func(_ int, _ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := w.request("GET", "/safe/", "").WithContext(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.do(r)
+	}()
+	<-started
+	cancel()
+	<-ended
+	<-done
+}
+
+func TestStreamGoesOnAtTheSameTargetFromTheLastWholeEvent(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("e1", "engine", serveEvents(6, func(n int) int { return map[int]int{1: 2, 2: 4}[n] }))
+	got := w.do(w.request("POST", "/turns/", "b"))
+	if got.err != nil || got.body != events(1, 6) {
+		t.Fatalf("got %+v", got)
+	}
+	if tg.count() != 3 || tg.run(2).Header.Get("Last-Event-Id") != "4" {
+		t.Errorf("%d runs, the last from event %q", tg.count(), tg.run(2).Header.Get("Last-Event-Id"))
+	}
+}
+
+func TestStreamGoesOnAtAnotherTargetIfItsOwnHasEnded(t *testing.T) {
+	w := newWorld(t)
+	var first *target
+	handle := func(id string) func(int, http.ResponseWriter, *http.Request) {
+		return func(n int, rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") != "" {
+				serveEvents(5, never)(n, rw, r)
+				return
+			}
+			w.targets.Remove(id)
+			serveEvents(5, func(int) int { return 3 })(n, rw, r)
+		}
+	}
+	first = w.target("e1", "engine", handle("e1"))
+	second := w.target("e2", "engine", handle("e2"))
+	got := w.do(w.request("POST", "/turns/", "b"))
+	if got.err != nil || got.body != events(1, 5) {
+		t.Errorf("got %+v after %d and %d runs", got, first.count(), second.count())
+	}
+}
+
+func TestStreamThatMayNotGoOnEndsIncomplete(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("e1", "engine", serveEvents(5, func(int) int { return 2 }))
+	got := w.do(w.request("POST", "/fixed/", "b"))
+	if got.err == nil || got.body != events(1, 2) || tg.count() != 1 {
+		t.Errorf("got %+v after %d runs", got, tg.count())
+	}
+}
+
+func TestEventOutOfOrderIsNotPassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.target("e1", "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(rw, events(1, 2), events(4, 5))
+	})
+	if got := w.do(w.request("POST", "/fixed/", "b")); got.err == nil || got.body != events(1, 2) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestTurnSettlesWhatItsCallerReceived(t *testing.T) {
+	w := newWorld(t)
+	w.target("e1", "engine", serveEvents(6, func(n int) int { return map[int]int{1: 2}[n] }))
+	got := w.do(w.request("POST", "/turns/", "b", "Banyanglade-Program-Id", "p",
+		"Banyanglade-Token-Budget", "900", "Banyanglade-Token-Usage", "100,285"))
+	if got.err != nil {
+		t.Fatal(got.err)
+	}
+	w.front.Close() // the handler has returned
+	if len(w.budgets.asked) != 1 || w.budgets.asked[0].Most != 290 || w.budgets.asked[0].Budget != 900 {
+		t.Errorf("asked for %+v", w.budgets.asked)
+	}
+	if len(w.budgets.settled) != 1 || w.budgets.settled[0] != 60 {
+		t.Errorf("settled %v, want 60 tokens", w.budgets.settled)
+	}
+}
+
+func TestTurnWithoutRoomDoesNotRun(t *testing.T) {
+	for err, status := range map[error]int{ErrSpent: 402, ErrNoOwner: 503} {
+		w := newWorld(t)
+		tg := w.target("e1", "engine", serveEvents(6, never))
+		w.budgets.err = err
+		got := w.do(w.request("POST", "/turns/", "b", "Banyanglade-Program-Id", "p",
+			"Banyanglade-Token-Budget", "900", "Banyanglade-Token-Usage", "100,290"))
+		if got.status != status || tg.count() != 0 {
+			t.Errorf("%v: got %+v after %d runs", err, got, tg.count())
+		}
+		if status == 503 && got.header.Get("Retry-After") == "" {
+			t.Error("a refusal without a time to come back")
+		}
+	}
+}
+
+func TestBadInputRunsNothing(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("a", "app", serveText("ok"))
+	smuggled := "POST /once/smuggled HTTP/1.1\r\nHost: a.example\r\nBanyanglade-Request-Id: s\r\nContent-Length: 0\r\n\r\n"
+	head := "POST /once/x HTTP/1.1\r\nHost: a.example\r\nBanyanglade-Request-Id: 1\r\n"
+	// RFC 9112, 6.1: 501 for a transfer coding that is not understood.
+	const unknownEncoding = "unknown encoding"
+	cases := map[string]string{
+		"length and chunks":     head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"odd casing":            head + "cOnTeNt-LeNgTh: 5\r\ntRaNsFeR-eNcOdInG: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"two lengths":           head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+		"malformed length":      head + "Content-Length: +5\r\n\r\nabcde",
+		unknownEncoding:         head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"malformed chunk":       head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+		"space before colon":    head + "Content-Length : 0\r\n\r\n",
+		"body over the limit":   head + "Content-Length: 999999\r\n\r\n" + strings.Repeat("x", 999999),
+		"malformed time left":   head + "Banyanglade-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+		"malformed token count": head + "Banyanglade-Token-Budget: many\r\nContent-Length: 0\r\n\r\n",
+		"no host":               "GET /safe/ HTTP/1.1\r\nBanyanglade-Request-Id: 1\r\n\r\n",
+	}
+	for name, text := range cases {
+		answers := w.raw(text)
+		if len(answers) != 1 || answers[0].StatusCode < 400 || answers[0].StatusCode >= 500 && name != unknownEncoding {
+			t.Errorf("%s: %d answers, %+v", name, len(answers), answers)
+		}
+	}
+	if tg.count() != 0 {
+		t.Errorf("%d requests were run", tg.count())
+	}
+}
+
+func TestDrainingAnswersCloseTheConnection(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", serveText("ok"))
+	w.server.Drain()
+	resp, err := http.DefaultTransport.RoundTrip(w.request("GET", "/safe/", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("status %d, closes %v", resp.StatusCode, resp.Close)
+	}
+}
+
+func TestDrainingTargetGetsNoRequests(t *testing.T) {
+	w := newWorld(t)
+	leaving := w.target("leaving", "app", serveText("ok"))
+	w.target("stays", "app", serveText("ok"))
+	w.targets.Put(targets.Entry{
+		ID: "leaving", Service: "app", Address: leaving.server.Listener.Addr().String(), Slots: 4, Draining: true,
+	})
+	for range 10 {
+		w.do(w.request("GET", "/safe/", ""))
+	}
+	if leaving.count() != 0 {
+		t.Errorf("%d requests went to a target that leaves", leaving.count())
+	}
+}
+
+func TestAnotherTargetAtTheAddress(t *testing.T) {
+	w := newWorld(t)
+	w.target("old", "app", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	w.target("new", "app", serveText("ok"))
+	for range 5 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
+
+// events is the text of a series of events.
+func events(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -184,7 +185,6 @@
 	if err != nil {
 		x.detail = err.Error()
 		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
-		x.writer.Header().Set("Connection", "close")
 		return false
 	}
 	if limit > 0 && int64(body.Len()) > limit {
@@ -254,6 +254,7 @@
 		if same := x.pickSame(); same != nil {
 			return same
 		}
+		x.forgetEnded()
 		if len(x.ran) >= x.route.MaxTargets {
 			return nil
 		}
@@ -265,14 +266,17 @@
 // pickSame is the target that ran the request last, unless it was given up.
 func (x *transfer) pickSame() *targets.Target {
 	last := x.ran[len(x.ran)-1]
-	for _, id := range x.tried {
-		if id == last {
-			return nil
-		}
+	if slices.Contains(x.tried, last) {
+		return nil
 	}
 	return x.server.targets.PickSame(last)
 }
 
+// forgetEnded drops the targets that have left from those that run the request.
+func (x *transfer) forgetEnded() {
+	x.ran = slices.DeleteFunc(x.ran, func(id string) bool { return !x.server.targets.Has(id) })
+}
+
 // send sends the request to a target and handles what comes back. It tells
 // whether another send may follow.
 func (x *transfer) send(target *targets.Target) bool {
@@ -329,13 +333,7 @@
 // cut off, so it no longer counts among those that run the request.
 func (x *transfer) unreachable(target *targets.Target) {
 	x.tried = append(x.tried, target.ID)
-	kept := x.ran[:0]
-	for _, id := range x.ran {
-		if id != target.ID {
-			kept = append(kept, id)
-		}
-	}
-	x.ran = kept
+	x.ran = slices.DeleteFunc(x.ran, func(id string) bool { return id == target.ID })
 }
 
 // hasRun tells whether a target may have begun to run the request.
@@ -343,12 +341,9 @@
 
 // markRan notes that a target may have begun to run the request.
 func (x *transfer) markRan(target *targets.Target) {
-	for _, id := range x.ran {
-		if id == target.ID {
-			return
-		}
+	if !slices.Contains(x.ran, target.ID) {
+		x.ran = append(x.ran, target.ID)
 	}
-	x.ran = append(x.ran, target.ID)
 }
 
 // mayRepeat tells whether the request may be sent once more after it may have
@@ -417,6 +412,10 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
+	if why == reasonMalformed {
+		// What follows on the connection cannot be trusted to be a request.
+		header.Set("Connection", "close")
+	}
 	x.writer.WriteHeader(status)
 	if _, err := io.WriteString(x.writer, string(why)+"\n"); err != nil {
 		x.detail = err.Error()
