--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -51,13 +51,18 @@
 	reply func(outcome structs.RoomOutcome, owner structs.InstanceID)
 }
 
-// newAccount makes the account of a program without a record.
-func newAccount(program string, budget, losses int) *account {
-	return &account{
-		program: program, budget: budget, charged: losses > 0,
-		used: charge(budget, losses), limit: unrecorded(budget, losses),
-		leases: make(map[structs.RoomLease]lease),
+// newAccount makes the account of a program without a record. If accounts of
+// its partition were lost, all that it may have used without a record counts as
+// used; it then needs a record for each turn.
+func newAccount(program string, budget, most int, lost bool) *account {
+	a := &account{
+		program: program, budget: budget, most: most,
+		limit: unrecorded(budget, most), leases: make(map[structs.RoomLease]lease),
 	}
+	if lost {
+		a.charged, a.used = true, a.limit
+	}
+	return a
 }
 
 // restored makes the account of a program from the limit in its record.
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -99,12 +99,8 @@
 	claim := ownerRecord{Epoch: 1, Owner: k.self.ID, Address: k.self.Address}
 	if now.owner != nil {
 		claim.Epoch = now.owner.Epoch + 1
-		claim.Losses = now.owner.Losses
 	}
 	clean := k.continues(p, now.owner)
-	if now.owner != nil && !clean {
-		claim.Losses++
-	}
 	sequence := rand.Int64N(maxSequence)
 	err = k.appendClaim(p, claim, sequence, now.end)
 	if err != nil {
@@ -176,7 +172,7 @@
 		return errors.New("the accounts were given up during the claim")
 	}
 	if !clean {
-		p.own = newOwnership(claim.Epoch, claim.Losses)
+		p.own = newOwnership(claim.Epoch)
 		k.restore(p.own, now)
 	}
 	p.own.epoch, p.own.claimed, p.own.sequence = claim.Epoch, true, sequence
@@ -185,17 +181,20 @@
 	if !clean && now.owner != nil {
 		k.metrics.losses.Inc(1)
 	}
-	k.log.Info("partition claimed", "partition", p.number, "epoch", claim.Epoch, "losses", claim.Losses,
-		"exact", clean || now.owner == nil, "recorded_programs", len(now.programs))
+	k.log.Info("partition claimed", "partition", p.number, "epoch", claim.Epoch, "accounts_lost", p.own.loss != nil, "recorded_programs", len(now.programs))
 	for a := range p.own.dirty {
 		k.startWrite(p, a)
 	}
 	return nil
 }
 
-// restore makes accounts of the records that an owner left.
+// restore makes accounts of the records that an owner left; those without a
+// record are lost.
 func (k *Keeper) restore(own *ownership, now content) {
 	for program, record := range now.programs {
 		own.accounts[program] = restored(program, record, lostRetention, time.Now())
 	}
+	if now.owner != nil {
+		own.loss = &loss{owner: now.owner.Owner, at: time.Now()}
+	}
 }
--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -18,11 +18,9 @@
 //
 // and the limit is what any later owner counts as used if it learns nothing
 // better. A limit is either recorded in the store before room under it is
-// handed out, or it is the part of the budget that needs no record (unrecorded
-// in limits.go), which follows from the budget and from how often the
-// partition lost its accounts. So an owner that is paused, cut off or dead may
-// go on with what it has: all of it is counted already. No clock and no lease
-// decides what is safe.
+// handed out, or it is the part of the budget that needs no record (limits.go).
+// So an owner that is paused, cut off or dead may go on with what it has: all of
+// it is counted already. No clock and no lease decides what is safe.
 //
 // An owner that leaves hands its accounts over, once, to one other instance,
 // and stops before it sends them. That instance continues with exact figures
@@ -32,8 +30,11 @@
 // # What a loss costs
 //
 // The part without a record lets programs run while the store is away and
-// spares it a record for most programs. It is charged to every program that
-// has no record when accounts are lost. For such a program the total may then
-// reach the budget and the most of one turn, though what it really generated
-// never passes that either.
+// spares it a record for most programs. When accounts are lost it is charged to
+// every program that has no record, also to those that begin later, since an
+// owner that was taken for dead may serve them too; such a program has a record
+// written before each turn that needs room. Its total may then reach the budget
+// and the most of one turn, though what it really generated never passes that.
+// The charge ends when the former owner is known to have ended and no program
+// that it knew can come back.
 package budget
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -73,7 +73,10 @@
 func (k *Keeper) exportPartition(p *partition) *structs.PartitionHandover {
 	now := time.Now()
 	message := &structs.PartitionHandover{
-		Number: k.nextNumber(), Partition: p.number, Epoch: p.own.epoch, Losses: p.own.losses,
+		Number: k.nextNumber(), Partition: p.number, Epoch: p.own.epoch,
+	}
+	if l := p.own.loss; l != nil {
+		message.LostBy, message.LostFor = l.owner, now.Sub(l.at)
 	}
 	for _, a := range p.own.accounts {
 		message.Accounts = append(message.Accounts, a.export(now))
@@ -145,7 +148,10 @@
 		return false
 	}
 	now := time.Now()
-	p.own = newOwnership(m.Epoch, m.Losses)
+	p.own = newOwnership(m.Epoch)
+	if m.LostBy != "" {
+		p.own.loss = &loss{owner: m.LostBy, at: now.Add(-m.LostFor)}
+	}
 	for _, a := range m.Accounts {
 		p.own.accounts[a.Program] = imported(a, now)
 	}
--- a/internal/budget/limits.go
+++ b/internal/budget/limits.go
@@ -1,29 +1,18 @@
 package budget
 
-// unrecordedShare is the part of what is left of a budget that needs no record
-// in the store. On the users' two sites 99 of 100 ordinary programs use less
-// than 0.42 of their budget and the median 0.14 (docs/MEASUREMENTS.md), so
-// most never need a record, nor miss what a loss of accounts charges them. It
-// also lets the first turn of the smallest programs run without one: their
-// budget is 500 tokens, a turn's most 290.
+// unrecordedShare is the part of a budget that needs no record in the store. On
+// the users' two sites 99 of 100 ordinary programs use less than 0.42 of their
+// budget and the median 0.14 (docs/MEASUREMENTS.md), so that most run without a
+// record, and what is left suffices when a loss of accounts charges this part.
 const unrecordedShare = 0.6
 
-// unrecorded is what a program without a record may have generated when its
-// partition has lost its accounts a number of times: each owner since a loss
-// may hand out unrecordedShare of what the ones before could not.
-func unrecorded(budget, losses int) int {
-	limit := 0
-	for range losses + 1 {
-		limit += int(unrecordedShare * float64(budget-limit))
-	}
-	return limit
-}
-
-// charge is what a program without a record is counted to have used by an
-// owner that does not know it.
-func charge(budget, losses int) int {
-	if losses == 0 {
-		return 0
-	}
-	return unrecorded(budget, losses-1)
+// unrecorded is what a program without a record may generate, in tokens: a part
+// of its budget, and its first turn in any case.
+//
+// Where turns differ in the most that they generate, an owner behind a loss may
+// charge less than the one before allowed, by what the first turn's most is
+// above that of the turn it sees. The total then still stays within the budget
+// and the most of one turn, since the most added after a loss is the lesser one.
+func unrecorded(budget, firstMost int) int {
+	return min(max(int(unrecordedShare*float64(budget)), firstMost), budget)
 }
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -16,18 +16,27 @@
 	claimed bool
 	// sequence numbers this instance's appends under its epoch.
 	sequence int64
-	// losses is how often the partition lost its accounts.
-	losses   int
+	// loss is set while programs may come that an earlier owner knew and this
+	// one does not.
+	loss     *loss
 	accounts map[string]*account
 	// dirty are the accounts with a record to be written.
 	dirty   map[*account]bool
 	writing bool
 }
 
-func newOwnership(epoch int64, losses int) *ownership {
+// loss is the loss of a partition's accounts.
+type loss struct {
+	// owner had the accounts.
+	owner structs.InstanceID
+	at    time.Time
+}
+
+func newOwnership(epoch int64) *ownership {
 	return &ownership{
-		epoch: epoch, losses: losses,
-		accounts: make(map[string]*account), dirty: make(map[*account]bool),
+		epoch:    epoch,
+		accounts: make(map[string]*account),
+		dirty:    make(map[*account]bool),
 	}
 }
 
@@ -35,7 +44,7 @@
 func (k *Keeper) admit(p *partition, r structs.RoomRequest, reply func(structs.RoomOutcome, structs.InstanceID)) {
 	a, ok := p.own.accounts[r.Program]
 	if !ok {
-		a = newAccount(r.Program, r.Budget, p.own.losses)
+		a = newAccount(r.Program, r.Budget, r.Most, p.own.loss != nil)
 		p.own.accounts[r.Program] = a
 	}
 	a.touched = time.Now()
@@ -58,7 +67,7 @@
 		case spent:
 			k.metrics.spent.Inc(1)
 			k.log.Info("budget spent", "program", a.program, "partition", p.number, "budget", a.budget,
-				"used", a.used, "most", next.most, "charged", a.charged, "losses", p.own.losses, "epoch", p.own.epoch)
+				"used", a.used, "most", next.most, "charged", a.charged, "recorded", a.recorded, "epoch", p.own.epoch)
 			next.reply(structs.RoomSpent, "")
 		case awaitSettle:
 			return
@@ -122,6 +131,7 @@
 // sweepAccounts forgets the accounts of programs that cannot come back. The
 // mutex is held.
 func (k *Keeper) sweepAccounts(p *partition, now time.Time) {
+	k.endLoss(p, now)
 	for name, a := range p.own.accounts {
 		if a.idle(now) && !p.own.dirty[a] {
 			delete(p.own.accounts, name)
@@ -129,6 +139,29 @@
 	}
 }
 
+// endLoss ends the charge for a loss once no program that the lost accounts
+// held can come back, and the owner that had them is known to have ended: until
+// then it might still hand out room without a record. The mutex is held.
+func (k *Keeper) endLoss(p *partition, now time.Time) {
+	l := p.own.loss
+	if l == nil || !k.directory.Ended(l.owner) {
+		return
+	}
+	if now.Sub(l.at) > longestRetention(p.own.accounts) {
+		p.own.loss = nil
+		k.log.Info("loss of accounts is over", "partition", p.number, "epoch", p.own.epoch, "owner", l.owner)
+	}
+}
+
+// longestRetention is how long any program may come back.
+func longestRetention(accounts map[string]*account) time.Duration {
+	longest := lostRetention
+	for _, a := range accounts {
+		longest = max(longest, a.retention)
+	}
+	return longest
+}
+
 // dropOwnership ends this instance's ownership. The mutex is held.
 func (k *Keeper) dropOwnership(p *partition, owner structs.InstanceID, why string) {
 	own := p.own
--- a/internal/budget/record.go
+++ b/internal/budget/record.go
@@ -27,8 +27,6 @@
 	Owner structs.InstanceID `json:"owner"`
 	// Address is where other instances reach the owner, IP:port.
 	Address string `json:"address"`
-	// Losses is how often the partition lost its accounts.
-	Losses int `json:"losses"`
 }
 
 // accountRecord is the limit of a program's account, in tokens.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,6 +90,15 @@
 	return p, ok && p.ID == id
 }
 
+// Ended tells whether an instance is known to have ended: another start on its
+// machine is listed.
+func (d *Directory) Ended(id structs.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.byMachine[MachineOf(id)]
+	return ok && p.ID != id
+}
+
 // SetSilent notes whether an instance answers.
 func (d *Directory) SetSilent(id structs.InstanceID, silent bool) {
 	d.mu.Lock()
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -88,8 +88,10 @@
 	Number    uint64
 	Partition int
 	Epoch     int64
-	// Losses is how often the partition lost its accounts.
-	Losses   int
+	// LostBy is the owner whose accounts were lost, empty for none, and LostFor
+	// the time since then.
+	LostBy   InstanceID
+	LostFor  time.Duration
 	Accounts []RoomAccount
 }
 
