--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -39,6 +40,42 @@
 	}
 }
 
+// relieve hands the partitions over while the store refuses this instance, if
+// another one reaches it: an owner has to write records.
+func (k *Keeper) relieve(ctx context.Context) {
+	for _, p := range k.partitions {
+		k.mu.Lock()
+		owned := p.own != nil
+		k.mu.Unlock()
+		if !owned {
+			continue
+		}
+		successor, ok := k.findSuccessor(ctx, p)
+		if !ok {
+			return
+		}
+		k.handOverTo(ctx, p, successor)
+	}
+}
+
+// findSuccessor asks one instance, another one each time, whether it would take
+// a partition.
+func (k *Keeper) findSuccessor(ctx context.Context, p *partition) (structs.InstanceID, bool) {
+	others := k.directory.Others()
+	if len(others) == 0 {
+		return "", false
+	}
+	asked := others[rand.IntN(len(others))].ID
+	answers := make(chan bool, 1)
+	k.mu.Lock()
+	offer := &structs.PartitionHandover{Number: k.nextNumber(), Partition: p.number, Offer: true}
+	k.handovers[offer.Number] = answers
+	k.mu.Unlock()
+	k.peers.Send(asked, offer)
+	would, known := k.awaitHandover(ctx, offer.Number, answers)
+	return asked, would && known
+}
+
 // handOverTo gives a partition to one instance. It returns whether that has
 // taken it, and whether this is known.
 func (k *Keeper) handOverTo(ctx context.Context, p *partition, successor structs.InstanceID) (taken, known bool) {
@@ -60,6 +97,9 @@
 	k.mu.Unlock()
 	k.peers.Send(successor, message)
 	taken, known = k.awaitHandover(ctx, message.Number, answers)
+	if taken {
+		k.metrics.handovers.Inc(1)
+	}
 	k.log.Info("partition handed over", "partition", p.number, "epoch", own.epoch, "successor", successor,
 		"accounts", len(own.accounts), "taken", taken, "known", known)
 	if known && !taken {
@@ -94,9 +134,6 @@
 	}()
 	select {
 	case taken = <-answers:
-		if taken {
-			k.metrics.handovers.Inc(1)
-		}
 		return taken, true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -130,6 +167,11 @@
 // receiveHandover takes a partition over, unless this instance leaves or knows
 // of a newer owner.
 func (k *Keeper) receiveHandover(from structs.InstanceID, m *structs.PartitionHandover) {
+	if m.Offer {
+		would := !k.leaving.Load() && k.health.OK()
+		k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: would})
+		return
+	}
 	accepted := k.takeOver(from, m)
 	k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: accepted})
 	if accepted {
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -164,6 +164,10 @@
 // back; they may stay some seconds longer.
 const sweepInterval = 5 * time.Second
 
+// reliefInterval is the time between two searches for an instance that takes
+// over the partitions of one which the store refuses; each asks one instance.
+const reliefInterval = 400 * time.Millisecond
+
 // claimInterval is the time between two searches for partitions to claim that
 // nobody asked for. The first comes that long after the start, so that
 // instances that start together know each other by then.
@@ -173,6 +177,8 @@
 func (k *Keeper) Run(ctx context.Context) {
 	claim := time.NewTicker(claimInterval)
 	defer claim.Stop()
+	relief := time.NewTicker(reliefInterval)
+	defer relief.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -184,6 +190,10 @@
 			if k.health.OK() {
 				k.claimVacant()
 			}
+		case <-relief.C:
+			if !k.health.OK() && !k.leaving.Load() {
+				k.relieve(ctx)
+			}
 		case now := <-sweep.C:
 			k.sweep(now)
 		}
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -192,3 +192,35 @@
 		}
 	})
 }
+
+// An owner that the store refuses hands its partitions to an instance that the
+// store serves, before a turn needs a record.
+func TestOwnerThatTheStoreRefusesHandsOver(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		owner := w.ownerOf("p")
+		owner.refused.Store(true)
+		time.Sleep(5 * reliefInterval)
+		for range 8 {
+			if err := w.turn(owner, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if next := w.ownerOf("p"); next == owner {
+			t.Error("the refused instance still owns the partition")
+		}
+	})
+}
+
+// While the store is away for all, the owner keeps its partitions.
+func TestOwnerKeepsPartitionsWhileTheStoreIsAwayForAll(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		owner := w.ownerOf("p")
+		for _, n := range w.all() {
+			n.refused.Store(true)
+		}
+		time.Sleep(5 * reliefInterval)
+		if w.ownerOf("p") != owner {
+			t.Error("the partition changed hands")
+		}
+	})
+}
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -71,7 +71,7 @@
 		case structs.RoomSpent:
 			return nil, serve.ErrSpent
 		}
-		if time.Since(started) > ownerPatience {
+		if time.Since(started) > ownerPatience || k.isolated() {
 			return nil, serve.ErrNoOwner
 		}
 		if !pause(ctx, ownerPause) {
@@ -80,6 +80,12 @@
 	}
 }
 
+// isolated tells that neither the store nor any other instance answers, so that
+// an owner will not be found soon.
+func (k *Keeper) isolated() bool {
+	return !k.health.OK() && len(k.directory.Others()) == 0
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -93,6 +93,9 @@
 	LostBy   InstanceID
 	LostFor  time.Duration
 	Accounts []RoomAccount
+	// Offer asks whether the receiver would take the partition, without giving
+	// it.
+	Offer bool
 }
 
 // RoomAccount is what an owner knows of one program's budget, in tokens.
