--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,9 +84,10 @@
 }
 
 func newServer(
-	registry *targets.Registry, pool *exchange.Pool, budgets serve.Budgets, scope tally.Scope, log *slog.Logger,
+	registry *targets.Registry, pool *exchange.Pool, budgets serve.Budgets, health *feed.Health,
+	scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
-	return serve.New(platform.Codec{}, registry, pool, budgets, scope, log)
+	return serve.New(platform.Codec{}, registry, pool, budgets, health, scope, log)
 }
 
 // edge is a running instance.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -43,6 +43,17 @@
 	}
 }
 
+func TestCallersComeBackLaterWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t)
+	w.server.table.Store(nil)
+	soon := w.do(w.request("GET", "/safe/", "")).header.Get("Retry-After")
+	w.health.away.Store(true)
+	later := w.do(w.request("GET", "/safe/", "")).header.Get("Retry-After")
+	if soon != "0.2" || later != "1.3" {
+		t.Errorf("come back after %s s, and %s s while the store is away", soon, later)
+	}
+}
+
 func TestUnknownRoute(t *testing.T) {
 	w := newWorld(t)
 	if got := w.do(w.request("GET", "/other/", "")); got.status != 404 {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -44,12 +44,16 @@
 	Reserve(ctx context.Context, turn Turn) (Lease, error)
 }
 
+// Health tells whether the platform's store answers this instance.
+type Health interface{ OK() bool }
+
 // Server answers callers. It implements http.Handler.
 type Server struct {
 	codec   call.Codec
 	targets *targets.Registry
 	pool    *exchange.Pool
 	budgets Budgets
+	health  Health
 	log     *slog.Logger
 	metrics metrics
 
@@ -60,11 +64,11 @@
 
 // New makes a Server without settings: until SetTable it refuses all requests.
 func New(
-	codec call.Codec, registry *targets.Registry, pool *exchange.Pool, budgets Budgets,
+	codec call.Codec, registry *targets.Registry, pool *exchange.Pool, budgets Budgets, health Health,
 	scope tally.Scope, log *slog.Logger,
 ) *Server {
 	return &Server{
-		codec: codec, targets: registry, pool: pool, budgets: budgets,
+		codec: codec, targets: registry, pool: pool, budgets: budgets, health: health,
 		log: log, metrics: newMetrics(scope),
 	}
 }
@@ -96,6 +100,15 @@
 	s.finish(x)
 }
 
+// retryAfter is when a caller should come back whose request waits for the
+// store: soon if it answers, else about when its outage may be over.
+func (s *Server) retryAfter(soon time.Duration) time.Duration {
+	if s.health.OK() {
+		return soon
+	}
+	return retryOutage
+}
+
 // finish logs and counts a request, and cuts the connection if the answer
 // could not be completed.
 func (s *Server) finish(x *transfer) {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -30,11 +30,14 @@
 const (
 	// retrySettings is about the time in which a starting instance reads the
 	// settings.
-	retrySettings = 300 * time.Millisecond
+	retrySettings = 200 * time.Millisecond
 	// retryTarget is about the time in which a busy target frees a slot.
 	retryTarget = 150 * time.Millisecond
 	// retryBudget is about the time of a change of a budget's owner.
 	retryBudget = 200 * time.Millisecond
+	// retryOutage is given instead of the shorter times while the store is
+	// away: its outages last seconds, and callers have few tries.
+	retryOutage = 1300 * time.Millisecond
 )
 
 const (
@@ -117,7 +120,7 @@
 	}
 	x.table = x.server.table.Load()
 	if x.table == nil {
-		x.refuse(http.StatusServiceUnavailable, reasonNoSettings, retrySettings)
+		x.refuse(http.StatusServiceUnavailable, reasonNoSettings, x.server.retryAfter(retrySettings))
 		return false
 	}
 	var err error
@@ -212,7 +215,7 @@
 		x.reason = reasonCallerLeft
 	case err != nil:
 		x.detail = err.Error()
-		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, retryBudget)
+		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
 	default:
 		defer func() { lease.Settle(x.delivered * perEvent) }()
 		x.forward()
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,8 +63,14 @@
 	front   *httptest.Server
 	targets *targets.Registry
 	budgets *budgets
+	health  health
 }
 
+// health is a Health that a test sets.
+type health struct{ away atomic.Bool }
+
+func (h *health) OK() bool { return !h.away.Load() }
+
 // testRoutes has a route of each kind.
 func testRoutes() route.Settings {
 	engine := []route.Split{{Service: "engine", Weight: 1}}
@@ -97,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	work.Go(func() { pool.Run(ctx) })
-	w.server = New(platform.Codec{}, w.targets, pool, w.budgets, tally.NoopScope, slog.New(slog.DiscardHandler))
+	w.server = New(platform.Codec{}, w.targets, pool, w.budgets, &w.health, tally.NoopScope, slog.New(slog.DiscardHandler))
 	w.server.SetTable(route.NewTable(testRoutes()))
 	w.front = httptest.NewUnstartedServer(w.server)
 	w.front.Listener = WatchListener(w.front.Listener)
