--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -72,6 +72,10 @@
 		case awaitSettle:
 			return
 		case awaitRecord:
+			if a.leased == 0 && !k.health.OK() {
+				k.refuseAsks(a, structs.RoomNoRecord, "")
+				return
+			}
 			a.wantRecord(next.most)
 			k.startWrite(p, a)
 			return
@@ -83,7 +87,7 @@
 // refuseAsks answers all asks of an account alike. The mutex is held.
 func (k *Keeper) refuseAsks(a *account, outcome structs.RoomOutcome, owner structs.InstanceID) {
 	for _, waiting := range a.asks {
-		if outcome == structs.RoomUnavailable {
+		if outcome == structs.RoomNoRecord {
 			k.metrics.unavailable.Inc(1)
 		}
 		waiting.reply(outcome, owner)
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -17,6 +17,9 @@
 	// ownerPatience bounds the search for an owner: its loss is noticed within
 	// the liveness timeout, and a claim takes two calls to the store.
 	ownerPatience = time.Second
+	// roomPatience bounds the wait for room that other turns of the program may
+	// give back, which run for some hundred milliseconds.
+	roomPatience = 1500 * time.Millisecond
 	// ownerPause is the time between two tries to find an owner.
 	ownerPause = 20 * time.Millisecond
 )
@@ -51,9 +54,21 @@
 }
 
 // Reserve waits for room for a turn. It returns serve.ErrSpent if the budget
-// has none, serve.ErrNoOwner if nobody can hand any out for now, or the error
-// of the context.
+// has none, serve.ErrNoRoom if turns under way hold what is left,
+// serve.ErrNoOwner if nobody can hand any out for now, or the error of the
+// context.
 func (k *Keeper) Reserve(ctx context.Context, turn serve.Turn) (serve.Lease, error) {
+	wait, cancel := context.WithTimeout(ctx, roomPatience)
+	defer cancel()
+	lease, err := k.reserve(wait, turn)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
+		return nil, serve.ErrNoRoom
+	}
+	return lease, err
+}
+
+// reserve waits for room until the context ends.
+func (k *Keeper) reserve(ctx context.Context, turn serve.Turn) (serve.Lease, error) {
 	p := k.partitionOf(turn.Program)
 	request := structs.RoomRequest{
 		Partition: p.number, Program: turn.Program, Budget: turn.Budget, Most: turn.Most, Retention: turn.Retention,
@@ -70,6 +85,8 @@
 			return heldRoom{k, request}, nil
 		case structs.RoomSpent:
 			return nil, serve.ErrSpent
+		case structs.RoomNoRecord:
+			return nil, serve.ErrNoOwner
 		}
 		if time.Since(started) > ownerPatience || k.isolated() {
 			return nil, serve.ErrNoOwner
--- a/internal/budget/write.go
+++ b/internal/budget/write.go
@@ -141,7 +141,7 @@
 	}
 	for _, a := range own.accounts {
 		if len(a.asks) > 0 && a.leased == 0 {
-			k.refuseAsks(a, structs.RoomUnavailable, "")
+			k.refuseAsks(a, structs.RoomNoRecord, "")
 		}
 	}
 	return true
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -21,6 +21,7 @@
 	reasonTargetsFull  reason = "targets_refused"
 	reasonBudgetSpent  reason = "budget_spent"
 	reasonBudgetOwner  reason = "budget_owner_unreachable"
+	reasonBudgetHeld   reason = "budget_held_by_turns_under_way"
 	reasonTimedOut     reason = "timed_out"
 	reasonNotSent      reason = "timed_out_before_send"
 	reasonBroken       reason = "target_broke_off"
@@ -56,7 +57,7 @@
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
-		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonTimedOut,
+		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetHeld, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -193,6 +193,22 @@
 	}
 }
 
+func TestRepeatableRequestGoesOnFromASilentTarget(t *testing.T) {
+	w := newWorld(t)
+	ended := make(chan struct{}, 8)
+	silent := w.target("silent", "app", func(_ int, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- struct{}{}
+	})
+	w.target("answers", "app", serveText("ok"))
+	for silent.count() == 0 {
+		if got := w.do(w.request("GET", "/quick/", "")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	<-ended // the work at the silent target was ended
+}
+
 func TestCallerThatLeavesEndsTheWork(t *testing.T) {
 	w := newWorld(t)
 	started, ended := make(chan struct{}), make(chan struct{})
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -22,6 +23,9 @@
 var (
 	// ErrSpent tells that the program's budget has no room for the turn.
 	ErrSpent = errors.New("the program's budget is spent")
+	// ErrNoRoom tells that other turns of the program hold what is left of its
+	// budget for longer than a turn waits.
+	ErrNoRoom = errors.New("turns under way hold what is left of the program's budget")
 	// ErrNoOwner tells that nobody can hand out room for now.
 	ErrNoOwner = errors.New("no owner of the program's budget can be reached")
 )
@@ -213,6 +217,8 @@
 			lease.Settle(0)
 		}
 		x.reason = reasonCallerLeft
+	case errors.Is(err, ErrNoRoom):
+		x.refuse(http.StatusServiceUnavailable, reasonBudgetHeld, retryBudget)
 	case err != nil:
 		x.detail = err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
@@ -292,8 +298,10 @@
 	header := x.server.codec.Outgoing(x.request.Header, call.Send{
 		Target: target.ID, TimeLeft: time.Until(x.deadline), ResumeAfter: resumeAfter,
 	})
+	ctx, cancel := x.sendContext()
+	defer cancel()
 	var answer call.Answer
-	resp, err := x.server.pool.Do(x.ctx, exchange.Request{
+	resp, err := x.server.pool.Do(ctx, exchange.Request{
 		Address: target.Address, Method: x.request.Method, URI: x.uri(),
 		Host: x.request.Host, Header: header, Body: x.body,
 	}, func(status int, h http.Header) bool {
@@ -313,6 +321,25 @@
 	return x.deliver(target, resp, answer)
 }
 
+// slowFactor times a route's latency goal is how long a target may take for a
+// request that another one may run as well. Answers that took longer were lost
+// or came from a target in trouble.
+const slowFactor = 2
+
+// slowShare of the time left is the most that is spent on a first target.
+const slowShare = 0.6
+
+// sendContext bounds one send: a repeatable request goes on to another target
+// while there is time for it.
+func (x *transfer) sendContext() (context.Context, context.CancelFunc) {
+	patience := slowFactor * x.route.LatencyGoal
+	another := x.route.Kind == route.Repeatable && len(x.ran)+1 < x.route.MaxTargets
+	if !another || patience <= 0 || patience > time.Duration(slowShare*float64(time.Until(x.deadline))) {
+		return x.ctx, func() {}
+	}
+	return context.WithTimeout(x.ctx, patience)
+}
+
 // sendFailed decides what follows a send without an answer.
 func (x *transfer) sendFailed(target *targets.Target, err error) bool {
 	x.detail = err.Error()
@@ -329,9 +356,17 @@
 		return true
 	}
 	x.markRan(target)
+	x.passOver(target, err)
 	return x.mayRepeat()
 }
 
+// passOver keeps a request from a target that did not answer in time.
+func (x *transfer) passOver(target *targets.Target, err error) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+		x.tried = append(x.tried, target.ID)
+	}
+}
+
 // unreachable notes a target that cannot be connected to. It has ended or is
 // cut off, so it no longer counts among those that run the request.
 func (x *transfer) unreachable(target *targets.Target) {
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -85,6 +85,8 @@
 				Timeout: 5 * time.Second},
 			{Name: "safe", Host: testHost, Prefix: "/safe/", Kind: route.Repeatable, Splits: app, MaxTargets: 2,
 				Timeout: 5 * time.Second},
+			{Name: "quick", Host: testHost, Prefix: "/quick/", Kind: route.Repeatable, Splits: app, MaxTargets: 2,
+				Timeout: 5 * time.Second, LatencyGoal: 20 * time.Millisecond},
 			{Name: "once", Host: testHost, Prefix: "/once/", Kind: route.Once, Splits: app, MaxTargets: 2,
 				Timeout: 5 * time.Second},
 			{Name: "short", Host: testHost, Prefix: "/short/", Kind: route.Once, Splits: app, MaxTargets: 1,
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -26,6 +26,9 @@
 	// RoomUnavailable: the receiver can neither hand out room nor claim the
 	// partition, since it does not reach the store.
 	RoomUnavailable RoomOutcome = 4
+	// RoomNoRecord: the owner cannot write the record that the turn needs,
+	// since it does not reach the store.
+	RoomNoRecord RoomOutcome = 5
 )
 
 // RoomLease names room that was handed out: the instance that runs the turn
