--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -18,6 +18,9 @@
 	// claimAttempts bounds the tries of one claim; others may write between a
 	// read and the append.
 	claimAttempts = 4
+	// claimPause is the time between two claims of a partition that the store
+	// does not serve; each costs calls.
+	claimPause = 400 * time.Millisecond
 	// lostRetention is how long accounts from records are kept for programs
 	// that do not come back; a turn that comes sets its route's.
 	lostRetention = 60 * time.Second
@@ -29,7 +32,7 @@
 
 // startClaim claims a partition in the background. The mutex is held.
 func (k *Keeper) startClaim(p *partition) {
-	if p.claiming || k.leaving.Load() {
+	if p.claiming || k.leaving.Load() || time.Now().Before(p.claimAfter) {
 		return
 	}
 	p.claiming = true
@@ -41,6 +44,9 @@
 	err := k.tryClaim(p)
 	k.mu.Lock()
 	p.claiming = false
+	if err != nil {
+		p.claimAfter = time.Now().Add(claimPause)
+	}
 	parked := p.parked
 	p.parked = nil
 	owned := p.own != nil
@@ -83,15 +89,18 @@
 // retryable tells whether a claim may succeed when it is tried again at once:
 // somebody wrote meanwhile, or the outcome is unknown.
 func retryable(err error) bool {
-	return !errors.Is(err, platform.ErrBusy) && !errors.Is(err, platform.ErrRejected)
+	return !errors.Is(err, platform.ErrBusy) && !errors.Is(err, platform.ErrRejected) && !errors.Is(err, errUnread)
 }
 
+// errUnread tells that the partition could not be read before a claim.
+var errUnread = errors.New("the partition could not be read")
+
 // claimOnce reads the partition and claims it if nobody else has. It returns
 // true if the partition has an owner now.
 func (k *Keeper) claimOnce(p *partition) (bool, error) {
 	now, err := k.read(p)
 	if err != nil {
-		return false, err
+		return false, errors.Mark(err, errUnread)
 	}
 	if now.owner != nil && k.adopt(p, now.owner) {
 		return true, nil
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -71,6 +71,8 @@
 	// claiming tells that a claim is under way; parked asks wait for it.
 	claiming bool
 	parked   []parkedAsk
+	// claimAfter is when a claim may be tried again after one that failed.
+	claimAfter time.Time
 }
 
 // parkedAsk is an ask that waits for a claim.
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -99,8 +99,8 @@
 				break
 			}
 		}
-		if !errors.Is(err, serve.ErrNoOwner) {
-			t.Errorf("got %v, want %v", err, serve.ErrNoOwner)
+		if !errors.Is(err, serve.ErrStoreAway) {
+			t.Errorf("got %v, want %v", err, serve.ErrStoreAway)
 		}
 		if got := w.delivered["p"]; got > unrecorded(testBudget, testMost) {
 			t.Errorf("delivered %d tokens without a record, allowed are %d", got, unrecorded(testBudget, testMost))
@@ -224,3 +224,28 @@
 		}
 	})
 }
+
+// While the store does not serve a partition without an owner, turns are
+// refused at once and the store is not asked for each of them.
+func TestPartitionThatTheStoreDoesNotServe(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.kill(w.ownerOf("p"))
+		w.store.Set(metastore.Fault{Reset: true})
+		before := w.store.Calls()
+		begun := time.Now()
+		const turns = 20
+		for i := range turns {
+			err := w.turn(w.all()[i%2], "p", testBudget, testMost, 70, 0)
+			if !errors.Is(err, serve.ErrStoreAway) && !errors.Is(err, serve.ErrNoOwner) {
+				t.Fatalf("got %v", err)
+			}
+		}
+		took := time.Since(begun)
+		if limit := int(4*(took/claimPause+2)) * claimAttempts; w.store.Calls()-before > limit {
+			t.Errorf("%d calls to the store in %s", w.store.Calls()-before, took)
+		}
+		if took > turns*ownerPatience/2 {
+			t.Errorf("%d refusals took %s", turns, took)
+		}
+	})
+}
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -20,6 +20,9 @@
 	// roomPatience bounds the wait for room that other turns of the program may
 	// give back, which run for some hundred milliseconds.
 	roomPatience = 1500 * time.Millisecond
+	// maxUnable is how many instances are asked that cannot claim a partition:
+	// the store then does not serve it to anyone.
+	maxUnable = 3
 	// ownerPause is the time between two tries to find an owner.
 	ownerPause = 20 * time.Millisecond
 )
@@ -55,8 +58,8 @@
 
 // Reserve waits for room for a turn. It returns serve.ErrSpent if the budget
 // has none, serve.ErrNoRoom if turns under way hold what is left,
-// serve.ErrNoOwner if nobody can hand any out for now, or the error of the
-// context.
+// serve.ErrStoreAway if a record is needed that the store does not take,
+// serve.ErrNoOwner if no owner is found, or the error of the context.
 func (k *Keeper) Reserve(ctx context.Context, turn serve.Turn) (serve.Lease, error) {
 	wait, cancel := context.WithTimeout(ctx, roomPatience)
 	defer cancel()
@@ -86,7 +89,10 @@
 		case structs.RoomSpent:
 			return nil, serve.ErrSpent
 		case structs.RoomNoRecord:
-			return nil, serve.ErrNoOwner
+			return nil, serve.ErrStoreAway
+		}
+		if len(search.unable) >= maxUnable {
+			return nil, serve.ErrStoreAway
 		}
 		if time.Since(started) > ownerPatience || k.isolated() {
 			return nil, serve.ErrNoOwner
@@ -118,7 +124,7 @@
 type search struct {
 	keeper    *Keeper
 	partition *partition
-	// unable are instances that could neither hand out room nor claim.
+	// unable are the instances that could neither hand out room nor claim.
 	unable []structs.InstanceID
 	// suspect is an owner that did not answer this instance.
 	suspect structs.InstanceID
@@ -142,7 +148,7 @@
 	}
 	k.mu.Unlock()
 	if asked == "" {
-		return answer{outcome: structs.RoomUnavailable}, nil
+		return s.nobody(), nil
 	}
 	if asked != k.self.ID {
 		message := *request
@@ -151,6 +157,14 @@
 	return s.await(ctx, request, asked, answers)
 }
 
+// nobody is the answer if there is no instance left to ask.
+func (s *search) nobody() answer {
+	if len(s.unable) > 0 {
+		return answer{outcome: structs.RoomNoRecord}
+	}
+	return answer{outcome: lost}
+}
+
 // choose is whom to ask: the known owner, or the instance that should claim
 // the partition. The mutex is held.
 func (s *search) choose() structs.InstanceID {
@@ -166,7 +180,6 @@
 			return id
 		}
 	}
-	s.unable = nil
 	return ""
 }
 
@@ -274,7 +287,7 @@
 			k.peers.Probe(p.owner)
 		}
 		reply(structs.RoomNotOwner, p.owner)
-	case k.leaving.Load() || !k.health.OK():
+	case k.leaving.Load() || !k.health.OK() || time.Now().Before(p.claimAfter):
 		reply(structs.RoomUnavailable, "")
 	default:
 		p.parked = append(p.parked, parkedAsk{r, reply})
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -21,6 +21,7 @@
 	reasonTargetsFull  reason = "targets_refused"
 	reasonBudgetSpent  reason = "budget_spent"
 	reasonBudgetOwner  reason = "budget_owner_unreachable"
+	reasonBudgetRecord reason = "budget_record_not_written"
 	reasonBudgetHeld   reason = "budget_held_by_turns_under_way"
 	reasonTimedOut     reason = "timed_out"
 	reasonNotSent      reason = "timed_out_before_send"
@@ -57,7 +58,8 @@
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
-		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetHeld, reasonTimedOut,
+		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
+		reasonBudgetHeld, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -26,7 +26,10 @@
 	// ErrNoRoom tells that other turns of the program hold what is left of its
 	// budget for longer than a turn waits.
 	ErrNoRoom = errors.New("turns under way hold what is left of the program's budget")
-	// ErrNoOwner tells that nobody can hand out room for now.
+	// ErrStoreAway tells that the program needs a record that the store does
+	// not take for now.
+	ErrStoreAway = errors.New("the program's budget needs a record that the store does not take")
+	// ErrNoOwner tells that nobody who hands out room can be reached.
 	ErrNoOwner = errors.New("no owner of the program's budget can be reached")
 )
 
@@ -219,6 +222,8 @@
 		x.reason = reasonCallerLeft
 	case errors.Is(err, ErrNoRoom):
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetHeld, retryBudget)
+	case errors.Is(err, ErrStoreAway):
+		x.refuse(http.StatusServiceUnavailable, reasonBudgetRecord, retryOutage)
 	case err != nil:
 		x.detail = err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
--- a/internal/standin/metastore/memory.go
+++ b/internal/standin/metastore/memory.go
@@ -20,6 +20,7 @@
 
 	mu    sync.Mutex
 	fault Fault
+	calls int
 	// Work counts the writes that are to take effect late.
 	Work sync.WaitGroup
 }
@@ -34,6 +35,13 @@
 	m.fault = f
 }
 
+// Calls counts the calls so far.
+func (m *Memory) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
 // answerTime is how long the store takes for a call.
 const answerTime = 4 * time.Millisecond
 
@@ -41,6 +49,7 @@
 func (m *Memory) befall(ctx context.Context) (Fault, error) {
 	m.mu.Lock()
 	f := m.fault
+	m.calls++
 	m.mu.Unlock()
 	select {
 	case <-time.After(answerTime + f.Delay):
