--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,13 +35,18 @@
 // metricsInterval is how often tally reports; the platform reads every 5 s.
 const metricsInterval = 2 * time.Second
 
-// Run runs an instance until the context ends and it has drained.
+// Run runs an instance on the machine that the platform's settings file
+// describes, until the context ends and the instance has drained.
 func Run(ctx context.Context, options Options, out io.Writer) error {
-	started := time.Now()
 	machine, err := platform.ReadMachine()
 	if err != nil {
 		return err
 	}
+	return runOn(ctx, machine, options, out)
+}
+
+func runOn(ctx context.Context, machine platform.Machine, options Options, out io.Writer) error {
+	started := time.Now()
 	queue := logqueue.New(out)
 	defer queue.Close()
 	handler := slog.NewJSONHandler(queue, &slog.HandlerOptions{Level: options.LogLevel})
@@ -175,6 +180,8 @@
 	e.spawn(func() { e.follow(ctx, e.instances, instancesWait, 0) })
 	e.spawn(func() { e.register(ctx) })
 	e.spawn(func() { e.askPeers(ctx) })
+	e.spawn(func() { e.writeCopies(ctx) })
+	e.spawn(func() { e.readCopies(ctx) })
 	e.spawn(func() { e.keeper.Run(ctx) })
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -134,14 +134,15 @@
 	return nil
 }
 
-func (e *edge) takeCopies(answer map[string]topicCopy, address string) {
+// takeCopies merges copies of topics from an instance or from the store.
+func (e *edge) takeCopies(answer map[string]topicCopy, source string) {
 	for _, topic := range e.copies() {
 		given, ok := answer[topic.Name]
 		if !ok {
 			continue
 		}
 		if taken := topic.Merge(given.Records); taken > 0 {
-			e.log.Info("records taken from a peer", "topic", topic.Name, "records", taken, "address", address)
+			e.log.Info("records taken from a copy", "topic", topic.Name, "records", taken, "source", source)
 		}
 		if given.Whole {
 			topic.MarkKnown()
