--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,277 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+const (
+	testHost    = "a.example"
+	testTimeout = 20 * time.Second
+	// eventTokens is the number of tokens of an event, eventsPerTurn what a
+	// turn generates, in events.
+	eventTokens   = 10
+	eventsPerTurn = 5
+)
+
+// deployment is some instances with a store and targets.
+type deployment struct {
+	t     *testing.T
+	store *metastore.Service
+	seeds []string
+}
+
+// instance is one life of an instance.
+type instance struct {
+	machine platform.Machine
+	stop    context.CancelFunc
+	done    chan error
+	log     *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: metastore.Start()}
+	t.Cleanup(d.store.Close)
+	d.putSettings(1, "/turns/")
+	engine := httptest.NewServer(http.HandlerFunc(serveTurn))
+	t.Cleanup(engine.Close)
+	d.store.Put(platform.TopicTargets, "e1", fmt.Appendf(nil,
+		`{"Service":"engine","Address":"%s","Zone":"dc","Slots":16,"State":"ready"}`, engine.Listener.Addr()))
+	return d
+}
+
+func (d *deployment) putSettings(version int, prefix string) {
+	d.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
+		`{"Version":%d,"Routes":[{"Name":"turns","Hostname":"%s","PathPrefix":"%s","Type":"streaming","TimeoutMs":4000,
+		"Service":"engine","MaxAttempts":1,"Retain":false,"RetentionS":60,"Resumable":true,"SessionAffinity":true}],
+		"Services":[{"Name":"engine","Engine":{"StrideTokens":%d}}]}`, version, testHost, prefix, eventTokens))
+}
+
+func serveTurn(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Banyanglade-Request-Id", r.Header.Get("Banyanglade-Request-Id"))
+	w.Header().Set("Banyanglade-Server-Signature", "s")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range eventsPerTurn {
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+	}
+}
+
+// freeAddress is an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) start(name string) *instance {
+	d.t.Helper()
+	i := &instance{done: make(chan error, 1), log: new(lockedBuffer), machine: platform.Machine{
+		Name: name, IP: "127.0.0.1", DataCentre: "dc", Region: "r",
+		CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
+		GracePeriod: 3 * time.Second, Seeds: d.seeds,
+		Store: platform.StoreInfo{Address: d.store.Address(), Partitions: 4, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21},
+	}}
+	d.seeds = append(d.seeds, i.machine.PeerAddress)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	options := Options{LogLevel: slog.LevelDebug, PeerKey: "0123456789abcdef"}
+	go func() { i.done <- runOn(ctx, i.machine, options, i.log) }()
+	d.t.Cleanup(cancel)
+	return i
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < testTimeout; time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("waited %s in vain: %s", testTimeout, what)
+}
+
+func (i *instance) ready() bool {
+	resp, err := http.Get("http://" + i.machine.ReadyAddress + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// turn runs a turn of a program and returns the status and the tokens received.
+func (i *instance) turn(t *testing.T, path, program string, budget int) (int, int) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+i.machine.CallerAddress+path, strings.NewReader("prompt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = testHost
+	r.Header.Set("Banyanglade-Request-Id", fmt.Sprint(program, time.Now().UnixNano()))
+	r.Header.Set("Banyanglade-Program-Id", program)
+	r.Header.Set("Banyanglade-Token-Budget", fmt.Sprint(budget))
+	r.Header.Set("Banyanglade-Token-Usage", "100,100")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, strings.Count(string(body), "id: ") * eventTokens
+}
+
+func TestInstancesServeTurnsWithinTheBudgetOverShutdowns(t *testing.T) {
+	d := newDeployment(t)
+	instances := []*instance{d.start("a"), d.start("b"), d.start("c")}
+	for _, i := range instances {
+		eventually(t, "ready", i.ready)
+	}
+	const budget = 500
+	total := 0
+	spend := func(at *instance) int {
+		status, tokens := at.turn(t, "/turns/x", "p", budget)
+		total += tokens
+		return status
+	}
+	for range 4 {
+		eventually(t, "a turn at each instance", func() bool { return spend(instances[0]) == 200 })
+	}
+	instances[0].stop()
+	eventually(t, "not ready once it stops", func() bool { return !instances[0].ready() })
+	if err := <-instances[0].done; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	eventually(t, "the budget is spent", func() bool { return spend(instances[1]) == 402 })
+	if total > budget {
+		t.Errorf("%d tokens of %d", total, budget)
+	}
+	instances[1].stop()
+	instances[2].stop()
+	<-instances[1].done
+	<-instances[2].done
+	// All are gone; a new one knows from the store.
+	last := d.start("d")
+	eventually(t, "ready", last.ready)
+	eventually(t, "an answer on the spent budget", func() bool { return spend(last) == 402 })
+	if total > budget+100 {
+		t.Errorf("%d tokens of %d and a turn's most", total, budget)
+	}
+}
+
+func TestNewSettingsAreInForce(t *testing.T) {
+	d := newDeployment(t)
+	i := d.start("a")
+	eventually(t, "ready", i.ready)
+	if status, _ := i.turn(t, "/other/x", "p", 500); status != 404 {
+		t.Errorf("status %d before the route is there", status)
+	}
+	d.putSettings(2, "/other/")
+	eventually(t, "the new route", func() bool {
+		status, _ := i.turn(t, "/other/x", "p", 500)
+		return status == 200
+	})
+}
+
+func TestInstanceThatStartsWhileTheStoreIsAwayAsksPeers(t *testing.T) {
+	d := newDeployment(t)
+	first := d.start("a")
+	eventually(t, "ready", first.ready)
+	d.store.Set(metastore.Fault{Status: 503})
+	second := d.start("b")
+	eventually(t, "ready without the store", second.ready)
+}
+
+func TestInstanceWithoutSettingsIsNotReadyAndSaysWhenToComeBack(t *testing.T) {
+	d := newDeployment(t)
+	d.store.Set(metastore.Fault{Reset: true})
+	i := d.start("a")
+	eventually(t, "an answer", func() bool {
+		status, _ := i.turn(t, "/turns/x", "p", 500)
+		return status == 503
+	})
+	if i.ready() {
+		t.Error("ready without settings")
+	}
+	d.store.Set(metastore.Fault{})
+	eventually(t, "ready", i.ready)
+}
+
+func TestInstanceReadsCopiesWhileThePartitionOfTheSettingsIsAway(t *testing.T) {
+	d := newDeployment(t)
+	first := d.start("a")
+	eventually(t, "ready", first.ready)
+	eventually(t, "copies are written", func() bool { return d.store.Records(topicCopies) >= 2*4 })
+	first.stop()
+	<-first.done
+	d.seeds = nil
+	d.store.Set(metastore.Fault{Status: 503, Topics: []string{platform.TopicOperator, platform.TopicTargets}})
+	second := d.start("b")
+	eventually(t, "ready from copies", second.ready)
+}
+
+func TestDumpAndMetrics(t *testing.T) {
+	d := newDeployment(t)
+	i := d.start("a")
+	eventually(t, "ready", i.ready)
+	resp, err := http.Get("http://" + i.machine.PeerAddress + "/debug/state")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var got state
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if !got.Ready || got.SettingsVersion != 1 || len(got.Targets) != 1 {
+		t.Errorf("dump %+v", got)
+	}
+	eventually(t, "metrics", func() bool {
+		resp, err := http.Get("http://" + i.machine.PeerAddress + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(body), "banyanglade_store_calls")
+	})
+}
--- a/internal/standin/metastore/service.go
+++ b/internal/standin/metastore/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	Late time.Duration
 	// Delay is added to each call.
 	Delay time.Duration
+	// Topics limits the fault to calls on these topics; nil for all calls.
+	Topics []string
 }
 
 // Service is a running stand-in.
@@ -85,6 +88,19 @@
 	return s.calls[kind]
 }
 
+// Records counts the newest records of all partitions of a topic.
+func (s *Service) Records(topic string) int {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	n := 0
+	for id, p := range s.log.partitions {
+		if id.topic == topic {
+			n += len(p.newest)
+		}
+	}
+	return n
+}
+
 // Put writes a record as an operator or target would.
 func (s *Service) Put(topic, key string, value []byte) {
 	record := append([]byte{byte(len(key))}, key...)
@@ -120,7 +136,7 @@
 		if err != nil {
 			return // the caller is gone
 		}
-		f := s.faultFor(kind)
+		f := s.faultFor(kind, r)
 		time.Sleep(f.Delay)
 		switch {
 		case f.Silent:
@@ -144,10 +160,13 @@
 	}
 }
 
-func (s *Service) faultFor(kind string) Fault {
+func (s *Service) faultFor(kind string, r *http.Request) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[kind]++
+	if s.fault.Topics != nil && !slices.Contains(s.fault.Topics, r.URL.Query().Get("Topic")) {
+		return Fault{}
+	}
 	return s.fault
 }
 
