--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,235 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// scripted is a target that answers each request on a connection with the next
+// text of a script, and counts connections.
+type scripted struct {
+	address string
+	mu      sync.Mutex
+	conns   int
+	// requests are the URIs that it read, in order.
+	requests []string
+}
+
+// newScripted starts a target. The function answer gets the number of the
+// request over all connections, from 1; an empty text ends the connection.
+func newScripted(t *testing.T, answer func(n int) string) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{address: l.Addr().String()}
+	var work sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close() // ends Accept
+		work.Wait()
+	})
+	work.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			work.Go(func() { s.serve(c, answer) })
+		}
+	})
+	return s
+}
+
+func (s *scripted) serve(c net.Conn, answer func(int) string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, r.RequestURI)
+		n := len(s.requests)
+		s.mu.Unlock()
+		text := answer(n)
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
+
+func (s *scripted) counts() (conns, requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns, len(s.requests)
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
+
+func acceptMine(_ int, h http.Header) bool { return h.Get("Id") == "mine" }
+
+// exchangeOnce sends a request and returns the body of its answer.
+func exchangeOnce(ctx context.Context, p *Pool, address string, body []byte) (string, error) {
+	resp, err := p.Do(ctx, Request{Address: address, Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: body}, acceptMine)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close(time.Minute)
+	got, err := io.ReadAll(resp.Body)
+	return string(got), err
+}
+
+func newPool(t *testing.T) *Pool {
+	p := NewPool()
+	t.Cleanup(p.close)
+	return p
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	s := newScripted(t, func(int) string { return okAnswer })
+	p := newPool(t)
+	for range 5 {
+		if got, err := exchangeOnce(t.Context(), p, s.address, nil); got != "ok" || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if conns, _ := s.counts(); conns != 1 {
+		t.Errorf("%d connections", conns)
+	}
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	s := newScripted(t, func(int) string { return okAnswer + "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nextra" })
+	p := newPool(t)
+	for range 3 {
+		if got, err := exchangeOnce(t.Context(), p, s.address, nil); got != "ok" || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if conns, _ := s.counts(); conns != 3 {
+		t.Errorf("%d connections, want one for each request", conns)
+	}
+}
+
+func TestAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 4\r\n\r\nlate"
+	s := newScripted(t, func(int) string { return late + okAnswer })
+	p := newPool(t)
+	for range 2 {
+		if got, err := exchangeOnce(t.Context(), p, s.address, nil); got != "ok" || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if conns, _ := s.counts(); conns != 2 {
+		t.Errorf("%d connections: one that carried another's answer was reused", conns)
+	}
+}
+
+func TestHowFarASendGot(t *testing.T) {
+	p := newPool(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := closed.Addr().String()
+	_ = closed.Close() // nothing listens there any more
+	if _, err := exchangeOnce(t.Context(), p, address, nil); !errors.Is(err, ErrNotSent) {
+		t.Errorf("without a listener: %v", err)
+	}
+	for name, answer := range map[string]string{
+		"no answer":     "",
+		"no HTTP":       "garbage\r\n\r\n",
+		"half a head":   "HTTP/1.1 200 OK\r\nId: mi",
+		"other answers": strings.Repeat("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n", maxInformational),
+	} {
+		s := newScripted(t, func(n int) string {
+			if n > 1 {
+				return ""
+			}
+			return answer
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		_, err := exchangeOnce(ctx, p, s.address, nil)
+		cancel()
+		if !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, requests := s.counts(); requests != 1 {
+			t.Errorf("%s: sent %d times", name, requests)
+		}
+	}
+}
+
+func TestCutBodiesAreNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\nContent-Length: 10\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		sent := false
+		s := newScripted(t, func(int) string {
+			if sent {
+				return ""
+			}
+			sent = true
+			return answer
+		})
+		p := newPool(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		if _, err := exchangeOnce(ctx, p, s.address, nil); err == nil {
+			t.Errorf("%s: a cut body passed for whole", name)
+		}
+		cancel()
+	}
+}
+
+func TestAnswerBeforeALongBodyIsRead(t *testing.T) {
+	s := newScripted(t, func(int) string { return okAnswer })
+	p := newPool(t)
+	long := bytes.Repeat([]byte("x"), 8<<20)
+	if got, err := exchangeOnce(t.Context(), p, s.address, long); got != "ok" || err != nil {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if got, err := exchangeOnce(t.Context(), p, s.address, nil); got != "ok" || err != nil {
+		t.Fatalf("the next request: got %q, %v", got, err)
+	}
+}
+
+func TestExpiredConnectionsAreNotUsed(t *testing.T) {
+	s := newScripted(t, func(int) string { return okAnswer })
+	p := newPool(t)
+	resp, err := p.Do(t.Context(), Request{Address: s.address, Method: "GET", URI: "/", Host: "h"}, acceptMine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	resp.Close(time.Nanosecond)
+	if _, err := exchangeOnce(t.Context(), p, s.address, nil); err != nil {
+		t.Fatal(err)
+	}
+	if conns, _ := s.counts(); conns != 2 {
+		t.Errorf("%d connections", conns)
+	}
+}
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Formatting, vet and staticcheck over the whole module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-unformatted=$(gofmt -l cmd internal)
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
 	echo "gofmt would change:" >&2
 	echo "$unformatted" >&2
