--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -6,9 +6,13 @@
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
-// chunkTurns is how many turns a record makes room for beyond the one that
-// needs it. A loss of accounts costs a program what is left of it.
-const chunkTurns = 2
+// A record makes room for up to chunkTurns whole turns beyond the one that needs
+// it, within chunkShare of the budget: a loss of accounts costs the program what
+// is left of it, while a record costs one append, shared with others.
+const (
+	chunkTurns = 2
+	chunkShare = 0.125
+)
 
 // account is one program's budget at its owner. All counts are tokens.
 type account struct {
@@ -120,7 +124,8 @@
 // wantRecord asks for a record that makes room for a turn and some more.
 func (a *account) wantRecord(most int) {
 	need := a.used + a.leased + most
-	a.want = max(a.want, min(a.ceiling(), need+chunkTurns*most))
+	turns := min(chunkTurns, int(chunkShare*float64(a.budget))/max(most, 1))
+	a.want = max(a.want, min(a.ceiling(), need+turns*most))
 }
 
 // settle ends a lease. It tells whether there was one.
