--- a/spec/check.sh
+++ b/spec/check.sh
@@ -48,6 +48,8 @@
 budget|3|MAXRES=1 MAXRESTART=0|spending within budget: duplicates, losses
 budget|3|MAXRES=1 MAXFAULT=0|spending within budget: a restart
 budget|3|MAXFAULT=0 MAXRESTART=0|spending within budget: two chunks an epoch
+room|3||generated within the budget and the most of one turn: deaths, handovers, claims
+room|3|N=2 MAXCLAIM=5 MAXHAND=2 MAXDIE=4|the same with more claims and deaths
 config|5||one accepted value a version, verdicts true
 config|7||each operator hears a verdict once faults cease
 config|cycle||every run is finite, so end states are reached
@@ -79,6 +81,14 @@
 budget|3|MAXRES=1 MAXRESTART=0 SETTLED_TWICE|duplicate of Settled frees again
 budget|3|MAXRES=1 MAXRESTART=0 HANDED_EARLY|successor handed a Reserve before it counts
 budget|3|MAXRES=1 MAXFAULT=0 SUCCESSOR_BY_NAME|successor named by instance, not by process
+room|3|NO_CHARGE|a program without a record counted as unused after a loss
+room|3|MAXCLAIM=4 MAXDIE=3 NO_FENCE|the store takes appends of earlier epochs
+room|3|NO_CONDITION|a claim of a partition that others wrote to since it was read
+room|3|MAXCLAIM=4 STALE_EXACT|accounts handed over taken for exact behind another claim
+room|3|ROOM_BEFORE_RECORD|room handed out before its record has landed
+room|3|OWNER_GOES_ON|an owner goes on after it handed its accounts over
+room|3|HANDED_TWICE|accounts handed to two instances
+room|3|MAXCLAIM=4 MAXDIE=3 CEILING_TWICE|the most of two turns added after a loss
 config|5|NO_READBACK|"accepted" on the append's reply
 config|5|STALE_BASE|stale base accepted
 config|5|LAST_COPY|verdict taken from a duplicate
