--- a/internal/cli/args.go
+++ b/internal/cli/args.go
@@ -14,6 +14,7 @@
 	Status   *StatusCommand   `arg:"subcommand:status" help:"tell whether an instance is healthy and ready"`
 	Dump     *DumpCommand     `arg:"subcommand:dump" help:"print the state of an instance as JSON"`
 	Drain    *DrainCommand    `arg:"subcommand:drain" help:"shut an instance down gracefully"`
+	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"tell the story of a request or program from logs"`
 	Version  *VersionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/banyanglade/banyanglade/internal/explain"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
@@ -54,6 +55,28 @@
 	}
 }
 
+// A refused request is explained from its id alone; a served one has no line at
+// the usual level.
+func TestLogNamesRefusedRequests(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", serveText("ok"))
+	w.do(w.request("GET", "/safe/", "", "Banyanglade-Request-Id", "served1"))
+	w.do(w.request("GET", "/other/", "", "Banyanglade-Request-Id", "noroute1"))
+	w.server.table.Store(nil)
+	w.do(w.request("GET", "/safe/", "", "Banyanglade-Request-Id", "nosettings1"))
+	w.front.Close() // the handlers have returned
+	log := w.log.String()
+	for id, reason := range map[string]reason{"noroute1": reasonNoRoute, "nosettings1": reasonNoSettings} {
+		story, err := explain.Read(id, strings.NewReader(log))
+		if err != nil || !strings.Contains(log, id) || strings.Contains(story.Cause(), "No line") {
+			t.Errorf("%s (%s): %s, %v", id, reason, story.Cause(), err)
+		}
+	}
+	if strings.Contains(log, "served1") {
+		t.Error("a served request was logged")
+	}
+}
+
 func TestUnknownRoute(t *testing.T) {
 	w := newWorld(t)
 	if got := w.do(w.request("GET", "/other/", "")); got.status != 404 {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -125,11 +125,6 @@
 		x.detail = "both a length and chunks"
 		return false
 	}
-	x.table = x.server.table.Load()
-	if x.table == nil {
-		x.refuse(http.StatusServiceUnavailable, reasonNoSettings, x.server.retryAfter(retrySettings))
-		return false
-	}
 	var err error
 	x.call, err = x.server.codec.Request(x.request.Header)
 	if err != nil {
@@ -137,6 +132,11 @@
 		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return false
 	}
+	x.table = x.server.table.Load()
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, reasonNoSettings, x.server.retryAfter(retrySettings))
+		return false
+	}
 	found, ok := x.table.Match(x.request.Host, rawPath(x.uri()))
 	if !ok {
 		x.refuse(http.StatusNotFound, reasonNoRoute, 0)
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -64,6 +64,25 @@
 	targets *targets.Registry
 	budgets *budgets
 	health  health
+	log     *logBuffer
+}
+
+// logBuffer keeps the log.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 // health is a Health that a test sets.
@@ -101,12 +120,12 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, targets: targets.NewRegistry("dc"), budgets: new(budgets)}
+	w := &world{t: t, targets: targets.NewRegistry("dc"), budgets: new(budgets), log: new(logBuffer)}
 	pool := exchange.NewPool()
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	work.Go(func() { pool.Run(ctx) })
-	w.server = New(platform.Codec{}, w.targets, pool, w.budgets, &w.health, tally.NoopScope, slog.New(slog.DiscardHandler))
+	w.server = New(platform.Codec{}, w.targets, pool, w.budgets, &w.health, tally.NoopScope, slog.New(slog.NewJSONHandler(w.log, nil)))
 	w.server.SetTable(route.NewTable(testRoutes()))
 	w.front = httptest.NewUnstartedServer(w.server)
 	w.front.Listener = WatchListener(w.front.Listener)
