--- a/internal/platform/harness_test.go
+++ b/internal/logclient/harness_test.go
@@ -1,4 +1,4 @@
-package platform
+package logclient
 
 import (
 	"context"
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -17,8 +17,8 @@
 
 	"github.com/banyanglade/banyanglade/internal/httpapi"
 	"github.com/banyanglade/banyanglade/internal/instance"
+	"github.com/banyanglade/banyanglade/internal/logclient"
 	"github.com/banyanglade/banyanglade/internal/peer"
-	"github.com/banyanglade/banyanglade/internal/platform"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/target"
 )
@@ -95,8 +95,8 @@
 type adapters struct {
 	http    *httpapi.Server
 	peers   *peer.Transport
-	log     *platform.Log
-	members *platform.Members
+	log     *logclient.Log
+	members *logclient.Members
 	targets *target.Runner
 }
 
@@ -126,12 +126,12 @@
 	if err != nil {
 		return nil, err
 	}
-	a.log, err = platform.NewLog(ctx, platform.LogConfig{URL: p.Config.LogURL},
+	a.log, err = logclient.NewLog(ctx, logclient.LogConfig{URL: p.Config.LogURL},
 		p.Loop.post, scope.SubScope("log"), p.Log)
 	if err != nil {
 		return nil, err
 	}
-	a.members, err = platform.NewMembers(ctx, platform.MembersConfig{URL: p.Config.MembersURL},
+	a.members, err = logclient.NewMembers(ctx, logclient.MembersConfig{URL: p.Config.MembersURL},
 		p.Loop.post, scope.SubScope("members"), p.Log)
 	if err != nil {
 		return nil, err
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -18,6 +18,10 @@
 
 const eventStream = "text/event-stream"
 
+// maxBuffered is the size of the longest plain answer, in bytes, that is held
+// until it is whole; a longer one is passed on as it arrives.
+const maxBuffered = 1 << 20
+
 // deliver passes a target's answer on and tells whether another send may
 // follow.
 func (x *transfer) deliver(target *targets.Target, resp *exchange.Response, answer call.Answer) bool {
--- /dev/null
+++ b/internal/serve/send.go
@@ -0,0 +1,202 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+// maxRefusals bounds the targets that are asked one after the other while each
+// refuses: each costs a round trip.
+const maxRefusals = 4
+
+// forward sends the request to targets until one has answered it.
+func (x *transfer) forward() {
+	for x.attempt() {
+	}
+}
+
+// attempt makes one send and tells whether another may follow.
+func (x *transfer) attempt() bool {
+	if x.ctx.Err() != nil {
+		x.giveUpInTime()
+		return false
+	}
+	target := x.pick()
+	if target == nil {
+		x.giveUp(reasonNoTarget)
+		return false
+	}
+	defer x.server.targets.End(target)
+	return x.send(target)
+}
+
+// pick chooses a target. A request that may have run at as many targets as its
+// route allows can only be sent to one of those again.
+func (x *transfer) pick() *targets.Target {
+	if len(x.ran) > 0 {
+		if same := x.pickSame(); same != nil {
+			return same
+		}
+		x.forgetEnded()
+		if len(x.ran) >= x.route.MaxTargets {
+			return nil
+		}
+	}
+	want := targets.Want{Service: x.service, Key: x.placementKey(), Exclude: x.tried}
+	return x.server.targets.Pick(want, time.Now())
+}
+
+// pickSame is the target that ran the request last, unless it was given up.
+func (x *transfer) pickSame() *targets.Target {
+	last := x.ran[len(x.ran)-1]
+	if slices.Contains(x.tried, last) {
+		return nil
+	}
+	return x.server.targets.PickSame(last)
+}
+
+// forgetEnded drops the targets that have left from those that run the request.
+func (x *transfer) forgetEnded() {
+	x.ran = slices.DeleteFunc(x.ran, func(id string) bool { return !x.server.targets.Has(id) })
+}
+
+// send sends the request to a target and handles what comes back. It tells
+// whether another send may follow.
+func (x *transfer) send(target *targets.Target) bool {
+	x.sends++
+	x.lastTarget = target.ID
+	resumeAfter := ""
+	if x.headSent {
+		resumeAfter = x.lastEvent
+	}
+	header := x.server.codec.Outgoing(x.request.Header, call.Send{
+		Target: target.ID, TimeLeft: time.Until(x.deadline), ResumeAfter: resumeAfter,
+	})
+	ctx, cancel := x.sendContext()
+	defer cancel()
+	var answer call.Answer
+	resp, err := x.server.pool.Do(ctx, exchange.Request{
+		Address: target.Address, Method: x.request.Method, URI: x.uri(),
+		Host: x.request.Host, Header: header, Body: x.body,
+	}, func(status int, h http.Header) bool {
+		answer = x.server.codec.Answer(status, h)
+		return answer.RequestID == x.call.ID || (answer.RequestID == "" && answer.NotRun)
+	})
+	if err != nil {
+		return x.sendFailed(target, err)
+	}
+	defer func() { resp.Close(answer.KeepAlive) }()
+	if answer.Load != nil {
+		x.server.targets.Report(target, *answer.Load, time.Now())
+	}
+	if answer.NotRun {
+		return x.refusedBy(target, resp)
+	}
+	return x.deliver(target, resp, answer)
+}
+
+// slowFactor times a route's latency goal is how long a target may take for a
+// request that another one may run as well. Answers that took longer were lost
+// or came from a target in trouble.
+const slowFactor = 2
+
+// slowShare of the time left is the most that is spent on a first target.
+const slowShare = 0.6
+
+// sendContext bounds one send: a repeatable request goes on to another target
+// while there is time for it.
+func (x *transfer) sendContext() (context.Context, context.CancelFunc) {
+	patience := slowFactor * x.route.LatencyGoal
+	another := x.route.Kind == route.Repeatable && len(x.ran)+1 < x.route.MaxTargets
+	if !another || patience <= 0 || patience > time.Duration(slowShare*float64(time.Until(x.deadline))) {
+		return x.ctx, func() {}
+	}
+	return context.WithTimeout(x.ctx, patience)
+}
+
+// sendFailed decides what follows a send without an answer.
+func (x *transfer) sendFailed(target *targets.Target, err error) bool {
+	x.detail = err.Error()
+	if x.ctx.Err() != nil {
+		if !errors.Is(err, exchange.ErrNotSent) {
+			x.markRan(target)
+		}
+		x.giveUpInTime()
+		return false
+	}
+	x.server.targets.Failed(target, time.Now())
+	if errors.Is(err, exchange.ErrNotSent) {
+		x.unreachable(target)
+		return true
+	}
+	x.markRan(target)
+	x.passOver(target, err)
+	return x.mayRepeat()
+}
+
+// passOver keeps a request from a target that did not answer in time.
+func (x *transfer) passOver(target *targets.Target, err error) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+		x.tried = append(x.tried, target.ID)
+	}
+}
+
+// unreachable notes a target that cannot be connected to. It has ended or is
+// cut off, so it no longer counts among those that run the request.
+func (x *transfer) unreachable(target *targets.Target) {
+	x.tried = append(x.tried, target.ID)
+	x.ran = slices.DeleteFunc(x.ran, func(id string) bool { return id == target.ID })
+}
+
+// hasRun tells whether a target may have begun to run the request.
+func (x *transfer) hasRun() bool { return len(x.ran) > 0 || x.delivered > 0 }
+
+// markRan notes that a target may have begun to run the request.
+func (x *transfer) markRan(target *targets.Target) {
+	if !slices.Contains(x.ran, target.ID) {
+		x.ran = append(x.ran, target.ID)
+	}
+}
+
+// mayRepeat tells whether the request may be sent once more after it may have
+// run; if not, it ends it.
+func (x *transfer) mayRepeat() bool {
+	if x.route.MayRepeat() && x.sends < maxSends {
+		return true
+	}
+	x.giveUp(reasonBroken)
+	return false
+}
+
+// maxSends bounds the sends of one request of any outcome.
+const maxSends = 6
+
+// refusedBy handles a target that did not run the request.
+func (x *transfer) refusedBy(target *targets.Target, resp *exchange.Response) bool {
+	// The body of a refusal is read so that the connection can be kept.
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		x.detail = err.Error()
+	}
+	x.tried = append(x.tried, target.ID)
+	x.refusals++
+	if resp.Status == http.StatusMisdirectedRequest {
+		// Another target has the address by now.
+		x.server.targets.Failed(target, time.Now())
+	}
+	if x.refusals < maxRefusals {
+		return true
+	}
+	x.giveUp(reasonTargetsFull)
+	return false
+}
