--- a/internal/budget/write.go
+++ b/internal/budget/write.go
@@ -103,27 +103,11 @@
 	started := time.Now()
 	wait := writeRetryFirst
 	for {
-		ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
-		_, err := k.store.Append(ctx, platform.Append{
-			Topic: topic, Partition: p.number, Records: b.records, Writer: &b.writer,
-		})
-		cancel()
-		var outOfSequence *platform.SequenceError
-		switch {
-		case err == nil:
-			return nil
-		case k.ctx.Err() != nil:
-			return err
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrRejected):
-			return err
-		case errors.As(err, &outOfSequence):
-			if outOfSequence.Expected == b.writer.Sequence+1 {
-				// An earlier try took effect without an answer.
-				return nil
-			}
+		err := k.appendOnce(p, b)
+		if err == nil || final(err) || k.ctx.Err() != nil {
 			return err
 		}
-		if time.Since(started) > storePatience && !k.endurePartition(p, own) {
+		if time.Since(started) > storePatience && !k.refuseWaiting(p, own) {
 			return err
 		}
 		time.Sleep(wait)
@@ -131,9 +115,30 @@
 	}
 }
 
-// endurePartition answers the turns that wait for records of a store that does
+// appendOnce makes one try of an append.
+func (k *Keeper) appendOnce(p *partition, b *batch) error {
+	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	defer cancel()
+	_, err := k.store.Append(ctx, platform.Append{
+		Topic: topic, Partition: p.number, Records: b.records, Writer: &b.writer,
+	})
+	var outOfSequence *platform.SequenceError
+	if errors.As(err, &outOfSequence) && outOfSequence.Expected == b.writer.Sequence+1 {
+		// An earlier try took effect without an answer.
+		return nil
+	}
+	return err
+}
+
+// final tells whether an append that failed cannot succeed when it is repeated.
+func final(err error) bool {
+	var outOfSequence *platform.SequenceError
+	return errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrRejected) || errors.As(err, &outOfSequence)
+}
+
+// refuseWaiting refuses the turns that wait for records of a store that does
 // not answer. It returns false if the ownership has ended.
-func (k *Keeper) endurePartition(p *partition, own *ownership) bool {
+func (k *Keeper) refuseWaiting(p *partition, own *ownership) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if p.own != own {
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -59,7 +59,7 @@
 	return t
 }
 
-func (r *Registry) choose(all []*Target, want Want, now time.Time, desperate bool) *Target {
+func (r *Registry) choose(all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
 	var least, kept *Target
 	var leastCost float64
 	var keptRank uint64
@@ -70,7 +70,7 @@
 		if t.Draining || excluded(want.Exclude, t.ID) {
 			continue
 		}
-		if !desperate && now.Before(t.avoidUntil) {
+		if !includeAvoided && now.Before(t.avoidUntil) {
 			continue
 		}
 		fill := t.busy(now) / float64(max(t.Slots, 1))
