budget: claims and records do not depend on reads of other topics

Ruled out: slow starts (settings came from copies 0.3 s after the start), the partitions of budgets being away themselves (9 of 12 were served). Change: a partition is claimed and written as far as the store takes it; the tries are shorter (0.1 s a call, 60 ms for turns that wait) while other reads fail. A turn is refused at once where the last write failed in an outage.

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -15,6 +15,9 @@
 	// storeTimeout bounds one call to the store, which answers within
 	// milliseconds, and within a few hundred when it is slow.
 	storeTimeout = 700 * time.Millisecond
+	// doubtTimeout bounds it while reads of other topics fail. If the store
+	// serves this partition it answers at once; if not, turns wait for nothing.
+	doubtTimeout = 100 * time.Millisecond
 	// claimAttempts bounds the tries of one claim; others may write between a
 	// read and the append.
 	claimAttempts = 4
@@ -46,6 +49,7 @@
 	p.claiming = false
 	if err != nil {
 		p.claimAfter = time.Now().Add(claimPause)
+		k.refuseWaiting(p)
 	}
 	parked := p.parked
 	p.parked = nil
@@ -118,8 +122,16 @@
 	return true, k.install(p, claim, sequence, now, clean)
 }
 
+// storeContext bounds one call to the store.
+func (k *Keeper) storeContext() (context.Context, context.CancelFunc) {
+	if k.health.OK() {
+		return context.WithTimeout(k.ctx, storeTimeout)
+	}
+	return context.WithTimeout(k.ctx, doubtTimeout)
+}
+
 func (k *Keeper) read(p *partition) (content, error) {
-	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	ctx, cancel := k.storeContext()
 	defer cancel()
 	list, err := k.store.Newest(ctx, topic, p.number)
 	if err != nil {
@@ -161,7 +173,7 @@
 }
 
 func (k *Keeper) appendClaim(p *partition, claim ownerRecord, sequence, end int64) error {
-	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	ctx, cancel := k.storeContext()
 	defer cancel()
 	_, err := k.store.Append(ctx, platform.Append{
 		Topic: topic, Partition: p.number, At: &end,
@@ -185,6 +197,7 @@
 		k.restore(p.own, now)
 	}
 	p.own.epoch, p.own.claimed, p.own.sequence = claim.Epoch, true, sequence
+	p.own.failing = false
 	k.setOwner(p, k.self.ID, claim.Epoch)
 	k.metrics.claims.Inc(1)
 	if !clean && now.owner != nil {
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -30,7 +30,9 @@
 	Watch(peers []structs.InstanceID)
 }
 
-// Health tells whether the store answers this instance.
+// Health tells whether the store answers all that this instance reads. It may
+// fail to serve some topics or partitions while it serves others, so what a
+// partition can do is found out by trying; the tries are shorter meanwhile.
 type Health interface{ OK() bool }
 
 // Keeper hands out room in programs' budgets: for the partitions that this
@@ -189,9 +191,7 @@
 			k.stop()
 			return
 		case <-claim.C:
-			if k.health.OK() {
-				k.claimVacant()
-			}
+			k.claimVacant()
 		case <-relief.C:
 			if !k.health.OK() && !k.leaving.Load() {
 				k.relieve(ctx)
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -24,9 +24,9 @@
 		for i := range machines {
 			w.start(string(rune('a' + i)))
 		}
+		defer w.stop()
 		time.Sleep(2 * claimInterval)
 		body(t, w)
-		w.stop()
 	})
 }
 
@@ -249,3 +249,54 @@
 		}
 	})
 }
+
+// The store may fail to serve some partitions while it serves others: what
+// fails elsewhere does not keep an instance from claiming a partition.
+func TestPartitionIsClaimedWhileOtherTopicsFail(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.kill(w.ownerOf("p"))
+		for _, n := range w.all() {
+			n.feedsFail.Store(true)
+		}
+		for _, n := range w.all() {
+			if err := w.turn(n, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
+				t.Errorf("turn at %s: %v", n.id, err)
+			}
+		}
+	})
+}
+
+func TestRecordIsWrittenWhileOtherTopicsFail(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		for _, n := range w.all() {
+			n.feedsFail.Store(true)
+		}
+		for i := range 9 {
+			if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, time.Millisecond); err != nil {
+				t.Fatalf("turn %d: %v", i, err)
+			}
+		}
+	})
+}
+
+// A turn that needs a record of a partition that was handed over in an outage
+// is refused at once: its new owner could not claim it yet.
+func TestRecordOfAPartitionThatCannotBeClaimed(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.store.Set(metastore.Fault{Status: 503})
+		w.ownerOf("p").keeper.Leave(t.Context())
+		var err error
+		begun := time.Now()
+		for range 6 {
+			if err = w.turn(w.all()[0], "p", testBudget, testMost, 200, time.Millisecond); err != nil {
+				break
+			}
+		}
+		if !errors.Is(err, serve.ErrStoreAway) {
+			t.Errorf("got %v, want %v", err, serve.ErrStoreAway)
+		}
+		if took := time.Since(begun); took > 2*storePatience {
+			t.Errorf("the refusal took %s", took)
+		}
+	})
+}
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -23,6 +23,9 @@
 	// dirty are the accounts with a record to be written.
 	dirty   map[*account]bool
 	writing bool
+	// failing tells that a record could not be written for longer than turns
+	// wait for it.
+	failing bool
 }
 
 // loss is the loss of a partition's accounts.
@@ -72,18 +75,27 @@
 		case awaitSettle:
 			return
 		case awaitRecord:
-			if a.leased == 0 && !k.health.OK() {
-				k.refuseAsks(a, structs.RoomNoRecord, "")
-				return
-			}
 			a.wantRecord(next.most)
 			k.startWrite(p, a)
+			if a.leased == 0 && k.unwritable(p) {
+				k.refuseAsks(a, structs.RoomNoRecord, "")
+			}
 			return
 		}
 		a.asks = a.asks[1:]
 	}
 }
 
+// unwritable tells that the store has not taken the last write to a partition
+// that this instance owns, so that a turn need not wait for the next one: an
+// outage lasts for seconds. The mutex is held.
+func (k *Keeper) unwritable(p *partition) bool {
+	if p.own.claimed {
+		return p.own.failing && !k.health.OK()
+	}
+	return time.Now().Before(p.claimAfter)
+}
+
 // refuseAsks answers all asks of an account alike. The mutex is held.
 func (k *Keeper) refuseAsks(a *account, outcome structs.RoomOutcome, owner structs.InstanceID) {
 	for _, waiting := range a.asks {
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -287,7 +287,7 @@
 			k.peers.Probe(p.owner)
 		}
 		reply(structs.RoomNotOwner, p.owner)
-	case k.leaving.Load() || !k.health.OK() || time.Now().Before(p.claimAfter):
+	case k.leaving.Load() || time.Now().Before(p.claimAfter):
 		reply(structs.RoomUnavailable, "")
 	default:
 		p.parked = append(p.parked, parkedAsk{r, reply})
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -55,7 +55,9 @@
 	cancel context.CancelFunc
 	// refused tells that the store refuses this instance's calls.
 	refused atomic.Bool
-	inbox   chan structs.Event
+	// feedsFail tells that reads of other topics fail.
+	feedsFail atomic.Bool
+	inbox     chan structs.Event
 }
 
 func newWorld(t *testing.T) *world {
@@ -180,7 +182,7 @@
 func (n *node) Watch([]structs.InstanceID) {}
 
 // OK implements Health.
-func (n *node) OK() bool { return !n.refused.Load() }
+func (n *node) OK() bool { return !n.refused.Load() && !n.feedsFail.Load() }
 
 // nodeStore is the store as one instance reaches it.
 type nodeStore struct{ node *node }
--- a/internal/budget/write.go
+++ b/internal/budget/write.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,8 @@
 	// storePatience is how long turns wait for a record while the store fails;
 	// their callers may find another way after that.
 	storePatience = 300 * time.Millisecond
+	// doubtPatience is the same while reads of other topics fail: a few tries.
+	doubtPatience = 60 * time.Millisecond
 	// writeRetryFirst and writeRetryMost bound the pause between two tries of
 	// an append; it doubles. Refused calls are priced.
 	writeRetryFirst = 20 * time.Millisecond
@@ -107,7 +108,7 @@
 		if err == nil || final(err) || k.ctx.Err() != nil {
 			return err
 		}
-		if time.Since(started) > storePatience && !k.refuseWaiting(p, own) {
+		if time.Since(started) > k.patience() && !k.noteFailing(p, own) {
 			return err
 		}
 		time.Sleep(wait)
@@ -117,7 +118,7 @@
 
 // appendOnce makes one try of an append.
 func (k *Keeper) appendOnce(p *partition, b *batch) error {
-	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
+	ctx, cancel := k.storeContext()
 	defer cancel()
 	_, err := k.store.Append(ctx, platform.Append{
 		Topic: topic, Partition: p.number, Records: b.records, Writer: &b.writer,
@@ -136,20 +137,39 @@
 	return errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrRejected) || errors.As(err, &outOfSequence)
 }
 
-// refuseWaiting refuses the turns that wait for records of a store that does
-// not answer. It returns false if the ownership has ended.
-func (k *Keeper) refuseWaiting(p *partition, own *ownership) bool {
+// patience is how long turns wait for a record.
+func (k *Keeper) patience() time.Duration {
+	if k.health.OK() {
+		return storePatience
+	}
+	return doubtPatience
+}
+
+// noteFailing notes that records cannot be written for now and refuses the
+// turns that wait for them. It returns false if the ownership has ended.
+func (k *Keeper) noteFailing(p *partition, own *ownership) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if p.own != own {
 		return false
 	}
-	for _, a := range own.accounts {
+	own.failing = true
+	k.refuseWaiting(p)
+	return true
+}
+
+// refuseWaiting refuses the turns that wait for a record of a partition. Those
+// that may get room from other turns of their program wait on. The mutex is
+// held.
+func (k *Keeper) refuseWaiting(p *partition) {
+	if p.own == nil {
+		return
+	}
+	for _, a := range p.own.accounts {
 		if len(a.asks) > 0 && a.leased == 0 {
 			k.refuseAsks(a, structs.RoomNoRecord, "")
 		}
 	}
-	return true
 }
 
 // written raises the limits that a batch has recorded.
@@ -160,6 +180,7 @@
 	if p.own != own {
 		return
 	}
+	own.failing = false
 	for i, a := range b.accounts {
 		a.limit, a.recorded = max(a.limit, b.wants[i]), true
 		if a.want <= b.wants[i] {
