peer: a dial has a timeout of its own, 250 ms on the users' platform

Ruled out: settings and targets (in force 30 ms after each start), the store. Change: DialTimeout bounds a dial with its handshake; heartbeats of connected instances keep 600 ms. Test: TestDialIsBoundedByItsOwnTimeout.

--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -47,6 +47,11 @@
 	// one answers within milliseconds; a falsely suspected one costs its
 	// programs what a loss of accounts charges.
 	peerLiveness = 600 * time.Millisecond
+	// peerDial bounds a dial. A healthy instance takes a few milliseconds, one
+	// that used up its share of the processor pauses for up to 100 ms. After a
+	// loss of power the list holds instances that are gone, and turns wait for
+	// the dial to each that should own their partition.
+	peerDial = 250 * time.Millisecond
 	// peerHeartbeat is the time between two heartbeats to an owner.
 	peerHeartbeat = 200 * time.Millisecond
 )
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -37,7 +37,7 @@
 	self := dir.Self()
 	cfg := peer.Config{
 		Self: self, Incarnation: string(self.ID), Key: []byte(options.PeerKey),
-		PeerTimeout: peerLiveness, HeartbeatInterval: peerHeartbeat,
+		PeerTimeout: peerLiveness, DialTimeout: peerDial, HeartbeatInterval: peerHeartbeat,
 	}
 	return peer.New(life, cfg, r.post, dir.Resolve, scope, log)
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -42,8 +42,12 @@
 	// Handler must use the same configuration.
 	TLS *tls.Config
 	// PeerTimeout is the liveness timeout of a watched instance, and bounds a
-	// dial with its handshake and a probe.
+	// probe.
 	PeerTimeout time.Duration
+	// DialTimeout bounds a dial with its handshake; its default is PeerTimeout.
+	// An instance that was never reached is more likely gone than one that
+	// answered before.
+	DialTimeout time.Duration
 	// HeartbeatInterval is the time between two pings; a jitter of up to a
 	// fifth is added.
 	HeartbeatInterval time.Duration
@@ -63,6 +67,7 @@
 
 func (c Config) withDefaults() Config {
 	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
+	c.DialTimeout = cmp.Or(c.DialTimeout, c.PeerTimeout)
 	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.CloseTimeout = cmp.Or(c.CloseTimeout, DefaultCloseTimeout)
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -15,7 +15,7 @@
 func newDialClient(cfg Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		TLSClientConfig:     cfg.TLS,
-		TLSHandshakeTimeout: cfg.PeerTimeout,
+		TLSHandshakeTimeout: cfg.DialTimeout,
 	}}
 }
 
@@ -53,7 +53,7 @@
 }
 
 func (t *Transport) dial(l *link, address string) (*session, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.PeerTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.DialTimeout)
 	defer cancel()
 	options := websocket.DialOptions{HTTPClient: t.client, CompressionMode: websocket.CompressionDisabled}
 	conn, _, err := websocket.Dial(ctx, t.dialURL(address), &options)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -213,6 +213,17 @@
 	a.awaitEvent(structs.PeerDown{Peer: "nobody"})
 }
 
+// A dial is given up long before a connected instance counts as silent.
+func TestDialIsBoundedByItsOwnTimeout(t *testing.T) {
+	a := newNode(t, "a", func(c *Config) {
+		c.PeerTimeout = time.Hour
+		c.DialTimeout = 50 * time.Millisecond
+	})
+	a.peers.Store(structs.InstanceID("b"), deafListener(t))
+	a.Send("b", withdraw(0))
+	a.awaitEvent(structs.PeerDown{Peer: "b"})
+}
+
 func TestProbeOfAnOpenConnection(t *testing.T) {
 	a, b := newNode(t, "a", quick), newNode(t, "b", quick)
 	r := newRelay(t, b.address)
