--- a/internal/proofs/rig.go
+++ b/internal/proofs/rig.go
@@ -210,7 +210,12 @@
 // ownerSaid gives the process that the instances name as the program's owner,
 // nil if none does: the log may have dropped the claim.
 func (r *Rig) ownerSaid(ctx context.Context, program string) *testkit.Process {
-	answer, err := testkit.NewClient(r.random().Server, r.key).
+	return r.ownerSaidBy(ctx, r.random(), program)
+}
+
+// ownerSaidBy gives the process that one instance names as the program's owner.
+func (r *Rig) ownerSaidBy(ctx context.Context, p *testkit.Process, program string) *testkit.Process {
+	answer, err := testkit.NewClient(p.Server, r.key).
 		Do(ctx, http.MethodGet, programsRoute+"/"+program, nil, testkit.Call{})
 	var view struct {
 		Owner string `json:"owner"`
