serve: repeatable requests leave a target that breaks connections

While targets go down and up by turns (srv_flap) each connection to one that is down breaks at once. Ruled out: kept connections alone (most breaks were on new ones), full targets (they refuse with an answer). Change: a target that breaks a connection without an answer is left for another if the route allows one more, else it is asked once more and no further. Tests: TestRepeatableRequestGoesOnFromATargetThatBreaksConnections and TestBrokenTargetIsAskedTwiceAtMost failed first. What is left are requests that may run once, each instance finding out by itself.

--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -142,6 +142,11 @@
 	}
 	x.markRan(target)
 	x.passOver(target, err)
+	if len(x.ran) < x.route.MaxTargets || slices.Contains(x.broken, target.ID) {
+		// A target that is down breaks each connection at once.
+		x.tried = append(x.tried, target.ID)
+	}
+	x.broken = append(x.broken, target.ID)
 	return x.mayRepeat()
 }
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/banyanglade/banyanglade/internal/explain"
@@ -164,6 +165,38 @@
 	}
 }
 
+// A target that is down breaks each connection at once, and looks idle.
+func TestRepeatableRequestGoesOnFromATargetThatBreaksConnections(t *testing.T) {
+	w := newWorld(t)
+	var other atomic.Bool
+	// As in the test of a silent target, the broken one is asked first.
+	down := w.target("down", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if other.CompareAndSwap(false, true) {
+			w.target("answers", "app", serveText("ok"))
+		}
+		cutConnection(n, rw, r)
+	})
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 200 || got.body != "ok" {
+		t.Errorf("got %+v", got)
+	}
+	if n := down.count(); n != 1 {
+		t.Errorf("sent %d times to the broken target", n)
+	}
+}
+
+// A request that only one target may run is not sent there over and over.
+func TestBrokenTargetIsAskedTwiceAtMost(t *testing.T) {
+	w := newWorld(t)
+	down := w.target("down", "engine", cutConnection)
+	got := w.do(w.request("POST", "/turns/", "b"))
+	if got.status != 502 {
+		t.Errorf("got %+v", got)
+	}
+	if n := down.count(); n > 2 {
+		t.Errorf("sent %d times to the broken target", n)
+	}
+}
+
 func TestCutAnswerOfARepeatableRequestIsRepeated(t *testing.T) {
 	w := newWorld(t)
 	w.target("a", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -51,7 +51,9 @@
 	// tried lists targets that are not asked again.
 	tried []string
 	// ran lists the targets that may have begun to run the request.
-	ran        []string
+	ran []string
+	// broken lists targets that broke a connection without an answer.
+	broken     []string
 	lastTarget string
 	sends      int
 	refusals   int
