targets: instances tell each other of targets that break connections

Change: a break of a new connection within 20 ms, or a failed dial, is told to the owners of budgets, which pass it on with their replies. Others avoid the target for a second, unless they heard it answer since, and never more than a third of a service. A kept connection that ended says nothing of its target: the others to it are closed and a repeatable request is sent on a new one. Tests: internal/targets/breaks_test.go, TestBrokenTargetsAreToldThroughOwners, TestOthersHearOfTargetsThatBreakNewConnections.

--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -30,6 +30,13 @@
 	Watch(peers []structs.InstanceID)
 }
 
+// Breaks are the targets that broke connections lately. Owners pass them on with
+// their replies, which reach all instances that serve programs.
+type Breaks interface {
+	Breaks(now time.Time) []structs.TargetBreak
+	Hear(breaks []structs.TargetBreak, now time.Time)
+}
+
 // Health tells whether the store answers all that this instance reads. It may
 // fail to serve some topics or partitions while it serves others, so what a
 // partition can do is found out by trying; the tries are shorter meanwhile.
@@ -43,6 +50,7 @@
 	directory *directory.Directory
 	store     Store
 	peers     Peers
+	breaks    Breaks
 	health    Health
 	log       *slog.Logger
 	metrics   metrics
@@ -83,19 +91,28 @@
 	reply   func(structs.RoomOutcome, structs.InstanceID)
 }
 
-// New makes a Keeper for a number of partitions that works until the context
-// ends.
-func New(
-	ctx context.Context, dir *directory.Directory, partitions int, store Store, peers Peers, health Health,
-	scope tally.Scope, log *slog.Logger,
-) *Keeper {
+// Parts are what a Keeper works with.
+type Parts struct {
+	Directory *directory.Directory
+	// Partitions is the number of the topic's partitions.
+	Partitions int
+	Store      Store
+	Peers      Peers
+	Breaks     Breaks
+	Health     Health
+	Scope      tally.Scope
+	Log        *slog.Logger
+}
+
+// New makes a Keeper that works until the context ends.
+func New(ctx context.Context, parts Parts) *Keeper {
 	k := &Keeper{
-		self: dir.Self(), directory: dir, store: store, peers: peers, health: health,
-		log: log, metrics: newMetrics(scope), ctx: ctx,
+		self: parts.Directory.Self(), directory: parts.Directory, store: parts.Store, peers: parts.Peers,
+		breaks: parts.Breaks, health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx,
 		pending:   make(map[structs.RoomLease]*pendingAsk),
 		handovers: make(map[uint64]chan bool),
 	}
-	for i := range partitions {
+	for i := range parts.Partitions {
 		k.partitions = append(k.partitions, &partition{number: i})
 	}
 	return k
@@ -157,6 +174,8 @@
 		k.receiveHandover(from, m)
 	case *structs.HandoverReply:
 		k.receiveHandoverReply(m)
+	case *structs.TargetNotice:
+		k.breaks.Hear(m.Breaks, time.Now())
 	case *structs.Leaving:
 		k.directory.SetLeaving(from)
 	default:
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
 const (
@@ -300,3 +301,28 @@
 		}
 	})
 }
+
+// What one instance learns of a target reaches the others through the owners of
+// their programs' budgets.
+func TestBrokenTargetsAreToldThroughOwners(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		runAll := func(n *node) {
+			for i := range 12 {
+				if err := w.turn(n, string(rune('a'+i)), testBudget, testMost, 10, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		first := w.all()[0]
+		runAll(first)
+		first.breaks.Hear([]structs.TargetBreak{{Target: "down"}}, time.Now())
+		first.keeper.TargetBroke()
+		time.Sleep(2 * linkTime)
+		for _, n := range w.all() {
+			runAll(n)
+			if got := n.breaks.Breaks(time.Now()); len(got) != 1 || got[0].Target != "down" {
+				t.Errorf("%s knows %v", n.id, got)
+			}
+		}
+	})
+}
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -247,6 +247,7 @@
 
 // receiveReply takes the answer of another owner.
 func (k *Keeper) receiveReply(from structs.InstanceID, m *structs.RoomReply) {
+	k.breaks.Hear(m.Breaks, time.Now())
 	k.mu.Lock()
 	pending, ok := k.pending[m.Lease]
 	delete(k.pending, m.Lease)
@@ -271,6 +272,7 @@
 	k.request(k.partitions[r.Partition], r, func(outcome structs.RoomOutcome, owner structs.InstanceID) {
 		k.peers.Send(from, &structs.RoomReply{
 			Lease: r.Lease, Outcome: outcome, Owner: owner, Partition: r.Partition, Program: r.Program,
+			Breaks: k.breaks.Breaks(time.Now()),
 		})
 	})
 }
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -58,6 +58,33 @@
 	// feedsFail tells that reads of other topics fail.
 	feedsFail atomic.Bool
 	inbox     chan structs.Event
+	breaks    breakList
+}
+
+// breakList is a Breaks that lists targets by their names alone.
+type breakList struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (b *breakList) Breaks(time.Time) []structs.TargetBreak {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var breaks []structs.TargetBreak
+	for _, name := range b.names {
+		breaks = append(breaks, structs.TargetBreak{Target: name})
+	}
+	return breaks
+}
+
+func (b *breakList) Hear(breaks []structs.TargetBreak, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, heard := range breaks {
+		if !slices.Contains(b.names, heard.Target) {
+			b.names = append(b.names, heard.Target)
+		}
+	}
 }
 
 func newWorld(t *testing.T) *world {
@@ -78,7 +105,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{world: w, id: id, cancel: cancel, inbox: make(chan structs.Event, 10000)}
 	dir := directory.New(structs.Peer{ID: id, Address: machine})
-	n.keeper = New(ctx, dir, testPartitions, nodeStore{n}, n, n, tally.NoopScope, slog.New(slog.DiscardHandler))
+	n.keeper = New(ctx, Parts{
+		Directory: dir, Partitions: testPartitions, Store: nodeStore{n}, Peers: n, Breaks: &n.breaks, Health: n,
+		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+	})
 	w.mu.Lock()
 	others := slices.Collect(maps.Values(w.nodes))
 	w.nodes[id] = n
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,7 +61,7 @@
 		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newDirectory,
-			newTransport, newKeeper, newBudgets, newServer, newTargetFeed, newEdge,
+			newTransport, newKeeper, newServer, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -89,10 +89,13 @@
 }
 
 func newServer(
-	registry *targets.Registry, pool *exchange.Pool, budgets serve.Budgets, health *feed.Health,
+	registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, health *feed.Health,
 	scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
-	return serve.New(platform.Codec{}, registry, pool, budgets, health, scope, log)
+	return serve.New(serve.Parts{
+		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper, Notices: keeper,
+		Health: health, Scope: scope, Log: log,
+	})
 }
 
 // edge is a running instance.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,8 +10,8 @@
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/peer"
-	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/targets"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -44,10 +44,12 @@
 
 func newKeeper(
 	life lifetime, machine platform.Machine, dir *directory.Directory, store *platform.Store,
-	transport *peer.Transport, health *feed.Health, r *receiver, scope tally.Scope, log *slog.Logger,
+	transport *peer.Transport, registry *targets.Registry, health *feed.Health, r *receiver, scope tally.Scope,
+	log *slog.Logger,
 ) *budget.Keeper {
-	r.keeper = budget.New(life, dir, machine.Store.Partitions, store, transport, health, scope, log)
+	r.keeper = budget.New(life, budget.Parts{
+		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Breaks: registry,
+		Health: health, Scope: scope, Log: log,
+	})
 	return r.keeper
 }
-
-func newBudgets(keeper *budget.Keeper) serve.Budgets { return keeper }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,12 @@
 	// ErrBroken tells that the connection broke, or carried something that is
 	// no answer, after the request may have been sent.
 	ErrBroken = errors.New("the connection to the target broke")
+	// ErrUnanswered tells, beside ErrBroken, that the connection ended before
+	// the head of an answer was there.
+	ErrUnanswered = errors.New("the connection ended without an answer")
+	// ErrReused tells, beside ErrBroken, that the connection had carried a
+	// request before: the target may have dropped it while it was idle.
+	ErrReused = errors.New("the connection was used before")
 )
 
 // Request is a request to a target.
@@ -101,12 +108,32 @@
 		if ctx.Err() != nil {
 			return nil, errors.Mark(errors.Mark(err, ctx.Err()), ErrBroken)
 		}
-		return nil, errors.Mark(err, ErrBroken)
+		return nil, p.broken(c, err)
 	}
 	resp.stop = stop
 	return resp, nil
 }
 
+// broken marks the error of a connection that broke. If it had been idle, the
+// others to its target may have been dropped as well and are given up.
+func (p *Pool) broken(c *conn, err error) error {
+	err = errors.Mark(err, ErrBroken)
+	if ended(err) {
+		err = errors.Mark(err, ErrUnanswered)
+	}
+	if c.reused {
+		p.forget(c.address)
+		err = errors.Mark(err, ErrReused)
+	}
+	return err
+}
+
+// ended tells whether an error is the end of a connection.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (p *Pool) exchange(c *conn, req Request, accept func(int, http.Header) bool) (*Response, error) {
 	head := encodeHead(req)
 	var written *bodyWrite
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -140,6 +140,16 @@
 	return c
 }
 
+// forget closes the idle connections to an address.
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close() // an idle connection has nothing to lose
+	}
+	delete(p.idle, address)
+}
+
 // put keeps a connection whose answer was read to its end.
 func (p *Pool) put(c *conn, keepAlive time.Duration, now time.Time) {
 	idle := defaultIdle
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -65,7 +65,7 @@
 		x.passOver(target, err)
 		return x.brokeOff(target)
 	}
-	x.server.targets.Succeeded(target)
+	x.server.targets.Succeeded(target, time.Now())
 	x.reason = reasonServed
 	if resp.Status >= http.StatusInternalServerError {
 		x.reason = reasonTargetFailed
@@ -174,7 +174,7 @@
 
 // endStream ends a stream that the target completed.
 func (x *transfer) endStream(target *targets.Target, resp *exchange.Response) bool {
-	x.server.targets.Succeeded(target)
+	x.server.targets.Succeeded(target, time.Now())
 	if !x.headSent {
 		x.copyHead(resp, true, 0)
 	}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -86,6 +86,7 @@
 	ctx, cancel := x.sendContext()
 	defer cancel()
 	var answer call.Answer
+	sentAt := time.Now()
 	resp, err := x.server.pool.Do(ctx, exchange.Request{
 		Address: target.Address, Method: x.request.Method, URI: x.uri(),
 		Host: x.request.Host, Header: header, Body: x.body,
@@ -94,7 +95,7 @@
 		return answer.RequestID == x.call.ID || (answer.RequestID == "" && answer.NotRun)
 	})
 	if err != nil {
-		return x.sendFailed(target, err)
+		return x.sendFailed(target, err, sentAt)
 	}
 	defer func() { resp.Close(answer.KeepAlive) }()
 	if answer.Load != nil {
@@ -126,7 +127,7 @@
 }
 
 // sendFailed decides what follows a send without an answer.
-func (x *transfer) sendFailed(target *targets.Target, err error) bool {
+func (x *transfer) sendFailed(target *targets.Target, err error, sentAt time.Time) bool {
 	x.detail = err.Error()
 	if x.ctx.Err() != nil {
 		if !errors.Is(err, exchange.ErrNotSent) {
@@ -135,13 +136,17 @@
 		x.giveUpInTime()
 		return false
 	}
-	x.server.targets.Failed(target, time.Now())
+	x.noteFailure(target, err, sentAt)
 	if errors.Is(err, exchange.ErrNotSent) {
 		x.unreachable(target)
 		return true
 	}
 	x.markRan(target)
 	x.passOver(target, err)
+	if errors.Is(err, exchange.ErrReused) {
+		// The next send goes over a new connection.
+		return x.mayRepeat()
+	}
 	if len(x.ran) < x.route.MaxTargets || slices.Contains(x.broken, target.ID) {
 		// A target that is down breaks each connection at once.
 		x.tried = append(x.tried, target.ID)
@@ -150,6 +155,28 @@
 	return x.mayRepeat()
 }
 
+// downWithin is how soon a target that is down breaks a connection: a round
+// trip of a few milliseconds. One that ran the request takes longer.
+const downWithin = 20 * time.Millisecond
+
+// noteFailure draws the conclusions from a send without an answer. A kept
+// connection that ended says nothing of its target.
+func (x *transfer) noteFailure(target *targets.Target, err error, sentAt time.Time) {
+	if errors.Is(err, exchange.ErrReused) && errors.Is(err, exchange.ErrUnanswered) {
+		return
+	}
+	now := time.Now()
+	x.server.targets.Failed(target, now)
+	ended := errors.Is(err, exchange.ErrUnanswered) && now.Sub(sentAt) < x.server.downWithin
+	if !ended && !errors.Is(err, exchange.ErrNotSent) {
+		return
+	}
+	if x.server.targets.Broke(target, now) {
+		x.server.log.Info("target broke a connection", "target", target.ID, "request", x.call.ID, "error", err.Error())
+		x.server.notices.TargetBroke()
+	}
+}
+
 // passOver keeps a request from a target that did not answer in time.
 func (x *transfer) passOver(target *targets.Target, err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/explain"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -184,6 +185,32 @@
 	}
 }
 
+// Others hear of a target that breaks new connections, but not of one that
+// dropped a kept connection, which is asked again on a new one.
+func TestOthersHearOfTargetsThatBreakNewConnections(t *testing.T) {
+	w := newWorld(t)
+	w.server.downWithin = time.Minute // however slow the machine is
+	w.target("down", "app", cutConnection)
+	w.do(w.request("POST", "/once/", "b"))
+	if n := w.notices.Load(); n != 1 {
+		t.Errorf("%d notices of a target that is down", n)
+	}
+	w.target("drops", "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 2 {
+			cutConnection(n, rw, r)
+		}
+		serveEvents(2, never)(n, rw, r)
+	})
+	for range 2 {
+		if got := w.do(w.request("POST", "/turns/", "b")); got.status != 200 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := w.notices.Load(); n != 1 {
+		t.Errorf("%d notices after a kept connection ended", n)
+	}
+}
+
 // A request that only one target may run is not sent there over and over.
 func TestBrokenTargetIsAskedTwiceAtMost(t *testing.T) {
 	w := newWorld(t)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -44,18 +44,40 @@
 	Reserve(ctx context.Context, turn Turn) (Lease, error)
 }
 
+// Notices tells other instances what this one learns of targets.
+type Notices interface {
+	// TargetBroke tells that a target broke a new connection at once. It does
+	// not block.
+	TargetBroke()
+}
+
 // Health tells whether the platform's store answers this instance.
 type Health interface{ OK() bool }
 
+// Parts are what a Server works with.
+type Parts struct {
+	Codec   call.Codec
+	Targets *targets.Registry
+	Pool    *exchange.Pool
+	Budgets Budgets
+	Notices Notices
+	Health  Health
+	Scope   tally.Scope
+	Log     *slog.Logger
+}
+
 // Server answers callers. It implements http.Handler.
 type Server struct {
 	codec   call.Codec
 	targets *targets.Registry
 	pool    *exchange.Pool
 	budgets Budgets
+	notices Notices
 	health  Health
 	log     *slog.Logger
 	metrics metrics
+	// downWithin is how soon a target that is down breaks a connection.
+	downWithin time.Duration
 
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
@@ -63,13 +85,11 @@
 }
 
 // New makes a Server without settings: until SetTable it refuses all requests.
-func New(
-	codec call.Codec, registry *targets.Registry, pool *exchange.Pool, budgets Budgets, health Health,
-	scope tally.Scope, log *slog.Logger,
-) *Server {
+func New(p Parts) *Server {
 	return &Server{
-		codec: codec, targets: registry, pool: pool, budgets: budgets, health: health,
-		log: log, metrics: newMetrics(scope),
+		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, notices: p.Notices,
+		health: p.Health, log: p.Log, metrics: newMetrics(p.Scope),
+		downWithin: downWithin,
 	}
 }
 
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -65,8 +65,13 @@
 	budgets *budgets
 	health  health
 	log     *logBuffer
+	// notices counts what was told to other instances.
+	notices atomic.Int64
 }
 
+// TargetBroke implements Notices.
+func (w *world) TargetBroke() { w.notices.Add(1) }
+
 // logBuffer keeps the log.
 type logBuffer struct {
 	mu sync.Mutex
@@ -125,7 +130,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	work.Go(func() { pool.Run(ctx) })
-	w.server = New(platform.Codec{}, w.targets, pool, w.budgets, &w.health, tally.NoopScope, slog.New(slog.NewJSONHandler(w.log, nil)))
+	w.server = New(Parts{
+		Codec: platform.Codec{}, Targets: w.targets, Pool: pool, Budgets: w.budgets, Notices: w, Health: &w.health,
+		Scope: tally.NoopScope, Log: slog.New(slog.NewJSONHandler(w.log, nil)),
+	})
 	w.server.SetTable(route.NewTable(testRoutes()))
 	w.front = httptest.NewUnstartedServer(w.server)
 	w.front.Listener = WatchListener(w.front.Listener)
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -353,4 +353,5 @@
 	KindOwnerNotice:       func() Message { return new(OwnerNotice) },
 	KindPartitionHandover: func() Message { return new(PartitionHandover) },
 	KindHandoverReply:     func() Message { return new(HandoverReply) },
+	KindTargetNotice:      func() Message { return new(TargetNotice) },
 }
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -63,6 +63,8 @@
 	// longer wanted can be given back.
 	Partition int
 	Program   string
+	// Breaks are targets that broke connections lately, as the owner knows.
+	Breaks []TargetBreak
 }
 
 // RoomSettle ends a lease: what was not used is free again.
--- /dev/null
+++ b/internal/targets/breaks_test.go
@@ -0,0 +1,82 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// word is another instance's word on targets.
+func word(age time.Duration, ids ...string) []structs.TargetBreak {
+	var breaks []structs.TargetBreak
+	for _, id := range ids {
+		breaks = append(breaks, structs.TargetBreak{Target: id, Age: age})
+	}
+	return breaks
+}
+
+// picks counts how often each target is chosen of some requests.
+func picks(r *Registry, now time.Time) map[string]int {
+	counts := make(map[string]int)
+	for range 12 {
+		t := r.Pick(Want{Service: "s"}, now)
+		counts[t.ID]++
+		r.End(t)
+	}
+	return counts
+}
+
+func TestTargetThatBrokeElsewhereIsAvoidedForAWhile(t *testing.T) {
+	r := newTestRegistry(6)
+	now := time.Unix(100, 0)
+	r.Hear(word(100*time.Millisecond, "t0", "t1"), now)
+	if got := picks(r, now); got["t0"]+got["t1"] != 0 {
+		t.Errorf("picked %v", got)
+	}
+	if got := picks(r, now.Add(heardFor)); got["t0"] == 0 {
+		t.Errorf("after its time t0 was not tried: %v", got)
+	}
+}
+
+func TestOwnAnswersCountMoreThanTheWordOfOthers(t *testing.T) {
+	r := newTestRegistry(6)
+	now := time.Unix(100, 0)
+	r.Succeeded(r.byID["t0"], now.Add(-50*time.Millisecond))
+	r.Hear(word(100*time.Millisecond, "t0"), now)
+	if got := picks(r, now); got["t0"] == 0 {
+		t.Errorf("picked %v", got)
+	}
+	r.Hear(word(10*time.Millisecond, "t0"), now)
+	if got := picks(r, now); got["t0"] != 0 {
+		t.Errorf("picked %v", got)
+	}
+	r.Succeeded(r.byID["t0"], now)
+	if got := picks(r, now); got["t0"] == 0 {
+		t.Errorf("after an answer picked %v", got)
+	}
+}
+
+func TestWordOfOthersCannotEmptyAService(t *testing.T) {
+	r := newTestRegistry(6)
+	now := time.Unix(100, 0)
+	r.Hear(word(0, "t0", "t1", "t2", "t3", "t4", "t5"), now)
+	if got := picks(r, now); len(got) != 4 {
+		t.Errorf("picked %v", got)
+	}
+}
+
+func TestBreaksArePassedOnUntilTheyAreOld(t *testing.T) {
+	a, b := newTestRegistry(6), newTestRegistry(6)
+	now := time.Unix(100, 0)
+	if !a.Broke(a.byID["t0"], now) || a.Broke(a.byID["t0"], now.Add(noticeInterval/2)) {
+		t.Error("a second break was to be told at once")
+	}
+	b.Hear(a.Breaks(now.Add(heardFor/2)), now.Add(heardFor/2))
+	if got := b.Breaks(now.Add(heardFor / 2)); len(got) != 1 || got[0].Age <= 0 {
+		t.Errorf("passed on %v", got)
+	}
+	if got := b.Breaks(now.Add(2 * heardFor)); len(got) != 0 {
+		t.Errorf("passed on %v", got)
+	}
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -70,7 +70,7 @@
 		if t.Draining || excluded(want.Exclude, t.ID) {
 			continue
 		}
-		if !includeAvoided && now.Before(t.avoidUntil) {
+		if !includeAvoided && (now.Before(t.avoidUntil) || now.Before(t.heardUntil)) {
 			continue
 		}
 		fill := t.busy(now) / float64(max(t.Slots, 1))
--- a/internal/targets/snapshot.go
+++ b/internal/targets/snapshot.go
@@ -26,7 +26,7 @@
 	for _, t := range r.byID {
 		all = append(all, Snapshot{
 			ID: t.ID, Service: t.Service, Address: t.Address, Draining: t.Draining,
-			InFlight: t.inFlight, Busy: t.busy(now), Avoided: now.Before(t.avoidUntil),
+			InFlight: t.inFlight, Busy: t.busy(now), Avoided: now.Before(t.avoidUntil) || now.Before(t.heardUntil),
 		})
 	}
 	slices.SortFunc(all, func(a, b Snapshot) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -37,6 +37,14 @@
 	// failures counts failures in a row; avoidUntil keeps requests away.
 	failures   int
 	avoidUntil time.Time
+	// provenAt is when it last answered this instance in order.
+	provenAt time.Time
+	// brokeAt is when it last broke a connection at once, here or, as far as
+	// is known, elsewhere; heardUntil keeps requests away on others' word.
+	brokeAt    time.Time
+	heardUntil time.Time
+	// noticedAt is when others were last told of it.
+	noticedAt time.Time
 }
 
 const (
@@ -58,6 +66,8 @@
 	mu        sync.Mutex
 	byID      map[string]*Target
 	byService map[string][]*Target
+	// broken are the targets that broke connections lately.
+	broken map[string]*Target
 }
 
 // NewRegistry makes an empty table for an instance in a data centre.
@@ -66,6 +76,7 @@
 		dataCentre: dataCentre,
 		byID:       make(map[string]*Target),
 		byService:  make(map[string][]*Target),
+		broken:     make(map[string]*Target),
 	}
 }
 
@@ -150,10 +161,10 @@
 }
 
 // Succeeded notes that a target answered in order.
-func (r *Registry) Succeeded(t *Target) {
+func (r *Registry) Succeeded(t *Target, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.failures, t.avoidUntil = 0, time.Time{}
+	t.failures, t.avoidUntil, t.heardUntil, t.provenAt = 0, time.Time{}, time.Time{}, now
 }
 
 // Failed notes that a target could not be reached or broke off, and avoids it
