soak: instances as processes, faults from outside, a checker of what callers and targets saw

The relay of the older proofs is shared (testkit/relay). Instances can listen for others elsewhere than at the address that they use (--peer-listen), for forwarders.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,98 @@
+// Command soak plays seeds of the fault soak (internal/soak) with a built
+// instance program and prints what broke.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/banyanglade/banyanglade/internal/soak"
+)
+
+type args struct {
+	Binary    string        `arg:"--binary" default:"bin/banyanglade" help:"the program of the instances"`
+	First     uint64        `arg:"--first" default:"1" help:"the first seed"`
+	Seeds     int           `arg:"--seeds" default:"10" help:"how many seeds are played"`
+	Parallel  int           `arg:"--parallel" default:"2" help:"how many at a time"`
+	Faults    time.Duration `arg:"--faults" default:"15s" help:"how long faults are brought about, each seed"`
+	Instances int           `arg:"--instances" default:"4"`
+	Programs  int           `arg:"--programs" default:"12" help:"how many programs run at a time"`
+	Keep      string        `arg:"--keep" help:"folder for the logs of seeds that failed"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if failed := a.play(ctx); failed > 0 {
+		fmt.Printf("%d of %d seeds failed\n", failed, a.Seeds)
+		os.Exit(1)
+	}
+	fmt.Printf("%d seeds, none failed\n", a.Seeds)
+}
+
+// play plays all seeds and returns how many failed.
+func (a *args) play(ctx context.Context) int {
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	failed := 0
+	slots := make(chan struct{}, a.Parallel)
+	for i := range a.Seeds {
+		slots <- struct{}{}
+		work.Go(func() {
+			defer func() { <-slots }()
+			ok := a.playOne(ctx, a.First+uint64(i))
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				failed++
+			}
+		})
+	}
+	work.Wait()
+	return failed
+}
+
+// playOne plays a seed and keeps its logs if it failed.
+func (a *args) playOne(ctx context.Context, seed uint64) bool {
+	dir, err := os.MkdirTemp(a.Keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		fmt.Println("make a folder:", err)
+		return false
+	}
+	result, err := soak.Run(ctx, soak.Options{
+		Binary: a.Binary, Dir: dir, Seed: seed, Faults: a.Faults, Instances: a.Instances, Programs: a.Programs,
+	})
+	if err == nil && len(result.Violations) == 0 {
+		fmt.Printf("seed %d: %d of %d attempts served, %d faults\n", seed, result.Served, result.Attempts, len(result.Faults))
+		_ = os.RemoveAll(dir) // a folder that stays does no harm
+		return true
+	}
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	report, err := os.Create(filepath.Join(dir, "report.txt"))
+	if err != nil {
+		fmt.Println("write the report:", err)
+		return false
+	}
+	defer func() { _ = report.Close() }() // what is lost of it was printed
+	for _, line := range append(result.Violations, result.Faults...) {
+		_, _ = fmt.Fprintln(report, line)
+	}
+	fmt.Printf("seed %d FAILED, logs in %s\n", seed, dir)
+	for _, v := range result.Violations[:min(5, len(result.Violations))] {
+		fmt.Println("  ", v)
+	}
+	return false
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -47,6 +48,7 @@
 
 func runOn(ctx context.Context, machine platform.Machine, options Options, out io.Writer) error {
 	started := time.Now()
+	peerListen := cmp.Or(options.PeerListen, machine.PeerAddress)
 	queue := logqueue.New(out)
 	defer queue.Close()
 	handler := slog.NewJSONHandler(queue, &slog.HandlerOptions{Level: options.LogLevel})
@@ -69,6 +71,7 @@
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "build the instance")
 	}
+	e.peerListen = peerListen
 	return e.run(ctx, background, cancel, started)
 }
 
@@ -100,7 +103,10 @@
 
 // edge is a running instance.
 type edge struct {
-	machine  platform.Machine
+	machine platform.Machine
+	// peerListen is where it listens for other instances.
+	peerListen string
+
 	log      *slog.Logger
 	reporter *httpapi.Metrics
 	store    *platform.Store
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -42,7 +42,7 @@
 		address string
 		watched bool
 	}{
-		{s.admin, e.machine.PeerAddress, false},
+		{s.admin, e.peerListen, false},
 		{s.callers, e.machine.CallerAddress, true},
 		{s.ready, e.machine.ReadyAddress, false},
 	}
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,9 @@
 type Options struct {
 	LogLevel slog.Level `arg:"--log-level,env:BANYANGLADE_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
 	PeerKey  string     `arg:"--,env:BANYANGLADE_PEER_KEY" help:"key that all instances share, at least 16 bytes"`
+	// PeerListen is needed where the others reach this instance through a
+	// forwarder.
+	PeerListen string `arg:"--peer-listen,env:BANYANGLADE_PEER_LISTEN" placeholder:"IP:PORT" help:"where to listen for other instances, if not at the address that they use"`
 }
 
 // Validate checks the options.
@@ -21,6 +25,9 @@
 	if len(o.PeerKey) < peer.MinKeyBytes {
 		return errors.Newf("environment variable BANYANGLADE_PEER_KEY: expected at least %d bytes", peer.MinKeyBytes)
 	}
+	if _, err := netip.ParseAddrPort(o.PeerListen); o.PeerListen != "" && err != nil {
+		return errors.Newf("--peer-listen: %q: expected IP:PORT", o.PeerListen)
+	}
 	return nil
 }
 
--- a/internal/proofs/network.go
+++ b/internal/proofs/network.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/standin"
 	"github.com/banyanglade/banyanglade/internal/testkit"
+	"github.com/banyanglade/banyanglade/internal/testkit/relay"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
 
@@ -17,8 +18,8 @@
 // instance reads a membership list of its own, whose addresses are the relays'.
 type Network struct {
 	mu      sync.Mutex
-	logs    map[string]*relay
-	pairs   map[pair]*relay
+	logs    map[string]*relay.Relay
+	pairs   map[pair]*relay.Relay
 	servers []*standin.Server
 	// cut holds the instances cut off from the others, for relays made later.
 	cut map[string]cut
@@ -31,26 +32,26 @@
 type cut struct{ out, in bool }
 
 func newNetwork() *Network {
-	return &Network{logs: map[string]*relay{}, pairs: map[pair]*relay{}, cut: map[string]cut{}}
+	return &Network{logs: map[string]*relay.Relay{}, pairs: map[pair]*relay.Relay{}, cut: map[string]cut{}}
 }
 
 // env gives an instance the addresses of its relays.
 func (n *Network) env(c *testkit.Cluster, id string) []string {
 	ready := c.Ready()
-	log, err := newRelay(strings.TrimPrefix(ready.Log, "http://"))
+	log, err := relay.New(strings.TrimPrefix(ready.Log, "http://"))
 	if err != nil {
 		return nil
 	}
 	list, err := standin.Listen("", n.memberList(id, ready.Members))
 	if err != nil {
-		log.close()
+		log.Close()
 		return nil
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logs[id] = log
 	n.servers = append(n.servers, list)
-	return []string{"BANYANGLADE_LOG_URL=http://" + log.address(), "BANYANGLADE_MEMBERS_URL=" + list.URL}
+	return []string{"BANYANGLADE_LOG_URL=http://" + log.Address(), "BANYANGLADE_MEMBERS_URL=" + list.URL}
 }
 
 // memberList shows the membership list to one instance, with the addresses of
@@ -82,21 +83,21 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if known, ok := n.pairs[p]; ok {
-		return known.address()
+		return known.Address()
 	}
-	made, err := newRelay(address)
+	made, err := relay.New(address)
 	if err != nil {
 		return address
 	}
 	n.pairs[p] = made
 	n.apply(p, made)
-	return made.address()
+	return made.Address()
 }
 
 // apply blocks a relay as its two ends are cut. The mutex is held.
-func (n *Network) apply(p pair, r *relay) {
+func (n *Network) apply(p pair, r *relay.Relay) {
 	from, to := n.cut[p.from], n.cut[p.to]
-	r.block(from.out || to.in, to.out || from.in)
+	r.Block(from.out || to.in, to.out || from.in)
 }
 
 // CutLog holds the bytes between an instance and the log: those towards the
@@ -104,7 +105,7 @@
 func (n *Network) CutLog(id string, blockTowards, blockBack bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.logs[id].block(blockTowards, blockBack)
+	n.logs[id].Block(blockTowards, blockBack)
 }
 
 // CutPeer holds what an instance sends to the others, what it gets from them,
@@ -126,10 +127,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, r := range n.logs {
-		r.close()
+		r.Close()
 	}
 	for _, r := range n.pairs {
-		r.close()
+		r.Close()
 	}
 	for _, s := range n.servers {
 		s.Close()
--- /dev/null
+++ b/internal/soak/deployment.go
@@ -0,0 +1,265 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+const (
+	host            = "soak.example"
+	engineService   = "engine"
+	appService      = "app"
+	storePartitions = 6
+	// heartbeatInterval is how often targets write their registration, and
+	// lapseTime when the registration of a silent one goes.
+	heartbeatInterval = 1200 * time.Millisecond
+	lapseTime         = 3 * heartbeatInterval
+	// drainTime is how long a target serves on after it said that it leaves.
+	drainTime = 3 * time.Second
+	// maxTargets is how many targets may run one attempt of a safe request.
+	maxTargets = 2
+	// turnMost is the most that a turn generates, in tokens.
+	turnMost = eventsPerTurn * tokensPerEvent
+)
+
+// deployment is instances with their store and targets.
+type deployment struct {
+	options  Options
+	history  *history
+	store    *metastore.Service
+	machines []*machine
+
+	mu       sync.Mutex
+	targets  []*target
+	made     int
+	sequence int
+	version  int
+}
+
+func newDeployment(options Options) (*deployment, error) {
+	d := &deployment{options: options, history: newHistory(), store: metastore.Start()}
+	for i := range 2 * options.Instances {
+		service := engineService
+		if i%2 == 1 {
+			service = appService
+		}
+		if err := d.addTarget(service); err != nil {
+			return nil, err
+		}
+	}
+	d.publish()
+	var seeds []string
+	for i := range options.Instances {
+		m, err := newMachine(fmt.Sprintf("m%d", i), options.Dir, d.store.Address(), seeds)
+		if err != nil {
+			return nil, err
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, m.peers.Address())
+		}
+		d.machines = append(d.machines, m)
+	}
+	for _, m := range d.machines {
+		if err := m.start(options.Binary, options.Dir); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *deployment) close() {
+	for _, m := range d.machines {
+		m.close()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		t.end()
+	}
+	d.store.Close()
+}
+
+// addTarget starts a target and registers it.
+func (d *deployment) addTarget(service string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.made++
+	t, err := startTarget(fmt.Sprintf("%s-%d", service, d.made), service, d.history, uint64(d.made))
+	if err != nil {
+		return err
+	}
+	d.targets = append(d.targets, t)
+	d.register(t, "ready")
+	return nil
+}
+
+// register writes a target's registration. The mutex is held.
+func (d *deployment) register(t *target, state string) {
+	d.sequence++
+	value, err := json.Marshal(map[string]any{
+		"Service": t.service, "Address": t.address, "Zone": "dc", "Slots": targetSlots, "State": state, "Sequence": d.sequence,
+	})
+	if err != nil {
+		panic(errors.AssertionFailedf("encode a registration: %v", err))
+	}
+	d.store.Put(platform.TopicTargets, t.id, value)
+}
+
+// anyTarget chooses a target of a service that has not been ended.
+func (d *deployment) anyTarget(rng *rand.Rand) *target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[rng.IntN(len(d.targets))]
+}
+
+// remove takes a target off the list. It returns false if it was off already.
+func (d *deployment) remove(t *target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, other := range d.targets {
+		if other == t {
+			d.targets = append(d.targets[:i], d.targets[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// crashTarget ends a target at once; its registration lapses, and another takes
+// its place.
+func (d *deployment) crashTarget(t *target) error {
+	if !d.remove(t) {
+		return nil
+	}
+	t.end()
+	if err := d.addTarget(t.service); err != nil {
+		return err
+	}
+	time.Sleep(lapseTime)
+	d.store.Put(platform.TopicTargets, t.id, nil)
+	return nil
+}
+
+// drainTarget replaces a target in order.
+func (d *deployment) drainTarget(t *target) error {
+	if !d.remove(t) {
+		return nil
+	}
+	if err := d.addTarget(t.service); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.register(t, "draining")
+	d.mu.Unlock()
+	time.Sleep(drainTime)
+	d.store.Put(platform.TopicTargets, t.id, nil)
+	// What it still runs is finished: instances may have heard late of it.
+	time.Sleep(drainTime)
+	t.end()
+	return nil
+}
+
+// beat writes the registrations of all targets again.
+func (d *deployment) beat() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		d.register(t, "ready")
+	}
+}
+
+// versionPath is the path of a route that only one version of the settings has.
+func versionPath(version int) string { return fmt.Sprintf("/version/%d/", version) }
+
+// publish writes the next version of the operator's settings.
+func (d *deployment) publish() {
+	d.mu.Lock()
+	d.version++
+	version := d.version
+	d.mu.Unlock()
+	route := func(name, prefix, kind, service string, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"Name": name, "Hostname": host, "PathPrefix": prefix, "Type": kind, "Service": service,
+			"TimeoutMs": 3000, "TargetLatencyMs": 100, "MaxAttempts": attempts,
+		}
+		for key, value := range more {
+			r[key] = value
+		}
+		return r
+	}
+	turns := map[string]any{"Retain": false, "RetentionS": 60, "Resumable": true, "SessionAffinity": true}
+	value, err := json.Marshal(map[string]any{
+		"Version": version,
+		"Routes": []any{
+			route("turns", "/turn/", "streaming", engineService, 1, turns),
+			route("safe", "/safe/", "safe", appService, maxTargets, nil),
+			route("once", "/once/", "unsafe", appService, 1, nil),
+			route("version", versionPath(version), "safe", appService, maxTargets, nil),
+		},
+		"Services": []any{
+			map[string]any{"Name": engineService, "Engine": map[string]any{"StrideTokens": tokensPerEvent}},
+			map[string]any{"Name": appService},
+		},
+	})
+	if err != nil {
+		panic(errors.AssertionFailedf("encode the settings: %v", err))
+	}
+	d.store.Put(platform.TopicOperator, platform.KeySettings, value)
+	d.history.publish(version)
+}
+
+func (d *deployment) newestVersion() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
+// isReady asks a machine whether it takes callers.
+func isReady(ctx context.Context, m *machine) bool {
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(limited, http.MethodGet, "http://"+m.ready+platform.ReadyPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body) // only the status counts
+	return resp.StatusCode == http.StatusOK
+}
+
+// untilReady waits until all instances take callers.
+func (d *deployment) untilReady(ctx context.Context) error {
+	for _, m := range d.machines {
+		for !isReady(ctx, m) {
+			if ctx.Err() != nil {
+				return errors.Newf("machine %s did not become ready; its log:\n%s", m.name, m.now().process.Log())
+			}
+			pause(ctx, 20*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// kind is the kind of a request.
+type kind uint8
+
+const (
+	// turn requests are answered by a stream and may go on elsewhere.
+	turn kind = iota
+	// safe requests may run more than once.
+	safe
+	// once requests run at most once.
+	once
+)
+
+func (k kind) String() string { return [...]string{"turn", "safe", "once"}[k] }
+
+// attempt is one request of a caller, with what it received.
+type attempt struct {
+	id       string
+	program  string
+	kind     kind
+	body     string
+	life     *life
+	start    time.Time
+	end      time.Time
+	status   int
+	signed   string
+	received string
+	// events are the numbers of the events received, in order.
+	events []int
+	// whole tells that the answer came to its end; cut that the connection
+	// broke after the request was written.
+	whole bool
+	cut   bool
+	// left tells that the caller gave up.
+	left bool
+}
+
+// tokens is what the caller was handed.
+func (a *attempt) tokens() int { return len(a.events) * tokensPerEvent }
+
+// run is one request at a target.
+type run struct {
+	request string
+	target  *target
+	uri     string
+	body    string
+	start   time.Time
+	// faulty tells that the target broke the answer off or spoiled it; ended
+	// that it answered to the end.
+	faulty bool
+	ended  bool
+}
+
+// probe is what an instance showed of the operator's settings.
+type probe struct {
+	life    *life
+	version int
+	start   time.Time
+	end     time.Time
+	// inForce tells that the version's route was there.
+	inForce bool
+}
+
+// history is what callers and targets saw. It is safe for concurrent use.
+type history struct {
+	mu       sync.Mutex
+	attempts []*attempt
+	runs     map[string][]*run
+	probes   []probe
+	programs map[string]int
+	// published holds when each version of the settings was acknowledged.
+	published map[int]time.Time
+	known     map[string]*attempt
+}
+
+func newHistory() *history {
+	return &history{
+		runs: make(map[string][]*run), programs: make(map[string]int), published: make(map[int]time.Time),
+		known: make(map[string]*attempt),
+	}
+}
+
+// begin notes a request before it is sent.
+func (h *history) begin(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known[a.id] = a
+}
+
+// end notes a request that has its outcome.
+func (h *history) end(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.end = time.Now()
+	h.attempts = append(h.attempts, a)
+}
+
+// open notes a program with its budget, in tokens.
+func (h *history) open(program string, budget int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.programs[program] = budget
+}
+
+func (h *history) ran(r *run) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs[r.request] = append(h.runs[r.request], r)
+}
+
+// finish notes how a run ended.
+func (h *history) finish(r *run, faulty, ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.faulty, r.ended = r.faulty || faulty, ended
+}
+
+func (h *history) probed(p probe) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probes = append(h.probes, p)
+}
+
+func (h *history) publish(version int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.published[version] = time.Now()
+}
+
+// served counts the whole answers so far.
+func (h *history) served() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, a := range h.attempts {
+		if a.whole && a.status == statusOK {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -38,24 +38,46 @@
 	Peers   string `json:"peers"`
 }
 
-// startProcess starts a command and waits until it logged its addresses.
-func startProcess(binary string, env []string, logDir string, p *Process) error {
-	p.cmd = exec.Command(binary, "run")
+// Launch starts a command whose output is kept as its log, and in a file of the
+// folder if that is not empty. It does not wait for anything.
+func Launch(binary, role, id string, env []string, logDir string) (*Process, error) {
+	p := &Process{ID: id}
+	return p, p.launch(binary, role, env, logDir, nil)
+}
+
+// launch starts the process; the function line is told each line of its log.
+func (p *Process) launch(binary, role string, env []string, logDir string, line func(string)) error {
+	p.cmd = exec.Command(binary, role)
 	p.cmd.Env = append(os.Environ(), env...)
 	p.exited = make(chan struct{})
 	p.log = &logBuffer{}
 	if err := p.log.openFile(logDir, p.ID); err != nil {
 		return err
 	}
-	stderr, err := p.cmd.StderrPipe()
+	output, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return errors.Wrap(err, "pipe")
 	}
+	p.cmd.Stderr = p.cmd.Stdout
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrap(err, "start")
 	}
+	go p.read(output, line)
+	return nil
+}
+
+// startProcess starts an instance and waits until it logged its addresses.
+func startProcess(binary string, env []string, logDir string, p *Process) error {
 	found := make(chan listening, 1)
-	go p.read(stderr, found)
+	err := p.launch(binary, "run", env, logDir, func(text string) {
+		var line listening
+		if json.Unmarshal([]byte(text), &line) == nil && line.Message == listeningMessage {
+			found <- line
+		}
+	})
+	if err != nil {
+		return err
+	}
 	select {
 	case line := <-found:
 		p.Server = "http://" + line.Callers
@@ -66,15 +88,14 @@
 	}
 }
 
-// read keeps the process's log and finds its addresses, then waits for its end.
-func (p *Process) read(stderr io.Reader, found chan<- listening) {
-	scanner := bufio.NewScanner(stderr)
+// read keeps the process's log, then waits for its end.
+func (p *Process) read(output io.Reader, line func(string)) {
+	scanner := bufio.NewScanner(output)
 	scanner.Buffer(make([]byte, 0, 64<<10), 4<<20)
 	for scanner.Scan() {
 		p.log.add(scanner.Text())
-		var line listening
-		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Message == listeningMessage {
-			found <- line
+		if line != nil {
+			line(scanner.Text())
 		}
 	}
 	p.err = p.cmd.Wait()
--- a/internal/proofs/relay.go
+++ b/internal/testkit/relay/relay.go
@@ -1,14 +1,17 @@
-package proofs
+// Package relay passes TCP connections of tests on and makes their network fail:
+// it holds, delays and resets connections.
+package relay
 
 import (
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
-// relay passes TCP connections on to an address and can cut or hold either
-// direction. It is safe for concurrent use.
-type relay struct {
+// Relay passes TCP connections on to an address and can cut, hold or delay
+// them. It is safe for concurrent use.
+type Relay struct {
 	listener net.Listener
 	target   string
 
@@ -16,6 +19,7 @@
 	changed chan struct{}
 	// blocked holds the bytes of a direction until it is clear again.
 	blocked [2]bool
+	delay   time.Duration
 	conns   map[net.Conn]bool
 	closed  bool
 }
@@ -26,19 +30,21 @@
 	back    = 1
 )
 
-func newRelay(target string) (*relay, error) {
+// New starts a relay to an address on a free loopback port.
+func New(target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	r := &Relay{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	go r.accept()
 	return r, nil
 }
 
-func (r *relay) address() string { return r.listener.Addr().String() }
+// Address is where the relay listens, IP:port.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
 		if err != nil {
@@ -48,7 +54,7 @@
 	}
 }
 
-func (r *relay) serve(near net.Conn) {
+func (r *Relay) serve(near net.Conn) {
 	defer func() { _ = near.Close() }()
 	far, err := net.Dial("tcp", r.target)
 	if err != nil {
@@ -65,7 +71,7 @@
 	<-ended
 }
 
-func (r *relay) keep(conns ...net.Conn) bool {
+func (r *Relay) keep(conns ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
@@ -74,7 +80,7 @@
 	return !r.closed
 }
 
-func (r *relay) forget(conns ...net.Conn) {
+func (r *Relay) forget(conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
@@ -83,7 +89,7 @@
 }
 
 // pass copies one direction; a blocked one holds what it has read.
-func (r *relay) pass(to io.Writer, from io.Reader, direction int, ended chan<- struct{}) {
+func (r *Relay) pass(to io.Writer, from io.Reader, direction int, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	for {
@@ -102,21 +108,22 @@
 }
 
 // waitClear returns once a direction is not blocked.
-func (r *relay) waitClear(direction int) {
+func (r *Relay) waitClear(direction int) {
 	for {
 		r.mu.Lock()
-		blocked, changed := r.blocked[direction] && !r.closed, r.changed
+		blocked, changed, delay := r.blocked[direction] && !r.closed, r.changed, r.delay
 		r.mu.Unlock()
 		if !blocked {
+			time.Sleep(delay)
 			return
 		}
 		<-changed
 	}
 }
 
-// block holds or clears the directions. Bytes that were held go on late, as
+// Block holds or clears the directions. Bytes that were held go on late, as
 // those of a network that comes back.
-func (r *relay) block(blockTowards, blockBack bool) {
+func (r *Relay) Block(blockTowards, blockBack bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.blocked = [2]bool{blockTowards, blockBack}
@@ -124,14 +131,34 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *relay) close() {
-	_ = r.listener.Close()
+// Delay makes each piece of data wait before it is passed on.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Reset resets all connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the close below then resets
+		}
+		_ = c.Close() // the connection is given up
+	}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close() // ends accept
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
 	close(r.changed)
 	r.changed = make(chan struct{})
 	for c := range r.conns {
-		_ = c.Close()
+		_ = c.Close() // the connection is given up
 	}
 }
--- a/internal/proofs/relay_test.go
+++ b/internal/testkit/relay/relay_test.go
@@ -1,4 +1,4 @@
-package proofs
+package relay
 
 import (
 	"io"
@@ -28,18 +28,18 @@
 }
 
 func TestRelayHoldsOneDirection(t *testing.T) {
-	r, err := newRelay(echo(t))
+	r, err := New(echo(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.close()
-	conn, err := net.Dial("tcp", r.address())
+	defer r.Close()
+	conn, err := net.Dial("tcp", r.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
 	exchange(t, conn, "a")
-	r.block(false, true)
+	r.Block(false, true)
 	if _, err := conn.Write([]byte("b")); err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 	if _, err := conn.Read(make([]byte, 1)); err == nil {
 		t.Fatal("a byte passed the blocked direction")
 	}
-	r.block(false, false)
+	r.Block(false, false)
 	_ = conn.SetReadDeadline(time.Time{})
 	readByte(t, conn, "b")
 	exchange(t, conn, "c")
@@ -68,3 +68,21 @@
 		t.Fatalf("got %q, %v, want %q", got, err, want)
 	}
 }
+
+func TestRelayResetsConnections(t *testing.T) {
+	r, err := New(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	conn, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	exchange(t, conn, "a")
+	r.Reset()
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the connection was not reset")
+	}
+}
