--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	promiseUnasked  = "a target runs what a caller sent"
 	promiseSettings = "settings never get older in one life of an instance"
 	promiseDrain    = "a shutdown cuts no request"
+	promiseAlive    = "no instance ends by itself"
 )
 
 // check finds the promises that a history breaks.
@@ -36,6 +37,9 @@
 	for _, a := range h.attempts {
 		found = append(found, h.checkAttempt(a)...)
 	}
+	for _, l := range h.alone {
+		found = append(found, broken(promiseAlive, "%s; the end of its log:\n%s", l.machine.name, l.process.Log())...)
+	}
 	found = append(found, h.checkRuns()...)
 	found = append(found, h.checkBudgets()...)
 	return append(found, h.checkSettings()...)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -71,7 +71,7 @@
 		d.machines = append(d.machines, m)
 	}
 	for _, m := range d.machines {
-		if err := m.start(options.Binary, options.Dir); err != nil {
+		if err := m.start(options.Binary, options.Dir, d.history); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -109,7 +109,7 @@
 	f.begin(how+" "+m.name, down, func() error {
 		end()
 		time.Sleep(down)
-		err := m.start(f.deployment.options.Binary, f.deployment.options.Dir)
+		err := m.start(f.deployment.options.Binary, f.deployment.options.Dir, f.deployment.history)
 		f.mu.Lock()
 		f.restarting[m] = false
 		f.mu.Unlock()
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -77,6 +77,8 @@
 	// published holds when each version of the settings was acknowledged.
 	published map[int]time.Time
 	known     map[string]*attempt
+	// alone are the lives that ended without being asked to.
+	alone []*life
 }
 
 func newHistory() *history {
@@ -114,6 +116,13 @@
 	h.runs[r.request] = append(h.runs[r.request], r)
 }
 
+// endedAlone notes a life that ended without being asked to.
+func (h *history) endedAlone(l *life) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.alone = append(h.alone, l)
+}
+
 // finish notes how a run ended.
 func (h *history) finish(r *run, faulty, ended bool) {
 	h.mu.Lock()
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +40,9 @@
 	process *testkit.Process
 	started time.Time
 
+	// ending tells that the soak ends it.
+	ending atomic.Bool
+
 	mu sync.Mutex
 	// terminated is when it was asked to shut down, disturbed that it was also
 	// killed, paused or cut off.
@@ -58,9 +63,16 @@
 	return l.terminated, !l.disturbed && !l.terminated.IsZero()
 }
 
-// freeAddress is a loopback address on which nothing listens.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// loopbackHost is a loopback address of one machine. Each has its own, so that
+// its ports are never taken for outgoing connections, which come from 127.0.0.1.
+func loopbackHost() string {
+	const most = 250
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most), 1+rand.IntN(most))
+}
+
+// freeAddress is an address of a host on which nothing listens.
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", errors.Wrap(err, "find a port")
 	}
@@ -69,9 +81,10 @@
 
 // newMachine prepares a machine: its settings file and its relays.
 func newMachine(name, dir, store string, seeds []string) (*machine, error) {
+	host := loopbackHost()
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := freeAddress(host)
 		if err != nil {
 			return nil, err
 		}
@@ -86,7 +99,7 @@
 		return nil, errors.Wrap(err, "relay from other instances")
 	}
 	settings, err := json.Marshal(map[string]any{
-		"Node": name, "Ip": "127.0.0.1", "Zone": "dc", "Region": "region",
+		"Node": name, "Ip": host, "Zone": "dc", "Region": "region",
 		"Listen": map[string]string{"Frontend": m.callers, "Ready": m.ready, "Control": m.peers.Address()},
 		"Seeds":  seeds,
 		"Bounds": map[string]any{"GraceS": gracePeriod.Seconds()},
@@ -109,7 +122,7 @@
 }
 
 // start starts the next life.
-func (m *machine) start(binary, dir string) error {
+func (m *machine) start(binary, dir string, h *history) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -117,7 +130,14 @@
 	if err != nil {
 		return err
 	}
-	m.life = &life{machine: m, process: process, started: now}
+	l := &life{machine: m, process: process, started: now}
+	m.life = l
+	go func() {
+		<-process.Exited()
+		if !l.ending.Load() {
+			h.endedAlone(l)
+		}
+	}()
 	return nil
 }
 
@@ -132,12 +152,14 @@
 func (m *machine) kill() {
 	l := m.now()
 	l.disturb()
+	l.ending.Store(true)
 	l.process.Kill()
 }
 
 // terminate asks the present life to shut down and waits for its end.
 func (m *machine) terminate() {
 	l := m.now()
+	l.ending.Store(true)
 	l.mu.Lock()
 	l.terminated = time.Now()
 	l.mu.Unlock()
