--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -65,8 +65,9 @@
 		f.linkFails(m, lasts)
 	case 12:
 		t := d.anyTarget(f.rng)
-		f.begin("trouble at "+t.id, lasts, func() error {
-			t.setTrouble(0.3)
+		share := 0.1 + 0.8*f.rng.Float64()
+		f.begin(fmt.Sprintf("trouble at %s, share %.1f", t.id, share), lasts, func() error {
+			t.setTrouble(share)
 			time.Sleep(lasts)
 			t.setTrouble(0)
 			return nil
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -37,10 +37,18 @@
 	cutInside
 	// spoil sends bytes that are no answer.
 	spoil
-	// extra sends a second answer behind the first.
+	// extra sends a second answer some time after the first, when the next
+	// request may be on its way.
 	extra
 )
 
+const (
+	// extraAfter is the time between the two answers, extraHold how long the
+	// connection stays open then.
+	extraAfter = 15 * time.Millisecond
+	extraHold  = 60 * time.Millisecond
+)
+
 // target is one life of a target.
 type target struct {
 	id      string
@@ -149,10 +157,10 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case spoil:
-		writeRaw(w, "\x16\x03\x01 no answer\r\n\r\n")
+		writeRaw(w, 0, "\x16\x03\x01 no answer\r\n\r\n")
 		return
 	case extra:
-		writeRaw(w, t.rawAnswer(made.request, text)+t.rawAnswer(made.request, "a second answer"))
+		writeRaw(w, extraHold, t.rawAnswer(made.request, text), t.rawAnswer(made.request, "a second answer"))
 		return
 	}
 	_, err := io.WriteString(w, text)
@@ -165,14 +173,21 @@
 		"Content-Length: %d\r\n\r\n%s", id, t.id, id, len(text), text)
 }
 
-// writeRaw sends bytes in place of an answer and ends the connection.
-func writeRaw(w http.ResponseWriter, text string) {
+// writeRaw sends texts in place of an answer, one after the other, and ends the
+// connection a while later.
+func writeRaw(w http.ResponseWriter, hold time.Duration, texts ...string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return // the sender is gone
 	}
 	defer func() { _ = conn.Close() }() // nothing follows on it
-	_, _ = io.WriteString(conn, text)   // whoever reads it or not
+	for i, text := range texts {
+		if i > 0 {
+			time.Sleep(extraAfter)
+		}
+		_, _ = io.WriteString(conn, text) // whoever reads it or not
+	}
+	time.Sleep(hold)
 }
 
 // work takes time, and tells whether the sender still waits.
@@ -204,7 +219,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if met == spoil {
-		writeRaw(w, "no answer\r\n\r\n")
+		writeRaw(w, 0, "no answer\r\n\r\n")
 		return
 	}
 	from, last := lastEvent(r), eventsOf(made.body)
