--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build quickstart test lint spec proofs bench fuzz clean
+# The seeds that "make soak" plays; 50 or more after each larger change.
+SOAK_FIRST ?= 1
+SOAK_SEEDS ?= 50
+
+.PHONY: all build quickstart test lint spec proofs soak bench fuzz clean
 
 all: build
 
@@ -30,6 +34,10 @@
 proofs: build
 	bash scripts/proofs.sh
 
+# Plays seeds of the fault soak; CI plays a few short ones.
+soak: build
+	$(BIN)/soak --binary $(BIN)/banyanglade --first $(SOAK_FIRST) --seeds $(SOAK_SEEDS) --parallel 6
+
 bench: build
 	bash scripts/bench.sh
 
--- /dev/null
+++ b/internal/serve/send_test.go
@@ -0,0 +1,211 @@
+package serve
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+// To which targets a request is sent, and how often.
+
+func TestRefusalIsTakenToAnotherTarget(t *testing.T) {
+	w := newWorld(t)
+	w.target("full", "app", refuseFull)
+	w.target("free", "app", serveText("ok"))
+	for range 10 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
+
+func TestAllTargetsFull(t *testing.T) {
+	w := newWorld(t)
+	w.target("full", "app", refuseFull)
+	got := w.do(w.request("POST", "/once/", "b"))
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	w := newWorld(t)
+	a := w.target("a", "app", cutConnection)
+	b := w.target("b", "app", cutConnection)
+	got := w.do(w.request("POST", "/once/", "b"))
+	if got.status != 502 {
+		t.Errorf("got %+v, want a status that promises nothing", got)
+	}
+	if n := a.count() + b.count(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func TestRequestOnAStaleConnectionIsNotSentAgain(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("a", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			serveText("ok")(n, rw, r)
+			return
+		}
+		cutConnection(n, rw, r)
+	})
+	w.do(w.request("POST", "/once/", "b"))
+	if got := w.do(w.request("POST", "/once/", "b")); got.status != 502 || tg.count() != 2 {
+		t.Errorf("got %+v after %d sends", got, tg.count())
+	}
+}
+
+func TestUnreachableTargetIsPassedOver(t *testing.T) {
+	w := newWorld(t)
+	gone := w.target("gone", "app", serveText("never"))
+	gone.server.Close()
+	w.target("here", "app", serveText("ok"))
+	for range 5 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
+
+func TestRepeatableRequestIsSentToAsManyTargetsAsAllowed(t *testing.T) {
+	w := newWorld(t)
+	var all []*target
+	for i := range 4 {
+		all = append(all, w.target(fmt.Sprint("t", i), "app", cutConnection))
+	}
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 502 {
+		t.Errorf("got %+v", got)
+	}
+	ran := 0
+	for _, tg := range all {
+		if tg.count() > 0 {
+			ran++
+		}
+	}
+	if ran > 2 {
+		t.Errorf("run by %d targets, the route allows 2", ran)
+	}
+}
+
+// A target that is down breaks each connection at once, and looks idle.
+func TestRepeatableRequestGoesOnFromATargetThatBreaksConnections(t *testing.T) {
+	w := newWorld(t)
+	var other atomic.Bool
+	// As in the test of a silent target, the broken one is asked first.
+	down := w.target("down", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if other.CompareAndSwap(false, true) {
+			w.target("answers", "app", serveText("ok"))
+		}
+		cutConnection(n, rw, r)
+	})
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 200 || got.body != "ok" {
+		t.Errorf("got %+v", got)
+	}
+	if n := down.count(); n != 1 {
+		t.Errorf("sent %d times to the broken target", n)
+	}
+}
+
+// Others hear of a target that breaks new connections, but not of one that
+// dropped a kept connection, which is asked again on a new one.
+func TestOthersHearOfTargetsThatBreakNewConnections(t *testing.T) {
+	w := newWorld(t)
+	w.server.downWithin = time.Minute // however slow the machine is
+	w.target("down", "app", cutConnection)
+	w.do(w.request("POST", "/once/", "b"))
+	if n := w.notices.Load(); n != 1 {
+		t.Errorf("%d notices of a target that is down", n)
+	}
+	w.target("drops", "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 2 {
+			cutConnection(n, rw, r)
+		}
+		serveEvents(2, never)(n, rw, r)
+	})
+	for range 2 {
+		if got := w.do(w.request("POST", "/turns/", "b")); got.status != 200 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := w.notices.Load(); n != 1 {
+		t.Errorf("%d notices after a kept connection ended", n)
+	}
+}
+
+// A request that only one target may run is not sent there over and over.
+func TestBrokenTargetIsAskedTwiceAtMost(t *testing.T) {
+	w := newWorld(t)
+	down := w.target("down", "engine", cutConnection)
+	got := w.do(w.request("POST", "/turns/", "b"))
+	if got.status != 502 {
+		t.Errorf("got %+v", got)
+	}
+	if n := down.count(); n > 2 {
+		t.Errorf("sent %d times to the broken target", n)
+	}
+}
+
+func TestCutAnswerOfARepeatableRequestIsRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.target("a", "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+		sign(rw)
+		if n == 1 {
+			rw.Header().Set("Content-Length", "100")
+			_, _ = rw.Write([]byte("short"))
+			return
+		}
+		_, _ = rw.Write([]byte("whole"))
+	})
+	if got := w.do(w.request("GET", "/safe/", "")); got.status != 200 || got.body != "whole" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestRepeatableRequestGoesOnFromASilentTarget(t *testing.T) {
+	w := newWorld(t)
+	ended := make(chan struct{})
+	// The other target is registered by the silent one's run, so that the silent
+	// one is always asked first, however slow the machine is.
+	w.target("silent", "app", func(_ int, _ http.ResponseWriter, r *http.Request) {
+		w.target("answers", "app", serveText("ok"))
+		<-r.Context().Done()
+		close(ended)
+	})
+	if got := w.do(w.request("GET", "/quick/", "")); got.status != 200 || got.body != "ok" {
+		t.Fatalf("got %+v", got)
+	}
+	<-ended // the work at the silent target was ended
+}
+
+func TestDrainingTargetGetsNoRequests(t *testing.T) {
+	w := newWorld(t)
+	leaving := w.target("leaving", "app", serveText("ok"))
+	w.target("stays", "app", serveText("ok"))
+	w.targets.Put(targets.Entry{
+		ID: "leaving", Service: "app", Address: leaving.server.Listener.Addr().String(), Slots: 4, Draining: true,
+	})
+	for range 10 {
+		w.do(w.request("GET", "/safe/", ""))
+	}
+	if leaving.count() != 0 {
+		t.Errorf("%d requests went to a target that leaves", leaving.count())
+	}
+}
+
+func TestAnotherTargetAtTheAddress(t *testing.T) {
+	w := newWorld(t)
+	w.target("old", "app", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	w.target("new", "app", serveText("ok"))
+	for range 5 {
+		if got := w.do(w.request("POST", "/once/", "b")); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,46 +41,80 @@
 	f.deployment.store.Set(metastore.Fault{})
 }
 
+// choice is a kind of fault with how often it is chosen, relative to the others.
+type choice struct {
+	weight int
+	begin  func(f *faults, m *machine, lasts time.Duration)
+}
+
+var choices = []choice{
+	{2, func(f *faults, m *machine, lasts time.Duration) { f.restart(m, "kill", lasts/4, m.kill) }},
+	{3, func(f *faults, m *machine, _ time.Duration) { f.restart(m, "SIGTERM", 0, m.terminate) }},
+	{2, (*faults).pauseMachine},
+	{1, (*faults).killAll},
+	{3, func(f *faults, _ *machine, lasts time.Duration) { f.storeFails(lasts) }},
+	{1, (*faults).linkFails},
+	{1, (*faults).troubleTarget},
+	{1, (*faults).crashTarget},
+	{1, (*faults).drainTarget},
+	{1, (*faults).changeSettings},
+}
+
 // next begins one fault.
 func (f *faults) next() {
-	d := f.deployment
-	m := d.machines[f.rng.IntN(len(d.machines))]
+	m := f.deployment.machines[f.rng.IntN(len(f.deployment.machines))]
 	lasts := time.Duration(50+f.rng.IntN(1800)) * time.Millisecond
-	switch f.rng.IntN(16) {
-	case 0, 1:
-		f.restart(m, "kill", lasts/4, m.kill)
-	case 2, 3, 4:
-		f.restart(m, "SIGTERM", 0, m.terminate)
-	case 5, 6:
-		f.begin("pause "+m.name, lasts, func() error { m.pause(lasts); return nil })
-	case 7:
-		if f.rng.IntN(3) == 0 {
-			for _, each := range d.machines {
-				f.restart(each, "kill all", lasts/4, each.kill)
-			}
+	total := 0
+	for _, c := range choices {
+		total += c.weight
+	}
+	drawn := f.rng.IntN(total)
+	for _, c := range choices {
+		if drawn < c.weight {
+			c.begin(f, m, lasts)
+			return
 		}
-	case 8, 9, 10:
-		f.storeFails(lasts)
-	case 11:
-		f.linkFails(m, lasts)
-	case 12:
-		t := d.anyTarget(f.rng)
-		share := 0.1 + 0.8*f.rng.Float64()
-		f.begin(fmt.Sprintf("trouble at %s, share %.1f", t.id, share), lasts, func() error {
-			t.setTrouble(share)
-			time.Sleep(lasts)
-			t.setTrouble(0)
-			return nil
-		})
-	case 13:
-		t := d.anyTarget(f.rng)
-		f.begin("crash "+t.id, lapseTime, func() error { return d.crashTarget(t) })
-	case 14:
-		t := d.anyTarget(f.rng)
-		f.begin("drain "+t.id, drainTime, func() error { return d.drainTarget(t) })
-	case 15:
-		f.begin("settings", 0, func() error { d.publish(); return nil })
+		drawn -= c.weight
+	}
+}
+
+func (f *faults) pauseMachine(m *machine, lasts time.Duration) {
+	f.begin("pause "+m.name, lasts, func() error { m.pause(lasts); return nil })
+}
+
+// killAll ends all instances at once, once in three times that it is chosen.
+func (f *faults) killAll(_ *machine, lasts time.Duration) {
+	if f.rng.IntN(3) != 0 {
+		return
 	}
+	for _, each := range f.deployment.machines {
+		f.restart(each, "kill all", lasts/4, each.kill)
+	}
+}
+
+func (f *faults) troubleTarget(_ *machine, lasts time.Duration) {
+	t := f.deployment.anyTarget(f.rng)
+	share := 0.1 + 0.8*f.rng.Float64()
+	f.begin(fmt.Sprintf("trouble at %s, share %.1f", t.id, share), lasts, func() error {
+		t.setTrouble(share)
+		time.Sleep(lasts)
+		t.setTrouble(0)
+		return nil
+	})
+}
+
+func (f *faults) crashTarget(*machine, time.Duration) {
+	t := f.deployment.anyTarget(f.rng)
+	f.begin("crash "+t.id, lapseTime, func() error { return f.deployment.crashTarget(t) })
+}
+
+func (f *faults) drainTarget(*machine, time.Duration) {
+	t := f.deployment.anyTarget(f.rng)
+	f.begin("drain "+t.id, drainTime, func() error { return f.deployment.drainTarget(t) })
+}
+
+func (f *faults) changeSettings(*machine, time.Duration) {
+	f.begin("settings", 0, func() error { f.deployment.publish(); return nil })
 }
 
 // begin carries a fault out beside the others.
--- a/internal/testkit/relay/relay_test.go
+++ b/internal/testkit/relay/relay_test.go
@@ -27,18 +27,25 @@
 	return listener.Addr().String()
 }
 
-func TestRelayHoldsOneDirection(t *testing.T) {
+// connected is a relay to an echo with a connection that works.
+func connected(t *testing.T) (*Relay, net.Conn) {
+	t.Helper()
 	r, err := New(echo(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
+	t.Cleanup(r.Close)
 	conn, err := net.Dial("tcp", r.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
 	exchange(t, conn, "a")
+	return r, conn
+}
+
+func TestRelayHoldsOneDirection(t *testing.T) {
+	r, conn := connected(t)
 	r.Block(false, true)
 	if _, err := conn.Write([]byte("b")); err != nil {
 		t.Fatal(err)
@@ -70,17 +77,7 @@
 }
 
 func TestRelayResetsConnections(t *testing.T) {
-	r, err := New(echo(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Close()
-	conn, err := net.Dial("tcp", r.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	exchange(t, conn, "a")
+	r, conn := connected(t)
 	r.Reset()
 	if _, err := conn.Read(make([]byte, 1)); err == nil {
 		t.Fatal("the connection was not reset")
