budget: an owner that seemed silent is asked once more before its partition is claimed

Change: before a claim takes a partition from an owner that is listed but was found silent, that owner is probed, for 250 ms at the most. A dead process refuses the connection at once.

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -106,8 +106,11 @@
 	if err != nil {
 		return false, errors.Mark(err, errUnread)
 	}
-	if now.owner != nil && k.adopt(p, now.owner) {
-		return true, nil
+	if now.owner != nil {
+		k.confirm(now.owner.Owner)
+		if k.adopt(p, now.owner) {
+			return true, nil
+		}
 	}
 	claim := ownerRecord{Epoch: 1, Owner: k.self.ID, Address: k.self.Address}
 	if now.owner != nil {
@@ -140,6 +143,40 @@
 	return decodeContent(list)
 }
 
+// confirmTimeout bounds the wait for an owner that did not answer before. One
+// that is there answers within milliseconds; a dead process's machine refuses
+// the connection as fast.
+const confirmTimeout = 250 * time.Millisecond
+
+// confirm asks an owner that did not answer once more before its partition is
+// claimed: an instance that was paused finds all connections broken when it
+// wakes, and must not take the others' partitions, whose accounts would be lost.
+func (k *Keeper) confirm(owner structs.InstanceID) {
+	if !k.directory.Doubted(owner) {
+		return
+	}
+	heard := make(chan struct{}, 1)
+	k.mu.Lock()
+	k.confirms[owner] = append(k.confirms[owner], heard)
+	k.mu.Unlock()
+	k.peers.Probe(owner)
+	timer := time.NewTimer(confirmTimeout)
+	defer timer.Stop()
+	select {
+	case <-heard:
+	case <-timer.C:
+	case <-k.ctx.Done():
+	}
+}
+
+// confirmed ends the waits for word of an instance. The mutex is held.
+func (k *Keeper) confirmed(id structs.InstanceID) {
+	for _, heard := range k.confirms[id] {
+		heard <- struct{}{}
+	}
+	delete(k.confirms, id)
+}
+
 // adopt takes the owner in the store for the present one if it is usable, or
 // if it is this instance already. It tells whether that is so.
 func (k *Keeper) adopt(p *partition, owner *ownerRecord) bool {
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -67,6 +67,8 @@
 	pending   map[structs.RoomLease]*pendingAsk
 	handovers map[uint64]chan bool
 	number    uint64
+	// confirms wait to hear whether an instance answers.
+	confirms map[structs.InstanceID][]chan struct{}
 }
 
 // partition is what this instance knows of one partition. The mutex of the
@@ -111,6 +113,7 @@
 		breaks: parts.Breaks, health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx,
 		pending:   make(map[structs.RoomLease]*pendingAsk),
 		handovers: make(map[uint64]chan bool),
+		confirms:  make(map[structs.InstanceID][]chan struct{}),
 	}
 	for i := range parts.Partitions {
 		k.partitions = append(k.partitions, &partition{number: i})
@@ -266,6 +269,7 @@
 func (k *Keeper) peerUp(id structs.InstanceID) {
 	k.directory.SetSilent(id, false)
 	k.mu.Lock()
+	k.confirmed(id)
 	notice := k.ownNotice()
 	k.mu.Unlock()
 	if len(notice.Owned) > 0 {
@@ -291,6 +295,7 @@
 	k.directory.SetSilent(id, true)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.confirmed(id)
 	for _, p := range k.partitions {
 		if p.own != nil {
 			k.loseHolder(p, id)
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -360,3 +360,31 @@
 		}
 	})
 }
+
+// An instance that was paused finds its connections broken and takes all others
+// for dead when it wakes.
+func TestInstanceThatWakesDoesNotTakePartitions(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		for _, program := range []string{"p", "q", "r", "s"} {
+			if err := w.turn(w.all()[0], program, testBudget, testMost, 70, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		woken := w.all()[1]
+		owners := make(map[string]*node)
+		for _, program := range []string{"p", "q", "r", "s"} {
+			owners[program] = w.ownerOf(program)
+		}
+		for _, other := range w.all() {
+			if other != woken {
+				woken.inbox <- structs.PeerDown{Peer: other.id}
+			}
+		}
+		time.Sleep(2 * claimInterval)
+		for program, owner := range owners {
+			if w.ownerOf(program) != owner {
+				t.Errorf("the partition of %s changed hands", program)
+			}
+		}
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -128,6 +128,14 @@
 	return d.byMachine[MachineOf(id)].ID == id && !d.silent[id]
 }
 
+// Doubted tells whether an instance is listed but did not answer when it was
+// last asked.
+func (d *Directory) Doubted(id structs.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byMachine[MachineOf(id)].ID == id && d.silent[id]
+}
+
 // Others lists the other instances that answer.
 func (d *Directory) Others() []structs.Peer {
 	d.mu.Lock()
