--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -63,28 +61,12 @@
 	return l.terminated, !l.disturbed && !l.terminated.IsZero()
 }
 
-// loopbackHost is a loopback address of one machine. Each has its own, so that
-// its ports are never taken for outgoing connections, which come from 127.0.0.1.
-func loopbackHost() string {
-	const most = 250
-	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most), 1+rand.IntN(most))
-}
-
-// freeAddress is an address of a host on which nothing listens.
-func freeAddress(host string) (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a port")
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 // newMachine prepares a machine: its settings file and its relays.
 func newMachine(name, dir, store string, seeds []string) (*machine, error) {
-	host := loopbackHost()
+	host := testkit.LoopbackHost()
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress(host)
+		address, err := testkit.FreeAddress(host)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/targets/breaks_test.go
+++ b/internal/targets/breaks_test.go
@@ -16,12 +16,17 @@
 	return breaks
 }
 
-// picks counts how often each target is chosen of some requests.
+// picks counts how often each target is chosen of some requests that run at the
+// same time, so that each of the targets in question gets some.
 func picks(r *Registry, now time.Time) map[string]int {
 	counts := make(map[string]int)
+	var picked []*Target
 	for range 12 {
 		t := r.Pick(Want{Service: "s"}, now)
 		counts[t.ID]++
+		picked = append(picked, t)
+	}
+	for _, t := range picked {
 		r.End(t)
 	}
 	return counts
