Conversations are kept: a record a turn in the store, an index a partition at one instance

Cause: on routes that keep conversations the instance passed a turn's new input on alone, so targets ran prompts that were not the conversation.

A turn's record is appended under its own id before its answer ends; a later turn's text comes from memory, from the instance that indexes the program's partition, or from the store. 'Not found' needs all partitions read to their ends.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -23,6 +23,9 @@
 	AffinityKey string
 	// Turn is set for a turn of a program.
 	Turn *Turn
+	// PreviousTurn is the id of the request whose turn this one continues,
+	// empty at the start of a conversation.
+	PreviousTurn string
 	// LastEvent is the id of the last event that the caller has of a stream
 	// that it resumes, empty if it starts one.
 	LastEvent string
--- /dev/null
+++ b/internal/conversation/keeper.go
@@ -0,0 +1,186 @@
+package conversation
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// Store is what a Keeper needs of the platform's store.
+type Store interface {
+	Append(ctx context.Context, a platform.Append) (int64, error)
+	NewestPage(ctx context.Context, topic string, partition int, after string) (platform.Newest, bool, error)
+	ReadPage(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.Page, error)
+	Trim(ctx context.Context, topic string, partition int, before int64) error
+}
+
+// Peers sends messages to other instances. Sending never blocks; a message
+// that is lost is followed by PeerDown.
+type Peers interface {
+	Send(to structs.InstanceID, msg structs.Message)
+}
+
+// Health tells whether the store answers this instance's reads of other topics.
+type Health interface{ OK() bool }
+
+// Keeper keeps conversations. It is safe for concurrent use.
+type Keeper struct {
+	self      structs.Peer
+	directory *directory.Directory
+	store     Store
+	peers     Peers
+	health    Health
+	log       *slog.Logger
+	metrics   metrics
+	// ctx ends with the Keeper.
+	ctx  context.Context
+	work sync.WaitGroup
+
+	mu sync.Mutex
+	// stopped tells that no more work is begun.
+	stopped    bool
+	memory     memory
+	partitions []*partition
+	// pending are this instance's questions to others, by number.
+	pending map[uint64]*question
+	number  uint64
+	// unableUntil is how long an instance that could not read or write the
+	// store is passed over.
+	unableUntil map[structs.InstanceID]time.Time
+	// directFailing tells that this instance's last append failed.
+	directFailing bool
+	outage        outage
+}
+
+// question is a message of this instance that another one answers.
+type question struct {
+	asked  structs.InstanceID
+	answer chan structs.Message
+}
+
+// Parts are what a Keeper works with.
+type Parts struct {
+	Directory *directory.Directory
+	// Partitions is the number of the topic's partitions.
+	Partitions int
+	Store      Store
+	Peers      Peers
+	Health     Health
+	Scope      tally.Scope
+	Log        *slog.Logger
+}
+
+// New makes a Keeper that works until the context ends.
+func New(ctx context.Context, parts Parts) *Keeper {
+	k := &Keeper{
+		self: parts.Directory.Self(), directory: parts.Directory, store: parts.Store, peers: parts.Peers,
+		health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx, memory: newMemory(),
+		pending:     make(map[uint64]*question),
+		unableUntil: make(map[structs.InstanceID]time.Time),
+		outage:      outage{changed: make(chan struct{})},
+	}
+	for i := range parts.Partitions {
+		k.partitions = append(k.partitions, newPartition(i))
+	}
+	return k
+}
+
+// partitionOf is the partition that holds the turns of a program.
+func (k *Keeper) partitionOf(program string) *partition {
+	return k.partitions[xxhash.Sum64String(program)%uint64(len(k.partitions))]
+}
+
+// spawn works in the background, unless the Keeper has stopped. The mutex is
+// held.
+func (k *Keeper) spawn(work func()) {
+	if !k.stopped {
+		k.work.Go(work)
+	}
+}
+
+// Run drops what can no longer be named until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			k.mu.Lock()
+			k.stopped = true
+			k.mu.Unlock()
+			k.work.Wait()
+			return
+		case <-ticker.C:
+			k.sweep(ctx)
+		}
+	}
+}
+
+// Receive handles an event of the transport between instances.
+func (k *Keeper) Receive(event structs.Event) {
+	switch e := event.(type) {
+	case structs.PeerMessage:
+		k.receiveMessage(e.From, e.Msg)
+	case structs.PeerDown:
+		k.peerDown(e.Peer)
+	}
+}
+
+func (k *Keeper) receiveMessage(from structs.InstanceID, msg structs.Message) {
+	switch m := msg.(type) {
+	case *structs.ConversationRequest:
+		k.receiveRequest(from, m)
+	case *structs.ConversationReply:
+		k.answered(from, m.Number, m)
+	case *structs.TurnsNotice:
+		k.learn(m.Turns, m.Partition)
+	case *structs.KeepRequest:
+		k.receiveKeep(from, m)
+	case *structs.KeepReply:
+		k.answered(from, m.Number, m)
+	}
+}
+
+// Handles tells whether a message is about conversations.
+func Handles(msg structs.Message) bool {
+	switch msg.Kind() {
+	case structs.KindConversationRequest, structs.KindConversationReply, structs.KindTurnsNotice,
+		structs.KindKeepRequest, structs.KindKeepReply:
+		return true
+	}
+	return false
+}
+
+// learn takes turns that a partition of the store holds.
+func (k *Keeper) learn(turns []structs.KeptTurn, partition int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.add(turns, partition)
+}
+
+// add is learn with the mutex held.
+func (k *Keeper) add(turns []structs.KeptTurn, partition int) {
+	now := time.Now()
+	for _, turn := range turns {
+		k.memory.add(turn, partition, now)
+	}
+	k.metrics.bytes.Update(float64(k.memory.bytes))
+	k.metrics.turns.Update(float64(len(k.memory.turns)))
+}
+
+// turnsOf copies the turns out of entries.
+func turnsOf(entries []*entry) []structs.KeptTurn {
+	turns := make([]structs.KeptTurn, len(entries))
+	for i, e := range entries {
+		turns[i] = e.KeptTurn
+	}
+	return turns
+}
--- /dev/null
+++ b/internal/conversation/lookup.go
@@ -0,0 +1,199 @@
+package conversation
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// maxAsked is how many instances are asked for one partition, each after one
+// that could not read it.
+const maxAsked = 3
+
+// finding is what became of the search for a turn in one partition.
+type finding struct {
+	outcome structs.ConversationOutcome
+	turns   []structs.KeptTurn
+}
+
+// verdict is what the findings of all partitions together say: the turn is
+// found if any partition holds it, and unknown only if every one was read.
+func verdict(findings []finding) structs.ConversationOutcome {
+	outcome := structs.ConversationUnknown
+	for _, f := range findings {
+		switch f.outcome {
+		case structs.ConversationFound:
+			return structs.ConversationFound
+		case structs.ConversationUnknown:
+		default:
+			outcome = structs.ConversationUnread
+		}
+	}
+	return outcome
+}
+
+// Before is what a conversation holds up to and with a turn. It returns
+// serve.ErrNoTurn if there is no such turn, serve.ErrUncertain if that is not
+// known.
+func (k *Keeper) Before(ctx context.Context, program, turn string) ([]byte, error) {
+	if text, ok := k.text(turn); ok {
+		k.metrics.local.Inc(1)
+		return text, nil
+	}
+	home := k.partitionOf(program)
+	found := k.find(ctx, home, turn)
+	k.metrics.asked.Inc(1)
+	outcome := found.outcome
+	if outcome != structs.ConversationFound {
+		// The turn may be another program's, in any partition.
+		outcome = k.findElsewhere(ctx, home, found, turn)
+	}
+	if text, ok := k.text(turn); ok {
+		return text, nil
+	}
+	if outcome == structs.ConversationUnknown {
+		k.metrics.unknown.Inc(1)
+		k.log.Info("no such turn", "turn", turn, "program", program, "partition", home.number)
+		return nil, serve.ErrNoTurn
+	}
+	k.metrics.uncertain.Inc(1)
+	k.log.Info("turn not found for now", "turn", turn, "program", program, "partition", home.number,
+		"home_outcome", int(found.outcome))
+	return nil, serve.ErrUncertain
+}
+
+// text joins a turn and all before it, if this instance has them.
+func (k *Keeper) text(id string) ([]byte, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	entries, ok := k.memory.chain(id, time.Now())
+	if !ok {
+		return nil, false
+	}
+	size := 0
+	for _, e := range entries {
+		size += len(e.Input) + len(e.Output)
+	}
+	text := make([]byte, 0, size)
+	for _, e := range entries {
+		text = append(text, e.Input...)
+		text = append(text, e.Output...)
+	}
+	return text, true
+}
+
+// find looks for a turn in one partition, at the instance that indexes it.
+func (k *Keeper) find(ctx context.Context, p *partition, turn string) finding {
+	var passOver []structs.InstanceID
+	for range maxAsked {
+		id := k.indexOf(p, passOver)
+		if id == "" {
+			break
+		}
+		found := k.findAt(ctx, id, p, turn)
+		if found.outcome != structs.ConversationUnread || ctx.Err() != nil {
+			return found
+		}
+		k.setUnable(id)
+		passOver = append(passOver, id)
+	}
+	return finding{outcome: structs.ConversationUnread}
+}
+
+// findAt looks for a turn at one instance and remembers what it finds.
+func (k *Keeper) findAt(ctx context.Context, id structs.InstanceID, p *partition, turn string) finding {
+	if id == k.self.ID {
+		return k.findHere(ctx, p, turn)
+	}
+	answer := k.ask(ctx, id, func(number uint64) structs.Message {
+		return &structs.ConversationRequest{Number: number, Partition: p.number, Turn: turn}
+	})
+	reply, ok := answer.(*structs.ConversationReply)
+	if !ok {
+		return finding{outcome: structs.ConversationUnread}
+	}
+	if reply.Outcome == structs.ConversationFound {
+		k.learn(reply.Turns, p.number)
+	}
+	return finding{reply.Outcome, reply.Turns}
+}
+
+// findHere looks for a turn in memory, then in the store.
+func (k *Keeper) findHere(ctx context.Context, p *partition, turn string) finding {
+	if turns, ok := k.chain(p, turn); ok {
+		return finding{structs.ConversationFound, turns}
+	}
+	if err := k.catchUp(ctx, p); err != nil {
+		return finding{outcome: structs.ConversationUnread}
+	}
+	if turns, ok := k.chain(p, turn); ok {
+		return finding{structs.ConversationFound, turns}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.memory.turns[turn] != nil && k.memory.turns[turn].in(p.number) || p.spoilt[turn] {
+		// A turn before it is missing or cannot be read, which the invariant
+		// rules out: the conversation exists, but not whole.
+		k.log.Error("conversation is not whole", "partition", p.number, "turn", turn)
+		return finding{outcome: structs.ConversationUnread}
+	}
+	return finding{outcome: structs.ConversationUnknown}
+}
+
+// chain lists a turn and all before it if a partition is known to hold them.
+func (k *Keeper) chain(p *partition, turn string) ([]structs.KeptTurn, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	entries, ok := k.memory.chain(turn, time.Now())
+	if !ok || !entries[len(entries)-1].in(p.number) {
+		return nil, false
+	}
+	return turnsOf(entries), true
+}
+
+// findElsewhere looks for a turn in all partitions but one, whose finding is
+// given.
+func (k *Keeper) findElsewhere(
+	ctx context.Context, home *partition, found finding, turn string,
+) structs.ConversationOutcome {
+	findings := make(chan finding, len(k.partitions))
+	for _, p := range k.partitions {
+		if p != home {
+			go func() { findings <- k.find(ctx, p, turn) }()
+		}
+	}
+	all := []finding{found}
+	for range len(k.partitions) - 1 {
+		f := <-findings
+		if f.outcome == structs.ConversationFound {
+			return f.outcome
+		}
+		all = append(all, f)
+	}
+	return verdict(all)
+}
+
+// receiveRequest answers another instance's question.
+func (k *Keeper) receiveRequest(from structs.InstanceID, m *structs.ConversationRequest) {
+	if m.Partition < 0 || m.Partition >= len(k.partitions) {
+		k.log.Warn("question for an unknown partition ignored", "peer", from, "partition", m.Partition)
+		return
+	}
+	p := k.partitions[m.Partition]
+	if turns, ok := k.chain(p, m.Turn); ok {
+		k.peers.Send(from, &structs.ConversationReply{
+			Number: m.Number, Outcome: structs.ConversationFound, Turns: turns,
+		})
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.spawn(func() {
+		ctx, cancel := context.WithTimeout(k.ctx, replyTimeout)
+		defer cancel()
+		found := k.findHere(ctx, p, m.Turn)
+		k.peers.Send(from, &structs.ConversationReply{Number: m.Number, Outcome: found.outcome, Turns: found.turns})
+	})
+}
--- /dev/null
+++ b/internal/conversation/outage.go
@@ -0,0 +1,84 @@
+package conversation
+
+import (
+	"context"
+	"time"
+)
+
+// outage tells whether turns can be kept at all. While they cannot, one of those
+// that wait tries on for all of them: at 80 turns a second and tries of each
+// every 0.3 s an outage of some seconds would take all the calls that the store
+// allows. The mutex of the Keeper guards it.
+type outage struct {
+	// since is when the last round of tries failed after one had succeeded,
+	// zero if none has.
+	since time.Time
+	// probing tells that somebody tries.
+	probing bool
+	// changed is closed and replaced when one of these changes.
+	changed chan struct{}
+}
+
+func (o *outage) signal() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// awaitTry waits until the caller may try to keep its turn. It tells whether
+// the caller tries for others as well, who wait until endTry.
+func (k *Keeper) awaitTry(ctx context.Context) (prober bool, err error) {
+	for {
+		k.mu.Lock()
+		if k.outage.since.IsZero() {
+			k.mu.Unlock()
+			return false, nil
+		}
+		if !k.outage.probing {
+			k.outage.probing = true
+			k.mu.Unlock()
+			return true, nil
+		}
+		changed := k.outage.changed
+		k.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+}
+
+// endTry lets the next one try.
+func (k *Keeper) endTry(prober bool) {
+	if !prober {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.outage.probing = false
+	k.outage.signal()
+}
+
+// noteRound notes whether a round of tries over instances and partitions
+// failed, and logs when that changes.
+func (k *Keeper) noteRound(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	failing := !k.outage.since.IsZero()
+	switch {
+	case err != nil && !failing:
+		k.outage.since = time.Now()
+		k.log.Warn("turns cannot be kept", "error", err.Error())
+	case err == nil && failing:
+		k.log.Info("turns can be kept again", "away_ms", time.Since(k.outage.since).Milliseconds())
+		k.outage.since = time.Time{}
+		k.outage.signal()
+	}
+}
+
+// Accepts tells whether a turn that begins now can be kept, as far as is known.
+func (k *Keeper) Accepts() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.outage.since.IsZero() || k.health.OK()
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/banyanglade/banyanglade/internal/budget"
+	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/feed"
@@ -63,7 +64,7 @@
 		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newDirectory,
-			newTransport, newKeeper, newServer, newTargetFeed, newEdge,
+			newTransport, newKeeper, newConversations, newServer, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -92,12 +93,12 @@
 }
 
 func newServer(
-	registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, health *feed.Health,
-	scope tally.Scope, log *slog.Logger,
+	registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
+	health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Parts{
-		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper, Notices: keeper,
-		Health: health, Scope: scope, Log: log,
+		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper,
+		Conversations: conversations, Notices: keeper, Health: health, Scope: scope, Log: log,
 	})
 }
 
@@ -118,6 +119,8 @@
 	directory *directory.Directory
 	transport *peer.Transport
 	keeper    *budget.Keeper
+	// conversations keeps those of routes whose turns carry their input only.
+	conversations *conversation.Keeper
 
 	settings  *feed.Topic
 	targets   *feed.Topic
@@ -131,12 +134,13 @@
 func newEdge(
 	machine platform.Machine, log *slog.Logger, reporter *httpapi.Metrics, store *platform.Store,
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, incoming *targetFeed,
-	dir *directory.Directory, transport *peer.Transport, keeper *budget.Keeper,
+	dir *directory.Directory, transport *peer.Transport, keeper *budget.Keeper, conversations *conversation.Keeper,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
 		pool: pool, server: server, incoming: incoming,
-		directory: dir, transport: transport, keeper: keeper, reregister: make(chan struct{}, 1),
+		directory: dir, transport: transport, keeper: keeper,
+		conversations: conversations, reregister: make(chan struct{}, 1),
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
@@ -192,6 +196,7 @@
 	e.spawn(func() { e.writeCopies(ctx) })
 	e.spawn(func() { e.readCopies(ctx) })
 	e.spawn(func() { e.keeper.Run(ctx) })
+	e.spawn(func() { e.conversations.Run(ctx) })
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/budget"
+	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/peer"
@@ -18,16 +19,25 @@
 // lifetime is the context of what works in the background of an instance.
 type lifetime struct{ context.Context }
 
-// receiver passes the transport's events on to the keeper, which is made after
-// the transport.
-type receiver struct{ keeper *budget.Keeper }
+// receiver passes the transport's events on to the keepers, which are made
+// after the transport.
+type receiver struct {
+	keeper        *budget.Keeper
+	conversations *conversation.Keeper
+}
 
-// post takes one event. Events before the keeper is there are lost, like
+// post takes one event. Events before the keepers are there are lost, like
 // messages to an instance that is not up yet.
 func (r *receiver) post(event structs.Event) bool {
-	if r.keeper != nil {
-		r.keeper.Receive(event)
+	if r.keeper == nil || r.conversations == nil {
+		return true
+	}
+	if message, ok := event.(structs.PeerMessage); ok && conversation.Handles(message.Msg) {
+		r.conversations.Receive(event)
+		return true
 	}
+	r.conversations.Receive(event)
+	r.keeper.Receive(event)
 	return true
 }
 
@@ -53,3 +63,14 @@
 	})
 	return r.keeper
 }
+
+func newConversations(
+	life lifetime, machine platform.Machine, dir *directory.Directory, store *platform.Store,
+	transport *peer.Transport, health *feed.Health, r *receiver, scope tally.Scope, log *slog.Logger,
+) *conversation.Keeper {
+	r.conversations = conversation.New(life, conversation.Parts{
+		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Health: health,
+		Scope: scope, Log: log,
+	})
+	return r.conversations
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -55,6 +55,9 @@
 	// Retention is how long a program's state is kept after its last call;
 	// above 0 the route carries the turns of programs.
 	Retention time.Duration
+	// KeepsTurns tells that a turn carries its new input only and that the
+	// conversation before it is kept here.
+	KeepsTurns bool
 }
 
 // MayRepeat tells whether a request that may have run may be sent again.
--- /dev/null
+++ b/internal/serve/conversation.go
@@ -0,0 +1,91 @@
+package serve
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/route"
+)
+
+// maxTurnID is the length of the longest request id of a kept turn, in bytes:
+// the store's keys are no longer.
+const maxTurnID = 255
+
+// keptTurn is a turn whose conversation is kept here.
+type keptTurn struct {
+	input  []byte
+	output bytes.Buffer
+}
+
+// recallConversation puts the conversation before a kept turn in front of its
+// input. It returns false if the request has been answered.
+func (x *transfer) recallConversation() bool {
+	if !x.route.KeepsTurns || x.route.Kind != route.Stream {
+		return true
+	}
+	previous := x.call.PreviousTurn
+	if x.call.ID == "" || len(x.call.ID) > maxTurnID || len(previous) > maxTurnID || previous == x.call.ID {
+		x.detail = "the ids of a kept turn and of the turn before it"
+		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
+		return false
+	}
+	if !x.server.kept.Accepts() {
+		x.refuse(http.StatusServiceUnavailable, reasonNotKept, retryOutage)
+		return false
+	}
+	x.turn = &keptTurn{input: x.body}
+	if previous == "" {
+		return true
+	}
+	before, err := x.server.kept.Before(x.ctx, x.call.Program, previous)
+	switch {
+	case errors.Is(err, ErrNoTurn):
+		x.refuse(http.StatusNotFound, reasonNoTurn, 0)
+		return false
+	case x.ctx.Err() != nil:
+		x.giveUpInTime()
+		return false
+	case err != nil:
+		x.detail = err.Error()
+		x.refuse(http.StatusServiceUnavailable, reasonUncertain, x.server.retryAfter(retryBudget))
+		return false
+	}
+	x.body = append(before, x.body...)
+	return true
+}
+
+// noteEvent adds an event that went out to the conversation.
+func (x *transfer) noteEvent(e event) {
+	if x.turn == nil {
+		return
+	}
+	x.turn.output.Write(e.data())
+	x.turn.output.WriteByte('\n')
+}
+
+// keepTurn makes a turn durable before its answer ends. It returns false if
+// that did not succeed: the answer must then not look complete.
+func (x *transfer) keepTurn() bool {
+	if x.turn == nil {
+		return true
+	}
+	if x.flush() != nil {
+		return false
+	}
+	x.settleOnce()
+	err := x.server.kept.Keep(x.ctx, x.call.Program, EndedTurn{
+		ID: x.call.ID, Previous: x.call.PreviousTurn, Input: x.turn.input, Output: x.turn.output.Bytes(),
+		Retention: x.route.Retention,
+	})
+	if err == nil {
+		return true
+	}
+	x.detail = err.Error()
+	x.reason, x.cut = reasonNotKept, true
+	if x.request.Context().Err() != nil {
+		x.reason = reasonCallerLeft
+	}
+	return false
+}
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -145,6 +145,7 @@
 		}
 		x.delivered++
 		x.lastEvent = event.id
+		x.noteEvent(event)
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerGone(err)
 			return false
@@ -178,7 +179,9 @@
 	if !x.headSent {
 		x.copyHead(resp, true, 0)
 	}
-	x.reason = reasonServed
+	if x.keepTurn() {
+		x.reason = reasonServed
+	}
 	return false
 }
 
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -18,6 +18,24 @@
 	id string
 }
 
+// data joins the lines of data with a line feed between two.
+func (e event) data() []byte {
+	var data []byte
+	first := true
+	for line := range bytes.Lines(e.bytes) {
+		value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data:"))
+		if !ok {
+			continue
+		}
+		if !first {
+			data = append(data, '\n')
+		}
+		first = false
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+	}
+	return data
+}
+
 // eventReader cuts a stream into whole events.
 type eventReader struct {
 	reader *bufio.Reader
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -23,6 +23,9 @@
 	reasonBudgetOwner  reason = "budget_owner_unreachable"
 	reasonBudgetRecord reason = "budget_record_not_written"
 	reasonBudgetHeld   reason = "budget_held_by_turns_under_way"
+	reasonNoTurn       reason = "no_such_turn"
+	reasonUncertain    reason = "conversation_not_read"
+	reasonNotKept      reason = "turn_not_kept"
 	reasonTimedOut     reason = "timed_out"
 	reasonNotSent      reason = "timed_out_before_send"
 	reasonBroken       reason = "target_broke_off"
@@ -59,7 +62,7 @@
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
 		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
-		reasonBudgetHeld, reasonTimedOut,
+		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -44,6 +44,32 @@
 	Reserve(ctx context.Context, turn Turn) (Lease, error)
 }
 
+// EndedTurn is a turn that a target has completed.
+type EndedTurn struct {
+	// ID is that of the request, Previous that of the turn before it.
+	ID       string
+	Previous string
+	// Input is the body that the caller sent, Output the data of the events,
+	// each with a line feed.
+	Input  []byte
+	Output []byte
+	// Retention is how long the turn may be named after its end.
+	Retention time.Duration
+}
+
+// Conversations keeps the conversations of routes whose turns carry their new
+// input only.
+type Conversations interface {
+	// Before returns what a conversation holds up to and with a turn, ErrNoTurn
+	// if there is no such turn, or ErrUncertain if that is not known.
+	Before(ctx context.Context, program, turn string) ([]byte, error)
+	// Keep makes a turn durable. It returns once it is, or with the error of
+	// the context.
+	Keep(ctx context.Context, program string, turn EndedTurn) error
+	// Accepts tells whether a turn that begins now can be kept.
+	Accepts() bool
+}
+
 // Notices tells other instances what this one learns of targets.
 type Notices interface {
 	// TargetBroke tells that a target broke a new connection at once. It does
@@ -60,10 +86,12 @@
 	Targets *targets.Registry
 	Pool    *exchange.Pool
 	Budgets Budgets
-	Notices Notices
-	Health  Health
-	Scope   tally.Scope
-	Log     *slog.Logger
+	// Conversations is needed for routes that keep them.
+	Conversations Conversations
+	Notices       Notices
+	Health        Health
+	Scope         tally.Scope
+	Log           *slog.Logger
 }
 
 // Server answers callers. It implements http.Handler.
@@ -72,6 +100,7 @@
 	targets *targets.Registry
 	pool    *exchange.Pool
 	budgets Budgets
+	kept    Conversations
 	notices Notices
 	health  Health
 	log     *slog.Logger
@@ -87,8 +116,8 @@
 // New makes a Server without settings: until SetTable it refuses all requests.
 func New(p Parts) *Server {
 	return &Server{
-		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, notices: p.Notices,
-		health: p.Health, log: p.Log, metrics: newMetrics(p.Scope),
+		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, kept: p.Conversations,
+		notices: p.Notices, health: p.Health, log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
 }
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -28,6 +28,14 @@
 	ErrNoOwner = errors.New("no owner of the program's budget can be reached")
 )
 
+// Errors of Conversations.
+var (
+	// ErrNoTurn tells that no turn has the id named.
+	ErrNoTurn = errors.New("there is no such turn")
+	// ErrUncertain tells that a turn was not found, though it may exist.
+	ErrUncertain = errors.New("whether there is such a turn is not known")
+)
+
 // defaultTokensPerEvent is taken where the settings do not say how many tokens
 // an event holds.
 const defaultTokensPerEvent = 1
@@ -44,10 +52,15 @@
 	service string
 	call    call.Request
 	body    []byte
+	// turn is set if the conversation is kept here.
+	turn *keptTurn
 	// ctx ends when the caller leaves or the time is up, at deadline.
 	ctx      context.Context
 	deadline time.Time
 
+	// settle gives back room in the program's budget, nil if none is held.
+	settle func()
+
 	// tried lists targets that are not asked again.
 	tried []string
 	// ran lists the targets that may have begun to run the request.
@@ -83,7 +96,7 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	if !x.readBody() {
+	if !x.readBody() || !x.recallConversation() {
 		return
 	}
 	if x.call.Turn == nil || x.route.Kind != route.Stream {
@@ -203,11 +216,20 @@
 		x.detail = err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
 	default:
-		defer func() { lease.Settle(x.delivered * perEvent) }()
+		x.settle = func() { lease.Settle(x.delivered * perEvent) }
+		defer x.settleOnce()
 		x.forward()
 	}
 }
 
+// settleOnce gives back the room that the turn did not use.
+func (x *transfer) settleOnce() {
+	if x.settle != nil {
+		x.settle()
+		x.settle = nil
+	}
+}
+
 func (x *transfer) tokensPerEvent() int {
 	if s := x.table.Services[x.service]; s != nil && s.Engine != nil && s.Engine.TokensPerEvent > 0 {
 		return s.Engine.TokensPerEvent
--- /dev/null
+++ b/internal/structs/conversation.go
@@ -0,0 +1,87 @@
+package structs
+
+import "time"
+
+// Kinds of the messages about the conversations that the system keeps.
+const (
+	KindConversationRequest MessageKind = 34
+	KindConversationReply   MessageKind = 35
+	KindTurnsNotice         MessageKind = 36
+	KindKeepRequest         MessageKind = 37
+	KindKeepReply           MessageKind = 38
+)
+
+// KeptTurn is one turn of a conversation. It never changes.
+type KeptTurn struct {
+	// ID is that of the request which ran the turn, Previous that of the turn
+	// before it, empty at the start of a conversation.
+	ID       string
+	Previous string
+	Input    []byte
+	// Output is what the turn adds to the conversation behind its input: the
+	// data of each event, each with a line feed.
+	Output []byte
+	// Ended is when the turn ended, in milliseconds since 1970 by the clock of
+	// the instance that ran it.
+	Ended int64
+	// Retention is how long it may be named after its end.
+	Retention time.Duration
+}
+
+// ConversationOutcome is what an instance knows of a turn.
+type ConversationOutcome uint8
+
+// Outcomes of a ConversationRequest.
+const (
+	// ConversationFound: the reply holds the turn and all before it.
+	ConversationFound ConversationOutcome = 1
+	// ConversationUnknown: the partition was read to its end after the request
+	// came, and the turn is not in it.
+	ConversationUnknown ConversationOutcome = 2
+	// ConversationUnread: the partition could not be read.
+	ConversationUnread ConversationOutcome = 3
+)
+
+// ConversationRequest asks for a turn of a partition with all before it.
+type ConversationRequest struct {
+	Number    uint64
+	Partition int
+	Turn      string
+}
+
+// ConversationReply answers a ConversationRequest.
+type ConversationReply struct {
+	Number  uint64
+	Outcome ConversationOutcome
+	// Turns are the oldest first.
+	Turns []KeptTurn
+}
+
+// TurnsNotice tells the instance that indexes a partition of turns that the
+// store holds.
+type TurnsNotice struct {
+	Partition int
+	Turns     []KeptTurn
+}
+
+// KeepRequest asks an instance to append turns to the store for one that does
+// not reach it.
+type KeepRequest struct {
+	Number    uint64
+	Partition int
+	Turns     []KeptTurn
+}
+
+// KeepReply answers a KeepRequest.
+type KeepReply struct {
+	Number uint64
+	// Kept tells that the store holds the turns; if not, it may still.
+	Kept bool
+}
+
+// Kind tags of the messages.
+func (*ConversationRequest) Kind() MessageKind { return KindConversationRequest }
+func (*ConversationReply) Kind() MessageKind   { return KindConversationReply }
+func (*TurnsNotice) Kind() MessageKind         { return KindTurnsNotice }
+func (*KeepRequest) Kind() MessageKind         { return KindKeepRequest }
+func (*KeepReply) Kind() MessageKind           { return KindKeepReply }
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -354,4 +354,10 @@
 	KindPartitionHandover: func() Message { return new(PartitionHandover) },
 	KindHandoverReply:     func() Message { return new(HandoverReply) },
 	KindTargetNotice:      func() Message { return new(TargetNotice) },
+
+	KindConversationRequest: func() Message { return new(ConversationRequest) },
+	KindConversationReply:   func() Message { return new(ConversationReply) },
+	KindTurnsNotice:         func() Message { return new(TurnsNotice) },
+	KindKeepRequest:         func() Message { return new(KeepRequest) },
+	KindKeepReply:           func() Message { return new(KeepReply) },
 }
