testkit: the addresses of an instance are different

Cause of 'bind: address already in use' in TestShortRuns: an instance's three addresses were found one after the other, each given back before the next, and the kernel may give the same port again: 10 of 20,000 hosts got an address twice. Ruled out: outgoing connections (they come from 127.0.0.1), two instances on one host (one of 15,625,000 addresses each). All are held now until the last is found.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -88,22 +88,16 @@
 	}
 }
 
-// freeAddress is an address of a host on which nothing listens.
-func freeAddress(t *testing.T, host string) string {
-	t.Helper()
-	address, err := testkit.FreeAddress(host)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 func (d *deployment) start(name string) *instance {
 	d.t.Helper()
 	host := testkit.LoopbackHost()
+	addresses, err := testkit.FreeAddresses(host, 3)
+	if err != nil {
+		d.t.Fatal(err)
+	}
 	i := &instance{done: make(chan error, 1), log: new(lockedBuffer), machine: platform.Machine{
 		Name: name, IP: host, DataCentre: "dc", Region: "r",
-		CallerAddress: freeAddress(d.t, host), ReadyAddress: freeAddress(d.t, host), PeerAddress: freeAddress(d.t, host),
+		CallerAddress: addresses[0], ReadyAddress: addresses[1], PeerAddress: addresses[2],
 		GracePeriod: 3 * time.Second, Seeds: d.seeds,
 		Store: platform.StoreInfo{Address: d.store.Address(), Partitions: 4, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21},
 	}}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -64,16 +64,11 @@
 // newMachine prepares a machine: its settings file and its relays.
 func newMachine(name, dir, store string, seeds []string) (*machine, error) {
 	host := testkit.LoopbackHost()
-	var addresses [3]string
-	for i := range addresses {
-		address, err := testkit.FreeAddress(host)
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = address
+	addresses, err := testkit.FreeAddresses(host, 3)
+	if err != nil {
+		return nil, err
 	}
 	m := &machine{name: name, callers: addresses[0], ready: addresses[1]}
-	var err error
 	if m.store, err = relay.New(store); err != nil {
 		return nil, errors.Wrap(err, "relay to the store")
 	}
--- a/internal/testkit/loopback.go
+++ b/internal/testkit/loopback.go
@@ -15,11 +15,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most), 1+rand.IntN(most))
 }
 
-// FreeAddress is an address of a host, IP:port, on which nothing listens.
-func FreeAddress(host string) (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a port")
+// FreeAddresses are different addresses of a host, IP:port, on which nothing
+// listens. All are held until the last is found: a port that was given back may
+// be found again at once, which befell 10 of 20,000 hosts with three addresses.
+func FreeAddresses(host string, count int) ([]string, error) {
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a port")
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return listener.Addr().String(), listener.Close()
+	return addresses, nil
 }
--- /dev/null
+++ b/internal/testkit/loopback_test.go
@@ -0,0 +1,18 @@
+package testkit
+
+import "testing"
+
+func TestFreeAddressesAreDifferent(t *testing.T) {
+	const count = 400
+	addresses, err := FreeAddresses(LoopbackHost(), count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(map[string]bool)
+	for _, address := range addresses {
+		if seen[address] {
+			t.Errorf("%s was found twice", address)
+		}
+		seen[address] = true
+	}
+}
