conversation: tests in virtual time; turns go to other partitions; what was never read is dropped too

Instances in virtual time moved out of the budgets' tests into testkit/simnet and are shared. Found by the new tests: an index that nobody asked for a turn never read its partition and so never dropped what had expired; a turn past its retention was called uncertain instead of unknown.

--- a/internal/budget/handover_test.go
+++ b/internal/budget/handover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
 )
 
 // own is what an instance keeps as the owner of a program's partition, nil if
@@ -36,11 +37,9 @@
 		}
 		owner := w.ownerOf("p")
 		others := w.others(owner)
-		w.mu.Lock()
 		for _, other := range others {
-			w.mute[other.id] = true
+			w.SetCut(other.ID, simnet.Mute)
 		}
-		w.mu.Unlock()
 		owner.keeper.Leave(t.Context())
 		if owner.own("p") != nil {
 			t.Error("the old owner goes on although its successor may have the partition")
@@ -56,33 +55,31 @@
 			t.Fatal(err)
 		}
 		owner := w.ownerOf("p")
-		w.store.Set(metastore.Fault{Reset: true})
+		w.Store.Set(metastore.Fault{Reset: true})
 		owner.keeper.Leave(t.Context())
 		successor := w.ownerOf("p")
 		if successor == nil || successor == owner {
 			t.Fatal("nobody took the partition over")
 		}
-		w.kill(owner)
+		w.Kill(owner.Node)
 		third := w.others(successor)[0]
-		w.store.Set(metastore.Fault{})
-		successor.refused.Store(true)
-		w.mu.Lock()
-		w.mute[third.id] = true
-		w.mu.Unlock()
-		third.inbox <- structs.PeerDown{Peer: successor.id}
+		w.Store.Set(metastore.Fault{})
+		successor.Refused.Store(true)
+		w.SetCut(third.ID, simnet.Mute)
+		third.Post(structs.PeerDown{Peer: successor.ID})
 		time.Sleep(time.Second)
 		if third.own("p") == nil {
 			t.Fatal("the third instance did not claim the partition")
 		}
-		w.kill(third)
-		successor.refused.Store(false)
+		w.Kill(third.Node)
+		successor.Refused.Store(false)
 		time.Sleep(2 * claimInterval)
 		own := successor.own("p")
 		if own == nil || !own.claimed {
 			t.Fatal("the successor did not claim the partition")
 		}
-		if own.loss == nil || own.loss.owner != third.id {
-			t.Errorf("claimed with epoch %d, loss %+v, want one by %s", own.epoch, own.loss, third.id)
+		if own.loss == nil || own.loss.owner != third.ID {
+			t.Errorf("claimed with epoch %d, loss %+v, want one by %s", own.epoch, own.loss, third.ID)
 		}
 	})
 }
@@ -94,7 +91,7 @@
 		n.keeper.mu.Lock()
 		p.own, p.epoch = nil, 5
 		n.keeper.mu.Unlock()
-		if n.keeper.takeOver(w.all()[1].id, &structs.PartitionHandover{Number: 1, Partition: 0, Epoch: 4}) {
+		if n.keeper.takeOver(w.all()[1].ID, &structs.PartitionHandover{Number: 1, Partition: 0, Epoch: 4}) {
 			t.Error("a handover of an ownership that another claim has ended was taken")
 		}
 	})
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -26,7 +27,7 @@
 		for i := range machines {
 			w.start(string(rune('a' + i)))
 		}
-		defer w.stop()
+		defer w.Stop()
 		time.Sleep(2 * claimInterval)
 		body(t, w)
 	})
@@ -44,7 +45,7 @@
 					return
 				}
 				if err != nil {
-					t.Errorf("turn at %s: %v", n.id, err)
+					t.Errorf("turn at %s: %v", n.ID, err)
 					return
 				}
 			}
@@ -68,7 +69,7 @@
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		spendAll(t, w, "p", 70)
 		for _, n := range w.all() {
-			w.kill(n)
+			w.Kill(n.Node)
 		}
 		for _, machine := range []string{"a", "b", "c"} {
 			w.start(machine)
@@ -83,7 +84,7 @@
 
 func TestOrdinaryProgramNeedsNoRecord(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
-		w.store.Set(metastore.Fault{Silent: true})
+		w.Store.Set(metastore.Fault{Silent: true})
 		for range 5 {
 			if err := w.turn(w.all()[0], "p", testBudget, testMost, 40, time.Millisecond); err != nil {
 				t.Fatalf("turn while the store is away: %v", err)
@@ -94,7 +95,7 @@
 
 func TestTurnBeyondTheUnrecordedPartIsRefusedWhileTheStoreIsAway(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
-		w.store.Set(metastore.Fault{Status: 503})
+		w.Store.Set(metastore.Fault{Status: 503})
 		var err error
 		for range 4 {
 			if err = w.turn(w.all()[0], "p", testBudget, testMost, 200, time.Millisecond); err != nil {
@@ -107,7 +108,7 @@
 		if got := w.delivered["p"]; got > unrecorded(testBudget, testMost) {
 			t.Errorf("delivered %d tokens without a record, allowed are %d", got, unrecorded(testBudget, testMost))
 		}
-		w.store.Set(metastore.Fault{})
+		w.Store.Set(metastore.Fault{})
 		if err := w.turn(w.all()[0], "p", testBudget, testMost, 100, time.Millisecond); err != nil {
 			t.Errorf("turn after the store is back: %v", err)
 		}
@@ -122,13 +123,13 @@
 			}
 		}
 		// Also while the store is away.
-		w.store.Set(metastore.Fault{Reset: true})
+		w.Store.Set(metastore.Fault{Reset: true})
 		for range 2 {
 			owner := w.ownerOf("p")
 			owner.keeper.Leave(t.Context())
-			w.kill(owner)
+			w.Kill(owner.Node)
 		}
-		w.store.Set(metastore.Fault{})
+		w.Store.Set(metastore.Fault{})
 		time.Sleep(time.Second)
 		last := w.all()[0]
 		a := last.keeper.partitionOf("p").own.accounts["p"]
@@ -143,7 +144,7 @@
 		if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, time.Millisecond); err != nil {
 			t.Fatal(err)
 		}
-		w.kill(w.ownerOf("p"))
+		w.Kill(w.ownerOf("p").Node)
 		started := time.Now()
 		if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, 0); err != nil {
 			t.Fatalf("turn after the owner's death: %v", err)
@@ -162,9 +163,7 @@
 			t.Fatal(err)
 		}
 		old := w.ownerOf("p")
-		w.mu.Lock()
-		w.cut[old.id] = true
-		w.mu.Unlock()
+		w.SetCut(old.ID, simnet.Both)
 		var work sync.WaitGroup
 		for _, n := range w.all() {
 			work.Go(func() {
@@ -185,11 +184,11 @@
 func TestInstanceThatTheStoreRefusesLetsAnotherOwn(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		dead := w.ownerOf("p")
-		w.kill(dead)
-		w.all()[0].refused.Store(true)
+		w.Kill(dead.Node)
+		w.all()[0].Refused.Store(true)
 		for _, n := range w.all() {
 			if err := w.turn(n, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
-				t.Errorf("turn at %s: %v", n.id, err)
+				t.Errorf("turn at %s: %v", n.ID, err)
 			}
 		}
 	})
@@ -200,7 +199,7 @@
 func TestOwnerThatTheStoreRefusesHandsOver(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		owner := w.ownerOf("p")
-		owner.refused.Store(true)
+		owner.Refused.Store(true)
 		time.Sleep(5 * reliefInterval)
 		for range 8 {
 			if err := w.turn(owner, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
@@ -218,7 +217,7 @@
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		owner := w.ownerOf("p")
 		for _, n := range w.all() {
-			n.refused.Store(true)
+			n.Refused.Store(true)
 		}
 		time.Sleep(5 * reliefInterval)
 		if w.ownerOf("p") != owner {
@@ -231,9 +230,9 @@
 // refused at once and the store is not asked for each of them.
 func TestPartitionThatTheStoreDoesNotServe(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
-		w.kill(w.ownerOf("p"))
-		w.store.Set(metastore.Fault{Reset: true})
-		before := w.store.Calls()
+		w.Kill(w.ownerOf("p").Node)
+		w.Store.Set(metastore.Fault{Reset: true})
+		before := w.Store.Calls()
 		begun := time.Now()
 		const turns = 20
 		for i := range turns {
@@ -243,8 +242,8 @@
 			}
 		}
 		took := time.Since(begun)
-		if limit := int(4*(took/claimPause+2)) * claimAttempts; w.store.Calls()-before > limit {
-			t.Errorf("%d calls to the store in %s", w.store.Calls()-before, took)
+		if limit := int(4*(took/claimPause+2)) * claimAttempts; w.Store.Calls()-before > limit {
+			t.Errorf("%d calls to the store in %s", w.Store.Calls()-before, took)
 		}
 		if took > turns*ownerPatience/2 {
 			t.Errorf("%d refusals took %s", turns, took)
@@ -256,13 +255,13 @@
 // fails elsewhere does not keep an instance from claiming a partition.
 func TestPartitionIsClaimedWhileOtherTopicsFail(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
-		w.kill(w.ownerOf("p"))
+		w.Kill(w.ownerOf("p").Node)
 		for _, n := range w.all() {
-			n.feedsFail.Store(true)
+			n.FeedsFail.Store(true)
 		}
 		for _, n := range w.all() {
 			if err := w.turn(n, "p", testBudget, testMost, 70, time.Millisecond); err != nil {
-				t.Errorf("turn at %s: %v", n.id, err)
+				t.Errorf("turn at %s: %v", n.ID, err)
 			}
 		}
 	})
@@ -271,7 +270,7 @@
 func TestRecordIsWrittenWhileOtherTopicsFail(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		for _, n := range w.all() {
-			n.feedsFail.Store(true)
+			n.FeedsFail.Store(true)
 		}
 		for i := range 9 {
 			if err := w.turn(w.all()[0], "p", testBudget, testMost, 70, time.Millisecond); err != nil {
@@ -285,7 +284,7 @@
 // is refused at once: its new owner could not claim it yet.
 func TestRecordOfAPartitionThatCannotBeClaimed(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
-		w.store.Set(metastore.Fault{Status: 503})
+		w.Store.Set(metastore.Fault{Status: 503})
 		w.ownerOf("p").keeper.Leave(t.Context())
 		var err error
 		begun := time.Now()
@@ -318,11 +317,11 @@
 		runAll(first)
 		first.breaks.Hear([]structs.TargetBreak{{Target: "down"}}, time.Now())
 		first.keeper.TargetBroke()
-		time.Sleep(2 * linkTime)
+		time.Sleep(2 * simnet.LinkTime)
 		for _, n := range w.all() {
 			runAll(n)
 			if got := n.breaks.Breaks(time.Now()); len(got) != 1 || got[0].Target != "down" {
-				t.Errorf("%s knows %v", n.id, got)
+				t.Errorf("%s knows %v", n.ID, got)
 			}
 		}
 	})
@@ -332,17 +331,17 @@
 // another that reads the partition then names that instance as the owner.
 func TestInstanceThatOthersNameAsTheOwnerClaims(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
-		w.store.Set(metastore.Fault{Status: 503})
-		w.kill(w.ownerOf("p"))
+		w.Store.Set(metastore.Fault{Status: 503})
+		w.Kill(w.ownerOf("p").Node)
 		time.Sleep(claimPause)
-		w.store.Set(metastore.Fault{})
+		w.Store.Set(metastore.Fault{})
 		first := w.all()[0]
 		p := first.keeper.partitionOf("p")
 		named := w.nodes[first.keeper.directory.Ranked(p.key())[1]]
 		const epoch = 100
-		_, err := w.store.Append(t.Context(), platform.Append{
+		_, err := w.Store.Append(t.Context(), platform.Append{
 			Topic: topic, Partition: p.number,
-			Records: []platform.Record{{Key: ownerKey, Value: encode(ownerRecord{Epoch: epoch, Owner: named.id})}},
+			Records: []platform.Record{{Key: ownerKey, Value: encode(ownerRecord{Epoch: epoch, Owner: named.ID})}},
 			Writer:  &platform.Writer{Name: writerName, Epoch: epoch, Sequence: 1},
 		})
 		if err != nil {
@@ -355,7 +354,7 @@
 		})
 		for _, n := range w.all() {
 			if err := w.turn(n, "p", testBudget, testMost, 70, 0); err != nil {
-				t.Errorf("turn at %s: %v", n.id, err)
+				t.Errorf("turn at %s: %v", n.ID, err)
 			}
 		}
 	})
@@ -377,7 +376,7 @@
 		}
 		for _, other := range w.all() {
 			if other != woken {
-				woken.inbox <- structs.PeerDown{Peer: other.id}
+				woken.Post(structs.PeerDown{Peer: other.ID})
 			}
 		}
 		time.Sleep(2 * claimInterval)
--- a/internal/budget/random_test.go
+++ b/internal/budget/random_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
 )
 
 var schedules = flag.Int("schedules", 60, "random schedules to play")
@@ -62,9 +63,9 @@
 			time.Sleep(time.Duration(r.IntN(700)) * time.Millisecond)
 			causeTrouble(w, r, machines)
 		}
-		w.store.Set(metastore.Fault{})
+		w.Store.Set(metastore.Fault{})
 		work.Wait()
-		w.stop()
+		w.Stop()
 		for program, budget := range budgets {
 			if got := w.delivered[program]; got > budget+testMost {
 				t.Errorf("program %s got %d tokens, its budget is %d and a turn's most %d", program, got, budget, testMost)
@@ -95,10 +96,10 @@
 // leaveSlowly shuts an instance down; it answers turns for a while yet. Its
 // messages may be lost on the way.
 func leaveSlowly(w *world, n *node, d time.Duration) {
-	w.work.Go(func() {
+	w.Work.Go(func() {
 		n.keeper.Leave(n.keeper.ctx)
 		time.Sleep(d)
-		w.restart(n)
+		w.Restart(n.Node)
 	})
 }
 
@@ -114,28 +115,28 @@
 	n := anyNode(r, nodes)
 	switch r.IntN(12) {
 	case 0, 1:
-		w.restart(n)
+		w.Restart(n.Node)
 	case 2:
 		for _, n := range nodes {
-			w.kill(n)
+			w.Kill(n.Node)
 		}
 	case 3, 4:
 		leaveSlowly(w, n, time.Duration(r.IntN(1500))*time.Millisecond)
 	case 5:
-		cut := w.cut
+		cut := simnet.Both
 		if r.IntN(2) == 0 {
-			cut = w.mute
+			cut = simnet.Mute
 		}
-		w.cutFor(n, cut, time.Duration(r.IntN(2500))*time.Millisecond)
+		w.CutFor(n.Node, cut, time.Duration(r.IntN(2500))*time.Millisecond)
 	case 6:
-		w.store.Set(metastore.Fault{Silent: true})
+		w.Store.Set(metastore.Fault{Silent: true})
 	case 7:
-		w.store.Set(metastore.Fault{LoseAnswer: true, Late: time.Duration(r.IntN(3000)) * time.Millisecond})
+		w.Store.Set(metastore.Fault{LoseAnswer: true, Late: time.Duration(r.IntN(3000)) * time.Millisecond})
 	case 8:
-		w.store.Set(metastore.Fault{Status: 503})
+		w.Store.Set(metastore.Fault{Status: 503})
 	case 9:
-		w.store.Set(metastore.Fault{Delay: 240 * time.Millisecond})
+		w.Store.Set(metastore.Fault{Delay: 240 * time.Millisecond})
 	default:
-		w.store.Set(metastore.Fault{})
+		w.Store.Set(metastore.Fault{})
 	}
 }
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -40,6 +40,7 @@
 	health    Health
 	log       *slog.Logger
 	metrics   metrics
+	started   time.Time
 	// ctx ends with the Keeper.
 	ctx  context.Context
 	work sync.WaitGroup
@@ -82,7 +83,8 @@
 func New(ctx context.Context, parts Parts) *Keeper {
 	k := &Keeper{
 		self: parts.Directory.Self(), directory: parts.Directory, store: parts.Store, peers: parts.Peers,
-		health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx, memory: newMemory(),
+		health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), started: time.Now(), ctx: ctx,
+		memory:      newMemory(),
 		pending:     make(map[uint64]*question),
 		unableUntil: make(map[structs.InstanceID]time.Time),
 		outage:      outage{changed: make(chan struct{})},
--- a/internal/conversation/lookup.go
+++ b/internal/conversation/lookup.go
@@ -16,6 +16,8 @@
 type finding struct {
 	outcome structs.ConversationOutcome
 	turns   []structs.KeptTurn
+	// partition holds the turns, if they were found.
+	partition int
 }
 
 // verdict is what the findings of all partitions together say: the turn is
@@ -115,25 +117,25 @@
 		return finding{outcome: structs.ConversationUnread}
 	}
 	if reply.Outcome == structs.ConversationFound {
-		k.learn(reply.Turns, p.number)
+		k.learn(reply.Turns, reply.Partition)
 	}
-	return finding{reply.Outcome, reply.Turns}
+	return finding{reply.Outcome, reply.Turns, reply.Partition}
 }
 
 // findHere looks for a turn in memory, then in the store.
 func (k *Keeper) findHere(ctx context.Context, p *partition, turn string) finding {
-	if turns, ok := k.chain(p, turn); ok {
-		return finding{structs.ConversationFound, turns}
+	if found, ok := k.findInMemory(turn); ok {
+		return found
 	}
 	if err := k.catchUp(ctx, p); err != nil {
 		return finding{outcome: structs.ConversationUnread}
 	}
-	if turns, ok := k.chain(p, turn); ok {
-		return finding{structs.ConversationFound, turns}
+	if found, ok := k.findInMemory(turn); ok {
+		return found
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.memory.turns[turn] != nil && k.memory.turns[turn].in(p.number) || p.spoilt[turn] {
+	if k.memory.find(turn, time.Now()) != nil || p.spoilt[turn] {
 		// A turn before it is missing or cannot be read, which the invariant
 		// rules out: the conversation exists, but not whole.
 		k.log.Error("conversation is not whole", "partition", p.number, "turn", turn)
@@ -142,15 +144,16 @@
 	return finding{outcome: structs.ConversationUnknown}
 }
 
-// chain lists a turn and all before it if a partition is known to hold them.
-func (k *Keeper) chain(p *partition, turn string) ([]structs.KeptTurn, bool) {
+// findInMemory looks for a turn among those that this instance has.
+func (k *Keeper) findInMemory(turn string) (finding, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	entries, ok := k.memory.chain(turn, time.Now())
-	if !ok || !entries[len(entries)-1].in(p.number) {
-		return nil, false
+	if !ok {
+		return finding{}, false
 	}
-	return turnsOf(entries), true
+	newest := entries[len(entries)-1]
+	return finding{structs.ConversationFound, turnsOf(entries), newest.partitions[0]}, true
 }
 
 // findElsewhere looks for a turn in all partitions but one, whose finding is
@@ -182,10 +185,8 @@
 		return
 	}
 	p := k.partitions[m.Partition]
-	if turns, ok := k.chain(p, m.Turn); ok {
-		k.peers.Send(from, &structs.ConversationReply{
-			Number: m.Number, Outcome: structs.ConversationFound, Turns: turns,
-		})
+	if found, ok := k.findInMemory(m.Turn); ok {
+		k.peers.Send(from, found.reply(m.Number))
 		return
 	}
 	k.mu.Lock()
@@ -194,6 +195,12 @@
 		ctx, cancel := context.WithTimeout(k.ctx, replyTimeout)
 		defer cancel()
 		found := k.findHere(ctx, p, m.Turn)
-		k.peers.Send(from, &structs.ConversationReply{Number: m.Number, Outcome: found.outcome, Turns: found.turns})
+		k.peers.Send(from, found.reply(m.Number))
 	})
 }
+
+func (f finding) reply(number uint64) *structs.ConversationReply {
+	return &structs.ConversationReply{
+		Number: number, Outcome: f.outcome, Turns: f.turns, Partition: f.partition,
+	}
+}
--- /dev/null
+++ b/internal/conversation/random_test.go
@@ -0,0 +1,141 @@
+package conversation
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
+)
+
+var schedules = flag.Int("schedules", 60, "random schedules to play")
+
+// regressions are seeds that failed once, with the cause.
+var regressions = []uint64{}
+
+func TestConversationsHoldOverRandomFaults(t *testing.T) {
+	for _, seed := range regressions {
+		t.Run(fmt.Sprint("regression ", seed), func(t *testing.T) { playSchedule(t, seed) })
+	}
+	for seed := range uint64(*schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSchedule(t, seed) })
+	}
+}
+
+// scheduleTime is how long a schedule's faults go on.
+const scheduleTime = 12 * time.Second
+
+// playSchedule lets programs talk at instances that are killed and cut off, with
+// a store that fails in all its ways. What an instance says of a turn that ended
+// is checked each time it is asked; at the end all turns are asked for once
+// more, after the loss of everything.
+func playSchedule(t *testing.T, seed uint64) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var work sync.WaitGroup
+		ends := time.Now().Add(scheduleTime)
+		for i := range 10 {
+			callerSeed := seed*100 + uint64(i)
+			work.Go(func() { w.converse(callerSeed, ends) })
+		}
+		for time.Now().Before(ends) {
+			time.Sleep(time.Duration(r.IntN(700)) * time.Millisecond)
+			w.causeTrouble(r)
+		}
+		w.Store.Set(metastore.Fault{})
+		work.Wait()
+		for _, n := range w.all() {
+			w.Kill(n.Node)
+		}
+		fresh := w.start("z")
+		for id, turn := range w.ended {
+			if time.Since(turn.at) < testRetention {
+				w.mustRecall(fresh, turn.program, id)
+			}
+		}
+	})
+}
+
+// converse runs programs one after the other until the time is up. Some
+// continue another program's turn, some name turns that do not exist.
+func (w *world) converse(seed uint64, ends time.Time) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	for n := 0; time.Now().Before(ends); n++ {
+		program := fmt.Sprint("p", seed, "-", n)
+		previous := ""
+		if r.IntN(4) == 0 {
+			previous = w.anyEnded(r)
+		}
+		for range 1 + r.IntN(6) {
+			nodes := w.all()
+			if len(nodes) == 0 {
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+			if r.IntN(12) == 0 {
+				w.nameNothing(r, anyNode(r, nodes), program)
+			}
+			id, err := w.turn(anyNode(r, nodes), program, previous, time.Duration(300+r.IntN(3000))*time.Millisecond)
+			if err == nil {
+				previous = id
+			}
+			time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+		}
+	}
+}
+
+// nameNothing asks for a turn that does not exist.
+func (w *world) nameNothing(r *rand.Rand, n *node, program string) {
+	_, err := w.recall(w.t.Context(), n, program, fmt.Sprintf("none%x", r.Uint64()))
+	if !errors.Is(err, serve.ErrNoTurn) && !errors.Is(err, serve.ErrUncertain) {
+		w.t.Errorf("a turn that does not exist: %v", err)
+	}
+}
+
+// causeTrouble does one thing to the instances or the store.
+func (w *world) causeTrouble(r *rand.Rand) {
+	nodes := w.all()
+	if len(nodes) == 0 {
+		return
+	}
+	n := anyNode(r, nodes)
+	switch r.IntN(15) {
+	case 0, 1:
+		w.Restart(n.Node)
+	case 2:
+		w.restartAll()
+	case 3:
+		cut := simnet.Both
+		if r.IntN(2) == 0 {
+			cut = simnet.Mute
+		}
+		w.CutFor(n.Node, cut, time.Duration(r.IntN(2500))*time.Millisecond)
+	case 4, 5:
+		n.Refused.Store(true)
+		w.Work.Go(func() {
+			time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
+			n.Refused.Store(false)
+		})
+	case 6:
+		w.Store.Set(metastore.Fault{Silent: true})
+	case 7:
+		w.Store.Set(metastore.Fault{LoseAnswer: true, Late: time.Duration(r.IntN(3000)) * time.Millisecond})
+	case 8:
+		w.Store.Set(metastore.Fault{Status: 503})
+	case 9:
+		w.Store.Set(metastore.Fault{Delay: 240 * time.Millisecond})
+	case 10:
+		w.Store.Set(metastore.Fault{Status: 503, Partitions: []int{r.IntN(testPartitions), r.IntN(testPartitions)}})
+	case 11:
+		w.Store.DropHistory(topic, r.IntN(testPartitions))
+	default:
+		w.Store.Set(metastore.Fault{})
+	}
+}
--- a/internal/conversation/sweep.go
+++ b/internal/conversation/sweep.go
@@ -15,6 +15,10 @@
 	// names it just in time may run for a route's timeout, its record may reach
 	// the store some seconds late, and clocks of instances may differ by some.
 	dropMargin = time.Minute
+	// firstReadAfter is when an index reads a partition that nobody asked for,
+	// to drop what earlier instances left there: soon after a start others ask
+	// anyway.
+	firstReadAfter = time.Minute
 	// maxDropped bounds the records of one append.
 	maxDropped = 500
 	// trimBytes is how much of a partition's history is kept beside the newest
@@ -42,9 +46,10 @@
 // dropFrom drops a partition's expired turns and its history from the store.
 func (k *Keeper) dropFrom(ctx context.Context, p *partition) {
 	k.mu.Lock()
-	read, due := p.read, len(k.expiredIn(p)) > 0 || p.bytes > trimBytes
+	unread := !p.read && time.Since(k.started) > firstReadAfter
+	due := unread || len(k.expiredIn(p)) > 0 || p.bytes > trimBytes
 	k.mu.Unlock()
-	if !read || !due {
+	if !due {
 		return
 	}
 	// Turns that others kept may continue what seems to have expired.
--- a/internal/standin/metastore/memory.go
+++ b/internal/standin/metastore/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +46,14 @@
 // answerTime is how long the store takes for a call.
 const answerTime = 4 * time.Millisecond
 
-// befall waits as long as a call takes and returns what befalls it.
-func (m *Memory) befall(ctx context.Context) (Fault, error) {
+// befall waits as long as a call on a partition takes and returns what befalls
+// it.
+func (m *Memory) befall(ctx context.Context, part int) (Fault, error) {
 	m.mu.Lock()
 	f := m.fault
+	if len(f.Partitions) > 0 && !slices.Contains(f.Partitions, part) {
+		f = Fault{}
+	}
 	m.calls++
 	m.mu.Unlock()
 	select {
@@ -70,7 +75,7 @@
 
 // Append appends records.
 func (m *Memory) Append(ctx context.Context, a platform.Append) (int64, error) {
-	f, err := m.befall(ctx)
+	f, err := m.befall(ctx, a.Partition)
 	if err != nil {
 		return 0, err
 	}
@@ -106,13 +111,67 @@
 
 // Newest reads the newest record of each key.
 func (m *Memory) Newest(ctx context.Context, topic string, part int) (platform.Newest, error) {
-	if _, err := m.befall(ctx); err != nil {
+	if _, err := m.befall(ctx, part); err != nil {
 		return platform.Newest{}, err
 	}
+	return m.newest(topic, part), nil
+}
+
+func (m *Memory) newest(topic string, part int) platform.Newest {
 	keys, items, end := m.log.newestOf(partitionID{topic, part})
 	newest := platform.Newest{End: end}
 	for _, key := range keys {
 		newest.Records = append(newest.Records, platform.Record{Key: key, Value: items[key].value, Offset: items[key].offset})
 	}
-	return newest, nil
+	return newest
 }
+
+// pageRecords is the number of records of a page: few, so that tests read
+// several.
+const pageRecords = 5
+
+// NewestPage reads the newest records of some keys, behind one.
+func (m *Memory) NewestPage(ctx context.Context, topic string, part int, after string) (platform.Newest, bool, error) {
+	if _, err := m.befall(ctx, part); err != nil {
+		return platform.Newest{}, false, err
+	}
+	page := m.newest(topic, part)
+	page.Records = slices.DeleteFunc(page.Records, func(r platform.Record) bool { return r.Key <= after })
+	more := len(page.Records) > pageRecords
+	if more {
+		page.Records = page.Records[:pageRecords]
+	}
+	return page, more, nil
+}
+
+// ReadPage reads some records from an offset on. It does not wait for one.
+func (m *Memory) ReadPage(
+	ctx context.Context, topic string, part int, from int64, _ time.Duration,
+) (platform.Page, error) {
+	if _, err := m.befall(ctx, part); err != nil {
+		return platform.Page{Next: from}, err
+	}
+	end, _, records, ok := m.log.read(partitionID{topic, part}, from, 0, ctx.Done())
+	if !ok {
+		return platform.Page{Next: from}, platform.ErrTrimmed
+	}
+	page := platform.Page{Next: from, End: end}
+	for _, record := range records[:min(len(records), pageRecords)] {
+		key := string(record[1 : 1+record[0]])
+		page.Records = append(page.Records, platform.Record{Key: key, Value: record[1+len(key):], Offset: page.Next})
+		page.Next++
+	}
+	return page, nil
+}
+
+// Trim drops history before an offset.
+func (m *Memory) Trim(ctx context.Context, topic string, part int, before int64) error {
+	if _, err := m.befall(ctx, part); err != nil {
+		return err
+	}
+	m.log.trim(partitionID{topic, part}, before)
+	return nil
+}
+
+// DropHistory drops all records of a partition but the newest of each key.
+func (m *Memory) DropHistory(topic string, part int) { m.log.trim(partitionID{topic, part}, 1<<62) }
--- a/internal/standin/metastore/service.go
+++ b/internal/standin/metastore/service.go
@@ -31,6 +31,8 @@
 	Delay time.Duration
 	// Topics limits the fault to calls on these topics; nil for all calls.
 	Topics []string
+	// Partitions limits it to calls on these partitions; nil for all.
+	Partitions []int
 }
 
 // Service is a running stand-in.
--- a/internal/structs/conversation.go
+++ b/internal/structs/conversation.go
@@ -55,6 +55,8 @@
 	Outcome ConversationOutcome
 	// Turns are the oldest first.
 	Turns []KeptTurn
+	// Partition holds them.
+	Partition int
 }
 
 // TurnsNotice tells the instance that indexes a partition of turns that the
--- /dev/null
+++ b/internal/testkit/simnet/simnet.go
@@ -0,0 +1,286 @@
+// Package simnet is instances that exchange messages in virtual time, for tests
+// within a synctest bubble. Instances are killed, restarted and cut off; all
+// others notice.
+package simnet
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// LinkTime is how long a message is on its way.
+const LinkTime = time.Millisecond
+
+// inboxSize bounds the events that wait at an instance; tests stay below it.
+const inboxSize = 10000
+
+// Cut is how an instance is cut off.
+type Cut uint8
+
+// Kinds of cuts.
+const (
+	// Both loses all messages to and from the instance.
+	Both Cut = iota + 1
+	// Mute loses those that it sends, while it receives what others send.
+	Mute
+)
+
+// Net is instances with the links between them and to a store.
+type Net struct {
+	Store *metastore.Memory
+	// Work counts what goes on in the background.
+	Work sync.WaitGroup
+
+	mu    sync.Mutex
+	nodes map[structs.InstanceID]*Node
+	cut   map[structs.InstanceID]Cut
+	lives int
+	// stopping tells that no more instances are started.
+	stopping bool
+}
+
+// Run starts the work of an instance, which goes on until the context ends, and
+// returns what receives its events.
+type Run func(ctx context.Context, n *Node) (receive func(structs.Event))
+
+// Node is one life of an instance. It is the instance's transport and health.
+type Node struct {
+	ID        structs.InstanceID
+	Directory *directory.Directory
+	// Refused tells that the store refuses this instance's calls.
+	Refused atomic.Bool
+	// FeedsFail tells that its reads of other topics fail.
+	FeedsFail atomic.Bool
+
+	net    *Net
+	run    Run
+	cancel context.CancelFunc
+	inbox  chan structs.Event
+}
+
+// New makes a Net without instances.
+func New() *Net {
+	return &Net{
+		Store: metastore.NewMemory(),
+		nodes: make(map[structs.InstanceID]*Node), cut: make(map[structs.InstanceID]Cut),
+	}
+}
+
+// Start starts an instance on a machine and lists it at all others.
+func (w *Net) Start(machine string, run Run) *Node {
+	w.mu.Lock()
+	w.lives++
+	id := directory.InstanceID(machine, fmt.Sprint(w.lives))
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		ID: id, Directory: directory.New(structs.Peer{ID: id, Address: machine}),
+		net: w, run: run, cancel: cancel, inbox: make(chan structs.Event, inboxSize),
+	}
+	receive := run(ctx, n)
+	w.mu.Lock()
+	others := slices.Collect(maps.Values(w.nodes))
+	w.nodes[id] = n
+	w.mu.Unlock()
+	for _, other := range others {
+		n.Directory.Put(structs.Peer{ID: other.ID, Address: other.Machine()})
+		other.Directory.Put(structs.Peer{ID: id, Address: machine})
+	}
+	w.Work.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case event := <-n.inbox:
+				receive(event)
+			}
+		}
+	})
+	return n
+}
+
+// Restart kills an instance and starts another on its machine, unless the Net
+// stops or the instance is dead already.
+func (w *Net) Restart(n *Node) {
+	w.mu.Lock()
+	_, alive := w.nodes[n.ID]
+	alive = alive && !w.stopping
+	w.mu.Unlock()
+	if alive {
+		w.Kill(n)
+		w.Start(n.Machine(), n.run)
+	}
+}
+
+// Kill ends an instance; the others notice.
+func (w *Net) Kill(n *Node) {
+	w.mu.Lock()
+	delete(w.nodes, n.ID)
+	others := slices.Collect(maps.Values(w.nodes))
+	w.mu.Unlock()
+	n.cancel()
+	for _, other := range others {
+		other.Post(structs.PeerDown{Peer: n.ID})
+	}
+}
+
+// Stop ends all instances and waits for what goes on in the background.
+func (w *Net) Stop() {
+	w.mu.Lock()
+	w.stopping = true
+	w.mu.Unlock()
+	w.Store.Set(metastore.Fault{})
+	for _, n := range w.Nodes() {
+		w.Kill(n)
+	}
+	w.Work.Wait()
+	w.Store.Work.Wait()
+}
+
+// Nodes lists the instances that live, in the order of their ids.
+func (w *Net) Nodes() []*Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	nodes := slices.Collect(maps.Values(w.nodes))
+	slices.SortFunc(nodes, func(a, b *Node) int { return cmp.Compare(a.ID, b.ID) })
+	return nodes
+}
+
+// SetCut cuts an instance off, or ends its cut if how is 0. Nobody is told.
+func (w *Net) SetCut(id structs.InstanceID, how Cut) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if how == 0 {
+		delete(w.cut, id)
+		return
+	}
+	w.cut[id] = how
+}
+
+// CutFor cuts an instance off for a while. The others notice, and so does it.
+func (w *Net) CutFor(n *Node, how Cut, d time.Duration) {
+	w.SetCut(n.ID, how)
+	w.tell(n, func(peer structs.InstanceID) structs.Event { return structs.PeerDown{Peer: peer} })
+	w.Work.Go(func() {
+		time.Sleep(d)
+		w.SetCut(n.ID, 0)
+		w.tell(n, func(peer structs.InstanceID) structs.Event { return structs.PeerUp{Peer: peer} })
+	})
+}
+
+// tell posts an event about an instance to all others, and about them to it.
+func (w *Net) tell(n *Node, event func(structs.InstanceID) structs.Event) {
+	for _, other := range w.Nodes() {
+		if other != n {
+			other.Post(event(n.ID))
+			n.Post(event(other.ID))
+		}
+	}
+}
+
+// Machine is where the instance runs.
+func (n *Node) Machine() string { return directory.MachineOf(n.ID) }
+
+// Post gives the instance an event.
+func (n *Node) Post(event structs.Event) { n.inbox <- event }
+
+// Send sends a message, like the transport between instances.
+func (n *Node) Send(to structs.InstanceID, msg structs.Message) {
+	n.net.Work.Go(func() {
+		time.Sleep(LinkTime)
+		target, ok := n.reach(to)
+		if !ok || n.net.cutOf(n.ID) == Mute {
+			n.Post(structs.PeerDown{Peer: to})
+			return
+		}
+		target.Post(structs.PeerMessage{From: n.ID, Msg: msg})
+	})
+}
+
+// Probe asks an instance for a heartbeat.
+func (n *Node) Probe(to structs.InstanceID) {
+	if _, ok := n.reach(to); ok {
+		n.Post(structs.PeerUp{Peer: to})
+		return
+	}
+	n.Post(structs.PeerDown{Peer: to})
+}
+
+// Watch does nothing: kills and cuts are told to all.
+func (n *Node) Watch([]structs.InstanceID) {}
+
+// OK tells whether the store answers this instance.
+func (n *Node) OK() bool { return !n.Refused.Load() && !n.FeedsFail.Load() }
+
+// reach finds an instance to which there is a path.
+func (n *Node) reach(to structs.InstanceID) (*Node, bool) {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	target, ok := n.net.nodes[to]
+	return target, ok && n.net.cut[to] != Both && n.net.cut[n.ID] != Both
+}
+
+func (w *Net) cutOf(id structs.InstanceID) Cut {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[id]
+}
+
+// Store is the store as the instance reaches it.
+func (n *Node) Store() Store { return Store{n} }
+
+// Store refuses the calls of an instance that it was told to refuse.
+type Store struct{ node *Node }
+
+func (s Store) refuses() bool { return s.node.Refused.Load() }
+
+// Append appends records.
+func (s Store) Append(ctx context.Context, a platform.Append) (int64, error) {
+	if s.refuses() {
+		return 0, platform.ErrBusy
+	}
+	return s.node.net.Store.Append(ctx, a)
+}
+
+// Newest reads the newest record of each key.
+func (s Store) Newest(ctx context.Context, topic string, part int) (platform.Newest, error) {
+	if s.refuses() {
+		return platform.Newest{}, platform.ErrBusy
+	}
+	return s.node.net.Store.Newest(ctx, topic, part)
+}
+
+// NewestPage reads one page of the newest records.
+func (s Store) NewestPage(ctx context.Context, topic string, part int, after string) (platform.Newest, bool, error) {
+	if s.refuses() {
+		return platform.Newest{}, false, platform.ErrBusy
+	}
+	return s.node.net.Store.NewestPage(ctx, topic, part, after)
+}
+
+// ReadPage reads records from an offset on.
+func (s Store) ReadPage(ctx context.Context, topic string, part int, from int64, wait time.Duration) (platform.Page, error) {
+	if s.refuses() {
+		return platform.Page{Next: from}, platform.ErrBusy
+	}
+	return s.node.net.Store.ReadPage(ctx, topic, part, from, wait)
+}
+
+// Trim drops history.
+func (s Store) Trim(ctx context.Context, topic string, part int, before int64) error {
+	if s.refuses() {
+		return platform.ErrBusy
+	}
+	return s.node.net.Store.Trim(ctx, topic, part, before)
+}
