--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -135,7 +135,7 @@
 			return ctx.Err()
 		}
 		w.keeper.setAway(p)
-		failure = errors.CombineErrors(failure, err)
+		failure = errors.Join(failure, err)
 	}
 	return failure
 }
@@ -217,7 +217,7 @@
 			if err == nil {
 				return true, nil
 			}
-			failure = errors.CombineErrors(failure, err)
+			failure = errors.Join(failure, err)
 			tries--
 			help()
 			if tries == 0 {
--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -212,6 +212,29 @@
 	})
 }
 
+// No turn is begun that a full store would not take; one a second finds out
+// whether it still is full. While it is away for another reason turns begin.
+func TestTurnsAreNotAcceptedWhileTheStoreIsFull(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		for status, accepted := range map[int]bool{507: false, 503: true} {
+			w.Store.Set(metastore.Fault{Status: status})
+			if _, err := w.turn(n, "p", "", time.Second); err == nil {
+				t.Fatalf("status %d: the turn ended", status)
+			}
+			if got := n.keeper.Accepts(); got != accepted {
+				t.Errorf("status %d: accepts %v", status, got)
+			}
+			time.Sleep(2 * fullPause)
+			if !n.keeper.Accepts() {
+				t.Errorf("status %d: nobody finds out whether it is over", status)
+			}
+			w.Store.Set(metastore.Fault{})
+			w.mustTurn(n, "p", "")
+		}
+	})
+}
+
 // The store may serve some partitions only; turns go to others meanwhile, with
 // all before them.
 func TestTurnGoesToAnotherPartitionWhileItsOwnIsAway(t *testing.T) {
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/platform"
 )
 
 // outage tells whether turns can be kept at all. While they cannot, one of those
@@ -13,6 +17,9 @@
 	// since is when the last round of tries failed after one had succeeded,
 	// zero if none has.
 	since time.Time
+	// full tells that the store had no room in the last round, at tried.
+	full  bool
+	tried time.Time
 	// probing tells that somebody tries.
 	probing bool
 	// changed is closed and replaced when one of these changes.
@@ -64,6 +71,7 @@
 func (k *Keeper) noteRound(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.outage.full, k.outage.tried = errors.Is(err, platform.ErrFull), time.Now()
 	failing := !k.outage.since.IsZero()
 	switch {
 	case err != nil && !failing:
@@ -76,9 +84,16 @@
 	}
 }
 
+// fullPause is the time between two turns that are let through while the store
+// is full, to find out whether it still is.
+const fullPause = time.Second
+
 // Accepts tells whether a turn that begins now can be kept, as far as is known.
+// While the store is full none can, for as long as nobody makes room. While it
+// is away turns are accepted: their callers get the text as it comes, and the
+// end once the store is back.
 func (k *Keeper) Accepts() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.outage.since.IsZero() || k.health.OK()
+	return !k.outage.full || time.Since(k.outage.tried) > fullPause
 }
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -63,8 +63,10 @@
 	front   *httptest.Server
 	targets *targets.Registry
 	budgets *budgets
-	health  health
-	log     *logBuffer
+	// conversations are used by the route "kept" alone.
+	conversations *conversations
+	health        health
+	log           *logBuffer
 	// notices counts what was told to other instances.
 	notices atomic.Int64
 }
@@ -105,6 +107,8 @@
 		Routes: []*route.Route{
 			{Name: "turns", Host: testHost, Prefix: "/turns/", Kind: route.Stream, Resumable: true, Splits: engine,
 				MaxTargets: 1, Timeout: 5 * time.Second, Affinity: true, Retention: time.Minute},
+			{Name: "kept", Host: testHost, Prefix: "/kept/", Kind: route.Stream, Resumable: true, Splits: engine,
+				MaxTargets: 1, Timeout: 5 * time.Second, Affinity: true, Retention: time.Minute, KeepsTurns: true},
 			{Name: "fixed", Host: testHost, Prefix: "/fixed/", Kind: route.Stream, Splits: engine, MaxTargets: 1,
 				Timeout: 5 * time.Second},
 			{Name: "safe", Host: testHost, Prefix: "/safe/", Kind: route.Repeatable, Splits: app, MaxTargets: 2,
@@ -125,13 +129,15 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, targets: targets.NewRegistry("dc"), budgets: new(budgets), log: new(logBuffer)}
+	w := &world{t: t, targets: targets.NewRegistry("dc"), budgets: new(budgets), log: new(logBuffer),
+		conversations: new(conversations)}
 	pool := exchange.NewPool()
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	work.Go(func() { pool.Run(ctx) })
 	w.server = New(Parts{
-		Codec: platform.Codec{}, Targets: w.targets, Pool: pool, Budgets: w.budgets, Notices: w, Health: &w.health,
+		Codec: platform.Codec{}, Targets: w.targets, Pool: pool, Budgets: w.budgets, Conversations: w.conversations,
+		Notices: w, Health: &w.health,
 		Scope: tally.NoopScope, Log: slog.New(slog.NewJSONHandler(w.log, nil)),
 	})
 	w.server.SetTable(route.NewTable(testRoutes()))
--- a/internal/standin/metastore/memory.go
+++ b/internal/standin/metastore/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -67,6 +68,8 @@
 		return f, ctx.Err()
 	case f.Reset:
 		return f, errCut
+	case f.Status == http.StatusInsufficientStorage:
+		return f, errors.Mark(errors.Wrapf(platform.ErrBusy, "status %d", f.Status), platform.ErrFull)
 	case f.Status != 0:
 		return f, errors.Wrapf(platform.ErrBusy, "status %d", f.Status)
 	}
