placing: the budget's owner remembers a program's engine; programs begin at one nearby

The owner of a budget is asked before each turn anyway: its reply names the engine of the last one, the settlement tells it.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -38,6 +38,8 @@
 	asks      []*ask
 	retention time.Duration
 	touched   time.Time
+	// target ran the last turn, empty if unknown.
+	target string
 }
 
 // lease is room that a turn holds.
@@ -52,7 +54,7 @@
 type ask struct {
 	lease structs.RoomLease
 	most  int
-	reply func(outcome structs.RoomOutcome, owner structs.InstanceID)
+	reply func(answer)
 }
 
 // newAccount makes the account of a program without a record. If accounts of
@@ -169,7 +171,7 @@
 	out := structs.RoomAccount{
 		Program: a.program, Budget: a.budget, Most: a.most, Charged: a.charged,
 		Used: a.used, Limit: a.limit, Recorded: a.recorded,
-		Retention: a.retention, Idle: now.Sub(a.touched),
+		Retention: a.retention, Idle: now.Sub(a.touched), Target: a.target,
 	}
 	for id, l := range a.leases {
 		if !l.lost {
@@ -184,7 +186,7 @@
 	a := &account{
 		program: in.Program, budget: in.Budget, most: in.Most, charged: in.Charged,
 		used: in.Used, limit: in.Limit, recorded: in.Recorded,
-		retention: in.Retention, touched: now.Add(-in.Idle),
+		retention: in.Retention, touched: now.Add(-in.Idle), target: in.Target,
 		leases: make(map[structs.RoomLease]lease, len(in.Leases)),
 	}
 	for _, l := range in.Leases {
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -59,9 +59,9 @@
 		case owned:
 			k.admit(p, waiting.request, waiting.reply)
 		case k.ownerUsable(p):
-			waiting.reply(structs.RoomNotOwner, p.owner)
+			waiting.reply(answer{outcome: structs.RoomNotOwner, owner: p.owner})
 		default:
-			waiting.reply(structs.RoomUnavailable, "")
+			waiting.reply(answer{outcome: structs.RoomUnavailable})
 		}
 	}
 	k.mu.Unlock()
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -90,7 +90,7 @@
 // parkedAsk is an ask that waits for a claim.
 type parkedAsk struct {
 	request structs.RoomRequest
-	reply   func(structs.RoomOutcome, structs.InstanceID)
+	reply   func(answer)
 }
 
 // Parts are what a Keeper works with.
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -387,3 +387,35 @@
 		}
 	})
 }
+
+// The owner remembers where a program's last turn ran and tells whoever runs the
+// next one, also after it has handed its accounts over.
+func TestOwnerRemembersTheTargetOfAProgram(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		reserve := func(n *node) serve.Lease {
+			lease, err := n.keeper.Reserve(t.Context(), serve.Turn{
+				Program: "p", Budget: testBudget, Most: testMost, Retention: time.Minute,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return lease
+		}
+		first := reserve(w.all()[0])
+		if got := first.Target(); got != "" {
+			t.Errorf("a new program's target is %q", got)
+		}
+		first.Settle(10, "engine1")
+		owner := w.ownerOf("p")
+		owner.keeper.Leave(t.Context())
+		w.Kill(owner.Node)
+		for _, n := range w.all() {
+			lease := reserve(n)
+			if got := lease.Target(); got != "engine1" {
+				t.Errorf("%s is told %q", n.ID, got)
+			}
+			lease.Settle(0, "") // ran nowhere
+			time.Sleep(2 * simnet.LinkTime)
+		}
+	})
+}
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -44,7 +44,7 @@
 }
 
 // admit takes a request for room at the owner. The mutex is held.
-func (k *Keeper) admit(p *partition, r structs.RoomRequest, reply func(structs.RoomOutcome, structs.InstanceID)) {
+func (k *Keeper) admit(p *partition, r structs.RoomRequest, reply func(answer)) {
 	a, ok := p.own.accounts[r.Program]
 	if !ok {
 		a = newAccount(r.Program, r.Budget, r.Most, p.own.loss != nil)
@@ -66,12 +66,12 @@
 		case granted:
 			a.grant(next)
 			k.metrics.granted.Inc(1)
-			next.reply(structs.RoomGranted, "")
+			next.reply(answer{outcome: structs.RoomGranted, target: a.target})
 		case spent:
 			k.metrics.spent.Inc(1)
 			k.log.Info("budget spent", "program", a.program, "partition", p.number, "budget", a.budget,
 				"used", a.used, "most", next.most, "charged", a.charged, "recorded", a.recorded, "epoch", p.own.epoch)
-			next.reply(structs.RoomSpent, "")
+			next.reply(answer{outcome: structs.RoomSpent})
 		case awaitSettle:
 			return
 		case awaitRecord:
@@ -102,7 +102,7 @@
 		if outcome == structs.RoomNoRecord {
 			k.metrics.unavailable.Inc(1)
 		}
-		waiting.reply(outcome, owner)
+		waiting.reply(answer{outcome: outcome, owner: owner})
 	}
 	a.asks = nil
 }
@@ -131,6 +131,9 @@
 		return
 	}
 	a.touched = time.Now()
+	if m.Target != "" {
+		a.target = m.Target
+	}
 	k.serveAsks(p, a)
 }
 
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -30,7 +30,10 @@
 // answer is what became of one try to get room.
 type answer struct {
 	outcome structs.RoomOutcome
-	owner   structs.InstanceID
+	// owner is a better one to ask, empty if unknown.
+	owner structs.InstanceID
+	// target ran the program's last turn, empty if unknown.
+	target string
 }
 
 // lost is the outcome of a request whose owner went silent.
@@ -47,12 +50,17 @@
 type heldRoom struct {
 	keeper  *Keeper
 	request structs.RoomRequest
+	target  string
 }
 
-// Settle gives back what was not used.
-func (h heldRoom) Settle(used int) {
+// Target ran the program's last turn, empty if unknown.
+func (h heldRoom) Target() string { return h.target }
+
+// Settle gives back what was not used and names the target that ran the turn.
+func (h heldRoom) Settle(used int, target string) {
 	h.keeper.receiveSettle(&structs.RoomSettle{
 		Lease: h.request.Lease, Partition: h.request.Partition, Program: h.request.Program, Used: used,
+		Target: target,
 	})
 }
 
@@ -85,7 +93,7 @@
 		}
 		switch got.outcome {
 		case structs.RoomGranted:
-			return heldRoom{k, request}, nil
+			return heldRoom{k, request, got.target}, nil
 		case structs.RoomSpent:
 			return nil, serve.ErrSpent
 		case structs.RoomNoRecord:
@@ -143,9 +151,7 @@
 	asked := s.choose()
 	request.Named = asked != "" && asked == s.named
 	if asked == k.self.ID {
-		k.request(s.partition, *request, func(outcome structs.RoomOutcome, owner structs.InstanceID) {
-			answers <- answer{outcome, owner}
-		})
+		k.request(s.partition, *request, func(got answer) { answers <- got })
 	} else if asked != "" {
 		k.pending[request.Lease] = &pendingAsk{asked: asked, request: *request, answer: answers}
 	}
@@ -247,7 +253,7 @@
 		select {
 		case got := <-answers:
 			if got.outcome == structs.RoomGranted {
-				heldRoom{k, *request}.Settle(0)
+				heldRoom{keeper: k, request: *request}.Settle(0, "")
 			}
 		case <-k.ctx.Done():
 		}
@@ -262,7 +268,7 @@
 	delete(k.pending, m.Lease)
 	k.mu.Unlock()
 	if ok {
-		pending.answer <- answer{outcome: m.Outcome, owner: m.Owner}
+		pending.answer <- answer{outcome: m.Outcome, owner: m.Owner, target: m.Target}
 		return
 	}
 	if m.Outcome == structs.RoomGranted {
@@ -278,10 +284,10 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.request(k.partitions[r.Partition], r, func(outcome structs.RoomOutcome, owner structs.InstanceID) {
+	k.request(k.partitions[r.Partition], r, func(got answer) {
 		k.peers.Send(from, &structs.RoomReply{
-			Lease: r.Lease, Outcome: outcome, Owner: owner, Partition: r.Partition, Program: r.Program,
-			Breaks: k.breaks.Breaks(time.Now()),
+			Lease: r.Lease, Outcome: got.outcome, Owner: got.owner, Partition: r.Partition, Program: r.Program,
+			Breaks: k.breaks.Breaks(time.Now()), Target: got.target,
 		})
 	})
 }
@@ -289,7 +295,7 @@
 // request hands out room if this instance owns the partition, names the owner
 // if another does, and claims the partition if nobody usable does. The mutex
 // is held.
-func (k *Keeper) request(p *partition, r structs.RoomRequest, reply func(structs.RoomOutcome, structs.InstanceID)) {
+func (k *Keeper) request(p *partition, r structs.RoomRequest, reply func(answer)) {
 	if r.Named && p.own == nil {
 		// A claim of this instance took effect without an answer, or somebody
 		// is mistaken: the store tells.
@@ -302,9 +308,9 @@
 		if r.Suspect == p.owner {
 			k.peers.Probe(p.owner)
 		}
-		reply(structs.RoomNotOwner, p.owner)
+		reply(answer{outcome: structs.RoomNotOwner, owner: p.owner})
 	case k.leaving.Load() || time.Now().Before(p.claimAfter):
-		reply(structs.RoomUnavailable, "")
+		reply(answer{outcome: structs.RoomUnavailable})
 	default:
 		p.parked = append(p.parked, parkedAsk{r, reply})
 		k.startClaim(p)
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -53,7 +53,10 @@
 			return nil
 		}
 	}
-	want := targets.Want{Service: x.service, Key: x.placementKey(), Exclude: x.tried}
+	want := targets.Want{
+		Service: x.service, Key: x.placementKey(), Last: x.lastOfProgram, Remembered: x.settle != nil,
+		Exclude: x.tried,
+	}
 	return x.server.targets.Pick(want, time.Now())
 }
 
--- a/internal/serve/send_test.go
+++ b/internal/serve/send_test.go
@@ -209,3 +209,23 @@
 		}
 	}
 }
+
+func TestTurnGoesToTheTargetOfTheLastOne(t *testing.T) {
+	w := newWorld(t)
+	w.budgets.target = "t2"
+	other := w.target("t1", "engine", serveEvents(2, never))
+	last := w.target("t2", "engine", serveEvents(2, never))
+	for i := range 8 {
+		got := w.do(w.request("POST", "/turns/", "", "Banyanglade-Program-Id", fmt.Sprint("p", i),
+			"Banyanglade-Token-Budget", "1000", "Banyanglade-Token-Usage", "100,50"))
+		if got.err != nil || got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if other.count() != 0 || last.count() != 8 {
+		t.Errorf("%d turns ran elsewhere", other.count())
+	}
+	if told := w.budgets.ranAt; len(told) != 8 || told[0] != "t2" {
+		t.Errorf("the owner was told %v", told)
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -33,8 +33,12 @@
 
 // Lease is room in a program's budget.
 type Lease interface {
-	// Settle gives back what was not used. It does not block.
-	Settle(used int)
+	// Target ran the program's last turn and may have its prompt; empty if that
+	// is not known.
+	Target() string
+	// Settle gives back what was not used and names the target that ran the
+	// turn, empty for none. It does not block.
+	Settle(used int, target string)
 }
 
 // Budgets hands out room in programs' budgets.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -58,6 +58,9 @@
 	ctx      context.Context
 	deadline time.Time
 
+	// lastOfProgram is the target that ran the program's last turn, empty if
+	// unknown.
+	lastOfProgram string
 	// settle gives back room in the program's budget, nil if none is held.
 	settle func()
 
@@ -205,7 +208,7 @@
 		x.refuse(http.StatusPaymentRequired, reasonBudgetSpent, 0)
 	case x.request.Context().Err() != nil:
 		if err == nil {
-			lease.Settle(0)
+			lease.Settle(0, "")
 		}
 		x.reason = reasonCallerLeft
 	case errors.Is(err, ErrNoRoom):
@@ -216,12 +219,21 @@
 		x.detail = err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
 	default:
-		x.settle = func() { lease.Settle(x.delivered * perEvent) }
+		x.lastOfProgram = lease.Target()
+		x.settle = func() { lease.Settle(x.delivered*perEvent, x.ranAt()) }
 		defer x.settleOnce()
 		x.forward()
 	}
 }
 
+// ranAt is the target that ran the turn last, empty if none did.
+func (x *transfer) ranAt() string {
+	if len(x.ran) == 0 || x.delivered == 0 {
+		return ""
+	}
+	return x.ran[len(x.ran)-1]
+}
+
 // settleOnce gives back the room that the turn did not use.
 func (x *transfer) settleOnce() {
 	if x.settle != nil {
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -36,6 +36,10 @@
 	err     error
 	asked   []Turn
 	settled []int
+	// target is what leases name as the target of the program's last turn,
+	// ranAt what they were told.
+	target string
+	ranAt  []string
 }
 
 func (b *budgets) Reserve(_ context.Context, turn Turn) (Lease, error) {
@@ -50,10 +54,13 @@
 
 type budgetLease struct{ b *budgets }
 
-func (l budgetLease) Settle(used int) {
+func (l budgetLease) Target() string { return l.b.target }
+
+func (l budgetLease) Settle(used int, target string) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	l.b.settled = append(l.b.settled, used)
+	l.b.ranAt = append(l.b.ranAt, target)
 }
 
 // world is an instance with its targets.
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -67,6 +67,9 @@
 	Program   string
 	// Breaks are targets that broke connections lately, as the owner knows.
 	Breaks []TargetBreak
+	// Target ran the program's last turn, as far as the owner knows; empty if it
+	// does not.
+	Target string
 }
 
 // RoomSettle ends a lease: what was not used is free again.
@@ -75,6 +78,8 @@
 	Partition int
 	Program   string
 	Used      int
+	// Target ran the turn, empty if none did.
+	Target string
 }
 
 // OwnerNotice tells which partitions the sender owns, with the epoch of the
@@ -119,6 +124,8 @@
 	// Idle is the time since the program's last turn.
 	Idle   time.Duration
 	Leases []RoomLeaseSize
+	// Target ran the program's last turn, empty if unknown.
+	Target string
 }
 
 // RoomLeaseSize is a lease with the room that it holds.
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -13,6 +13,11 @@
 	// Key is what a target may have kept: the program of a turn, or the object
 	// of a plain request; empty if any target is as good as another.
 	Key string
+	// Last is the target that ran the key's last request, empty if unknown.
+	Last string
+	// Remembered tells that whoever sends the key's next request will know the
+	// target of this one, so that it may be chosen freely.
+	Remembered bool
 	// Exclude lists targets that were tried before.
 	Exclude []string
 }
@@ -24,6 +29,10 @@
 	// elsewhere, and elsewhere it also takes room in the cache. Measured on
 	// both sites: 0.6 to 0.9 are worse, 1.25 and 1.6 alike (docs/MEASUREMENTS.md).
 	keyedFill = 1.25
+	// nearFill is how busy a target of this data centre may be, in parts of its
+	// slots, for a program to begin there: it has room for the program's
+	// sub-agents. Prompts sent to other data centres are priced by the byte.
+	nearFill = 0.6
 	// otherDataCentre is what a target in another data centre must be less
 	// busy, in parts of its slots, to be chosen over one here.
 	otherDataCentre = 0.15
@@ -59,10 +68,13 @@
 	return t
 }
 
+// choose chooses among the targets of a service:
+//   - the one that ran the key's last request, since it has the prompt;
+//   - for a key that begins, or whose target is gone or full, one nearby;
+//   - the one that the key ranks first, which all instances find without asking;
+//   - the least busy one.
 func (r *Registry) choose(all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
-	var least, kept *Target
-	var leastCost float64
-	var keptRank uint64
+	var last, near, ranked, least best
 	// Instances with the same view must not all choose the same target.
 	start := rand.IntN(len(all) + 1)
 	for i := range all {
@@ -74,20 +86,38 @@
 			continue
 		}
 		fill := t.busy(now) / float64(max(t.Slots, 1))
-		if cost := fill + r.distance(t); least == nil || cost < leastCost {
-			least, leastCost = t, cost
-		}
+		least.offer(t, -fill-r.distance(t))
 		if want.Key == "" || fill >= keyedFill {
 			continue
 		}
-		if rank := rank(want.Key, t.ID); kept == nil || rank > keptRank {
-			kept, keptRank = t, rank
+		rank := rank(want.Key, t.ID)
+		ranked.offer(t, rank)
+		if want.Remembered && t.DataCentre == r.dataCentre && fill < nearFill {
+			near.offer(t, rank)
+		}
+		if t.ID == want.Last {
+			last.offer(t, 1)
+		}
+	}
+	for _, b := range []best{last, near, ranked, least} {
+		if b.target != nil {
+			return b.target
 		}
 	}
-	if kept != nil {
-		return kept
+	return nil
+}
+
+// best is the target with the highest score so far.
+type best struct {
+	target *Target
+	score  float64
+}
+
+// offer takes a target if its score is higher than those before.
+func (b *best) offer(t *Target, score float64) {
+	if b.target == nil || score > b.score {
+		b.target, b.score = t, score
 	}
-	return least
 }
 
 // distance is what speaks against a target besides its load.
@@ -112,11 +142,11 @@
 }
 
 // rank orders targets for a key by rendezvous hashing.
-func rank(key, id string) uint64 {
+func rank(key, id string) float64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
 	_, _ = d.WriteString("/")
 	_, _ = d.WriteString(id)
-	return d.Sum64()
+	return float64(d.Sum64())
 }
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -37,6 +37,76 @@
 	}
 }
 
+// twoDataCentres has n targets here and n elsewhere.
+func twoDataCentres(n int) *Registry {
+	r := newTestRegistry(n)
+	for i := range n {
+		r.Put(Entry{ID: fmt.Sprint("far", i), Service: "s", Address: fmt.Sprint("f", i), DataCentre: "far", Slots: testSlots})
+	}
+	return r
+}
+
+// A program goes on where its last turn ran, also if that is elsewhere, until
+// that target is full.
+func TestProgramGoesOnWhereItsLastTurnRan(t *testing.T) {
+	r := twoDataCentres(4)
+	now := time.Unix(100, 0)
+	for i := range 20 {
+		want := Want{Service: "s", Key: fmt.Sprint("program", i), Last: "far2", Remembered: true}
+		got := r.Pick(want, now)
+		if got.ID != "far2" {
+			t.Fatalf("%s was chosen", got.ID)
+		}
+		r.End(got)
+	}
+	for range int(keyedFill * testSlots) {
+		r.PickSame("far2")
+	}
+	if got := r.Pick(Want{Service: "s", Key: "p", Last: "far2", Remembered: true}, now); got.DataCentre != "dc" {
+		t.Errorf("%s was chosen instead of one nearby", got.ID)
+	}
+	gone := r.Pick(Want{Service: "s", Key: "p", Last: "gone", Remembered: true}, now)
+	if gone == nil || gone.DataCentre != "dc" {
+		t.Errorf("got %+v for a program whose target is gone", gone)
+	}
+}
+
+// Programs begin at targets of this data centre while these have room, then at
+// the one that every instance would choose.
+func TestProgramsBeginNearbyWhileThereIsRoom(t *testing.T) {
+	r := twoDataCentres(2)
+	now := time.Unix(100, 0)
+	// A target takes another program while it is less full than nearFill, so
+	// each of the two takes three.
+	for i := range 6 {
+		got := r.Pick(Want{Service: "s", Key: fmt.Sprint("program", i), Remembered: true}, now)
+		if got.DataCentre != "dc" {
+			t.Fatalf("program %d began at %s", i, got.ID)
+		}
+	}
+	beyond := 0
+	for i := range 20 {
+		got := r.Pick(Want{Service: "s", Key: fmt.Sprint("next", i), Remembered: true}, now)
+		if got.DataCentre != "dc" {
+			beyond++
+		}
+		r.End(got)
+	}
+	if beyond == 0 {
+		t.Error("no program began elsewhere although the targets here had no room")
+	}
+	far := 0
+	for i := range 20 {
+		got := twoDataCentres(2).Pick(Want{Service: "s", Key: fmt.Sprint("object", i)}, now)
+		if got.DataCentre == "far" {
+			far++
+		}
+	}
+	if far == 0 {
+		t.Error("keys whose target nobody remembers must not depend on the data centre")
+	}
+}
+
 func TestRequestsWithoutAKeySpread(t *testing.T) {
 	r := newTestRegistry(4)
 	now := time.Unix(100, 0)
