spec: conversations; a beginning that was dropped in one partition is written there again

Cause, found by the model: an instance took a turn to be in a partition since it had once been there, though the partition's index may have dropped it after its retention while the conversation went on in another partition. A later turn came back without its beginning and was called uncertain for good after a loss of all instances. TestDroppedBeginningIsWrittenAgain was red before.

turns.pml: 2 properties, 8 seeded faults, all found.

--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,10 +22,9 @@
 	// asked to make it as well. The store answers within 10 ms when it is well,
 	// and a caller waits for the end of its answer meanwhile.
 	hedgeDelay = 60 * time.Millisecond
-	// appendRetryFirst and appendRetryMost bound the pause between two rounds
-	// of tries; it doubles. Refused calls are priced.
-	appendRetryFirst = 20 * time.Millisecond
-	appendRetryMost  = 320 * time.Millisecond
+	// directPause is the time between two tries of an instance whose appends
+	// fail while others make them: refused calls are priced.
+	directPause = 250 * time.Millisecond
 	// awayTime is how long a partition that took no append is tried last.
 	awayTime = time.Second
 	// maxPartitionsTried bounds the partitions of one round of tries.
@@ -63,13 +63,25 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	entries, _ := k.memory.chain(turn, time.Now())
+	now := time.Now()
+	entries, _ := k.memory.chain(turn, now)
+	return lacking(entries, p.number, now)
+}
+
+// lacking lists the turns of a conversation that a partition may lack. A turn is
+// kept there for its retention, and as long as it has any that continues it
+// there; the index of the partition may have dropped it after that.
+func lacking(entries []*entry, partition int, now time.Time) []structs.KeptTurn {
 	var turns []structs.KeptTurn
-	for _, e := range entries {
-		if !e.in(p.number) {
-			turns = append(turns, e.KeptTurn)
+	continued := false
+	for _, e := range slices.Backward(entries) {
+		if e.in(partition) && (continued || now.Before(expiry(e.KeptTurn, now))) {
+			continued = true
+			continue
 		}
+		turns = append(turns, e.KeptTurn)
 	}
+	slices.Reverse(turns)
 	return turns
 }
 
@@ -92,30 +104,24 @@
 // persist tries until the store holds the turn or the context ends.
 func (w *writing) persist(ctx context.Context) error {
 	k := w.keeper
-	wait := appendRetryFirst
 	for {
 		prober, err := k.awaitTry(ctx)
 		if err != nil {
 			return err
 		}
 		err = w.tryPartitions(ctx)
-		if err != nil && ctx.Err() == nil {
-			k.noteRound(err)
-			k.log.Debug("turn not kept yet", "turn", w.turn.ID, "error", err.Error())
-			if pause(ctx, wait) {
-				wait = min(2*wait, appendRetryMost)
-				k.endTry(prober)
-				continue
-			}
+		if ctx.Err() != nil {
+			k.endTry(prober)
+			return ctx.Err()
 		}
+		wait := k.noteRound(err)
 		if err == nil {
-			k.noteRound(nil)
+			k.endTry(prober)
+			return nil
 		}
+		k.log.Debug("turn not kept yet", "turn", w.turn.ID, "error", err.Error())
+		pause(ctx, wait)
 		k.endTry(prober)
-		if err != nil && ctx.Err() != nil {
-			return ctx.Err()
-		}
-		return err
 	}
 }
 
@@ -192,51 +198,97 @@
 func (w *writing) round(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, 2)
-	tries := 1
-	go func() { results <- w.keeper.appendDirect(ctx, w.partition, w.records) }()
-	hedge := time.NewTimer(w.keeper.hedgeAfter())
+	r := &round{writing: w, results: make(chan tryResult, 2)}
+	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
-	helped := false
-	help := func() {
-		if helped {
-			return
-		}
-		helped = true
-		helper := w.chooseHelper()
-		if helper == "" {
-			return
-		}
-		tries++
-		go func() { results <- w.appendBy(ctx, helper) }()
+	if w.keeper.triesDirect() {
+		r.direct(ctx)
+	} else if !r.help(ctx) {
+		r.direct(ctx)
 	}
 	var failure error
-	for {
+	for r.open > 0 {
 		select {
-		case err := <-results:
-			if err == nil {
+		case result := <-r.results:
+			r.open--
+			if result.err == nil {
+				w.keeper.noteWinner(result.direct, r.directOpen)
 				return true, nil
 			}
-			failure = errors.Join(failure, err)
-			tries--
-			help()
-			if tries == 0 {
-				return false, failure
-			}
+			failure = errors.Join(failure, result.err)
+			r.help(ctx)
 		case <-hedge.C:
-			help()
+			r.help(ctx)
 		}
 	}
+	return false, failure
+}
+
+// round is one round of tries of a writing.
+type round struct {
+	writing *writing
+	results chan tryResult
+	// open counts the tries under way; directOpen tells that one is this
+	// instance's own.
+	open       int
+	directOpen bool
+	helped     bool
+}
+
+// tryResult is how one try ended.
+type tryResult struct {
+	direct bool
+	err    error
+}
+
+// direct tries by this instance.
+func (r *round) direct(ctx context.Context) {
+	w := r.writing
+	r.open++
+	r.directOpen = true
+	go func() { r.results <- tryResult{true, w.keeper.appendDirect(ctx, w.partition, w.records)} }()
+}
+
+// help tries by another instance, once. It tells whether there is one.
+func (r *round) help(ctx context.Context) bool {
+	if r.helped {
+		return false
+	}
+	r.helped = true
+	helper := r.writing.chooseHelper()
+	if helper == "" {
+		return false
+	}
+	r.open++
+	go func() { r.results <- tryResult{false, r.writing.appendBy(ctx, helper)} }()
+	return true
+}
+
+// triesDirect tells whether this instance should try by itself. While its
+// appends fail, one turn after each pause does, beside another instance.
+func (k *Keeper) triesDirect() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.directFailing && now.Before(k.directAfter) {
+		return false
+	}
+	k.directAfter = now.Add(directPause)
+	return true
 }
 
-// hedgeAfter is how long this instance's own append is waited for.
-func (k *Keeper) hedgeAfter() time.Duration {
+// noteWinner notes that another instance was faster than this one's own try,
+// which may then be waiting for an answer that does not come.
+func (k *Keeper) noteWinner(direct, directOpen bool) {
+	if direct || !directOpen {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.directFailing || !k.health.OK() {
-		return 0
+	if !k.directFailing {
+		k.log.Warn("another instance appends turns faster")
 	}
-	return hedgeDelay
+	k.directFailing = true
 }
 
 // appendDirect makes one append by this instance.
@@ -251,11 +303,11 @@
 // noteAppend remembers whether this instance's appends succeed, and logs when
 // that changes.
 func (k *Keeper) noteAppend(err error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	if errors.Is(err, context.Canceled) {
 		return // another instance was faster, or the caller left
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	failing := err != nil
 	if failing == k.directFailing {
 		return
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -56,8 +56,10 @@
 	// unableUntil is how long an instance that could not read or write the
 	// store is passed over.
 	unableUntil map[structs.InstanceID]time.Time
-	// directFailing tells that this instance's last append failed.
+	// directFailing tells that this instance's last append failed, or that
+	// another one was faster; it tries again after directAfter.
 	directFailing bool
+	directAfter   time.Time
 	outage        outage
 }
 
--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -150,6 +151,40 @@
 		if took := time.Since(began); took > 50*time.Millisecond {
 			t.Errorf("a turn took %s", took)
 		}
+		// While others make its appends it hardly tries by itself.
+		before := w.Store.Calls()
+		for range 20 {
+			last = w.mustTurn(refused, "p", last)
+		}
+		if calls := w.Store.Calls() - before; calls > 22 {
+			t.Errorf("20 turns took %d calls", calls)
+		}
+		w.restartAll()
+		w.mustRecall(w.all()[0], "p", last)
+	})
+}
+
+// An instance whose link to the store is silent notices it once.
+func TestInstanceThatTheStoreDoesNotHearKeepsTurnsThroughOthers(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		last := w.chainOf("p", "", 3)
+		n.Unheard.Store(true)
+		last = w.mustTurn(n, "p", last)
+		began := time.Now()
+		for range 8 {
+			last = w.mustTurn(n, "p", last)
+		}
+		if took := time.Since(began) / 8; took > 30*time.Millisecond {
+			t.Errorf("a turn took %s", took)
+		}
+		n.Unheard.Store(false)
+		time.Sleep(directPause)
+		last = w.mustTurn(n, "p", last)
+		last = w.mustTurn(n, "p", last)
+		if n.keeper.directFailing {
+			t.Error("the instance did not notice that the store hears it again")
+		}
 		w.restartAll()
 		w.mustRecall(w.all()[0], "p", last)
 	})
@@ -290,6 +325,44 @@
 	})
 }
 
+// programIn finds a program of a partition.
+func (w *world) programIn(part int) string {
+	k := w.all()[0].keeper
+	for i := 0; ; i++ {
+		if program := fmt.Sprint("program", i); k.partitionOf(program).number == part {
+			return program
+		}
+	}
+}
+
+// The beginning of a conversation that goes on in another partition is dropped
+// from its own. A later turn that comes back there must take it along again.
+func TestDroppedBeginningIsWrittenAgain(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		first := w.programIn(0)
+		index := w.index(first)
+		second := first
+		for part := 1; w.index(second) == index; part++ {
+			second = w.programIn(part)
+		}
+		writer := w.others(index, w.index(second))[0]
+		last := w.mustTurn(writer, first, "")
+		for range 10 {
+			time.Sleep(testRetention / 2)
+			last = w.mustTurn(writer, second, last)
+		}
+		list, err := w.Store.Newest(t.Context(), topic, 0)
+		if err != nil || len(list.Records) > 0 {
+			t.Fatalf("the beginning was not dropped: %d records, %v", len(list.Records), err)
+		}
+		last = w.mustTurn(writer, first, last)
+		w.restartAll()
+		for _, n := range w.all() {
+			w.mustRecall(n, first, last)
+		}
+	})
+}
+
 // A record that cannot be read is not "not found".
 func TestRecordThatCannotBeDecodedIsUncertain(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -17,6 +17,8 @@
 	// since is when the last round of tries failed after one had succeeded,
 	// zero if none has.
 	since time.Time
+	// pause is the time until the next round.
+	pause time.Duration
 	// full tells that the store had no room in the last round, at tried.
 	full  bool
 	tried time.Time
@@ -66,22 +68,33 @@
 	k.outage.signal()
 }
 
+const (
+	// appendRetryFirst and appendRetryMost bound the pause between two rounds
+	// of tries; it doubles over an outage. Refused calls are priced.
+	appendRetryFirst = 20 * time.Millisecond
+	appendRetryMost  = 320 * time.Millisecond
+)
+
 // noteRound notes whether a round of tries over instances and partitions
-// failed, and logs when that changes.
-func (k *Keeper) noteRound(err error) {
+// failed, and logs when that changes. It returns the pause before the next one.
+func (k *Keeper) noteRound(err error) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.outage.full, k.outage.tried = errors.Is(err, platform.ErrFull), time.Now()
-	failing := !k.outage.since.IsZero()
+	o := &k.outage
+	o.full, o.tried = errors.Is(err, platform.ErrFull), time.Now()
+	failing := !o.since.IsZero()
 	switch {
 	case err != nil && !failing:
-		k.outage.since = time.Now()
+		o.since, o.pause = time.Now(), appendRetryFirst
 		k.log.Warn("turns cannot be kept", "error", err.Error())
-	case err == nil && failing:
-		k.log.Info("turns can be kept again", "away_ms", time.Since(k.outage.since).Milliseconds())
-		k.outage.since = time.Time{}
-		k.outage.signal()
+	case err != nil:
+		o.pause = min(2*o.pause, appendRetryMost)
+	case failing:
+		k.log.Info("turns can be kept again", "away_ms", time.Since(o.since).Milliseconds())
+		o.since = time.Time{}
+		o.signal()
 	}
+	return o.pause
 }
 
 // fullPause is the time between two turns that are let through while the store
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -50,6 +50,8 @@
 budget|3|MAXFAULT=0 MAXRESTART=0|spending within budget: two chunks an epoch
 room|3||generated within the budget and the most of one turn: deaths, handovers, claims
 room|3|N=2 MAXCLAIM=5 MAXHAND=2 MAXDIE=4|the same with more claims and deaths
+turns|9||a turn whose caller saw its end is never called unknown
+turns|10||a turn that can be named lies with all before it in one partition
 config|5||one accepted value a version, verdicts true
 config|7||each operator hears a verdict once faults cease
 config|cycle||every run is finite, so end states are reached
@@ -89,6 +91,14 @@
 room|3|OWNER_GOES_ON|an owner goes on after it handed its accounts over
 room|3|HANDED_TWICE|accounts handed to two instances
 room|3|MAXCLAIM=4 MAXDIE=3 CEILING_TWICE|the most of two turns added after a loss
+turns|9|END_EARLY|a turn ends before its record is durable
+turns|9|PART_AS_WHOLE|a read that stops short of the end taken for a whole one
+turns|9|HOME_ONLY|"unknown" after the reading of the program's own partition
+turns|9|READ_BEFORE|"unknown" by a read that began before the question
+turns|10|NO_CLOSURE|another program's turn kept without those before it
+turns|10|STALE_KNOWN|a turn taken to be where it was, though it was dropped there since
+turns|10|DROP_UNREAD|turns dropped without reading what continues them
+turns|10|NO_MARGIN|turns dropped while one that continues them is on its way
 config|5|NO_READBACK|"accepted" on the append's reply
 config|5|STALE_BASE|stale base accepted
 config|5|LAST_COPY|verdict taken from a duplicate
