Connections that go silent for good are noticed; the soak keeps conversations

Ruled out: shorter timeouts of answers, since engines queue.

Tests seen red without the change.

soak: a route whose conversations are kept; targets must receive the whole conversation, a turn that ended must be known; each check seen red.

--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -81,6 +81,8 @@
 	case answer := <-q.answer:
 		return answer
 	case <-timer.C:
+		// The connection may have gone silent for good.
+		k.peers.Probe(to)
 	case <-ctx.Done():
 	}
 	return nil
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -26,6 +26,9 @@
 // that is lost is followed by PeerDown.
 type Peers interface {
 	Send(to structs.InstanceID, msg structs.Message)
+	// Probe asks an instance for a heartbeat; without one PeerDown follows and
+	// the connection ends.
+	Probe(to structs.InstanceID)
 }
 
 // Health tells whether the store answers this instance's reads of other topics.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/banyanglade/banyanglade/internal/netopt"
 )
 
 const (
@@ -18,6 +20,12 @@
 	// milliseconds away, and a lost opening packet is sent again after a
 	// second only, so a longer wait does not pay.
 	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout is how long a target may leave a request without any
+	// acknowledgement, which comes from its kernel within milliseconds: some
+	// retransmissions. A dropped connection is noticed then and not at the
+	// route's timeout: 0.882 -> 0.925 of the payoff of a day with two outages of
+	// targets and two of connections (one run each).
+	unackedTimeout = 700 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the target does not say.
 	defaultIdle = 4 * time.Second
 	// idleShare of the time that the target states is used, so that a request
@@ -32,7 +40,7 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -53,7 +61,7 @@
 // NewPool makes an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		dialer: netopt.Dialer(dialTimeout, unackedTimeout),
 		idle:   make(map[string][]*conn),
 	}
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+
+	"github.com/banyanglade/banyanglade/internal/netopt"
 )
 
 // Route is the path of the peer listener that Handler serves.
@@ -14,6 +16,7 @@
 
 func newDialClient(cfg Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		DialContext:         netopt.Dialer(cfg.DialTimeout, cfg.PeerTimeout).DialContext,
 		TLSClientConfig:     cfg.TLS,
 		TLSHandshakeTimeout: cfg.DialTimeout,
 	}}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,12 +51,16 @@
 	program string
 	body    string
 	header  map[string]string
+	// kept and previous are those of the attempt.
+	kept     bool
+	previous string
 }
 
 // send makes one attempt and notes what came of it.
 func (c *caller) send(ctx context.Context, q question) *attempt {
 	a := &attempt{
 		id: strconv.FormatUint(c.rng.Uint64(), 16), program: q.program, kind: q.kind, body: q.body,
+		kept: q.kept, previous: q.previous,
 		life: c.machine.now(), start: time.Now(),
 	}
 	c.deployment.history.begin(a)
@@ -82,6 +86,9 @@
 	for name, value := range q.header {
 		r.Header.Set(name, value)
 	}
+	if q.previous != "" {
+		r.Header.Set("Banyanglade-Previous-Turn", q.previous)
+	}
 	resp, err := c.client.RoundTrip(r)
 	if err != nil {
 		a.cut = wrote && limited.Err() == nil
@@ -134,25 +141,26 @@
 // tries is how often a caller makes a turn or a call.
 const tries = 3
 
-// ask makes attempts until one is answered. It tells whether the program may go
-// on.
-func (c *caller) ask(ctx context.Context, q question) bool {
+// ask makes attempts until one is answered, and returns the last one. It tells
+// whether the program may go on.
+func (c *caller) ask(ctx context.Context, q question) (last *attempt, goOn bool) {
 	for range tries {
 		a := c.send(ctx, q)
+		last = a
 		switch {
-		case a.whole && a.status == statusOK:
-			return true
-		case a.status == http.StatusPaymentRequired, ctx.Err() != nil:
-			return false
+		case a.served():
+			return a, true
+		case a.status == http.StatusPaymentRequired, a.status == statusNotFound, ctx.Err() != nil:
+			return a, false
 		case q.kind == once && (a.status == 0 || a.status >= http.StatusInternalServerError) && a.status != http.StatusServiceUnavailable:
-			return false // it may have run
+			return a, false // it may have run
 		}
 		if a.status == 0 || a.cut {
 			c.elsewhere()
 		}
 		pause(ctx, time.Duration(50+c.rng.IntN(200))*time.Millisecond)
 	}
-	return true
+	return last, true
 }
 
 // endless is how many more turns a program that does not stop makes after it
@@ -186,18 +194,13 @@
 
 func (c *caller) runLine(ctx context.Context, program string, budget, turns int) {
 	stopped := 0
+	talk := c.newTalk()
 	for i := 0; i < turns && stopped < endless && ctx.Err() == nil; i++ {
-		q := question{
-			kind: turn, path: "/turn/x", program: program,
-			body: fmt.Sprintf("%d %s %x", 1+c.rng.IntN(eventsPerTurn), program, c.rng.Uint64()),
-			header: map[string]string{
-				"Banyanglade-Program-Id": program, "Banyanglade-Token-Budget": strconv.Itoa(budget),
-				"Banyanglade-Token-Usage": fmt.Sprintf("100,%d", turnMost),
-			},
-		}
-		if !c.ask(ctx, q) {
+		a, goOn := c.ask(ctx, talk.next(turnOf(program, budget, 1+c.rng.IntN(eventsPerTurn), c.rng.Uint64())))
+		if !goOn {
 			stopped++
 		}
+		talk.note(a)
 		pause(ctx, time.Duration(c.rng.IntN(60))*time.Millisecond)
 		call := question{kind: safe, path: "/safe/x", program: program, body: fmt.Sprint(i)}
 		if c.rng.IntN(2) == 0 {
@@ -207,6 +210,59 @@
 	}
 }
 
+// turnOf is a program's turn of some events.
+func turnOf(program string, budget, events int, mark uint64) question {
+	return question{
+		kind: turn, path: "/turn/x", program: program, body: fmt.Sprintf("%d %s %x", events, program, mark),
+		header: map[string]string{
+			"Banyanglade-Program-Id": program, "Banyanglade-Token-Budget": strconv.Itoa(budget),
+			"Banyanglade-Token-Usage": fmt.Sprintf("100,%d", turnMost),
+		},
+	}
+}
+
+// talk is the conversation of a line of turns, if the system keeps it.
+type talk struct {
+	caller   *caller
+	kept     bool
+	previous string
+}
+
+// newTalk begins a conversation, or goes on with another program's.
+func (c *caller) newTalk() *talk {
+	t := &talk{caller: c, kept: c.rng.IntN(2) == 0}
+	if t.kept && c.rng.IntN(3) == 0 {
+		t.previous = c.deployment.history.anyKept(c.rng)
+	}
+	return t
+}
+
+// next makes the line's next turn of a question. A few name a turn that does
+// not exist.
+func (t *talk) next(q question) question {
+	if !t.kept {
+		return q
+	}
+	if t.caller.rng.IntN(25) == 0 {
+		return q.continuing(fmt.Sprintf("none%x", t.caller.rng.Uint64()))
+	}
+	return q.continuing(t.previous)
+}
+
+// continuing makes a kept turn of a question, behind another one if that is not
+// empty.
+func (q question) continuing(previous string) question {
+	q.kept, q.path, q.previous = true, "/kept/x", previous
+	return q
+}
+
+// note goes on behind a turn that was served.
+func (t *talk) note(a *attempt) {
+	if a != nil && a.served() {
+		t.previous = a.id
+	}
+}
+
 // probeInterval is the time between two looks at the settings of an instance.
 const probeInterval = 120 * time.Millisecond
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	promiseUnasked  = "a target runs what a caller sent"
 	promiseSettings = "settings never get older in one life of an instance"
 	promiseDrain    = "a shutdown cuts no request"
+	promiseKept     = "a turn whose end was seen can be continued for its retention"
 	promiseAlive    = "no instance ends by itself"
 )
 
@@ -53,6 +54,8 @@
 func (h *history) checkAttempt(a *attempt) []violation {
 	runs := h.runs[a.id]
 	switch {
+	case a.status == statusNotFound && h.mustKnow(a):
+		return broken(promiseKept, "%s got 404 for turn %s at %s", a.id, a.previous, a.life.machine.name)
 	case a.kind == once && len(runs) > 1:
 		return broken(promiseOnce, "%s ran %d times", a.id, len(runs))
 	case notRun(a) && len(runs) > 0:
@@ -142,7 +145,7 @@
 	for id, runs := range h.runs {
 		asked, ok := h.known[id]
 		for _, r := range runs {
-			if !ok || r.body != asked.body {
+			if !ok || !h.askedFor(asked, r.body) {
 				return broken(promiseUnasked, "%s ran with body %q at %s", id, r.body, r.target.id)
 			}
 		}
@@ -150,6 +153,23 @@
 	return nil
 }
 
+// askedFor tells whether a target was sent what the caller asked: the body, with
+// the conversation before it if the system keeps that.
+func (h *history) askedFor(a *attempt, body string) bool {
+	if !a.kept {
+		return body == a.body
+	}
+	_, input, ok := h.conversation(a.id)
+	return ok && body == input
+}
+
+// mustKnow tells whether the turn that an attempt names had ended, for its
+// caller, before the attempt began, and may still be named.
+func (h *history) mustKnow(a *attempt) bool {
+	named, ok := h.known[a.previous]
+	return ok && named.served() && named.end.Before(a.start) && a.end.Sub(named.end) < retention
+}
+
 func (h *history) checkBudgets() []violation {
 	received := make(map[string]int)
 	for _, a := range h.attempts {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -14,9 +14,9 @@
 // break.
 type sound struct {
 	*history
-	turn, safe, once, refused *attempt
-	life                      *life
-	a, b                      *target
+	turn, safe, once, refused, kept *attempt
+	life                            *life
+	a, b                            *target
 }
 
 func newSound() *sound {
@@ -31,8 +31,13 @@
 		received: answerOf("s1", "x")}, s.a, s.b)
 	s.once = s.add(&attempt{id: "o1", program: "p", kind: once, body: "y", status: 200, signed: "a.o1", whole: true,
 		received: answerOf("o1", "y")}, s.a)
+	s.add(&attempt{id: "k1", program: "p", kind: turn, kept: true, body: "1 p k", status: 200, signed: "a.k1", whole: true,
+		events: []int{1}, received: "1 p k"}, s.a)
+	s.kept = s.add(&attempt{id: "k2", program: "p", kind: turn, kept: true, previous: "k1", body: "1 p l", status: 200,
+		signed: "a.k2", whole: true, events: []int{1}, received: "1 p l"}, s.a)
+	s.runs["k2"][0].body = "1 p k" + "1 p k\n" + "1 p l"
 	s.refused = s.add(&attempt{id: "r1", program: "p", kind: once, body: "z", status: 503, whole: true})
-	h.open("p", 20)
+	h.open("p", 40)
 	h.published[1], h.published[2] = at(0), at(100)
 	s.see(1, 10, true)
 	s.see(2, 200, true)
@@ -89,6 +94,16 @@
 		}},
 		{"a request that nobody sent", promiseUnasked, func(s *sound) { s.ran(&run{request: "u1", target: s.a}) }},
 		{"another body", promiseUnasked, func(s *sound) { s.runs["o1"][0].body = "changed" }},
+		{"a turn that ended is unknown", promiseKept, func(s *sound) {
+			s.known["k1"].end, s.kept.end = at(-1), at(5)
+			s.kept.status = 404
+			s.runs["k2"] = nil
+		}},
+		{"a turn without the conversation before it", promiseUnasked, func(s *sound) { s.runs["k2"][0].body = "1 p l" }},
+		{"a conversation with another output", promiseUnasked, func(s *sound) {
+			s.runs["k2"][0].body = "1 p k" + "1 p x\n" + "1 p l"
+		}},
+		{"a turn behind one that does not exist", promiseUnasked, func(s *sound) { s.kept.previous = "nosuch" }},
 		{"an older version served", promiseSettings, func(s *sound) { s.see(1, 900, true) }},
 		{"the newest version gone", promiseSettings, func(s *sound) { s.see(2, 900, false) }},
 		{"a request cut by a shutdown", promiseDrain, func(s *sound) {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -27,6 +27,8 @@
 	lapseTime         = 3 * heartbeatInterval
 	// drainTime is how long a target serves on after it said that it leaves.
 	drainTime = 3 * time.Second
+	// retention is how long a program or a turn may come back.
+	retention = time.Minute
 	// maxTargets is how many targets may run one attempt of a safe request.
 	maxTargets = 2
 	// turnMost is the most that a turn generates, in tokens.
@@ -198,11 +200,13 @@
 		}
 		return r
 	}
-	turns := map[string]any{"Retain": false, "RetentionS": 60, "Resumable": true, "SessionAffinity": true}
+	turns := map[string]any{"Retain": false, "RetentionS": retention.Seconds(), "Resumable": true, "SessionAffinity": true}
+	kept := map[string]any{"Retain": true, "RetentionS": retention.Seconds(), "SessionAffinity": true}
 	value, err := json.Marshal(map[string]any{
 		"Version": version,
 		"Routes": []any{
 			route("turns", "/turn/", "streaming", engineService, 1, turns),
+			route("kept", "/kept/", "streaming", engineService, 1, kept),
 			route("safe", "/safe/", "safe", appService, maxTargets, nil),
 			route("once", "/once/", "unsafe", appService, 1, nil),
 			route("version", versionPath(version), "safe", appService, maxTargets, nil),
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,10 +23,14 @@
 
 // attempt is one request of a caller, with what it received.
 type attempt struct {
-	id       string
-	program  string
-	kind     kind
-	body     string
+	id      string
+	program string
+	kind    kind
+	body    string
+	// kept tells that the system keeps the conversation, which goes on from
+	// the turn previous, empty at its start.
+	kept     bool
+	previous string
 	life     *life
 	start    time.Time
 	end      time.Time
@@ -77,6 +83,8 @@
 	// published holds when each version of the settings was acknowledged.
 	published map[int]time.Time
 	known     map[string]*attempt
+	// keptTurns are the kept turns whose callers saw the end, in order.
+	keptTurns []string
 	// alone are the lives that ended without being asked to.
 	alone []*life
 }
@@ -101,6 +109,9 @@
 	defer h.mu.Unlock()
 	a.end = time.Now()
 	h.attempts = append(h.attempts, a)
+	if a.kept && a.served() {
+		h.keptTurns = append(h.keptTurns, a.id)
+	}
 }
 
 // open notes a program with its budget, in tokens.
@@ -142,13 +153,47 @@
 	h.published[version] = time.Now()
 }
 
+// served tells whether the caller saw the end of a success.
+func (a *attempt) served() bool { return a.whole && a.status == statusOK }
+
+// conversation is what a kept turn and all before it hold, with the text that a
+// target gets for it. It returns false if a turn before it was never made.
+func (h *history) conversation(id string) (text, input string, ok bool) {
+	a, known := h.known[id]
+	if !known || !a.kept {
+		return "", "", false
+	}
+	before := ""
+	if a.previous != "" {
+		if before, _, ok = h.conversation(a.previous); !ok {
+			return "", "", false
+		}
+	}
+	input = before + a.body
+	return input + strings.Repeat(a.body+"\n", eventsOf(a.body)), input, true
+}
+
+// recentKept bounds the turns that others may continue.
+const recentKept = 60
+
+// anyKept chooses a kept turn that ended lately, empty if there is none.
+func (h *history) anyKept(rng *rand.Rand) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.keptTurns) == 0 {
+		return ""
+	}
+	recent := h.keptTurns[max(len(h.keptTurns)-recentKept, 0):]
+	return recent[rng.IntN(len(recent))]
+}
+
 // served counts the whole answers so far.
 func (h *history) served() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
 	for _, a := range h.attempts {
-		if a.whole && a.status == statusOK {
+		if a.served() {
 			n++
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -129,6 +129,10 @@
 	return check(d.history)
 }
 
+// keptAtLast is how many kept turns each machine continues once all faults are
+// over.
+const keptAtLast = 8
+
 // serves runs a new program's turn and a call at one machine until both are
 // answered.
 func (d *deployment) serves(ctx context.Context, m *machine, seed uint64) error {
@@ -139,19 +143,20 @@
 	const budget = 100 * turnMost
 	d.history.open(program, budget)
 	questions := []question{
-		{kind: turn, path: "/turn/x", program: program, body: "3 " + program, header: map[string]string{
-			"Banyanglade-Program-Id": program, "Banyanglade-Token-Budget": fmt.Sprint(budget),
-			"Banyanglade-Token-Usage": fmt.Sprintf("100,%d", turnMost),
-		}},
+		turnOf(program, budget, 3, 0),
 		{kind: once, path: "/once/x", program: program, body: "last"},
 	}
+	for range keptAtLast {
+		q := turnOf(program, budget, 1, c.rng.Uint64())
+		questions = append(questions, q.continuing(d.history.anyKept(c.rng)))
+	}
 	for _, q := range questions {
 		for answered := false; !answered; {
 			if ctx.Err() != nil {
 				return errors.Newf("machine %s does not answer a %s request", m.name, q.kind)
 			}
 			a := c.send(ctx, q)
-			answered = a.whole && a.status == statusOK
+			answered = a.served() || a.status == statusNotFound // which the check judges
 			if !answered {
 				pause(ctx, probeInterval)
 			}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,8 @@
 )
 
 const (
-	statusOK = http.StatusOK
+	statusOK       = http.StatusOK
+	statusNotFound = http.StatusNotFound
 	// tokensPerEvent is the number of tokens of an event, eventsPerTurn the
 	// most events of a turn.
 	tokensPerEvent = 10
@@ -202,8 +204,15 @@
 	}
 }
 
-// eventsOf is the number of events of a turn, which its body names.
+// inputOf is the new input of a turn: what follows the conversation before it,
+// whose events each end with a line feed.
+func inputOf(body string) string { return body[strings.LastIndexByte(body, '\n')+1:] }
+
+// eventsOf is the number of events of a turn, which its input names.
 func eventsOf(body string) int {
+	if body == "" {
+		return 1
+	}
 	n, err := strconv.Atoi(body[:1])
 	if err != nil {
 		return 1
@@ -222,7 +231,8 @@
 		writeRaw(w, 0, "no answer\r\n\r\n")
 		return
 	}
-	from, last := lastEvent(r), eventsOf(made.body)
+	input := inputOf(made.body)
+	from, last := lastEvent(r), eventsOf(input)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= last; i++ {
 		if met == cutInside && i == (from+1+last)/2 {
@@ -230,7 +240,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, made.body)
+		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, input)
 		if err != nil || http.NewResponseController(w).Flush() != nil || !work(r, eventGap) {
 			return
 		}
