--- /dev/null
+++ b/internal/conversation/dump.go
@@ -0,0 +1,42 @@
+package conversation
+
+import "time"
+
+// Dump is the state of a Keeper as it is shown on request.
+type Dump struct {
+	// Turns and Bytes are what is in memory.
+	Turns int `json:"turns"`
+	Bytes int `json:"bytes"`
+	// DirectFailing tells that others append for this instance.
+	DirectFailing bool `json:"direct_failing"`
+	// AwayFor is how long no turn could be kept, 0 if turns can.
+	AwayFor    time.Duration   `json:"away_for_ns"`
+	Partitions []PartitionDump `json:"partitions"`
+}
+
+// PartitionDump is what is known of one partition.
+type PartitionDump struct {
+	Partition int `json:"partition"`
+	// Read tells that all records before the offset Next were read.
+	Read bool  `json:"read"`
+	Next int64 `json:"next"`
+	// Away tells that it lately took no append.
+	Away bool `json:"away"`
+}
+
+// Dump shows the state.
+func (k *Keeper) Dump() Dump {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	d := Dump{Turns: len(k.memory.turns), Bytes: k.memory.bytes, DirectFailing: k.directFailing}
+	if !k.outage.since.IsZero() {
+		d.AwayFor = now.Sub(k.outage.since)
+	}
+	for _, p := range k.partitions {
+		d.Partitions = append(d.Partitions, PartitionDump{
+			Partition: p.number, Read: p.read, Next: p.next, Away: now.Before(p.awayUntil),
+		})
+	}
+	return d
+}
--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -441,3 +441,22 @@
 		}
 	})
 }
+
+func TestDumpTellsWhatIsAmiss(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		w.mustTurn(n, "p", "")
+		if d := n.keeper.Dump(); d.Turns != 1 || d.Bytes == 0 || d.AwayFor != 0 || d.DirectFailing {
+			t.Errorf("in order: %+v", d)
+		}
+		w.Store.Set(metastore.Fault{Status: 503})
+		if _, err := w.turn(n, "p", "", time.Second); err == nil {
+			t.Fatal("the turn ended")
+		}
+		d := n.keeper.Dump()
+		away := d.Partitions[n.keeper.partitionOf("p").number].Away
+		if d.AwayFor == 0 || !d.DirectFailing || !away {
+			t.Errorf("with the store away: %+v", d)
+		}
+	})
+}
--- a/internal/conversation/random_test.go
+++ b/internal/conversation/random_test.go
@@ -29,8 +29,13 @@
 	}
 }
 
-// scheduleTime is how long a schedule's faults go on.
-const scheduleTime = 12 * time.Second
+// scheduleTime is how long a schedule's faults go on, slowFactor times as long
+// in slow schedules: turns are then dropped after their retention meanwhile.
+const (
+	scheduleTime = 12 * time.Second
+	slowFactor   = 20
+	slowEvery    = 4
+)
 
 // playSchedule lets programs talk at instances that are killed and cut off, with
 // a store that fails in all its ways. What an instance says of a turn that ended
@@ -39,14 +44,18 @@
 func playSchedule(t *testing.T, seed uint64) {
 	inWorld(t, 4, func(t *testing.T, w *world) {
 		r := rand.New(rand.NewPCG(seed, 1))
+		factor := 1
+		if seed%slowEvery == 0 {
+			factor = slowFactor
+		}
 		var work sync.WaitGroup
-		ends := time.Now().Add(scheduleTime)
+		ends := time.Now().Add(time.Duration(factor) * scheduleTime)
 		for i := range 10 {
 			callerSeed := seed*100 + uint64(i)
-			work.Go(func() { w.converse(callerSeed, ends) })
+			work.Go(func() { w.converse(callerSeed, ends, factor) })
 		}
 		for time.Now().Before(ends) {
-			time.Sleep(time.Duration(r.IntN(700)) * time.Millisecond)
+			time.Sleep(time.Duration(factor*r.IntN(700)) * time.Millisecond)
 			w.causeTrouble(r)
 		}
 		w.Store.Set(metastore.Fault{})
@@ -64,8 +73,9 @@
 }
 
 // converse runs programs one after the other until the time is up. Some
-// continue another program's turn, some name turns that do not exist.
-func (w *world) converse(seed uint64, ends time.Time) {
+// continue another program's turn, some name turns that do not exist. Pauses are
+// longer by a factor.
+func (w *world) converse(seed uint64, ends time.Time, factor int) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	for n := 0; time.Now().Before(ends); n++ {
 		program := fmt.Sprint("p", seed, "-", n)
@@ -86,7 +96,7 @@
 			if err == nil {
 				previous = id
 			}
-			time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+			time.Sleep(time.Duration(factor*r.IntN(300)) * time.Millisecond)
 		}
 	}
 }
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -1,6 +1,9 @@
 package edge
 
-import "github.com/banyanglade/banyanglade/internal/targets"
+import (
+	"github.com/banyanglade/banyanglade/internal/conversation"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
 
 // state is what an instance tells of itself on request.
 type state struct {
@@ -9,12 +12,13 @@
 	InFlight        int64              `json:"in_flight"`
 	SettingsVersion int64              `json:"settings_version"`
 	Targets         []targets.Snapshot `json:"targets"`
+	Conversations   conversation.Dump  `json:"conversations"`
 }
 
 func (e *edge) dump() state {
 	s := state{
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
-		Targets: e.incoming.registry.Snapshot(),
+		Targets: e.incoming.registry.Snapshot(), Conversations: e.conversations.Dump(),
 	}
 	if table := e.server.Table(); table != nil {
 		s.SettingsVersion = table.Version
--- a/internal/serve/conversation.go
+++ b/internal/serve/conversation.go
@@ -42,13 +42,14 @@
 	before, err := x.server.kept.Before(x.ctx, x.call.Program, previous)
 	switch {
 	case errors.Is(err, ErrNoTurn):
+		x.detail = "turn " + previous
 		x.refuse(http.StatusNotFound, reasonNoTurn, 0)
 		return false
 	case x.ctx.Err() != nil:
 		x.giveUpInTime()
 		return false
 	case err != nil:
-		x.detail = err.Error()
+		x.detail = "turn " + previous + ": " + err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonUncertain, x.server.retryAfter(retryBudget))
 		return false
 	}
