--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -285,6 +285,36 @@
 	})
 }
 
+// The index of a partition hears of a turn that was kept elsewhere, and starts
+// anew without those before it: it must not take its own partition for damaged.
+func TestTurnKeptElsewhereIsFoundThere(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		index := w.index("p")
+		home := index.keeper.partitionOf("p")
+		other := w.all()[0].keeper.partitions[(home.number+1)%testPartitions]
+		w.Store.Set(metastore.Fault{Status: 503, Partitions: []int{home.number}})
+		before := w.mustTurn(w.others(index)[0], "p", "")
+		w.Restart(index.Node)
+		last := w.mustTurn(w.others(index)[0], "p", before)
+		w.Store.Set(metastore.Fault{})
+		time.Sleep(2 * simnet.LinkTime)
+		index = w.index("p")
+		index.keeper.mu.Lock()
+		index.keeper.memory.drop(before)
+		e := index.keeper.memory.turns[last]
+		index.keeper.mu.Unlock()
+		if e == nil || !e.in(other.number) || e.in(home.number) {
+			t.Fatalf("the index knows of the last turn: %+v", e)
+		}
+		if got := index.keeper.findHere(t.Context(), home, last); got.outcome != structs.ConversationUnknown {
+			t.Errorf("in its own partition: outcome %d", got.outcome)
+		}
+		for _, n := range w.all() {
+			w.mustRecall(n, "p", last)
+		}
+	})
+}
+
 // While a partition is away, its conversations that others hold in memory go on.
 func TestConversationsInMemoryGoOnWhileTheStoreIsAway(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
--- a/internal/conversation/lookup.go
+++ b/internal/conversation/lookup.go
@@ -135,7 +135,10 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.memory.find(turn, time.Now()) != nil || p.spoilt[turn] {
+	e := k.memory.find(turn, time.Now())
+	// A turn that another partition holds may be here without those before it:
+	// whoever indexes that partition has them.
+	if e != nil && e.in(p.number) || p.spoilt[turn] {
 		// A turn before it is missing or cannot be read, which the invariant
 		// rules out: the conversation exists, but not whole.
 		k.log.Error("conversation is not whole", "partition", p.number, "turn", turn)
