placing: an engine that fails a turn is avoided

A turn that failed was sent again to the same engine, since its program is remembered there: three failures end a program. Ruled out: engines that are down (they break connections, others hear of that already), plain targets (1 of 100 of their answers is a 500 of the tool itself, which is its answer).

The instance avoids the engine for half a second and longer with each failure, the budget's owner forgets it for the program, other instances hear of it as of one that is down.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -146,6 +146,17 @@
 	return true
 }
 
+// noteTarget remembers the target that ran the last turn, unless it failed it.
+func (a *account) noteTarget(target string, failed bool) {
+	switch {
+	case target == "":
+	case !failed:
+		a.target = target
+	case a.target == target:
+		a.target = ""
+	}
+}
+
 // loseHolder counts the leases of an instance that is gone as used.
 func (a *account) loseHolder(holder structs.InstanceID) bool {
 	changed := false
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -405,7 +405,7 @@
 		if got := first.Target(); got != "" {
 			t.Errorf("a new program's target is %q", got)
 		}
-		first.Settle(10, "engine1")
+		first.Settle(serve.TurnEnd{Used: 10, Target: "engine1"})
 		owner := w.ownerOf("p")
 		owner.keeper.Leave(t.Context())
 		w.Kill(owner.Node)
@@ -414,8 +414,20 @@
 			if got := lease.Target(); got != "engine1" {
 				t.Errorf("%s is told %q", n.ID, got)
 			}
-			lease.Settle(0, "") // ran nowhere
+			lease.Settle(serve.TurnEnd{}) // ran nowhere
 			time.Sleep(2 * simnet.LinkTime)
 		}
+		n := w.all()[0]
+		reserve(n).Settle(serve.TurnEnd{Target: "engine2", Failed: true})
+		time.Sleep(2 * simnet.LinkTime)
+		last := reserve(n)
+		if got := last.Target(); got != "engine1" {
+			t.Errorf("after another one's failure: %q", got)
+		}
+		last.Settle(serve.TurnEnd{Target: "engine1", Failed: true})
+		time.Sleep(2 * simnet.LinkTime)
+		if got := reserve(n).Target(); got != "" {
+			t.Errorf("a target that failed the program is remembered: %q", got)
+		}
 	})
 }
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -131,9 +131,7 @@
 		return
 	}
 	a.touched = time.Now()
-	if m.Target != "" {
-		a.target = m.Target
-	}
+	a.noteTarget(m.Target, m.Failed)
 	k.serveAsks(p, a)
 }
 
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -56,11 +56,11 @@
 // Target ran the program's last turn, empty if unknown.
 func (h heldRoom) Target() string { return h.target }
 
-// Settle gives back what was not used and names the target that ran the turn.
-func (h heldRoom) Settle(used int, target string) {
+// Settle gives back what was not used and tells how the turn ended.
+func (h heldRoom) Settle(end serve.TurnEnd) {
 	h.keeper.receiveSettle(&structs.RoomSettle{
-		Lease: h.request.Lease, Partition: h.request.Partition, Program: h.request.Program, Used: used,
-		Target: target,
+		Lease: h.request.Lease, Partition: h.request.Partition, Program: h.request.Program, Used: end.Used,
+		Target: end.Target, Failed: end.Failed,
 	})
 }
 
@@ -253,7 +253,7 @@
 		select {
 		case got := <-answers:
 			if got.outcome == structs.RoomGranted {
-				heldRoom{keeper: k, request: *request}.Settle(0, "")
+				heldRoom{keeper: k, request: *request}.Settle(serve.TurnEnd{})
 			}
 		case <-k.ctx.Done():
 		}
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -115,7 +115,7 @@
 	w.mu.Lock()
 	w.delivered[program] += used
 	w.mu.Unlock()
-	lease.Settle(used, "")
+	lease.Settle(serve.TurnEnd{Used: used})
 	return nil
 }
 
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -48,10 +48,31 @@
 		x.giveUpInTime()
 		return false
 	}
+	x.failedAt = target.ID
 	x.server.targets.Failed(target, time.Now())
 	return x.mayRepeat()
 }
 
+// failsTurn tells whether an answer is an engine's failure of a turn, which
+// others seldom give: an engine that fails one is likely to fail more, while its
+// health checks are good. A 504 tells of the time left alone.
+func (x *transfer) failsTurn(resp *exchange.Response) bool {
+	return x.route.Kind == route.Stream && resp.Status >= http.StatusInternalServerError &&
+		resp.Status != http.StatusGatewayTimeout
+}
+
+// noteFailedTurn keeps turns away from an engine that failed one, here and, for
+// a second, at other instances.
+func (x *transfer) noteFailedTurn(target *targets.Target) {
+	now := time.Now()
+	x.failedAt = target.ID
+	x.server.targets.Failed(target, now)
+	if x.server.targets.Broke(target, now) {
+		x.server.log.Info("target failed a turn", "target", target.ID, "request", x.call.ID)
+		x.server.notices.TargetBroke()
+	}
+}
+
 // deliverWhole passes a plain answer on once it is whole, so that a broken one
 // can be repeated or reported as such.
 func (x *transfer) deliverWhole(target *targets.Target, resp *exchange.Response) bool {
@@ -65,11 +86,15 @@
 		x.passOverSilent(target, err)
 		return x.brokeOff(target)
 	}
-	x.server.targets.Succeeded(target, time.Now())
 	x.reason = reasonServed
 	if resp.Status >= http.StatusInternalServerError {
 		x.reason = reasonTargetFailed
 	}
+	if x.failsTurn(resp) {
+		x.noteFailedTurn(target)
+	} else {
+		x.server.targets.Succeeded(target, time.Now())
+	}
 	longer := body.Len() == maxBuffered
 	x.copyHead(resp, longer, body.Len())
 	if _, err := x.writer.Write(body.Bytes()); err != nil {
@@ -176,6 +201,7 @@
 // endStream ends a stream that the target completed.
 func (x *transfer) endStream(target *targets.Target, resp *exchange.Response) bool {
 	x.server.targets.Succeeded(target, time.Now())
+	x.failedAt = ""
 	if !x.headSent {
 		x.copyHead(resp, true, 0)
 	}
--- a/internal/serve/send_test.go
+++ b/internal/serve/send_test.go
@@ -210,6 +210,49 @@
 	}
 }
 
+// An engine may fail a share of its turns while its health checks are good: the
+// program's next turn goes elsewhere, and other instances hear of it.
+func TestEngineThatFailsATurnIsAvoided(t *testing.T) {
+	w := newWorld(t)
+	w.budgets.target = "t1"
+	grey := w.target("t1", "engine", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		sign(rw)
+		rw.WriteHeader(http.StatusInternalServerError)
+	})
+	sound := w.target("t2", "engine", serveEvents(2, never))
+	turn := func() result {
+		return w.do(w.request("POST", "/turns/", "", "Banyanglade-Program-Id", "p",
+			"Banyanglade-Token-Budget", "1000", "Banyanglade-Token-Usage", "100,50"))
+	}
+	if got := turn(); got.status != 500 {
+		t.Fatalf("the engine's own failure was not passed on: %+v", got)
+	}
+	if got := turn(); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	if grey.count() != 1 || sound.count() != 1 || w.notices.Load() != 1 {
+		t.Errorf("the engine got %d turns, the other %d; %d notices", grey.count(), sound.count(), w.notices.Load())
+	}
+	if ends := w.budgets.ends; !ends[0].Failed || ends[0].Target != "t1" || ends[1].Failed || ends[1].Target != "t2" {
+		t.Errorf("the owner was told %+v", ends)
+	}
+}
+
+// A plain target's failure is an answer like others.
+func TestPlainTargetThatFailsIsNotAvoided(t *testing.T) {
+	w := newWorld(t)
+	tg := w.target("t1", "app", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		sign(rw)
+		rw.WriteHeader(http.StatusInternalServerError)
+	})
+	for range 3 {
+		w.do(w.request("GET", "/safe/", ""))
+	}
+	if tg.count() != 3 || w.notices.Load() != 0 {
+		t.Errorf("%d requests, %d notices", tg.count(), w.notices.Load())
+	}
+}
+
 func TestTurnGoesToTheTargetOfTheLastOne(t *testing.T) {
 	w := newWorld(t)
 	w.budgets.target = "t2"
@@ -225,7 +268,7 @@
 	if other.count() != 0 || last.count() != 8 {
 		t.Errorf("%d turns ran elsewhere", other.count())
 	}
-	if told := w.budgets.ranAt; len(told) != 8 || told[0] != "t2" {
+	if told := w.budgets.ends; len(told) != 8 || told[0].Target != "t2" || told[0].Failed {
 		t.Errorf("the owner was told %v", told)
 	}
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -36,9 +36,20 @@
 	// Target ran the program's last turn and may have its prompt; empty if that
 	// is not known.
 	Target() string
-	// Settle gives back what was not used and names the target that ran the
-	// turn, empty for none. It does not block.
-	Settle(used int, target string)
+	// Settle gives back what was not used and tells how the turn ended. It does
+	// not block.
+	Settle(end TurnEnd)
+}
+
+// TurnEnd is how a turn ended.
+type TurnEnd struct {
+	// Used is what the caller received, in tokens.
+	Used int
+	// Target ran the turn, empty if none did.
+	Target string
+	// Failed tells that the target did not bring the turn to its end, so that
+	// the program's next one should go elsewhere.
+	Failed bool
 }
 
 // Budgets hands out room in programs' budgets.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -68,6 +68,9 @@
 	tried []string
 	// ran lists the targets that may have begun to run the request.
 	ran []string
+	// failedAt is the target that failed the turn last, empty if none did or
+	// another one brought it to its end.
+	failedAt string
 	// broken lists targets that broke a connection without an answer.
 	broken     []string
 	lastTarget string
@@ -208,7 +211,7 @@
 		x.refuse(http.StatusPaymentRequired, reasonBudgetSpent, 0)
 	case x.request.Context().Err() != nil:
 		if err == nil {
-			lease.Settle(0, "")
+			lease.Settle(TurnEnd{})
 		}
 		x.reason = reasonCallerLeft
 	case errors.Is(err, ErrNoRoom):
@@ -220,18 +223,22 @@
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
 	default:
 		x.lastOfProgram = lease.Target()
-		x.settle = func() { lease.Settle(x.delivered*perEvent, x.ranAt()) }
+		x.settle = func() { lease.Settle(x.turnEnd(perEvent)) }
 		defer x.settleOnce()
 		x.forward()
 	}
 }
 
-// ranAt is the target that ran the turn last, empty if none did.
-func (x *transfer) ranAt() string {
-	if len(x.ran) == 0 || x.delivered == 0 {
-		return ""
+// turnEnd is how the turn ended, as far as its target is concerned.
+func (x *transfer) turnEnd(perEvent int) TurnEnd {
+	end := TurnEnd{Used: x.delivered * perEvent}
+	switch {
+	case x.failedAt != "":
+		end.Target, end.Failed = x.failedAt, true
+	case len(x.ran) > 0 && x.delivered > 0:
+		end.Target = x.ran[len(x.ran)-1]
 	}
-	return x.ran[len(x.ran)-1]
+	return end
 }
 
 // settleOnce gives back the room that the turn did not use.
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -36,10 +36,10 @@
 	err     error
 	asked   []Turn
 	settled []int
-	// target is what leases name as the target of the program's last turn,
-	// ranAt what they were told.
+	// target is what leases name as the target of the program's last turn, ends
+	// what they were told.
 	target string
-	ranAt  []string
+	ends   []TurnEnd
 }
 
 func (b *budgets) Reserve(_ context.Context, turn Turn) (Lease, error) {
@@ -56,11 +56,11 @@
 
 func (l budgetLease) Target() string { return l.b.target }
 
-func (l budgetLease) Settle(used int, target string) {
+func (l budgetLease) Settle(end TurnEnd) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
-	l.b.settled = append(l.b.settled, used)
-	l.b.ranAt = append(l.b.ranAt, target)
+	l.b.settled = append(l.b.settled, end.Used)
+	l.b.ends = append(l.b.ends, end)
 }
 
 // world is an instance with its targets.
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -80,6 +80,8 @@
 	Used      int
 	// Target ran the turn, empty if none did.
 	Target string
+	// Failed tells that the target did not bring the turn to its end.
+	Failed bool
 }
 
 // OwnerNotice tells which partitions the sender owns, with the epoch of the
