--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,28 +30,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, id := range ranked {
-		if !contains(passOver, id) && !now.Before(k.unableUntil[id]) {
+		if !slices.Contains(passOver, id) && !now.Before(k.unableUntil[id]) {
 			return id
 		}
 	}
 	// Those that were not able lately are better than none.
 	for _, id := range ranked {
-		if !contains(passOver, id) {
+		if !slices.Contains(passOver, id) {
 			return id
 		}
 	}
 	return ""
 }
 
-func contains(ids []structs.InstanceID, id structs.InstanceID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // setUnable has an instance passed over for a while.
 func (k *Keeper) setUnable(id structs.InstanceID) {
 	k.mu.Lock()
--- /dev/null
+++ b/internal/conversation/sweep_test.go
@@ -0,0 +1,78 @@
+package conversation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+)
+
+func TestTurnsAreDroppedAfterTheirRetention(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		old := w.chainOf("p", "", 3)
+		long := w.chainOf("q", "", 2)
+		for range 8 {
+			time.Sleep(testRetention / 2)
+			long = w.chainOf("q", long, 1)
+		}
+		w.mustRecall(w.all()[0], "q", long)
+		w.restartAll()
+		w.mustRecall(w.all()[0], "q", long)
+		if _, err := w.all()[0].keeper.Before(t.Context(), "p", old); !errors.Is(err, serve.ErrNoTurn) {
+			t.Errorf("a turn long past its retention: %v", err)
+		}
+		time.Sleep(testRetention + dropMargin + 2*sweepInterval)
+		for _, n := range w.all() {
+			if got := len(n.keeper.memory.turns); got != 0 {
+				t.Errorf("%s holds %d turns past their retention", n.ID, got)
+			}
+		}
+		for part := range testPartitions {
+			list, err := w.Store.Newest(t.Context(), topic, part)
+			if err != nil || len(list.Records) > 0 {
+				t.Errorf("partition %d holds %d turns past their retention, %v", part, len(list.Records), err)
+			}
+		}
+	})
+}
+
+// programIn finds a program of a partition.
+func (w *world) programIn(part int) string {
+	k := w.all()[0].keeper
+	for i := 0; ; i++ {
+		if program := fmt.Sprint("program", i); k.partitionOf(program).number == part {
+			return program
+		}
+	}
+}
+
+// The beginning of a conversation that goes on in another partition is dropped
+// from its own. A later turn that comes back there must take it along again.
+func TestDroppedBeginningIsWrittenAgain(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		first := w.programIn(0)
+		index := w.index(first)
+		second := first
+		for part := 1; w.index(second) == index; part++ {
+			second = w.programIn(part)
+		}
+		writer := w.others(index, w.index(second))[0]
+		last := w.mustTurn(writer, first, "")
+		for range 10 {
+			time.Sleep(testRetention / 2)
+			last = w.mustTurn(writer, second, last)
+		}
+		list, err := w.Store.Newest(t.Context(), topic, 0)
+		if err != nil || len(list.Records) > 0 {
+			t.Fatalf("the beginning was not dropped: %d records, %v", len(list.Records), err)
+		}
+		last = w.mustTurn(writer, first, last)
+		w.restartAll()
+		for _, n := range w.all() {
+			w.mustRecall(n, first, last)
+		}
+	})
+}
