--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -177,4 +177,3 @@
 		return true
 	}
 }
-
