Tests: two data races in the tests of conversations

The random schedule drew numbers in goroutines of its own, and two tests read a keeper's memory without its mutex; found by the race detector. They use values drawn before and the dump now.

--- a/internal/conversation/keep_test.go
+++ b/internal/conversation/keep_test.go
@@ -53,7 +53,7 @@
 		time.Sleep(directPause)
 		last = w.mustTurn(n, "p", last)
 		last = w.mustTurn(n, "p", last)
-		if n.keeper.directFailing {
+		if n.keeper.Dump().DirectFailing {
 			t.Error("the instance did not notice that the store hears it again")
 		}
 		w.restartAll()
--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -41,8 +41,7 @@
 			w.chainOf("p", parent, 3)
 		}
 		time.Sleep(2 * simnet.LinkTime) // the last notice is on its way
-		held := w.index("p").keeper.memory
-		if got, want := len(held.turns), 3+4*3; got != want {
+		if got, want := w.index("p").keeper.Dump().Turns, 3+4*3; got != want {
 			t.Errorf("the index holds %d turns, want %d", got, want)
 		}
 	})
--- a/internal/conversation/random_test.go
+++ b/internal/conversation/random_test.go
@@ -129,8 +129,9 @@
 		w.CutFor(n.Node, cut, time.Duration(r.IntN(2500))*time.Millisecond)
 	case 4, 5:
 		n.Refused.Store(true)
+		refusedFor := time.Duration(r.IntN(4000)) * time.Millisecond
 		w.Work.Go(func() {
-			time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
+			time.Sleep(refusedFor)
 			n.Refused.Store(false)
 		})
 	case 6:
--- a/internal/conversation/sweep_test.go
+++ b/internal/conversation/sweep_test.go
@@ -26,7 +26,7 @@
 		}
 		time.Sleep(testRetention + dropMargin + 2*sweepInterval)
 		for _, n := range w.all() {
-			if got := len(n.keeper.memory.turns); got != 0 {
+			if got := n.keeper.Dump().Turns; got != 0 {
 				t.Errorf("%s holds %d turns past their retention", n.ID, got)
 			}
 		}
