conversation: a turn that ends after the retention of the one before it is kept whole

Cause, found reading the code: the turns before a turn were looked up once more when it was kept, and not found if the named one's retention had ended meanwhile, by more than 15 s: a turn named at the last moment on a route whose timeout is longer than that would have been kept alone in another partition. The test was red before.

--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -48,9 +48,12 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := time.Now()
-	entries, _ := k.memory.chain(turn, now)
-	return lacking(entries, p.number, now)
+	// The turn was named in time; its retention may have ended since.
+	entries, ok := k.memory.line(turn)
+	if !ok {
+		k.log.Error("conversation went from memory while its turn ran", "turn", turn, "partition", p.number)
+	}
+	return lacking(entries, p.number, time.Now())
 }
 
 // lacking lists the turns of a conversation that a partition may lack. A turn is
--- a/internal/conversation/memory.go
+++ b/internal/conversation/memory.go
@@ -70,12 +70,17 @@
 	return e
 }
 
-// chain lists a turn that can still be named and all before it, the oldest
-// first. It returns false if any of them is missing, or if they form a cycle.
+// chain is line for a turn that can still be named.
 func (m *memory) chain(id string, now time.Time) ([]*entry, bool) {
 	if m.find(id, now) == nil {
 		return nil, false
 	}
+	return m.line(id)
+}
+
+// line lists a turn and all before it, the oldest first. It returns false if any
+// of them is missing, or if they form a cycle.
+func (m *memory) line(id string) ([]*entry, bool) {
 	var turns []*entry
 	for id != "" {
 		e, ok := m.turns[id]
--- a/internal/conversation/sweep_test.go
+++ b/internal/conversation/sweep_test.go
@@ -39,6 +39,26 @@
 	})
 }
 
+// A turn that was named in time may end after the retention of the one before
+// it, in another partition.
+func TestTurnThatEndsAfterTheRetentionIsKeptWhole(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		first, second := w.programIn(0), w.programIn(1)
+		last := w.mustTurn(n, first, "")
+		w.mustRecall(n, second, last)
+		time.Sleep(testRetention + 2*namedMargin)
+		end := serve.EndedTurn{ID: "late", Previous: last, Input: []byte("in"), Retention: testRetention}
+		if err := n.keeper.Keep(t.Context(), second, end); err != nil {
+			t.Fatal(err)
+		}
+		list, err := w.Store.Newest(t.Context(), topic, 1)
+		if err != nil || len(list.Records) != 2 {
+			t.Errorf("its partition holds %d turns, %v", len(list.Records), err)
+		}
+	})
+}
+
 // programIn finds a program of a partition.
 func (w *world) programIn(part int) string {
 	k := w.all()[0].keeper
