--- a/spec/check.sh
+++ b/spec/check.sh
@@ -120,6 +120,8 @@
 	for m in $macros; do defs+=("-D$m"); done
 	if ! spin -a "${defs[@]}" "$here/$model.pml" >spin.out 2>&1 ||
 		! gcc -O2 -w "${flags[@]}" "-DMEMLIM=$mem_mb" -o pan pan.c >>spin.out 2>&1; then
+		echo "spec: $model $prop $macros does not build:" >&2
+		tail -n 5 spin.out >&2
 		echo "0 0 0 no build-failed" >"$work/$id"
 		return 0
 	fi
