Organisations: keys let requests in, the system alone names the organisation

Cause: Tenants, ApiKeys and the two headers were read nowhere, so that keys reached targets and requests ran without one. The adapter takes the digest of the one well-formed key of a request; the key itself goes no further. What callers name (programs, sessions' targets, kept turns, affinity) is scoped by the organisation, so a turn of another one is not found. Settings know how old they may be: an unknown key is refused for good only by an instance whose settings are current, and with strict revocation no key is trusted once they are older than its bound.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
 )
 
 // Request is a caller's request as the platform's adapter decodes it.
@@ -14,6 +16,9 @@
 	// Program and Session are empty for requests outside programs.
 	Program string
 	Session string
+	// Key is the digest of the key that the request carries, zero if it does
+	// not carry exactly one that is well formed.
+	Key org.Digest
 	// TimeLeft is how long the caller waits, 0 if it did not say.
 	TimeLeft time.Duration
 	// ProgramTimeLeft is the time until the program should be finished, 0 if
@@ -48,6 +53,8 @@
 	Target string
 	// TimeLeft is the time until the work is of no use any more.
 	TimeLeft time.Duration
+	// Organisation holds the request's key, empty if it has none.
+	Organisation string
 	// ResumeAfter is the id of the last event received so far, empty to keep
 	// what the caller sent.
 	ResumeAfter string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,7 +64,7 @@
 		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
-			newTransport, newKeeper, newConversations, newServer, newTargetFeed, newEdge,
+			newTransport, newKeeper, newConversations, newCurrency, newServer, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -94,13 +94,23 @@
 
 func newConnections(pool *exchange.Pool) connections { return pool }
 
+// settingsCurrency tells how old the settings are. The topic comes after the server.
+type settingsCurrency struct{ topic *feed.Topic }
+
+func newCurrency() *settingsCurrency { return new(settingsCurrency) }
+
+// SettingsAge implements serve.Currency.
+func (c *settingsCurrency) SettingsAge() time.Duration { return c.topic.Age(time.Now()) }
+
 func newServer(
-	registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
+	machine platform.Machine, currency *settingsCurrency, registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
 	health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Parts{
 		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper,
-		Conversations: conversations, Notices: keeper, Health: health, Scope: scope, Log: log,
+		Conversations: conversations, Notices: keeper, Health: health, Currency: currency,
+		Keys:  keyPolicy(machine),
+		Scope: scope, Log: log,
 	})
 }
 
@@ -137,6 +147,7 @@
 	machine platform.Machine, log *slog.Logger, reporter *httpapi.Metrics, store *platform.Store,
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, incoming *targetFeed,
 	dir *directory.Directory, transport *peer.Transport, keeper *budget.Keeper, conversations *conversation.Keeper,
+	currency *settingsCurrency,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
@@ -145,6 +156,7 @@
 		conversations: conversations, reregister: make(chan struct{}, 1),
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
+	currency.topic = e.settings
 	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
 	e.instances = feed.NewTopic(topicInstances, applyInstance(dir, e.reregister, log))
 	return e
@@ -163,7 +175,7 @@
 	}
 	e.server.SetTable(route.NewTable(settings))
 	e.log.Info("settings in force", "settings_version", settings.Version, "offset", r.Offset,
-		"routes", len(settings.Routes))
+		"routes", len(settings.Routes), "organisations", settings.Organisations.Len())
 }
 
 // run serves until the context ends, then drains.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -37,6 +37,9 @@
 	// Whole tells that the sender knows the whole topic.
 	Whole   bool              `json:"whole"`
 	Records []platform.Record `json:"records"`
+	// AgeMs is how long ago the sender knew that its copy was the newest, in
+	// milliseconds; nil if that is not known.
+	AgeMs *int64 `json:"age_ms,omitempty"`
 }
 
 // copies are the topics that instances give each other.
@@ -51,8 +54,10 @@
 			c.Status(http.StatusBadRequest)
 			return
 		}
+		// The age comes first: what it covers is in the records then.
+		age := topic.Age(time.Now()).Milliseconds()
 		records, _ := topic.Since(since)
-		answer[topic.Name] = topicCopy{Whole: topic.Known(), Records: records}
+		answer[topic.Name] = topicCopy{Whole: topic.Known(), Records: records, AgeMs: &age}
 	}
 	c.JSON(http.StatusOK, answer)
 }
@@ -118,6 +123,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make the question")
 	}
+	asked := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "ask")
@@ -131,9 +137,20 @@
 		return errors.Wrap(err, "decode")
 	}
 	e.takeCopies(answer, address)
+	e.confirmCopies(answer, asked)
 	return nil
 }
 
+// confirmCopies notes how old the topics are now that another instance's copies
+// were merged, which it was asked for at a time.
+func (e *edge) confirmCopies(answer map[string]topicCopy, asked time.Time) {
+	for _, topic := range e.copies() {
+		if given := answer[topic.Name]; given.Whole && given.AgeMs != nil {
+			topic.Confirm(asked.Add(-time.Duration(*given.AgeMs) * time.Millisecond))
+		}
+	}
+}
+
 // takeCopies merges copies of topics from an instance or from the store.
 func (e *edge) takeCopies(answer map[string]topicCopy, source string) {
 	for _, topic := range e.copies() {
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanglade/banyanglade/internal/peer"
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/platform"
 )
 
 // Options are the settings of an edge instance that the platform's settings
@@ -66,6 +68,18 @@
 	return min(bound, longestWait)
 }
 
+// readMargin is what a read of the settings may take beyond its wait before
+// they count as older than they may be.
+const readMargin = 500 * time.Millisecond
+
+// keyPolicy says how long keys are trusted.
+func keyPolicy(machine platform.Machine) serve.KeyPolicy {
+	return serve.KeyPolicy{
+		ConfigDelay: waitWithin(machine.ConfigDelay) + readMargin,
+		Strict:      machine.StrictRevocation, RevokeDelay: machine.RevokeDelay,
+	}
+}
+
 // targetsPause is the time between two reads of the targets' records.
 func targetsPause(drainDelay time.Duration) time.Duration {
 	pause := time.Duration(targetsShare * float64(drainDelay))
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -70,6 +70,7 @@
 // step reads the whole topic, or what came after an offset; a probe does not
 // wait for a record.
 func (f *Follower) step(ctx context.Context, from int64, probe bool) (int64, error) {
+	started := time.Now()
 	if from < 0 {
 		ctx, cancel := context.WithTimeout(ctx, callMargin)
 		defer cancel()
@@ -78,6 +79,7 @@
 			return from, err
 		}
 		f.Topic.Replace(list)
+		f.Topic.Confirm(started)
 		return list.End, nil
 	}
 	wait, timeout := f.Wait, f.Wait+callMargin
@@ -91,6 +93,11 @@
 		return from, err
 	}
 	f.Topic.Merge(records)
+	if len(records) == 0 {
+		// The store has waited that long and had nothing new.
+		started = started.Add(wait)
+	}
+	f.Topic.Confirm(started)
 	return next, nil
 }
 
--- a/internal/feed/topic.go
+++ b/internal/feed/topic.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -21,6 +22,8 @@
 	newest  map[string]platform.Record
 	known   bool
 	changed int64
+	// confirmed is when the copy was last known to be the newest.
+	confirmed time.Time
 }
 
 // NewTopic makes an empty copy. The function apply is told each record that
@@ -81,6 +84,28 @@
 	return t.known
 }
 
+// Confirm tells that the copy held all records that the store had at a time.
+func (t *Topic) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// neverConfirmed is the age of a copy that was never confirmed.
+const neverConfirmed = 24 * time.Hour
+
+// Age is the time since the copy was last known to be the newest.
+func (t *Topic) Age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.confirmed.IsZero() {
+		return neverConfirmed
+	}
+	return min(now.Sub(t.confirmed), neverConfirmed)
+}
+
 // MarkKnown tells that another instance's whole content was merged.
 func (t *Topic) MarkKnown() {
 	t.mu.Lock()
--- a/internal/feed/topic_test.go
+++ b/internal/feed/topic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -55,3 +56,16 @@
 		t.Errorf("got %+v, %d", records, newest)
 	}
 }
+
+func TestAgeIsThatOfTheLastConfirmation(t *testing.T) {
+	topic := NewTopic("t", func(platform.Record) {})
+	now := time.Now()
+	if topic.Age(now) < time.Hour {
+		t.Errorf("a copy that was never confirmed is %s old", topic.Age(now))
+	}
+	topic.Confirm(now.Add(-2 * time.Second))
+	topic.Confirm(now.Add(-5 * time.Second))
+	if age := topic.Age(now); age != 2*time.Second {
+		t.Errorf("got %s", age)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
 )
 
 // Kind tells how often a request of a route may run and how it is answered.
@@ -58,6 +60,8 @@
 	// KeepsTurns tells that a turn carries its new input only and that the
 	// conversation before it is kept here.
 	KeepsTurns bool
+	// Anonymous requests are let in without a key, or with any.
+	Anonymous bool
 }
 
 // MayRepeat tells whether a request that may have run may be sent again.
@@ -99,6 +103,8 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Organisations is nil if the operator lists none: then requests need no key.
+	Organisations *org.Set
 }
 
 // Table is a version of the settings, indexed for lookups. It does not change.
--- a/internal/serve/conversation.go
+++ b/internal/serve/conversation.go
@@ -39,7 +39,7 @@
 	if previous == "" {
 		return true
 	}
-	before, err := x.server.kept.Before(x.ctx, x.call.Program, previous)
+	before, err := x.server.kept.Before(x.ctx, x.scoped(x.call.Program), x.scoped(previous))
 	switch {
 	case errors.Is(err, ErrNoTurn):
 		x.detail = "turn " + previous
@@ -76,8 +76,8 @@
 		return false
 	}
 	x.settleOnce()
-	err := x.server.kept.Keep(x.ctx, x.call.Program, EndedTurn{
-		ID: x.call.ID, Previous: x.call.PreviousTurn, Input: x.turn.input, Output: x.turn.output.Bytes(),
+	err := x.server.kept.Keep(x.ctx, x.scoped(x.call.Program), EndedTurn{
+		ID: x.scoped(x.call.ID), Previous: x.scoped(x.call.PreviousTurn), Input: x.turn.input, Output: x.turn.output.Bytes(),
 		Retention: x.route.Retention,
 	})
 	if err == nil {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -17,6 +17,8 @@
 	reasonTooLarge     reason = "body_too_large"
 	reasonNoSettings   reason = "no_settings_yet"
 	reasonNoRoute      reason = "no_route"
+	reasonUnknownKey   reason = "unknown_key"
+	reasonStaleKeys    reason = "keys_not_current"
 	reasonNoTarget     reason = "no_target"
 	reasonTargetsFull  reason = "targets_refused"
 	reasonBudgetSpent  reason = "budget_spent"
@@ -61,6 +63,7 @@
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
+		reasonUnknownKey, reasonStaleKeys,
 		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
--- /dev/null
+++ b/internal/serve/organisation.go
@@ -0,0 +1,61 @@
+package serve
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
+)
+
+// KeyPolicy says how long keys are trusted by an instance that hears neither
+// from the store nor from another instance that does.
+type KeyPolicy struct {
+	// ConfigDelay is how long new settings may take to be in force. An unknown
+	// key may be a new one once the settings are older than that.
+	ConfigDelay time.Duration
+	// Strict refuses all keys once the settings are older than RevokeDelay;
+	// otherwise the keys known last go on being served.
+	Strict      bool
+	RevokeDelay time.Duration
+}
+
+// authorise finds the organisation that holds the request's key. It returns
+// false if the request has been refused.
+func (x *transfer) authorise() bool {
+	organisations := x.table.Organisations
+	if organisations == nil {
+		return true
+	}
+	age := x.server.currency.SettingsAge()
+	policy := x.server.keys
+	found, known := organisations.ByKey(x.call.Key)
+	switch {
+	case x.route.Anonymous && !known:
+		return true
+	case policy.Strict && age > policy.RevokeDelay:
+		x.detail = "settings are " + age.String() + " old"
+		x.refuse(http.StatusServiceUnavailable, reasonStaleKeys, retryOutage)
+		return false
+	case known:
+		x.org = found
+		return true
+	case x.call.Key != org.Digest{} && age > policy.ConfigDelay:
+		// The key may have been added since: a caller that is told so gives up.
+		x.detail = "unknown key, settings are " + age.String() + " old"
+		x.refuse(http.StatusServiceUnavailable, reasonStaleKeys, x.server.retryAfter(retrySettings))
+		return false
+	}
+	x.refuse(http.StatusUnauthorized, reasonUnknownKey, 0)
+	return false
+}
+
+// orgName is the organisation's name, empty if there is none.
+func (x *transfer) orgName() string {
+	if x.org == nil {
+		return ""
+	}
+	return x.org.Name
+}
+
+// scoped makes a name that the caller chose its organisation's own.
+func (x *transfer) scoped(name string) string { return org.Scope(x.orgName(), name) }
--- /dev/null
+++ b/internal/serve/organisation_test.go
@@ -0,0 +1,245 @@
+package serve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/route"
+)
+
+// currency is a Currency that a test sets.
+type currency struct{ age time.Duration }
+
+func (c *currency) SettingsAge() time.Duration { return c.age }
+
+const (
+	keyA = "key-of-a"
+	keyB = "key-of-b"
+)
+
+// withOrganisations makes a world of two organisations and an anonymous route.
+func withOrganisations(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t)
+	set, err := org.NewSet([]*org.Organisation{
+		{Name: "a", Keys: []org.Digest{org.DigestOf(keyA)}},
+		{Name: "b", Keys: []org.Digest{org.DigestOf(keyB)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := testRoutes()
+	settings.Organisations = set
+	settings.Routes = append(settings.Routes, &route.Route{
+		Name: "open", Host: testHost, Prefix: "/open/", Kind: route.Repeatable, Anonymous: true,
+		Splits: []route.Split{{Service: "app", Weight: 1}}, MaxTargets: 2, Timeout: 5 * time.Second,
+	})
+	w.server.SetTable(route.NewTable(settings))
+	return w
+}
+
+// rawStatus sends the bytes of one request on a connection that stays open and
+// returns the status of the answer.
+func (w *world) rawStatus(text string) int {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		w.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestOnlyKnownKeysAreLetIn(t *testing.T) {
+	w := withOrganisations(t)
+	app := w.target("t1", "app", serveText("ok"))
+	refused := map[string]func(h http.Header){
+		"none":           func(http.Header) {},
+		"unknown":        func(h http.Header) { h.Set("Banyanglade-Credential", "other") },
+		"empty":          func(h http.Header) { h.Set("Banyanglade-Credential", "") },
+		"two":            func(h http.Header) { h["Banyanglade-Credential"] = []string{keyA, keyA} },
+		"another scheme": func(h http.Header) { h.Set("Banyanglade-Credential", "Bearer "+keyA) },
+		"two in one":     func(h http.Header) { h.Set("Banyanglade-Credential", keyA+","+keyB) },
+		"not ASCII":      func(h http.Header) { h.Set("Banyanglade-Credential", keyA+"é") },
+		"over-long":      func(h http.Header) { h.Set("Banyanglade-Credential", strings.Repeat(keyA, 50)) },
+		"elsewhere":      func(h http.Header) { h.Set("Authorization", keyA) },
+	}
+	for name, set := range refused {
+		r := w.request("GET", "/safe/x", "")
+		set(r.Header)
+		if got := w.do(r); got.status != http.StatusUnauthorized {
+			t.Errorf("%s: got %d", name, got.status)
+		}
+	}
+	if app.count() != 0 {
+		t.Fatalf("%d requests ran without a key", app.count())
+	}
+	if got := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA)); got.status != http.StatusOK {
+		t.Errorf("known key: got %d", got.status)
+	}
+	if got := w.do(w.request("GET", "/none/x", "")); got.status != http.StatusNotFound {
+		t.Errorf("no route goes before no key: got %d", got.status)
+	}
+	if strings.Contains(w.log.String(), keyA) {
+		t.Error("the log shows a key")
+	}
+}
+
+func TestTargetGetsTheOrganisationAndNeverTheKey(t *testing.T) {
+	w := withOrganisations(t)
+	app := w.target("t1", "app", serveText("ok"))
+	cases := []struct{ path, header, want string }{
+		{"/safe/x", "Banyanglade-Credential: " + keyA + "\r\n", "a"},
+		{"/safe/x", "banyanglade-credential: " + keyB + "\r\nBANYANGLADE-TENANT: a\r\n", "b"},
+		{"/safe/x", "Banyanglade-Credential: " + keyA + "\r\nBanyanglade-Tenant: b\r\nbanyanglade-tenant: c\r\n", "a"},
+		{"/safe/x", "Banyanglade-Credential: " + keyA + "\r\nConnection: Banyanglade-Tenant, banyanglade-credential\r\n", "a"},
+		{"/open/x", "Banyanglade-Tenant: a\r\n", ""},
+		{"/open/x", "Banyanglade-Credential: wrong\r\nBanyanglade-Tenant: a\r\n", ""},
+		{"/open/x", "Banyanglade-Credential: " + keyA + "\r\n", "a"},
+	}
+	for i, c := range cases {
+		status := w.rawStatus(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nBanyanglade-Request-Id: r%d\r\n%s\r\n",
+			c.path, testHost, i, c.header))
+		if status != http.StatusOK {
+			t.Fatalf("case %d: got %d", i, status)
+		}
+		got := app.run(app.count() - 1).Header
+		if name := strings.Join(got.Values("Banyanglade-Tenant"), "|"); name != c.want {
+			t.Errorf("case %d: target got organisation %q, want %q", i, name, c.want)
+		}
+		if len(got.Values("Banyanglade-Credential")) > 0 || strings.Contains(fmt.Sprint(got), keyA) {
+			t.Errorf("case %d: target got the key: %v", i, got)
+		}
+	}
+}
+
+func TestTrailersDoNotNameAnOrganisation(t *testing.T) {
+	w := withOrganisations(t)
+	app := w.target("t1", "app", serveText("ok"))
+	status := w.rawStatus("POST /once/x HTTP/1.1\r\nHost: " + testHost + "\r\nBanyanglade-Request-Id: r1\r\n" +
+		"Banyanglade-Credential: " + keyA + "\r\nTrailer: Banyanglade-Tenant\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"2\r\nhi\r\n0\r\nBanyanglade-Tenant: b\r\n\r\n")
+	if status != http.StatusOK {
+		t.Fatalf("got %d", status)
+	}
+	got := app.run(0)
+	if got.Header.Get("Banyanglade-Tenant") != "a" || len(got.Trailer) > 0 {
+		t.Errorf("target got %v with trailer %v", got.Header, got.Trailer)
+	}
+}
+
+func TestWithoutOrganisationsNoKeyIsNeededOrPassedOn(t *testing.T) {
+	w := newWorld(t)
+	app := w.target("t1", "app", serveText("ok"))
+	got := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA, "Banyanglade-Tenant", "a"))
+	if got.status != http.StatusOK {
+		t.Fatalf("got %d", got.status)
+	}
+	header := app.run(0).Header
+	if len(header.Values("Banyanglade-Credential")) > 0 || len(header.Values("Banyanglade-Tenant")) > 0 {
+		t.Errorf("target got %v", header)
+	}
+}
+
+func TestKeysOfOldSettings(t *testing.T) {
+	cases := []struct {
+		name   string
+		strict bool
+		age    time.Duration
+		key    string
+		want   int
+	}{
+		{"current, known", true, 0, keyA, http.StatusOK},
+		{"current, unknown", true, 0, "other", http.StatusUnauthorized},
+		{"old, known", false, time.Hour, keyA, http.StatusOK},
+		{"old, unknown", false, time.Hour, "other", http.StatusServiceUnavailable},
+		{"old, none", false, time.Hour, "", http.StatusUnauthorized},
+		{"older than new settings may be", true, 4 * time.Second, keyA, http.StatusOK},
+		{"strict and too old", true, 6 * time.Second, keyA, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := withOrganisations(t)
+			w.target("t1", "app", serveText("ok"))
+			w.currency.age = c.age
+			w.server.keys = KeyPolicy{ConfigDelay: 3 * time.Second, Strict: c.strict, RevokeDelay: 5 * time.Second}
+			r := w.request("GET", "/safe/x", "")
+			if c.key != "" {
+				r.Header.Set("Banyanglade-Credential", c.key)
+			}
+			got := w.do(r)
+			if got.status != c.want {
+				t.Errorf("got %d, want %d", got.status, c.want)
+			}
+			if got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") == "" {
+				t.Error("the caller is not told when to come back")
+			}
+		})
+	}
+}
+
+func TestProgramsOfTwoOrganisationsDoNotMeet(t *testing.T) {
+	w := withOrganisations(t)
+	w.target("e1", "engine", serveEvents(1, never))
+	turn := func(id, key, previous string) result {
+		r := w.request("POST", "/kept/x", "in "+id, "Banyanglade-Credential", key, "Banyanglade-Program-Id", "p1",
+			"Banyanglade-Token-Budget", "100", "Banyanglade-Token-Usage", "1,10")
+		r.Header.Set("Banyanglade-Request-Id", id)
+		if previous != "" {
+			r.Header.Set("Banyanglade-Previous-Turn", previous)
+		}
+		return w.do(r)
+	}
+	w.conversations.before = map[string]string{org.Scope("a", "r1"): "x", org.Scope("a", "only-a"): "y"}
+	for _, key := range []string{keyA, keyB} {
+		if got := turn("r1", key, ""); got.status != http.StatusOK {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	w.budgets.mu.Lock()
+	asked := w.budgets.asked
+	w.budgets.mu.Unlock()
+	if len(asked) != 2 || asked[0].Program == asked[1].Program {
+		t.Errorf("budgets of two organisations are one: %+v", asked)
+	}
+	kept := w.conversations.kept
+	if len(kept) != 2 || kept[0].ID == kept[1].ID {
+		t.Errorf("turns of two organisations are one: %+v", kept)
+	}
+	if got := turn("r2", keyA, "r1"); got.status != http.StatusOK {
+		t.Errorf("own turn: got %+v", got)
+	}
+	if got := turn("only-a", keyA, "r1"); got.status != http.StatusOK {
+		t.Errorf("own turn: got %+v", got)
+	}
+	if got := turn("r3", keyB, "only-a"); got.status != http.StatusNotFound {
+		t.Errorf("another organisation's turn: got %d", got.status)
+	}
+}
+
+// TestKeysStayOutOfAnswers: what the instance says itself never shows a key.
+func TestKeysStayOutOfAnswers(t *testing.T) {
+	w := withOrganisations(t)
+	got := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA))
+	var shown strings.Builder
+	_, _ = io.WriteString(&shown, got.body)
+	_ = got.header.Write(&shown)
+	if strings.Contains(shown.String()+w.log.String(), keyA) {
+		t.Error("an answer or the log shows a key")
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -84,7 +84,7 @@
 		resumeAfter = x.lastEvent
 	}
 	header := x.server.codec.Outgoing(x.request.Header, call.Send{
-		Target: target.ID, TimeLeft: time.Until(x.deadline), ResumeAfter: resumeAfter,
+		Target: target.ID, TimeLeft: time.Until(x.deadline), Organisation: x.orgName(), ResumeAfter: resumeAfter,
 	})
 	ctx, cancel := x.sendContext()
 	defer cancel()
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -95,6 +95,13 @@
 // Health tells whether the platform's store answers this instance.
 type Health interface{ OK() bool }
 
+// Currency tells how old this instance's copy of the settings may be.
+type Currency interface {
+	// SettingsAge is the time since the store or another instance has last
+	// confirmed that the copy was the newest.
+	SettingsAge() time.Duration
+}
+
 // Parts are what a Server works with.
 type Parts struct {
 	Codec   call.Codec
@@ -105,21 +112,26 @@
 	Conversations Conversations
 	Notices       Notices
 	Health        Health
-	Scope         tally.Scope
-	Log           *slog.Logger
+	Currency      Currency
+	// Keys says what to do with keys while the settings are old.
+	Keys  KeyPolicy
+	Scope tally.Scope
+	Log   *slog.Logger
 }
 
 // Server answers callers. It implements http.Handler.
 type Server struct {
-	codec   call.Codec
-	targets *targets.Registry
-	pool    *exchange.Pool
-	budgets Budgets
-	kept    Conversations
-	notices Notices
-	health  Health
-	log     *slog.Logger
-	metrics metrics
+	codec    call.Codec
+	targets  *targets.Registry
+	pool     *exchange.Pool
+	budgets  Budgets
+	kept     Conversations
+	notices  Notices
+	health   Health
+	currency Currency
+	keys     KeyPolicy
+	log      *slog.Logger
+	metrics  metrics
 	// downWithin is how soon a target that is down breaks a connection.
 	downWithin time.Duration
 
@@ -132,7 +144,7 @@
 func New(p Parts) *Server {
 	return &Server{
 		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, kept: p.Conversations,
-		notices: p.Notices, health: p.Health, log: p.Log, metrics: newMetrics(p.Scope),
+		notices: p.Notices, health: p.Health, currency: p.Currency, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
 }
@@ -208,7 +220,7 @@
 		slog.String("route", routeName), slog.Int64("settings_version", version),
 		slog.String("target", x.lastTarget), slog.Int("sends", x.sends),
 		slog.Int("events", x.delivered), slog.Int64("ms", elapsed.Milliseconds()),
-		slog.String("detail", x.detail),
+		slog.String("organisation", x.orgName()), slog.String("detail", x.detail),
 	)
 }
 
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/route"
 )
 
@@ -51,7 +52,9 @@
 	route   *route.Route
 	service string
 	call    call.Request
-	body    []byte
+	// org holds the request's key, nil if it has none.
+	org  *org.Organisation
+	body []byte
 	// turn is set if the conversation is kept here.
 	turn *keptTurn
 	// ctx ends when the caller leaves or the time is up, at deadline.
@@ -139,6 +142,9 @@
 		return false
 	}
 	x.route = found
+	if !x.authorise() {
+		return false
+	}
 	x.lastEvent = x.call.LastEvent
 	x.service = found.ServiceFor(xxhash.Sum64String(x.placementKey() + x.call.ID[:min(len(x.call.ID), x.idWeight())]))
 	return true
@@ -157,9 +163,9 @@
 func (x *transfer) placementKey() string {
 	switch {
 	case x.route.Kind == route.Stream && x.route.Affinity && x.call.Program != "":
-		return x.call.Program
+		return x.scoped(x.call.Program)
 	case x.route.Affinity:
-		return x.call.AffinityKey
+		return x.scoped(x.call.AffinityKey)
 	}
 	return ""
 }
@@ -206,7 +212,7 @@
 	perEvent := x.tokensPerEvent()
 	most := (x.call.Turn.MaxTokens + perEvent - 1) / perEvent * perEvent
 	lease, err := x.server.budgets.Reserve(x.ctx, Turn{
-		Program: x.call.Program, Budget: x.call.Turn.Budget, Most: most, Retention: x.route.Retention,
+		Program: x.scoped(x.call.Program), Budget: x.call.Turn.Budget, Most: most, Retention: x.route.Retention,
 	})
 	switch {
 	case errors.Is(err, ErrSpent):
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -73,6 +73,7 @@
 	// conversations are used by the route "kept" alone.
 	conversations *conversations
 	health        health
+	currency      currency
 	log           *logBuffer
 	// notices counts what was told to other instances.
 	notices atomic.Int64
@@ -144,7 +145,7 @@
 	work.Go(func() { pool.Run(ctx) })
 	w.server = New(Parts{
 		Codec: platform.Codec{}, Targets: w.targets, Pool: pool, Budgets: w.budgets, Conversations: w.conversations,
-		Notices: w, Health: &w.health,
+		Notices: w, Health: &w.health, Currency: &w.currency,
 		Scope: tally.NoopScope, Log: slog.New(slog.NewJSONHandler(w.log, nil)),
 	})
 	w.server.SetTable(route.NewTable(testRoutes()))
