Organisations' limits: votes of twelve instances a slot, dealt out by a coordinator

One coordinator a slot deals out what the votes allow that it holds; voters lend theirs for a second at a time, so that whoever is cut off has the parts of those it reaches and no more. No store, no clock across machines. Requests of programs under way go before first turns, and are held for up to 0.4 s if there will be room; first turns are let in as fast as whole programs fit. Ruled out: fixed shares (an instance sees one request in seconds of most organisations); one owner without votes (the same random schedules pass limits, TestOneOwnerWithoutVotesPassesTheLimit).

--- /dev/null
+++ b/internal/allowance/keeper.go
@@ -0,0 +1,379 @@
+package allowance
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// replyTimeout is how long a coordinator may take to answer before it is asked
+	// for a heartbeat and whoever coordinates then is asked instead. A round trip
+	// takes a few milliseconds; one that used up its share of the processor pauses
+	// for up to 100 ms.
+	replyTimeout = 200 * time.Millisecond
+	// holdPause bounds the time until room is asked for again for requests that are
+	// held.
+	holdPause = 100 * time.Millisecond
+	// noSharePause is the time before somebody is asked again who holds no votes:
+	// a new coordinator collects them within a few round trips.
+	noSharePause = 40 * time.Millisecond
+	// patience is how long a request waits for word from a coordinator. Turning a
+	// request of a program under way away ends the program, so it is longer than
+	// the loss of a coordinator goes unnoticed.
+	patience = 700 * time.Millisecond
+	// holdMost is how long a request of a program under way is held if there will
+	// be room by then: refusing it ends the program. It is below patience.
+	holdMost = 400 * time.Millisecond
+	// doubtedInterval is the time between two requests for the vote of an instance
+	// that did not answer: each may cost a dial.
+	doubtedInterval = time.Second
+)
+
+// Peers sends messages to other instances. Sending never blocks.
+type Peers interface {
+	Send(to structs.InstanceID, msg structs.Message)
+	Probe(to structs.InstanceID)
+}
+
+// Parts are what a Keeper works with.
+type Parts struct {
+	Directory *directory.Directory
+	// Slots is the number of slots, of which maxSlots are used at most, Key the key of a slot's rendezvous hash. Slots
+	// that share the keys of the budgets' partitions have their owners as
+	// coordinators, to whom connections exist.
+	Slots     int
+	Key       func(slot int) string
+	Tolerance Tolerance
+	Peers     Peers
+	// Listed tells whether all instances are known. Nobody votes before: votes
+	// count by the number of all.
+	Listed func() bool
+	Scope  tally.Scope
+	Log    *slog.Logger
+}
+
+// Keeper lets requests in within their organisations' limits. It is safe for
+// concurrent use.
+type Keeper struct {
+	Parts
+	self    structs.InstanceID
+	metrics metrics
+
+	mu      sync.Mutex
+	voter   *voter
+	slots   []*slot
+	purses  map[string]*purse
+	number  uint64
+	pending map[uint64]sentAsk
+	// requests holds when votes were asked for, by number.
+	requests map[uint64]sentRequest
+	doubted  map[structs.InstanceID]time.Time
+	// active tells that some organisation has a limit.
+	active bool
+	// leaving tells that this instance coordinates nothing any more.
+	leaving bool
+}
+
+// sentAsk is an ask under way.
+type sentAsk struct {
+	organisation string
+	to           structs.InstanceID
+	at           time.Time
+}
+
+// sentRequest is a request for a vote under way.
+type sentRequest struct {
+	slot int
+	to   structs.InstanceID
+	at   time.Time
+}
+
+// New makes a Keeper.
+func New(parts Parts) *Keeper {
+	parts.Slots = min(parts.Slots, maxSlots)
+	k := &Keeper{
+		Parts: parts, self: parts.Directory.Self().ID, metrics: newMetrics(parts.Scope),
+		voter:  newVoter(parts.Slots, parts.Tolerance.Window, time.Now()),
+		purses: make(map[string]*purse), pending: make(map[uint64]sentAsk),
+		requests: make(map[uint64]sentRequest), doubted: make(map[structs.InstanceID]time.Time),
+	}
+	for i := range parts.Slots {
+		k.slots = append(k.slots, newSlot(i))
+	}
+	return k
+}
+
+// SetActive tells whether any organisation has a limit. Without one no messages
+// are sent.
+func (k *Keeper) SetActive(active bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.active = active
+}
+
+// Run collects votes until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.mu.Lock()
+			k.renew(time.Now())
+			k.mu.Unlock()
+		}
+	}
+}
+
+// Leave gives up what this instance coordinates. It has to be called before
+// others are told that this instance leaves: they lend their votes anew then.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+	now := time.Now()
+	for _, s := range k.slots {
+		s.dropVotes(now)
+	}
+}
+
+// slotOf is the slot of an organisation.
+func (k *Keeper) slotOf(organisation string) int {
+	return int(xxhash.Sum64String(organisation) % uint64(len(k.slots)))
+}
+
+// Admit lets a request in or tells why not: with a *serve.OverLimitError,
+// serve.ErrNoAllowance if nobody who could tell answers, or the error of the
+// context.
+func (k *Keeper) Admit(ctx context.Context, entry serve.Entry) (serve.Permit, error) {
+	if !entry.Limit.Limited() {
+		return noPermit{}, nil
+	}
+	k.mu.Lock()
+	now := time.Now()
+	p := k.purseOf(entry)
+	if p.take(entry.First, now) {
+		k.askAhead(p, now)
+		k.mu.Unlock()
+		k.metrics.atOnce.Inc(1)
+		return permit{k, p}, nil
+	}
+	w := &waiter{
+		first: entry.First, rank: min(max(entry.Rank, 0), structs.AllowanceRanks-1),
+		until: now.Add(holdMost), verdict: make(chan verdict, 1),
+	}
+	p.waiting = append(p.waiting, w)
+	k.startAsk(p, now)
+	k.mu.Unlock()
+	k.metrics.waited.Inc(1)
+	return k.await(ctx, p, w)
+}
+
+// await waits for the verdict on a request.
+func (k *Keeper) await(ctx context.Context, p *purse, w *waiter) (serve.Permit, error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	var err error
+	select {
+	case got := <-w.verdict:
+		return k.conclude(p, got)
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-timer.C:
+		err = serve.ErrNoAllowance
+	}
+	k.mu.Lock()
+	left := p.leave(w)
+	k.mu.Unlock()
+	if !left {
+		return k.conclude(p, <-w.verdict)
+	}
+	k.metrics.unknown.Inc(1)
+	return nil, err
+}
+
+func (k *Keeper) conclude(p *purse, got verdict) (serve.Permit, error) {
+	if got.admitted {
+		return permit{k, p}, nil
+	}
+	k.metrics.refused.Inc(1)
+	return nil, &serve.OverLimitError{RetryAfter: got.retryAfter}
+}
+
+// purseOf is what is held for an organisation, under its newest limit. The mutex
+// is held.
+func (k *Keeper) purseOf(entry serve.Entry) *purse {
+	p := k.purses[entry.Organisation]
+	if p == nil {
+		p = &purse{organisation: entry.Organisation, rated: time.Now()}
+		k.purses[entry.Organisation] = p
+	}
+	if entry.Version >= p.version {
+		p.limit, p.version = entry.Limit, entry.Version
+	}
+	return p
+}
+
+// lifeOf is how long what is dealt out of an organisation's limit may be used.
+func (k *Keeper) lifeOf(p *purse) time.Duration { return termsOf(p.limit, k.Tolerance).life }
+
+// askAhead asks for more before a request has to wait for it. The mutex is held.
+func (k *Keeper) askAhead(p *purse, now time.Time) {
+	if p.asking == 0 && p.low(k.lifeOf(p), now) {
+		k.startAsk(p, now)
+	}
+}
+
+// startAsk asks the coordinator of an organisation, unless an ask is under way.
+// The mutex is held.
+func (k *Keeper) startAsk(p *purse, now time.Time) {
+	if p.asking != 0 {
+		return
+	}
+	slot := k.slotOf(p.organisation)
+	to := k.Directory.First(k.Key(slot))
+	if to == "" {
+		return
+	}
+	k.number++
+	ask := p.ask(k.number, slot, k.lifeOf(p), now)
+	k.pending[ask.Number] = sentAsk{organisation: p.organisation, to: to, at: now}
+	k.metrics.asks.Inc(1)
+	if to == k.self {
+		k.settle(k.serveAsk(ask, now), now)
+		return
+	}
+	k.Peers.Send(to, ask)
+	time.AfterFunc(replyTimeout, func() { k.unanswered(ask.Number) })
+}
+
+// unanswered asks anew after an ask that got no answer in time.
+func (k *Keeper) unanswered(number uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sent, ok := k.pending[number]
+	if !ok {
+		return
+	}
+	p := k.purses[sent.organisation]
+	if p.asking == number {
+		k.Peers.Probe(sent.to)
+		p.asking, p.asked = 0, nil
+		k.askForWaiting(p)
+	}
+	// An answer may still come; after that what it grants is of no use.
+	time.AfterFunc(lifeMost, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.pending, number)
+	})
+}
+
+// askForWaiting asks again if requests wait. The mutex is held.
+func (k *Keeper) askForWaiting(p *purse) {
+	if len(p.waiting) > 0 {
+		k.startAsk(p, time.Now())
+	}
+}
+
+// settle takes an answer. The mutex is held.
+func (k *Keeper) settle(reply *structs.AllowanceReply, now time.Time) {
+	sent, ok := k.pending[reply.Number]
+	if !ok {
+		return
+	}
+	delete(k.pending, reply.Number)
+	p := k.purses[sent.organisation]
+	p.settle(reply, sent.at, now)
+	if len(p.waiting) == 0 || p.asking != 0 {
+		return
+	}
+	pause := noSharePause
+	if reply.Outcome == structs.AllowanceDealt {
+		pause = min(reply.RetryAfter, holdPause)
+	}
+	time.AfterFunc(pause, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.askForWaiting(p)
+	})
+}
+
+// serveAsk answers an ask as the coordinator. The mutex is held.
+func (k *Keeper) serveAsk(ask *structs.AllowanceAsk, now time.Time) *structs.AllowanceReply {
+	if ask.Slot < 0 || ask.Slot >= len(k.slots) || !(org.Limit{PerSecond: ask.PerSecond}).Limited() {
+		return &structs.AllowanceReply{Number: ask.Number, Outcome: structs.AllowanceNoShare}
+	}
+	return k.slots[ask.Slot].serve(ask, k.Tolerance, now)
+}
+
+// Handles tells whether a message is about allowances.
+func Handles(msg structs.Message) bool {
+	switch msg.Kind() {
+	case structs.KindAllowanceAsk, structs.KindAllowanceReply, structs.KindVoteRequest, structs.KindVoteReply:
+		return true
+	}
+	return false
+}
+
+// Receive handles an event of the transport between instances. The directory
+// must know of it before.
+func (k *Keeper) Receive(event structs.Event) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	switch e := event.(type) {
+	case structs.PeerMessage:
+		k.receiveMessage(e.From, e.Msg, now)
+	case structs.PeerDown:
+		k.renew(now)
+		k.askElsewhere(e.Peer)
+	}
+}
+
+func (k *Keeper) receiveMessage(from structs.InstanceID, msg structs.Message, now time.Time) {
+	switch m := msg.(type) {
+	case *structs.AllowanceAsk:
+		k.Peers.Send(from, k.serveAsk(m, now))
+	case *structs.AllowanceReply:
+		if k.pending[m.Number].to == from {
+			k.settle(m, now)
+		}
+	case *structs.VoteRequest:
+		if reply, ok := k.lend(m, from, now); ok {
+			k.Peers.Send(from, reply)
+		}
+	case *structs.VoteReply:
+		if k.requests[m.Number].to == from {
+			k.takeVote(m, now)
+		}
+	case *structs.Leaving:
+		k.voter.release(from, now)
+		k.renew(now)
+	}
+}
+
+// askElsewhere asks anew what was asked of an instance that does not answer. The
+// mutex is held.
+func (k *Keeper) askElsewhere(id structs.InstanceID) {
+	for number, sent := range k.pending {
+		p := k.purses[sent.organisation]
+		if sent.to != id || p.asking != number {
+			continue
+		}
+		p.asking, p.asked = 0, nil
+		k.askForWaiting(p)
+	}
+}
--- /dev/null
+++ b/internal/allowance/random_test.go
@@ -0,0 +1,135 @@
+package allowance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
+)
+
+var schedules = flag.Int("schedules", 25, "random schedules to play")
+
+// testLimits go from the smallest of the users' organisations to the largest.
+var testLimits = map[string]org.Limit{
+	"tiny":  {PerSecond: 2, Burst: 2},
+	"small": {PerSecond: 13, Burst: 13},
+	"mid":   {PerSecond: 60, Burst: 60},
+	"large": {PerSecond: 200, Burst: 200},
+	"bare":  {PerSecond: 30},
+}
+
+func TestLimitsHoldOverRandomFaults(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			for name, over := range playSchedule(t, seed, 12, false) {
+				t.Errorf("%s: %s", name, over)
+			}
+		})
+	}
+}
+
+// TestOneOwnerWithoutVotesPassesTheLimit plays the same schedules with
+// coordinators that deal out whole limits each: the check must see it.
+func TestOneOwnerWithoutVotesPassesTheLimit(t *testing.T) {
+	passed := 0
+	for seed := range uint64(*schedules) {
+		passed += len(playSchedule(t, seed, 12, true))
+	}
+	if passed == 0 {
+		t.Error("no limit was passed, so that the check sees nothing")
+	}
+}
+
+// scheduleTime is how long a schedule goes on.
+const scheduleTime = 12 * time.Second
+
+// playSchedule lets organisations ask for several times their limits at instances
+// that are killed, cut off, lose power and shut down. It returns the limits that
+// were passed.
+func playSchedule(t *testing.T, seed uint64, instances int, sole bool) map[string]string {
+	passed := make(map[string]string)
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		w := newWorld(t)
+		w.sole = sole
+		names := machines(instances)
+		for _, m := range names {
+			w.start(m)
+		}
+		ends := time.Now().Add(scheduleTime)
+		var work sync.WaitGroup
+		for name, limit := range testLimits {
+			for line := range 8 {
+				lineSeed := seed*1000 + uint64(line)
+				work.Go(func() { askFor(w, name, limit, 4.0/8, lineSeed, ends) })
+			}
+		}
+		for time.Now().Before(ends) {
+			time.Sleep(time.Duration(r.IntN(1200)) * time.Millisecond)
+			causeTrouble(w, r, names)
+		}
+		work.Wait()
+		w.Stop()
+		for name, limit := range testLimits {
+			got, most := most(w.admitted[name], testTolerance.Window), allowed(limit, testTolerance)
+			if got > most {
+				passed[name] = fmt.Sprintf("%d requests in a window, %d are allowed", got, most)
+			}
+		}
+	})
+	return passed
+}
+
+// askFor asks for a multiple of a limit at any instance until the time is up.
+func askFor(w *world, name string, limit org.Limit, times float64, seed uint64, ends time.Time) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	pause := float64(time.Second) / (limit.PerSecond * times)
+	var work sync.WaitGroup
+	for time.Now().Before(ends) {
+		time.Sleep(time.Duration(pause * r.ExpFloat64()))
+		nodes := w.all()
+		if len(nodes) == 0 {
+			continue
+		}
+		n, first := anyNode(r, nodes), r.IntN(10) == 0
+		work.Go(func() { w.request(n, name, limit, 1, first) })
+	}
+	work.Wait()
+}
+
+// causeTrouble does one thing to the instances.
+func causeTrouble(w *world, r *rand.Rand, names []string) {
+	nodes := w.all()
+	if len(nodes) == 0 {
+		for _, m := range names {
+			w.start(m)
+		}
+		return
+	}
+	n := anyNode(r, nodes)
+	switch r.IntN(10) {
+	case 0, 1:
+		w.Restart(n.Node)
+	case 2:
+		for _, n := range nodes {
+			w.Kill(n.Node)
+		}
+	case 3, 4:
+		w.leaveSlowly(n, time.Duration(r.IntN(1500))*time.Millisecond)
+	case 5, 6:
+		for _, n := range nodes[:r.IntN(len(nodes))] {
+			w.CutFor(n.Node, simnet.Both, time.Duration(r.IntN(4000))*time.Millisecond)
+		}
+	case 7:
+		w.CutFor(n.Node, simnet.Mute, time.Duration(r.IntN(2500))*time.Millisecond)
+	case 8:
+		w.PowerOff(n.Node)
+		w.start(n.Machine())
+	}
+}
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -117,6 +117,9 @@
 	return spent
 }
 
+// untouched tells that no turn of the program is known to have run or to run now.
+func (a *account) untouched() bool { return a.used == 0 && len(a.leases) == 0 && a.target == "" }
+
 // grant gives room to an ask that judge has granted.
 func (a *account) grant(k *ask) {
 	a.leases[k.lease] = lease{tokens: k.most}
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -129,7 +129,10 @@
 }
 
 // key is what the rendezvous hash of a partition's owner is made of.
-func (p *partition) key() string { return "budgets/" + strconv.Itoa(p.number) }
+func (p *partition) key() string { return PartitionKey(p.number) }
+
+// PartitionKey is the key of a partition's rendezvous hash.
+func PartitionKey(number int) string { return "budgets/" + strconv.Itoa(number) }
 
 // spawn works in the background, unless the Keeper has stopped. The mutex is
 // held.
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -64,9 +64,10 @@
 		next := a.asks[0]
 		switch a.judge(next.most) {
 		case granted:
+			first := a.untouched()
 			a.grant(next)
 			k.metrics.granted.Inc(1)
-			next.reply(answer{outcome: structs.RoomGranted, target: a.target})
+			next.reply(answer{outcome: structs.RoomGranted, target: a.target, first: first})
 		case spent:
 			k.metrics.spent.Inc(1)
 			k.log.Info("budget spent", "program", a.program, "partition", p.number, "budget", a.budget,
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -34,6 +34,8 @@
 	owner structs.InstanceID
 	// target ran the program's last turn, empty if unknown.
 	target string
+	// first tells that no turn of the program is known before this one.
+	first bool
 }
 
 // lost is the outcome of a request whose owner went silent.
@@ -51,11 +53,15 @@
 	keeper  *Keeper
 	request structs.RoomRequest
 	target  string
+	first   bool
 }
 
 // Target ran the program's last turn, empty if unknown.
 func (h heldRoom) Target() string { return h.target }
 
+// First tells that no turn of the program has run yet, as far as its owner knows.
+func (h heldRoom) First() bool { return h.first }
+
 // Settle gives back what was not used and tells how the turn ended.
 func (h heldRoom) Settle(end serve.TurnEnd) {
 	h.keeper.receiveSettle(&structs.RoomSettle{
@@ -93,7 +99,7 @@
 		}
 		switch got.outcome {
 		case structs.RoomGranted:
-			return heldRoom{k, request, got.target}, nil
+			return heldRoom{k, request, got.target, got.first}, nil
 		case structs.RoomSpent:
 			return nil, serve.ErrSpent
 		case structs.RoomNoRecord:
@@ -268,7 +274,7 @@
 	delete(k.pending, m.Lease)
 	k.mu.Unlock()
 	if ok {
-		pending.answer <- answer{outcome: m.Outcome, owner: m.Owner, target: m.Target}
+		pending.answer <- answer{outcome: m.Outcome, owner: m.Owner, target: m.Target, first: m.First}
 		return
 	}
 	if m.Outcome == structs.RoomGranted {
@@ -287,7 +293,7 @@
 	k.request(k.partitions[r.Partition], r, func(got answer) {
 		k.peers.Send(from, &structs.RoomReply{
 			Lease: r.Lease, Outcome: got.outcome, Owner: got.owner, Partition: r.Partition, Program: r.Program,
-			Breaks: k.breaks.Breaks(time.Now()), Target: got.target,
+			Breaks: k.breaks.Breaks(time.Now()), Target: got.target, First: got.first,
 		})
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,6 +66,35 @@
 	d.byMachine[machine] = p
 }
 
+// Learn adds an instance that something else than the list names, unless a later
+// start on its machine is listed. It counts as silent until it is heard of. It
+// tells whether the instance is new here.
+func (d *Directory) Learn(id structs.InstanceID, address string) bool {
+	machine := MachineOf(id)
+	if machine == MachineOf(d.self.ID) || address == "" {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, ok := d.byMachine[machine]
+	if ok && !startedAfter(id, old.ID) {
+		return false
+	}
+	d.forget(old.ID)
+	// An earlier start on the machine was in the same data centre.
+	learned := old
+	learned.ID, learned.Address = id, address
+	d.byMachine[machine] = learned
+	d.silent[id] = true
+	return true
+}
+
+// startedAfter tells whether a start on a machine came after another one there.
+// The numbers of starts are times in one base, so a longer one is later.
+func startedAfter(a, b structs.InstanceID) bool {
+	return len(a) > len(b) || (len(a) == len(b) && a > b)
+}
+
 // Remove drops the instance on a machine.
 func (d *Directory) Remove(machine string) {
 	if machine == MachineOf(d.self.ID) {
@@ -155,10 +184,6 @@
 func (d *Directory) Ranked(key string) []structs.InstanceID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	type scored struct {
-		id    structs.InstanceID
-		score uint64
-	}
 	var all []scored
 	for machine, p := range d.byMachine {
 		if !d.usable(p.ID) || d.leaving[p.ID] {
@@ -166,6 +191,46 @@
 		}
 		all = append(all, scored{p.ID, score(key, machine)})
 	}
+	return order(all)
+}
+
+// First is the first of Ranked, empty if there is none.
+func (d *Directory) First(key string) structs.InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var first structs.InstanceID
+	var best uint64
+	for machine, p := range d.byMachine {
+		if !d.usable(p.ID) || d.leaving[p.ID] {
+			continue
+		}
+		if s := score(key, machine); first == "" || s > best || (s == best && p.ID < first) {
+			first, best = p.ID, s
+		}
+	}
+	return first
+}
+
+// Listed lists the first instances by rendezvous hashing of a key, whether they
+// answer or not.
+func (d *Directory) Listed(key string, most int) []structs.InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]scored, 0, len(d.byMachine))
+	for machine, p := range d.byMachine {
+		all = append(all, scored{p.ID, score(key, machine)})
+	}
+	return order(all)[:min(most, len(all))]
+}
+
+// scored is an instance with its score for a key.
+type scored struct {
+	id    structs.InstanceID
+	score uint64
+}
+
+// order sorts instances by their scores.
+func order(all []scored) []structs.InstanceID {
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -13,12 +14,14 @@
 	SettingsVersion int64              `json:"settings_version"`
 	Targets         []targets.Snapshot `json:"targets"`
 	Conversations   conversation.Dump  `json:"conversations"`
+	Allowances      allowance.Dump     `json:"allowances"`
 }
 
 func (e *edge) dump() state {
 	s := state{
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
 		Targets: e.incoming.registry.Snapshot(), Conversations: e.conversations.Dump(),
+		Allowances: e.allowances.Dump(),
 	}
 	if table := e.server.Table(); table != nil {
 		s.SettingsVersion = table.Version
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/budget"
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/directory"
@@ -64,7 +66,7 @@
 		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
-			newTransport, newKeeper, newConversations, newCurrency, newServer, newTargetFeed, newEdge,
+			newTransport, newKeeper, newConversations, newListing, newAllowances, newCurrency, newServer, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -102,12 +104,23 @@
 // SettingsAge implements serve.Currency.
 func (c *settingsCurrency) SettingsAge() time.Duration { return c.topic.Age(time.Now()) }
 
+// listing tells whether all instances are known. The topic comes after those who
+// ask.
+type listing struct{ topic atomic.Pointer[feed.Topic] }
+
+func newListing() *listing { return new(listing) }
+
+func (l *listing) known() bool {
+	topic := l.topic.Load()
+	return topic != nil && topic.Known()
+}
+
 func newServer(
-	machine platform.Machine, currency *settingsCurrency, registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
+	machine platform.Machine, currency *settingsCurrency, allowances *allowance.Keeper, registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
 	health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Parts{
-		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper,
+		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper, Allowances: allowances,
 		Conversations: conversations, Notices: keeper, Health: health, Currency: currency,
 		Keys:  keyPolicy(machine),
 		Scope: scope, Log: log,
@@ -133,6 +146,7 @@
 	keeper    *budget.Keeper
 	// conversations keeps those of routes whose turns carry their input only.
 	conversations *conversation.Keeper
+	allowances    *allowance.Keeper
 
 	settings  *feed.Topic
 	targets   *feed.Topic
@@ -147,18 +161,19 @@
 	machine platform.Machine, log *slog.Logger, reporter *httpapi.Metrics, store *platform.Store,
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, incoming *targetFeed,
 	dir *directory.Directory, transport *peer.Transport, keeper *budget.Keeper, conversations *conversation.Keeper,
-	currency *settingsCurrency,
+	currency *settingsCurrency, instances *listing, allowances *allowance.Keeper,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
 		pool: pool, server: server, incoming: incoming,
 		directory: dir, transport: transport, keeper: keeper,
-		conversations: conversations, reregister: make(chan struct{}, 1),
+		conversations: conversations, allowances: allowances, reregister: make(chan struct{}, 1),
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	currency.topic = e.settings
 	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
 	e.instances = feed.NewTopic(topicInstances, applyInstance(dir, e.reregister, log))
+	instances.topic.Store(e.instances)
 	return e
 }
 
@@ -174,6 +189,7 @@
 		return
 	}
 	e.server.SetTable(route.NewTable(settings))
+	e.allowances.SetActive(settings.Organisations.Limited())
 	e.log.Info("settings in force", "settings_version", settings.Version, "offset", r.Offset,
 		"routes", len(settings.Routes), "organisations", settings.Organisations.Len())
 }
@@ -211,6 +227,7 @@
 	e.spawn(func() { e.readCopies(ctx) })
 	e.spawn(func() { e.keeper.Run(ctx) })
 	e.spawn(func() { e.conversations.Run(ctx) })
+	e.spawn(func() { e.allowances.Run(ctx) })
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
 }
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -96,6 +96,7 @@
 	e.log.Info("stopping", "in_flight", e.server.InFlight())
 	e.server.Drain()
 	notice := time.NewTimer(min(drainNotice, e.machine.GracePeriod/2))
+	e.allowances.Leave()
 	e.keeper.Leave(context.Background())
 	<-notice.C
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.machine.GracePeriod-drainMargin))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/budget"
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/directory"
@@ -24,20 +25,26 @@
 type receiver struct {
 	keeper        *budget.Keeper
 	conversations *conversation.Keeper
+	allowances    *allowance.Keeper
 }
 
 // post takes one event. Events before the keepers are there are lost, like
 // messages to an instance that is not up yet.
 func (r *receiver) post(event structs.Event) bool {
-	if r.keeper == nil || r.conversations == nil {
+	if r.keeper == nil || r.conversations == nil || r.allowances == nil {
 		return true
 	}
-	if message, ok := event.(structs.PeerMessage); ok && conversation.Handles(message.Msg) {
+	message, isMessage := event.(structs.PeerMessage)
+	switch {
+	case isMessage && conversation.Handles(message.Msg):
 		r.conversations.Receive(event)
-		return true
+	case isMessage && allowance.Handles(message.Msg):
+		r.allowances.Receive(event)
+	default:
+		r.conversations.Receive(event)
+		r.keeper.Receive(event)
+		r.allowances.Receive(event)
 	}
-	r.conversations.Receive(event)
-	r.keeper.Receive(event)
 	return true
 }
 
@@ -75,3 +82,16 @@
 	})
 	return r.conversations
 }
+
+func newAllowances(
+	machine platform.Machine, dir *directory.Directory, transport *peer.Transport, instances *listing, r *receiver,
+	scope tally.Scope, log *slog.Logger,
+) *allowance.Keeper {
+	quota := machine.Quota
+	r.allowances = allowance.New(allowance.Parts{
+		Directory: dir, Slots: machine.Store.Partitions, Key: budget.PartitionKey,
+		Tolerance: allowance.Tolerance{Window: quota.Window, Over: quota.Over, Slack: quota.Slack},
+		Peers:     transport, Listed: instances.known, Scope: scope, Log: log,
+	})
+	return r.allowances
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -19,6 +19,8 @@
 	reasonNoRoute      reason = "no_route"
 	reasonUnknownKey   reason = "unknown_key"
 	reasonStaleKeys    reason = "keys_not_current"
+	reasonOverLimit    reason = "over_organisation_limit"
+	reasonNoAllowance  reason = "organisation_limit_not_known"
 	reasonNoTarget     reason = "no_target"
 	reasonTargetsFull  reason = "targets_refused"
 	reasonBudgetSpent  reason = "budget_spent"
@@ -63,7 +65,7 @@
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
-		reasonUnknownKey, reasonStaleKeys,
+		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
--- a/internal/serve/organisation.go
+++ b/internal/serve/organisation.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/banyanglade/banyanglade/internal/org"
 )
 
@@ -59,3 +61,36 @@
 
 // scoped makes a name that the caller chose its organisation's own.
 func (x *transfer) scoped(name string) string { return org.Scope(x.orgName(), name) }
+
+// admit lets the request in within its organisation's limit; first tells that it
+// begins a program. It returns false if the request has been refused.
+func (x *transfer) admit(first bool) bool {
+	if x.org == nil || !x.org.Limit.Limited() {
+		return true
+	}
+	permit, err := x.server.allowances.Admit(x.ctx, Entry{
+		Organisation: x.org.Name, Limit: x.org.Limit, Version: x.table.Version, First: first, Rank: x.route.Priority,
+	})
+	var over *OverLimitError
+	switch {
+	case err == nil:
+		x.permit = permit
+		return true
+	case x.ctx.Err() != nil:
+		x.giveUpInTime()
+	case errors.As(err, &over):
+		x.detail = err.Error()
+		x.refuse(http.StatusTooManyRequests, reasonOverLimit, over.RetryAfter)
+	default:
+		x.detail = err.Error()
+		x.refuse(http.StatusServiceUnavailable, reasonNoAllowance, x.server.retryAfter(retryBudget))
+	}
+	return false
+}
+
+// endPermit gives the permit back if no target may have run the request.
+func (x *transfer) endPermit() {
+	if x.permit != nil && !x.hasRun() {
+		x.permit.Unused()
+	}
+}
--- a/internal/serve/organisation_test.go
+++ b/internal/serve/organisation_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -243,3 +245,117 @@
 		t.Error("an answer or the log shows a key")
 	}
 }
+
+// allowances is an Allowances whose verdict a test sets.
+type allowances struct {
+	err     error
+	entries []Entry
+	unused  int
+	again   int
+}
+
+func (a *allowances) Admit(_ context.Context, entry Entry) (Permit, error) {
+	a.entries = append(a.entries, entry)
+	if a.err != nil {
+		return nil, a.err
+	}
+	return countedPermit{a}, nil
+}
+
+type countedPermit struct{ a *allowances }
+
+func (p countedPermit) Unused() { p.a.unused++ }
+func (p countedPermit) Again()  { p.a.again++ }
+
+// withLimit makes a world with one organisation that has a limit.
+func withLimit(t *testing.T) (*world, *allowances) {
+	t.Helper()
+	w := newWorld(t)
+	set, err := org.NewSet([]*org.Organisation{{
+		Name: "a", Keys: []org.Digest{org.DigestOf(keyA)}, Limit: org.Limit{PerSecond: 10, Burst: 5},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := testRoutes()
+	settings.Organisations = set
+	w.server.SetTable(route.NewTable(settings))
+	a := new(allowances)
+	w.server.allowances = a
+	return w, a
+}
+
+func TestRequestsOverTheLimitDoNotRun(t *testing.T) {
+	cases := map[error]int{
+		&OverLimitError{RetryAfter: 250 * time.Millisecond}: http.StatusTooManyRequests,
+		ErrNoAllowance: http.StatusServiceUnavailable,
+	}
+	for verdict, want := range cases {
+		w, a := withLimit(t)
+		app := w.target("t1", "app", serveText("ok"))
+		engine := w.target("e1", "engine", serveEvents(1, never))
+		a.err = verdict
+		plain := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA))
+		turn := w.do(w.request("POST", "/turns/x", "", "Banyanglade-Credential", keyA, "Banyanglade-Program-Id", "p",
+			"Banyanglade-Token-Budget", "100", "Banyanglade-Token-Usage", "1,10"))
+		for _, got := range []result{plain, turn} {
+			if got.status != want || got.header.Get("Retry-After") == "" {
+				t.Errorf("%v: got %d, back after %q", verdict, got.status, got.header.Get("Retry-After"))
+			}
+		}
+		if app.count()+engine.count() != 0 {
+			t.Errorf("%v: a request ran", verdict)
+		}
+		if len(w.budgets.settled) != 1 || w.budgets.settled[0] != 0 {
+			t.Errorf("%v: room in the budget was not given back: %v", verdict, w.budgets.settled)
+		}
+		if len(a.entries) != 2 || a.entries[0].First || !a.entries[1].First || a.entries[0].Limit.PerSecond != 10 {
+			t.Errorf("%v: asked for %+v", verdict, a.entries)
+		}
+	}
+}
+
+func TestRequestThatDidNotRunIsGivenBack(t *testing.T) {
+	w, a := withLimit(t)
+	w.target("t1", "app", refuseFull)
+	if got := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA)); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("got %d", got.status)
+	}
+	if a.unused != 1 || a.again != 0 {
+		t.Errorf("%d given back, %d counted again", a.unused, a.again)
+	}
+}
+
+func TestRequestThatRunsTwiceCountsTwice(t *testing.T) {
+	w, a := withLimit(t)
+	var sends atomic.Int64
+	for _, id := range []string{"t1", "t2"} {
+		w.target(id, "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+			if sends.Add(1) == 1 {
+				cutConnection(n, rw, r)
+			}
+			serveText("ok")(n, rw, r)
+		})
+	}
+	if got := w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA)); got.status != http.StatusOK {
+		t.Fatalf("got %d", got.status)
+	}
+	if a.unused != 0 || a.again != 1 {
+		t.Errorf("%d given back, %d counted again", a.unused, a.again)
+	}
+}
+
+func TestAnonymousRequestsHaveNoLimit(t *testing.T) {
+	w, a := withLimit(t)
+	settings := w.server.Table().Settings
+	settings.Routes = append(settings.Routes, &route.Route{
+		Name: "open", Host: testHost, Prefix: "/open/", Kind: route.Repeatable, Anonymous: true,
+		Splits: []route.Split{{Service: "app", Weight: 1}}, MaxTargets: 2, Timeout: 5 * time.Second,
+	})
+	w.server.SetTable(route.NewTable(settings))
+	w.target("t1", "app", serveText("ok"))
+	a.err = ErrNoAllowance
+	if got := w.do(w.request("GET", "/open/x", "")); got.status != http.StatusOK {
+		t.Errorf("got %d", got.status)
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -77,6 +77,9 @@
 // send sends the request to a target and handles what comes back. It tells
 // whether another send may follow.
 func (x *transfer) send(target *targets.Target) bool {
+	if x.mayHaveRun && x.permit != nil {
+		x.permit.Again()
+	}
 	x.sends++
 	x.lastTarget = target.ID
 	resumeAfter := ""
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -36,6 +37,8 @@
 	// Target ran the program's last turn and may have its prompt; empty if that
 	// is not known.
 	Target() string
+	// First tells that no turn of the program has run yet, as far as is known.
+	First() bool
 	// Settle gives back what was not used and tells how the turn ended. It does
 	// not block.
 	Settle(end TurnEnd)
@@ -59,6 +62,32 @@
 	Reserve(ctx context.Context, turn Turn) (Lease, error)
 }
 
+// Entry is a request of an organisation that asks to be let in.
+type Entry struct {
+	Organisation string
+	Limit        org.Limit
+	// Version is that of the settings which hold the limit.
+	Version int64
+	// First tells that it begins a program, Rank how urgent it is then; 0 is the
+	// most urgent.
+	First bool
+	Rank  int
+}
+
+// Permit is a request that was let in.
+type Permit interface {
+	// Unused tells that it did not run, Again that it runs once more.
+	Unused()
+	Again()
+}
+
+// Allowances keep organisations within their limits.
+type Allowances interface {
+	// Admit lets a request in, waiting for word from others if needed. It returns
+	// an *OverLimitError or ErrNoAllowance if the request must not run.
+	Admit(ctx context.Context, entry Entry) (Permit, error)
+}
+
 // EndedTurn is a turn that a target has completed.
 type EndedTurn struct {
 	// ID is that of the request, Previous that of the turn before it.
@@ -108,6 +137,8 @@
 	Targets *targets.Registry
 	Pool    *exchange.Pool
 	Budgets Budgets
+	// Allowances is needed where organisations have limits.
+	Allowances Allowances
 	// Conversations is needed for routes that keep them.
 	Conversations Conversations
 	Notices       Notices
@@ -121,17 +152,18 @@
 
 // Server answers callers. It implements http.Handler.
 type Server struct {
-	codec    call.Codec
-	targets  *targets.Registry
-	pool     *exchange.Pool
-	budgets  Budgets
-	kept     Conversations
-	notices  Notices
-	health   Health
-	currency Currency
-	keys     KeyPolicy
-	log      *slog.Logger
-	metrics  metrics
+	codec      call.Codec
+	targets    *targets.Registry
+	pool       *exchange.Pool
+	budgets    Budgets
+	allowances Allowances
+	kept       Conversations
+	notices    Notices
+	health     Health
+	currency   Currency
+	keys       KeyPolicy
+	log        *slog.Logger
+	metrics    metrics
 	// downWithin is how soon a target that is down breaks a connection.
 	downWithin time.Duration
 
@@ -143,7 +175,7 @@
 // New makes a Server without settings: until SetTable it refuses all requests.
 func New(p Parts) *Server {
 	return &Server{
-		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, kept: p.Conversations,
+		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, allowances: p.Allowances, kept: p.Conversations,
 		notices: p.Notices, health: p.Health, currency: p.Currency, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -29,6 +29,20 @@
 	ErrNoOwner = errors.New("no owner of the program's budget can be reached")
 )
 
+// ErrNoAllowance tells that nobody answers who could tell whether the
+// organisation's limit has room.
+var ErrNoAllowance = errors.New("nobody tells whether the organisation's limit has room")
+
+// OverLimitError tells that a request is over its organisation's limit.
+type OverLimitError struct {
+	// RetryAfter is when there should be room.
+	RetryAfter time.Duration
+}
+
+func (e *OverLimitError) Error() string {
+	return "the organisation is over its limit, room is expected in " + e.RetryAfter.String()
+}
+
 // Errors of Conversations.
 var (
 	// ErrNoTurn tells that no turn has the id named.
@@ -64,6 +78,8 @@
 	// lastOfProgram is the target that ran the program's last turn, empty if
 	// unknown.
 	lastOfProgram string
+	// permit is set once the request was let in within its organisation's limit.
+	permit Permit
 	// settle gives back room in the program's budget, nil if none is held.
 	settle func()
 
@@ -111,7 +127,10 @@
 		return
 	}
 	if x.call.Turn == nil || x.route.Kind != route.Stream {
-		x.forward()
+		if x.admit(false) {
+			defer x.endPermit()
+			x.forward()
+		}
 		return
 	}
 	x.forwardTurn()
@@ -233,7 +252,10 @@
 		x.lastOfProgram = lease.Target()
 		x.settle = func() { lease.Settle(x.turnEnd(perEvent)) }
 		defer x.settleOnce()
-		x.forward()
+		if x.admit(lease.First()) {
+			defer x.endPermit()
+			x.forward()
+		}
 	}
 }
 
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -56,6 +56,8 @@
 
 func (l budgetLease) Target() string { return l.b.target }
 
+func (l budgetLease) First() bool { return l.b.target == "" }
+
 func (l budgetLease) Settle(end TurnEnd) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -360,4 +360,8 @@
 	KindTurnsNotice:         func() Message { return new(TurnsNotice) },
 	KindKeepRequest:         func() Message { return new(KeepRequest) },
 	KindKeepReply:           func() Message { return new(KeepReply) },
+	KindAllowanceAsk:        func() Message { return new(AllowanceAsk) },
+	KindAllowanceReply:      func() Message { return new(AllowanceReply) },
+	KindVoteRequest:         func() Message { return new(VoteRequest) },
+	KindVoteReply:           func() Message { return new(VoteReply) },
 }
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -70,6 +70,8 @@
 	// Target ran the program's last turn, as far as the owner knows; empty if it
 	// does not.
 	Target string
+	// First tells that the owner knows of no turn of the program before this one.
+	First bool
 }
 
 // RoomSettle ends a lease: what was not used is free again.
