--- /dev/null
+++ b/internal/budget/storm_test.go
@@ -0,0 +1,69 @@
+package budget
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// epochOf is the epoch of the newest claim of a partition.
+func (w *world) epochOf(t *testing.T, partition int) int64 {
+	t.Helper()
+	list, err := w.Store.Newest(context.Background(), topic, partition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	held, err := decodeContent(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if held.owner == nil {
+		return 0
+	}
+	return held.owner.Epoch
+}
+
+// TestPartitionsAreClaimedOnceBehindALossOfAll replays the return of everybody:
+// all instances are killed and start again within a second, and hear of each
+// other's starts at different times.
+func TestPartitionsAreClaimedOnceBehindALossOfAll(t *testing.T) {
+	for _, instances := range []int{12, 87} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(1, 1))
+				w := newWorld(t)
+				w.ListDelay = func() time.Duration { return time.Duration(r.IntN(600)) * time.Millisecond }
+				for i := range instances {
+					w.start(fmt.Sprint("m", i))
+				}
+				time.Sleep(3 * time.Second)
+				var before [testPartitions]int64
+				for p := range testPartitions {
+					before[p] = w.epochOf(t, p)
+				}
+				for _, n := range w.all() {
+					w.Kill(n.Node)
+				}
+				for i := range instances {
+					time.Sleep(time.Second / time.Duration(instances))
+					n := w.start(fmt.Sprint("m", i))
+					program := fmt.Sprint("p", i)
+					w.Work.Go(func() { _ = w.turn(n, program, 1000, testMost, testMost, 100*time.Millisecond) })
+				}
+				time.Sleep(4 * time.Second)
+				claims := int64(0)
+				for p := range testPartitions {
+					claims += w.epochOf(t, p) - before[p]
+				}
+				w.Stop()
+				t.Logf("%d claims of %d partitions", claims, testPartitions)
+				if claims > testPartitions {
+					t.Errorf("%d claims of %d partitions", claims, testPartitions)
+				}
+			})
+		})
+	}
+}
--- a/internal/testkit/simnet/simnet.go
+++ b/internal/testkit/simnet/simnet.go
@@ -45,6 +45,9 @@
 	Store *metastore.Memory
 	// Work counts what goes on in the background.
 	Work sync.WaitGroup
+	// ListDelay is how long it takes until an instance hears of another's start;
+	// nil for no time. It is set before the first start.
+	ListDelay func() time.Duration
 
 	mu    sync.Mutex
 	nodes map[structs.InstanceID]*Node
@@ -105,8 +108,8 @@
 	w.nodes[id] = n
 	w.mu.Unlock()
 	for _, other := range others {
-		n.Directory.Put(structs.Peer{ID: other.ID, Address: other.Machine()})
-		other.Directory.Put(structs.Peer{ID: id, Address: machine})
+		w.list(n, other)
+		w.list(other, n)
 	}
 	w.Work.Go(func() {
 		for {
@@ -121,6 +124,20 @@
 	return n
 }
 
+// list tells an instance of another one.
+func (w *Net) list(at, listed *Node) {
+	peer := structs.Peer{ID: listed.ID, Address: listed.Machine()}
+	if w.ListDelay == nil {
+		at.Directory.Put(peer)
+		return
+	}
+	delay := w.ListDelay()
+	w.Work.Go(func() {
+		time.Sleep(delay)
+		at.Directory.Put(peer)
+	})
+}
+
 // Restart kills an instance and starts another on its machine, unless the Net
 // stops or the instance is dead already.
 func (w *Net) Restart(n *Node) {
