--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -1,7 +1,6 @@
 package allowance
 
 import (
-	"math"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/org"
@@ -17,17 +16,12 @@
 	// reserve is the share of the level that is left to programs under way: they
 	// send several calls of tools at once.
 	reserve = 0.25
-	// calm is the share of the level above which requests are dealt out ahead of
-	// need: half of a burst is then left for other instances.
-	calm = 0.5
-	// aheadShare of what lies above it goes to one instance at most.
-	aheadShare = 0.25
 	// urgentShare of the starts that are saved up is left to the most urgent
 	// first turns.
 	urgentShare = 0.25
-	// startsLeast may be saved up by any organisation: two programs that begin
+	// startsLeast may be saved up by any organisation: three programs that begin
 	// together are no overload, since their requests spread over seconds.
-	startsLeast = 2
+	startsLeast = 3
 )
 
 const (
@@ -99,36 +93,34 @@
 	b.starts = min(b.starts+gained/b.perProgram(), b.startsCap)
 }
 
-// report takes what an instance has done since its last ask.
-func (b *bucket) report(ask *structs.AllowanceAsk) {
-	b.level = min(b.level+float64(max(ask.Returned, 0)), b.capacity) - float64(max(ask.Debt, 0))
-	b.starts -= float64(ask.Started)
-	b.requests += float64(ask.Used)
-	b.programs += float64(ask.Started)
-	if b.programs > memory {
-		b.requests, b.programs = b.requests/2, b.programs/2
-	}
-}
-
 // deal answers an ask.
 func (b *bucket) deal(ask *structs.AllowanceAsk, now time.Time) *structs.AllowanceReply {
-	reply := &structs.AllowanceReply{Life: b.terms.life}
+	b.level -= float64(max(ask.Debt, 0))
+	reply := new(structs.AllowanceReply)
 	reply.Granted = b.take(ask.Want, 0)
-	refused := ask.Want - reply.Granted
-	refusedStarts := 0
+	refused, refusedStarts := ask.Want-reply.Granted, 0
 	for rank, want := range ask.Starts {
 		reply.Starts[rank] = b.begin(want, rank)
 		refusedStarts += want - reply.Starts[rank]
 	}
-	calmLevel := calm * b.capacity
-	if above := b.level - calmLevel; above > 0 {
-		reply.Ahead = b.take(min(ask.Ahead, int(math.Ceil(aheadShare*above))), calmLevel)
-		reply.Free = b.starts > calm*b.startsCap
-	}
+	b.learn(reply)
 	reply.RetryAfter = b.retryAfter(refused, refusedStarts, now)
 	return reply
 }
 
+// learn counts what was dealt out, for what a program needs.
+func (b *bucket) learn(reply *structs.AllowanceReply) {
+	started := 0
+	for _, n := range reply.Starts {
+		started += n
+	}
+	b.requests += float64(reply.Granted + started)
+	b.programs += float64(started)
+	if b.programs > memory {
+		b.requests, b.programs = b.requests/2, b.programs/2
+	}
+}
+
 // take takes requests out of what lies above a level.
 func (b *bucket) take(want int, above float64) int {
 	got := min(want, max(int(b.level-above), 0))
@@ -145,7 +137,6 @@
 	got := min(want, max(int(b.starts-left), 0))
 	got = b.take(got, reserve*b.capacity)
 	b.starts -= float64(got)
-	b.programs += float64(got)
 	return got
 }
 
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -17,15 +17,16 @@
 //
 // With rate r, burst b, window W, tolerance D = over*(r*W + b) + slack:
 //
-//	r*W + level + start + r*life + fresh*r*voteLife <= r*W + b + D
+//	r*W + level + start + fresh*r*voteLife <= r*W + b + D - late
 //
 // level bounds what all coordinators together have saved up: a coordinator keeps
 // no more than its share of the votes of it, and nothing once it holds no vote.
 // start is what a voter brings along when it changes its coordinator, at most
-// once in a window. life is how long after the ask something dealt out may run.
-// A voter that starts does not know to whom its last start lent its part; its
+// once in a window. A voter that starts does not know to whom its last start lent its part; its
 // vote counts for the part fresh until voteLife after its start. terms (terms.go)
-// divides D among the last three.
+// divides D among level, start, fresh and late, which is for
+// requests that reach their targets later than others and for those that run
+// twice.
 //
 // Coordinators hold lists of voters from their own view of the instances; while
 // views differ by some, the sum of two coordinators' parts may pass one by as
@@ -41,6 +42,9 @@
 //
 // # Messages
 //
-// An instance asks ahead of need. Far from the limit its requests wait for no
-// message; near it each is asked for.
+// Each request is asked for, together with all that wait at its instance. Requests
+// dealt out ahead of need were weighed: one instance sees few requests of one
+// organisation, so that 15 of 100 found some there, and what lay unused at 87
+// instances passed the limit of one by 2 in 100, since it came back to the
+// coordinator as if it had been saved up.
 package allowance
--- a/internal/allowance/dump.go
+++ b/internal/allowance/dump.go
@@ -8,20 +8,19 @@
 
 // Dump is what an instance tells of allowances on request.
 type Dump struct {
-	// Held is what it may let in at once, by organisation.
-	Held []Held `json:"held"`
+	// Waiting is what waits here, by organisation.
+	Waiting []Waiting `json:"waiting"`
 	// Coordinated is what it deals out.
 	Coordinated []Coordinated `json:"coordinated"`
 }
 
-// Held is what an instance holds of one organisation's allowance.
-type Held struct {
+// Waiting is what waits at an instance of one organisation, under the limit that
+// the instance knows.
+type Waiting struct {
 	Organisation string  `json:"organisation"`
 	PerSecond    float64 `json:"limit_per_second"`
 	Burst        float64 `json:"limit_burst"`
-	Requests     int     `json:"requests_held"`
-	Rate         float64 `json:"requests_per_second_here"`
-	Waiting      int     `json:"waiting"`
+	Requests     int     `json:"requests"`
 }
 
 // Coordinated is what a coordinator has to deal out to one organisation.
@@ -42,11 +41,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	out := Dump{Held: []Held{}, Coordinated: []Coordinated{}}
-	for _, p := range k.purses {
-		out.Held = append(out.Held, Held{
-			Organisation: p.organisation, PerSecond: p.limit.PerSecond, Burst: p.limit.Burst,
-			Requests: p.held(now), Rate: p.rateAt(now), Waiting: len(p.waiting),
+	out := Dump{Waiting: []Waiting{}, Coordinated: []Coordinated{}}
+	for _, l := range k.lines {
+		out.Waiting = append(out.Waiting, Waiting{
+			Organisation: l.organisation, PerSecond: l.limit.PerSecond, Burst: l.limit.Burst, Requests: len(l.waiting),
 		})
 	}
 	for _, s := range k.slots {
@@ -58,7 +56,7 @@
 			})
 		}
 	}
-	slices.SortFunc(out.Held, func(a, b Held) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	slices.SortFunc(out.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	slices.SortFunc(out.Coordinated, func(a, b Coordinated) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	return out
 }
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -19,7 +19,7 @@
 	// replyTimeout is how long a coordinator may take to answer before it is asked
 	// for a heartbeat and whoever coordinates then is asked instead. A round trip
 	// takes a few milliseconds; one that used up its share of the processor pauses
-	// for up to 100 ms.
+	// for up to 100 ms. What is dealt out is used within this time.
 	replyTimeout = 200 * time.Millisecond
 	// holdPause bounds the time until room is asked for again for requests that are
 	// held.
@@ -30,10 +30,10 @@
 	// patience is how long a request waits for word from a coordinator. Turning a
 	// request of a program under way away ends the program, so it is longer than
 	// the loss of a coordinator goes unnoticed.
-	patience = 700 * time.Millisecond
+	patience = 1100 * time.Millisecond
 	// holdMost is how long a request of a program under way is held if there will
 	// be room by then: refusing it ends the program. It is below patience.
-	holdMost = 400 * time.Millisecond
+	holdMost = 900 * time.Millisecond
 	// doubtedInterval is the time between two requests for the vote of an instance
 	// that did not answer: each may cost a dial.
 	doubtedInterval = time.Second
@@ -72,7 +72,7 @@
 	mu      sync.Mutex
 	voter   *voter
 	slots   []*slot
-	purses  map[string]*purse
+	lines   map[string]*line
 	number  uint64
 	pending map[uint64]sentAsk
 	// requests holds when votes were asked for, by number.
@@ -86,9 +86,8 @@
 
 // sentAsk is an ask under way.
 type sentAsk struct {
-	organisation string
-	to           structs.InstanceID
-	at           time.Time
+	line *line
+	to   structs.InstanceID
 }
 
 // sentRequest is a request for a vote under way.
@@ -103,8 +102,8 @@
 	parts.Slots = min(parts.Slots, maxSlots)
 	k := &Keeper{
 		Parts: parts, self: parts.Directory.Self().ID, metrics: newMetrics(parts.Scope),
-		voter:  newVoter(parts.Slots, parts.Tolerance.Window, time.Now()),
-		purses: make(map[string]*purse), pending: make(map[uint64]sentAsk),
+		voter: newVoter(parts.Slots, parts.Tolerance.Window, time.Now()),
+		lines: make(map[string]*line), pending: make(map[uint64]sentAsk),
 		requests: make(map[uint64]sentRequest), doubted: make(map[structs.InstanceID]time.Time),
 	}
 	for i := range parts.Slots {
@@ -161,95 +160,85 @@
 	if !entry.Limit.Limited() {
 		return noPermit{}, nil
 	}
-	k.mu.Lock()
 	now := time.Now()
-	p := k.purseOf(entry)
-	if p.take(entry.First, now) {
-		k.askAhead(p, now)
-		k.mu.Unlock()
-		k.metrics.atOnce.Inc(1)
-		return permit{k, p}, nil
-	}
 	w := &waiter{
 		first: entry.First, rank: min(max(entry.Rank, 0), structs.AllowanceRanks-1),
 		until: now.Add(holdMost), verdict: make(chan verdict, 1),
 	}
-	p.waiting = append(p.waiting, w)
-	k.startAsk(p, now)
+	k.mu.Lock()
+	l := k.lineOf(entry)
+	l.waiting = append(l.waiting, w)
+	k.startAsk(l, now)
 	k.mu.Unlock()
-	k.metrics.waited.Inc(1)
-	return k.await(ctx, p, w)
+	return k.await(ctx, l, w)
 }
 
 // await waits for the verdict on a request.
-func (k *Keeper) await(ctx context.Context, p *purse, w *waiter) (serve.Permit, error) {
+func (k *Keeper) await(ctx context.Context, l *line, w *waiter) (serve.Permit, error) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	var err error
 	select {
 	case got := <-w.verdict:
-		return k.conclude(p, got)
+		return k.conclude(l, got)
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-timer.C:
 		err = serve.ErrNoAllowance
 	}
 	k.mu.Lock()
-	left := p.leave(w)
+	left := l.leave(w)
 	k.mu.Unlock()
 	if !left {
-		return k.conclude(p, <-w.verdict)
+		return k.conclude(l, <-w.verdict)
 	}
 	k.metrics.unknown.Inc(1)
 	return nil, err
 }
 
-func (k *Keeper) conclude(p *purse, got verdict) (serve.Permit, error) {
+func (k *Keeper) conclude(l *line, got verdict) (serve.Permit, error) {
 	if got.admitted {
-		return permit{k, p}, nil
+		k.metrics.admitted.Inc(1)
+		return permit{k, l}, nil
 	}
 	k.metrics.refused.Inc(1)
-	return nil, &serve.OverLimitError{RetryAfter: got.retryAfter}
-}
-
-// purseOf is what is held for an organisation, under its newest limit. The mutex
-// is held.
-func (k *Keeper) purseOf(entry serve.Entry) *purse {
-	p := k.purses[entry.Organisation]
-	if p == nil {
-		p = &purse{organisation: entry.Organisation, rated: time.Now()}
-		k.purses[entry.Organisation] = p
-	}
-	if entry.Version >= p.version {
-		p.limit, p.version = entry.Limit, entry.Version
+	k.mu.Lock()
+	limit := l.limit
+	k.mu.Unlock()
+	return nil, &serve.OverLimitError{
+		RetryAfter: got.reply.RetryAfter, Limit: limit, Left: got.reply.Left, Votes: got.reply.Votes,
+		Coordinator: got.coordinator,
 	}
-	return p
 }
 
-// lifeOf is how long what is dealt out of an organisation's limit may be used.
-func (k *Keeper) lifeOf(p *purse) time.Duration { return termsOf(p.limit, k.Tolerance).life }
-
-// askAhead asks for more before a request has to wait for it. The mutex is held.
-func (k *Keeper) askAhead(p *purse, now time.Time) {
-	if p.asking == 0 && p.low(k.lifeOf(p), now) {
-		k.startAsk(p, now)
+// lineOf is what waits of an organisation, under its newest limit. The mutex is
+// held.
+func (k *Keeper) lineOf(entry serve.Entry) *line {
+	l := k.lines[entry.Organisation]
+	if l == nil {
+		l = &line{organisation: entry.Organisation}
+		k.lines[entry.Organisation] = l
+	}
+	if entry.Version >= l.version {
+		l.limit, l.version = entry.Limit, entry.Version
 	}
+	return l
 }
 
 // startAsk asks the coordinator of an organisation, unless an ask is under way.
 // The mutex is held.
-func (k *Keeper) startAsk(p *purse, now time.Time) {
-	if p.asking != 0 {
+func (k *Keeper) startAsk(l *line, now time.Time) {
+	if l.asking != 0 {
 		return
 	}
-	slot := k.slotOf(p.organisation)
+	slot := k.slotOf(l.organisation)
 	to := k.Directory.First(k.Key(slot))
 	if to == "" {
 		return
 	}
 	k.number++
-	ask := p.ask(k.number, slot, k.lifeOf(p), now)
-	k.pending[ask.Number] = sentAsk{organisation: p.organisation, to: to, at: now}
+	ask := l.ask(k.number, slot)
+	k.pending[ask.Number] = sentAsk{line: l, to: to}
 	k.metrics.asks.Inc(1)
 	if to == k.self {
 		k.settle(k.serveAsk(ask, now), now)
@@ -259,7 +248,8 @@
 	time.AfterFunc(replyTimeout, func() { k.unanswered(ask.Number) })
 }
 
-// unanswered asks anew after an ask that got no answer in time.
+// unanswered asks anew after an ask that got no answer in time. What a later
+// answer grants is used by nobody.
 func (k *Keeper) unanswered(number uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -267,24 +257,21 @@
 	if !ok {
 		return
 	}
-	p := k.purses[sent.organisation]
-	if p.asking == number {
-		k.Peers.Probe(sent.to)
-		p.asking, p.asked = 0, nil
-		k.askForWaiting(p)
-	}
-	// An answer may still come; after that what it grants is of no use.
-	time.AfterFunc(lifeMost, func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		delete(k.pending, number)
-	})
+	k.Peers.Probe(sent.to)
+	k.askAnew(number, sent)
+}
+
+// askAnew gives an ask up and asks again if requests wait. The mutex is held.
+func (k *Keeper) askAnew(number uint64, sent sentAsk) {
+	delete(k.pending, number)
+	sent.line.asking, sent.line.asked = 0, nil
+	k.askForWaiting(sent.line)
 }
 
 // askForWaiting asks again if requests wait. The mutex is held.
-func (k *Keeper) askForWaiting(p *purse) {
-	if len(p.waiting) > 0 {
-		k.startAsk(p, time.Now())
+func (k *Keeper) askForWaiting(l *line) {
+	if len(l.waiting) > 0 {
+		k.startAsk(l, time.Now())
 	}
 }
 
@@ -295,19 +282,23 @@
 		return
 	}
 	delete(k.pending, reply.Number)
-	p := k.purses[sent.organisation]
-	p.settle(reply, sent.at, now)
-	if len(p.waiting) == 0 || p.asking != 0 {
+	newcomers := len(sent.line.waiting) > len(sent.line.asked)
+	sent.line.settle(reply, sent.to, now)
+	if len(sent.line.waiting) == 0 {
 		return
 	}
 	pause := noSharePause
-	if reply.Outcome == structs.AllowanceDealt {
+	switch {
+	case reply.Outcome != structs.AllowanceDealt:
+	case newcomers:
+		pause = 0
+	default:
 		pause = min(reply.RetryAfter, holdPause)
 	}
 	time.AfterFunc(pause, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.askForWaiting(p)
+		k.askForWaiting(sent.line)
 	})
 }
 
@@ -369,11 +360,8 @@
 // mutex is held.
 func (k *Keeper) askElsewhere(id structs.InstanceID) {
 	for number, sent := range k.pending {
-		p := k.purses[sent.organisation]
-		if sent.to != id || p.asking != number {
-			continue
+		if sent.to == id {
+			k.askAnew(number, sent)
 		}
-		p.asking, p.asked = 0, nil
-		k.askForWaiting(p)
 	}
 }
--- a/internal/allowance/metrics.go
+++ b/internal/allowance/metrics.go
@@ -4,21 +4,19 @@
 
 // metrics of the requests of organisations with a limit.
 type metrics struct {
-	// atOnce were let in with what this instance held, waited had to wait for
-	// word from a coordinator.
-	atOnce tally.Counter
-	waited tally.Counter
-	// refused were over their limit, unknown got no word in time.
-	refused tally.Counter
-	unknown tally.Counter
-	// asks counts the messages to coordinators.
+	// admitted were let in, refused were over their limit, unknown got no word in
+	// time.
+	admitted tally.Counter
+	refused  tally.Counter
+	unknown  tally.Counter
+	// asks counts the messages to coordinators, each for all that waits.
 	asks tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("allowances")
 	return metrics{
-		atOnce: scope.Counter("admitted_at_once"), waited: scope.Counter("waited"),
-		refused: scope.Counter("refused"), unknown: scope.Counter("unknown"), asks: scope.Counter("asks"),
+		admitted: scope.Counter("admitted"), refused: scope.Counter("refused"),
+		unknown: scope.Counter("unknown"), asks: scope.Counter("asks"),
 	}
 }
--- a/internal/allowance/slot.go
+++ b/internal/allowance/slot.go
@@ -108,8 +108,8 @@
 		// What limits starts is no bound to be kept, so they need not begin empty.
 		b.starts = b.startsCap
 	}
-	b.report(ask)
 	reply := b.deal(ask, now)
 	reply.Number, reply.Outcome = ask.Number, structs.AllowanceDealt
+	reply.Left, reply.Votes = b.level, len(s.votes)
 	return reply
 }
--- /dev/null
+++ b/internal/allowance/steady_test.go
@@ -0,0 +1,36 @@
+package allowance
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
+)
+
+// TestSteadyOverloadGetsTheRate replays an organisation that asks for twice its
+// limit for long: once what was saved up is used, it gets its rate.
+func TestSteadyOverloadGetsTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		for _, m := range machines(87) {
+			w.start(m)
+		}
+		time.Sleep(3 * time.Second)
+		limit := org.Limit{PerSecond: 265, Burst: 265}
+		begun := time.Now()
+		playPrograms(w, "o", limit, usersProgram, 2*265.0/26, 15*time.Second, 1)
+		w.Stop()
+		late := 0
+		for _, at := range w.admitted["o"] {
+			if since := at.Sub(begun); since > 8*time.Second && since < 13*time.Second {
+				late++
+			}
+		}
+		rate := float64(late) / 5
+		t.Logf("%.0f requests a second", rate)
+		if rate > 1.05*limit.PerSecond || rate < 0.9*limit.PerSecond {
+			t.Errorf("%.0f requests a second, the limit is %.0f", rate, limit.PerSecond)
+		}
+	})
+}
--- a/internal/allowance/terms.go
+++ b/internal/allowance/terms.go
@@ -33,16 +33,18 @@
 )
 
 const (
-	// lifeShare and freshShare of the tolerance pay for what was dealt out but is
-	// used later, and for the votes of instances that have just started; half of
-	// the rest goes to each of level and start.
-	lifeShare  = 0.4
-	freshShare = 0.4
-	// lifeMost bounds how long something dealt out may be used: what lies unused
-	// at one instance is lacking at others.
-	lifeMost = time.Second
-	// lifeLeast is a few round trips; a tolerance too small for it is passed.
-	lifeLeast = 50 * time.Millisecond
+	// lateArrival is how much later than others a request may reach its target
+	// after it was dealt out: what is counted there is not what was counted here.
+	lateArrival = 150 * time.Millisecond
+	// rerunShare of the requests may run a second time, since their answers were
+	// lost; they are counted afterwards only.
+	rerunShare = 0.02
+	// What is left of the tolerance pays for the votes of instances that have just
+	// started, for what a voter brings along when it moves, and the rest for bursts:
+	// agent programs send several calls at once, and the smallest organisations'
+	// limits are below what one program sends in its busiest second.
+	freshShare = 0.2
+	startShare = 0.2
 )
 
 // terms are the figures of the invariant for one limit.
@@ -51,8 +53,6 @@
 	// when it moves, all voters together; in requests.
 	level float64
 	start float64
-	// life is how long something dealt out may be used.
-	life time.Duration
 	// fresh is what the vote of an instance counts that has just started.
 	fresh float64
 }
@@ -60,10 +60,11 @@
 // termsOf divides the tolerance of a limit.
 func termsOf(limit org.Limit, t Tolerance) terms {
 	rate := limit.PerSecond
-	spare := t.Over*(rate*t.Window.Seconds()+limit.Burst) + t.Slack
-	life := time.Duration(lifeShare * spare / rate * float64(time.Second))
-	life = min(max(life, lifeLeast), lifeMost)
+	perWindow := rate*t.Window.Seconds() + limit.Burst
+	spare := t.Over*perWindow + t.Slack - rate*lateArrival.Seconds() - rerunShare*perWindow
+	spare = max(spare, 0)
 	fresh := min(freshShare*spare/(rate*voteLife.Seconds()), 1)
-	rest := max(spare-rate*life.Seconds()-fresh*rate*voteLife.Seconds(), 0)
-	return terms{level: limit.Burst + rest/2, start: rest / 2, life: life, fresh: fresh}
+	start := startShare * spare
+	level := max(spare-start-fresh*rate*voteLife.Seconds(), 0)
+	return terms{level: limit.Burst + level, start: start, fresh: fresh}
 }
--- a/internal/serve/organisation.go
+++ b/internal/serve/organisation.go
@@ -80,6 +80,9 @@
 		x.giveUpInTime()
 	case errors.As(err, &over):
 		x.detail = err.Error()
+		if first {
+			x.detail = "the first turn of a program: " + x.detail
+		}
 		x.refuse(http.StatusTooManyRequests, reasonOverLimit, over.RetryAfter)
 	default:
 		x.detail = err.Error()
@@ -87,10 +90,3 @@
 	}
 	return false
 }
-
-// endPermit gives the permit back if no target may have run the request.
-func (x *transfer) endPermit() {
-	if x.permit != nil && !x.hasRun() {
-		x.permit.Unused()
-	}
-}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -76,8 +76,7 @@
 
 // Permit is a request that was let in.
 type Permit interface {
-	// Unused tells that it did not run, Again that it runs once more.
-	Unused()
+	// Again tells that it runs once more.
 	Again()
 }
 
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
 // Errors of Budgets.
@@ -37,10 +39,17 @@
 type OverLimitError struct {
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
+	Limit      org.Limit
+	// Coordinator refused it; it had Left requests to deal out, with Votes.
+	Coordinator structs.InstanceID
+	Left        float64
+	Votes       int
 }
 
 func (e *OverLimitError) Error() string {
-	return "the organisation is over its limit, room is expected in " + e.RetryAfter.String()
+	return fmt.Sprintf("the organisation is over its limit of %g requests a second and %g on top: "+
+		"%s had %.1f left with %d votes, room is expected in %s",
+		e.Limit.PerSecond, e.Limit.Burst, e.Coordinator, e.Left, e.Votes, e.RetryAfter)
 }
 
 // Errors of Conversations.
@@ -128,7 +137,6 @@
 	}
 	if x.call.Turn == nil || x.route.Kind != route.Stream {
 		if x.admit(false) {
-			defer x.endPermit()
 			x.forward()
 		}
 		return
@@ -253,7 +261,6 @@
 		x.settle = func() { lease.Settle(x.turnEnd(perEvent)) }
 		defer x.settleOnce()
 		if x.admit(lease.First()) {
-			defer x.endPermit()
 			x.forward()
 		}
 	}
--- a/internal/structs/allowance.go
+++ b/internal/structs/allowance.go
@@ -26,14 +26,9 @@
 	Want int
 	// Starts are the first turns that wait, by rank.
 	Starts [AllowanceRanks]int
-	// Ahead is what the sender expects to need soon.
-	Ahead int
-	// Used, Started and Returned were used, begun and not used since the last
-	// ask; Debt ran without having been asked for.
-	Used     int
-	Started  int
-	Returned int
-	Debt     int
+	// Debt is the number of runs since the last ask that were not asked for:
+	// requests that ran a second time.
+	Debt int
 }
 
 // AllowanceRanks is the number of ranks of first turns: the operator's most
@@ -59,13 +54,12 @@
 	// Granted of the requests that wait, and Starts of the first turns, may run.
 	Granted int
 	Starts  [AllowanceRanks]int
-	// Ahead more may run until Life after the ask was sent.
-	Ahead int
-	Life  time.Duration
-	// Free tells that first turns need not ask during that time either.
-	Free bool
 	// RetryAfter is when there should be room for what was not granted.
 	RetryAfter time.Duration
+	// Left is what the coordinator has left to deal out, in requests, with Votes of
+	// the slot's voters.
+	Left  float64
+	Votes int
 }
 
 // VoteRequest asks for the receiver's part of the allowances of a slot.
