--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -14,8 +14,11 @@
 
 const (
 	// reserve is the share of the level that is left to programs under way: they
-	// send several calls of tools at once.
-	reserve = 0.25
+	// send several calls of tools at once. At 7.5 times the usual load of 429
+	// requests a second, 173 to 180 of 181 programs that the limit carries are
+	// whole with 0.1, 135 to 141 with 0.25, 147 to 157 with 0.02 (virtual time, 87
+	// instances, three runs each).
+	reserve = 0.1
 	// urgentShare of the starts that are saved up is left to the most urgent
 	// first turns.
 	urgentShare = 0.25
--- a/internal/allowance/keeper_test.go
+++ b/internal/allowance/keeper_test.go
@@ -102,8 +102,8 @@
 				begun, whole := playPrograms(w, "o", limit, usersProgram, rate/1.6/26*7.5, lasts, 1)
 				w.Stop()
 				carried := carries(limit, lasts)
-				t.Logf("%d programs begun, %d whole, the limit carries %d", begun, whole, carried)
-				if whole < carried*8/10 {
+				t.Logf("%d programs begun, %d whole, the limit carries %d; %d requests", begun, whole, carried, len(w.admitted["o"]))
+				if whole < carried*9/10 {
 					t.Errorf("%d programs got all their requests, the limit carries %d", whole, carried)
 				}
 				if got, most := most(w.admitted["o"], testTolerance.Window), allowed(limit, testTolerance); got > most {
