--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -29,12 +29,16 @@
 //
 // # What a loss costs
 //
-// The part without a record lets programs run while the store is away and
-// spares it a record for most programs. When accounts are lost it is charged to
-// every program that has no record, also to those that begin later, since an
-// owner that was taken for dead may serve them too; such a program has a record
-// written before each turn that needs room. Its total may then reach the budget
-// and the most of one turn, though what it really generated never passes that.
-// The charge ends when the former owner is known to have ended and no program
-// that it knew can come back.
+// A slice of each budget needs no record, which lets programs run while the store
+// is away and spares it a record for most of them. When accounts are lost, all
+// slices that owners before may have handed out are charged to every program
+// without a record, also to those that begin later, since an owner that was taken
+// for dead may serve them too; to one with a record, those since its record. The
+// new owner hands out the next slice (limits.go). How many slices are gone stands
+// in the claim, so that a chain of losses hands out falling slices whose sum stays
+// within the budget. Behind the last slice each turn that needs room needs a
+// record. A charged program's total may reach the budget and the most of one turn,
+// though what it really generated never passes that. The charge ends when the
+// former owner is known to have ended and no program that it knew can come back;
+// the partition is then claimed anew, with all slices.
 package budget
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,16 +25,17 @@
 // caller makes requests over connections that it keeps: it stays with an
 // instance until that is gone.
 type caller struct {
-	deployment *deployment
-	rng        *rand.Rand
-	client     *http.Transport
-	machine    *machine
+	deployment   *deployment
+	rng          *rand.Rand
+	client       *http.Transport
+	machine      *machine
+	organisation organisation
 }
 
 func (d *deployment) newCaller(seed uint64) *caller {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	return &caller{
-		deployment: d, rng: rng, machine: d.machines[rng.IntN(len(d.machines))],
+		deployment: d, rng: rng, machine: d.machines[rng.IntN(len(d.machines))], organisation: organisations[0],
 		client: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
 	}
 }
@@ -51,6 +52,8 @@
 	program string
 	body    string
 	header  map[string]string
+	// forged tells that it carries a key that nobody holds.
+	forged bool
 	// kept and previous are those of the attempt.
 	kept     bool
 	previous string
@@ -60,9 +63,13 @@
 func (c *caller) send(ctx context.Context, q question) *attempt {
 	a := &attempt{
 		id: strconv.FormatUint(c.rng.Uint64(), 16), program: q.program, kind: q.kind, body: q.body,
-		kept: q.kept, previous: q.previous,
+		kept: q.kept, previous: q.previous, organisation: c.organisation.name,
 		life: c.machine.now(), start: time.Now(),
 	}
+	key := c.organisation.key
+	if q.forged {
+		a.organisation, key = "", forged
+	}
 	c.deployment.history.begin(a)
 	defer c.deployment.history.end(a)
 	limited, cancel := context.WithTimeout(ctx, callerPatience)
@@ -82,6 +89,9 @@
 	r.GetBody = nil // a request is sent again by the caller alone, under another id
 	r.Host = host
 	r.Header.Set("Banyanglade-Request-Id", a.id)
+	r.Header.Set("Banyanglade-Credential", key)
+	// Only the system may tell a target whose request it is.
+	r.Header.Set("Banyanglade-Tenant", organisations[1].name)
 	r.Header.Set("Banyanglade-Deadline-Ms", strconv.FormatInt(callerPatience.Milliseconds(), 10))
 	for name, value := range q.header {
 		r.Header.Set(name, value)
@@ -181,6 +191,7 @@
 	done := make(chan struct{}, lines)
 	for line := range lines {
 		c := d.newCaller(seed*10 + uint64(line))
+		c.organisation = organisationOf(seed)
 		go func() {
 			c.runLine(ctx, program, budget, turns)
 			c.client.CloseIdleConnections()
@@ -207,9 +218,15 @@
 			call.kind, call.path = once, "/once/x"
 		}
 		c.ask(ctx, call)
+		if i%forgedEvery == forgedEvery-1 {
+			c.send(ctx, question{kind: once, path: "/once/x", body: "forged", forged: true})
+		}
 	}
 }
 
+// forgedEvery is after how many turns a caller tries a forged key.
+const forgedEvery = 6
+
 // turnOf is a program's turn of some events.
 func turnOf(program string, budget, events int, mark uint64) question {
 	return question{
@@ -232,7 +249,7 @@
 func (c *caller) newTalk() *talk {
 	t := &talk{caller: c, kept: c.rng.IntN(2) == 0}
 	if t.kept && c.rng.IntN(3) == 0 {
-		t.previous = c.deployment.history.anyKept(c.rng)
+		t.previous = c.deployment.history.anyKept(c.rng, c.organisation.name)
 	}
 	return t
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -29,6 +29,8 @@
 	promiseKept     = "a turn whose end was seen can be continued for its retention"
 	promiseAlive    = "no instance ends by itself"
 	promiseEntries  = "only what a target wrote of itself names a target to use"
+	promiseKeys     = "a target runs what a key lets in, told its organisation and not the key"
+	promiseLimits   = "an organisation stays within its limit, over all instances"
 )
 
 // check finds the promises that a history breaks.
@@ -47,6 +49,7 @@
 	}
 	found = append(found, h.checkRuns()...)
 	found = append(found, h.checkBudgets()...)
+	found = append(found, h.checkOrganisations()...)
 	return append(found, h.checkSettings()...)
 }
 
@@ -175,7 +178,7 @@
 // caller, before the attempt began, and may still be named.
 func (h *history) mustKnow(a *attempt) bool {
 	named, ok := h.known[a.previous]
-	return ok && named.served() && named.end.Before(a.start) && a.end.Sub(named.end) < retention
+	return ok && named.organisation == a.organisation && named.served() && named.end.Before(a.start) && a.end.Sub(named.end) < retention
 }
 
 func (h *history) checkBudgets() []violation {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -47,11 +47,11 @@
 
 // add adds an attempt with its runs.
 func (s *sound) add(a *attempt, targets ...*target) *attempt {
-	a.life, a.start = s.life, at(0)
+	a.life, a.start, a.organisation = s.life, at(0), organisations[0].name
 	s.begin(a)
 	s.end(a)
 	for _, t := range targets {
-		s.ran(&run{request: a.id, target: t, body: a.body, ended: true})
+		s.ran(&run{request: a.id, target: t, body: a.body, ended: true, organisation: a.organisation})
 	}
 	return a
 }
@@ -90,7 +90,7 @@
 		{"an event missing", promiseOrder, func(s *sound) { s.turn.events = []int{2} }},
 		{"too many tokens", promiseBudget, func(s *sound) { s.programs["p"] = -turnMost }},
 		{"too many targets", promiseTargets, func(s *sound) {
-			s.ran(&run{request: "s1", target: &target{id: "c"}, body: "x"})
+			s.ran(&run{request: "s1", target: &target{id: "c"}, body: "x", organisation: "north"})
 		}},
 		{"a request that nobody sent", promiseUnasked, func(s *sound) { s.ran(&run{request: "u1", target: s.a}) }},
 		{"another body", promiseUnasked, func(s *sound) { s.runs["o1"][0].body = "changed" }},
@@ -106,6 +106,18 @@
 		{"a turn behind one that does not exist", promiseUnasked, func(s *sound) { s.kept.previous = "nosuch" }},
 		{"an older version served", promiseSettings, func(s *sound) { s.see(1, 900, true) }},
 		{"the newest version gone", promiseSettings, func(s *sound) { s.see(2, 900, false) }},
+		{"a forged key", promiseKeys, func(s *sound) { s.once.organisation = "" }},
+		{"another organisation", promiseKeys, func(s *sound) { s.runs["o1"][0].organisation = organisations[1].name }},
+		{"a key at a target", promiseKeys, func(s *sound) { s.runs["o1"][0].credential = organisations[0].key }},
+		{"more than the limit", promiseLimits, func(s *sound) {
+			o := organisations[2]
+			for i := range o.limit.most() + 1 {
+				id := fmt.Sprint("l", i)
+				a := s.add(&attempt{id: id, program: "p", kind: once, body: "l", status: 200, signed: "a." + id, whole: true,
+					received: answerOf(id, "l")}, s.a)
+				a.organisation, s.runs[id][0].organisation = o.name, o.name
+			}
+		}},
 		{"a request where no target's entry points", promiseEntries, func(s *sound) { s.stray("o1") }},
 		{"a request cut by a shutdown", promiseDrain, func(s *sound) {
 			s.life.terminated = at(-1)
@@ -133,7 +145,7 @@
 	s.life.terminated = at(-1)
 	s.once.cut, s.once.whole = true, false
 	s.runs["o1"][0].faulty = true
-	s.ran(&run{request: "s1", target: &target{id: "c"}, body: "x"})
+	s.ran(&run{request: "s1", target: &target{id: "c"}, body: "x", organisation: "north"})
 	s.b.gone.Store(true)
 	// The end of a kept turn waited for the store until its route's timeout.
 	s.kept.cut, s.kept.whole, s.kept.end = true, false, at(int(routeTimeout.Milliseconds()))
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -224,6 +224,7 @@
 			map[string]any{"Name": engineService, "Engine": map[string]any{"StrideTokens": tokensPerEvent}},
 			map[string]any{"Name": appService},
 		},
+		"Tenants": tenants(),
 	})
 	if err != nil {
 		panic(errors.AssertionFailedf("encode the settings: %v", err))
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,8 +26,10 @@
 type attempt struct {
 	id      string
 	program string
-	kind    kind
-	body    string
+	// organisation holds the key that the attempt carries, empty if it is forged.
+	organisation string
+	kind         kind
+	body         string
 	// kept tells that the system keeps the conversation, which goes on from
 	// the turn previous, empty at its start.
 	kept     bool
@@ -56,7 +59,10 @@
 	target  *target
 	uri     string
 	body    string
-	start   time.Time
+	// organisation and credential are what the target was told of the caller.
+	organisation string
+	credential   string
+	start        time.Time
 	// faulty tells that the target broke the answer off or spoiled it; ended
 	// that it answered to the end.
 	faulty bool
@@ -185,14 +191,18 @@
 // recentKept bounds the turns that others may continue.
 const recentKept = 60
 
-// anyKept chooses a kept turn that ended lately, empty if there is none.
-func (h *history) anyKept(rng *rand.Rand) string {
+// anyKept chooses a kept turn of an organisation that ended lately, empty if there
+// is none.
+func (h *history) anyKept(rng *rand.Rand, organisation string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.keptTurns) == 0 {
+	own := slices.DeleteFunc(slices.Clone(h.keptTurns), func(id string) bool {
+		return h.known[id].organisation != organisation
+	})
+	if len(own) == 0 {
 		return ""
 	}
-	recent := h.keptTurns[max(len(h.keptTurns)-recentKept, 0):]
+	recent := own[max(len(own)-recentKept, 0):]
 	return recent[rng.IntN(len(recent))]
 }
 
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -79,7 +79,10 @@
 		"Node": name, "Ip": host, "Zone": "dc", "Region": "region",
 		"Listen": map[string]string{"Frontend": m.callers, "Ready": m.ready, "Control": m.peers.Address()},
 		"Seeds":  seeds,
-		"Bounds": map[string]any{"GraceS": gracePeriod.Seconds()},
+		"Bounds": map[string]any{
+			"GraceS": gracePeriod.Seconds(), "QuotaWindowS": quotaWindow.Seconds(), "QuotaOver": quotaOver,
+			"QuotaSlack": quotaSlack,
+		},
 		"Platform": map[string]any{
 			"Address": m.store.Address(), "parts": storePartitions, "RecordBytes": 1 << 18, "CallBytes": 1 << 21,
 		},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -157,7 +157,7 @@
 	}
 	for range keptAtLast {
 		q := turnOf(program, budget, 1, c.rng.Uint64())
-		questions = append(questions, q.continuing(d.history.anyKept(c.rng)))
+		questions = append(questions, q.continuing(d.history.anyKept(c.rng, c.organisation.name)))
 	}
 	for _, q := range questions {
 		for answered := false; !answered; {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -124,7 +124,10 @@
 		return
 	}
 	defer t.running.Add(-1)
-	made := &run{request: id, target: t, uri: r.URL.RequestURI(), body: string(body), start: time.Now()}
+	made := &run{
+		request: id, target: t, uri: r.URL.RequestURI(), body: string(body), start: time.Now(),
+		organisation: r.Header.Get("Banyanglade-Tenant"), credential: r.Header.Get("Banyanglade-Credential"),
+	}
 	t.history.ran(made)
 	w.Header().Set("Banyanglade-Server-Signature", t.id+"."+id)
 	w.Header().Set("Banyanglade-Server-Load", fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
