--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -22,9 +22,9 @@
 // level bounds what all coordinators together have saved up: a coordinator keeps
 // no more than its share of the votes of it, and nothing once it holds no vote.
 // start is what a voter brings along when it changes its coordinator, at most
-// once in a window. A voter that starts does not know to whom its last start lent its part; its
-// vote counts for the part fresh until voteLife after its start. terms (terms.go)
-// divides D among level, start, fresh and late, which is for
+// once in a window. A voter that starts does not know to whom its last start lent
+// its part; its vote counts for the part fresh until voteLife after its start.
+// terms (terms.go) divides D among level, start, fresh and late, which is for
 // requests that reach their targets later than others and for those that run
 // twice.
 //
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -48,9 +48,9 @@
 // Parts are what a Keeper works with.
 type Parts struct {
 	Directory *directory.Directory
-	// Slots is the number of slots, of which maxSlots are used at most, Key the key of a slot's rendezvous hash. Slots
-	// that share the keys of the budgets' partitions have their owners as
-	// coordinators, to whom connections exist.
+	// Slots is the number of slots, of which maxSlots are used at most, Key the key
+	// of a slot's rendezvous hash. Slots that share the keys of the budgets'
+	// partitions have their owners as coordinators, to whom connections exist.
 	Slots     int
 	Key       func(slot int) string
 	Tolerance Tolerance
