budget: an owner learned of from its claim is taken for usable until it shows otherwise

Cause: it counted as silent until its heartbeat came, and nothing cleared that when the list named it later, so that it stayed out of this instance's ranking.

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -110,6 +110,9 @@
 		return false, errors.Mark(err, errUnread)
 	}
 	if now.owner != nil {
+		// When all instances start together, owners are known from their claims before
+		// the list names them; otherwise each would claim in turn: 87 claims of 3
+		// partitions by 87 instances, 3 with this (virtual time, one run).
 		k.directory.Learn(now.owner.Owner, now.owner.Address)
 		k.confirm(now.owner.Owner)
 		if k.adopt(p, now.owner) {
@@ -153,12 +156,9 @@
 // the connection as fast.
 const confirmTimeout = 250 * time.Millisecond
 
-// confirm asks an owner that did not answer, or was not heard of yet, before its
-// partition is claimed: an instance that was paused finds all connections broken
-// when it wakes, and must not take the others' partitions, whose accounts would be
-// lost. When all instances start together they know owners from their claims
-// before the list names them; otherwise each would claim in turn: 87 claims of 3
-// partitions by 87 instances, 3 with this (virtual time, one claim for each start).
+// confirm asks an owner that did not answer before once more before its partition
+// is claimed: an instance that was paused finds all connections broken when it
+// wakes, and must not take the others' partitions, whose accounts would be lost.
 func (k *Keeper) confirm(owner structs.InstanceID) {
 	if !k.directory.Doubted(owner) {
 		return
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -67,26 +67,23 @@
 }
 
 // Learn adds an instance that something else than the list names, unless a later
-// start on its machine is listed. It counts as silent until it is heard of. It
-// tells whether the instance is new here.
-func (d *Directory) Learn(id structs.InstanceID, address string) bool {
+// start on its machine is listed.
+func (d *Directory) Learn(id structs.InstanceID, address string) {
 	machine := MachineOf(id)
 	if machine == MachineOf(d.self.ID) || address == "" {
-		return false
+		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old, ok := d.byMachine[machine]
 	if ok && !startedAfter(id, old.ID) {
-		return false
+		return
 	}
 	d.forget(old.ID)
 	// An earlier start on the machine was in the same data centre.
 	learned := old
 	learned.ID, learned.Address = id, address
 	d.byMachine[machine] = learned
-	d.silent[id] = true
-	return true
 }
 
 // startedAfter tells whether a start on a machine came after another one there.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,7 +66,8 @@
 		fx.Supply(machine, log, options, lifetime{background}, new(receiver)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
-			newTransport, newKeeper, newConversations, newListing, newAllowances, newCurrency, newServer, newTargetFeed, newEdge,
+			newTransport, newKeeper, newConversations, newListing, newAllowances, newCurrency, newServer,
+			newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -116,7 +117,8 @@
 }
 
 func newServer(
-	machine platform.Machine, currency *settingsCurrency, allowances *allowance.Keeper, registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
+	machine platform.Machine, currency *settingsCurrency, allowances *allowance.Keeper,
+	registry *targets.Registry, pool *exchange.Pool, keeper *budget.Keeper, conversations *conversation.Keeper,
 	health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Parts{
