--- a/internal/allowance/keeper_test.go
+++ b/internal/allowance/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,7 +30,7 @@
 	var mu sync.Mutex
 	for ends := time.Now().Add(lasts); time.Now().Before(ends); {
 		time.Sleep(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
-		n := anyNode(r, w.all())
+		n := simnet.Any(r, w.all())
 		begun++
 		work.Go(func() {
 			for i := range p.requests {
--- a/internal/allowance/random_test.go
+++ b/internal/allowance/random_test.go
@@ -98,7 +98,7 @@
 		if len(nodes) == 0 {
 			continue
 		}
-		n, first := anyNode(r, nodes), r.IntN(10) == 0
+		n, first := simnet.Any(r, nodes), r.IntN(10) == 0
 		work.Go(func() { w.request(n, name, limit, 1, first) })
 	}
 	work.Wait()
@@ -113,7 +113,7 @@
 		}
 		return
 	}
-	n := anyNode(r, nodes)
+	n := simnet.Any(r, nodes)
 	switch r.IntN(11) {
 	case 0, 1:
 		w.Restart(n.Node)
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -27,13 +26,13 @@
 // world is some instances with a network, in virtual time.
 type world struct {
 	*simnet.Net
-	t *testing.T
+	lives simnet.Lives[*node]
+	t     *testing.T
 	// sole has each coordinator get all votes at once, whoever else has them: what
 	// one owner without votes would deal out.
 	sole bool
 
-	mu    sync.Mutex
-	nodes map[structs.InstanceID]*node
+	mu sync.Mutex
 	// admitted is when requests of each organisation were let in.
 	admitted map[string][]time.Time
 	// outcomes counts how requests ended.
@@ -66,12 +65,12 @@
 func newWorld(t *testing.T) *world {
 	return &world{
 		Net: simnet.New(), t: t,
-		nodes: make(map[structs.InstanceID]*node), admitted: make(map[string][]time.Time),
+		admitted: make(map[string][]time.Time),
 	}
 }
 
 // start starts an instance on a machine and lists it at all others.
-func (w *world) start(machine string) *node { return w.nodeOf(w.Start(machine, w.run)) }
+func (w *world) start(machine string) *node { return w.lives.Of(w.Start(machine, w.run)) }
 
 // run starts a life of an instance.
 func (w *world) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
@@ -84,9 +83,7 @@
 	})
 	link.keeper = n.keeper
 	n.keeper.SetActive(true)
-	w.mu.Lock()
-	w.nodes[sim.ID] = n
-	w.mu.Unlock()
+	w.lives.Put(sim, n)
 	w.Work.Go(func() { n.keeper.Run(ctx) })
 	return n.receive
 }
@@ -106,20 +103,8 @@
 	n.keeper.Receive(event)
 }
 
-func (w *world) nodeOf(sim *simnet.Node) *node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.nodes[sim.ID]
-}
-
 // all lists the instances that live.
-func (w *world) all() []*node {
-	var nodes []*node
-	for _, sim := range w.Nodes() {
-		nodes = append(nodes, w.nodeOf(sim))
-	}
-	return nodes
-}
+func (w *world) all() []*node { return w.lives.All(w.Net) }
 
 // request asks an instance to let one request in.
 func (w *world) request(n *node, name string, limit org.Limit, version int64, first bool) bool {
@@ -180,5 +165,3 @@
 	}
 	return names
 }
-
-func anyNode(r *rand.Rand, nodes []*node) *node { return nodes[r.IntN(len(nodes))] }
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -380,7 +380,7 @@
 		w.Store.Set(metastore.Fault{})
 		first := w.all()[0]
 		p := first.keeper.partitionOf("p")
-		named := w.nodes[first.keeper.directory.Ranked(p.key())[1]]
+		named := w.lives.ByID(first.keeper.directory.Ranked(p.key())[1])
 		const epoch = 100
 		_, err := w.Store.Append(t.Context(), platform.Append{
 			Topic: topic, Partition: p.number,
--- a/internal/budget/random_test.go
+++ b/internal/budget/random_test.go
@@ -86,7 +86,7 @@
 		}
 		runs := time.Duration(20+r.IntN(200)) * time.Millisecond
 		used := testMost - 10*r.IntN(8)
-		err := w.turn(anyNode(r, nodes), program, budget, testMost, used, runs)
+		err := w.turn(simnet.Any(r, nodes), program, budget, testMost, used, runs)
 		if err != nil || r.IntN(3) == 0 {
 			time.Sleep(time.Duration(50+r.IntN(900)) * time.Millisecond)
 		}
@@ -112,7 +112,7 @@
 		}
 		return
 	}
-	n := anyNode(r, nodes)
+	n := simnet.Any(r, nodes)
 	switch r.IntN(12) {
 	case 0, 1:
 		w.Restart(n.Node)
--- a/internal/budget/watch_test.go
+++ b/internal/budget/watch_test.go
@@ -73,7 +73,7 @@
 	if next == owner {
 		next = ranked[1]
 	}
-	if claimant := w.nodes[next]; !slices.Contains(claimant.Watched(), owner) {
+	if claimant := w.lives.ByID(next); !slices.Contains(claimant.Watched(), owner) {
 		t.Errorf("the instance that would claim partition %d does not watch its owner", number)
 	}
 	return owner
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -22,10 +21,10 @@
 // world is some instances with a store and a network, in virtual time.
 type world struct {
 	*simnet.Net
-	t *testing.T
+	lives simnet.Lives[*node]
+	t     *testing.T
 
-	mu    sync.Mutex
-	nodes map[structs.InstanceID]*node
+	mu sync.Mutex
 	// delivered is what the callers of each program received, in tokens.
 	delivered map[string]int
 }
@@ -66,12 +65,12 @@
 func newWorld(t *testing.T) *world {
 	return &world{
 		Net: simnet.New(), t: t,
-		nodes: make(map[structs.InstanceID]*node), delivered: make(map[string]int),
+		delivered: make(map[string]int),
 	}
 }
 
 // start starts an instance on a machine and lists it at all others.
-func (w *world) start(machine string) *node { return w.nodeOf(w.Start(machine, w.run)) }
+func (w *world) start(machine string) *node { return w.lives.Of(w.Start(machine, w.run)) }
 
 // run starts a life of an instance.
 func (w *world) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
@@ -80,9 +79,7 @@
 		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Breaks: &n.breaks,
 		Health: sim, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
-	w.mu.Lock()
-	w.nodes[sim.ID] = n
-	w.mu.Unlock()
+	w.lives.Put(sim, n)
 	w.Work.Go(func() { n.keeper.Run(ctx) })
 	return n.keeper.Receive
 }
@@ -98,20 +95,8 @@
 	}
 }
 
-func (w *world) nodeOf(sim *simnet.Node) *node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.nodes[sim.ID]
-}
-
 // all lists the instances that live.
-func (w *world) all() []*node {
-	var nodes []*node
-	for _, sim := range w.Nodes() {
-		nodes = append(nodes, w.nodeOf(sim))
-	}
-	return nodes
-}
+func (w *world) all() []*node { return w.lives.All(w.Net) }
 
 // turn runs a turn of a program at an instance: it takes room, and its caller
 // receives some tokens.
@@ -143,6 +128,3 @@
 	}
 	return nil
 }
-
-// anyNode chooses an instance.
-func anyNode(r *rand.Rand, nodes []*node) *node { return nodes[r.IntN(len(nodes))] }
--- a/internal/conversation/random_test.go
+++ b/internal/conversation/random_test.go
@@ -90,9 +90,9 @@
 				continue
 			}
 			if r.IntN(12) == 0 {
-				w.nameNothing(r, anyNode(r, nodes), program)
+				w.nameNothing(r, simnet.Any(r, nodes), program)
 			}
-			id, err := w.turn(anyNode(r, nodes), program, previous, time.Duration(300+r.IntN(3000))*time.Millisecond)
+			id, err := w.turn(simnet.Any(r, nodes), program, previous, time.Duration(300+r.IntN(3000))*time.Millisecond)
 			if err == nil {
 				previous = id
 			}
@@ -115,7 +115,7 @@
 	if len(nodes) == 0 {
 		return
 	}
-	n := anyNode(r, nodes)
+	n := simnet.Any(r, nodes)
 	switch r.IntN(15) {
 	case 0, 1:
 		w.Restart(n.Node)
--- a/internal/conversation/world_test.go
+++ b/internal/conversation/world_test.go
@@ -30,10 +30,10 @@
 // callers were told.
 type world struct {
 	*simnet.Net
-	t *testing.T
+	lives simnet.Lives[*node]
+	t     *testing.T
 
-	mu    sync.Mutex
-	nodes map[structs.InstanceID]*node
+	mu sync.Mutex
 	// ended are the turns whose callers saw the end.
 	ended map[string]endedTurn
 	order []string
@@ -57,7 +57,7 @@
 func inWorld(t *testing.T, machines int, body func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			Net: simnet.New(), t: t, nodes: make(map[structs.InstanceID]*node), ended: make(map[string]endedTurn),
+			Net: simnet.New(), t: t, ended: make(map[string]endedTurn),
 		}
 		for i := range machines {
 			w.start(string(rune('a' + i)))
@@ -67,7 +67,7 @@
 	})
 }
 
-func (w *world) start(machine string) *node { return w.nodeOf(w.Start(machine, w.run)) }
+func (w *world) start(machine string) *node { return w.lives.Of(w.Start(machine, w.run)) }
 
 // run starts a life of an instance.
 func (w *world) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
@@ -76,9 +76,7 @@
 		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Health: sim,
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
-	w.mu.Lock()
-	w.nodes[sim.ID] = n
-	w.mu.Unlock()
+	w.lives.Put(sim, n)
 	w.Work.Go(func() { n.keeper.Run(ctx) })
 	return func(event structs.Event) {
 		switch e := event.(type) {
@@ -91,26 +89,14 @@
 	}
 }
 
-func (w *world) nodeOf(sim *simnet.Node) *node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.nodes[sim.ID]
-}
-
 // all lists the instances that live.
-func (w *world) all() []*node {
-	var nodes []*node
-	for _, sim := range w.Nodes() {
-		nodes = append(nodes, w.nodeOf(sim))
-	}
-	return nodes
-}
+func (w *world) all() []*node { return w.lives.All(w.Net) }
 
 // index is the instance that indexes a program's partition.
 func (w *world) index(program string) *node {
 	first := w.all()[0]
 	p := first.keeper.partitionOf(program)
-	return w.nodeOf(w.find(first.keeper.indexOf(p, nil)))
+	return w.lives.Of(w.find(first.keeper.indexOf(p, nil)))
 }
 
 func (w *world) find(id structs.InstanceID) *simnet.Node {
@@ -207,8 +193,6 @@
 	return newest[r.IntN(len(newest))]
 }
 
-func anyNode(r *rand.Rand, nodes []*node) *node { return nodes[r.IntN(len(nodes))] }
-
 // others lists all instances but some.
 func (w *world) others(but ...*node) []*node {
 	return slices.DeleteFunc(w.all(), func(n *node) bool { return slices.Contains(but, n) })
