budget: messages keep their layout, owners of before slices are charged what they could hand out

New fields stand at the end; an account that is only known to be charged counts one loss, and a claim without a number of losses what its owner may have handed out (0.6 of a budget, covered by the first two slices).

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -188,7 +188,7 @@
 // export is the account as it is handed over.
 func (a *account) export(now time.Time) structs.RoomAccount {
 	out := structs.RoomAccount{
-		Program: a.program, Budget: a.budget, Most: a.most, Losses: a.losses,
+		Program: a.program, Budget: a.budget, Most: a.most, Charged: a.losses > 0, Losses: a.losses,
 		Used: a.used, Limit: a.limit, Recorded: a.recorded,
 		Retention: a.retention, Idle: now.Sub(a.touched), Target: a.target,
 	}
@@ -200,10 +200,19 @@
 	return out
 }
 
+// lossesKnown is a number of losses that another instance told, which is at least
+// one where there was any: instances of before do not count them.
+func lossesKnown(losses int, any bool) int {
+	if any {
+		return max(losses, 1)
+	}
+	return losses
+}
+
 // imported is an account that was handed over.
 func imported(in structs.RoomAccount, now time.Time) *account {
 	a := &account{
-		program: in.Program, budget: in.Budget, most: in.Most, losses: in.Losses,
+		program: in.Program, budget: in.Budget, most: in.Most, losses: lossesKnown(in.Losses, in.Charged),
 		used: in.Used, limit: in.Limit, recorded: in.Recorded,
 		retention: in.Retention, touched: now.Add(-in.Idle), target: in.Target,
 		leases: make(map[structs.RoomLease]lease, len(in.Leases)),
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -124,7 +124,8 @@
 		claim.Epoch = now.owner.Epoch + 1
 	}
 	clean := k.continues(p, now.owner)
-	claim.Losses = k.lossesOf(p, now.owner, clean)
+	losses := k.lossesOf(p, now.owner, clean)
+	claim.Losses = &losses
 	sequence := rand.Int64N(maxSequence)
 	err = k.appendClaim(p, claim, sequence, now.end)
 	if err != nil {
@@ -231,9 +232,9 @@
 	case owner == nil:
 		return 0
 	case owner.Owner == k.self.ID && owner.Epoch > p.served:
-		return owner.Losses
+		return owner.losses()
 	}
-	return owner.Losses + 1
+	return owner.losses() + 1
 }
 
 func (k *Keeper) appendClaim(p *partition, claim ownerRecord, sequence, end int64) error {
@@ -258,7 +259,7 @@
 	}
 	if !clean {
 		p.own = newOwnership(claim.Epoch)
-		p.own.losses = claim.Losses
+		p.own.losses = claim.losses()
 		k.restore(p.own, now)
 	}
 	p.own.epoch, p.own.claimed, p.own.sequence = claim.Epoch, true, sequence
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -191,7 +191,7 @@
 	}
 	now := time.Now()
 	p.own = newOwnership(m.Epoch)
-	p.own.losses = m.Losses
+	p.own.losses = lossesKnown(m.Losses, m.LostBy != "")
 	if m.LostBy != "" {
 		p.own.loss = &loss{owner: m.LostBy, at: now.Add(-m.LostFor)}
 	}
--- a/internal/budget/keeper_test.go
+++ b/internal/budget/keeper_test.go
@@ -148,16 +148,41 @@
 		if err := w.turn(w.all()[0], "q", testBudget, testMost, 70, 0); err != nil {
 			t.Fatal(err)
 		}
-		if own := w.ownerOf("q").own("q"); own.losses != 1 {
-			t.Errorf("behind a loss: %d losses", own.losses)
+		if losses, _ := w.lossesOf("q"); losses != 1 {
+			t.Errorf("behind a loss: %d losses", losses)
 		}
 		time.Sleep(2*lostRetention + 4*sweepInterval)
-		if own := w.ownerOf("q").own("q"); own.losses != 0 || !own.claimed {
-			t.Errorf("later: %d losses, claimed %v", own.losses, own.claimed)
+		if losses, claimed := w.lossesOf("q"); losses != 0 || !claimed {
+			t.Errorf("later: %d losses, claimed %v", losses, claimed)
 		}
 	})
 }
 
+// lossesOf is what the owner of a program's partition knows of losses, and whether
+// its claim has landed.
+func (w *world) lossesOf(program string) (losses int, claimed bool) {
+	n := w.ownerOf(program)
+	own := n.own(program)
+	n.keeper.mu.Lock()
+	defer n.keeper.mu.Unlock()
+	return own.losses, own.claimed
+}
+
+// A record of before slices counts for what its owner may have handed out, 0.6 of
+// a budget.
+func TestOwnersOfBeforeSlicesAreCharged(t *testing.T) {
+	held, err := decodeContent(platform.Newest{Records: []platform.Record{
+		{Key: ownerKey, Value: []byte(`{"epoch":3,"owner":"m~1","address":"m"}`)},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAccount("p", usersBudget, usersMost, held.owner.losses()+1)
+	if a.used < usersBudget*6/10 {
+		t.Errorf("%d of %d charged", a.used, usersBudget)
+	}
+}
+
 func TestLeavingOwnerHandsExactFiguresOver(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		for range 7 {
--- a/internal/budget/record.go
+++ b/internal/budget/record.go
@@ -28,8 +28,21 @@
 	// Address is where other instances reach the owner, IP:port.
 	Address string `json:"address"`
 	// Losses is how many owners before this one may have handed out their slice
-	// of budgets without a record.
-	Losses int `json:"losses"`
+	// of budgets without a record; nil in records of before slices.
+	Losses *int `json:"losses,omitempty"`
+}
+
+// lossesBefore is what a record without a number of losses counts for: owners of
+// before slices handed out 0.6 of a budget, which the first two slices cover.
+const lossesBefore = 1
+
+// losses is how many owners before that of the record may have handed out their
+// slice.
+func (r ownerRecord) losses() int {
+	if r.Losses == nil {
+		return lossesBefore
+	}
+	return *r.Losses
 }
 
 // accountRecord is the limit of a program's account, in tokens.
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -106,14 +106,14 @@
 	Epoch     int64
 	// LostBy is the owner whose accounts were lost, empty for none, and LostFor
 	// the time since then.
-	LostBy  InstanceID
-	LostFor time.Duration
-	// Losses is how many slices of budgets earlier owners may have handed out.
-	Losses   int
+	LostBy   InstanceID
+	LostFor  time.Duration
 	Accounts []RoomAccount
 	// Offer asks whether the receiver would take the partition, without giving
 	// it.
 	Offer bool
+	// Losses is how many slices of budgets earlier owners may have handed out.
+	Losses int
 }
 
 // RoomAccount is what an owner knows of one program's budget, in tokens.
@@ -121,10 +121,10 @@
 	Program string
 	Budget  int
 	Most    int
-	// Losses is how many owners' accounts were lost before the account was made.
-	Losses int
-	Used   int
-	Limit  int
+	// Charged tells that Losses is above 0; instances of before send it alone.
+	Charged bool
+	Used    int
+	Limit   int
 	// Recorded tells that the store holds a record of the program.
 	Recorded  bool
 	Retention time.Duration
@@ -133,6 +133,8 @@
 	Leases []RoomLeaseSize
 	// Target ran the program's last turn, empty if unknown.
 	Target string
+	// Losses is how many owners' accounts were lost before the account was made.
+	Losses int
 }
 
 // RoomLeaseSize is a lease with the room that it holds.
