Targets' reports: grown formats are read, and instances share them

Cause: reports on some deployments carry a fourth figure, the pace of the target's machine; the decoder wanted three and dropped the whole report. And an instance hears from each target every few seconds only, so that nobody knows the load of a service as a whole.

Change: further figures are ignored, the fourth is kept. Nothing decides by them yet but the busy estimate of a target.

--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -39,6 +39,16 @@
 	Hear(breaks []structs.TargetBreak, now time.Time)
 }
 
+// Loads are the reports of targets' loads, which instances share with their
+// requests for room and the replies to them.
+type Loads interface {
+	// OwnLoads are the newest reports that targets gave this instance.
+	OwnLoads(now time.Time) []structs.TargetReport
+	// Loads are new reports that this instance knows, whoever heard them.
+	Loads(now time.Time) []structs.TargetReport
+	HearLoads(loads []structs.TargetReport, now time.Time)
+}
+
 // Health tells whether the store answers all that this instance reads. It may
 // fail to serve some topics or partitions while it serves others, so what a
 // partition can do is found out by trying; the tries are shorter meanwhile.
@@ -53,6 +63,7 @@
 	store     Store
 	peers     Peers
 	breaks    Breaks
+	loads     Loads
 	health    Health
 	log       *slog.Logger
 	metrics   metrics
@@ -106,6 +117,7 @@
 	Store      Store
 	Peers      Peers
 	Breaks     Breaks
+	Loads      Loads
 	Health     Health
 	Scope      tally.Scope
 	Log        *slog.Logger
@@ -115,7 +127,7 @@
 func New(ctx context.Context, parts Parts) *Keeper {
 	k := &Keeper{
 		self: parts.Directory.Self(), directory: parts.Directory, store: parts.Store, peers: parts.Peers,
-		breaks: parts.Breaks, health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx,
+		breaks: parts.Breaks, loads: parts.Loads, health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx,
 		pending:   make(map[structs.RoomLease]*pendingAsk),
 		handovers: make(map[uint64]chan bool),
 		confirms:  make(map[structs.InstanceID][]chan struct{}),
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -52,6 +52,11 @@
 	return breaks
 }
 
+// Loads, OwnLoads and HearLoads make it a Loads that holds none.
+func (b *breakList) Loads(time.Time) []structs.TargetReport      { return nil }
+func (b *breakList) OwnLoads(time.Time) []structs.TargetReport   { return nil }
+func (b *breakList) HearLoads([]structs.TargetReport, time.Time) {}
+
 func (b *breakList) Hear(breaks []structs.TargetBreak, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -76,7 +81,7 @@
 func (w *world) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
 	n := &node{Node: sim}
 	n.keeper = New(ctx, Parts{
-		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Breaks: &n.breaks,
+		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Breaks: &n.breaks, Loads: &n.breaks,
 		Health: sim, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	w.lives.Put(sim, n)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -80,6 +80,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the target now, in percent of the usual; 0
+	// if it does not say.
+	Pace int
 }
 
 // Codec translates between HTTP headers and the types of this package. The
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,7 +66,7 @@
 	log *slog.Logger,
 ) *budget.Keeper {
 	r.keeper = budget.New(life, budget.Parts{
-		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Breaks: registry,
+		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Breaks: registry, Loads: registry,
 		Health: health, Scope: scope, Log: log,
 	})
 	return r.keeper
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -53,6 +53,8 @@
 	Suspect InstanceID
 	// Named tells that another instance named the receiver as the owner.
 	Named bool
+	// Loads are the newest reports that targets gave the sender.
+	Loads []TargetReport
 }
 
 // RoomReply answers a RoomRequest.
@@ -72,6 +74,8 @@
 	Target string
 	// First tells that the owner knows of no turn of the program before this one.
 	First bool
+	// Loads are new reports of targets' loads that the owner knows of.
+	Loads []TargetReport
 }
 
 // RoomSettle ends a lease: what was not used is free again.
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanglade/banyanglade/internal/call"
 )
 
@@ -45,14 +47,17 @@
 // entry are guarded by the mutex of its Registry.
 type Target struct {
 	Entry
-	// incarnation is that of the entry; it never changes.
+	// incarnation is that of the entry, hash its hash; they never change.
 	incarnation string
+	hash        uint64
 	// inFlight counts this instance's requests at the target.
 	inFlight int
-	// load is the newest report, inFlight as it was then.
+	// load is the newest report, inFlight as it was then; heard tells that it
+	// was given to another instance.
 	load           call.Load
 	loadAt         time.Time
 	inFlightAtLoad int
+	heard          bool
 	// failures counts failures in a row; avoidUntil keeps requests away.
 	failures   int
 	avoidUntil time.Time
@@ -93,6 +98,8 @@
 	byID          map[string]*Target
 	byIncarnation map[string]*Target
 	byService     map[string][]*Target
+	// byHash finds targets by the hash of their incarnation.
+	byHash map[uint64]*Target
 	// broken are the targets that broke connections lately, by incarnation.
 	broken map[string]*Target
 	// nearLoads are the usual loads of the targets of this data centre, by
@@ -107,6 +114,7 @@
 		connections:   connections,
 		byID:          make(map[string]*Target),
 		byIncarnation: make(map[string]*Target),
+		byHash:        make(map[uint64]*Target),
 		byService:     make(map[string][]*Target),
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
@@ -127,8 +135,10 @@
 	}
 	r.remove(entry.ID)
 	t := &Target{Entry: entry, incarnation: entry.Incarnation()}
+	t.hash = xxhash.Sum64String(t.incarnation)
 	r.byID[entry.ID] = t
 	r.byIncarnation[t.incarnation] = t
+	r.byHash[t.hash] = t
 	r.byService[entry.Service] = append(r.byService[entry.Service], t)
 	return true
 }
@@ -147,6 +157,7 @@
 	}
 	delete(r.byID, id)
 	delete(r.byIncarnation, t.incarnation)
+	delete(r.byHash, t.hash)
 	all := r.byService[t.Service]
 	kept := make([]*Target, 0, len(all))
 	for _, other := range all {
@@ -214,7 +225,8 @@
 func (r *Registry) Report(t *Target, load call.Load, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.load, t.loadAt, t.inFlightAtLoad = load, now, t.inFlight
+	t.setLoad(load, now)
+	t.heard = false
 	if t.DataCentre == r.dataCentre {
 		r.noteNearLoad(t, load)
 	}
