--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
@@ -111,7 +112,7 @@
 		if time.Since(started) > ownerPatience || k.isolated() {
 			return nil, serve.ErrNoOwner
 		}
-		if !pause(ctx, ownerPause) {
+		if !delay.Sleep(ctx, ownerPause) {
 			return nil, ctx.Err()
 		}
 	}
@@ -123,17 +124,6 @@
 	return !k.health.OK() && len(k.directory.Others()) == 0
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // search finds the owner of a partition for one turn.
 type search struct {
 	keeper    *Keeper
--- a/internal/load/agent.go
+++ b/internal/load/agent.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/standin/engine"
 	"github.com/banyanglade/banyanglade/internal/standin/service"
 	"github.com/banyanglade/banyanglade/internal/testkit"
@@ -46,7 +47,7 @@
 		}
 		if i < len(steps)-1 {
 			alone += step.Pause
-			sleep(ctx, step.Pause)
+			delay.Sleep(ctx, step.Pause)
 		}
 	}
 	return alone, ctx.Err()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
@@ -52,7 +53,7 @@
 			return nil, err
 		}
 		c.figures.retries.Add(1)
-		sleep(ctx, max(wait, pause))
+		delay.Sleep(ctx, max(wait, pause))
 		wait = min(2*wait, maxWait)
 	}
 	return nil, errGaveUp
@@ -93,13 +94,3 @@
 		return errors.Newf("refused: %d %s: %s", p.Status, p.Type, p.Detail)
 	}
 }
-
-// sleep waits for a duration or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/load/change.go
+++ b/internal/load/change.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
@@ -49,7 +50,7 @@
 		if err := o.change(ctx, cluster, i, accepted, inForce); err != nil {
 			return err
 		}
-		sleep(ctx, time.Until(next))
+		delay.Sleep(ctx, time.Until(next))
 	}
 	after, err := r.read()
 	if err != nil {
--- a/internal/load/cost.go
+++ b/internal/load/cost.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -93,7 +94,7 @@
 	if err != nil {
 		return CostFigures{}, err
 	}
-	sleep(ctx, length)
+	delay.Sleep(ctx, length)
 	after, err := r.read()
 	if err != nil {
 		return CostFigures{}, err
@@ -188,7 +189,7 @@
 	}
 	// The health checks of the balancer would count as control.
 	r.balancer.close()
-	sleep(ctx, settleWindow)
+	delay.Sleep(ctx, settleWindow)
 	if sample.idle, err = o.windows(ctx, r); err != nil || entries > 0 {
 		return sample, err
 	}
@@ -199,7 +200,7 @@
 		length := time.Duration(o.Repeats+1)*o.Window + settleWindow
 		r.open(loaded, Generate(o.Classes, length, o.Seed))
 	}()
-	sleep(ctx, settleWindow)
+	delay.Sleep(ctx, settleWindow)
 	sample.load, err = o.windows(ctx, r)
 	stop()
 	<-done
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -38,7 +39,7 @@
 func killOne(ctx context.Context, c *testkit.Cluster, _ time.Duration) {
 	p := c.Instances[1]
 	p.Kill()
-	sleep(ctx, listLag)
+	delay.Sleep(ctx, listLag)
 	c.Remove(p)
 }
 
@@ -48,7 +49,7 @@
 	if p.Pause() != nil {
 		return
 	}
-	sleep(ctx, held)
+	delay.Sleep(ctx, held)
 	_ = p.Resume()
 }
 
@@ -56,14 +57,14 @@
 func slowRunner(ctx context.Context, c *testkit.Cluster, held time.Duration) {
 	id := c.Ready().Targets[0].ID
 	c.Engines[id].Faults().Set(wire.ServiceFaults{Slow: slowFactor})
-	sleep(ctx, held)
+	delay.Sleep(ctx, held)
 	c.Engines[id].Faults().Set(wire.ServiceFaults{})
 }
 
 // logDown takes the platform's log down for a while.
 func logDown(ctx context.Context, c *testkit.Cluster, held time.Duration) {
 	c.Log.SetDown(true)
-	sleep(ctx, held)
+	delay.Sleep(ctx, held)
 	c.Log.SetDown(false)
 }
 
@@ -84,7 +85,7 @@
 			c.StopTarget(target.ID)
 		}
 	}
-	sleep(ctx, listLag)
+	delay.Sleep(ctx, listLag)
 	for _, p := range lost {
 		c.Remove(p)
 	}
--- a/internal/load/held.go
+++ b/internal/load/held.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -77,7 +78,7 @@
 	for i := range calls {
 		group.Go(func() { r.longCall(waiting, uint64(i)) })
 	}
-	sleep(ctx, heldSettle)
+	delay.Sleep(ctx, heldSettle)
 	reading, err := r.read()
 	if err != nil {
 		return err
--- a/internal/load/overhead.go
+++ b/internal/load/overhead.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -145,7 +146,7 @@
 		}
 		p.note(answer, number == 1)
 		messages = append(messages, wire.ChatMessage{Role: "assistant", Content: answer.Text})
-		sleep(ctx, time.Duration(number%3)*time.Millisecond)
+		delay.Sleep(ctx, time.Duration(number%3)*time.Millisecond)
 	}
 	return nil
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/standin/engine"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
@@ -51,7 +52,7 @@
 	started := time.Now()
 	var group sync.WaitGroup
 	for _, p := range programs {
-		sleep(ctx, p.Arrival-time.Since(started))
+		delay.Sleep(ctx, p.Arrival-time.Since(started))
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
 )
 
 // ScenarioOptions describe runs of the usual workload under faults.
@@ -88,14 +90,14 @@
 	faulted := make(chan struct{})
 	go func() {
 		defer close(faulted)
-		sleep(ctx, o.Duration/faultShare)
+		delay.Sleep(ctx, o.Duration/faultShare)
 		fault.apply(ctx, cluster, o.Duration/faultShare)
 	}()
 	before, started := cluster.Log.Stats().Total.Appends, time.Now()
 	r.open(ctx, Generate(o.Classes, o.Duration, seed))
 	appends := float64(cluster.Log.Stats().Total.Appends-before) / time.Since(started).Seconds()
 	<-faulted
-	sleep(ctx, settleTime)
+	delay.Sleep(ctx, settleTime)
 	return r.result(fault.Name, seed, waste.stop(), appends), nil
 }
 
--- a/internal/load/tokens.go
+++ b/internal/load/tokens.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
 )
 
 // TokenOptions describe the measurement of what a call and a token cost.
@@ -76,7 +78,7 @@
 	}
 	r.closed(ctx, programs, o.Callers)
 	// The journals and the metrics trail the calls.
-	sleep(ctx, heldSettle)
+	delay.Sleep(ctx, heldSettle)
 	after, err := r.read()
 	if err != nil {
 		return callCost{}, err
--- a/internal/load/waste.go
+++ b/internal/load/waste.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
 )
@@ -50,7 +51,7 @@
 func (w *wasteSampler) sample(ctx context.Context) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, sampleInterval)
+		delay.Sleep(ctx, sampleInterval)
 		now := time.Now()
 		seconds := now.Sub(last).Seconds()
 		last = now
--- a/internal/proofs/caller.go
+++ b/internal/proofs/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
@@ -60,7 +61,7 @@
 			silent = attempt.Instance
 		}
 		wait, again := nextTry(attempt, &unknowns)
-		if !again || time.Now().Add(wait).After(until) || !pause(ctx, wait) {
+		if !again || time.Now().Add(wait).After(until) || !delay.Sleep(ctx, wait) {
 			return attempt
 		}
 	}
@@ -138,15 +139,3 @@
 		return Answered
 	}
 }
-
-// pause waits, false if the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/proofs/rig.go
+++ b/internal/proofs/rig.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/internal/wire"
@@ -258,7 +259,7 @@
 }
 
 // hold lets a fault last.
-func (r *Rig) hold(ctx context.Context, d time.Duration) { pause(ctx, d) }
+func (r *Rig) hold(ctx context.Context, d time.Duration) { delay.Sleep(ctx, d) }
 
 // fault counts a fault.
 func (r *Rig) fault() {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
 )
 
 const (
@@ -115,7 +117,7 @@
 	}
 	a.whole, a.cut = err == nil, err != nil && limited.Err() == nil
 	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		pause(ctx, min(time.Duration(after*float64(time.Second)), longestWait))
+		delay.Sleep(ctx, min(time.Duration(after*float64(time.Second)), longestWait))
 	}
 	return a
 }
@@ -168,7 +170,7 @@
 		if a.status == 0 || a.cut {
 			c.elsewhere()
 		}
-		pause(ctx, time.Duration(50+c.rng.IntN(200))*time.Millisecond)
+		delay.Sleep(ctx, time.Duration(50+c.rng.IntN(200))*time.Millisecond)
 	}
 	return last, true
 }
@@ -212,7 +214,7 @@
 			stopped++
 		}
 		talk.note(a)
-		pause(ctx, time.Duration(c.rng.IntN(60))*time.Millisecond)
+		delay.Sleep(ctx, time.Duration(c.rng.IntN(60))*time.Millisecond)
 		call := question{kind: safe, path: "/safe/x", program: program, body: fmt.Sprint(i)}
 		if c.rng.IntN(2) == 0 {
 			call.kind, call.path = once, "/once/x"
@@ -300,6 +302,6 @@
 				d.history.probed(p)
 			}
 		}
-		pause(ctx, probeInterval)
+		delay.Sleep(ctx, probeInterval)
 	}
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -263,17 +264,8 @@
 			if ctx.Err() != nil {
 				return errors.Newf("machine %s did not become ready; its log:\n%s", m.name, m.now().process.Log())
 			}
-			pause(ctx, 20*time.Millisecond)
+			delay.Sleep(ctx, 20*time.Millisecond)
 		}
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -56,7 +57,7 @@
 // numbers of its own, so that the other faults of a seed stay what they were.
 func (f *faults) runEntries(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(rng.Int64N(int64(betweenEntries))))
+		delay.Sleep(ctx, time.Duration(rng.Int64N(int64(betweenEntries))))
 		t := f.deployment.anyTarget(rng)
 		text := foreignEntries[rng.IntN(len(foreignEntries))]
 		key := fmt.Sprint("foreign-", rng.IntN(4))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -34,7 +35,7 @@
 // run brings faults about until the context ends, then waits until each is over.
 func (f *faults) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(f.rng.Int64N(int64(between))))
+		delay.Sleep(ctx, time.Duration(f.rng.Int64N(int64(between))))
 		f.next()
 	}
 	f.work.Wait()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
 )
 
 // Options are what a run needs.
@@ -118,7 +120,7 @@
 func (d *deployment) heartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.beat()
-		pause(ctx, heartbeatInterval)
+		delay.Sleep(ctx, heartbeatInterval)
 	}
 }
 
@@ -167,7 +169,7 @@
 			a := c.send(ctx, q)
 			answered = a.served() || a.status == statusNotFound // which the check judges
 			if !answered {
-				pause(ctx, probeInterval)
+				delay.Sleep(ctx, probeInterval)
 			}
 		}
 	}
