--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,8 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/banyanglade/banyanglade/internal/rendezvous"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
@@ -181,31 +180,31 @@
 func (d *Directory) Ranked(key string) []structs.InstanceID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var all []scored
+	var all []candidate
 	for machine, p := range d.byMachine {
 		if !d.usable(p.ID) || d.leaving[p.ID] {
 			continue
 		}
-		all = append(all, scored{p.ID, score(key, machine)})
+		all = append(all, candidate{ID: p.ID, Score: rendezvous.Score(key, machine)})
 	}
-	return order(all)
+	return rendezvous.Order(all)
 }
 
 // First is the first of Ranked, empty if there is none.
 func (d *Directory) First(key string) structs.InstanceID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var first structs.InstanceID
-	var best uint64
+	var first candidate
 	for machine, p := range d.byMachine {
 		if !d.usable(p.ID) || d.leaving[p.ID] {
 			continue
 		}
-		if s := score(key, machine); first == "" || s > best || (s == best && p.ID < first) {
-			first, best = p.ID, s
+		c := candidate{ID: p.ID, Score: rendezvous.Score(key, machine)}
+		if first.ID == "" || c.Before(first) {
+			first = c
 		}
 	}
-	return first
+	return first.ID
 }
 
 // Listed lists the first instances by rendezvous hashing of a key, whether they
@@ -213,51 +212,26 @@
 func (d *Directory) Listed(key string, most int) []structs.InstanceID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]scored, 0, len(d.byMachine))
+	all := make([]candidate, 0, len(d.byMachine))
 	for machine, p := range d.byMachine {
-		all = append(all, scored{p.ID, score(key, machine)})
+		all = append(all, candidate{ID: p.ID, Score: rendezvous.Score(key, machine)})
 	}
-	return order(all)[:min(most, len(all))]
+	return rendezvous.Order(all)[:min(most, len(all))]
 }
 
-// scored is an instance with its score for a key.
-type scored struct {
-	id    structs.InstanceID
-	score uint64
-}
-
-// order sorts instances by their scores.
-func order(all []scored) []structs.InstanceID {
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
-	})
-	ids := make([]structs.InstanceID, len(all))
-	for i, s := range all {
-		ids[i] = s.id
-	}
-	return ids
-}
+// candidate is an instance with the score of its machine for a key.
+type candidate = rendezvous.Candidate[structs.InstanceID]
 
 // RankOf is the place that an instance has among those of Ranked, from 0.
 func (d *Directory) RankOf(key string, id structs.InstanceID) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	own := score(key, MachineOf(id))
+	own := rendezvous.Score(key, MachineOf(id))
 	rank := 0
 	for machine, p := range d.byMachine {
-		if p.ID != id && d.usable(p.ID) && !d.leaving[p.ID] && score(key, machine) > own {
+		if p.ID != id && d.usable(p.ID) && !d.leaving[p.ID] && rendezvous.Score(key, machine) > own {
 			rank++
 		}
 	}
 	return rank
 }
-
-// score orders machines for a key by rendezvous hashing.
-func score(key, machine string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(key)
-	_, _ = digest.WriteString("/")
-	_, _ = digest.WriteString(machine)
-	return digest.Sum64()
-}
--- a/internal/members/rendezvous.go
+++ b/internal/members/rendezvous.go
@@ -1,12 +1,9 @@
 package members
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/banyanglade/banyanglade/internal/rendezvous"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
@@ -45,27 +42,14 @@
 	if ids, ok := v.ranked[key]; ok {
 		return ids
 	}
-	type scored struct {
-		id    structs.InstanceID
-		score uint64
-	}
-	var all []scored
+	var all []rendezvous.Candidate[structs.InstanceID]
 	for _, p := range v.peers {
 		if p.Region != region {
 			continue
 		}
-		all = append(all, scored{id: p.ID, score: xxhash.Sum64String(key + "/" + string(p.ID))})
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if c := cmp.Compare(b.score, a.score); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.id, b.id)
-	})
-	ids := make([]structs.InstanceID, len(all))
-	for i, s := range all {
-		ids[i] = s.id
+		all = append(all, rendezvous.Candidate[structs.InstanceID]{ID: p.ID, Score: rendezvous.Score(key, string(p.ID))})
 	}
+	ids := rendezvous.Order(all)
 	v.ranked[key] = ids
 	return ids
 }
