--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -71,7 +71,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Faults: a.Faults, Instances: a.Instances, Programs: a.Programs,
-		EntryFaults: true,
+		EntryFaults: true, LoadFaults: true,
 	})
 	if err == nil && len(result.Violations) == 0 {
 		fmt.Printf("seed %d: %d of %d attempts served, %d faults\n", seed, result.Served, result.Attempts, len(result.Faults))
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -56,6 +56,8 @@
 	header  map[string]string
 	// forged tells that it carries a key that nobody holds.
 	forged bool
+	// readAfter is how long the answer is left unread once it begins.
+	readAfter time.Duration
 	// kept and previous are those of the attempt.
 	kept     bool
 	previous string
@@ -108,6 +110,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status, a.signed = resp.StatusCode, resp.Header.Get("Banyanglade-Server-Signature")
+	delay.Sleep(limited, q.readAfter)
 	if q.kind == turn && resp.StatusCode == statusOK {
 		err = a.readEvents(resp.Body)
 	} else {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -169,6 +169,12 @@
 			return nil
 		})
 	}
+	f.setStore(fault, lasts)
+}
+
+// setStore puts a fault of the store in force for a while, unless another one
+// follows before.
+func (f *faults) setStore(fault metastore.Fault, lasts time.Duration) {
 	f.mu.Lock()
 	f.storeFault++
 	number := f.storeFault
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,9 @@
 	// EntryFaults adds targets that start again under their ids and entries of
 	// other writers. Seeds that failed before there were such faults go without.
 	EntryFaults bool
+	// LoadFaults adds slow and small targets, bursts, a slow store and callers
+	// that do not read.
+	LoadFaults bool
 }
 
 // Result is what a run showed.
@@ -48,6 +51,8 @@
 	// entryStream is the stream of a seed's numbers that the faults of entries are
 	// drawn from.
 	entryStream = 3
+	// loadStream is the same for the faults of load.
+	loadStream = 5
 	// checkInterval is the time between two looks at the history.
 	checkInterval = time.Second
 )
@@ -94,6 +99,9 @@
 	if d.options.EntryFaults {
 		work.Go(func() { f.runEntries(during, rand.New(rand.NewPCG(d.options.Seed, entryStream))) })
 	}
+	if d.options.LoadFaults {
+		work.Go(func() { f.runLoads(during, rand.New(rand.NewPCG(d.options.Seed, loadStream))) })
+	}
 	work.Go(func() { f.run(during) })
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 )
@@ -15,8 +16,11 @@
 // productPackage is the program of the instances.
 const productPackage = "github.com/banyanglade/banyanglade/cmd/banyanglade"
 
-// ciSeeds are played in CI.
-var ciSeeds = []uint64{1, 2}
+// ciSeeds are played in CI, ciLoadSeeds with faults of load as well.
+var (
+	ciSeeds     = []uint64{1, 2}
+	ciLoadSeeds = []uint64{3}
+)
 
 // regressions are seeds that failed once, with the cause.
 var regressions = []struct {
@@ -35,9 +39,12 @@
 	if output, err := exec.Command("go", "build", "-o", binary, productPackage).CombinedOutput(); err != nil {
 		t.Fatalf("build the product: %v\n%s", err, output)
 	}
-	for _, seed := range ciSeeds {
+	for _, seed := range append(ciSeeds, ciLoadSeeds...) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			play(t, Options{Binary: binary, Seed: seed, Faults: *faultTime, Instances: 3, Programs: 6, EntryFaults: true})
+			play(t, Options{
+				Binary: binary, Seed: seed, Faults: *faultTime, Instances: 3, Programs: 6,
+				EntryFaults: true, LoadFaults: slices.Contains(ciLoadSeeds, seed),
+			})
 		})
 	}
 	for _, r := range regressions {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
 )
 
 const (
@@ -63,8 +65,11 @@
 
 	running atomic.Int64
 	gone    atomic.Bool
-	mu      sync.Mutex
-	rng     *rand.Rand
+	// slowness stretches its work, slots is how many requests it takes at once.
+	slowness atomic.Int64
+	slots    atomic.Int64
+	mu       sync.Mutex
+	rng      *rand.Rand
 	// troubleShare of the requests meet trouble.
 	troubleShare float64
 }
@@ -79,6 +84,8 @@
 		id: id, service: service, history: h, address: listener.Addr().String(), born: time.Now().UnixMilli(),
 		rng: rand.New(rand.NewPCG(seed, 7)),
 	}
+	t.slowness.Store(1)
+	t.slots.Store(targetSlots)
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	go func() { _ = t.server.Serve(listener) }() // it ends with the target
 	return t, nil
@@ -118,7 +125,7 @@
 		t.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if t.running.Add(1) > targetSlots {
+	if t.running.Add(1) > t.slots.Load() {
 		t.running.Add(-1)
 		t.refuse(w, http.StatusServiceUnavailable)
 		return
@@ -130,7 +137,7 @@
 	}
 	t.history.ran(made)
 	w.Header().Set("Banyanglade-Server-Signature", t.id+"."+id)
-	w.Header().Set("Banyanglade-Server-Load", fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
+	w.Header().Set("Banyanglade-Server-Load", t.loadReport())
 	met := t.drawTrouble()
 	if met != none {
 		t.history.finish(made, true, false)
@@ -142,7 +149,14 @@
 	t.answer(w, r, made, met)
 }
 
+// loadReport is what the target tells of its load: requests that run and wait,
+// slots, and the pace of its machine in percent.
+func (t *target) loadReport() string {
+	return fmt.Sprintf("%d,0,%d,%d", t.running.Load(), t.slots.Load(), 100*t.slowness.Load())
+}
+
 func (t *target) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Banyanglade-Server-Load", t.loadReport())
 	w.Header().Set("Banyanglade-Not-Executed", "1")
 	w.WriteHeader(status)
 }
@@ -151,7 +165,7 @@
 func answerOf(id, body string) string { return "answer to " + id + " with " + body }
 
 func (t *target) answer(w http.ResponseWriter, r *http.Request, made *run, met trouble) {
-	if !work(r, time.Duration(len(made.request)%5+1)*8*time.Millisecond) {
+	if !t.work(r, time.Duration(len(made.request)%5+1)*8*time.Millisecond) {
 		return
 	}
 	text := answerOf(made.request, made.body)
@@ -198,15 +212,8 @@
 }
 
 // work takes time, and tells whether the sender still waits.
-func work(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+func (t *target) work(r *http.Request, d time.Duration) bool {
+	return delay.Sleep(r.Context(), d*time.Duration(t.slowness.Load()))
 }
 
 // inputOf is the new input of a turn: what follows the conversation before it,
@@ -226,7 +233,7 @@
 }
 
 func (t *target) stream(w http.ResponseWriter, r *http.Request, made *run, met trouble) {
-	if !work(r, eventGap) {
+	if !t.work(r, eventGap) {
 		return
 	}
 	if met == cutBefore {
@@ -246,7 +253,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, input)
-		if err != nil || http.NewResponseController(w).Flush() != nil || !work(r, eventGap) {
+		if err != nil || http.NewResponseController(w).Flush() != nil || !t.work(r, eventGap) {
 			return
 		}
 	}
