--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -14,10 +14,7 @@
 
 const (
 	// reserve is the share of the level that is left to programs under way: they
-	// send several calls of tools at once. At 7.5 times the usual load of 429
-	// requests a second, 173 to 180 of 181 programs that the limit carries are
-	// whole with 0.1, 135 to 141 with 0.25, 147 to 157 with 0.02 (virtual time, 87
-	// instances, three runs each).
+	// send several calls of tools at once.
 	reserve = 0.1
 	// urgentShare of the starts that are saved up is left to the most urgent
 	// first turns.
@@ -27,16 +24,6 @@
 	startsLeast = 3
 )
 
-const (
-	// defaultRequests is what a program is taken to need before any was seen, in
-	// requests; the users' programs need 10 to 30.
-	defaultRequests = 30
-	// defaultWeight is how many programs that guess counts for.
-	defaultWeight = 2
-	// memory is the number of programs after which what was seen counts half.
-	memory = 200
-)
-
 const (
 	// retryLeast and retryMost bound when a refused caller is to come back: a
 	// round trip, and about the time that callers wait.
@@ -56,8 +43,7 @@
 	startsCap float64
 	// full, fresh and moved are the sums of the slot that were counted.
 	full, fresh, moved float64
-	// requests and programs were seen, for what a program needs.
-	requests, programs float64
+	needs              needs
 	// returns is up to when room was promised to refused callers, and
 	// startReturns the same for first turns.
 	returns, startReturns time.Time
@@ -79,11 +65,6 @@
 	b.full, b.fresh, b.moved = 0, 0, 0
 }
 
-// perProgram is what a program needs, in requests.
-func (b *bucket) perProgram() float64 {
-	return max((b.requests+defaultWeight*defaultRequests)/(b.programs+defaultWeight), 1)
-}
-
 // fill adds what the votes allowed since the last time.
 func (b *bucket) fill(s *slot) {
 	rate := b.limit.PerSecond
@@ -92,8 +73,8 @@
 	b.full, b.fresh, b.moved = s.full, s.fresh, s.moved
 	b.capacity = b.terms.level * s.weight(b.terms.fresh)
 	b.level = min(b.level+gained+start, b.capacity)
-	b.startsCap = max((b.limit.Burst+rate)/b.perProgram(), startsLeast)
-	b.starts = min(b.starts+gained/b.perProgram(), b.startsCap)
+	b.startsCap = max((b.limit.Burst+rate)/b.needs.perProgram, startsLeast)
+	b.starts = min(b.starts+gained/b.needs.perProgram, b.startsCap)
 }
 
 // deal answers an ask.
@@ -106,22 +87,23 @@
 		reply.Starts[rank] = b.begin(want, rank)
 		refusedStarts += want - reply.Starts[rank]
 	}
-	b.learn(reply)
+	b.learn(ask, reply, now)
 	reply.RetryAfter = b.retryAfter(refused, refusedStarts, now)
 	return reply
 }
 
-// learn counts what was dealt out, for what a program needs.
-func (b *bucket) learn(reply *structs.AllowanceReply) {
-	started := 0
-	for _, n := range reply.Starts {
-		started += n
+// learn follows the programs that the ask names: those that begin, as far as
+// their first turns were let in, and those under way.
+func (b *bucket) learn(ask *structs.AllowanceAsk, reply *structs.AllowanceReply, now time.Time) {
+	for rank, programs := range ask.Begins {
+		for _, program := range programs[:min(reply.Starts[rank], len(programs))] {
+			b.needs.begin(program, now)
+		}
 	}
-	b.requests += float64(reply.Granted + started)
-	b.programs += float64(started)
-	if b.programs > memory {
-		b.requests, b.programs = b.requests/2, b.programs/2
+	for _, program := range ask.Calls {
+		b.needs.add(program, now)
 	}
+	b.needs.count(now)
 }
 
 // take takes requests out of what lies above a level.
@@ -153,7 +135,7 @@
 		wait = b.returns.Sub(now)
 	}
 	if refusedStarts > 0 {
-		perStart := time.Duration(b.perProgram() * float64(perRequest))
+		perStart := time.Duration(b.needs.perProgram * float64(perRequest))
 		b.startReturns = promise(b.startReturns, now, time.Duration(refusedStarts)*perStart)
 		wait = max(wait, b.startReturns.Sub(now))
 	}
--- a/internal/allowance/dump.go
+++ b/internal/allowance/dump.go
@@ -52,7 +52,7 @@
 		for name, b := range s.buckets {
 			out.Coordinated = append(out.Coordinated, Coordinated{
 				Slot: s.number, Organisation: name, PerSecond: b.limit.PerSecond, Level: b.level, Capacity: b.capacity,
-				Starts: b.starts, PerProgram: b.perProgram(), Votes: len(s.votes), Voters: s.voters,
+				Starts: b.starts, PerProgram: b.needs.perProgram, Votes: len(s.votes), Voters: s.voters,
 			})
 		}
 	}
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -163,7 +163,7 @@
 	now := time.Now()
 	w := &waiter{
 		first: entry.First, rank: min(max(entry.Rank, 0), structs.AllowanceRanks-1),
-		until: now.Add(holdMost), verdict: make(chan verdict, 1),
+		program: programHash(entry.Program), until: now.Add(holdMost), verdict: make(chan verdict, 1),
 	}
 	k.mu.Lock()
 	l := k.lineOf(entry)
@@ -173,6 +173,14 @@
 	return k.await(ctx, l, w)
 }
 
+// programHash stands for a program in messages, 0 for none.
+func programHash(program string) uint64 {
+	if program == "" {
+		return 0
+	}
+	return xxhash.Sum64String(program)
+}
+
 // await waits for the verdict on a request.
 func (k *Keeper) await(ctx context.Context, l *line, w *waiter) (serve.Permit, error) {
 	timer := time.NewTimer(patience)
--- a/internal/allowance/keeper_test.go
+++ b/internal/allowance/keeper_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
@@ -32,9 +33,11 @@
 		time.Sleep(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
 		n := simnet.Any(r, w.all())
 		begun++
+		id := fmt.Sprint("program", begun)
 		work.Go(func() {
 			for i := range p.requests {
-				if !w.request(n, name, limit, 1, i == 0) {
+				entry := serve.Entry{Organisation: name, Limit: limit, Version: 1, First: i == 0, Program: id}
+				if !w.enter(n, entry) {
 					return
 				}
 				if i%3 == 0 {
--- a/internal/allowance/line.go
+++ b/internal/allowance/line.go
@@ -13,6 +13,10 @@
 type waiter struct {
 	first bool
 	rank  int
+	// program is the hash of its program, 0 for none; named tells that the
+	// coordinator was told.
+	program uint64
+	named   bool
 	// until is how long a request of a program under way is held for room.
 	until   time.Time
 	verdict chan verdict
@@ -51,15 +55,25 @@
 	l.debt = 0
 	l.asking, l.asked = number, slices.Clone(l.waiting)
 	for _, w := range l.asked {
-		if w.first {
-			m.Starts[w.rank]++
-		} else {
-			m.Want++
-		}
+		w.addTo(m)
 	}
 	return m
 }
 
+// addTo names a waiter in an ask.
+func (w *waiter) addTo(m *structs.AllowanceAsk) {
+	if w.first {
+		m.Starts[w.rank]++
+		m.Begins[w.rank] = append(m.Begins[w.rank], w.program)
+		return
+	}
+	m.Want++
+	if w.program != 0 && !w.named {
+		m.Calls = append(m.Calls, w.program)
+		w.named = true
+	}
+}
+
 // settle takes the answer that an instance gave to the ask under way.
 func (l *line) settle(reply *structs.AllowanceReply, from structs.InstanceID, now time.Time) {
 	asked := l.asked
--- /dev/null
+++ b/internal/allowance/needs.go
@@ -0,0 +1,85 @@
+package allowance
+
+import "time"
+
+// Load pattern: an organisation far over its limit begins many programs within
+// one program's duration. Requests let in over programs begun would then tell
+// less than what a program needs, since those begun have sent their first
+// requests only, and first turns would be let in faster than their programs can
+// be carried. So a program counts once it has ended.
+
+const (
+	// defaultRequests is what a program is taken to need before any was seen, in
+	// requests; the users' programs need 10 to 30.
+	defaultRequests = 30
+	// defaultWeight is how many programs that guess counts for.
+	defaultWeight = 2
+	// memory is the number of programs after which what was seen counts half.
+	memory = 200
+	// quiet is the time without a request after which a program counts as ended.
+	quiet = 5 * time.Second
+	// countInterval is the time between two looks for programs that have ended.
+	countInterval = 250 * time.Millisecond
+	// maxFollowed bounds the programs of an organisation that are followed.
+	maxFollowed = 1024
+)
+
+// followed is a program whose first turn was let in by this coordinator.
+type followed struct {
+	requests int
+	last     time.Time
+}
+
+// needs learns what a program of one organisation needs, in requests.
+type needs struct {
+	under map[uint64]followed
+	// requests and programs are those of programs that ended.
+	requests, programs float64
+	counted            time.Time
+	// perProgram is the estimate as of counted.
+	perProgram float64
+}
+
+func newNeeds() needs {
+	return needs{under: make(map[uint64]followed), perProgram: defaultRequests}
+}
+
+// begin follows a program from its first turn on.
+func (n *needs) begin(program uint64, now time.Time) {
+	if program != 0 && len(n.under) < maxFollowed {
+		n.under[program] = followed{requests: 1, last: now}
+	}
+}
+
+// add counts a request of a program under way.
+func (n *needs) add(program uint64, now time.Time) {
+	if f, ok := n.under[program]; ok {
+		n.under[program] = followed{requests: f.requests + 1, last: now}
+	}
+}
+
+// count takes in the programs that have ended. Those under way count if they
+// needed more than the others already.
+func (n *needs) count(now time.Time) {
+	if now.Sub(n.counted) < countInterval {
+		return
+	}
+	n.counted = now
+	longer, longerRequests := 0.0, 0.0
+	for program, f := range n.under {
+		switch {
+		case now.Sub(f.last) > quiet:
+			n.requests += float64(f.requests)
+			n.programs++
+			delete(n.under, program)
+		case float64(f.requests) > n.perProgram:
+			longer++
+			longerRequests += float64(f.requests)
+		}
+	}
+	if n.programs > memory {
+		n.requests, n.programs = n.requests/2, n.programs/2
+	}
+	requests := n.requests + longerRequests + defaultWeight*defaultRequests
+	n.perProgram = max(requests/(n.programs+longer+defaultWeight), 1)
+}
--- a/internal/allowance/slot.go
+++ b/internal/allowance/slot.go
@@ -99,7 +99,7 @@
 	b, known := s.buckets[ask.Organisation]
 	if !known {
 		// It has saved up as much as if it had been asked for from the start.
-		b = new(bucket)
+		b = &bucket{needs: newNeeds()}
 		s.buckets[ask.Organisation] = b
 	}
 	b.setLimit(ask, t)
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -108,9 +108,13 @@
 
 // request asks an instance to let one request in.
 func (w *world) request(n *node, name string, limit org.Limit, version int64, first bool) bool {
-	permit, err := n.keeper.Admit(context.Background(), serve.Entry{
-		Organisation: name, Limit: limit, Version: version, First: first,
-	})
+	return w.enter(n, serve.Entry{Organisation: name, Limit: limit, Version: version, First: first})
+}
+
+// enter asks an instance to let a request in.
+func (w *world) enter(n *node, entry serve.Entry) bool {
+	name := entry.Organisation
+	permit, err := n.keeper.Admit(context.Background(), entry)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch err.(type) {
--- a/internal/serve/organisation.go
+++ b/internal/serve/organisation.go
@@ -70,6 +70,7 @@
 	}
 	permit, err := x.server.allowances.Admit(x.ctx, Entry{
 		Organisation: x.org.Name, Limit: x.org.Limit, Version: x.table.Version, First: first, Rank: x.route.Priority,
+		Program: x.call.Program,
 	})
 	var over *OverLimitError
 	switch {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -72,6 +72,8 @@
 	// most urgent.
 	First bool
 	Rank  int
+	// Program is empty for a request outside programs.
+	Program string
 }
 
 // Permit is a request that was let in.
--- a/internal/structs/allowance.go
+++ b/internal/structs/allowance.go
@@ -29,6 +29,10 @@
 	// Debt is the number of runs since the last ask that were not asked for:
 	// requests that ran a second time.
 	Debt int
+	// Begins names the programs of Starts, in the order in which they are let in,
+	// and Calls those of Want that were not named before; by hashes, 0 for none.
+	Begins [AllowanceRanks][]uint64
+	Calls  []uint64
 }
 
 // AllowanceRanks is the number of ranks of first turns: the operator's most
