allowance: answers tell an organisation's use, permits can be given back; an organisation's priority ranks its first turns

Cause: whoever decides on the engines' room does not know which organisation is over its usual; a first turn refused for lack of engines used up the limit; the priority of an organisation was decoded and decided nothing.

Change: AllowanceReply.Use is what the coordinator dealt out over about 1.5 s against the limit; serve.Permit.Use tells it for two seconds, 0 is unknown. Permit.GiveBack returns a request that does not run, at once. Dump: use; metric allowances_returned. Ranks: the organisation's priority before the route's. Ruled out: counting what is asked for (tries of the refused count again). Nothing reads Use yet.

--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -44,6 +44,7 @@
 	// full, fresh and moved are the sums of the slot that were counted.
 	full, fresh, moved float64
 	needs              needs
+	use                use
 	// returns is up to when room was promised to refused callers, and
 	// startReturns the same for first turns.
 	returns, startReturns time.Time
@@ -80,6 +81,7 @@
 // deal answers an ask.
 func (b *bucket) deal(ask *structs.AllowanceAsk, now time.Time) *structs.AllowanceReply {
 	b.level -= float64(max(ask.Debt, 0))
+	b.giveBack(max(ask.Returned, 0), max(ask.ReturnedStarts, 0), now)
 	reply := new(structs.AllowanceReply)
 	reply.Granted = b.take(ask.Want, 0)
 	refused, refusedStarts := ask.Want-reply.Granted, 0
@@ -88,10 +90,28 @@
 		refusedStarts += want - reply.Starts[rank]
 	}
 	b.learn(ask, reply, now)
+	b.countUse(ask, reply, now)
+	reply.Use = b.use.rate(now) / b.limit.PerSecond
 	reply.RetryAfter = b.retryAfter(refused, refusedStarts, now)
 	return reply
 }
 
+// giveBack takes back what was dealt out and did not run.
+func (b *bucket) giveBack(requests, starts int, now time.Time) {
+	b.level = min(b.level+float64(requests+starts), b.capacity)
+	b.starts = min(b.starts+float64(starts), b.startsCap)
+	b.use.add(-requests-starts, now)
+}
+
+// countUse counts what runs: what is dealt out and what ran a second time.
+func (b *bucket) countUse(ask *structs.AllowanceAsk, reply *structs.AllowanceReply, now time.Time) {
+	runs := reply.Granted + max(ask.Debt, 0)
+	for _, n := range reply.Starts {
+		runs += n
+	}
+	b.use.add(runs, now)
+}
+
 // learn follows the programs that the ask names: those that begin, as far as
 // their first turns were let in, and those under way.
 func (b *bucket) learn(ask *structs.AllowanceAsk, reply *structs.AllowanceReply, now time.Time) {
--- a/internal/allowance/dump.go
+++ b/internal/allowance/dump.go
@@ -32,8 +32,10 @@
 	Capacity     float64 `json:"requests_left_most"`
 	Starts       float64 `json:"programs_left"`
 	PerProgram   float64 `json:"requests_per_program"`
-	Votes        int     `json:"votes"`
-	Voters       int     `json:"voters"`
+	// Use is what was dealt out over the last second or two against the limit.
+	Use    float64 `json:"use"`
+	Votes  int     `json:"votes"`
+	Voters int     `json:"voters"`
 }
 
 // Dump tells the state.
@@ -52,7 +54,7 @@
 		for name, b := range s.buckets {
 			out.Coordinated = append(out.Coordinated, Coordinated{
 				Slot: s.number, Organisation: name, PerSecond: b.limit.PerSecond, Level: b.level, Capacity: b.capacity,
-				Starts: b.starts, PerProgram: b.needs.perProgram, Votes: len(s.votes), Voters: s.voters,
+				Starts: b.starts, PerProgram: b.needs.perProgram, Use: b.use.rate(now) / b.limit.PerSecond, Votes: len(s.votes), Voters: s.voters,
 			})
 		}
 	}
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -188,7 +188,7 @@
 	var err error
 	select {
 	case got := <-w.verdict:
-		return k.conclude(l, got)
+		return k.conclude(l, w, got)
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-timer.C:
@@ -198,16 +198,16 @@
 	left := l.leave(w)
 	k.mu.Unlock()
 	if !left {
-		return k.conclude(l, <-w.verdict)
+		return k.conclude(l, w, <-w.verdict)
 	}
 	k.metrics.unknown.Inc(1)
 	return nil, err
 }
 
-func (k *Keeper) conclude(l *line, got verdict) (serve.Permit, error) {
+func (k *Keeper) conclude(l *line, w *waiter, got verdict) (serve.Permit, error) {
 	if got.admitted {
 		k.metrics.admitted.Inc(1)
-		return permit{k, l}, nil
+		return permit{keeper: k, line: l, first: w.first}, nil
 	}
 	k.metrics.refused.Inc(1)
 	k.mu.Lock()
--- a/internal/allowance/line.go
+++ b/internal/allowance/line.go
@@ -38,8 +38,12 @@
 	limit        org.Limit
 	version      int64
 	waiting      []*waiter
-	// debt is told with the next ask.
-	debt int
+	// debt, and the requests and first turns that were let in and did not run,
+	// are told with the next ask.
+	debt                     int
+	returned, returnedStarts int
+	// told is the organisation's use as the last answer told it.
+	told told
 	// asking is the number of the ask under way, 0 for none; asked are the
 	// waiters that it names.
 	asking uint64
@@ -51,8 +55,9 @@
 	m := &structs.AllowanceAsk{
 		Number: number, Slot: slot, Organisation: l.organisation,
 		PerSecond: l.limit.PerSecond, Burst: l.limit.Burst, Version: l.version, Debt: l.debt,
+		Returned: l.returned, ReturnedStarts: l.returnedStarts,
 	}
-	l.debt = 0
+	l.debt, l.returned, l.returnedStarts = 0, 0, 0
 	l.asking, l.asked = number, slices.Clone(l.waiting)
 	for _, w := range l.asked {
 		w.addTo(m)
@@ -81,6 +86,7 @@
 	if reply.Outcome != structs.AllowanceDealt {
 		return
 	}
+	l.told = told{use: reply.Use, at: now}
 	granted, starts := reply.Granted, reply.Starts
 	for _, w := range asked {
 		left := &granted
--- a/internal/allowance/metrics.go
+++ b/internal/allowance/metrics.go
@@ -9,6 +9,8 @@
 	admitted tally.Counter
 	refused  tally.Counter
 	unknown  tally.Counter
+	// returned were let in and given back, since there was no room elsewhere.
+	returned tally.Counter
 	// asks counts the messages to coordinators, each for all that waits.
 	asks tally.Counter
 }
@@ -17,6 +19,6 @@
 	scope = scope.SubScope("allowances")
 	return metrics{
 		admitted: scope.Counter("admitted"), refused: scope.Counter("refused"),
-		unknown: scope.Counter("unknown"), asks: scope.Counter("asks"),
+		unknown: scope.Counter("unknown"), returned: scope.Counter("returned"), asks: scope.Counter("asks"),
 	}
 }
--- a/internal/allowance/random_test.go
+++ b/internal/allowance/random_test.go
@@ -57,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		w := newWorld(t)
-		w.sole = sole
+		w.sole, w.unused = sole, seed%2 == 1
 		w.ListDelay = func() time.Duration { return time.Duration(rand.N(600)) * time.Millisecond }
 		names := machines(instances)
 		for _, m := range names {
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -33,6 +33,9 @@
 	sole bool
 
 	mu sync.Mutex
+	// unused has every third request give its permit back.
+	unused bool
+	let    int
 	// admitted is when requests of each organisation were let in.
 	admitted map[string][]time.Time
 	// outcomes counts how requests ended.
@@ -119,7 +122,11 @@
 	defer w.mu.Unlock()
 	switch err.(type) {
 	case nil:
-		_ = permit
+		w.let++
+		if w.unused && w.let%3 == 0 {
+			permit.GiveBack()
+			return true
+		}
 		w.admitted[name] = append(w.admitted[name], time.Now())
 		return true
 	case *serve.OverLimitError:
--- a/internal/serve/organisation.go
+++ b/internal/serve/organisation.go
@@ -62,6 +62,15 @@
 // scoped makes a name that the caller chose its organisation's own.
 func (x *transfer) scoped(name string) string { return org.Scope(x.orgName(), name) }
 
+// rank is how urgent the request is, 0 the most: as its organisation's priority
+// says, or its route's.
+func (x *transfer) rank() int {
+	if x.org != nil && x.org.Priority != nil {
+		return *x.org.Priority
+	}
+	return x.route.Priority
+}
+
 // admit lets the request in within its organisation's limit; first tells that it
 // begins a program. It returns false if the request has been refused.
 func (x *transfer) admit(first bool) bool {
@@ -69,7 +78,7 @@
 		return true
 	}
 	permit, err := x.server.allowances.Admit(x.ctx, Entry{
-		Organisation: x.org.Name, Limit: x.org.Limit, Version: x.table.Version, First: first, Rank: x.route.Priority,
+		Organisation: x.org.Name, Limit: x.org.Limit, Version: x.table.Version, First: first, Rank: x.rank(),
 		Program: x.call.Program,
 	})
 	var over *OverLimitError
--- a/internal/serve/organisation_test.go
+++ b/internal/serve/organisation_test.go
@@ -251,6 +251,7 @@
 	err     error
 	entries []Entry
 	again   int
+	back    int
 }
 
 func (a *allowances) Admit(_ context.Context, entry Entry) (Permit, error) {
@@ -263,7 +264,9 @@
 
 type countedPermit struct{ a *allowances }
 
-func (p countedPermit) Again() { p.a.again++ }
+func (p countedPermit) Again()       { p.a.again++ }
+func (p countedPermit) Use() float64 { return 0 }
+func (p countedPermit) GiveBack()    { p.a.back++ }
 
 // withLimit makes a world with one organisation that has a limit.
 func withLimit(t *testing.T) (*world, *allowances) {
@@ -346,3 +349,18 @@
 		t.Errorf("got %d", got.status)
 	}
 }
+
+// TestAnOrganisationsPriorityGoesBeforeItsRoutes ranks a request of a route of
+// another priority.
+func TestAnOrganisationsPriorityGoesBeforeItsRoutes(t *testing.T) {
+	w, a := withLimit(t)
+	w.target("t1", "app", serveText("ok"))
+	found, _ := w.server.Table().Organisations.ByKey(org.DigestOf(keyA))
+	for _, priority := range []int{0, 1} {
+		found.Priority = &priority
+		w.do(w.request("GET", "/safe/x", "", "Banyanglade-Credential", keyA))
+		if got := a.entries[len(a.entries)-1].Rank; got != priority {
+			t.Errorf("rank %d, the organisation's priority is %d", got, priority)
+		}
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -80,6 +80,12 @@
 type Permit interface {
 	// Again tells that it runs once more.
 	Again()
+	// Use is what its organisation uses against its limit: 1 is at the limit, 0 is
+	// unknown.
+	Use() float64
+	// GiveBack tells that it does not run. It has to be called before the request
+	// is sent, once at most, and does not block.
+	GiveBack()
 }
 
 // Allowances keep organisations within their limits.
--- a/internal/structs/allowance.go
+++ b/internal/structs/allowance.go
@@ -33,6 +33,10 @@
 	// and Calls those of Want that were not named before; by hashes, 0 for none.
 	Begins [AllowanceRanks][]uint64
 	Calls  []uint64
+	// Returned is the number of requests that were let in since the last ask and
+	// did not run, ReturnedStarts that of first turns.
+	Returned       int
+	ReturnedStarts int
 }
 
 // AllowanceRanks is the number of ranks of first turns: the operator's most
@@ -64,6 +68,9 @@
 	// the slot's voters.
 	Left  float64
 	Votes int
+	// Use is what the coordinator dealt out over the last second or two against
+	// the limit: 1 is at the limit, 0 is unknown.
+	Use float64
 }
 
 // VoteRequest asks for the receiver's part of the allowances of a slot.
