serve: bytes held for requests are bounded, callers that read nothing are cut

Cause: nothing counted what an instance holds for requests; bodies, conversations and answers were read whatever they took, a write to a caller had no end, and a body could take for ever to arrive. The smallest machines have 112 MB.

Change: internal/memlimit, the rule in internal/policy/bytes.go: a quarter of the machine's memory; reserved before a body is read; programs under way last, the largest of the others first; 503 memory_short before anything ran. Answers that do not fit are passed on as they arrive. A caller that takes no byte for 10 s (2 s while bytes are short) is cut, one that reads slowly is not. Found by the test: a handler that answers before the body has arrived is kept by net/http until it has; the body's deadline stays set then.

Ruled out: one deadline for a whole answer (cuts slow readers). Not built: reading ahead for slow callers, a bound of bytes on their way to a target.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/httpapi"
 	"github.com/banyanglade/banyanglade/internal/logqueue"
+	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/serve"
@@ -124,8 +125,9 @@
 	return serve.New(serve.Parts{
 		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: keeper, Allowances: allowances,
 		Conversations: conversations, Notices: keeper, Health: health, Currency: currency,
-		Keys:  keyPolicy(machine),
-		Scope: scope, Log: log,
+		Memory: memlimit.New(int64(float64(machine.MemoryBytes)*requestsShare), scope),
+		Keys:   keyPolicy(machine),
+		Scope:  scope, Log: log,
 	})
 }
 
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -113,6 +113,9 @@
 	drainMargin = 700 * time.Millisecond
 	// memoryShare of the machine's memory is the soft limit of the heap.
 	memoryShare = 0.7
+	// requestsShare of the machine's memory may be held for requests; the rest of
+	// the heap is for connections, records and what is not collected yet.
+	requestsShare = 0.25
 	// headerTimeout bounds how long a caller takes for a request's head; the
 	// operator's limits are a few seconds.
 	headerTimeout = 10 * time.Second
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -187,4 +187,6 @@
 	"target_broke_off":               "the target broke off and the request may not be repeated",
 	"stream_cut":                     "the stream broke midway and could not go on; the field detail says at what",
 	"caller_left":                    "the caller left before the answer was whole",
+	"caller_reads_nothing":           "the caller read nothing of its answer for seconds; the field detail tells for how long",
+	"memory_short":                   "the instance had no memory left for it, nothing ran; the field detail has the bytes asked for and held",
 }
--- /dev/null
+++ b/internal/memlimit/memlimit.go
@@ -0,0 +1,114 @@
+// Package memlimit bounds the bytes that an instance holds for requests: their
+// bodies, the conversations before them and answers that wait for slow callers.
+package memlimit
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+)
+
+// ShortError tells that bytes were refused; nothing of the request has run for
+// lack of them.
+type ShortError struct {
+	// Size was asked for while Held of Most were held, all in bytes.
+	Size, Held, Most int64
+	// UnderWay tells that the request belongs to a program under way.
+	UnderWay bool
+}
+
+func (e *ShortError) Error() string {
+	return fmt.Sprintf("%d bytes more do not fit: %d of %d are held for requests (program under way: %t)",
+		e.Size, e.Held, e.Most, e.UnderWay)
+}
+
+// Bound is what an instance may hold for requests. It is safe for concurrent
+// use; a nil Bound has no limit.
+type Bound struct {
+	mu    sync.Mutex
+	bytes policy.Bytes
+
+	held    tally.Gauge
+	refused tally.Counter
+}
+
+// New makes a Bound of some bytes, 0 for none.
+func New(most int64, scope tally.Scope) *Bound {
+	scope = scope.SubScope("request_bytes")
+	scope.Gauge("most").Update(float64(most))
+	return &Bound{bytes: policy.Bytes{Most: most}, held: scope.Gauge("held"), refused: scope.Counter("refused")}
+}
+
+// Bytes is what is held now.
+func (b *Bound) Bytes() policy.Bytes {
+	if b == nil {
+		return policy.Bytes{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes
+}
+
+// hold takes some bytes, or returns a *ShortError.
+func (b *Bound) hold(size int64, underWay bool) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.bytes.Fits(size, underWay) {
+		b.refused.Inc(1)
+		return &ShortError{Size: size, Held: b.bytes.Held, Most: b.bytes.Most, UnderWay: underWay}
+	}
+	b.add(size)
+	return nil
+}
+
+// add counts bytes. The mutex is held.
+func (b *Bound) add(size int64) {
+	b.bytes.Held += size
+	b.held.Update(float64(b.bytes.Held))
+}
+
+// Account is what is held for one request. It is not safe for concurrent use.
+type Account struct {
+	bound    *Bound
+	held     int64
+	underWay bool
+}
+
+// Open makes an Account that holds nothing.
+func (b *Bound) Open() Account { return Account{bound: b} }
+
+// SetUnderWay tells that the request belongs to a program under way.
+func (a *Account) SetUnderWay() { a.underWay = true }
+
+// Hold takes some bytes more, or returns a *ShortError.
+func (a *Account) Hold(size int64) error {
+	if a.bound == nil {
+		return nil
+	}
+	if err := a.bound.hold(size, a.underWay); err != nil {
+		return err
+	}
+	a.held += size
+	return nil
+}
+
+// Count takes bytes that are there already, whether they fit or not.
+func (a *Account) Count(size int64) {
+	if a.bound == nil {
+		return
+	}
+	a.bound.mu.Lock()
+	defer a.bound.mu.Unlock()
+	a.bound.add(size)
+	a.held += size
+}
+
+// Close gives everything back.
+func (a *Account) Close() {
+	if a.held != 0 {
+		a.Count(-a.held)
+	}
+}
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -77,11 +77,7 @@
 // deliverWhole passes a plain answer on once it is whole, so that a broken one
 // can be repeated or reported as such.
 func (x *transfer) deliverWhole(target *targets.Target, resp *exchange.Response) bool {
-	var body bytes.Buffer
-	if resp.Length > 0 && resp.Length <= maxBuffered {
-		body.Grow(int(resp.Length) + bytes.MinRead)
-	}
-	_, err := body.ReadFrom(io.LimitReader(resp.Body, maxBuffered))
+	body, longer, err := x.readAnswer(resp)
 	if err != nil {
 		x.detail = err.Error()
 		x.passOverSilent(target, err)
@@ -96,9 +92,8 @@
 	} else {
 		x.server.targets.Succeeded(target, time.Now())
 	}
-	longer := body.Len() == maxBuffered
-	x.copyHead(resp, longer, body.Len())
-	if _, err := x.writer.Write(body.Bytes()); err != nil {
+	x.copyHead(resp, longer, len(body))
+	if _, err := x.writer.Write(body); err != nil {
 		x.callerGone(err)
 		return false
 	}
@@ -108,6 +103,26 @@
 	return false
 }
 
+// readAnswer reads a plain answer as far as it is held: up to maxBuffered, or
+// less while memory is short. The answer is longer if it was not read to its end.
+func (x *transfer) readAnswer(resp *exchange.Response) (body []byte, longer bool, err error) {
+	// The request has run, so that its answer goes before what has not.
+	x.held.SetUnderWay()
+	expected := resp.Length
+	if expected > maxBuffered {
+		expected = 0
+	}
+	var short *memlimit.ShortError
+	buffer, err := memlimit.NewBuffer(&x.held, expected)
+	if err == nil {
+		err = buffer.Fill(io.LimitReader(resp.Body, maxBuffered))
+	}
+	if errors.As(err, &short) {
+		return buffer.Bytes(), true, nil
+	}
+	return buffer.Bytes(), len(buffer.Bytes()) == maxBuffered, err
+}
+
 // copyRest passes on what is left of a long plain answer.
 func (x *transfer) copyRest(resp *exchange.Response) {
 	if _, err := io.Copy(x.writer, resp.Body); err != nil {
@@ -197,6 +212,10 @@
 // callerGone ends a request whose caller takes no more of the answer.
 func (x *transfer) callerGone(err error) {
 	x.detail, x.reason, x.cut = err.Error(), reasonCallerLeft, true
+	var stalled *stalledError
+	if errors.As(err, &stalled) {
+		x.reason = reasonStalled
+	}
 }
 
 // endStream ends a stream that the target completed.
--- a/internal/serve/lengths.go
+++ b/internal/serve/lengths.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/banyanglade/banyanglade/internal/memlimit"
 )
 
 // net/http drops the length of a request that also comes in chunks, and reads
@@ -18,6 +20,7 @@
 	net.Conn
 	// conflict tells that a head held both a length and chunks.
 	conflict atomic.Bool
+	memory   *memlimit.Bound
 }
 
 // Read reads from the caller.
@@ -61,9 +64,12 @@
 
 // WatchListener makes a listener for callers whose connections are looked at.
 // ConnContext must be set in the http.Server that uses it.
-func WatchListener(l net.Listener) net.Listener { return watchListener{l} }
+func (s *Server) WatchListener(l net.Listener) net.Listener { return watchListener{l, s.memory} }
 
-type watchListener struct{ net.Listener }
+type watchListener struct {
+	net.Listener
+	memory *memlimit.Bound
+}
 
 // Accept waits for a caller.
 func (l watchListener) Accept() (net.Conn, error) {
@@ -71,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: c}, nil
+	return &watchedConn{Conn: c, memory: l.memory}, nil
 }
 
 // ConnContext makes a caller's connection known to the Server.
--- /dev/null
+++ b/internal/serve/memory_test.go
@@ -0,0 +1,193 @@
+package serve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/memlimit"
+)
+
+// TestWithoutMemoryARequestIsRefusedUnread fills an instance's memory with
+// requests that their target keeps waiting.
+func TestWithoutMemoryARequestIsRefusedUnread(t *testing.T) {
+	w := newWorld(t)
+	w.server.memory = memlimit.New(10*requestBytes, tally.NoopScope)
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 20)
+	tg := w.target("t1", "app", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		sign(rw)
+		_, _ = io.WriteString(rw, "ok")
+	})
+	body := strings.Repeat("x", requestBytes)
+	served := make(chan result, 20)
+	held := 0
+	for held < 2 {
+		go func() { served <- w.do(w.request("POST", "/safe/x", body)) }()
+		<-arrived
+		held++
+	}
+	over := w.do(w.request("POST", "/safe/x", strings.Repeat("x", 2*requestBytes)))
+	if over.status != http.StatusServiceUnavailable || over.header.Get("Retry-After") == "" {
+		t.Errorf("status %d for a request that does not fit", over.status)
+	}
+	if !strings.Contains(w.log.String(), string(reasonNoMemory)) {
+		t.Error("the log does not tell why")
+	}
+	go func() { served <- w.do(w.request("POST", "/safe/x", body, "Banyanglade-Program-Id", "p")) }()
+	<-arrived
+	close(release)
+	for range held + 1 {
+		if got := <-served; got.status != http.StatusOK {
+			t.Errorf("status %d for a request that was let in", got.status)
+		}
+	}
+	if len(tg.body) != held+1 {
+		t.Errorf("%d requests ran", len(tg.body))
+	}
+	w.front.Close()
+	if left := w.server.memory.Bytes().Held; left != 0 {
+		t.Errorf("%d bytes are held after all", left)
+	}
+}
+
+// TestSlowReadersGetAnswersLongerThanMemory has many callers that read little by
+// little, of an instance whose memory holds a part of one answer.
+func TestSlowReadersGetAnswersLongerThanMemory(t *testing.T) {
+	const callers, length = 6, 128 << 10
+	w := newWorld(t)
+	w.server.memory = memlimit.New(callers*2*requestBytes, tally.NoopScope)
+	answer := strings.Repeat("0123456789abcdef", length/16)
+	w.target("t1", "app", serveText(answer))
+	got := make(chan error, callers)
+	for i := range callers {
+		go func() { got <- readSlowly(w, fmt.Sprint("p", i), answer) }()
+	}
+	for range callers {
+		if err := <-got; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// readSlowly is a caller that takes a kilobyte at a time from a small window.
+func readSlowly(w *world, program, want string) error {
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		return err
+	}
+	head := "GET /safe/x HTTP/1.1\r\nHost: " + testHost + "\r\nBanyanglade-Program-Id: " + program + "\r\n\r\n"
+	if _, err := io.WriteString(c, head); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 1<<10), nil)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && string(body) != want {
+		return fmt.Errorf("status %d and %d bytes of %d", resp.StatusCode, len(body), len(want))
+	}
+	return err
+}
+
+// window is a connection that takes some bytes a second.
+type window struct {
+	net.Conn
+	perSecond int
+	deadline  time.Time
+}
+
+func (c *window) SetWriteDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *window) Write(p []byte) (int, error) {
+	wait := time.Until(c.deadline)
+	n := min(len(p), int(float64(c.perSecond)*wait.Seconds()))
+	if n == len(p) {
+		return n, nil
+	}
+	time.Sleep(wait)
+	return n, osDeadlineError()
+}
+
+// osDeadlineError is what a connection returns whose write deadline has passed.
+func osDeadlineError() error {
+	c, other := net.Pipe()
+	defer func() { _, _ = c.Close(), other.Close() }()
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	_, err := c.Write([]byte{0})
+	return err
+}
+
+// TestACallerThatReadsNothingIsCut compares it to one that reads slowly.
+func TestACallerThatReadsNothingIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tight := memlimit.New(1000, tally.NoopScope)
+		account := tight.Open()
+		account.Count(900)
+		data := make([]byte, 10_000)
+		cases := []struct {
+			perSecond int
+			memory    *memlimit.Bound
+			cutAfter  time.Duration
+		}{
+			{0, memlimit.New(1000, tally.NoopScope), 10 * time.Second},
+			{0, tight, 2 * time.Second},
+			{100, tight, 0},
+		}
+		for _, c := range cases {
+			begun := time.Now()
+			conn := &watchedConn{Conn: &window{perSecond: c.perSecond}, memory: c.memory}
+			n, err := conn.Write(data)
+			switch {
+			case c.cutAfter == 0 && (err != nil || n != len(data)):
+				t.Errorf("a slow reader got %d bytes: %v", n, err)
+			case c.cutAfter > 0 && (err == nil || time.Since(begun) != c.cutAfter):
+				t.Errorf("cut after %s with %v, expected %s", time.Since(begun), err, c.cutAfter)
+			}
+		}
+	})
+}
+
+// TestABodyThatDoesNotArriveFreesItsMemory begins a body and does not go on.
+func TestABodyThatDoesNotArriveFreesItsMemory(t *testing.T) {
+	w := newWorld(t)
+	w.server.memory = memlimit.New(10*requestBytes, tally.NoopScope)
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	head := "POST /short/x HTTP/1.1\r\nHost: " + testHost + "\r\nContent-Length: 1000\r\n\r\nbegun"
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	w.front.Close()
+	if left := w.server.memory.Bytes().Held; left != 0 {
+		t.Errorf("%d bytes are held after all", left)
+	}
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -21,6 +21,7 @@
 	reasonStaleKeys    reason = "keys_not_current"
 	reasonOverLimit    reason = "over_organisation_limit"
 	reasonNoAllowance  reason = "organisation_limit_not_known"
+	reasonNoMemory     reason = "memory_short"
 	reasonNoTarget     reason = "no_target"
 	reasonTargetsFull  reason = "targets_refused"
 	reasonBudgetSpent  reason = "budget_spent"
@@ -35,6 +36,7 @@
 	reasonBroken       reason = "target_broke_off"
 	reasonCut          reason = "stream_cut"
 	reasonCallerLeft   reason = "caller_left"
+	reasonStalled      reason = "caller_reads_nothing"
 )
 
 var secondsBuckets = tally.DurationBuckets{
@@ -66,9 +68,9 @@
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
-		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
+		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
-		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
+		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft, reasonStalled,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
 		m.byReason[r] = reasonMetrics{
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -151,6 +152,8 @@
 	Notices       Notices
 	Health        Health
 	Currency      Currency
+	// Memory bounds what is held for requests; nil for no bound.
+	Memory *memlimit.Bound
 	// Keys says what to do with keys while the settings are old.
 	Keys  KeyPolicy
 	Scope tally.Scope
@@ -168,6 +171,7 @@
 	notices    Notices
 	health     Health
 	currency   Currency
+	memory     *memlimit.Bound
 	keys       KeyPolicy
 	log        *slog.Logger
 	metrics    metrics
@@ -183,7 +187,7 @@
 func New(p Parts) *Server {
 	return &Server{
 		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, allowances: p.Allowances, kept: p.Conversations,
-		notices: p.Notices, health: p.Health, currency: p.Currency, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
+		notices: p.Notices, health: p.Health, currency: p.Currency, memory: p.Memory, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
 }
@@ -210,7 +214,8 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &transfer{server: s, writer: w, request: r, arrived: time.Now()}
+	x := &transfer{server: s, writer: w, request: r, arrived: time.Now(), held: s.memory.Open()}
+	defer x.held.Close()
 	x.run()
 	s.finish(x)
 }
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -1,10 +1,8 @@
 package serve
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -78,6 +77,8 @@
 	// org holds the request's key, nil if it has none.
 	org  *org.Organisation
 	body []byte
+	// held is what this instance's memory holds for the request.
+	held memlimit.Account
 	// turn is set if the conversation is kept here.
 	turn *keptTurn
 	// ctx ends when the caller leaves or the time is up, at deadline.
@@ -206,34 +207,6 @@
 	return x.request.URL.RequestURI()
 }
 
-func (x *transfer) readBody() bool {
-	limit := x.table.Limits.MaxBodyBytes
-	source := io.Reader(x.request.Body)
-	if limit > 0 {
-		if x.request.ContentLength > limit {
-			x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
-			return false
-		}
-		source = io.LimitReader(source, limit+1)
-	}
-	var body bytes.Buffer
-	if x.request.ContentLength > 0 {
-		body.Grow(int(x.request.ContentLength) + bytes.MinRead)
-	}
-	_, err := body.ReadFrom(source)
-	if err != nil {
-		x.detail = err.Error()
-		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
-		return false
-	}
-	if limit > 0 && int64(body.Len()) > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
-		return false
-	}
-	x.body = body.Bytes()
-	return true
-}
-
 // forwardTurn takes room in the program's budget around the turn.
 func (x *transfer) forwardTurn() {
 	perEvent := x.tokensPerEvent()
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -152,7 +152,7 @@
 	})
 	w.server.SetTable(route.NewTable(testRoutes()))
 	w.front = httptest.NewUnstartedServer(w.server)
-	w.front.Listener = WatchListener(w.front.Listener)
+	w.front.Listener = w.server.WatchListener(w.front.Listener)
 	w.front.Config.ConnContext = ConnContext
 	w.front.Config.ErrorLog = nil
 	w.front.Start()
