Placement by expected end where targets tell their pace

Cause: requests were placed by a load report of 400 ms at most, else by the instance's own requests alone; an instance asks each target every few seconds, so nearly all choices were blind, and nothing learned how fast a target is.

Change: policy.Speed, Standing, Present and Fill estimate a target, by its reports with their age, its own word on its pace (the middle of the words is its standing speed, a new word its present one) and pauses between events or times of answers; the mean learned goes with TargetReport (fields at the end). policy.ByEnd chooses by the expected end; programs stay with their prompt unless an engine with room ends the turn clearly sooner. On only for services whose targets tell their pace; others are placed as before.

--- a/internal/edge/targetfeed_test.go
+++ b/internal/edge/targetfeed_test.go
@@ -98,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := slog.New(slog.DiscardHandler)
 		health := feed.NewHealth()
-		w := &feedWorld{registry: targets.NewRegistry("dc", exchange.NewPool()), scope: tally.NewTestScope("", nil)}
+		w := &feedWorld{registry: targets.NewRegistry("dc", exchange.NewPool(tally.NoopScope)), scope: tally.NewTestScope("", nil)}
 		w.feed = newTargetFeed(w.registry, &w.connections, health, w.scope, log)
 		ctx, cancel := context.WithCancel(t.Context())
 		var work sync.WaitGroup
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,7 +104,7 @@
 	resp, err := p.exchange(c, req, accept)
 	if err != nil {
 		stop()
-		_ = c.Close() // it is given up with what was sent on it
+		p.drop(c)
 		if ctx.Err() != nil {
 			return nil, errors.Mark(errors.Mark(err, ctx.Err()), ErrBroken)
 		}
@@ -114,6 +114,12 @@
 	return resp, nil
 }
 
+// drop closes a connection with what is left on it.
+func (p *Pool) drop(c *conn) {
+	_ = c.Close() // it is given up
+	p.ended(c.address)
+}
+
 // broken marks the error of a connection that broke. If it had been idle, the
 // others to its target may have been dropped as well and are given up.
 func (p *Pool) broken(c *conn, err error) error {
@@ -246,7 +252,7 @@
 	cancelled := !r.stop()
 	reusable := r.whole && !r.raw.Close && !cancelled && r.written.finished() && r.conn.reader.Buffered() == 0
 	if !reusable {
-		_ = r.conn.Close() // it is given up with what is left on it
+		r.pool.drop(r.conn)
 		return
 	}
 	r.pool.put(r.conn, keepAlive, time.Now())
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // scripted is a target that answers each request on a connection with the next
@@ -101,7 +103,7 @@
 }
 
 func newPool(t *testing.T) *Pool {
-	p := NewPool()
+	p := NewPool(tally.NoopScope)
 	t.Cleanup(p.close)
 	return p
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/banyanglade/banyanglade/internal/netopt"
 )
 
@@ -44,8 +46,10 @@
 type Pool struct {
 	dialer *net.Dialer
 
+	opened causeCounters
+
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	places map[string]*place
 	closed bool
 }
 
@@ -61,10 +65,11 @@
 }
 
 // NewPool makes an empty pool.
-func NewPool() *Pool {
+func NewPool(scope tally.Scope) *Pool {
 	return &Pool{
 		dialer: netopt.Dialer(dialTimeout, unackedTimeout),
-		idle:   make(map[string][]*conn),
+		opened: newCauseCounters(scope),
+		places: make(map[string]*place),
 	}
 }
 
@@ -87,38 +92,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, conns := range p.idle {
-		for _, c := range conns {
-			_ = c.Close() // an idle connection has nothing to lose
-		}
+	for _, at := range p.places {
+		at.closeIdle()
 	}
-	clear(p.idle)
 }
 
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, conns := range p.idle {
-		kept := conns[:0]
-		for _, c := range conns {
-			if now.After(c.expires) {
-				_ = c.Close() // an idle connection has nothing to lose
-				continue
-			}
-			kept = append(kept, c)
+	for address, at := range p.places {
+		at.expire(now)
+		if at.unused(now) {
+			delete(p.places, address)
 		}
-		if len(kept) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = kept
 	}
 }
 
 // get takes an idle connection that is still in order, or opens one.
 func (p *Pool) get(ctx context.Context, address string, now time.Time) (*conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, now)
 		if c == nil {
 			break
 		}
@@ -126,46 +119,80 @@
 			c.reused = true
 			return c, nil
 		}
-		_ = c.Close() // it is given up either way
+		p.giveUp(c, now)
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.ended(address)
 		return nil, err
 	}
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// at finds what is known of an address. The mutex is held.
+func (p *Pool) at(address string) *place {
+	at := p.places[address]
+	if at == nil {
+		at = new(place)
+		p.places[address] = at
+	}
+	return at
+}
+
 // takeIdle takes the connection used last, since it is least likely to expire.
-func (p *Pool) takeIdle(address string) *conn {
+// Without one it notes that one is opened.
+func (p *Pool) takeIdle(address string, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	last := len(conns) - 1
-	c := conns[last]
-	conns[last] = nil
-	p.idle[address] = conns[:last]
+	at := p.at(address)
+	c := at.take()
+	if c == nil {
+		p.opened[at.opens(now)].Inc(1)
+	}
+	at.inUse++
 	return c
 }
 
+// giveUp closes an idle connection that was taken and can't be used.
+func (p *Pool) giveUp(c *conn, now time.Time) {
+	_ = c.Close() // it is given up either way
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := p.at(c.address)
+	at.inUse--
+	why := causeClosed
+	if !now.Before(c.expires) {
+		why = causeExpired
+	}
+	at.lose(why, now)
+}
+
+// ended counts a connection that carries no request any more.
+func (p *Pool) ended(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at(address).inUse--
+}
+
 // Kept tells whether an idle connection to an address can be used.
 func (p *Pool) Kept(address string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[address]
-	return len(conns) > 0 && now.Before(conns[len(conns)-1].expires)
+	at := p.places[address]
+	if at == nil || len(at.idle) == 0 {
+		return false
+	}
+	return now.Before(at.idle[len(at.idle)-1].expires)
 }
 
 // Forget closes the idle connections to an address.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close() // an idle connection has nothing to lose
+	if at := p.places[address]; at != nil {
+		at.closeIdle()
+		at.lose(causeClosed, time.Now())
 	}
-	delete(p.idle, address)
 }
 
 // put keeps a connection whose answer was read to its end.
@@ -177,11 +204,13 @@
 	c.expires = now.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	at := p.at(c.address)
+	at.inUse--
 	if p.closed {
 		_ = c.Close() // nothing is under way on it
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	at.idle = append(at.idle, c)
 }
 
 // quiet tells whether nothing has arrived on an idle connection: bytes that
--- /dev/null
+++ b/internal/policy/estimate.go
@@ -0,0 +1,144 @@
+package policy
+
+// The load pattern: targets of one service differ in speed, turn slow for parts
+// of a second or for seconds, and an instance hears of each of them seldom. What
+// was heard last is believed fully while it is new and less and less later.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedGain is the weight of a new sample in a Speed.
+	speedGain = 0.15
+	// speedLife is the age in which a Speed loses most of its weight, so that a
+	// target that was put aside is tried again.
+	speedLife = 10 * time.Second
+	// noiseWeight is how many times the error of a mean its distance from the
+	// usual must be for half of it to count.
+	noiseWeight = 1.5
+	// minSlowness and maxSlowness bound an estimate.
+	minSlowness = 0.25
+	maxSlowness = 8
+	// heardSpeed is the weight of another instance's mean that is newer.
+	heardSpeed = 0.5
+	// paceLife is the age in which a target's word on its present pace fades:
+	// it changes many times a second.
+	paceLife = 250 * time.Millisecond
+	// standingStep is the least part by which a word moves a target's Standing.
+	standingStep = 0.04
+	// freshLoad is how long a report of requests at a target counts fully, and
+	// loadLife the time in which it fades afterwards.
+	freshLoad = 300 * time.Millisecond
+	loadLife  = 600 * time.Millisecond
+)
+
+// Speed is the time that a target takes for a unit of work, learned from
+// samples. The unit is the service's own: it only counts against the mean of
+// the service's targets.
+type Speed struct {
+	Mean float64
+	// Variance is that of single samples around the mean.
+	Variance float64
+	// At is the time of the last sample, zero for none.
+	At time.Time
+}
+
+// Add takes a sample in.
+func (s *Speed) Add(sample float64, now time.Time) {
+	if s.At.IsZero() {
+		// One sample may be far off: its error is taken as large as itself.
+		s.Mean, s.Variance, s.At = sample, sample*sample, now
+		return
+	}
+	off := sample - s.Mean
+	s.Mean += speedGain * off
+	s.Variance += speedGain * (off*off - s.Variance)
+	s.At = now
+}
+
+// Hear takes another instance's mean in if it is newer. The variance is that of
+// samples, so it stays.
+func (s *Speed) Hear(mean float64, at time.Time) {
+	if mean <= 0 || !at.After(s.At) {
+		return
+	}
+	if s.At.IsZero() {
+		s.Mean, s.At = mean, at
+		return
+	}
+	s.Mean += heardSpeed * (mean - s.Mean)
+	s.At = at
+}
+
+// Slowness is the target's time over the usual one; standing is what its own word
+// says, which counts where nothing was learned. A distance from that within the
+// mean's own error counts little.
+func (s *Speed) Slowness(usual, standing float64, now time.Time) float64 {
+	if s.At.IsZero() || usual <= 0 {
+		return standing
+	}
+	off := s.Mean/usual - standing
+	sure := off * off / (off*off + noiseWeight*s.errorOfMean()/(usual*usual) + math.SmallestNonzeroFloat64)
+	slowness := standing + off*sure*fade(now.Sub(s.At), speedLife)
+	return min(max(slowness, minSlowness), maxSlowness)
+}
+
+// errorOfMean is the variance of the moving mean.
+func (s *Speed) errorOfMean() float64 { return s.Variance * speedGain / (2 - speedGain) }
+
+// Standing is the middle of a target's words on its pace, 1 as usual: machines that
+// turn slow for parts of a second do not move it.
+type Standing struct {
+	Middle float64
+	words  int
+}
+
+// Add takes a word in, in percent of the usual.
+func (s *Standing) Add(percent int) {
+	word := float64(percent) / 100
+	if s.words == 0 {
+		s.Middle = word
+	}
+	s.words++
+	step := s.Middle * max(1/float64(s.words+1), standingStep)
+	s.Middle += min(max(word-s.Middle, -step), step)
+}
+
+// Present is the slowness of a target that turned slow for now, by a new word on
+// its pace: slowness where that says nothing worse. Both are over the usual.
+func Present(slowness, pace float64, age time.Duration) float64 {
+	return slowness + max(pace-slowness, 0)*fade(age, paceLife)
+}
+
+// LoadReport is what is known of the requests at a target.
+type LoadReport struct {
+	// Busy counts the requests that the target reported, Since this instance's
+	// own that began after it less those that ended, Own all of its own.
+	Busy  int
+	Since int
+	Own   int
+	Slots int
+	// Known tells that there is a report, of an Age.
+	Known bool
+	Age   time.Duration
+}
+
+// Fill is the expected number of requests at a target, in parts of its slots.
+// An old report fades towards the pool's mean.
+func Fill(r LoadReport, pool float64) float64 {
+	slots := float64(max(r.Slots, 1))
+	own := float64(r.Own) / slots
+	if !r.Known {
+		return max(pool, own)
+	}
+	reported := max(float64(r.Busy+r.Since)/slots, 0)
+	sure := fade(max(r.Age-freshLoad, 0), loadLife)
+	return max(sure*reported+(1-sure)*pool, own)
+}
+
+// fade is the weight of what is of an age.
+func fade(age, life time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(life))
+}
--- /dev/null
+++ b/internal/policy/expected.go
@@ -0,0 +1,190 @@
+package policy
+
+// The load pattern: targets of one service end the same request at different
+// times, by their speed, what is ahead there and what they have kept. Choosing
+// the least busy sends a third of the requests to slow targets while fast ones
+// have room; many instances that choose the one best target push each other.
+
+const (
+	// ReadyFill is how busy a target may be, in parts of its slots, to have room
+	// for a program that begins or moves there with its sub-agents.
+	ReadyFill = 0.6
+	// FullFill is how busy a target may be for a program to stay there.
+	FullFill = 1.6
+	// alike is how much later than at the best target a request may be expected
+	// to end, in parts of its usual time, for a choice to be open.
+	alike = 0.12
+	// alikeBegin is the same for a program that begins or moves: many instances
+	// choose at once, and what they know of the load is old by then.
+	alikeBegin = 0.3
+	// moveGain is how much sooner a program's turn must be expected to end
+	// elsewhere for the program to move.
+	moveGain = 0.5
+	// openCost, farCost and coldStart are what a connection to be opened, another
+	// data centre and a target just started add, in parts of the usual time.
+	openCost  = 0.3
+	farCost   = 0.15
+	coldStart = 0.5
+	// spareSlope is what a request at a target adds to those to come while it has
+	// room, for work that is done in batches.
+	spareSlope = 0.3
+)
+
+// EndOption is a target that a request could be sent to.
+type EndOption struct {
+	// Fill is how many requests it has, in parts of its slots, Slowness its time
+	// for the same work over the usual.
+	Fill     float64
+	Slowness float64
+	// Opens tells that a connection has to be opened, Far that it is in another
+	// data centre, Cold that it started just now.
+	Opens bool
+	Far   bool
+	Cold  bool
+	// Last tells that it ran the program's last turn and has its prompt.
+	Last bool
+	// Shut tells that it must not be chosen.
+	Shut bool
+	// Rank orders targets that are alike, the highest first.
+	Rank float64
+}
+
+// EndRequest is what a request needs.
+type EndRequest struct {
+	// Read is the time to read its prompt where it is not kept, in parts of the
+	// usual time of the rest.
+	Read float64
+	// Batched tells that targets work on all requests in their slots at once.
+	Batched bool
+}
+
+// margin is how much later than at the best target it may be expected to end for
+// a choice to be open.
+func (r EndRequest) margin() float64 {
+	if r.Batched {
+		return alikeBegin
+	}
+	return alike
+}
+
+// EndChoice is a decision with what speaks for it.
+type EndChoice struct {
+	// Index is the option chosen, -1 for none; Next is the best other one, -1 for
+	// none.
+	Index, Next int
+	// End and NextEnd are when these are expected to end the request, in parts of
+	// its usual time.
+	End, NextEnd float64
+	// Stayed tells that the program stays where its prompt is, Moved that it
+	// leaves such a target.
+	Stayed, Moved bool
+}
+
+// ByEnd chooses the target that is expected to end a request first; among those
+// that are alike, one to which a connection is kept. A program stays with its
+// prompt unless another target with room ends the turn clearly sooner.
+func ByEnd(options []EndOption, request EndRequest) EndChoice {
+	ends := make([]float64, len(options))
+	first, last := -1, -1
+	for i, o := range options {
+		if o.Shut {
+			continue
+		}
+		ends[i] = ExpectedEnd(o, request)
+		if first < 0 || ends[i] < ends[first] {
+			first = i
+		}
+		if o.Last {
+			last = i
+		}
+	}
+	if first < 0 {
+		return EndChoice{Index: -1, Next: -1}
+	}
+	choice := EndChoice{Index: first}
+	switch {
+	case last >= 0 && stays(options, ends, last, first):
+		choice.Index, choice.Stayed = last, true
+	default:
+		choice.Index = pickAlike(options, ends, first, request.margin())
+		choice.Moved = last >= 0 && choice.Index != last
+	}
+	choice.End = ends[choice.Index]
+	choice.Next = runnerUp(options, ends, choice.Index)
+	if choice.Next >= 0 {
+		choice.NextEnd = ends[choice.Next]
+	}
+	return choice
+}
+
+// stays tells whether a program stays at the target that has its prompt.
+func stays(options []EndOption, ends []float64, last, first int) bool {
+	if options[last].Fill >= FullFill {
+		return false
+	}
+	sooner := ends[last]-ends[first] > moveGain
+	return !sooner || options[first].Fill >= ReadyFill
+}
+
+// pickAlike chooses among the options that are expected to end about when the
+// first does.
+func pickAlike(options []EndOption, ends []float64, first int, margin float64) int {
+	best := first
+	for i, o := range options {
+		if o.Shut || ends[i] > ends[first]+margin {
+			continue
+		}
+		if o.Opens != options[best].Opens {
+			if !o.Opens {
+				best = i
+			}
+			continue
+		}
+		if o.Rank > options[best].Rank {
+			best = i
+		}
+	}
+	return best
+}
+
+func runnerUp(options []EndOption, ends []float64, chosen int) int {
+	next := -1
+	for i, o := range options {
+		if o.Shut || i == chosen {
+			continue
+		}
+		if next < 0 || ends[i] < ends[next] {
+			next = i
+		}
+	}
+	return next
+}
+
+// ExpectedEnd is when a target is expected to end a request, in parts of its
+// usual time.
+func ExpectedEnd(o EndOption, request EndRequest) float64 {
+	work := 1 + waiting(o.Fill, request.Batched)
+	if !o.Last {
+		work += request.Read
+	}
+	end := o.Slowness * work
+	if o.Opens {
+		end += openCost
+	}
+	if o.Far {
+		end += farCost
+	}
+	if o.Cold {
+		end += coldStart
+	}
+	return end
+}
+
+// waiting is what requests at a target add. What is known of them is uncertain,
+// so it begins before the slots are full.
+func waiting(fill float64, batched bool) float64 {
+	if !batched {
+		return fill
+	}
+	return spareSlope*fill + max(fill-ReadyFill, 0)
+}
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -94,7 +94,7 @@
 	if x.failsTurn(resp) {
 		x.noteFailedTurn(target)
 	} else {
-		x.server.targets.Succeeded(target, time.Now())
+		x.noteAnswer(target)
 	}
 	longer := body.Len() == maxBuffered
 	x.copyHead(resp, longer, body.Len())
@@ -151,6 +151,7 @@
 // deliverStream passes whole events on as they arrive.
 func (x *transfer) deliverStream(target *targets.Target, resp *exchange.Response) bool {
 	events := newEventReader(resp.Body)
+	timing := x.newStreamTiming(target)
 	for {
 		event, err := events.next()
 		if err == nil && !x.follows(event) {
@@ -158,6 +159,7 @@
 		}
 		switch {
 		case err == io.EOF:
+			timing.end()
 			return x.endStream(target, resp)
 		case err != nil:
 			x.detail = err.Error()
@@ -171,6 +173,7 @@
 		}
 		x.delivered++
 		x.lastEvent = event.id
+		timing.event(time.Now(), events.buffered())
 		x.noteEvent(event)
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerGone(err)
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"slices"
@@ -55,9 +56,42 @@
 	}
 	want := targets.Want{
 		Service: x.service, Key: x.placementKey(), Last: x.lastOfProgram, Remembered: x.settle != nil,
-		Exclude: x.tried,
+		Exclude: x.tried, Stream: x.route.Kind == route.Stream, PromptTokens: x.promptTokens(),
 	}
-	return x.server.targets.Pick(want, time.Now())
+	if !x.server.log.Enabled(x.ctx, slog.LevelDebug) {
+		return x.server.targets.Pick(want, time.Now())
+	}
+	var why targets.Why
+	want.Why = &why
+	target := x.server.targets.Pick(want, time.Now())
+	x.logChoice(target, why)
+	return target
+}
+
+// logChoice tells why a target was chosen.
+func (x *transfer) logChoice(target *targets.Target, why targets.Why) {
+	if target == nil || !why.Known {
+		return
+	}
+	x.server.log.Debug("target chosen", "request", x.call.ID, "target", target.ID,
+		"end", why.End, "fill", why.Fill, "slowness", why.Slowness,
+		"report_age_ms", why.ReportAge.Milliseconds(), "speed_age_ms", why.SpeedAge.Milliseconds(),
+		"stayed", why.Stayed, "moved", why.Moved, "next", why.Next, "next_end", why.NextEnd)
+}
+
+// bytesPerToken is the usual length of a token of a conversation kept here, of
+// which nothing else tells the length.
+const bytesPerToken = 4
+
+// promptTokens is the length of the prompt that an engine reads.
+func (x *transfer) promptTokens() int {
+	if x.call.Turn == nil {
+		return 0
+	}
+	if x.turn != nil {
+		return max(x.call.Turn.PromptTokens, len(x.body)/bytesPerToken)
+	}
+	return x.call.Turn.PromptTokens
 }
 
 // pickSame is the target that ran the request last, unless it was given up.
@@ -93,6 +127,7 @@
 	defer cancel()
 	var answer call.Answer
 	sentAt := time.Now()
+	x.sentAt = sentAt
 	resp, err := x.server.pool.Do(ctx, exchange.Request{
 		Address: target.Address, Method: x.request.Method, URI: x.uri(),
 		Host: x.request.Host, Header: header, Body: x.body,
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -104,8 +104,10 @@
 	// broken lists targets that broke a connection without an answer.
 	broken     []string
 	lastTarget string
-	sends      int
-	refusals   int
+	// sentAt is the time of the last send.
+	sentAt   time.Time
+	sends    int
+	refusals int
 
 	// headSent tells that the head of the answer went out.
 	headSent bool
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -139,7 +139,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	pool := exchange.NewPool()
+	pool := exchange.NewPool(tally.NoopScope)
 	w := &world{t: t, targets: targets.NewRegistry("dc", pool), budgets: new(budgets), log: new(logBuffer),
 		conversations: new(conversations)}
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/targets/ends.go
@@ -0,0 +1,96 @@
+package targets
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+)
+
+// chooseByEnd chooses a target of a service whose targets tell their pace, by
+// when each is expected to end the request. The mutex is held.
+func (r *Registry) chooseByEnd(w *work, all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
+	pool := r.pool(want.Service, now).Fill
+	usual := usualOf(all)
+	r.options = r.options[:0]
+	for _, t := range all {
+		last := t.incarnation == want.Last
+		slowness := t.present(usual, now)
+		if last {
+			// A program does not move for what passes in parts of a second.
+			slowness = t.slowness(usual, now)
+		}
+		r.options = append(r.options, policy.EndOption{
+			Fill: t.fill(pool, now), Slowness: slowness,
+			Opens: !r.connections.Kept(t.Address, now), Far: t.DataCentre != r.dataCentre, Cold: t.ColdRemaining > 0,
+			Last: last,
+			Shut: t.Draining || slices.Contains(want.Exclude, t.incarnation) || (!includeAvoided && t.avoided(now)),
+			Rank: rand.Float64(),
+		})
+	}
+	choice := policy.ByEnd(r.options, w.needs(want))
+	if choice.Index < 0 {
+		return nil
+	}
+	want.Why.fill(r.options, all, choice, now)
+	return all[choice.Index]
+}
+
+// Why is what spoke for a target where the expected ends decide.
+type Why struct {
+	// Known tells that the expected ends decided.
+	Known bool
+	// End and NextEnd are when the target and the best other one are expected to
+	// end the request, in parts of its usual time.
+	End, NextEnd float64
+	// Next is the id of the best other one, empty for none.
+	Next string
+	// Fill and Slowness are the estimate of the target, ReportAge and SpeedAge the
+	// ages of what it rests on.
+	Fill, Slowness      float64
+	ReportAge, SpeedAge time.Duration
+	// Stayed tells that the program stays, Moved that it leaves its target.
+	Stayed, Moved bool
+}
+
+// fill takes a choice; a nil Why stays.
+func (y *Why) fill(options []policy.EndOption, all []*Target, choice policy.EndChoice, now time.Time) {
+	if y == nil {
+		return
+	}
+	t, o := all[choice.Index], options[choice.Index]
+	*y = Why{
+		Known: true, End: choice.End, NextEnd: choice.NextEnd, Fill: o.Fill, Slowness: o.Slowness,
+		ReportAge: age(t.loadAt, now), SpeedAge: age(t.speed.At, now), Stayed: choice.Stayed, Moved: choice.Moved,
+	}
+	if choice.Next >= 0 {
+		y.Next = all[choice.Next].ID
+	}
+}
+
+// unknownAge stands for the age of what is not known.
+const unknownAge = -time.Second
+
+// age is the time since an event, unknownAge if there was none.
+func age(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(at)
+}
+
+// needs is what a request needs of a service, in parts of its usual time.
+func (w *work) needs(want Want) policy.EndRequest {
+	if !want.Stream {
+		return policy.EndRequest{}
+	}
+	read := w.turns.PrefillPerToken * time.Duration(want.PromptTokens)
+	answer := w.turns.Expected(0, int64(w.turns.Tokens))
+	return policy.EndRequest{Batched: true, Read: read.Seconds() / max(answer, time.Millisecond).Seconds()}
+}
+
+// avoided tells whether requests are kept away from a target.
+func (t *Target) avoided(now time.Time) bool {
+	return now.Before(t.avoidUntil) || now.Before(t.heardUntil)
+}
--- /dev/null
+++ b/internal/targets/ends_test.go
@@ -0,0 +1,110 @@
+package targets
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// pacedRegistry has targets of which each told its usual pace some times.
+func pacedRegistry(n int, kept keptTo, now time.Time) *Registry {
+	r := newRegistryWith(n, kept)
+	for i := range 10 * n {
+		r.Report(r.byID[fmt.Sprint("t", i%n)], call.Load{Slots: testSlots, Pace: 100}, now)
+	}
+	return r
+}
+
+// chosen counts the targets that n requests get.
+func chosen(r *Registry, want Want, n int, now time.Time) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		t := r.Pick(want, now)
+		counts[t.ID]++
+		r.End(t)
+	}
+	return counts
+}
+
+// One target of five turns slow for half a second and says so: requests avoid it
+// while that is new, and come back.
+func TestSlowMachineIsAvoidedWhileItSaysSo(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := pacedRegistry(5, keptTo{}, now)
+	r.Report(r.byID["t0"], call.Load{Slots: testSlots, Pace: 250}, now)
+	if n := chosen(r, Want{Service: "s"}, 50, now)["t0"]; n != 0 {
+		t.Errorf("%d of 50 requests went to the slow target", n)
+	}
+	if n := chosen(r, Want{Service: "s"}, 100, now.Add(time.Second))["t0"]; n == 0 {
+		t.Error("the target was not tried again")
+	}
+}
+
+// A third of the engines is several times slower for seconds, which only the
+// pauses between events tell: programs begin elsewhere and those there leave,
+// here and at an instance that only heard of it.
+func TestProgramsLeaveEnginesThatTurnSlow(t *testing.T) {
+	now := time.Unix(100, 0)
+	r, other := pacedRegistry(6, keptTo{}, now), pacedRegistry(6, keptTo{}, now)
+	for i := range 6 {
+		pause := 40 * time.Millisecond
+		if i < 2 {
+			pause *= 4
+		}
+		for step := range 10 {
+			r.Paused(r.byID[fmt.Sprint("t", i)], pause, now.Add(time.Duration(step)*time.Millisecond))
+		}
+	}
+	later := now.Add(20 * time.Millisecond)
+	var told []structs.TargetReport
+	for _, target := range r.byID {
+		told = append(told, target.report(later))
+	}
+	other.HearLoads(told, later)
+	for name, at := range map[string]*Registry{"seen": r, "heard": other} {
+		begins := chosen(at, Want{Service: "s", Key: "p", Remembered: true, Stream: true}, 60, later)
+		if begins["t0"]+begins["t1"] != 0 || len(begins) != 4 {
+			t.Errorf("%s: programs began at %v", name, begins)
+		}
+		leaves := Want{Service: "s", Key: "p", Last: "t0", Remembered: true, Stream: true, PromptTokens: 2000}
+		if n := chosen(at, leaves, 20, later)["t0"]; n != 0 {
+			t.Errorf("%s: %d of 20 turns stayed at the slow engine", name, n)
+		}
+		stays := Want{Service: "s", Key: "p", Last: "t5", Remembered: true, Stream: true, PromptTokens: 2000}
+		if n := chosen(at, stays, 20, later)["t5"]; n != 20 {
+			t.Errorf("%s: %d of 20 turns stayed at a usual engine", name, n)
+		}
+	}
+}
+
+// Targets that say nothing of their pace are chosen as before, and nothing is
+// learned of them.
+func TestTargetsWithoutAPaceAreChosenAsBefore(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := newTestRegistry(3)
+	r.Report(r.byID["t0"], call.Load{Slots: testSlots}, now)
+	r.Paused(r.byID["t0"], time.Second, now)
+	if len(r.works) != 0 || !r.byID["t0"].speed.At.IsZero() {
+		t.Error("something was learned")
+	}
+	var why Why
+	r.Pick(Want{Service: "s", Why: &why}, now)
+	if why.Known {
+		t.Errorf("got %+v", why)
+	}
+}
+
+func TestWhyTellsTheEstimateAndTheRunnerUp(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := pacedRegistry(2, keptTo{}, now)
+	r.Report(r.byID["t0"], call.Load{Running: testSlots, Slots: testSlots, Pace: 100}, now)
+	var why Why
+	got := r.Pick(Want{Service: "s", Why: &why}, now.Add(time.Millisecond))
+	if got.ID != "t1" || !why.Known || why.Next != "t0" || why.NextEnd <= why.End ||
+		why.ReportAge != time.Millisecond || why.SpeedAge != unknownAge {
+		t.Errorf("%s was chosen for %+v", got.ID, why)
+	}
+}
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -38,6 +38,10 @@
 func (r *Registry) Pool(service string, now time.Time) Pool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.pool(service, now)
+}
+
+func (r *Registry) pool(service string, now time.Time) Pool {
 	var pool Pool
 	slots, age := 0, time.Duration(0)
 	busy := 0.0
@@ -85,9 +89,7 @@
 			if t.loadAt.IsZero() || age > shareableAge || !tell(t) {
 				continue
 			}
-			loads = append(loads, structs.TargetReport{
-				Target: t.hash, Running: t.load.Running, Waiting: t.load.Waiting, Pace: t.load.Pace, Age: age,
-			})
+			loads = append(loads, t.report(now))
 			if len(loads) >= most {
 				return loads
 			}
@@ -103,16 +105,24 @@
 	defer r.mu.Unlock()
 	for _, l := range loads {
 		t, ok := r.byHash[l.Target]
+		if !ok {
+			continue
+		}
+		r.hearSpeed(t, l, now)
 		at := now.Add(-max(l.Age, 0))
-		if !ok || l.Running < 0 || l.Waiting < 0 || l.Pace < 0 || !at.After(t.loadAt) {
+		if l.Running < 0 || l.Waiting < 0 || l.Pace < 0 || !at.After(t.loadAt) {
 			continue
 		}
-		t.setLoad(call.Load{Running: l.Running, Waiting: l.Waiting, Slots: t.Slots, Pace: l.Pace}, at)
+		r.setLoad(t, call.Load{Running: l.Running, Waiting: l.Waiting, Slots: t.Slots, Pace: l.Pace}, at)
 		t.heard = true
 	}
 }
 
-// setLoad takes a report of a time.
-func (t *Target) setLoad(load call.Load, at time.Time) {
+// setLoad takes a report of a time. The mutex is held.
+func (r *Registry) setLoad(t *Target, load call.Load, at time.Time) {
 	t.load, t.loadAt, t.inFlightAtLoad = load, at, t.inFlight
+	if load.Pace > 0 {
+		r.work(t.Service)
+		t.standing.Add(load.Pace)
+	}
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -22,8 +22,14 @@
 	// Remembered tells that whoever sends the key's next request will know the
 	// target of this one, so that it may be chosen freely.
 	Remembered bool
+	// Stream tells that an engine's batch runs the request, with a prompt of
+	// PromptTokens.
+	Stream       bool
+	PromptTokens int
 	// Exclude lists the starts of targets that were tried before.
 	Exclude []string
+	// Why is filled with what spoke for the choice, unless it is nil.
+	Why *Why
 }
 
 const (
@@ -90,7 +96,12 @@
 //     by 0.005 (mean of 24 runs of three load patterns, in pairs);
 //   - the one that the key ranks first, which all instances find without asking;
 //   - the least busy one, preferably one to which a connection is kept.
+//
+// Where targets tell their pace the expected ends decide.
 func (r *Registry) choose(all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
+	if w := r.works[want.Service]; w != nil && (want.Key == "" || want.Remembered) {
+		return r.chooseByEnd(w, all, want, now, includeAvoided)
+	}
 	var last, near, ranked, least best
 	beginsNear := want.Remembered && r.nearLoads[want.Service] < nearFill
 	// Instances with the same view must not all choose the same target.
@@ -100,7 +111,7 @@
 		if t.Draining || slices.Contains(want.Exclude, t.incarnation) {
 			continue
 		}
-		if !includeAvoided && (now.Before(t.avoidUntil) || now.Before(t.heardUntil)) {
+		if !includeAvoided && t.avoided(now) {
 			continue
 		}
 		fill := t.busy(now) / float64(max(t.Slots, 1))
--- /dev/null
+++ b/internal/targets/speeds.go
@@ -0,0 +1,141 @@
+package targets
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// speedUnit is the part of a unit of work in which speeds are told.
+	speedUnit = 1e-6
+	// routeGain is the weight of an answer in the usual time of its route.
+	routeGain = 0.02
+)
+
+// work is what is usual for a service whose targets tell their pace.
+type work struct {
+	// routes are the usual times of answers, by route, in seconds.
+	routes map[string]float64
+	// turns are the usual parts of an engine's turn.
+	turns policy.Estimates
+}
+
+// work finds what is usual for a service, or begins to learn it. The mutex is
+// held.
+func (r *Registry) work(service string) *work {
+	w := r.works[service]
+	if w == nil {
+		w = &work{routes: make(map[string]float64), turns: policy.NewEstimates()}
+		r.works[service] = w
+	}
+	return w
+}
+
+// Answered takes the time of a whole plain answer.
+func (r *Registry) Answered(t *Target, route string, took time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.works[t.Service]
+	if w == nil || took <= 0 {
+		return
+	}
+	usual, known := w.routes[route]
+	if !known {
+		usual = took.Seconds()
+	}
+	w.routes[route] = usual + routeGain*(took.Seconds()-usual)
+	t.speed.Add(took.Seconds()/usual, now)
+}
+
+// Paused takes the time between events of an engine.
+func (r *Registry) Paused(t *Target, perEvent time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.works[t.Service] != nil {
+		t.speed.Add(perEvent.Seconds(), now)
+	}
+}
+
+// TurnEnded takes a whole turn.
+func (r *Registry) TurnEnded(t *Target, sample policy.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.works[t.Service]; w != nil {
+		w.turns.Add(sample)
+	}
+}
+
+// usual are the means of what is known of a service's targets, 0 where nothing
+// is.
+type usual struct{ speed, standing float64 }
+
+func usualOf(all []*Target) usual {
+	var speed, standing mean
+	for _, t := range all {
+		if !t.speed.At.IsZero() {
+			speed.add(t.speed.Mean)
+		}
+		if t.standing.Middle > 0 {
+			standing.add(t.standing.Middle)
+		}
+	}
+	return usual{speed: speed.value(), standing: standing.value()}
+}
+
+// mean is that of the values added.
+type mean struct {
+	sum float64
+	n   int
+}
+
+func (m *mean) add(value float64) { m.sum, m.n = m.sum+value, m.n+1 }
+
+// value is 0 if none was added.
+func (m *mean) value() float64 { return m.sum / max(float64(m.n), 1) }
+
+// slowness is the target's time for the same work over the usual one, apart from
+// what it says of the present.
+func (t *Target) slowness(u usual, now time.Time) float64 {
+	standing := 1.0
+	if t.standing.Middle > 0 {
+		standing = t.standing.Middle / u.standing
+	}
+	return t.speed.Slowness(u.speed, standing, now)
+}
+
+// present is the slowness with what the target says of the present.
+func (t *Target) present(u usual, now time.Time) float64 {
+	slowness := t.slowness(u, now)
+	if t.load.Pace <= 0 || u.standing <= 0 {
+		return slowness
+	}
+	return policy.Present(slowness, float64(t.load.Pace)/100/u.standing, now.Sub(t.loadAt))
+}
+
+// fill is the expected number of requests at a target, in parts of its slots.
+func (t *Target) fill(pool float64, now time.Time) float64 {
+	return policy.Fill(policy.LoadReport{
+		Busy: t.load.Running + t.load.Waiting, Since: t.inFlight - t.inFlightAtLoad, Own: t.inFlight,
+		Slots: t.Slots, Known: !t.loadAt.IsZero(), Age: now.Sub(t.loadAt),
+	}, pool)
+}
+
+// report is what others are told of a target.
+func (t *Target) report(now time.Time) structs.TargetReport {
+	report := structs.TargetReport{
+		Target: t.hash, Running: t.load.Running, Waiting: t.load.Waiting, Pace: t.load.Pace, Age: now.Sub(t.loadAt),
+	}
+	if !t.speed.At.IsZero() {
+		report.Speed, report.SpeedAge = int(t.speed.Mean/speedUnit), now.Sub(t.speed.At)
+	}
+	return report
+}
+
+// hearSpeed takes what another instance learned of a target. The mutex is held.
+func (r *Registry) hearSpeed(t *Target, report structs.TargetReport, now time.Time) {
+	if report.Speed > 0 {
+		t.speed.Hear(float64(report.Speed)*speedUnit, now.Add(-max(report.SpeedAge, 0)))
+	}
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/policy"
 )
 
 // Entry is a target's registration.
@@ -58,6 +59,10 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	heard          bool
+	// speed is what was learned of the target's time for a unit of work, standing
+	// what it says itself, 0 if it says nothing.
+	speed    policy.Speed
+	standing policy.Standing
 	// failures counts failures in a row; avoidUntil keeps requests away.
 	failures   int
 	avoidUntil time.Time
@@ -105,6 +110,10 @@
 	// nearLoads are the usual loads of the targets of this data centre, by
 	// service, in parts of their slots.
 	nearLoads map[string]float64
+	// works are the usual works of services whose targets tell their pace.
+	works map[string]*work
+	// options is reused by choices.
+	options []policy.EndOption
 }
 
 // NewRegistry makes an empty table for an instance in a data centre.
@@ -118,6 +127,7 @@
 		byService:     make(map[string][]*Target),
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
+		works:         make(map[string]*work),
 	}
 }
 
@@ -225,7 +235,7 @@
 func (r *Registry) Report(t *Target, load call.Load, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.setLoad(load, now)
+	r.setLoad(t, load, now)
 	t.heard = false
 	if t.DataCentre == r.dataCentre {
 		r.noteNearLoad(t, load)
