Placement: reports fade within a request's time to each target's usual load

Cause: a report of 300 ms counted fully although the requests it counted ended within some tens of milliseconds, and an old one faded to the pool's mean alone, so that targets which stay busier were not told from others.

Change: a report fades within the usual time of a request to the moving mean of the target's reports, that to the pool's mean. Among targets that are alike each instance has an order of its own.

--- a/internal/policy/estimate.go
+++ b/internal/policy/estimate.go
@@ -28,10 +28,13 @@
 	paceLife = 250 * time.Millisecond
 	// standingStep is the least part by which a word moves a target's Standing.
 	standingStep = 0.04
-	// freshLoad is how long a report of requests at a target counts fully, and
-	// loadLife the time in which it fades afterwards.
-	freshLoad = 300 * time.Millisecond
-	loadLife  = 600 * time.Millisecond
+	// trendGain is the weight of a report in a target's usual load, and trendLife
+	// the time in which that fades.
+	trendGain = 0.2
+	trendLife = 2 * time.Second
+	// minLoadLife bounds how fast a report of requests fades: within the usual
+	// time of a request those that it counted have ended.
+	minLoadLife = 50 * time.Millisecond
 )
 
 // Speed is the time that a target takes for a unit of work, learned from
@@ -120,22 +123,34 @@
 	Since int
 	Own   int
 	Slots int
+	// Usual is the moving mean of the reports, as TrendFill makes it.
+	Usual float64
 	// Known tells that there is a report, of an Age.
 	Known bool
 	Age   time.Duration
 }
 
+// TrendFill takes a report of requests, in parts of the slots, into the moving
+// mean of a target's reports.
+func TrendFill(usual, reported float64, first bool) float64 {
+	if first {
+		return reported
+	}
+	return usual + trendGain*(reported-usual)
+}
+
 // Fill is the expected number of requests at a target, in parts of its slots.
-// An old report fades towards the pool's mean.
-func Fill(r LoadReport, pool float64) float64 {
+// A report fades within the usual time of a request towards what the target
+// usually reports, and that towards the pool's mean.
+func Fill(r LoadReport, pool float64, request time.Duration) float64 {
 	slots := float64(max(r.Slots, 1))
 	own := float64(r.Own) / slots
 	if !r.Known {
 		return max(pool, own)
 	}
 	reported := max(float64(r.Busy+r.Since)/slots, 0)
-	sure := fade(max(r.Age-freshLoad, 0), loadLife)
-	return max(sure*reported+(1-sure)*pool, own)
+	usual := pool + (r.Usual-pool)*fade(r.Age, trendLife)
+	return max(usual+(reported-usual)*fade(r.Age, max(request, minLoadLife)), own)
 }
 
 // fade is the weight of what is of an age.
--- a/internal/targets/ends.go
+++ b/internal/targets/ends.go
@@ -1,7 +1,6 @@
 package targets
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -22,11 +21,11 @@
 			slowness = t.slowness(usual, now)
 		}
 		r.options = append(r.options, policy.EndOption{
-			Fill: t.fill(pool, now), Slowness: slowness,
+			Fill: t.fill(pool, w.request, now), Slowness: slowness,
 			Opens: !r.connections.Kept(t.Address, now), Far: t.DataCentre != r.dataCentre, Cold: t.ColdRemaining > 0,
 			Last: last,
 			Shut: t.Draining || slices.Contains(want.Exclude, t.incarnation) || (!includeAvoided && t.avoided(now)),
-			Rank: rand.Float64(),
+			Rank: rank(r.seed, t.ID),
 		})
 	}
 	choice := policy.ByEnd(r.options, w.needs(want))
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
@@ -120,6 +121,8 @@
 
 // setLoad takes a report of a time. The mutex is held.
 func (r *Registry) setLoad(t *Target, load call.Load, at time.Time) {
+	fill := float64(load.Running+load.Waiting) / float64(max(t.Slots, 1))
+	t.usualFill = policy.TrendFill(t.usualFill, fill, t.loadAt.IsZero())
 	t.load, t.loadAt, t.inFlightAtLoad = load, at, t.inFlight
 	if load.Pace > 0 {
 		r.work(t.Service)
--- a/internal/targets/speeds.go
+++ b/internal/targets/speeds.go
@@ -12,6 +12,8 @@
 	speedUnit = 1e-6
 	// routeGain is the weight of an answer in the usual time of its route.
 	routeGain = 0.02
+	// initialRequest is taken for the time of a request until some were seen.
+	initialRequest = 200 * time.Millisecond
 )
 
 // work is what is usual for a service whose targets tell their pace.
@@ -20,6 +22,13 @@
 	routes map[string]float64
 	// turns are the usual parts of an engine's turn.
 	turns policy.Estimates
+	// request is the usual time of a request of any kind.
+	request time.Duration
+}
+
+// took takes the time of a request into the usual one.
+func (w *work) took(d time.Duration) {
+	w.request += time.Duration(routeGain * float64(d-w.request))
 }
 
 // work finds what is usual for a service, or begins to learn it. The mutex is
@@ -27,12 +36,20 @@
 func (r *Registry) work(service string) *work {
 	w := r.works[service]
 	if w == nil {
-		w = &work{routes: make(map[string]float64), turns: policy.NewEstimates()}
+		w = &work{routes: make(map[string]float64), turns: policy.NewEstimates(), request: initialRequest}
 		r.works[service] = w
 	}
 	return w
 }
 
+// usualRequest is the usual time of a request to a service. The mutex is held.
+func (r *Registry) usualRequest(service string) time.Duration {
+	if w := r.works[service]; w != nil {
+		return w.request
+	}
+	return initialRequest
+}
+
 // Answered takes the time of a whole plain answer.
 func (r *Registry) Answered(t *Target, route string, took time.Duration, now time.Time) {
 	r.mu.Lock()
@@ -45,6 +62,7 @@
 	if !known {
 		usual = took.Seconds()
 	}
+	w.took(took)
 	w.routes[route] = usual + routeGain*(took.Seconds()-usual)
 	t.speed.Add(took.Seconds()/usual, now)
 }
@@ -63,6 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.works[t.Service]; w != nil {
+		w.took(sample.Took)
 		w.turns.Add(sample)
 	}
 }
@@ -115,11 +134,11 @@
 }
 
 // fill is the expected number of requests at a target, in parts of its slots.
-func (t *Target) fill(pool float64, now time.Time) float64 {
+func (t *Target) fill(pool float64, request time.Duration, now time.Time) float64 {
 	return policy.Fill(policy.LoadReport{
 		Busy: t.load.Running + t.load.Waiting, Since: t.inFlight - t.inFlightAtLoad, Own: t.inFlight,
-		Slots: t.Slots, Known: !t.loadAt.IsZero(), Age: now.Sub(t.loadAt),
-	}, pool)
+		Slots: t.Slots, Usual: t.usualFill, Known: !t.loadAt.IsZero(), Age: now.Sub(t.loadAt),
+	}, pool, request)
 }
 
 // report is what others are told of a target.
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -3,6 +3,7 @@
 package targets
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -59,6 +60,8 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	heard          bool
+	// usualFill is the moving mean of the reports, in parts of the slots.
+	usualFill float64
 	// speed is what was learned of the target's time for a unit of work, standing
 	// what it says itself, 0 if it says nothing.
 	speed    policy.Speed
@@ -112,6 +115,9 @@
 	nearLoads map[string]float64
 	// works are the usual works of services whose targets tell their pace.
 	works map[string]*work
+	// seed differs between instances, so that each prefers other targets of those
+	// that are alike.
+	seed string
 	// options is reused by choices.
 	options []policy.EndOption
 }
@@ -128,6 +134,7 @@
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
 		works:         make(map[string]*work),
+		seed:          strconv.FormatUint(rand.Uint64(), 36),
 	}
 }
 
