Placement: connections are weighed for programs that come through another instance, and for objects

Change: a turn moves to an engine with a kept connection where reading its prompt costs less than opening one; the target that an object ranks first is worth a quarter of the work, less than a connection. Plain targets are no longer chosen by rank alone where they tell their pace.

Ruled out: longer idle times.

--- a/internal/policy/expected.go
+++ b/internal/policy/expected.go
@@ -23,6 +23,12 @@
 	// shareCost is added for a target that usually has twice what others have, so
 	// that connections that are kept do not crowd some.
 	shareCost = 0.4
+	// moveGainOpen is the same where this instance has no connection to the engine
+	// that has the prompt: the program's turns came through another one so far.
+	moveGainOpen = 0.1
+	// warmGain is what a target saves that may have kept what an object needs: half
+	// of the work at most, and only if the object came there lately.
+	warmGain = 0.25
 	// openCost, farCost and coldStart are what a connection to be opened, another
 	// data centre and a target just started add, in parts of the usual time.
 	openCost  = 0.3
@@ -53,6 +59,9 @@
 	Cold  bool
 	// Last tells that it ran the program's last turn and has its prompt.
 	Last bool
+	// Warm tells that it is the one that all instances choose for the request's
+	// object, so that it may have kept what the object needs.
+	Warm bool
 	// Shut tells that it must not be chosen.
 	Shut bool
 	// Rank orders targets that are alike, the highest first.
@@ -132,7 +141,11 @@
 	if options[last].Fill >= FullFill {
 		return false
 	}
-	sooner := ends[last]-ends[first] > moveGain
+	gain := moveGain
+	if options[last].Opens {
+		gain = moveGainOpen
+	}
+	sooner := ends[last]-ends[first] > gain
 	return !sooner || options[first].Fill >= ReadyFill
 }
 
@@ -180,6 +193,9 @@
 	if !o.Last {
 		work += request.Read
 	}
+	if o.Warm {
+		work -= warmGain
+	}
 	end := o.Slowness * work
 	if !request.Batched {
 		end += shareCost * min(o.Share-1, 1)
--- a/internal/policy/expected_test.go
+++ b/internal/policy/expected_test.go
@@ -15,6 +15,7 @@
 	turn := EndRequest{Read: 0.2, Batched: true}
 	plain := EndRequest{}
 	stay := func(options []EndOption) []EndOption { options[0].Last = true; return options }
+	opens := func(options []EndOption, i int) []EndOption { options[i].Opens = true; return options }
 	tests := []struct {
 		name    string
 		options []EndOption
@@ -28,6 +29,8 @@
 		{"a full fast engine is left to others", optionsOf([2]float64{0.1, 1.3}, [2]float64{2.5, 0.5}), turn, 0},
 		{"a program stays while moving gains little", stay(optionsOf([2]float64{0.4, 1}, [2]float64{0.1, 0.9})), turn, 0},
 		{"a program leaves an engine that turned slow", stay(optionsOf([2]float64{0.4, 4}, [2]float64{0.3, 1})), turn, 1},
+		{"a short prompt is read again rather than a connection opened", opens(stay(optionsOf([2]float64{0.2, 1}, [2]float64{0.2, 1})), 0), EndRequest{Read: 0.1, Batched: true}, 1},
+		{"a long one is not", opens(stay(optionsOf([2]float64{0.2, 1}, [2]float64{0.2, 1})), 0), EndRequest{Read: 0.5, Batched: true}, 0},
 		{"a long prompt keeps it", stay(optionsOf([2]float64{0.4, 1.6}, [2]float64{0.3, 1})), EndRequest{Read: 2, Batched: true}, 0},
 		{"in an overload programs do not move", stay(optionsOf([2]float64{1.5, 1.2}, [2]float64{0.9, 0.8})), turn, 0},
 		{"a full engine is left", stay(optionsOf([2]float64{1.7, 1}, [2]float64{0.9, 1})), turn, 1},
@@ -42,6 +45,20 @@
 	}
 }
 
+// The target that is chosen for an object by all instances is preferred while its
+// load is usual, but no connection is opened for that alone.
+func TestByEndPrefersAWarmTarget(t *testing.T) {
+	options := optionsOf([2]float64{0.3, 1}, [2]float64{0.3, 1}, [2]float64{0.3, 1})
+	options[1].Warm = true
+	if choice := ByEnd(options, EndRequest{}); choice.Index != 1 {
+		t.Errorf("got %+v", choice)
+	}
+	options[1].Opens = true
+	if choice := ByEnd(options, EndRequest{}); choice.Index == 1 {
+		t.Errorf("got %+v", choice)
+	}
+}
+
 // Among targets that end a request about alike a kept connection decides, then
 // the rank; a target that must not be chosen is none of them.
 func TestByEndPrefersAKeptConnection(t *testing.T) {
--- a/internal/targets/ends.go
+++ b/internal/targets/ends.go
@@ -14,6 +14,7 @@
 	pool := r.pool(want.Service, now).Fill
 	share := usualFill(all)
 	usual := usualOf(all)
+	warm := want.warm(all)
 	r.options = r.options[:0]
 	for _, t := range all {
 		kept := r.connections.Kept(t.Address, now)
@@ -26,7 +27,7 @@
 		r.options = append(r.options, policy.EndOption{
 			Fill: t.fill(pool, w.request, now), Slowness: slowness, Share: t.usualFill / max(share, leastFill),
 			Opens: !kept, Far: t.DataCentre != r.dataCentre, Cold: t.ColdRemaining > 0,
-			Last: last,
+			Last: last, Warm: t == warm,
 			Shut: t.Draining || slices.Contains(want.Exclude, t.incarnation) || (!includeAvoided && t.avoided(now)),
 			Rank: r.order(t, kept || !want.Stream),
 		})
@@ -91,6 +92,21 @@
 	return now.Sub(at)
 }
 
+// warm is the target that its key ranks first, which all instances find without
+// asking; nil for a program, of which the engine is remembered, and without a key.
+func (w Want) warm(all []*Target) *Target {
+	if w.Key == "" || w.Remembered {
+		return nil
+	}
+	var first best
+	for _, t := range all {
+		if !t.Draining {
+			first.offer(t, rank(w.Key, t.ID))
+		}
+	}
+	return first.target
+}
+
 // needs is what a request needs of a service, in parts of its usual time.
 func (w *work) needs(want Want) policy.EndRequest {
 	if !want.Stream {
--- a/internal/targets/ends_test.go
+++ b/internal/targets/ends_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// Requests about one object go to one target, found alike by all instances.
+func TestObjectsHaveATargetOfTheirOwn(t *testing.T) {
+	now := time.Unix(100, 0)
+	first, second := pacedRegistry(5, keptTo{}, now), pacedRegistry(5, keptTo{}, now)
+	for i := range 20 {
+		want := Want{Service: "s", Key: fmt.Sprint("object", i)}
+		a, b := chosenInTurn(first, want, 3, now), chosenInTurn(second, want, 3, now)
+		if len(a) != 1 || fmt.Sprint(a) != fmt.Sprint(b) {
+			t.Errorf("object %d went to %v and %v", i, a, b)
+		}
+	}
+}
+
 // Targets that say nothing of their pace are chosen as before, and nothing is
 // learned of them.
 func TestTargetsWithoutAPaceAreChosenAsBefore(t *testing.T) {
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -99,7 +99,7 @@
 //
 // Where targets tell their pace the expected ends decide.
 func (r *Registry) choose(all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
-	if w := r.works[want.Service]; w != nil && (want.Key == "" || want.Remembered) {
+	if w := r.works[want.Service]; w != nil {
 		return r.chooseByEnd(w, all, want, now, includeAvoided)
 	}
 	var last, near, ranked, least best
