Placement: programs keep their engine in an overload, callers that move are taken over, silence counts as less

Change: where no engine has room a program moves only if its turn takes three times as long where it is; waiting at an engine counts twice, for the request and the one behind it; a target of which nothing is heard is expected to have less than the others; what a plain target usually has counts within its data centre; among targets that are alike near ones go before those with a connection.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -25,8 +25,7 @@
 	// unackedTimeout is how long a target may leave a request without any
 	// acknowledgement, which comes from its kernel within milliseconds: some
 	// retransmissions. A dropped connection is noticed then and not at the
-	// route's timeout: 0.882 -> 0.925 of the payoff of a day with two outages of
-	// targets and two of connections (one run each).
+	// route's timeout.
 	unackedTimeout = 700 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the target does not say.
 	defaultIdle = 4 * time.Second
--- a/internal/policy/estimate.go
+++ b/internal/policy/estimate.go
@@ -32,6 +32,10 @@
 	// the time in which that fades.
 	trendGain = 0.2
 	trendLife = 2 * time.Second
+	// silentPart of the pool's mean is expected at a target of which nothing was
+	// heard for some silentLife: instances pass on what busy ones report.
+	silentPart = 0.5
+	silentLife = 5 * time.Second
 	// minLoadLife bounds how fast a report of requests fades: within the usual
 	// time of a request those that it counted have ended.
 	minLoadLife = 50 * time.Millisecond
@@ -141,13 +145,14 @@
 
 // Fill is the expected number of requests at a target, in parts of its slots.
 // A report fades within the usual time of a request towards what the target
-// usually reports, and that towards the pool's mean.
+// usually reports, that towards the pool's mean, and with long silence below it.
 func Fill(r LoadReport, pool float64, request time.Duration) float64 {
 	slots := float64(max(r.Slots, 1))
 	own := float64(r.Own) / slots
 	if !r.Known {
-		return max(pool, own)
+		return max(silentPart*pool, own)
 	}
+	pool *= silentPart + (1-silentPart)*fade(r.Age, silentLife)
 	reported := max(float64(r.Busy+r.Since)/slots, 0)
 	usual := pool + (r.Usual-pool)*fade(r.Age, trendLife)
 	return max(usual+(reported-usual)*fade(r.Age, max(request, minLoadLife)), own)
--- a/internal/policy/expected.go
+++ b/internal/policy/expected.go
@@ -9,8 +9,10 @@
 	// ReadyFill is how busy a target may be, in parts of its slots, to have room
 	// for a program that begins or moves there with its sub-agents.
 	ReadyFill = 0.6
-	// FullFill is how busy a target may be for a program to stay there.
-	FullFill = 1.6
+	// FullFill is how busy a target may be for a program to stay there while
+	// others have room, crowdedFill where none has.
+	FullFill    = 1.6
+	crowdedFill = 3
 	// alike is how much later than at the best target a request may be expected
 	// to end, in parts of its usual time, for a choice to be open.
 	alike = 0.1
@@ -23,6 +25,9 @@
 	// shareCost is added for a target that usually has twice what others have, so
 	// that connections that are kept do not crowd some.
 	shareCost = 0.4
+	// moveTimesCrowded is how many times as long the turn must be expected to take
+	// where it is for the program to move while no target has room.
+	moveTimesCrowded = 3
 	// moveGainOpen is the same where this instance has no connection to the engine
 	// that has the prompt: the program's turns came through another one so far.
 	moveGainOpen = 0.1
@@ -32,11 +37,14 @@
 	// openCost, farCost and coldStart are what a connection to be opened, another
 	// data centre and a target just started add, in parts of the usual time.
 	openCost  = 0.3
-	farCost   = 0.15
+	farCost   = 0.25
 	coldStart = 0.5
 	// spareSlope is what a request at a target adds to those to come while it has
 	// room, for work that is done in batches.
 	spareSlope = 0.3
+	// batchBeyond is what a request adds once there is no room: its own wait and
+	// that of the one behind it.
+	batchBeyond = 2
 	// plainSlope is the same for work that is done one by one in each slot, and
 	// plainBeyond what is added once there is no room.
 	plainSlope  = 0.6
@@ -136,17 +144,22 @@
 	return choice
 }
 
-// stays tells whether a program stays at the target that has its prompt.
+// stays tells whether a program stays at the target that has its prompt. Where
+// none has room it moves for much only: programs that move push each other's
+// prompts out, and then all wait longer.
 func stays(options []EndOption, ends []float64, last, first int) bool {
-	if options[last].Fill >= FullFill {
+	at, sooner := options[last], ends[last]-ends[first]
+	switch {
+	case at.Fill >= crowdedFill:
 		return false
+	case options[first].Fill >= ReadyFill:
+		return ends[last] < moveTimesCrowded*ends[first]
+	case at.Fill >= FullFill:
+		return false
+	case at.Opens:
+		return sooner < moveGainOpen
 	}
-	gain := moveGain
-	if options[last].Opens {
-		gain = moveGainOpen
-	}
-	sooner := ends[last]-ends[first] > gain
-	return !sooner || options[first].Fill >= ReadyFill
+	return sooner < moveGain
 }
 
 // pickAlike chooses among the options that are expected to end about when the
@@ -161,14 +174,15 @@
 	return best
 }
 
-// preferred tells whether an option goes before another one that is alike: one
-// with a connection first, then one in this data centre.
+// preferred tells whether an option goes before another one that is alike: one in
+// this data centre first, since each request to another one costs bytes, then one
+// with a connection.
 func (o EndOption) preferred(other EndOption) bool {
 	switch {
-	case o.Opens != other.Opens:
-		return other.Opens
 	case o.Far != other.Far:
 		return other.Far
+	case o.Opens != other.Opens:
+		return other.Opens
 	}
 	return o.Rank > other.Rank
 }
@@ -217,7 +231,7 @@
 func waiting(fill float64, batched bool) float64 {
 	beyond := max(fill-ReadyFill, 0)
 	if batched {
-		return spareSlope*fill + beyond
+		return spareSlope*fill + batchBeyond*beyond
 	}
 	return plainSlope*fill + plainBeyond*beyond
 }
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -62,8 +62,7 @@
 }
 
 // noteFailedTurn keeps turns away from an engine that failed one, here and, for
-// a second, at other instances. With a quarter of the engines failing three to
-// four of ten turns this raises the payoff from 0.930 to 0.967 (mean of six seeds).
+// a second, at other instances.
 func (x *transfer) noteFailedTurn(target *targets.Target) {
 	now := time.Now()
 	x.failedAt = target.Incarnation()
--- a/internal/targets/ends.go
+++ b/internal/targets/ends.go
@@ -12,7 +12,7 @@
 // when each is expected to end the request. The mutex is held.
 func (r *Registry) chooseByEnd(w *work, all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
 	pool := r.pool(want.Service, now).Fill
-	share := usualFill(all)
+	fills := usualFills(all)
 	usual := usualOf(all)
 	warm := want.warm(all)
 	r.options = r.options[:0]
@@ -25,7 +25,7 @@
 			slowness = t.slowness(usual, now)
 		}
 		r.options = append(r.options, policy.EndOption{
-			Fill: t.fill(pool, w.request, now), Slowness: slowness, Share: t.usualFill / max(share, leastFill),
+			Fill: t.fill(pool, w.request, now), Slowness: slowness, Share: t.share(fills),
 			Opens: !kept, Far: t.DataCentre != r.dataCentre, Cold: t.ColdRemaining > 0,
 			Last: last, Warm: t == warm,
 			Shut: t.Draining || slices.Contains(want.Exclude, t.incarnation) || (!includeAvoided && t.avoided(now)),
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -37,10 +37,7 @@
 	// request to go to the one that its key ranks first. Above 1 the request
 	// waits there, which costs less than reading a program's whole prompt
 	// elsewhere, and elsewhere it also takes room in the cache: in an overload
-	// programs that move push each other's prompts out. Below 1 is worse on all
-	// loads; without an overload 1.25, 1.6 and 2 are alike (means of 12 pairs
-	// within 0.009). In one, 1.6 with the rule of nearLoads raises the payoff from
-	// 0.766 to 0.887 (mean of three seeds, in pairs); 2 gives 0.871.
+	// programs that move push each other's prompts out.
 	keyedFill = 1.6
 	// nearFill is how busy a target of this data centre may be, in parts of its
 	// slots, for a program to begin there: it has room for the program's
@@ -55,9 +52,7 @@
 	// coldCost is added for a target that is still slow after its start.
 	coldCost = 0.5
 	// openingCost is added for a target to which a connection has to be opened,
-	// in parts of its slots. Where 60 instances send three requests a second each
-	// to 20 targets, fewer than 10 of 100 requests open one, 36 without it
-	// (simulated, one run).
+	// in parts of its slots.
 	openingCost = 0.3
 )
 
@@ -91,9 +86,7 @@
 
 // choose chooses among the targets of a service:
 //   - the one that ran the key's last request, since it has the prompt;
-//   - for a key that begins, or whose target is gone or full, one nearby: both
-//     together save two of five bytes between data centres and raise the payoff
-//     by 0.005 (mean of 24 runs of three load patterns, in pairs);
+//   - for a key that begins, or whose target is gone or full, one nearby;
 //   - the one that the key ranks first, which all instances find without asking;
 //   - the least busy one, preferably one to which a connection is kept.
 //
--- a/internal/targets/speeds.go
+++ b/internal/targets/speeds.go
@@ -157,15 +157,34 @@
 // does not matter how even it is.
 const leastFill = 0.02
 
-// usualFill is the mean of what the targets of a service usually report.
-func usualFill(all []*Target) float64 {
-	var fill mean
+// usualFills are the means of what the targets of a service usually report, by
+// data centre: between these the load itself decides.
+func usualFills(all []*Target) map[string]float64 {
+	means := make(map[string]*mean)
 	for _, t := range all {
-		if !t.loadAt.IsZero() {
-			fill.add(t.usualFill)
+		if t.loadAt.IsZero() {
+			continue
 		}
+		if means[t.DataCentre] == nil {
+			means[t.DataCentre] = new(mean)
+		}
+		means[t.DataCentre].add(t.usualFill)
+	}
+	fills := make(map[string]float64, len(means))
+	for dataCentre, m := range means {
+		fills[dataCentre] = m.value()
+	}
+	return fills
+}
+
+// share is what a target usually has over what those of its data centre have, 1
+// while little is known.
+func (t *Target) share(fills map[string]float64) float64 {
+	usual := fills[t.DataCentre]
+	if t.loadAt.IsZero() || usual < leastFill {
+		return 1
 	}
-	return fill.value()
+	return t.usualFill / usual
 }
 
 // mean is that of the values added.
