--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,8 @@
 	// ProgramTimeLeft is the time until the program should be finished, 0 if
 	// unknown.
 	ProgramTimeLeft time.Duration
+	// ProgramOver tells that the program's time is over.
+	ProgramOver bool
 	// AffinityKey names the object that the request is about.
 	AffinityKey string
 	// Turn is set for a turn of a program.
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/conversation"
+	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
@@ -15,13 +18,14 @@
 	Targets         []targets.Snapshot `json:"targets"`
 	Conversations   conversation.Dump  `json:"conversations"`
 	Allowances      allowance.Dump     `json:"allowances"`
+	Room            []overload.Dump    `json:"room"`
 }
 
 func (e *edge) dump() state {
 	s := state{
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
 		Targets: e.incoming.registry.Snapshot(), Conversations: e.conversations.Dump(),
-		Allowances: e.allowances.Dump(),
+		Allowances: e.allowances.Dump(), Room: e.server.Room().Dump(time.Now()),
 	}
 	if table := e.server.Table(); table != nil {
 		s.SettingsVersion = table.Version
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -175,6 +175,7 @@
 	"organisation_limit_not_known":   "no instance that deals out its organisation's limit answered in time; see \"allowances coordinated here\" lines",
 	"no_target":                      "no target of the service was registered, or each was tried",
 	"targets_refused":                "each target that was asked was full",
+	"no_room":                        "the services that it needs had no room for it; the detail names the pool, its load and when to come back",
 	"budget_spent":                   "the program's budget had no room; the line \"budget spent\" of the owner has the figures, and \"charged\" tells whether a loss of accounts was counted",
 	"budget_owner_unreachable":       "no owner of the program's budget could be reached; see \"partition\" lines around that time",
 	"budget_record_not_written":      "the program needed a record that the store did not take; see \"store lost\" and \"partition not claimed\" lines",
--- /dev/null
+++ b/internal/overload/metrics.go
@@ -0,0 +1,57 @@
+package overload
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+)
+
+// metrics of one service.
+type metrics struct {
+	scope   tally.Scope
+	fill    tally.Gauge
+	known   tally.Gauge
+	age     tally.Gauge
+	noRetry tally.Counter
+	// admitted counts by class, refused by class and cause.
+	admitted map[policy.RoomClass]tally.Counter
+	refused  map[policy.RoomClass]map[policy.RoomCause]tally.Counter
+}
+
+func newMetrics(scope tally.Scope, service string) metrics {
+	scope = scope.Tagged(map[string]string{"service": service})
+	m := metrics{
+		scope: scope, fill: scope.Gauge("fill"), known: scope.Gauge("known_targets"),
+		age: scope.Gauge("report_age_seconds"), noRetry: scope.Counter("sends_over_retry_budget"),
+		admitted: make(map[policy.RoomClass]tally.Counter),
+		refused:  make(map[policy.RoomClass]map[policy.RoomCause]tally.Counter),
+	}
+	for _, class := range []policy.RoomClass{
+		policy.RoomOutside, policy.RoomFirst, policy.RoomUnderWay, policy.RoomLate,
+	} {
+		tags := map[string]string{"class": class.String()}
+		m.admitted[class] = scope.Tagged(tags).Counter("admitted")
+		m.refused[class] = make(map[policy.RoomCause]tally.Counter)
+		for _, cause := range []policy.RoomCause{policy.RoomPoolFull, policy.RoomNotInTime} {
+			tags := map[string]string{"class": class.String(), "cause": string(cause)}
+			m.refused[class][cause] = scope.Tagged(tags).Counter("refused")
+		}
+	}
+	return m
+}
+
+// count counts a decision.
+func (m *metrics) count(class policy.RoomClass, v policy.RoomVerdict) {
+	if v.Admit {
+		m.admitted[class].Inc(1)
+		return
+	}
+	m.refused[class][v.Cause].Inc(1)
+}
+
+// see notes a view of the pool.
+func (m *metrics) see(p policy.PoolLoad) {
+	m.fill.Update(p.Fill)
+	m.known.Update(float64(p.Known))
+	m.age.Update(p.Age.Seconds())
+}
--- /dev/null
+++ b/internal/overload/overload.go
@@ -0,0 +1,236 @@
+// Package overload is what an instance remembers to decide who is let in while
+// there is too little room: the pools' loads, how long requests take and the
+// budgets of retries. The decisions themselves are in package policy.
+package overload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+const (
+	// viewAge is how long a view of a pool is used: far below the age of the
+	// reports that it is made of.
+	viewAge = 50 * time.Millisecond
+	// usedFor is how long a service counts among those that programs call.
+	usedFor = 10 * time.Second
+	// usualWeight is the part of one request in how long requests usually take.
+	usualWeight = 1.0 / 16
+	// retryShare and retryBurst bound the sends after a first one to a service
+	// without free slots, in parts of the first ones and in sends.
+	retryShare = 0.2
+	retryBurst = 4
+)
+
+// Pools tells the load of services.
+type Pools interface {
+	Pool(service string, now time.Time) targets.Pool
+}
+
+// Request is one that asks for room.
+type Request struct {
+	Service string
+	// Program names its program in its organisation; ID the request.
+	Program string
+	ID      string
+	// Call tells that it is no turn but a call of a program.
+	Call  bool
+	Class policy.RoomClass
+	Rank  int
+	// Use is what its organisation uses, in parts of its limit; 0 if unknown.
+	Use      float64
+	TimeLeft time.Duration
+}
+
+// Guard decides for one instance who is let in.
+type Guard struct {
+	pools  Pools
+	scope  tally.Scope
+	jitter func() float64
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what is remembered of one.
+type service struct {
+	view   policy.PoolLoad
+	viewAt time.Time
+	// calledAt is when a program last called it.
+	calledAt time.Time
+	// usual is how long requests that were served took.
+	usual   time.Duration
+	retries policy.RetryBudget
+	metrics metrics
+	// admitted and refused count since the start.
+	admitted, refused int64
+}
+
+// New makes a Guard.
+func New(pools Pools, scope tally.Scope) *Guard {
+	return &Guard{
+		pools: pools, scope: scope.SubScope("room"), jitter: rand.Float64, services: make(map[string]*service),
+	}
+}
+
+// Admit decides on a request.
+func (g *Guard) Admit(r Request, now time.Time) policy.RoomVerdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.service(r.Service, now)
+	if r.Call {
+		s.calledAt = now
+	}
+	ask := policy.RoomAsk{
+		Class: r.Class, Rank: r.Rank, Use: r.Use, Draw: draw(r), Jitter: g.jitter(),
+		TimeLeft: r.TimeLeft, Usual: s.usual,
+	}
+	verdict := policy.AdmitRoom(ask, g.needed(r, s, now)...)
+	if verdict.Admit {
+		s.retries.Allow(0)
+		s.admitted++
+	} else {
+		s.refused++
+	}
+	s.metrics.count(r.Class, verdict)
+	return verdict
+}
+
+// needed lists the pools that a request needs: a program that begins also needs
+// those that programs call.
+func (g *Guard) needed(r Request, own *service, now time.Time) []policy.PoolLoad {
+	pools := []policy.PoolLoad{own.view}
+	if r.Class != policy.RoomFirst {
+		return pools
+	}
+	for name, s := range g.services {
+		if s != own && !s.calledAt.IsZero() && now.Sub(s.calledAt) < usedFor {
+			pools = append(pools, g.service(name, now).view)
+		}
+	}
+	return pools
+}
+
+// Again tells whether a request may be sent to one more target of a service
+// after a number of targets were full. It may where slots are free, and once where
+// nothing is known; else such sends are a bounded share.
+func (g *Guard) Again(name string, refusals int, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.service(name, now)
+	if !s.view.Full() && (s.view.Tells() || refusals <= 1) {
+		return true
+	}
+	return s.again()
+}
+
+// again takes a further send from the budget.
+func (s *service) again() bool {
+	allowed := s.retries.Allow(1)
+	if !allowed {
+		s.metrics.noRetry.Inc(1)
+	}
+	return allowed
+}
+
+// AgainAfterFailure tells the same after a target failed. Such sends are bounded
+// only where all slots are known to be taken: the failure says nothing of the room.
+func (g *Guard) AgainAfterFailure(name string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.service(name, now)
+	return !s.view.Full() || s.again()
+}
+
+// ComeBack is when a caller should come back whose request no target took.
+func (g *Guard) ComeBack(name string, timeLeft time.Duration, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ask := policy.RoomAsk{Class: policy.RoomUnderWay, Jitter: g.jitter(), TimeLeft: timeLeft}
+	return policy.ComeBack(ask, g.service(name, now).view, 0)
+}
+
+// Served notes how long a request took that was served.
+func (g *Guard) Served(name string, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[name]
+	if s == nil {
+		return
+	}
+	if s.usual == 0 {
+		s.usual = took
+		return
+	}
+	s.usual += time.Duration(usualWeight * float64(took-s.usual))
+}
+
+// service finds a service with a fresh view of its pool.
+func (g *Guard) service(name string, now time.Time) *service {
+	s := g.services[name]
+	if s == nil {
+		s = &service{retries: policy.NewRetryBudgetOf(retryShare, retryBurst), metrics: newMetrics(g.scope, name)}
+		g.services[name] = s
+	}
+	if s.viewAt.IsZero() || now.Sub(s.viewAt) >= viewAge {
+		p := g.pools.Pool(name, now)
+		s.view = policy.PoolLoad{Service: name, Fill: p.Fill, Known: p.Known, All: p.All, Age: p.Age}
+		s.viewAt = now
+		s.metrics.see(s.view)
+	}
+	return s
+}
+
+// draw places a program among all, the same at each instance and for each try.
+func draw(r Request) float64 {
+	name := r.Program
+	if name == "" {
+		name = r.ID
+	}
+	return float64(xxhash.Sum64String(name)>>11) / (1 << 53)
+}
+
+// Describe tells in one line why a request was refused.
+func Describe(r Request, v policy.RoomVerdict) string {
+	return fmt.Sprintf("%s: service %s at a fill of %.2f, %d of %d targets known, reports %d ms old; class %s, rank %d, "+
+		"use of the organisation %.2f of its limit; refused are %.2f of such requests; room is expected in %s",
+		v.Cause, v.Pool.Service, v.Pool.Fill, v.Pool.Known, v.Pool.All, v.Pool.Age.Milliseconds(), r.Class, r.Rank,
+		r.Use, v.Chance, v.RetryAfter)
+}
+
+// Dump is what an instance knows of a pool.
+type Dump struct {
+	Service  string  `json:"service"`
+	Fill     float64 `json:"fill"`
+	Known    int     `json:"known"`
+	All      int     `json:"all"`
+	AgeMs    int64   `json:"age_ms"`
+	UsualMs  int64   `json:"usual_ms"`
+	Admitted int64   `json:"admitted"`
+	Refused  int64   `json:"refused"`
+}
+
+// Dump lists the pools.
+func (g *Guard) Dump(now time.Time) []Dump {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]Dump, 0, len(g.services))
+	for name := range g.services {
+		s := g.service(name, now)
+		all = append(all, Dump{
+			Service: name, Fill: s.view.Fill, Known: s.view.Known, All: s.view.All, AgeMs: s.view.Age.Milliseconds(),
+			UsualMs: s.usual.Milliseconds(), Admitted: s.admitted, Refused: s.refused,
+		})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Service < all[j].Service })
+	return all
+}
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,126 @@
+package overload
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+// fills are pools of 44 targets, by service.
+type fills map[string]float64
+
+func (f fills) Pool(service string, _ time.Time) targets.Pool {
+	fill, ok := f[service]
+	if !ok {
+		return targets.Pool{}
+	}
+	return targets.Pool{Fill: fill, Known: 40, All: 44, Age: 200 * time.Millisecond}
+}
+
+var start = time.Unix(1000, 0)
+
+func guard(f fills) *Guard {
+	g := New(f, tally.NoopScope)
+	g.jitter = func() float64 { return 0.5 }
+	return g
+}
+
+func first(program string) Request {
+	return Request{Service: "engine", Program: program, Class: policy.RoomFirst}
+}
+
+func TestEachInstanceDecidesTheSameOfAProgram(t *testing.T) {
+	a, b := guard(fills{"engine": 1.3}), guard(fills{"engine": 1.3})
+	refused := 0
+	for i := range 200 {
+		r := first(strings.Repeat("p", i+1))
+		here, there := a.Admit(r, start), b.Admit(r, start)
+		again := a.Admit(r, start)
+		if here.Admit != there.Admit || here.Admit != again.Admit {
+			t.Fatalf("program %d: %+v and %+v, again %+v", i, here, there, again)
+		}
+		if !here.Admit {
+			refused++
+		}
+	}
+	if refused < 50 || refused > 150 {
+		t.Errorf("%d of 200 refused", refused)
+	}
+}
+
+func TestAFirstTurnNeedsThePoolsThatProgramsCall(t *testing.T) {
+	g := guard(fills{"engine": 0.5, "tool": 9})
+	if v := g.Admit(first("p"), start); !v.Admit {
+		t.Fatalf("before any call: %+v", v)
+	}
+	g.Admit(Request{Service: "tool", Program: "q", Call: true, Class: policy.RoomUnderWay}, start)
+	refused := 0
+	for i := range 20 {
+		v := g.Admit(first(strings.Repeat("p", i+1)), start)
+		if !v.Admit && v.Pool.Service == "tool" {
+			refused++
+		}
+	}
+	if refused < 15 {
+		t.Errorf("%d of 20 refused though calls find no room", refused)
+	}
+	if v := g.Admit(first("p"), start.Add(usedFor)); !v.Admit {
+		t.Errorf("long after the last call: %+v", v)
+	}
+}
+
+func TestFurtherSendsAreABoundedShare(t *testing.T) {
+	again := func(g *Guard, refusals int) int {
+		allowed := 0
+		for range 1000 {
+			g.Admit(Request{Service: "engine", Class: policy.RoomUnderWay, Program: "p"}, start)
+			if g.Again("engine", refusals, start) {
+				allowed++
+			}
+		}
+		return allowed
+	}
+	if got := again(guard(fills{"engine": 3}), 1); got < 150 || got > 220 {
+		t.Errorf("where no slot is free %d of 1000 are sent again", got)
+	}
+	if got := again(guard(fills{"engine": 0.7}), 3); got != 1000 {
+		t.Errorf("where slots are free %d of 1000 are sent again", got)
+	}
+	if got := again(guard(nil), 1); got != 1000 {
+		t.Errorf("where nothing is known %d of 1000 are sent again once", got)
+	}
+	if got := again(guard(nil), 2); got > 220 {
+		t.Errorf("where nothing is known %d of 1000 are sent again twice", got)
+	}
+	g := guard(fills{"engine": 3})
+	failures := 0
+	for range 100 {
+		if g.AgainAfterFailure("engine", start) {
+			failures++
+		}
+	}
+	if failures > retryBurst {
+		t.Errorf("%d sends after failures without a fresh request", failures)
+	}
+}
+
+func TestARefusalNamesWhatItComesFrom(t *testing.T) {
+	g := guard(fills{"engine": 5})
+	r := first("p")
+	r.Rank, r.Use = 2, 0.95
+	line := Describe(r, g.Admit(r, start))
+	for _, part := range []string{"service engine", "5.00", "40 of 44", "200 ms", "first_turn", "rank 2", "0.95", "expected in"} {
+		if !strings.Contains(line, part) {
+			t.Errorf("%q lacks %q", line, part)
+		}
+	}
+	dump := g.Dump(start)
+	if len(dump) != 1 || dump[0].Refused != 1 || dump[0].Known != 40 {
+		t.Errorf("dump %+v", dump)
+	}
+}
--- a/internal/policy/retrybudget.go
+++ b/internal/policy/retrybudget.go
@@ -14,16 +14,21 @@
 
 // RetryBudget limits further attempts to a share of the fresh requests, so
 // that retries do not multiply an overload.
-type RetryBudget struct{ credit float64 }
+type RetryBudget struct{ share, burst, credit float64 }
 
 // NewRetryBudget returns a full budget.
-func NewRetryBudget() RetryBudget { return RetryBudget{credit: retryBurst} }
+func NewRetryBudget() RetryBudget { return NewRetryBudgetOf(retryShare, retryBurst) }
+
+// NewRetryBudgetOf returns a full budget of another share and burst.
+func NewRetryBudgetOf(share, burst float64) RetryBudget {
+	return RetryBudget{share: share, burst: burst, credit: burst}
+}
 
 // Allow takes a request into account and tells whether it may go on. Attempt
 // 0 is a fresh request.
 func (b *RetryBudget) Allow(attempt int) bool {
 	if attempt == 0 {
-		b.credit = min(retryBurst, b.credit+retryShare)
+		b.credit = min(b.burst, b.credit+b.share)
 		return true
 	}
 	if b.credit < 1 {
--- /dev/null
+++ b/internal/policy/room_test.go
@@ -0,0 +1,108 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// pool is one of many targets that all reported.
+func pool(fill float64) PoolLoad {
+	return PoolLoad{Service: "s", Fill: fill, Known: 40, All: 44, Age: 300 * time.Millisecond}
+}
+
+// served is the share of evenly drawn programs that are let in.
+func served(ask RoomAsk, pools ...PoolLoad) float64 {
+	const n = 1000
+	admitted := 0
+	for i := range n {
+		ask.Draw = (float64(i) + 0.5) / n
+		if AdmitRoom(ask, pools...).Admit {
+			admitted++
+		}
+	}
+	return float64(admitted) / n
+}
+
+func TestRoomIsRefusedByClass(t *testing.T) {
+	first, late := RoomAsk{Class: RoomFirst}, RoomAsk{Class: RoomLate}
+	for _, test := range []struct {
+		name        string
+		ask         RoomAsk
+		pool        PoolLoad
+		least, most float64
+	}{
+		{"half of the slots are free", RoomAsk{Class: RoomFirst, Rank: 9, Use: 1}, pool(0.5), 1, 1},
+		{"slots are free", first, pool(0.85), 1, 1},
+		{"all slots are taken", first, pool(1.1), 0.6, 0.9},
+		{"as many wait as run", first, pool(2), 0.01, 0.1},
+		{"far too many", first, pool(100), 0.01, 0.1},
+		{"late work beside first turns", late, pool(1.4), 1, 1},
+		{"late work where that did not suffice", late, pool(2.1), 0.2, 0.5},
+		{"under way", RoomAsk{Class: RoomUnderWay}, pool(4), 1, 1},
+		{"outside programs", RoomAsk{}, pool(4), 1, 1},
+		{"few targets", first, PoolLoad{Fill: 9, Known: 1, All: 1}, 1, 1},
+		{"few reports", first, PoolLoad{Fill: 9, Known: 5, All: 44}, 1, 1},
+		{"nothing known", first, PoolLoad{}, 1, 1},
+	} {
+		if got := served(test.ask, test.pool); got < test.least || got > test.most {
+			t.Errorf("%s: served %.3f, want %.2f to %.2f", test.name, got, test.least, test.most)
+		}
+	}
+	if got := served(first, pool(0.5), pool(2)); got > 0.1 {
+		t.Errorf("a program whose calls find no room is served %.2f", got)
+	}
+}
+
+func TestRoomOfRanksAndOrganisations(t *testing.T) {
+	for fill := 0.5; fill < 4; fill += 0.05 {
+		top := served(RoomAsk{Class: RoomFirst}, pool(fill))
+		before := top
+		for rank := 1; rank < 6; rank++ {
+			got := served(RoomAsk{Class: RoomFirst, Rank: rank}, pool(fill))
+			if got > before || got < top/4 {
+				t.Fatalf("fill %.2f: rank %d is served %.2f, the one before it %.2f, the first %.2f", fill, rank, got, before, top)
+			}
+			before = got
+		}
+		if got := served(RoomAsk{Class: RoomFirst, Use: 0.6}, pool(fill)); got != top {
+			t.Fatalf("fill %.2f: at a usual use %.2f are served, %.2f of those unknown", fill, got, top)
+		}
+		over := served(RoomAsk{Class: RoomFirst, Use: 1}, pool(fill))
+		if over > top || over < top/4 {
+			t.Fatalf("fill %.2f: served at the limit %.2f, else %.2f", fill, over, top)
+		}
+	}
+	if over, usual := served(RoomAsk{Class: RoomFirst, Use: 1}, pool(1)), served(RoomAsk{Class: RoomFirst, Use: 0.6}, pool(1)); over > usual-0.3 {
+		t.Errorf("at the limit %.2f are served, at a usual use %.2f", over, usual)
+	}
+}
+
+func TestRoomInTime(t *testing.T) {
+	ask := RoomAsk{Class: RoomUnderWay, TimeLeft: 100 * time.Millisecond, Usual: time.Second}
+	if v := AdmitRoom(ask, pool(1.2)); v.Admit || v.Cause != RoomNotInTime || v.RetryAfter <= 0 {
+		t.Errorf("a request that cannot be served in time: %+v", v)
+	}
+	if v := AdmitRoom(ask, pool(0.9)); !v.Admit {
+		t.Errorf("with free slots: %+v", v)
+	}
+	ask.TimeLeft = 0
+	if v := AdmitRoom(ask, pool(1.2)); !v.Admit {
+		t.Errorf("its time is not known: %+v", v)
+	}
+}
+
+func TestComeBack(t *testing.T) {
+	near := AdmitRoom(RoomAsk{Class: RoomFirst, Draw: 0.3, Jitter: 0.5}, pool(1.3))
+	far := AdmitRoom(RoomAsk{Class: RoomFirst, Draw: 0.1, Jitter: 0.5}, pool(2))
+	if near.Admit || far.Admit || near.RetryAfter >= far.RetryAfter {
+		t.Errorf("a program that is nearly let in comes back in %s, another in %s", near.RetryAfter, far.RetryAfter)
+	}
+	early := ComeBack(RoomAsk{Jitter: 0}, pool(2), 0.5)
+	late := ComeBack(RoomAsk{Jitter: 1}, pool(2), 0.5)
+	if late < early*3/2 {
+		t.Errorf("callers come back between %s and %s", early, late)
+	}
+	if got := ComeBack(RoomAsk{TimeLeft: 600 * time.Millisecond, Jitter: 0.5}, pool(2), 1); got > 200*time.Millisecond {
+		t.Errorf("comes back in %s of 600 ms", got)
+	}
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -23,6 +23,7 @@
 	reasonNoAllowance  reason = "organisation_limit_not_known"
 	reasonNoTarget     reason = "no_target"
 	reasonTargetsFull  reason = "targets_refused"
+	reasonNoRoom       reason = "no_room"
 	reasonBudgetSpent  reason = "budget_spent"
 	reasonBudgetOwner  reason = "budget_owner_unreachable"
 	reasonBudgetRecord reason = "budget_record_not_written"
@@ -66,7 +67,7 @@
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
-		reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
+		reasonNoTarget, reasonTargetsFull, reasonNoRoom, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft,
 	} {
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -12,8 +12,6 @@
 	// retrySettings is about the time in which a starting instance reads the
 	// settings.
 	retrySettings = 200 * time.Millisecond
-	// retryTarget is about the time in which a busy target frees a slot.
-	retryTarget = 150 * time.Millisecond
 	// retryBudget is about the time of a change of a budget's owner.
 	retryBudget = 200 * time.Millisecond
 	// retryOutage is given instead of the shorter times while the store is
@@ -29,7 +27,7 @@
 	case x.hasRun():
 		x.refuse(http.StatusBadGateway, reasonBroken, 0)
 	default:
-		x.refuse(http.StatusServiceUnavailable, why, retryTarget)
+		x.refuse(http.StatusServiceUnavailable, why, x.comeBack())
 	}
 }
 
@@ -43,7 +41,7 @@
 	case x.hasRun():
 		x.refuse(http.StatusGatewayTimeout, reasonTimedOut, 0)
 	default:
-		x.refuse(http.StatusServiceUnavailable, reasonNotSent, retryTarget)
+		x.refuse(http.StatusServiceUnavailable, reasonNotSent, x.comeBack())
 	}
 }
 
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -218,7 +218,7 @@
 // mayRepeat tells whether the request may be sent once more after it may have
 // run; if not, it ends it.
 func (x *transfer) mayRepeat() bool {
-	if x.route.MayRepeat() && x.sends < maxSends {
+	if x.route.MayRepeat() && x.sends < maxSends && x.server.room.AgainAfterFailure(x.service, time.Now()) {
 		return true
 	}
 	x.giveUp(reasonBroken)
@@ -240,7 +240,7 @@
 		// Another target has the address by now.
 		x.server.targets.Failed(target, time.Now())
 	}
-	if x.refusals < maxRefusals {
+	if x.refusals < maxRefusals && x.server.room.Again(x.service, x.refusals, time.Now()) {
 		return true
 	}
 	x.giveUp(reasonTargetsFull)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -16,6 +16,7 @@
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -144,7 +145,9 @@
 	Health        Health
 	Currency      Currency
 	// Keys says what to do with keys while the settings are old.
-	Keys  KeyPolicy
+	Keys KeyPolicy
+	// Room decides who is let in; nil for a guard of the targets' loads.
+	Room  Room
 	Scope tally.Scope
 	Log   *slog.Logger
 }
@@ -161,6 +164,7 @@
 	health     Health
 	currency   Currency
 	keys       KeyPolicy
+	room       Room
 	log        *slog.Logger
 	metrics    metrics
 	// downWithin is how soon a target that is down breaks a connection.
@@ -173,9 +177,12 @@
 
 // New makes a Server without settings: until SetTable it refuses all requests.
 func New(p Parts) *Server {
+	if p.Room == nil {
+		p.Room = overload.New(p.Targets, p.Scope)
+	}
 	return &Server{
 		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, allowances: p.Allowances, kept: p.Conversations,
-		notices: p.Notices, health: p.Health, currency: p.Currency, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
+		notices: p.Notices, health: p.Health, currency: p.Currency, keys: p.Keys, room: p.Room, log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
 }
@@ -186,6 +193,9 @@
 // Table is the version in force, nil if none is known.
 func (s *Server) Table() *route.Table { return s.table.Load() }
 
+// Room tells who is let in.
+func (s *Server) Room() Room { return s.room }
+
 // Drain makes each answer close its connection from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -221,6 +231,9 @@
 func (s *Server) finish(x *transfer) {
 	elapsed := time.Since(x.arrived)
 	s.metrics.count(x, elapsed)
+	if x.reason == reasonServed {
+		s.room.Served(x.service, elapsed)
+	}
 	s.logOutcome(x, elapsed)
 	if x.cut {
 		// The answer must not look complete.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -132,10 +132,10 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	if !x.readBody() || !x.recallConversation() {
+	if !x.readBody() || !x.hasRoom() || !x.recallConversation() {
 		return
 	}
-	if x.call.Turn == nil || x.route.Kind != route.Stream {
+	if !x.isTurn() {
 		if x.admit(false) {
 			x.forward()
 		}
@@ -260,7 +260,7 @@
 		x.lastOfProgram = lease.Target()
 		x.settle = func() { lease.Settle(x.turnEnd(perEvent)) }
 		defer x.settleOnce()
-		if x.admit(lease.First()) {
+		if x.admit(lease.First()) && x.hasRoomFirst(lease.First()) {
 			x.forward()
 		}
 	}
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -1,7 +1,9 @@
 package targets
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/call"
@@ -21,6 +23,9 @@
 	shareableAge = time.Second
 	// poolLoadAge is how old reports may be that tell of a service as a whole.
 	poolLoadAge = 1500 * time.Millisecond
+	// poolHalfLife is the age at which a report counts half in a service's load.
+	// Who decides on older ones acts too late, and loads swing.
+	poolHalfLife = 100 * time.Millisecond
 )
 
 // Pool is the load of a service as a whole.
@@ -30,7 +35,7 @@
 	Fill  float64
 	Known int
 	All   int
-	// Age is the mean age of the reports.
+	// Age is the mean age of the reports; in both means newer ones count more.
 	Age time.Duration
 }
 
@@ -39,8 +44,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var pool Pool
-	slots, age := 0, time.Duration(0)
-	busy := 0.0
+	slots, busy, ages := 0.0, 0.0, 0.0
 	for _, t := range r.byService[service] {
 		if t.Draining {
 			continue
@@ -49,14 +53,16 @@
 		if t.loadAt.IsZero() || now.Sub(t.loadAt) > poolLoadAge {
 			continue
 		}
+		age := now.Sub(t.loadAt)
+		weight := float64(max(t.Slots, 1)) * math.Exp2(-float64(age)/float64(poolHalfLife))
 		pool.Known++
-		slots += max(t.Slots, 1)
-		busy += float64(t.load.Running + t.load.Waiting)
-		age += now.Sub(t.loadAt)
+		slots += weight
+		busy += weight * float64(t.load.Running+t.load.Waiting) / float64(max(t.Slots, 1))
+		ages += weight * float64(age)
 	}
-	if pool.Known > 0 {
-		pool.Fill = busy / float64(slots)
-		pool.Age = age / time.Duration(pool.Known)
+	if slots > 0 {
+		pool.Fill = busy / slots
+		pool.Age = time.Duration(ages / slots)
 	}
 	return pool
 }
@@ -71,28 +77,29 @@
 	return r.shareable(now, loadsMost, func(*Target) bool { return true })
 }
 
-// shareable lists reports to pass on, from a random place in the table on, so
-// that over some messages each is told.
+// shareable lists reports to pass on: the newest ones, which tell the load of now,
+// and as many others, so that over some messages each is told.
 func (r *Registry) shareable(now time.Time, most int, tell func(*Target) bool) []structs.TargetReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var loads []structs.TargetReport
+	var newest []*Target
 	for _, all := range r.byService {
-		start := rand.IntN(len(all) + 1)
-		for i := range all {
-			t := all[(start+i)%len(all)]
-			age := now.Sub(t.loadAt)
-			if t.loadAt.IsZero() || age > shareableAge || !tell(t) {
-				continue
-			}
-			loads = append(loads, structs.TargetReport{
-				Target: t.hash, Running: t.load.Running, Waiting: t.load.Waiting, Pace: t.load.Pace, Age: age,
-			})
-			if len(loads) >= most {
-				return loads
+		for _, t := range all {
+			if !t.loadAt.IsZero() && now.Sub(t.loadAt) <= shareableAge && tell(t) {
+				newest = append(newest, t)
 			}
 		}
 	}
+	slices.SortFunc(newest, func(a, b *Target) int { return b.loadAt.Compare(a.loadAt) })
+	most = min(most, len(newest))
+	others := newest[(most+1)/2:]
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var loads []structs.TargetReport
+	for _, t := range newest[:most] {
+		loads = append(loads, structs.TargetReport{
+			Target: t.hash, Running: t.load.Running, Waiting: t.load.Waiting, Pace: t.load.Pace, Age: now.Sub(t.loadAt),
+		})
+	}
 	return loads
 }
 
