Room: the ramp begins where all slots are taken; organisations at their limit are refused more

Change: first turns from a fill of 1.0 to 1.9, late work from 1.4 to 2.3, ranks 0.05 apart; an organisation at its limit is refused three times as often.

--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -110,13 +110,15 @@
 }
 
 // Programs are in time if they take up to about one and a half of their time on
-// idle engines, so few requests may wait at an engine. The ramp is as wide as the
-// fill changes while reports are on their way.
+// idle engines, so few requests may wait at an engine; while as many run as there
+// are slots, a program that is refused and comes back is late for nothing. A fill is
+// known from few targets and a moment ago, and callers come back several times: the
+// ramp is wide, so that a single view decides little.
 var (
-	firstRamp = ramp{start: 0.9, width: 0.8}
+	firstRamp = ramp{start: 1.0, width: 0.9}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.5, width: 1.0}
+	lateRamp = ramp{start: 1.4, width: 0.9}
 )
 
 const (
@@ -126,13 +128,13 @@
 	mostRefused = 0.97
 	// rankShift is how much earlier each rank is refused than the one before it,
 	// up to mostRankShift.
-	rankShift     = 0.1
-	mostRankShift = 0.2
+	rankShift     = 0.05
+	mostRankShift = 0.15
 	// FairUse is the part of its limit up to which an organisation is served as
 	// others are: limits leave room above the usual. One at its limit is refused
-	// useShift earlier.
-	FairUse  = 0.75
-	useShift = 0.4
+	// useFactor times as often.
+	FairUse   = 0.75
+	useFactor = 3
 	// leastServed is how often a rank or an organisation is served at least,
 	// against those served most.
 	leastServed = 0.3
@@ -174,7 +176,7 @@
 		return 0
 	}
 	best := r.chance(pool.Fill, 0)
-	chance := r.chance(pool.Fill, rankEarlier(ask.Rank)+useEarlier(ask.Use))
+	chance := r.chance(pool.Fill, rankEarlier(ask.Rank)) * oftener(ask.Use)
 	return min(chance, 1-leastServed*(1-best))
 }
 
@@ -183,9 +185,9 @@
 	return min(rankShift*float64(max(rank, 0)), mostRankShift)
 }
 
-// useEarlier is how much earlier an organisation is refused than others.
-func useEarlier(use float64) float64 {
-	return useShift * min(max((use-FairUse)/(1-FairUse), 0), 1)
+// oftener is how much more often an organisation is refused than others.
+func oftener(use float64) float64 {
+	return 1 + (useFactor-1)*min(max((use-FairUse)/(1-FairUse), 0), 1)
 }
 
 const (
