Room: routes rank within organisations, against the mean of those that begin

Change: the organisation's rank goes first and the route's orders within it; a request is refused earlier or later by how its rank stands to the mean of the first turns that the instance saw, so that a rank that all have changes nothing.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -23,6 +23,8 @@
 	viewAge = 50 * time.Millisecond
 	// usedFor is how long a service counts among those that programs call.
 	usedFor = 10 * time.Second
+	// rankWeight is the part of one first turn in the mean rank of a service.
+	rankWeight = 1.0 / 32
 	// usualWeight is the part of one request in how long requests usually take.
 	usualWeight = 1.0 / 16
 	// retryShare and retryBurst bound the sends after a first one to a service
@@ -45,7 +47,8 @@
 	// Call tells that it is no turn but a call of a program.
 	Call  bool
 	Class policy.RoomClass
-	Rank  int
+	// Rank is how urgent it is; 0 is the most urgent.
+	Rank int
 	// Use is what its organisation uses, in parts of its limit; 0 if unknown.
 	Use      float64
 	TimeLeft time.Duration
@@ -70,6 +73,9 @@
 	// usual is how long requests that were served took.
 	usual   time.Duration
 	retries policy.RetryBudget
+	// rank is the mean rank of the first turns, ranked tells that there was one.
+	rank    float64
+	ranked  bool
 	metrics metrics
 	// admitted and refused count since the start.
 	admitted, refused int64
@@ -91,7 +97,7 @@
 		s.calledAt = now
 	}
 	ask := policy.RoomAsk{
-		Class: r.Class, Rank: r.Rank, Use: r.Use, Draw: draw(r), Jitter: g.jitter(),
+		Class: r.Class, Rank: s.rankAbove(r), Use: r.Use, Draw: draw(r), Jitter: g.jitter(),
 		TimeLeft: r.TimeLeft, Usual: s.usual,
 	}
 	verdict := policy.AdmitRoom(ask, g.needed(r, s, now)...)
@@ -105,6 +111,18 @@
 	return verdict
 }
 
+// rankAbove is how much less urgent a request is than first turns in the mean.
+func (s *service) rankAbove(r Request) float64 {
+	rank := float64(r.Rank)
+	if !s.ranked {
+		s.rank, s.ranked = rank, true
+	}
+	if r.Class == policy.RoomFirst {
+		s.rank += rankWeight * (rank - s.rank)
+	}
+	return rank - s.rank
+}
+
 // needed lists the pools that a request needs: a program that begins also needs
 // those that programs call.
 func (g *Guard) needed(r Request, own *service, now time.Time) []policy.PoolLoad {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -124,3 +124,33 @@
 		t.Errorf("dump %+v", dump)
 	}
 }
+
+func TestLessUrgentProgramsAreRefusedMore(t *testing.T) {
+	refused := func(rank int) int {
+		g := guard(fills{"engine": 1.2})
+		for i := range 200 {
+			r := first(strings.Repeat("q", i+1))
+			r.Rank = i % 3
+			g.Admit(r, start)
+		}
+		n := 0
+		for i := range 200 {
+			r := first(strings.Repeat("p", i+1))
+			r.Rank = rank
+			if !g.Admit(r, start).Admit {
+				n++
+			}
+		}
+		return n
+	}
+	urgent, mean, less := refused(0), refused(1), refused(2)
+	if urgent >= mean || mean >= less {
+		t.Errorf("of 200 refused: urgent %d, mean %d, less urgent %d", urgent, mean, less)
+	}
+	same := guard(fills{"engine": 1.2})
+	r := first("p")
+	r.Rank = 7
+	if got := same.Admit(r, start).Chance; got != policy.AdmitRoom(policy.RoomAsk{Class: policy.RoomFirst}, same.services["engine"].view).Chance {
+		t.Errorf("a rank that all have changes the chance to %.2f", got)
+	}
+}
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -65,8 +65,8 @@
 // RoomAsk is a request that asks for room.
 type RoomAsk struct {
 	Class RoomClass
-	// Rank is how urgent it is; 0 is the most urgent.
-	Rank int
+	// Rank is how much less urgent it is than such requests are in the mean.
+	Rank float64
 	// Use is what its organisation uses, in parts of its limit; 0 if unknown.
 	Use float64
 	// Draw is from 0 to 1 and the same for each try of a program, so that tries do
@@ -127,16 +127,16 @@
 	// mostRefused lets some through, whose answers tell how full targets are.
 	mostRefused = 0.97
 	// rankShift is how much earlier each rank is refused than the one before it,
-	// up to mostRankShift.
-	rankShift     = 0.05
-	mostRankShift = 0.15
+	// up to mostRankShift around the mean.
+	rankShift     = 0.1
+	mostRankShift = 0.3
 	// FairUse is the part of its limit up to which an organisation is served as
 	// others are: limits leave room above the usual. One at its limit is refused
 	// useFactor times as often.
 	FairUse   = 0.75
 	useFactor = 3
 	// leastServed is how often a rank or an organisation is served at least,
-	// against those served most.
+	// against the most urgent.
 	leastServed = 0.3
 )
 
@@ -175,14 +175,14 @@
 	default:
 		return 0
 	}
-	best := r.chance(pool.Fill, 0)
+	best := r.chance(pool.Fill, -mostRankShift)
 	chance := r.chance(pool.Fill, rankEarlier(ask.Rank)) * oftener(ask.Use)
 	return min(chance, 1-leastServed*(1-best))
 }
 
-// rankEarlier is how much earlier a rank is refused than the most urgent one.
-func rankEarlier(rank int) float64 {
-	return min(rankShift*float64(max(rank, 0)), mostRankShift)
+// rankEarlier is how much earlier a rank is refused than the mean one.
+func rankEarlier(rank float64) float64 {
+	return min(max(rankShift*rank, -mostRankShift), mostRankShift)
 }
 
 // oftener is how much more often an organisation is refused than others.
--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -87,12 +87,17 @@
 	return false
 }
 
-// urgency is the organisation's rank where it has one, else the route's.
+// routeRanks is the number of ranks of routes within one of organisations.
+const routeRanks = 3
+
+// urgency is the organisation's rank and, within it, the route's; 0 is the most
+// urgent.
 func (x *transfer) urgency() int {
-	if x.org != nil && x.org.Priority != nil {
-		return *x.org.Priority
+	within := min(x.route.Priority, routeRanks-1)
+	if x.org == nil || x.org.Priority == nil {
+		return within
 	}
-	return x.route.Priority
+	return *x.org.Priority*routeRanks + within
 }
 
 // use is what the request's organisation uses, 0 if that is not known.
--- a/internal/serve/admission_test.go
+++ b/internal/serve/admission_test.go
@@ -9,8 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/route"
 )
 
 // fullRoom refuses a class of requests and allows no second send.
@@ -151,3 +153,13 @@
 func (s *secondRoom) Admit(r overload.Request, _ time.Time) policy.RoomVerdict {
 	return policy.RoomVerdict{Admit: r.Use == 0, RetryAfter: time.Second}
 }
+
+func TestAnOrganisationsRankGoesBeforeItsRoutes(t *testing.T) {
+	urgent, later := 0, 1
+	x := func(organisation *int, priority int) int {
+		return (&transfer{org: &org.Organisation{Priority: organisation}, route: &route.Route{Priority: priority}}).urgency()
+	}
+	if x(&urgent, 9) >= x(&later, 0) || x(&later, 0) >= x(&later, 1) || x(nil, 0) >= x(nil, 1) {
+		t.Errorf("ranks %d %d %d", x(&urgent, 9), x(&later, 0), x(&later, 1))
+	}
+}
