Room: programs that need more turns are refused earlier

Cause: a long consultation makes some 38 turns with those of its sub-agents, a short chat 4.5: in an overload the room of one carries eight others, and the long ones hold it for ten seconds.

Change: turns a program by route, learned from what was let in, against the mean of the service, shift the ramp as the rank does; not against the rank.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -25,6 +25,10 @@
 	usedFor = 10 * time.Second
 	// rankWeight is the part of one first turn in the mean rank of a service.
 	rankWeight = 1.0 / 32
+	// needFade is the part by which a turn makes older ones count less, needPrograms
+	// the programs that tell what one needs.
+	needFade     = 1.0 / 256
+	needPrograms = 3
 	// usualWeight is the part of one request in how long requests usually take.
 	usualWeight = 1.0 / 16
 	// retryShare and retryBurst bound the sends after a first one to a service
@@ -47,6 +51,8 @@
 	// Call tells that it is no turn but a call of a program.
 	Call  bool
 	Class policy.RoomClass
+	// Route is the one of a turn.
+	Route string
 	// Rank is how urgent it is; 0 is the most urgent.
 	Rank int
 	// Use is what its organisation uses, in parts of its limit; 0 if unknown.
@@ -74,8 +80,11 @@
 	usual   time.Duration
 	retries policy.RetryBudget
 	// rank is the mean rank of the first turns, ranked tells that there was one.
-	rank    float64
-	ranked  bool
+	rank   float64
+	ranked bool
+	// needs count turns, all and by route.
+	all     need
+	needs   map[string]*need
 	metrics metrics
 	// admitted and refused count since the start.
 	admitted, refused int64
@@ -97,12 +106,13 @@
 		s.calledAt = now
 	}
 	ask := policy.RoomAsk{
-		Class: r.Class, Rank: s.rankAbove(r), Use: r.Use, Draw: draw(r), Jitter: g.jitter(),
+		Class: r.Class, Rank: s.rankAbove(r), Size: s.size(r), Use: r.Use, Draw: draw(r), Jitter: g.jitter(),
 		TimeLeft: r.TimeLeft, Usual: s.usual,
 	}
 	verdict := policy.AdmitRoom(ask, g.needed(r, s, now)...)
 	if verdict.Admit {
 		s.retries.Allow(0)
+		s.learn(r)
 		s.admitted++
 	} else {
 		s.refused++
@@ -123,6 +133,50 @@
 	return rank - s.rank
 }
 
+// need is how many turns programs make, with those of their sub-agents.
+type need struct{ turns, programs float64 }
+
+// add takes a turn that was let in. Old ones fade.
+func (n *need) add(first bool) {
+	n.turns += 1 - needFade*n.turns
+	n.programs -= needFade * n.programs
+	if first {
+		n.programs++
+	}
+}
+
+// perProgram is 0 while few programs were seen.
+func (n *need) perProgram() float64 {
+	if n == nil || n.programs < needPrograms {
+		return 0
+	}
+	return n.turns / n.programs
+}
+
+// learn counts a turn that was let in.
+func (s *service) learn(r Request) {
+	if r.Call || r.Program == "" || r.Route == "" {
+		return
+	}
+	n := s.needs[r.Route]
+	if n == nil {
+		n = new(need)
+		s.needs[r.Route] = n
+	}
+	n.add(r.Class == policy.RoomFirst)
+	s.all.add(r.Class == policy.RoomFirst)
+}
+
+// size is what a program of the request's route needs against others, 0 if that
+// is not known.
+func (s *service) size(r Request) float64 {
+	mean := s.all.perProgram()
+	if mean == 0 {
+		return 0
+	}
+	return s.needs[r.Route].perProgram() / mean
+}
+
 // needed lists the pools that a request needs: a program that begins also needs
 // those that programs call.
 func (g *Guard) needed(r Request, own *service, now time.Time) []policy.PoolLoad {
@@ -196,7 +250,8 @@
 func (g *Guard) service(name string, now time.Time) *service {
 	s := g.services[name]
 	if s == nil {
-		s = &service{retries: policy.NewRetryBudgetOf(retryShare, retryBurst), metrics: newMetrics(g.scope, name)}
+		s = &service{needs: make(map[string]*need), retries: policy.NewRetryBudgetOf(retryShare, retryBurst),
+			metrics: newMetrics(g.scope, name)}
 		g.services[name] = s
 	}
 	if s.viewAt.IsZero() || now.Sub(s.viewAt) >= viewAge {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -154,3 +154,38 @@
 		t.Errorf("a rank that all have changes the chance to %.2f", got)
 	}
 }
+
+func TestBigProgramsAreRefusedMore(t *testing.T) {
+	pools := fills{"engine": 0.5}
+	g := guard(pools)
+	turn := func(route string, class policy.RoomClass) {
+		g.Admit(Request{Service: "engine", Program: "q", Route: route, Class: class}, start)
+	}
+	for range 20 {
+		turn("big", policy.RoomFirst)
+		for range 30 {
+			turn("big", policy.RoomUnderWay)
+		}
+		turn("small", policy.RoomFirst)
+		turn("small", policy.RoomUnderWay)
+	}
+	pools["engine"] = 1.3
+	s := g.services["engine"]
+	size := func(route string) float64 { return s.size(Request{Route: route}) }
+	if size("big") < 1.5 || size("small") > 0.5 || size("new") != 0 {
+		t.Errorf("sizes %.2f and %.2f, of a new route %.2f", size("big"), size("small"), size("new"))
+	}
+	refused := make(map[string]int)
+	for i := range 20 {
+		for _, route := range []string{"big", "small"} {
+			r := first(strings.Repeat("p", i+1))
+			r.Route = route
+			if !g.Admit(r, start.Add(viewAge)).Admit {
+				refused[route]++
+			}
+		}
+	}
+	if refused["big"] <= refused["small"] {
+		t.Errorf("of 20 each refused: %v", refused)
+	}
+}
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The load: callers begin more programs than the targets can finish. Engines run
 // a fixed number of requests at once and let the others wait, so each program
@@ -67,6 +70,9 @@
 	Class RoomClass
 	// Rank is how much less urgent it is than such requests are in the mean.
 	Rank float64
+	// Size is what a program of its route needs, in parts of what programs need in
+	// the mean; 0 if unknown.
+	Size float64
 	// Use is what its organisation uses, in parts of its limit; 0 if unknown.
 	Use float64
 	// Draw is from 0 to 1 and the same for each try of a program, so that tries do
@@ -126,10 +132,13 @@
 	lowestStart = 0.6
 	// mostRefused lets some through, whose answers tell how full targets are.
 	mostRefused = 0.97
-	// rankShift is how much earlier each rank is refused than the one before it,
-	// up to mostRankShift around the mean.
-	rankShift     = 0.1
-	mostRankShift = 0.3
+	// rankShift is how much earlier each rank is refused than the one before it.
+	rankShift = 0.1
+	// sizeShift is how much earlier programs are refused that need twice as much as
+	// others: their room carries several small ones.
+	sizeShift = 0.15
+	// mostShift bounds both, around the mean.
+	mostShift = 0.3
 	// FairUse is the part of its limit up to which an organisation is served as
 	// others are: limits leave room above the usual. One at its limit is refused
 	// useFactor times as often.
@@ -175,14 +184,27 @@
 	default:
 		return 0
 	}
-	best := r.chance(pool.Fill, -mostRankShift)
-	chance := r.chance(pool.Fill, rankEarlier(ask.Rank)) * oftener(ask.Use)
+	best := r.chance(pool.Fill, -mostShift)
+	chance := r.chance(pool.Fill, earlier(ask)) * oftener(ask.Use)
 	return min(chance, 1-leastServed*(1-best))
 }
 
-// rankEarlier is how much earlier a rank is refused than the mean one.
-func rankEarlier(rank float64) float64 {
-	return min(max(rankShift*rank, -mostRankShift), mostRankShift)
+// earlier is how much earlier a request is refused than the mean one.
+func earlier(ask RoomAsk) float64 {
+	return min(max(rankShift*ask.Rank+sizeEarlier(ask), -mostShift), mostShift)
+}
+
+// sizeEarlier is how much earlier a program is refused for what it needs. Size does
+// not put it behind less urgent ones, nor before more urgent ones.
+func sizeEarlier(ask RoomAsk) float64 {
+	if ask.Class != RoomFirst || ask.Size <= 0 {
+		return 0
+	}
+	shift := sizeShift * math.Log2(ask.Size)
+	if shift*ask.Rank < 0 {
+		return 0
+	}
+	return shift
 }
 
 // oftener is how much more often an organisation is refused than others.
--- a/internal/policy/room_test.go
+++ b/internal/policy/room_test.go
@@ -107,3 +107,18 @@
 		t.Errorf("comes back in %s of 600 ms", got)
 	}
 }
+
+func TestRoomBySize(t *testing.T) {
+	ask := func(size, rank float64) float64 {
+		return served(RoomAsk{Class: RoomFirst, Size: size, Rank: rank}, pool(1.3))
+	}
+	if big, mean, small := ask(4, 0), ask(1, 0), ask(0.4, 0); big >= mean || mean >= small {
+		t.Errorf("served: big %.2f, mean %.2f, small %.2f", big, mean, small)
+	}
+	if unknown, mean := ask(0, 0), ask(1, 0); unknown != mean {
+		t.Errorf("served of unknown size %.2f, of the mean one %.2f", unknown, mean)
+	}
+	if big, small := ask(4, -1), ask(0.4, 1); big <= small {
+		t.Errorf("urgent and big %.2f, less urgent and small %.2f", big, small)
+	}
+}
--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -75,7 +75,7 @@
 // admitClass returns false if the request has been refused.
 func (x *transfer) admitClass(class policy.RoomClass) bool {
 	asked := overload.Request{
-		Service: x.service, Program: x.scoped(x.call.Program), ID: x.call.ID, Class: class, Rank: x.urgency(),
+		Service: x.service, Program: x.scoped(x.call.Program), ID: x.call.ID, Class: class, Route: x.route.Name, Rank: x.urgency(),
 		Call: x.call.Program != "" && !x.isTurn(), Use: x.use(), TimeLeft: time.Until(x.deadline),
 	}
 	verdict := x.server.room.Admit(asked, time.Now())
