--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -87,7 +87,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// What is left of the body is not waited for.
 		x.writer.Header().Set("Connection", "close")
-		x.refuse(http.StatusServiceUnavailable, reasonNotSent, retryTarget)
+		x.refuse(http.StatusServiceUnavailable, reasonNotSent, x.comeBack())
 		return false
 	}
 	x.refuse(http.StatusBadRequest, reasonMalformed, 0)
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -24,6 +24,7 @@
 	reasonNoMemory     reason = "memory_short"
 	reasonNoTarget     reason = "no_target"
 	reasonTargetsFull  reason = "targets_refused"
+	reasonNoRoom       reason = "no_room"
 	reasonBudgetSpent  reason = "budget_spent"
 	reasonBudgetOwner  reason = "budget_owner_unreachable"
 	reasonBudgetRecord reason = "budget_record_not_written"
@@ -71,7 +72,7 @@
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
-		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
+		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonNoRoom, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
 		reasonNotSent, reasonBroken, reasonCut, reasonCallerLeft, reasonStalled,
 	} {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -17,6 +17,7 @@
 	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -155,7 +156,9 @@
 	// Memory bounds what is held for requests; nil for no bound.
 	Memory *memlimit.Bound
 	// Keys says what to do with keys while the settings are old.
-	Keys  KeyPolicy
+	Keys KeyPolicy
+	// Room decides who is let in; nil for a guard of the targets' loads.
+	Room  Room
 	Scope tally.Scope
 	Log   *slog.Logger
 }
@@ -173,6 +176,7 @@
 	currency   Currency
 	memory     *memlimit.Bound
 	keys       KeyPolicy
+	room       Room
 	log        *slog.Logger
 	metrics    metrics
 	// downWithin is how soon a target that is down breaks a connection.
@@ -185,9 +189,13 @@
 
 // New makes a Server without settings: until SetTable it refuses all requests.
 func New(p Parts) *Server {
+	if p.Room == nil {
+		p.Room = overload.New(p.Targets, p.Scope)
+	}
 	return &Server{
 		codec: p.Codec, targets: p.Targets, pool: p.Pool, budgets: p.Budgets, allowances: p.Allowances, kept: p.Conversations,
-		notices: p.Notices, health: p.Health, currency: p.Currency, memory: p.Memory, keys: p.Keys, log: p.Log, metrics: newMetrics(p.Scope),
+		notices: p.Notices, health: p.Health, currency: p.Currency, memory: p.Memory, keys: p.Keys, room: p.Room,
+		log: p.Log, metrics: newMetrics(p.Scope),
 		downWithin: downWithin,
 	}
 }
@@ -198,6 +206,9 @@
 // Table is the version in force, nil if none is known.
 func (s *Server) Table() *route.Table { return s.table.Load() }
 
+// Room tells who is let in.
+func (s *Server) Room() Room { return s.room }
+
 // Drain makes each answer close its connection from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -234,6 +245,9 @@
 func (s *Server) finish(x *transfer) {
 	elapsed := time.Since(x.arrived)
 	s.metrics.count(x, elapsed)
+	if x.reason == reasonServed {
+		s.room.Served(x.service, elapsed)
+	}
 	s.logOutcome(x, elapsed)
 	if x.cut {
 		// The answer must not look complete.
