--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -3,60 +3,53 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/internal/structs"
-	"github.com/banyanglade/banyanglade/platform"
 )
 
-const (
-	// appendTimeout bounds one append, which takes about 6 ms, and some
-	// hundred when the store is slow. One without an answer may have taken
-	// effect; repeating it does no harm.
-	appendTimeout = 700 * time.Millisecond
-	// hedgeDelay is how long an append may take before another instance is
-	// asked to make it as well. The store answers within 10 ms when it is well,
-	// and a caller waits for the end of its answer meanwhile. Without help the
-	// payoff of two days on which a third of the instances are refused or cut
-	// off falls from 0.89 to 0.82 (three seeds each).
-	hedgeDelay = 60 * time.Millisecond
-	// directPause is the time between two tries of an instance whose appends
-	// fail while others make them: refused calls are priced.
-	directPause = 250 * time.Millisecond
-)
+// directPause is the time between two tries of an instance whose appends fail
+// while others make them: refused calls are priced.
+const directPause = 250 * time.Millisecond
+
+// maxTries bounds the instances that try in one round.
+const maxTries = 3
 
 // errNotKept tells that another instance could not append turns.
 var errNotKept = errors.New("the other instance did not append the turns")
 
-// round tries once by this instance and, if that fails or takes long, once by
-// another one. It tells whether the turns are kept.
+// round tries by this instance or by the one that gathers the partition's turns
+// and, if that fails or takes too long, by others. It tells whether the turns
+// are kept.
 func (w *writing) round(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &round{writing: w, results: make(chan tryResult, 2)}
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
-	if w.keeper.triesDirect() {
-		r.direct(ctx)
-	} else if !r.help(ctx) {
+	r := &round{writing: w, results: make(chan tryResult, maxTries)}
+	if w.keeper.gathers(w.partition) && r.help(ctx) {
+		r.directBeside(ctx)
+	} else {
 		r.direct(ctx)
 	}
+	hedge := time.NewTimer(w.keeper.hedgeAfter(w.partition))
+	defer hedge.Stop()
 	var failure error
-	for r.open > 0 {
+	for len(r.open) > 0 {
 		select {
 		case result := <-r.results:
-			r.open--
+			delete(r.open, result.by)
 			if result.err == nil {
-				w.keeper.noteWinner(result.direct, r.directOpen)
+				w.keeper.noteWinner(w.partition, result, r.open)
 				return true, nil
 			}
 			failure = errors.Join(failure, result.err)
-			r.help(ctx)
+			r.next(ctx)
 		case <-hedge.C:
-			r.help(ctx)
+			if w.keeper.mayHedge() {
+				r.help(ctx)
+			}
 		}
 	}
 	return false, failure
@@ -66,133 +59,214 @@
 type round struct {
 	writing *writing
 	results chan tryResult
-	// open counts the tries under way; directOpen tells that one is this
-	// instance's own.
-	open       int
-	directOpen bool
-	helped     bool
+	// open are the tries under way, by the instance that makes them, and when
+	// they began.
+	open  map[structs.InstanceID]time.Time
+	tries int
+	// directTried tells that this instance tried.
+	directTried bool
 }
 
-// tryResult is how one try ended.
+// tryResult is how one try ended: by which instance, and how long the store
+// took.
 type tryResult struct {
-	direct bool
-	err    error
+	by   structs.InstanceID
+	took time.Duration
+	err  error
+}
+
+// begin notes a try.
+func (r *round) begin(by structs.InstanceID) {
+	if r.open == nil {
+		r.open = make(map[structs.InstanceID]time.Time)
+	}
+	r.open[by] = time.Now()
+	r.tries++
 }
 
 // direct tries by this instance.
 func (r *round) direct(ctx context.Context) {
 	w := r.writing
-	r.open++
-	r.directOpen = true
-	go func() { r.results <- tryResult{true, w.keeper.appendDirect(ctx, w.partition, w.records)} }()
+	self := w.keeper.self.ID
+	r.directTried = true
+	r.begin(self)
+	go func() {
+		result := w.keeper.ride(ctx, w.partition, w.turns, w.records)
+		r.results <- tryResult{self, result.took, result.err}
+	}()
+}
+
+// directBeside tries by this instance beside another one, to learn whether its
+// failing appends succeed again.
+func (r *round) directBeside(ctx context.Context) {
+	if r.writing.keeper.triesDirect() {
+		r.direct(ctx)
+	}
+}
+
+// next tries again after a failure: by another instance, else by this one.
+func (r *round) next(ctx context.Context) {
+	if r.help(ctx) || len(r.open) > 0 || r.directTried || r.tries >= maxTries {
+		return
+	}
+	r.direct(ctx)
 }
 
-// help tries by another instance, once. It tells whether there is one.
+// help tries by another instance. It tells whether there is one.
 func (r *round) help(ctx context.Context) bool {
-	if r.helped {
+	if r.tries >= maxTries {
 		return false
 	}
-	r.helped = true
 	helper := r.writing.chooseHelper()
 	if helper == "" {
 		return false
 	}
-	r.open++
-	go func() { r.results <- tryResult{false, r.writing.appendBy(ctx, helper)} }()
+	r.begin(helper)
+	go func() {
+		took, err := r.writing.appendBy(ctx, helper)
+		r.results <- tryResult{helper, took, err}
+	}()
 	return true
 }
 
-// triesDirect tells whether this instance should try by itself. While its
-// appends fail, one turn after each pause does, beside another instance.
+// gathers tells whether turns for a partition go to the instance that gathers
+// them, rather than by an append of this instance.
+func (k *Keeper) gathers(p *partition) bool {
+	now := time.Now()
+	k.mu.Lock()
+	gathers, failing := k.path.Gathers(p.number, k.pendingAppends(), now), k.path.Failing()
+	k.mu.Unlock()
+	return gathers && (failing || k.indexOf(p, nil) != k.self.ID)
+}
+
+func (k *Keeper) hedgeAfter(p *partition) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.path.HedgeAfter(p.number, time.Now())
+}
+
+// mayHedge takes a second try from the budget of second tries.
+func (k *Keeper) mayHedge() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hedges.Allow(1)
+}
+
+// triesDirect tells whether this instance, whose appends fail, should try by
+// itself beside another one: one turn after each pause does.
 func (k *Keeper) triesDirect() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if k.directFailing && now.Before(k.directAfter) {
+	if !k.path.Failing() || now.Before(k.directAfter) {
 		return false
 	}
-	k.directAfter = now.Add(directPause)
+	k.directAfter = now.Add(jittered(directPause))
 	return true
 }
 
-// noteWinner notes that another instance was faster than this one's own try,
-// which may then be waiting for an answer that does not come.
-func (k *Keeper) noteWinner(direct, directOpen bool) {
-	if direct || !directOpen {
-		return
-	}
+// jittered is a time of up to d, so that instances do not try in step.
+func jittered(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/4)
+}
+
+// noteWinner learns from the try that was answered first: the others' ways are
+// bad, unless the store itself is slow.
+func (k *Keeper) noteWinner(p *partition, winner tryResult, open map[structs.InstanceID]time.Time) {
+	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.directFailing {
-		k.log.Warn("another instance appends turns faster")
+	if winner.by != k.self.ID {
+		k.path.Answered(p.number, winner.took, now)
 	}
-	k.directFailing = true
-}
-
-// appendDirect makes one append by this instance.
-func (k *Keeper) appendDirect(ctx context.Context, p *partition, records []platform.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := k.store.Append(ctx, platform.Append{Topic: topic, Partition: p.number, Records: records})
-	k.noteAppend(err)
-	return err
+	for id, begun := range open {
+		if !k.path.Overtaken(winner.took, now.Sub(begun)) {
+			continue
+		}
+		if id != k.self.ID {
+			k.unableUntil[id] = now.Add(unableTime)
+			continue
+		}
+		k.path.OwnAppend(false)
+		k.directAfter = now.Add(jittered(directPause))
+		if k.path.Overtaken(winner.took, p.lane.age(now)) {
+			p.lane.abandon()
+		}
+	}
+	k.noteState(nil)
 }
 
-// noteAppend remembers whether this instance's appends succeed, and logs when
-// that changes.
-func (k *Keeper) noteAppend(err error) {
-	if errors.Is(err, context.Canceled) {
-		return // another instance was faster, or the caller left
+// noteAppend learns from an append of this instance. Its outcome is unknown if
+// the Keeper stopped.
+func (k *Keeper) noteAppend(p *partition, result laneResult) {
+	if k.ctx.Err() != nil {
+		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	failing := err != nil
-	if failing == k.directFailing {
+	if result.err == nil {
+		k.path.Answered(p.number, result.took, time.Now())
+	}
+	k.path.OwnAppend(result.err == nil)
+	k.noteState(result.err)
+}
+
+// noteState logs when the state of the way to the store changes. The mutex is
+// held.
+func (k *Keeper) noteState(err error) {
+	state := k.path.State(time.Now())
+	if state == k.state {
 		return
 	}
-	k.directFailing = failing
-	if failing {
-		k.log.Warn("turns cannot be appended", "error", err.Error())
+	attrs := []any{"before", k.state, "now", state, "typical_ms", k.path.Typical(time.Now()).Milliseconds()}
+	if err != nil {
+		attrs = append(attrs, "error", err.Error())
+	}
+	k.state = state
+	k.metrics.setState(state)
+	if state == policy.StoreGood {
+		k.log.Info("turns can be appended again", attrs...)
 		return
 	}
-	k.log.Info("turns can be appended again")
+	k.log.Warn("turns cannot be appended in time", attrs...)
 }
 
-// chooseHelper chooses another instance to append the turns, one that was not
-// asked yet if there is any.
+// chooseHelper chooses another instance to append the turns: the one that
+// gathers the partition's turns, or the next in its order that was not asked
+// yet.
 func (w *writing) chooseHelper() structs.InstanceID {
-	others := w.keeper.directory.Others()
-	if len(others) == 0 {
-		return ""
+	helper := w.keeper.indexOf(w.partition, append(w.helpers, w.keeper.self.ID))
+	if helper != "" {
+		w.helpers = append(w.helpers, helper)
 	}
-	begin := rand.IntN(len(others))
-	now := time.Now()
-	w.keeper.mu.Lock()
-	defer w.keeper.mu.Unlock()
-	best := others[begin].ID
-	for i := range others {
-		id := others[(begin+i)%len(others)].ID
-		if !slices.Contains(w.helpers, id) && !now.Before(w.keeper.unableUntil[id]) {
-			best = id
-			break
-		}
-	}
-	w.helpers = append(w.helpers, best)
-	return best
+	return helper
 }
 
-// appendBy has another instance append the turns.
-func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) error {
-	answer := w.keeper.ask(ctx, helper, func(number uint64) structs.Message {
+// appendBy has another instance append the turns. It returns how long the store
+// took.
+func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) (time.Duration, error) {
+	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience(w.partition), func(number uint64) structs.Message {
 		return &structs.KeepRequest{Number: number, Partition: w.partition.number, Turns: w.turns}
 	})
 	if reply, ok := answer.(*structs.KeepReply); ok && reply.Kept {
-		return nil
+		return reply.Took, nil
 	}
 	if ctx.Err() == nil {
 		w.keeper.setUnable(helper)
 	}
-	return errNotKept
+	return 0, errNotKept
+}
+
+// gatherPatience is how long another instance may take to append turns: they
+// may have to wait for the append before.
+func (k *Keeper) gatherPatience(p *partition) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.path.Slow(p.number, now) {
+		return 2 * k.path.Patience(now)
+	}
+	return replyTimeout
 }
 
 // receiveKeep appends turns for another instance.
@@ -204,14 +278,28 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.spawn(func() {
-		p := k.partitions[m.Partition]
-		records, err := encodeTurns(m.Turns)
-		if err == nil {
-			err = k.appendDirect(k.ctx, p, records)
-		}
-		if err == nil {
-			k.learn(m.Turns, p.number)
-		}
-		k.peers.Send(from, &structs.KeepReply{Number: m.Number, Kept: err == nil})
+		result := k.keepForOther(k.partitions[m.Partition], m.Turns)
+		k.peers.Send(from, &structs.KeepReply{Number: m.Number, Kept: result.err == nil, Took: result.took})
 	})
 }
+
+// keepForOther appends turns of another instance, at once or not at all if this
+// instance's appends fail.
+func (k *Keeper) keepForOther(p *partition, turns []structs.KeptTurn) laneResult {
+	k.mu.Lock()
+	failing := k.path.Failing()
+	k.mu.Unlock()
+	if failing && !k.triesDirect() {
+		return laneResult{err: errNotKept}
+	}
+	records, err := encodeTurns(turns)
+	if err != nil {
+		k.log.Error("turns of another instance not encoded", "error", err.Error())
+		return laneResult{err: err}
+	}
+	result := k.ride(k.ctx, p, turns, records)
+	if result.err == nil {
+		k.learn(turns, p.number)
+	}
+	return result
+}
--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -54,6 +54,13 @@
 // returns nil if none comes in time.
 func (k *Keeper) ask(
 	ctx context.Context, to structs.InstanceID, make func(number uint64) structs.Message,
+) structs.Message {
+	return k.askWithin(ctx, to, replyTimeout, make)
+}
+
+// askWithin is ask with the time that the answer may take.
+func (k *Keeper) askWithin(
+	ctx context.Context, to structs.InstanceID, patience time.Duration, make func(number uint64) structs.Message,
 ) structs.Message {
 	q := &question{asked: to, answer: newAnswer()}
 	k.mu.Lock()
@@ -67,7 +74,7 @@
 		k.mu.Unlock()
 	}()
 	k.peers.Send(to, make(number))
-	timer := time.NewTimer(replyTimeout)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case answer := <-q.answer:
--- a/internal/conversation/dump.go
+++ b/internal/conversation/dump.go
@@ -1,6 +1,10 @@
 package conversation
 
-import "time"
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
+)
 
 // Dump is the state of a Keeper as it is shown on request.
 type Dump struct {
@@ -9,6 +13,10 @@
 	Bytes int `json:"bytes"`
 	// DirectFailing tells that others append for this instance.
 	DirectFailing bool `json:"direct_failing"`
+	// Store is the state of the way to the store, TypicalAppend the median of
+	// the appends seen lately, 0 without any.
+	Store         policy.StoreState `json:"store"`
+	TypicalAppend time.Duration     `json:"typical_append_ns"`
 	// AwayFor is how long no turn could be kept, 0 if turns can.
 	AwayFor    time.Duration   `json:"away_for_ns"`
 	Partitions []PartitionDump `json:"partitions"`
@@ -29,7 +37,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	d := Dump{Turns: len(k.memory.turns), Bytes: k.memory.bytes, DirectFailing: k.directFailing}
+	d := Dump{Turns: len(k.memory.turns), Bytes: k.memory.bytes, DirectFailing: k.path.Failing(),
+		Store: k.path.State(now), TypicalAppend: k.path.Typical(now)}
 	if !k.outage.since.IsZero() {
 		d.AwayFor = now.Sub(k.outage.since)
 	}
--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -27,6 +27,9 @@
 		ID: turn.ID, Previous: turn.Previous, Input: turn.Input, Output: turn.Output,
 		Ended: time.Now().UnixMilli(), Retention: turn.Retention,
 	}}
+	k.mu.Lock()
+	k.hedges.Allow(0)
+	k.mu.Unlock()
 	begun := time.Now()
 	if err := w.persist(ctx); err != nil {
 		k.metrics.lost.Inc(1)
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -59,11 +60,16 @@
 	// unableUntil is how long an instance that could not read or write the
 	// store is passed over.
 	unableUntil map[structs.InstanceID]time.Time
-	// directFailing tells that this instance's last append failed, or that
-	// another one was faster; it tries again after directAfter.
-	directFailing bool
-	directAfter   time.Time
-	outage        outage
+	// path is this instance's way to the store, state its state as last logged.
+	path  policy.StorePath
+	state policy.StoreState
+	// directAfter is when an instance whose appends fail tries again.
+	directAfter time.Time
+	// hedges bounds the second tries of appends that take long.
+	hedges policy.RetryBudget
+	outage outage
+	// callBytes bounds an append.
+	callBytes int
 }
 
 // question is a message of this instance that another one answers.
@@ -77,11 +83,13 @@
 	Directory *directory.Directory
 	// Partitions is the number of the topic's partitions.
 	Partitions int
-	Store      Store
-	Peers      Peers
-	Health     Health
-	Scope      tally.Scope
-	Log        *slog.Logger
+	// MaxCallBytes bounds an append, 0 if the platform names no limit.
+	MaxCallBytes int
+	Store        Store
+	Peers        Peers
+	Health       Health
+	Scope        tally.Scope
+	Log          *slog.Logger
 }
 
 // New makes a Keeper that works until the context ends.
@@ -93,6 +101,12 @@
 		pending:     make(map[uint64]*question),
 		unableUntil: make(map[structs.InstanceID]time.Time),
 		outage:      outage{changed: make(chan struct{})},
+		state:       policy.StoreGood,
+		hedges:      policy.NewRetryBudget(),
+		callBytes:   parts.MaxCallBytes,
+	}
+	if k.callBytes == 0 {
+		k.callBytes = defaultCallBytes
 	}
 	for i := range parts.Partitions {
 		k.partitions = append(k.partitions, newPartition(i))
--- a/internal/conversation/metrics.go
+++ b/internal/conversation/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/policy"
 )
 
 // metrics of the conversations that this instance keeps.
@@ -20,8 +22,14 @@
 	loads tally.Counter
 	// seconds is how long turns waited for their record.
 	seconds tally.Histogram
-	bytes   tally.Gauge
-	turns   tally.Gauge
+	// appends counts this instance's appends, batch the records of each.
+	appends tally.Counter
+	batch   tally.Histogram
+	// state is 0 for a good way to the store, 1 for a slow store, 2 for a way
+	// that is closed.
+	state tally.Gauge
+	bytes tally.Gauge
+	turns tally.Gauge
 }
 
 var keepBuckets = tally.DurationBuckets{
@@ -29,6 +37,14 @@
 	100 * time.Millisecond, 250 * time.Millisecond, time.Second, 3 * time.Second,
 }
 
+var batchBuckets = tally.ValueBuckets{1, 2, 4, 8, 16, 32, 64, 128, 256, 512}
+
+// setState shows the state of the way to the store.
+func (m metrics) setState(state policy.StoreState) {
+	values := map[policy.StoreState]float64{policy.StoreGood: 0, policy.StoreSlow: 1, policy.StoreClosed: 2}
+	m.state.Update(values[state])
+}
+
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("conversations")
 	return metrics{
@@ -39,6 +55,9 @@
 		lost:      scope.Counter("turns_not_kept"),
 		loads:     scope.Counter("partitions_read"),
 		seconds:   scope.Histogram("keep_seconds", keepBuckets),
+		appends:   scope.Counter("appends"),
+		batch:     scope.Histogram("append_records", batchBuckets),
+		state:     scope.Gauge("store_state"),
 		bytes:     scope.Gauge("memory_bytes"),
 		turns:     scope.Gauge("turns"),
 	}
--- a/internal/conversation/sweep.go
+++ b/internal/conversation/sweep.go
@@ -7,6 +7,9 @@
 	"github.com/banyanglade/banyanglade/platform"
 )
 
+// trimTimeout bounds a call that drops history.
+const trimTimeout = 700 * time.Millisecond
+
 const (
 	// sweepInterval is the time between two searches for turns that can no
 	// longer be named; they may stay that much longer.
@@ -61,7 +64,7 @@
 	k.mu.Unlock()
 	for len(expired) > 0 {
 		n := min(len(expired), maxDropped)
-		if err := k.appendDirect(ctx, p, expired[:n]); err != nil {
+		if err := k.ride(ctx, p, nil, expired[:n]).err; err != nil {
 			k.log.Warn("expired turns not dropped", "partition", p.number, "turns", len(expired), "error", err.Error())
 			return
 		}
@@ -92,7 +95,7 @@
 	if bytes <= trimBytes {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, trimTimeout)
 	defer cancel()
 	if err := k.store.Trim(ctx, topic, p.number, before); err != nil {
 		k.log.Warn("history of turns not trimmed", "partition", p.number, "error", err.Error())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -77,8 +77,8 @@
 	transport *peer.Transport, health *feed.Health, r *receiver, scope tally.Scope, log *slog.Logger,
 ) *conversation.Keeper {
 	r.conversations = conversation.New(life, conversation.Parts{
-		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Health: health,
-		Scope: scope, Log: log,
+		Directory: dir, Partitions: machine.Store.Partitions, MaxCallBytes: machine.Store.MaxCallBytes,
+		Store: store, Peers: transport, Health: health, Scope: scope, Log: log,
 	})
 	return r.conversations
 }
--- /dev/null
+++ b/internal/policy/storepath_test.go
@@ -0,0 +1,88 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// at is a time of these tests.
+func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+
+// pathWith is a path with answers of a length, every 10 ms, one a partition.
+func pathWith(took time.Duration, answers int) *StorePath {
+	s := new(StorePath)
+	for i := range answers {
+		s.Answered(i%4, took, at(time.Duration(i)*10*time.Millisecond))
+	}
+	return s
+}
+
+// Slow for all: turns are gathered, appends get time, nobody else is asked soon.
+func TestSlowStoreIsGivenTime(t *testing.T) {
+	now := at(100 * time.Millisecond)
+	s := pathWith(300*time.Millisecond, 8)
+	if !s.Gathers(1, nil, now) || s.State(now) != StoreSlow {
+		t.Error("turns are not gathered")
+	}
+	if got := s.Patience(now); got != 1200*time.Millisecond {
+		t.Errorf("patience %s", got)
+	}
+	if got := s.HedgeAfter(1, now); got < time.Second {
+		t.Errorf("another instance is asked after %s", got)
+	}
+	if s.Overtaken(300*time.Millisecond, time.Second) {
+		t.Error("the way is blamed for a slow store")
+	}
+	for i := range 20 {
+		s.Answered(i%4, 5*time.Millisecond, now)
+	}
+	if s.Gathers(1, nil, now) || s.State(now) != StoreGood {
+		t.Error("turns are gathered when the store is well again")
+	}
+}
+
+// Silent for all, or for this instance: others are asked and tries are short.
+func TestSilenceIsNotSlowness(t *testing.T) {
+	now := at(200 * time.Millisecond)
+	s := pathWith(5*time.Millisecond, 8)
+	hung := []Pending{{Partition: 2, Begun: at(100 * time.Millisecond)}}
+	if !s.Gathers(1, hung, now) {
+		t.Error("turns follow one that hangs")
+	}
+	if s.Patience(now) != storePatienceLeast || s.HedgeAfter(1, now) != storeHedgeLeast {
+		t.Errorf("patience %s, hedge %s", s.Patience(now), s.HedgeAfter(1, now))
+	}
+	if !s.Overtaken(5*time.Millisecond, 100*time.Millisecond) {
+		t.Error("the way is not blamed though others are answered")
+	}
+}
+
+// One partition away: the turns of others go on.
+func TestPartitionThatHangsStopsNoOther(t *testing.T) {
+	s := pathWith(5*time.Millisecond, 8)
+	hung := []Pending{{Partition: 2, Begun: at(100 * time.Millisecond)}}
+	s.Answered(1, 5*time.Millisecond, at(120*time.Millisecond))
+	now := at(200 * time.Millisecond)
+	if s.Gathers(1, hung, now) || !s.Gathers(2, hung, now) {
+		t.Errorf("gathers 1: %v, 2: %v", s.Gathers(1, hung, now), s.Gathers(2, hung, now))
+	}
+}
+
+// Refused, then taken again; and what was seen long ago tells nothing.
+func TestRefusedAppendsGoThroughOthers(t *testing.T) {
+	now := at(100 * time.Millisecond)
+	s := pathWith(5*time.Millisecond, 8)
+	s.OwnAppend(false)
+	if !s.Gathers(1, nil, now) || s.State(now) != StoreClosed {
+		t.Error("turns go where they are refused")
+	}
+	s.OwnAppend(true)
+	if s.Gathers(1, nil, now) {
+		t.Error("turns go through others though they need not")
+	}
+	slow := pathWith(300*time.Millisecond, 8)
+	later := now.Add(storeMemory + time.Second)
+	if slow.Gathers(1, nil, later) || slow.Patience(later) != storePatienceLeast {
+		t.Error("old answers decide")
+	}
+}
--- a/internal/structs/conversation.go
+++ b/internal/structs/conversation.go
@@ -79,6 +79,8 @@
 	Number uint64
 	// Kept tells that the store holds the turns; if not, it may still.
 	Kept bool
+	// Took is how long the store took for the append, 0 if it is unknown.
+	Took time.Duration
 }
 
 // Kind tags of the messages.
