--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -27,13 +27,13 @@
 func (w *writing) round(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &round{writing: w, results: make(chan tryResult, maxTries)}
+	r := &round{writing: w, results: make(chan tryResult, maxTries), begun: time.Now()}
 	if w.keeper.gathers(w.partition) && r.help(ctx) {
 		r.directBeside(ctx)
 	} else {
 		r.direct(ctx)
 	}
-	hedge := time.NewTimer(w.keeper.hedgeAfter(w.partition))
+	hedge := time.NewTimer(w.keeper.hedgeAfter())
 	defer hedge.Stop()
 	var failure error
 	for len(r.open) > 0 {
@@ -41,15 +41,14 @@
 		case result := <-r.results:
 			delete(r.open, result.by)
 			if result.err == nil {
+				w.keptBy, w.took = result.by, result.took
 				w.keeper.noteWinner(w.partition, result, r.open)
 				return true, nil
 			}
 			failure = errors.Join(failure, result.err)
 			r.next(ctx)
 		case <-hedge.C:
-			if w.keeper.mayHedge() {
-				r.help(ctx)
-			}
+			r.hedge(ctx)
 		}
 	}
 	return false, failure
@@ -65,6 +64,7 @@
 	tries int
 	// directTried tells that this instance tried.
 	directTried bool
+	begun       time.Time
 }
 
 // tryResult is how one try ended: by which instance, and how long the store
@@ -104,14 +104,30 @@
 	}
 }
 
-// next tries again after a failure: by another instance, else by this one.
+// hedge has another instance try beside one that takes long.
+func (r *round) hedge(ctx context.Context) {
+	k := r.writing.keeper
+	if begun, ok := r.open[k.self.ID]; ok {
+		k.tellHanging(begun)
+	}
+	if k.mayHedge() {
+		r.help(ctx)
+	}
+}
+
+// next tries again after a failure: by another instance, else by this one. It
+// does not if the tries so far took as long as an append may: then the store is
+// silent, and a later round is as good.
 func (r *round) next(ctx context.Context) {
-	if r.help(ctx) || len(r.open) > 0 || r.directTried || r.tries >= maxTries {
+	if r.spent() || r.help(ctx) || len(r.open) > 0 || r.directTried || r.tries >= maxTries {
 		return
 	}
 	r.direct(ctx)
 }
 
+// spent tells that the round took as long as an append may.
+func (r *round) spent() bool { return time.Since(r.begun) >= r.writing.keeper.patience() }
+
 // help tries by another instance. It tells whether there is one.
 func (r *round) help(ctx context.Context) bool {
 	if r.tries >= maxTries {
@@ -139,10 +155,10 @@
 	return gathers && (failing || k.indexOf(p, nil) != k.self.ID)
 }
 
-func (k *Keeper) hedgeAfter(p *partition) time.Duration {
+func (k *Keeper) hedgeAfter() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.path.HedgeAfter(p.number, time.Now())
+	return k.path.HedgeAfter(time.Now())
 }
 
 // mayHedge takes a second try from the budget of second tries.
@@ -177,7 +193,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if winner.by != k.self.ID {
-		k.path.Answered(p.number, winner.took, now)
+		k.path.Answered(winner.took, now)
 	}
 	for id, begun := range open {
 		if !k.path.Overtaken(winner.took, now.Sub(begun)) {
@@ -187,7 +203,7 @@
 			k.unableUntil[id] = now.Add(unableTime)
 			continue
 		}
-		k.path.OwnAppend(false)
+		k.path.OwnAppend(false, now)
 		k.directAfter = now.Add(jittered(directPause))
 		if k.path.Overtaken(winner.took, p.lane.age(now)) {
 			p.lane.abandon()
@@ -198,17 +214,80 @@
 
 // noteAppend learns from an append of this instance. Its outcome is unknown if
 // the Keeper stopped.
-func (k *Keeper) noteAppend(p *partition, result laneResult) {
+func (k *Keeper) noteAppend(result laneResult) {
 	if k.ctx.Err() != nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := time.Now()
 	if result.err == nil {
-		k.path.Answered(p.number, result.took, time.Now())
+		k.path.Answered(result.took, now)
+	}
+	if k.path.OwnAppend(result.err == nil, now) {
+		k.tellBack()
 	}
-	k.path.OwnAppend(result.err == nil)
 	k.noteState(result.err)
+	k.tellSlow(result.took, now)
+}
+
+// tellSlow tells others that the store is slow, if it is and nobody did so
+// lately. The mutex is held.
+func (k *Keeper) tellSlow(took time.Duration, now time.Time) {
+	if k.path.Tells(now) {
+		k.spawn(func() { k.peers.Broadcast(&structs.TurnsNotice{Took: took, News: structs.StoreSlow}) })
+	}
+}
+
+// tellBack tells others that the store takes appends again. The mutex is held.
+func (k *Keeper) tellBack() {
+	k.spawn(func() { k.peers.Broadcast(&structs.TurnsNotice{News: structs.StoreBack}) })
+}
+
+// tellHanging tells others that an append of this instance hangs.
+func (k *Keeper) tellHanging(since time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.path.Hangs(since, now) && k.path.TellsOfHanging(now) {
+		k.spawn(func() { k.peers.Broadcast(&structs.TurnsNotice{News: structs.StoreSlow}) })
+	}
+}
+
+// receiveNotice takes turns that others kept, and what they tell of the store.
+func (k *Keeper) receiveNotice(m *structs.TurnsNotice) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	switch {
+	case m.News == structs.StoreSlow:
+		k.path.Told(m.Took, now)
+		k.noteState(nil)
+	case m.News == structs.StoreBack:
+		k.storeBack()
+	case m.Took > 0:
+		k.path.Answered(m.Took, now)
+		k.noteState(nil)
+		k.tellSlow(m.Took, now)
+	}
+	if len(m.Turns) > 0 {
+		k.add(m.Turns, m.Partition)
+	}
+}
+
+// storeBack has those that wait for the store try at once, also those whose
+// appends hang. The mutex is held.
+func (k *Keeper) storeBack() {
+	now := time.Now()
+	k.path.OwnAppend(true, now)
+	k.noteState(nil)
+	for _, p := range k.partitions {
+		if p.lane.age(now) > 0 && k.path.Hangs(p.lane.begun, now) {
+			p.lane.abandon()
+		}
+	}
+	clear(k.unableUntil)
+	k.endOutage()
 }
 
 // noteState logs when the state of the way to the store changes. The mutex is
@@ -245,7 +324,7 @@
 // appendBy has another instance append the turns. It returns how long the store
 // took.
 func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) (time.Duration, error) {
-	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience(w.partition), func(number uint64) structs.Message {
+	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience(), func(number uint64) structs.Message {
 		return &structs.KeepRequest{Number: number, Partition: w.partition.number, Turns: w.turns}
 	})
 	if reply, ok := answer.(*structs.KeepReply); ok && reply.Kept {
@@ -257,16 +336,18 @@
 	return 0, errNotKept
 }
 
-// gatherPatience is how long another instance may take to append turns: they
-// may have to wait for the append before.
-func (k *Keeper) gatherPatience(p *partition) time.Duration {
+// patience is how long an append may take.
+func (k *Keeper) patience() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := time.Now()
-	if k.path.Slow(p.number, now) {
-		return 2 * k.path.Patience(now)
-	}
-	return replyTimeout
+	return k.path.Patience(time.Now())
+}
+
+// gatherPatience is how long another instance may take to append turns.
+func (k *Keeper) gatherPatience() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.path.GatherPatience(time.Now())
 }
 
 // receiveKeep appends turns for another instance.
--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -37,8 +37,8 @@
 	}
 	k.metrics.seconds.RecordDuration(time.Since(begun))
 	k.learn(w.turns, w.partition.number)
-	if index := k.indexOf(home, nil); index != "" && index != k.self.ID {
-		k.peers.Send(index, &structs.TurnsNotice{Partition: w.partition.number, Turns: w.turns})
+	if index := k.indexOf(home, nil); index != "" && index != k.self.ID && index != w.keptBy {
+		k.peers.Send(index, &structs.TurnsNotice{Partition: w.partition.number, Turns: w.turns, Took: w.took})
 	}
 	return nil
 }
@@ -90,6 +90,10 @@
 	records   []platform.Record
 	// helpers are the instances that were asked to append them.
 	helpers []structs.InstanceID
+	// keptBy is the instance whose append kept the turn, which took the store
+	// some time.
+	keptBy structs.InstanceID
+	took   time.Duration
 }
 
 // persist tries until the store holds the turn or the context ends.
@@ -111,7 +115,7 @@
 			return nil
 		}
 		k.log.Debug("turn not kept yet", "turn", w.turn.ID, "error", err.Error())
-		pause(ctx, wait)
+		k.pauseTry(ctx, wait)
 		k.endTry(prober)
 	}
 }
@@ -124,6 +128,7 @@
 		if err := w.aimAt(p); err != nil {
 			return err
 		}
+		begun := time.Now()
 		kept, err := w.round(ctx)
 		if kept {
 			return nil
@@ -133,10 +138,22 @@
 		}
 		w.keeper.setAway(p)
 		failure = errors.Join(failure, err)
+		if w.keeper.silentSince(begun) {
+			break
+		}
 	}
 	return failure
 }
 
+// silentSince tells whether the store has answered nobody since a time, for as
+// long as an append may take: another partition is then no better.
+func (k *Keeper) silentSince(begun time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	return now.Sub(begun) >= k.path.Patience(now) && !k.path.AnsweredSince(begun)
+}
+
 // aimAt prepares the turn to be written to a partition.
 func (w *writing) aimAt(p *partition) error {
 	w.partition = p
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -27,6 +27,8 @@
 // that is lost is followed by PeerDown.
 type Peers interface {
 	Send(to structs.InstanceID, msg structs.Message)
+	// Broadcast sends a message to all instances that are connected.
+	Broadcast(msg structs.Message)
 	// Probe asks an instance for a heartbeat; without one PeerDown follows and
 	// the connection ends.
 	Probe(to structs.InstanceID)
@@ -162,7 +164,7 @@
 	case *structs.ConversationReply:
 		k.answered(from, m.Number, m)
 	case *structs.TurnsNotice:
-		k.learn(m.Turns, m.Partition)
+		k.receiveNotice(m)
 	case *structs.KeepRequest:
 		k.receiveKeep(from, m)
 	case *structs.KeepReply:
--- a/internal/conversation/lane.go
+++ b/internal/conversation/lane.go
@@ -159,7 +159,7 @@
 	cancel(nil)
 	k.setInFlight(p, time.Time{}, nil)
 	result := laneResult{took: time.Since(begun), err: err}
-	k.noteAppend(p, result)
+	k.noteAppend(result)
 	k.metrics.appends.Inc(1)
 	k.metrics.batch.RecordValue(float64(len(records)))
 	return result
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// pauseTry waits before the next round of tries, unless the outage ends.
+func (k *Keeper) pauseTry(ctx context.Context, wait time.Duration) {
+	k.mu.Lock()
+	changed := k.outage.changed
+	k.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // endTry lets the next one try.
 func (k *Keeper) endTry(prober bool) {
 	if !prober {
@@ -90,13 +104,26 @@
 	case err != nil:
 		o.pause = min(2*o.pause, appendRetryMost)
 	case failing:
-		k.log.Info("turns can be kept again", "away_ms", time.Since(o.since).Milliseconds())
-		o.since = time.Time{}
-		o.signal()
+		k.endOutage()
+		k.tellBack()
 	}
 	return o.pause
 }
 
+// endOutage has all that wait try again. The mutex is held.
+func (k *Keeper) endOutage() {
+	o := &k.outage
+	if o.since.IsZero() {
+		return
+	}
+	k.log.Info("turns can be kept again", "away_ms", time.Since(o.since).Milliseconds())
+	o.since = time.Time{}
+	for _, p := range k.partitions {
+		p.awayUntil = time.Time{}
+	}
+	o.signal()
+}
+
 // fullPause is the time between two turns that are let through while the store
 // is full, to find out whether it still is.
 const fullPause = time.Second
--- a/internal/conversation/random_test.go
+++ b/internal/conversation/random_test.go
@@ -116,7 +116,7 @@
 		return
 	}
 	n := simnet.Any(r, nodes)
-	switch r.IntN(15) {
+	switch r.IntN(17) {
 	case 0, 1:
 		w.Restart(n.Node)
 	case 2:
@@ -145,6 +145,13 @@
 	case 10:
 		w.Store.Set(metastore.Fault{Status: 503, Partitions: []int{r.IntN(testPartitions), r.IntN(testPartitions)}})
 	case 11:
+		// Appends come in each other's way, so that many ride on one.
+		w.Store.Set(metastore.Fault{AppendTime: time.Duration(50+r.IntN(250)) * time.Millisecond})
+	case 12:
+		w.Store.Set(metastore.Fault{
+			AppendTime: 120 * time.Millisecond, LoseAnswer: true, Late: time.Duration(r.IntN(3000)) * time.Millisecond,
+		})
+	case 13:
 		w.Store.DropHistory(topic, r.IntN(testPartitions))
 	default:
 		w.Store.Set(metastore.Fault{})
--- /dev/null
+++ b/internal/conversation/slow_test.go
@@ -0,0 +1,88 @@
+package conversation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
+)
+
+// A slow store, whose partitions take one append every 120 ms, keeps 600 turns
+// a second, whatever the number of instances: the number of appends follows
+// what the store takes.
+func TestSlowStoreKeepsAllTurns(t *testing.T) {
+	for _, machines := range []int{3, 61, 300} {
+		t.Run(fmt.Sprint(machines), func(t *testing.T) {
+			inWorldOf(t, machines, 24, func(t *testing.T, w *world) {
+				took := w.load(600, 2*time.Second)
+				w.Store.Set(metastore.Fault{AppendTime: 120 * time.Millisecond})
+				before := w.Store.Calls()
+				slow := w.load(600, 4*time.Second)
+				if calls := w.Store.Calls() - before; calls > 24*(4000+1000)/120 {
+					t.Errorf("%d calls", calls)
+				}
+				w.Store.Set(metastore.Fault{})
+				after := w.load(600, 2*time.Second)
+				t.Logf("longest: well %s, slow %s, after %s", took, slow, after)
+				if took > 10*time.Millisecond || slow > time.Second {
+					t.Errorf("a turn took %s, %s while the store was slow", took, slow)
+				}
+			})
+		})
+	}
+}
+
+// What waits for a silent store ends soon after its return, which one instance
+// finds out for all, and the tries meanwhile are few.
+func TestSilentStoresReturnIsToldToAll(t *testing.T) {
+	inWorldOf(t, 61, 24, func(t *testing.T, w *world) {
+		w.load(600, time.Second)
+		w.Store.Set(metastore.Fault{Silent: true})
+		before := w.Store.Calls()
+		var back time.Time
+		w.Work.Go(func() {
+			time.Sleep(2500 * time.Millisecond)
+			w.Store.Set(metastore.Fault{})
+			back = time.Now()
+			if calls := w.Store.Calls() - before; calls > 61*20 {
+				t.Errorf("%d calls while the store was silent", calls)
+			}
+		})
+		w.load(600, 2400*time.Millisecond)
+		if took := time.Since(back); took > 300*time.Millisecond {
+			t.Errorf("the last turn ended %s after the store was back", took)
+		}
+		after := w.Store.Calls()
+		if longest := w.load(600, time.Second); longest > 50*time.Millisecond {
+			t.Errorf("a turn took %s after the store's return", longest)
+		}
+		if calls := w.Store.Calls() - after; calls > 700 {
+			t.Errorf("%d calls for 600 turns", calls)
+		}
+	})
+}
+
+// load keeps turns at a rate for a time and returns how long the slowest took.
+func (w *world) load(perSecond int, length time.Duration) time.Duration {
+	var work sync.WaitGroup
+	var mu sync.Mutex
+	var longest time.Duration
+	nodes := w.all()
+	r := rand.New(rand.NewPCG(1, uint64(len(nodes))))
+	for range int(length.Seconds() * float64(perSecond)) {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		n, program := nodes[r.IntN(len(nodes))], fmt.Sprint("p", r.Uint64())
+		work.Go(func() {
+			begun := time.Now()
+			w.mustTurn(n, program, "")
+			mu.Lock()
+			defer mu.Unlock()
+			longest = max(longest, time.Since(begun))
+		})
+	}
+	work.Wait()
+	return longest
+}
--- a/internal/conversation/world_test.go
+++ b/internal/conversation/world_test.go
@@ -32,6 +32,8 @@
 	*simnet.Net
 	lives simnet.Lives[*node]
 	t     *testing.T
+	// partitions is the number of the topic's partitions.
+	partitions int
 
 	mu sync.Mutex
 	// ended are the turns whose callers saw the end.
@@ -55,25 +57,33 @@
 
 // inWorld runs a test with instances in virtual time.
 func inWorld(t *testing.T, machines int, body func(t *testing.T, w *world)) {
+	inWorldOf(t, machines, testPartitions, body)
+}
+
+// inWorldOf is inWorld with a number of partitions.
+func inWorldOf(t *testing.T, machines, partitions int, body func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			Net: simnet.New(), t: t, ended: make(map[string]endedTurn),
+			Net: simnet.New(), t: t, partitions: partitions, ended: make(map[string]endedTurn),
 		}
 		for i := range machines {
-			w.start(string(rune('a' + i)))
+			w.start(machineName(i))
 		}
 		defer w.Stop()
 		body(t, w)
 	})
 }
 
+// machineName is a, b, c ... and beyond z what follows.
+func machineName(i int) string { return string(rune('a' + i)) }
+
 func (w *world) start(machine string) *node { return w.lives.Of(w.Start(machine, w.run)) }
 
 // run starts a life of an instance.
 func (w *world) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
 	n := &node{Node: sim}
 	n.keeper = New(ctx, Parts{
-		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Health: sim,
+		Directory: sim.Directory, Partitions: w.partitions, Store: sim.Store(), Peers: sim, Health: sim,
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	w.lives.Put(sim, n)
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -31,20 +31,39 @@
 	// storeHedgeLeast is the time after which another instance is asked while
 	// the store is not known to be slow.
 	storeHedgeLeast = 60 * time.Millisecond
+	// storeFastAgain is how many answers in time end a slow store.
+	storeFastAgain = 3
+	// storeTellPause is the time between two messages to all that the store is
+	// slow.
+	storeTellPause = time.Second
+	// storeSettle is how long turns are gathered after the store's return, when
+	// all that waited comes at once.
+	storeSettle = 500 * time.Millisecond
 )
 
 // storeAnswer is an append that the store answered, made by any instance.
 type storeAnswer struct {
-	partition int
-	took      time.Duration
-	at        time.Time
+	took time.Duration
+	at   time.Time
 }
 
 // StorePath is what an instance knows of its way to the store and of the
 // store's speed. The zero value knows nothing and takes all for well.
 type StorePath struct {
 	answers []storeAnswer
-	failing bool
+	// slowAt is when the store last was seen to be slow, fast how many answers
+	// since were not.
+	slowAt time.Time
+	fast   int
+	// suspected is when an append was last seen to hang, here or elsewhere.
+	suspected time.Time
+	// failing tells that this instance's last append failed, returned when one
+	// succeeded after that.
+	failing  bool
+	returned time.Time
+	// told is when this instance last told others that the store is slow, or
+	// heard so.
+	told time.Time
 }
 
 // StoreState is the state of the way to the store.
@@ -60,15 +79,59 @@
 )
 
 // Answered notes an append that the store took, by this instance or another.
-func (s *StorePath) Answered(partition int, took time.Duration, now time.Time) {
+func (s *StorePath) Answered(took time.Duration, now time.Time) {
 	if len(s.answers) == storeAnswers {
 		s.answers = s.answers[1:]
 	}
-	s.answers = append(s.answers, storeAnswer{partition, took, now})
+	s.answers = append(s.answers, storeAnswer{took, now})
+	if took > storeSlowAbove {
+		s.slowAt, s.fast = now, 0
+		return
+	}
+	s.fast++
+}
+
+// Told notes that another instance found the store slow, by an answer that took
+// some time, or by an append that hangs if that is 0.
+func (s *StorePath) Told(took time.Duration, now time.Time) {
+	s.told = now
+	if took > 0 {
+		s.Answered(took, now)
+		return
+	}
+	s.suspected, s.fast = now, 0
+}
+
+// Tells tells whether others should be told that the store is slow: not if some
+// instance did so lately.
+func (s *StorePath) Tells(now time.Time) bool {
+	if !s.Slow(now) || now.Sub(s.told) < storeTellPause {
+		return false
+	}
+	s.told = now
+	return true
 }
 
-// OwnAppend notes whether an append of this instance succeeded.
-func (s *StorePath) OwnAppend(ok bool) { s.failing = !ok }
+// OwnAppend notes whether an append of this instance succeeded. It tells whether
+// appends succeed again.
+func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
+	back = ok && s.failing
+	if back {
+		s.returned = now
+	}
+	s.failing = !ok
+	return back
+}
+
+// TellsOfHanging tells whether others should be told that an append hangs: the
+// store may be slow, which all would find out one after the other.
+func (s *StorePath) TellsOfHanging(now time.Time) bool {
+	if s.failing || now.Sub(s.told) < storeTellPause {
+		return false
+	}
+	s.told, s.suspected, s.fast = now, now, 0
+	return true
+}
 
 // Overtaken tells whether the way of an append is bad that has no answer after
 // a time, while another instance's was answered that took the store some time.
@@ -80,19 +143,16 @@
 // Failing tells that this instance's appends fail.
 func (s *StorePath) Failing() bool { return s.failing }
 
-// Slow tells whether the store is slow for a partition: by its newest answer,
-// else by the median of all.
-func (s *StorePath) Slow(partition int, now time.Time) bool {
-	for _, a := range slices.Backward(s.answers) {
-		if a.partition == partition && now.Sub(a.at) < storeMemory {
-			return a.took > storeSlowAbove
-		}
-	}
-	return s.slowInAll(now)
+// Slow tells whether the store is slow: it was, lately, and has not been fast
+// often enough since.
+func (s *StorePath) Slow(now time.Time) bool {
+	return s.fast < storeFastAgain && !s.slowAt.IsZero() && now.Sub(s.slowAt) < storeMemory
 }
 
-func (s *StorePath) slowInAll(now time.Time) bool {
-	return s.Typical(now) > storeSlowAbove
+// suspects tells whether the store may be slow or silent: an append hung, and
+// there were few answers in time since.
+func (s *StorePath) suspects(now time.Time) bool {
+	return s.fast < storeFastAgain && !s.suspected.IsZero() && now.Sub(s.suspected) < storeMemory
 }
 
 // Typical is the median of the answers that still tell, 0 if there is none.
@@ -133,20 +193,28 @@
 
 // Gathers tells whether a turn for a partition should ride on the append of the
 // partition's gatherer: where this instance's appends fail or hang, or the store
-// is slow.
+// is slow or has just come back.
 func (s *StorePath) Gathers(partition int, pending []Pending, now time.Time) bool {
-	if s.failing || s.Slow(partition, now) {
+	if s.failing || s.Slow(now) || s.suspects(now) || now.Sub(s.returned) < storeSettle {
 		return true
 	}
 	for _, p := range pending {
-		if now.Sub(p.Begun) > storeSlowAbove && (p.Partition == partition || !s.answeredSince(p.Begun)) {
+		if s.Hangs(p.Begun, now) || p.Partition == partition && now.Sub(p.Begun) > storeSlowAbove {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *StorePath) answeredSince(t time.Time) bool {
+// Hangs tells whether an append takes long and nothing was answered since it
+// began.
+func (s *StorePath) Hangs(begun, now time.Time) bool {
+	return now.Sub(begun) > storeSlowAbove && !s.AnsweredSince(begun)
+}
+
+// AnsweredSince tells whether the store answered an append of anyone, as far as
+// this instance knows.
+func (s *StorePath) AnsweredSince(t time.Time) bool {
 	return len(s.answers) > 0 && s.answers[len(s.answers)-1].at.After(t)
 }
 
@@ -159,8 +227,8 @@
 
 // HedgeAfter is how long a try may take until another instance is asked. Where
 // the store is slow it is as long as the slowest append may take.
-func (s *StorePath) HedgeAfter(partition int, now time.Time) time.Duration {
-	if s.Slow(partition, now) {
+func (s *StorePath) HedgeAfter(now time.Time) time.Duration {
+	if s.Slow(now) {
 		return s.Patience(now)
 	}
 	return storeHedgeLeast
@@ -171,8 +239,17 @@
 	switch {
 	case s.failing:
 		return StoreClosed
-	case s.slowInAll(now):
+	case s.Slow(now):
 		return StoreSlow
 	}
 	return StoreGood
 }
+
+// GatherPatience is how long the gatherer of a partition may take: turns may have
+// to wait for the append before theirs.
+func (s *StorePath) GatherPatience(now time.Time) time.Duration {
+	if s.Slow(now) {
+		return 2 * s.Patience(now)
+	}
+	return s.Patience(now) + storeHedgeLeast
+}
--- a/internal/policy/storepath_test.go
+++ b/internal/policy/storepath_test.go
@@ -8,11 +8,11 @@
 // at is a time of these tests.
 func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 
-// pathWith is a path with answers of a length, every 10 ms, one a partition.
+// pathWith is a path with answers of a length, every 10 ms.
 func pathWith(took time.Duration, answers int) *StorePath {
 	s := new(StorePath)
 	for i := range answers {
-		s.Answered(i%4, took, at(time.Duration(i)*10*time.Millisecond))
+		s.Answered(took, at(time.Duration(i)*10*time.Millisecond))
 	}
 	return s
 }
@@ -27,14 +27,14 @@
 	if got := s.Patience(now); got != 1200*time.Millisecond {
 		t.Errorf("patience %s", got)
 	}
-	if got := s.HedgeAfter(1, now); got < time.Second {
+	if got := s.HedgeAfter(now); got < time.Second {
 		t.Errorf("another instance is asked after %s", got)
 	}
 	if s.Overtaken(300*time.Millisecond, time.Second) {
 		t.Error("the way is blamed for a slow store")
 	}
-	for i := range 20 {
-		s.Answered(i%4, 5*time.Millisecond, now)
+	for range 20 {
+		s.Answered(5*time.Millisecond, now)
 	}
 	if s.Gathers(1, nil, now) || s.State(now) != StoreGood {
 		t.Error("turns are gathered when the store is well again")
@@ -49,8 +49,8 @@
 	if !s.Gathers(1, hung, now) {
 		t.Error("turns follow one that hangs")
 	}
-	if s.Patience(now) != storePatienceLeast || s.HedgeAfter(1, now) != storeHedgeLeast {
-		t.Errorf("patience %s, hedge %s", s.Patience(now), s.HedgeAfter(1, now))
+	if s.Patience(now) != storePatienceLeast || s.HedgeAfter(now) != storeHedgeLeast {
+		t.Errorf("patience %s, hedge %s", s.Patience(now), s.HedgeAfter(now))
 	}
 	if !s.Overtaken(5*time.Millisecond, 100*time.Millisecond) {
 		t.Error("the way is not blamed though others are answered")
@@ -61,7 +61,7 @@
 func TestPartitionThatHangsStopsNoOther(t *testing.T) {
 	s := pathWith(5*time.Millisecond, 8)
 	hung := []Pending{{Partition: 2, Begun: at(100 * time.Millisecond)}}
-	s.Answered(1, 5*time.Millisecond, at(120*time.Millisecond))
+	s.Answered(5*time.Millisecond, at(120*time.Millisecond))
 	now := at(200 * time.Millisecond)
 	if s.Gathers(1, hung, now) || !s.Gathers(2, hung, now) {
 		t.Errorf("gathers 1: %v, 2: %v", s.Gathers(1, hung, now), s.Gathers(2, hung, now))
@@ -72,11 +72,15 @@
 func TestRefusedAppendsGoThroughOthers(t *testing.T) {
 	now := at(100 * time.Millisecond)
 	s := pathWith(5*time.Millisecond, 8)
-	s.OwnAppend(false)
+	s.OwnAppend(false, now)
 	if !s.Gathers(1, nil, now) || s.State(now) != StoreClosed {
 		t.Error("turns go where they are refused")
 	}
-	s.OwnAppend(true)
+	s.OwnAppend(true, now)
+	if !s.Gathers(1, nil, now) {
+		t.Error("turns are not gathered right after the store's return")
+	}
+	now = now.Add(storeSettle)
 	if s.Gathers(1, nil, now) {
 		t.Error("turns go through others though they need not")
 	}
@@ -86,3 +90,19 @@
 		t.Error("old answers decide")
 	}
 }
+
+// One instance tells all others that the store is slow, not each of them.
+func TestFewTellThatTheStoreIsSlow(t *testing.T) {
+	now := at(100 * time.Millisecond)
+	s, other := pathWith(300*time.Millisecond, 1), pathWith(5*time.Millisecond, 8)
+	if other.Tells(now) || !s.Tells(now) || s.Tells(now) {
+		t.Error("told wrongly")
+	}
+	other.Told(300*time.Millisecond, now)
+	if !other.Gathers(1, nil, now) || other.Tells(now) {
+		t.Error("what was told has no effect, or is told once more")
+	}
+	if !other.Tells(now.Add(storeTellPause)) {
+		t.Error("that the store stays slow is not told")
+	}
+}
--- a/internal/standin/metastore/memory.go
+++ b/internal/standin/metastore/memory.go
@@ -23,12 +23,14 @@
 	mu    sync.Mutex
 	fault Fault
 	calls int
+	// freeAt is when a partition has done the appends that it was given.
+	freeAt map[partitionID]time.Time
 	// Work counts the writes that are to take effect late.
 	Work sync.WaitGroup
 }
 
 // NewMemory makes an empty store.
-func NewMemory() *Memory { return &Memory{log: newLog()} }
+func NewMemory() *Memory { return &Memory{log: newLog(), freeAt: make(map[partitionID]time.Time)} }
 
 // Set puts a fault in force, in place of the one before.
 func (m *Memory) Set(f Fault) {
@@ -76,12 +78,46 @@
 	return f, nil
 }
 
+// appendQueue is how long an append may wait for those before it.
+const appendQueue = 2 * time.Second
+
+// takeTurn waits until a partition has done the appends before this one and,
+// for the time that it takes, this one. An append whose caller has gone takes
+// its time all the same.
+func (m *Memory) takeTurn(ctx context.Context, id partitionID, takes time.Duration) error {
+	if takes == 0 {
+		return nil
+	}
+	m.mu.Lock()
+	now := time.Now()
+	begin := m.freeAt[id]
+	if begin.Before(now) {
+		begin = now
+	}
+	if begin.Sub(now) > appendQueue {
+		m.mu.Unlock()
+		return errors.Wrap(platform.ErrBusy, "too many appends wait")
+	}
+	end := begin.Add(takes)
+	m.freeAt[id] = end
+	m.mu.Unlock()
+	select {
+	case <-time.After(time.Until(end)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Append appends records.
 func (m *Memory) Append(ctx context.Context, a platform.Append) (int64, error) {
 	f, err := m.befall(ctx, a.Partition)
 	if err != nil {
 		return 0, err
 	}
+	if err := m.takeTurn(ctx, partitionID{a.Topic, a.Partition}, f.AppendTime); err != nil {
+		return 0, err
+	}
 	request := appendRequest{id: partitionID{a.Topic, a.Partition}, at: a.At}
 	for _, r := range a.Records {
 		record := append([]byte{byte(len(r.Key))}, r.Key...)
--- a/internal/standin/metastore/service.go
+++ b/internal/standin/metastore/service.go
@@ -29,6 +29,10 @@
 	Late time.Duration
 	// Delay is added to each call.
 	Delay time.Duration
+	// AppendTime is how long a partition takes for each append, one after the
+	// other; appends that would wait longer than appendQueue are refused. Only
+	// Memory knows it.
+	AppendTime time.Duration
 	// Topics limits the fault to calls on these topics; nil for all calls.
 	Topics []string
 	// Partitions limits it to calls on these partitions; nil for all.
--- a/internal/structs/conversation.go
+++ b/internal/structs/conversation.go
@@ -64,8 +64,24 @@
 type TurnsNotice struct {
 	Partition int
 	Turns     []KeptTurn
+	// Took is how long the store took for the append, 0 if it is unknown.
+	Took time.Duration
+	// News is what the sender has found out about the store. A notice may hold
+	// nothing else.
+	News StoreNews
 }
 
+// StoreNews is what an instance tells others about the store.
+type StoreNews uint8
+
+// Kinds of news.
+const (
+	// StoreSlow means that the store takes long for appends.
+	StoreSlow StoreNews = iota + 1
+	// StoreBack means that it takes appends again after it took none.
+	StoreBack
+)
+
 // KeepRequest asks an instance to append turns to the store for one that does
 // not reach it.
 type KeepRequest struct {
