--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -282,7 +282,7 @@
 	k.path.OwnAppend(true, now)
 	k.noteState(nil)
 	for _, p := range k.partitions {
-		if p.lane.age(now) > 0 && k.path.Hangs(p.lane.begun, now) {
+		if !k.path.Slow(now) && k.path.Overtaken(0, p.lane.age(now)) {
 			p.lane.abandon()
 		}
 	}
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -60,8 +60,11 @@
 // pauseTry waits before the next round of tries, unless the outage ends.
 func (k *Keeper) pauseTry(ctx context.Context, wait time.Duration) {
 	k.mu.Lock()
-	changed := k.outage.changed
+	ended, changed := k.outage.since.IsZero(), k.outage.changed
 	k.mu.Unlock()
+	if ended {
+		return
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
