--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -36,6 +36,8 @@
 	// storeTellPause is the time between two messages to all that the store is
 	// slow.
 	storeTellPause = time.Second
+	// storeTellers is how many instances tell: none is connected with all.
+	storeTellers = 4
 	// storeSettle is how long turns are gathered after the store's return, when
 	// all that waited comes at once.
 	storeSettle = 500 * time.Millisecond
@@ -61,9 +63,11 @@
 	// succeeded after that.
 	failing  bool
 	returned time.Time
-	// told is when this instance last told others that the store is slow, or
-	// heard so.
-	told time.Time
+	// told is when this instance last told others that the store is slow, heard
+	// how often it was told so since heardFrom.
+	told      time.Time
+	heard     int
+	heardFrom time.Time
 }
 
 // StoreState is the state of the way to the store.
@@ -94,7 +98,10 @@
 // Told notes that another instance found the store slow, by an answer that took
 // some time, or by an append that hangs if that is 0.
 func (s *StorePath) Told(took time.Duration, now time.Time) {
-	s.told = now
+	if now.Sub(s.heardFrom) >= storeTellPause {
+		s.heardFrom, s.heard = now, 0
+	}
+	s.heard++
 	if took > 0 {
 		s.Answered(took, now)
 		return
@@ -102,16 +109,22 @@
 	s.suspected, s.fast = now, 0
 }
 
-// Tells tells whether others should be told that the store is slow: not if some
-// instance did so lately.
+// Tells tells whether others should be told that the store is slow: not if this
+// instance or enough others did so lately.
 func (s *StorePath) Tells(now time.Time) bool {
-	if !s.Slow(now) || now.Sub(s.told) < storeTellPause {
+	if !s.Slow(now) || s.allKnow(now) {
 		return false
 	}
 	s.told = now
 	return true
 }
 
+// allKnow tells whether all instances were told lately that the store is slow,
+// as far as this one knows.
+func (s *StorePath) allKnow(now time.Time) bool {
+	return now.Sub(s.told) < storeTellPause || s.heard >= storeTellers && now.Sub(s.heardFrom) < storeTellPause
+}
+
 // OwnAppend notes whether an append of this instance succeeded. It tells whether
 // appends succeed again.
 func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
@@ -126,7 +139,7 @@
 // TellsOfHanging tells whether others should be told that an append hangs: the
 // store may be slow, which all would find out one after the other.
 func (s *StorePath) TellsOfHanging(now time.Time) bool {
-	if s.failing || now.Sub(s.told) < storeTellPause {
+	if s.failing || s.allKnow(now) {
 		return false
 	}
 	s.told, s.suspected, s.fast = now, now, 0
--- a/internal/policy/storepath_test.go
+++ b/internal/policy/storepath_test.go
@@ -91,14 +91,16 @@
 	}
 }
 
-// One instance tells all others that the store is slow, not each of them.
+// Few instances tell all others that the store is slow, not each of them.
 func TestFewTellThatTheStoreIsSlow(t *testing.T) {
 	now := at(100 * time.Millisecond)
 	s, other := pathWith(300*time.Millisecond, 1), pathWith(5*time.Millisecond, 8)
 	if other.Tells(now) || !s.Tells(now) || s.Tells(now) {
 		t.Error("told wrongly")
 	}
-	other.Told(300*time.Millisecond, now)
+	for range storeTellers {
+		other.Told(300*time.Millisecond, now)
+	}
 	if !other.Gathers(1, nil, now) || other.Tells(now) {
 		t.Error("what was told has no effect, or is told once more")
 	}
