--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -205,16 +205,14 @@
 		}
 		k.path.OwnAppend(false, now)
 		k.directAfter = now.Add(jittered(directPause))
-		if k.path.Overtaken(winner.took, p.lane.age(now)) {
-			p.lane.abandon()
-		}
+		p.lane.abandon(func(age time.Duration) bool { return k.path.Overtaken(winner.took, age) }, now)
 	}
 	k.noteState(nil)
 }
 
 // noteAppend learns from an append of this instance. Its outcome is unknown if
 // the Keeper stopped.
-func (k *Keeper) noteAppend(result laneResult) {
+func (k *Keeper) noteAppend(p *partition, result laneResult) {
 	if k.ctx.Err() != nil {
 		return
 	}
@@ -223,6 +221,7 @@
 	now := time.Now()
 	if result.err == nil {
 		k.path.Answered(result.took, now)
+		p.lane.window.Answered(result.took, k.path.Shortest())
 	}
 	if k.path.OwnAppend(result.err == nil, now) {
 		k.tellBack()
@@ -282,9 +281,7 @@
 	k.path.OwnAppend(true, now)
 	k.noteState(nil)
 	for _, p := range k.partitions {
-		if !k.path.Slow(now) && k.path.Overtaken(0, p.lane.age(now)) {
-			p.lane.abandon()
-		}
+		p.lane.abandon(func(age time.Duration) bool { return !k.path.Slow(now) && k.path.Overtaken(0, age) }, now)
 	}
 	clear(k.unableUntil)
 	k.endOutage()
--- a/internal/conversation/lane.go
+++ b/internal/conversation/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,33 +21,31 @@
 	recordOverhead = 8
 )
 
-// lane is the way of one instance's turns to one partition: one append is in
-// flight, all that come meanwhile ride on the next one. The Keeper's mutex
-// guards it.
+// lane is the way of one instance's turns to one partition: what comes while as
+// many appends are in flight as the store carries rides on the next one. That is
+// one, unless a slow store's answers only are long on their way. The Keeper's
+// mutex guards it.
 type lane struct {
 	waiting []*rider
-	// busy tells that somebody appends for the lane.
-	busy bool
-	// begun is when the append in flight began, zero for none.
-	begun time.Time
-	// cancel ends the append in flight.
-	cancel context.CancelCauseFunc
+	// flights are the appends in flight, the oldest first.
+	flights []*flight
+	window  policy.AppendWindow
 }
 
-// abandon ends the append in flight, if any: it may take
-// effect yet, and those that ride on it try again.
-func (l *lane) abandon() {
-	if l.cancel != nil {
-		l.cancel(context.DeadlineExceeded)
-	}
+// flight is an append in flight.
+type flight struct {
+	begun  time.Time
+	cancel context.CancelCauseFunc
 }
 
-// age is how long the append in flight takes, 0 for none.
-func (l *lane) age(now time.Time) time.Duration {
-	if l.begun.IsZero() {
-		return 0
+// abandon ends appends that have no answer for a time: they may take effect yet,
+// and those that ride on them try again.
+func (l *lane) abandon(hang func(age time.Duration) bool, now time.Time) {
+	for _, f := range l.flights {
+		if hang(now.Sub(f.begun)) {
+			f.cancel(context.DeadlineExceeded)
+		}
 	}
-	return now.Sub(l.begun)
 }
 
 // rider is turns that must be appended together.
@@ -74,10 +73,7 @@
 	}
 	k.mu.Lock()
 	p.lane.waiting = append(p.lane.waiting, r)
-	if !p.lane.busy && !k.stopped {
-		p.lane.busy = true
-		k.spawn(func() { k.runLane(p) })
-	}
+	k.startFlights(p)
 	k.mu.Unlock()
 	select {
 	case result := <-r.done:
@@ -89,37 +85,55 @@
 	}
 }
 
-// runLane appends batch after batch until nobody waits.
-func (k *Keeper) runLane(p *partition) {
-	for {
+// startFlights begins appends for those that wait, as far as the store carries
+// them. The mutex is held.
+func (k *Keeper) startFlights(p *partition) {
+	l := &p.lane
+	for len(l.flights) < l.window.Size() && !k.stopped {
 		batch := k.takeRiders(p)
 		if len(batch) == 0 {
 			return
 		}
-		result := k.appendRiders(p, batch)
-		if errors.Is(result.err, platform.ErrRejected) && len(batch) > 1 {
-			k.appendOneByOne(p, batch)
-			continue
-		}
+		f := &flight{begun: time.Now()}
+		var ctx context.Context
+		ctx, f.cancel = context.WithCancelCause(k.ctx)
+		l.flights = append(l.flights, f)
+		k.spawn(func() { k.fly(ctx, p, f, batch) })
+	}
+}
+
+// fly makes an append and hands its outcome to those that ride on it.
+func (k *Keeper) fly(ctx context.Context, p *partition, f *flight, batch []*rider) {
+	result := k.appendRiders(ctx, p, f, batch)
+	f.cancel(nil)
+	if errors.Is(result.err, platform.ErrRejected) && len(batch) > 1 {
+		k.appendOneByOne(p, batch)
+	} else {
 		for _, r := range batch {
 			r.done <- result
 		}
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p.lane.flights = slices.DeleteFunc(p.lane.flights, func(other *flight) bool { return other == f })
+	k.startFlights(p)
 }
 
 // appendOneByOne appends each rider alone, after the store rejected all of them
 // together: one that it rejects must not stop the others.
 func (k *Keeper) appendOneByOne(p *partition, batch []*rider) {
 	for _, r := range batch {
-		r.done <- k.appendRiders(p, []*rider{r})
+		f := &flight{begun: time.Now()}
+		var ctx context.Context
+		ctx, f.cancel = context.WithCancelCause(k.ctx)
+		r.done <- k.appendRiders(ctx, p, f, []*rider{r})
+		f.cancel(nil)
 	}
 }
 
 // takeRiders takes those that ride on the next append, leaving out those whose
-// callers left. Without any the lane ends.
+// callers left. The mutex is held.
 func (k *Keeper) takeRiders(p *partition) []*rider {
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	var batch []*rider
 	records, bytes, taken := 0, 0, 0
 	for _, r := range p.lane.waiting {
@@ -136,30 +150,22 @@
 		bytes += r.bytes
 	}
 	p.lane.waiting = p.lane.waiting[taken:]
-	if len(batch) == 0 {
-		p.lane.busy = false
-	}
 	return batch
 }
 
 // appendRiders makes one append and notes how it went.
-func (k *Keeper) appendRiders(p *partition, batch []*rider) laneResult {
+func (k *Keeper) appendRiders(ctx context.Context, p *partition, f *flight, batch []*rider) laneResult {
 	var records []platform.Record
 	for _, r := range batch {
 		records = append(records, r.records...)
 	}
-	begun := time.Now()
-	ctx, cancel := context.WithCancelCause(k.ctx)
-	k.setInFlight(p, begun, cancel)
-	go k.endInTime(ctx, begun, cancel)
+	go k.endInTime(ctx, f)
 	_, err := k.store.Append(ctx, platform.Append{Topic: topic, Partition: p.number, Records: records})
 	if err != nil && ctx.Err() != nil {
 		err = errors.Wrap(context.Cause(ctx), "append turns")
 	}
-	cancel(nil)
-	k.setInFlight(p, time.Time{}, nil)
-	result := laneResult{took: time.Since(begun), err: err}
-	k.noteAppend(result)
+	result := laneResult{took: time.Since(f.begun), err: err}
+	k.noteAppend(p, result)
 	k.metrics.appends.Inc(1)
 	k.metrics.batch.RecordValue(float64(len(records)))
 	return result
@@ -167,13 +173,11 @@
 
 // endInTime ends an append that takes longer than the store's state lets
 // expect, which may change meanwhile.
-func (k *Keeper) endInTime(ctx context.Context, begun time.Time, cancel context.CancelCauseFunc) {
+func (k *Keeper) endInTime(ctx context.Context, f *flight) {
 	for {
-		k.mu.Lock()
-		left := k.path.Patience(time.Now()) - time.Since(begun)
-		k.mu.Unlock()
+		left := k.patience() - time.Since(f.begun)
 		if left <= 0 {
-			cancel(context.DeadlineExceeded)
+			f.cancel(context.DeadlineExceeded)
 			return
 		}
 		if !pause(ctx, left) {
@@ -182,18 +186,12 @@
 	}
 }
 
-func (k *Keeper) setInFlight(p *partition, begun time.Time, cancel context.CancelCauseFunc) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p.lane.begun, p.lane.cancel = begun, cancel
-}
-
 // pendingAppends lists the appends in flight. The mutex is held.
 func (k *Keeper) pendingAppends() []policy.Pending {
 	var pending []policy.Pending
 	for _, p := range k.partitions {
-		if !p.lane.begun.IsZero() {
-			pending = append(pending, policy.Pending{Partition: p.number, Begun: p.lane.begun})
+		for _, f := range p.lane.flights {
+			pending = append(pending, policy.Pending{Partition: p.number, Begun: f.begun})
 		}
 	}
 	return pending
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -57,6 +57,8 @@
 	// since were not.
 	slowAt time.Time
 	fast   int
+	// shortest is the shortest answer of a slow store since it is slow.
+	shortest time.Duration
 	// suspected is when an append was last seen to hang, here or elsewhere.
 	suspected time.Time
 	// failing tells that this instance's last append failed, returned when one
@@ -89,12 +91,19 @@
 	}
 	s.answers = append(s.answers, storeAnswer{took, now})
 	if took > storeSlowAbove {
+		if s.shortest == 0 || s.fast >= storeFastAgain || now.Sub(s.slowAt) > storeMemory {
+			s.shortest = took
+		}
+		s.shortest = min(s.shortest, took)
 		s.slowAt, s.fast = now, 0
 		return
 	}
 	s.fast++
 }
 
+// Shortest is the shortest answer of a slow store since it is slow.
+func (s *StorePath) Shortest() time.Duration { return s.shortest }
+
 // Told notes that another instance found the store slow, by an answer that took
 // some time, or by an append that hangs if that is 0.
 func (s *StorePath) Told(took time.Duration, now time.Time) {
