--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -48,6 +48,10 @@
 			failure = errors.Join(failure, result.err)
 			r.next(ctx)
 		case <-hedge.C:
+			if left := w.keeper.hedgeAfter() - time.Since(r.begun); left > 0 {
+				hedge.Reset(left)
+				continue
+			}
 			r.hedge(ctx)
 		}
 	}
@@ -223,7 +227,9 @@
 		k.path.Answered(result.took, now)
 		p.lane.window.Answered(result.took, k.path.Shortest())
 	}
-	if k.path.OwnAppend(result.err == nil, now) {
+	if errors.Is(result.err, context.DeadlineExceeded) {
+		k.path.TimedOut(now)
+	} else if k.path.OwnAppend(result.err == nil, now) {
 		k.tellBack()
 	}
 	k.noteState(result.err)
@@ -321,7 +327,7 @@
 // appendBy has another instance append the turns. It returns how long the store
 // took.
 func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) (time.Duration, error) {
-	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience(), func(number uint64) structs.Message {
+	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience, func(number uint64) structs.Message {
 		return &structs.KeepRequest{Number: number, Partition: w.partition.number, Turns: w.turns}
 	})
 	if reply, ok := answer.(*structs.KeepReply); ok && reply.Kept {
--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -55,12 +55,12 @@
 func (k *Keeper) ask(
 	ctx context.Context, to structs.InstanceID, make func(number uint64) structs.Message,
 ) structs.Message {
-	return k.askWithin(ctx, to, replyTimeout, make)
+	return k.askWithin(ctx, to, func() time.Duration { return replyTimeout }, make)
 }
 
-// askWithin is ask with the time that the answer may take.
+// askWithin is ask with the time that the answer may take, which may change.
 func (k *Keeper) askWithin(
-	ctx context.Context, to structs.InstanceID, patience time.Duration, make func(number uint64) structs.Message,
+	ctx context.Context, to structs.InstanceID, patience func() time.Duration, make func(number uint64) structs.Message,
 ) structs.Message {
 	q := &question{asked: to, answer: newAnswer()}
 	k.mu.Lock()
@@ -74,17 +74,25 @@
 		k.mu.Unlock()
 	}()
 	k.peers.Send(to, make(number))
-	timer := time.NewTimer(patience)
+	begun := time.Now()
+	timer := time.NewTimer(patience())
 	defer timer.Stop()
-	select {
-	case answer := <-q.answer:
-		return answer
-	case <-timer.C:
-		// The connection may have gone silent for good.
-		k.peers.Probe(to)
-	case <-ctx.Done():
+	for {
+		select {
+		case answer := <-q.answer:
+			return answer
+		case <-timer.C:
+			if left := patience() - time.Since(begun); left > 0 {
+				timer.Reset(left)
+				continue
+			}
+			// The connection may have gone silent for good.
+			k.peers.Probe(to)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	return nil
 }
 
 // newAnswer makes the channel of one answer, with room for it.
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -23,7 +23,7 @@
 	// storePatienceLeast and storePatienceMost bound the time that an append
 	// may take: a store that is well needs a few milliseconds, and one that
 	// would need over two seconds refuses.
-	storePatienceLeast = 700 * time.Millisecond
+	storePatienceLeast = time.Second
 	storePatienceMost  = 2500 * time.Millisecond
 	// storePatienceTimes is how many times the longest answer seen lately an
 	// append may take.
@@ -134,6 +134,14 @@
 	return now.Sub(s.told) < storeTellPause || s.heard >= storeTellers && now.Sub(s.heardFrom) < storeTellPause
 }
 
+// TimedOut notes that an append of this instance had no answer in time. Where the
+// store is slow for all that tells nothing of this instance's way.
+func (s *StorePath) TimedOut(now time.Time) {
+	if !s.Slow(now) {
+		s.OwnAppend(false, now)
+	}
+}
+
 // OwnAppend notes whether an append of this instance succeeded. It tells whether
 // appends succeed again.
 func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
@@ -248,10 +256,14 @@
 }
 
 // HedgeAfter is how long a try may take until another instance is asked. Where
-// the store is slow it is as long as the slowest append may take.
+// the store is slow it is as long as the slowest append may take, and where it
+// may be, half as long: until then an answer shows whether it is.
 func (s *StorePath) HedgeAfter(now time.Time) time.Duration {
-	if s.Slow(now) {
+	switch {
+	case s.Slow(now):
 		return s.Patience(now)
+	case s.suspects(now):
+		return s.Patience(now) / 2
 	}
 	return storeHedgeLeast
 }
