conversation: turns are not begun in an outage that outlasts their callers

While the store was silent every turn began, ran at an engine and was thrown away when its caller left. Now they are refused once half of the time that the outage has lasted is longer than the caller waits, so short outages are held over as before.

--- a/internal/conversation/keep_test.go
+++ b/internal/conversation/keep_test.go
@@ -115,11 +115,11 @@
 			if _, err := w.turn(n, "p", "", time.Second); err == nil {
 				t.Fatalf("status %d: the turn ended", status)
 			}
-			if got := n.keeper.Accepts(); got != accepted {
+			if got := n.keeper.Accepts(3 * time.Second); got != accepted {
 				t.Errorf("status %d: accepts %v", status, got)
 			}
 			time.Sleep(2 * fullPause)
-			if !n.keeper.Accepts() {
+			if !n.keeper.Accepts(3 * time.Second) {
 				t.Errorf("status %d: nobody finds out whether it is over", status)
 			}
 			w.Store.Set(metastore.Fault{})
@@ -143,6 +143,28 @@
 	})
 }
 
+// Once the store has been away for longer than callers wait, turns are no longer
+// begun, but for one now and then that finds out.
+func TestTurnsAreNotAcceptedInALongOutage(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		w.Store.Set(metastore.Fault{Silent: true})
+		if _, err := w.turn(n, "p", "", 9*time.Second); err == nil {
+			t.Fatal("the turn ended")
+		}
+		n.keeper.Accepts(2 * time.Second)
+		if n.keeper.Accepts(2*time.Second) || !n.keeper.Accepts(20*time.Second) {
+			t.Error("the time that the caller waits does not decide")
+		}
+		w.Store.Set(metastore.Fault{})
+		time.Sleep(2 * fullPause)
+		w.mustTurn(n, "p", "")
+		if !n.keeper.Accepts(time.Second) {
+			t.Error("turns are not accepted though the store is back")
+		}
+	})
+}
+
 func TestDumpTellsWhatIsAmiss(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
 		n := w.all()[0]
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -22,6 +23,8 @@
 	// full tells that the store had no room in the last round, at tried.
 	full  bool
 	tried time.Time
+	// through is when a turn last began that is not expected to be kept.
+	through time.Time
 	// probing tells that somebody tries.
 	probing bool
 	// changed is closed and replaced when one of these changes.
@@ -127,16 +130,28 @@
 	o.signal()
 }
 
-// fullPause is the time between two turns that are let through while the store
-// is full, to find out whether it still is.
+// fullPause is the time between two turns that are let through while none is
+// expected to be kept, to find out whether that still is so.
 const fullPause = time.Second
 
-// Accepts tells whether a turn that begins now can be kept, as far as is known.
-// While the store is full none can, for as long as nobody makes room. While it
-// is away turns are accepted: their callers get the text as it comes, and the
-// end once the store is back.
-func (k *Keeper) Accepts() bool {
+// Accepts tells whether a turn that begins now can be kept before its caller
+// leaves, as far as is known. While the store is full none can, for as long as
+// nobody makes room. While it is away turns are accepted if it is expected back
+// in time: their callers get the text as it comes, and the end once it is back.
+func (k *Keeper) Accepts(left time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.outage.full || time.Since(k.outage.tried) > fullPause
+	o := &k.outage
+	now := time.Now()
+	if o.full {
+		return now.Sub(o.tried) > fullPause
+	}
+	if o.since.IsZero() || policy.HoldsTurn(now.Sub(o.since), left) {
+		return true
+	}
+	if now.Sub(o.through) <= fullPause {
+		return false
+	}
+	o.through = now
+	return true
 }
--- a/internal/serve/conversation.go
+++ b/internal/serve/conversation.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -31,7 +32,7 @@
 		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
 		return false
 	}
-	if !x.server.kept.Accepts() {
+	if !x.server.kept.Accepts(time.Until(x.deadline)) {
 		x.refuse(http.StatusServiceUnavailable, reasonNotKept, retryOutage)
 		return false
 	}
--- a/internal/serve/conversation_test.go
+++ b/internal/serve/conversation_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -57,7 +58,7 @@
 	return nil
 }
 
-func (c *conversations) Accepts() bool { return !c.full }
+func (c *conversations) Accepts(time.Duration) bool { return !c.full }
 
 // serveSomeEvents answers with events of several forms.
 func serveSomeEvents(_ int, rw http.ResponseWriter, _ *http.Request) {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -109,8 +109,9 @@
 	// Keep makes a turn durable. It returns once it is, or with the error of
 	// the context.
 	Keep(ctx context.Context, program string, turn EndedTurn) error
-	// Accepts tells whether a turn that begins now can be kept.
-	Accepts() bool
+	// Accepts tells whether a turn that begins now can be kept before its caller
+	// leaves, which it does after a time.
+	Accepts(left time.Duration) bool
 }
 
 // Notices tells other instances what this one learns of targets.
