--- a/internal/conversation/slow_test.go
+++ b/internal/conversation/slow_test.go
@@ -17,15 +17,15 @@
 	for _, machines := range []int{3, 61, 300} {
 		t.Run(fmt.Sprint(machines), func(t *testing.T) {
 			inWorldOf(t, machines, 24, func(t *testing.T, w *world) {
-				took := w.load(600, 2*time.Second)
+				took, _ := w.load(600, 2*time.Second)
 				w.Store.Set(metastore.Fault{AppendTime: 120 * time.Millisecond})
 				before := w.Store.Calls()
-				slow := w.load(600, 4*time.Second)
+				slow, _ := w.load(600, 4*time.Second)
 				if calls := w.Store.Calls() - before; calls > 24*(4000+1000)/120 {
 					t.Errorf("%d calls", calls)
 				}
 				w.Store.Set(metastore.Fault{})
-				after := w.load(600, 2*time.Second)
+				after, _ := w.load(600, 2*time.Second)
 				t.Logf("longest: well %s, slow %s, after %s", took, slow, after)
 				if took > 10*time.Millisecond || slow > time.Second {
 					t.Errorf("a turn took %s, %s while the store was slow", took, slow)
@@ -35,6 +35,20 @@
 	}
 }
 
+// Where a slow store's answers are long on their way, turns do not wait for the
+// answer before theirs as well.
+func TestTurnsDoNotWaitForAnswersOnTheirWay(t *testing.T) {
+	inWorldOf(t, 61, 24, func(t *testing.T, w *world) {
+		w.load(250, 2*time.Second)
+		w.Store.Set(metastore.Fault{Delay: 340 * time.Millisecond, AppendTime: 120 * time.Millisecond})
+		longest, mean := w.load(250, 5*time.Second)
+		t.Logf("longest %s, mean %s", longest, mean)
+		if longest > 1500*time.Millisecond || mean > 650*time.Millisecond {
+			t.Errorf("longest %s, mean %s", longest, mean)
+		}
+	})
+}
+
 // What waits for a silent store ends soon after its return, which one instance
 // finds out for all, and the tries meanwhile are few.
 func TestSilentStoresReturnIsToldToAll(t *testing.T) {
@@ -56,7 +70,7 @@
 			t.Errorf("the last turn ended %s after the store was back", took)
 		}
 		after := w.Store.Calls()
-		if longest := w.load(600, time.Second); longest > 50*time.Millisecond {
+		if longest, _ := w.load(600, time.Second); longest > 50*time.Millisecond {
 			t.Errorf("a turn took %s after the store's return", longest)
 		}
 		if calls := w.Store.Calls() - after; calls > 700 {
@@ -65,14 +79,16 @@
 	})
 }
 
-// load keeps turns at a rate for a time and returns how long the slowest took.
-func (w *world) load(perSecond int, length time.Duration) time.Duration {
+// load keeps turns at a rate for a time and returns how long the slowest took,
+// and each on average.
+func (w *world) load(perSecond int, length time.Duration) (longest, mean time.Duration) {
 	var work sync.WaitGroup
 	var mu sync.Mutex
-	var longest time.Duration
+	var sum time.Duration
+	turns := int(length.Seconds() * float64(perSecond))
 	nodes := w.all()
 	r := rand.New(rand.NewPCG(1, uint64(len(nodes))))
-	for range int(length.Seconds() * float64(perSecond)) {
+	for range turns {
 		time.Sleep(time.Second / time.Duration(perSecond))
 		n, program := nodes[r.IntN(len(nodes))], fmt.Sprint("p", r.Uint64())
 		work.Go(func() {
@@ -81,8 +97,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			longest = max(longest, time.Since(begun))
+			sum += time.Since(begun)
 		})
 	}
 	work.Wait()
-	return longest
+	return longest, sum / time.Duration(turns)
 }
