--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -196,6 +196,9 @@
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if winner.took == 0 {
+		return // an instance of before does not tell
+	}
 	if winner.by != k.self.ID {
 		k.path.Answered(winner.took, now)
 	}
--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -55,7 +55,18 @@
 func (k *Keeper) ask(
 	ctx context.Context, to structs.InstanceID, make func(number uint64) structs.Message,
 ) structs.Message {
-	return k.askWithin(ctx, to, func() time.Duration { return replyTimeout }, make)
+	return k.askWithin(ctx, to, k.replyPatience, make)
+}
+
+// replyPatience is how long an instance may take that may have to read the store.
+func (k *Keeper) replyPatience() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.path.Slow(now) {
+		return max(replyTimeout, k.path.Patience(now))
+	}
+	return replyTimeout
 }
 
 // askWithin is ask with the time that the answer may take, which may change.
