--- a/internal/conversation/ask.go
+++ b/internal/conversation/ask.go
@@ -54,6 +54,24 @@
 // returns nil if none comes in time.
 func (k *Keeper) ask(
 	ctx context.Context, to structs.InstanceID, make func(number uint64) structs.Message,
+) structs.Message {
+	return k.askWithin(ctx, to, k.replyPatience, make)
+}
+
+// replyPatience is how long an instance may take that may have to read the store.
+func (k *Keeper) replyPatience() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.path.Slow(now) {
+		return max(replyTimeout, k.path.Patience(now))
+	}
+	return replyTimeout
+}
+
+// askWithin is ask with the time that the answer may take, which may change.
+func (k *Keeper) askWithin(
+	ctx context.Context, to structs.InstanceID, patience func() time.Duration, make func(number uint64) structs.Message,
 ) structs.Message {
 	q := &question{asked: to, answer: newAnswer()}
 	k.mu.Lock()
@@ -67,17 +85,25 @@
 		k.mu.Unlock()
 	}()
 	k.peers.Send(to, make(number))
-	timer := time.NewTimer(replyTimeout)
+	begun := time.Now()
+	timer := time.NewTimer(patience())
 	defer timer.Stop()
-	select {
-	case answer := <-q.answer:
-		return answer
-	case <-timer.C:
-		// The connection may have gone silent for good.
-		k.peers.Probe(to)
-	case <-ctx.Done():
+	for {
+		select {
+		case answer := <-q.answer:
+			return answer
+		case <-timer.C:
+			if left := patience() - time.Since(begun); left > 0 {
+				timer.Reset(left)
+				continue
+			}
+			// The connection may have gone silent for good.
+			k.peers.Probe(to)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	return nil
 }
 
 // newAnswer makes the channel of one answer, with room for it.
--- /dev/null
+++ b/internal/policy/storepath.go
@@ -0,0 +1,289 @@
+package policy
+
+// Load pattern: a partition of the store takes one append after the other. When
+// the store turns slow, appends queue there, and each further one (a second try
+// by another instance, a repeat, one a turn) makes all wait longer until callers
+// leave. When the store is silent or refuses this instance, waiting is useless
+// and another instance or a later try is right. Both look alike at first: an
+// append without an answer.
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// storeAnswers is how many of the newest answers are remembered.
+	storeAnswers = 32
+	// storeMemory is how long an answer tells of the store's state.
+	storeMemory = 2 * time.Second
+	// storeSlowAbove is the time of an append from which on it mostly waits in
+	// the partition's queue; going through another instance takes less.
+	storeSlowAbove = 30 * time.Millisecond
+	// storePatienceLeast and storePatienceMost bound the time that an append
+	// may take: a store that is well needs a few milliseconds, and one that
+	// would need over two seconds refuses.
+	storePatienceLeast = time.Second
+	storePatienceMost  = 2500 * time.Millisecond
+	// storePatienceTimes is how many times the longest answer seen lately an
+	// append may take.
+	storePatienceTimes = 4
+	// storeHedgeLeast is the time after which another instance is asked while
+	// the store is not known to be slow.
+	storeHedgeLeast = 60 * time.Millisecond
+	// storeFastAgain is how many answers in time end a slow store.
+	storeFastAgain = 3
+	// storeTellPause is the time between two messages to all that the store is
+	// slow.
+	storeTellPause = time.Second
+	// storeTellers is how many instances tell: none is connected with all.
+	storeTellers = 4
+	// storeSettle is how long turns are gathered after the store's return, when
+	// all that waited comes at once.
+	storeSettle = 500 * time.Millisecond
+)
+
+// storeAnswer is an append that the store answered, made by any instance.
+type storeAnswer struct {
+	took time.Duration
+	at   time.Time
+}
+
+// StorePath is what an instance knows of its way to the store and of the
+// store's speed. The zero value knows nothing and takes all for well.
+type StorePath struct {
+	answers []storeAnswer
+	// slowAt is when the store last was seen to be slow, fast how many answers
+	// since were not.
+	slowAt time.Time
+	fast   int
+	// shortest is the shortest answer of a slow store since it is slow.
+	shortest time.Duration
+	// suspected is when an append was last seen to hang, here or elsewhere.
+	suspected time.Time
+	// failing tells that this instance's last append failed, returned when one
+	// succeeded after that.
+	failing  bool
+	returned time.Time
+	// told is when this instance last told others that the store is slow, heard
+	// how often it was told so since heardFrom.
+	told      time.Time
+	heard     int
+	heardFrom time.Time
+}
+
+// StoreState is the state of the way to the store.
+type StoreState string
+
+// States of the way to the store.
+const (
+	StoreGood StoreState = "good"
+	// StoreSlow means that the store answers late, whoever asks.
+	StoreSlow StoreState = "slow"
+	// StoreClosed means that this instance's appends fail.
+	StoreClosed StoreState = "closed"
+)
+
+// Answered notes an append that the store took, by this instance or another.
+func (s *StorePath) Answered(took time.Duration, now time.Time) {
+	if len(s.answers) == storeAnswers {
+		s.answers = s.answers[1:]
+	}
+	s.answers = append(s.answers, storeAnswer{took, now})
+	if took > storeSlowAbove {
+		if s.shortest == 0 || s.fast >= storeFastAgain || now.Sub(s.slowAt) > storeMemory {
+			s.shortest = took
+		}
+		s.shortest = min(s.shortest, took)
+		s.slowAt, s.fast = now, 0
+		return
+	}
+	s.fast++
+}
+
+// Shortest is the shortest answer of a slow store since it is slow.
+func (s *StorePath) Shortest() time.Duration { return s.shortest }
+
+// Told notes that another instance found the store slow, by an answer that took
+// some time, or by an append that hangs if that is 0.
+func (s *StorePath) Told(took time.Duration, now time.Time) {
+	if now.Sub(s.heardFrom) >= storeTellPause {
+		s.heardFrom, s.heard = now, 0
+	}
+	s.heard++
+	if took > 0 {
+		s.Answered(took, now)
+		return
+	}
+	s.suspected, s.fast = now, 0
+}
+
+// Tells tells whether others should be told that the store is slow: not if this
+// instance or enough others did so lately.
+func (s *StorePath) Tells(now time.Time) bool {
+	if !s.Slow(now) || s.allKnow(now) {
+		return false
+	}
+	s.told = now
+	return true
+}
+
+// allKnow tells whether all instances were told lately that the store is slow,
+// as far as this one knows.
+func (s *StorePath) allKnow(now time.Time) bool {
+	return now.Sub(s.told) < storeTellPause || s.heard >= storeTellers && now.Sub(s.heardFrom) < storeTellPause
+}
+
+// TimedOut notes that an append of this instance had no answer in time. Where the
+// store is slow for all that tells nothing of this instance's way.
+func (s *StorePath) TimedOut(now time.Time) {
+	if !s.Slow(now) {
+		s.OwnAppend(false, now)
+	}
+}
+
+// OwnAppend notes whether an append of this instance succeeded. It tells whether
+// appends succeed again.
+func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
+	back = ok && s.failing
+	if back {
+		s.returned = now
+	}
+	s.failing = !ok
+	return back
+}
+
+// TellsOfHanging tells whether others should be told that an append hangs: the
+// store may be slow, which all would find out one after the other.
+func (s *StorePath) TellsOfHanging(now time.Time) bool {
+	if s.failing || s.allKnow(now) {
+		return false
+	}
+	s.told, s.suspected, s.fast = now, now, 0
+	return true
+}
+
+// Overtaken tells whether the way of an append is bad that has no answer after
+// a time, while another instance's was answered that took the store some time.
+// It is not if the store itself is slow.
+func (s *StorePath) Overtaken(took, without time.Duration) bool {
+	return took <= storeSlowAbove && without > storeSlowAbove
+}
+
+// Failing tells that this instance's appends fail.
+func (s *StorePath) Failing() bool { return s.failing }
+
+// Slow tells whether the store is slow: it was, lately, and has not been fast
+// often enough since.
+func (s *StorePath) Slow(now time.Time) bool {
+	return s.fast < storeFastAgain && !s.slowAt.IsZero() && now.Sub(s.slowAt) < storeMemory
+}
+
+// suspects tells whether the store may be slow or silent: an append hung, and
+// there were few answers in time since.
+func (s *StorePath) suspects(now time.Time) bool {
+	return s.fast < storeFastAgain && !s.suspected.IsZero() && now.Sub(s.suspected) < storeMemory
+}
+
+// Typical is the median of the answers that still tell, 0 if there is none.
+func (s *StorePath) Typical(now time.Time) time.Duration {
+	times := s.recent(now)
+	if len(times) == 0 {
+		return 0
+	}
+	return times[len(times)/2]
+}
+
+// recent lists the times of the answers that still tell, in order.
+func (s *StorePath) recent(now time.Time) []time.Duration {
+	var times []time.Duration
+	for _, a := range s.answers {
+		if now.Sub(a.at) < storeMemory {
+			times = append(times, a.took)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// longest is the longest answer that still tells, 0 if there is none.
+func (s *StorePath) longest(now time.Time) time.Duration {
+	times := s.recent(now)
+	if len(times) == 0 {
+		return 0
+	}
+	return times[len(times)-1]
+}
+
+// Pending is an append of this instance without an answer yet.
+type Pending struct {
+	Partition int
+	Begun     time.Time
+}
+
+// Gathers tells whether a turn for a partition should ride on the append of the
+// partition's gatherer: where this instance's appends fail or hang, or the store
+// is slow or has just come back.
+func (s *StorePath) Gathers(partition int, pending []Pending, now time.Time) bool {
+	if s.failing || s.Slow(now) || s.suspects(now) || now.Sub(s.returned) < storeSettle {
+		return true
+	}
+	for _, p := range pending {
+		if s.Hangs(p.Begun, now) || p.Partition == partition && now.Sub(p.Begun) > storeSlowAbove {
+			return true
+		}
+	}
+	return false
+}
+
+// Hangs tells whether an append takes long and nothing was answered since it
+// began.
+func (s *StorePath) Hangs(begun, now time.Time) bool {
+	return now.Sub(begun) > storeSlowAbove && !s.AnsweredSince(begun)
+}
+
+// AnsweredSince tells whether the store answered an append of anyone, as far as
+// this instance knows.
+func (s *StorePath) AnsweredSince(t time.Time) bool {
+	return len(s.answers) > 0 && s.answers[len(s.answers)-1].at.After(t)
+}
+
+// Patience is how long an append may take. It grows with the store's answers;
+// without any the store is silent and trying again is the only way to learn of
+// its return.
+func (s *StorePath) Patience(now time.Time) time.Duration {
+	return min(max(storePatienceTimes*s.longest(now), storePatienceLeast), storePatienceMost)
+}
+
+// HedgeAfter is how long a try may take until another instance is asked. Where
+// the store is slow it is as long as the slowest append may take, and where it
+// may be, half as long: until then an answer shows whether it is.
+func (s *StorePath) HedgeAfter(now time.Time) time.Duration {
+	switch {
+	case s.Slow(now):
+		return s.Patience(now)
+	case s.suspects(now):
+		return s.Patience(now) / 2
+	}
+	return storeHedgeLeast
+}
+
+// State is the state as a whole.
+func (s *StorePath) State(now time.Time) StoreState {
+	switch {
+	case s.failing:
+		return StoreClosed
+	case s.Slow(now):
+		return StoreSlow
+	}
+	return StoreGood
+}
+
+// GatherPatience is how long the gatherer of a partition may take: turns may have
+// to wait for the append before theirs.
+func (s *StorePath) GatherPatience(now time.Time) time.Duration {
+	if s.Slow(now) {
+		return 2 * s.Patience(now)
+	}
+	return s.Patience(now) + storeHedgeLeast
+}
