feed: topics that fail together share the tries, the first return wakes all

Change: the pause after a failure is dealt out among the topics that fail; a return behind 0.3 s or more wakes the others, also a read that hangs. The list of instances is read with a wait of 12 s.

--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -51,8 +51,9 @@
 	// targetsPauseLeast bounds the rate of the reads where they leave at once.
 	targetsPauseLeast = 100 * time.Millisecond
 	// instancesWait is how long a read for changes of the list of instances
-	// waits: they are rare.
-	instancesWait = 4 * time.Second
+	// waits: they are rare, and a link that was cut meanwhile is noticed by the
+	// readers of the other topics.
+	instancesWait = 12 * time.Second
 	// instancesPause is the time between two such reads. When all start at once
 	// each reads the others' records some times and not once for each record:
 	// with n instances that would be n*n calls.
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,8 @@
 	// at the store, so that the store's return is noticed soon.
 	probeMargin = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read; it doubles
-	// with each failure. A refused read is priced like any other.
+	// with each failure. A refused read is priced like any other, so that topics
+	// that fail together share the tries: the first one that succeeds wakes all.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 )
@@ -48,23 +50,60 @@
 	from := int64(-1)
 	failures := 0
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, from, failures > 0)
+		returned := f.Health.Returned()
+		next, err := f.stepUnless(ctx, returned, from, failures > 0)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWoken) {
+			continue
+		}
 		if errors.Is(err, platform.ErrTrimmed) {
 			from = -1
 			continue
 		}
 		f.Health.note(f.Topic.Name, err, time.Now(), f.Log)
 		if err != nil {
-			sleep(ctx, min(retryFirst<<min(failures, 8), retryMost))
+			sleep(ctx, f.retryPause(failures), returned)
 			failures++
 			continue
 		}
 		from, failures = next, 0
-		sleep(ctx, f.Pause)
+		sleep(ctx, f.Pause, nil)
+	}
+}
+
+// retryPause is the time until the next try after some failures. It is dealt out
+// among the topics that fail, and drawn at random, so that instances and topics
+// do not try together.
+func (f *Follower) retryPause(failures int) time.Duration {
+	pause := min(retryFirst<<min(failures, 8), retryMost)
+	all := pause * time.Duration(max(f.Health.Failing(), 1))
+	return all - all/4 + rand.N(all/2)
+}
+
+// errWoken tells that a read was given up since the store is back for another
+// topic: the connection that it waits on may be cut.
+var errWoken = errors.New("the store is back for another topic")
+
+// stepUnless is step until the store is back for another topic.
+func (f *Follower) stepUnless(
+	ctx context.Context, returned <-chan struct{}, from int64, probe bool,
+) (int64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-returned:
+			cancel(errWoken)
+		case <-ctx.Done():
+		}
+	}()
+	next, err := f.step(ctx, from, probe)
+	if err != nil && errors.Is(context.Cause(ctx), errWoken) {
+		return from, errWoken
 	}
+	return next, err
 }
 
 // step reads the whole topic, or what came after an offset; a probe does not
@@ -101,7 +140,8 @@
 	return next, nil
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
+// sleep waits, at most until woken is closed.
+func sleep(ctx context.Context, wait time.Duration, woken <-chan struct{}) {
 	if wait <= 0 {
 		return
 	}
@@ -110,5 +150,6 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-woken:
 	}
 }
--- a/internal/feed/health.go
+++ b/internal/feed/health.go
@@ -14,11 +14,13 @@
 	failing map[string]time.Time
 	// back is when each topic was last read again after a failure.
 	back map[string]time.Time
+	// returned is closed and replaced when a topic is read again after a failure.
+	returned chan struct{}
 }
 
 // NewHealth makes a Health that finds the store in order.
 func NewHealth() *Health {
-	return &Health{failing: make(map[string]time.Time), back: make(map[string]time.Time)}
+	return &Health{failing: make(map[string]time.Time), back: make(map[string]time.Time), returned: make(chan struct{})}
 }
 
 // note takes the outcome of a read and logs when the store is lost and when it
@@ -34,6 +36,10 @@
 	case err == nil && failing:
 		delete(h.failing, topic)
 		h.back[topic] = now
+		if now.Sub(since) >= leastOutage {
+			close(h.returned)
+			h.returned = make(chan struct{})
+		}
 		log.Info("store is back", "topic", topic, "away_ms", now.Sub(since).Milliseconds())
 	}
 }
@@ -45,6 +51,25 @@
 	return len(h.failing) == 0
 }
 
+// leastOutage is how long a topic's reads fail at least for their return to wake
+// others: single refusals among answers are no outage.
+const leastOutage = 300 * time.Millisecond
+
+// Returned is closed when a topic is next read again after an outage: what else
+// failed, or hangs on a connection that is cut, is worth another try then.
+func (h *Health) Returned() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.returned
+}
+
+// Failing is how many topics' reads fail.
+func (h *Health) Failing() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.failing)
+}
+
 // BackSince is when a topic was last read again after a failure, and false if
 // its reads fail now.
 func (h *Health) BackSince(topic string) (time.Time, bool) {
