feed: topics that fail try in turn

Cause: with pauses of 1.2 s dealt out without order, three topics could try at the same moment and find the store's return 1.5 s late.

Change: each try is reserved a pause behind the one reserved last, so that the return is found within 0.5 s, as before, at a third of the tries.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -73,13 +73,12 @@
 	}
 }
 
-// retryPause is the time until the next try after some failures. It is dealt out
-// among the topics that fail, and drawn at random, so that instances and topics
-// do not try together.
+// retryPause is the time until the next try after some failures. Topics that fail
+// together try in turn; the pauses are drawn at random, so that instances do not try
+// together.
 func (f *Follower) retryPause(failures int) time.Duration {
 	pause := min(retryFirst<<min(failures, 8), retryMost)
-	all := pause * time.Duration(max(f.Health.Failing(), 1))
-	return all - all/4 + rand.N(all/2)
+	return f.Health.reserve(time.Now(), pause-pause/4+rand.N(pause/2))
 }
 
 // errWoken tells that a read was given up since the store is back for another
--- a/internal/feed/health.go
+++ b/internal/feed/health.go
@@ -14,6 +14,8 @@
 	failing map[string]time.Time
 	// back is when each topic was last read again after a failure.
 	back map[string]time.Time
+	// tries is when the last try that was reserved is made.
+	tries time.Time
 	// returned is closed and replaced when a topic is read again after a failure.
 	returned chan struct{}
 }
@@ -36,6 +38,7 @@
 	case err == nil && failing:
 		delete(h.failing, topic)
 		h.back[topic] = now
+		h.tries = now
 		if now.Sub(since) >= leastOutage {
 			close(h.returned)
 			h.returned = make(chan struct{})
@@ -63,11 +66,16 @@
 	return h.returned
 }
 
-// Failing is how many topics' reads fail.
-func (h *Health) Failing() int {
+// reserve keeps the next try to read for a topic that fails, a pause behind the try
+// that was reserved last, and returns how long that is from now.
+func (h *Health) reserve(now time.Time, pause time.Duration) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.failing)
+	if h.tries.Before(now) {
+		h.tries = now
+	}
+	h.tries = h.tries.Add(pause)
+	return h.tries.Sub(now)
 }
 
 // BackSince is when a topic was last read again after a failure, and false if
