--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -47,6 +47,9 @@
 	// Loads are new reports that this instance knows, whoever heard them.
 	Loads(now time.Time) []structs.TargetReport
 	HearLoads(loads []structs.TargetReport, now time.Time)
+	// PoolReports tell what this instance knows of whole services.
+	PoolReports(now time.Time) []structs.PoolReport
+	HearPools(pools []structs.PoolReport, now time.Time)
 }
 
 // Health tells whether the store answers all that this instance reads. It may
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -261,6 +261,7 @@
 func (k *Keeper) receiveReply(from structs.InstanceID, m *structs.RoomReply) {
 	k.breaks.Hear(m.Breaks, time.Now())
 	k.loads.HearLoads(m.Loads, time.Now())
+	k.loads.HearPools(m.Pools, time.Now())
 	k.mu.Lock()
 	pending, ok := k.pending[m.Lease]
 	delete(k.pending, m.Lease)
@@ -287,7 +288,7 @@
 		k.peers.Send(from, &structs.RoomReply{
 			Lease: r.Lease, Outcome: got.outcome, Owner: got.owner, Partition: r.Partition, Program: r.Program,
 			Breaks: k.breaks.Breaks(time.Now()), Target: got.target, First: got.first,
-			Loads: k.loads.Loads(time.Now()),
+			Loads: k.loads.Loads(time.Now()), Pools: k.loads.PoolReports(time.Now()),
 		})
 	})
 }
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -55,6 +55,8 @@
 // Loads, OwnLoads and HearLoads make it a Loads that holds none.
 func (b *breakList) Loads(time.Time) []structs.TargetReport      { return nil }
 func (b *breakList) OwnLoads(time.Time) []structs.TargetReport   { return nil }
+func (b *breakList) PoolReports(time.Time) []structs.PoolReport  { return nil }
+func (b *breakList) HearPools([]structs.PoolReport, time.Time)   {}
 func (b *breakList) HearLoads([]structs.TargetReport, time.Time) {}
 
 func (b *breakList) Hear(breaks []structs.TargetBreak, _ time.Time) {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return targets.Pool{}
 	}
-	return targets.Pool{Fill: fill, Known: 40, All: 44, Age: 200 * time.Millisecond}
+	return targets.Pool{Fill: fill, Known: 40, All: 44, Age: 200 * time.Millisecond, Paced: true}
 }
 
 var start = time.Unix(1000, 0)
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -18,7 +17,6 @@
 // third of the engines four times slower meanwhile. Time is passed in.
 
 const (
-	halfLife    = 100 * time.Millisecond
 	step        = 10 * time.Millisecond
 	loadFrom    = 4 * time.Second
 	loadTo      = 12 * time.Second
@@ -26,10 +24,12 @@
 	engineCount = 44
 	slots       = 8
 	queue       = 24
-	turnTime    = 250 * time.Millisecond
-	thinkTime   = 100 * time.Millisecond
-	turns       = 4
-	callerTime  = 4 * time.Second
+	// owners of budgets pass reports on.
+	owners     = 24
+	turnTime   = 250 * time.Millisecond
+	thinkTime  = 100 * time.Millisecond
+	turns      = 4
+	callerTime = 4 * time.Second
 	// usualPrograms begin each step, of about 3.5 that the engines carry.
 	usualPrograms = 2.2
 	aim           = turns*(turnTime+thinkTime)*3/2 + 200*time.Millisecond
@@ -57,42 +57,37 @@
 
 // known is what one instance knows of the engines.
 type known struct {
-	busy [engineCount]int
-	at   [engineCount]time.Time
+	registry *targets.Registry
+	engines  []*targets.Target
 }
 
-func (k *known) hear(engine, busy int, at time.Time) {
-	if at.After(k.at[engine]) {
-		k.busy[engine], k.at[engine] = busy, at
-	}
-}
+// noConnections has no connection kept.
+type noConnections struct{}
 
-func (k *known) Pool(_ string, now time.Time) targets.Pool {
-	p := targets.Pool{All: engineCount}
-	total := 0.0
+func (noConnections) Kept(string, time.Time) bool { return false }
+
+func newKnown() *known {
+	k := &known{registry: targets.NewRegistry("dc", noConnections{})}
 	for e := range engineCount {
-		age := now.Sub(k.at[e])
-		if age > 1500*time.Millisecond {
-			continue
-		}
-		weight := math.Exp2(-float64(age) / float64(halfLife))
-		p.Known++
-		p.Fill += weight * float64(k.busy[e]) / slots
-		p.Age += time.Duration(weight * float64(age))
-		total += weight
-	}
-	if p.Known > 0 {
-		p.Fill /= total
-		p.Age = time.Duration(float64(p.Age) / total)
+		id := fmt.Sprint("e", e)
+		k.registry.Put(targets.Entry{ID: id, Service: "engine", Address: id, DataCentre: "dc", Slots: slots})
+		t := k.registry.PickSame(id)
+		k.registry.End(t)
+		k.engines = append(k.engines, t)
 	}
-	return p
+	return k
+}
+
+func (k *known) hear(engine, busy int, at time.Time) {
+	load := call.Load{Running: min(busy, slots), Waiting: max(busy-slots, 0), Slots: slots, Pace: 100}
+	k.registry.Report(k.engines[engine], load, at)
 }
 
 // shared: each instance decides from reports that ride on messages to others.
 type shared struct {
 	known  []*known
 	guards []*Guard
-	// cut instances exchange nothing.
+	// cut instances exchange nothing; none of them is an owner.
 	cut    int
 	random *rand.Rand
 }
@@ -100,9 +95,9 @@
 func newShared(instances, cut int) *shared {
 	s := &shared{cut: cut, random: rand.New(rand.NewPCG(3, 4))}
 	for range instances {
-		k := new(known)
+		k := newKnown()
 		s.known = append(s.known, k)
-		g := New(k, tally.NoopScope)
+		g := New(k.registry, tally.NoopScope)
 		g.jitter = s.random.Float64
 		s.guards = append(s.guards, g)
 	}
@@ -119,34 +114,20 @@
 
 func (s *shared) heard(i, engine, busy int, now time.Time) {
 	s.known[i].hear(engine, busy, now)
-	owner := s.random.IntN(len(s.known))
-	if i < s.cut || owner < s.cut {
+	owner := s.random.IntN(owners)
+	if i >= len(s.known)-s.cut {
 		return
 	}
-	s.pass(i, owner, 3)
-	s.pass(owner, i, 8)
-}
-
-// pass tells reports of one instance to another, half of them the newest.
-func (s *shared) pass(from, to, most int) {
-	order := make([]int, engineCount)
-	for e := range order {
-		order[e] = e
-	}
-	at := &s.known[from].at
-	slices.SortFunc(order, func(a, b int) int { return at[b].Compare(at[a]) })
-	others := order[(most+1)/2:]
-	s.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, e := range order[:most] {
-		s.known[to].hear(e, s.known[from].busy[e], at[e])
-	}
+	s.known[owner].registry.HearLoads(s.known[i].registry.OwnLoads(now), now)
+	s.known[i].registry.HearLoads(s.known[owner].registry.Loads(now), now)
+	s.known[i].registry.HearPools(s.known[owner].registry.PoolReports(now), now)
 }
 
 // dealt: a coordinator deals out the right to begin programs five times a second
 // from what all instances tell it then; without it nobody may begin any for as
 // long as nobody else is chosen.
 type dealt struct {
-	known     known
+	known     *known
 	granted   []float64
 	asked     []float64
 	lostUntil time.Time
@@ -173,7 +154,7 @@
 	if now.UnixMilli()%200 != 0 || (now.After(d.lostFrom) && now.Before(d.lostUntil)) {
 		return
 	}
-	free := 1.1 - d.known.Pool("", now).Fill
+	free := 1.1 - d.known.registry.Pool("engine", now).Fill
 	room := max(free*engineCount*slots/2, 1)
 	total := 0.0
 	for _, a := range d.asked {
@@ -364,7 +345,7 @@
 func TestWaysOutOfAnOverload(t *testing.T) {
 	for _, instances := range []int{90, 300} {
 		deal := func(from, to time.Duration) *dealt {
-			return &dealt{granted: make([]float64, instances), asked: make([]float64, instances),
+			return &dealt{known: newKnown(), granted: make([]float64, instances), asked: make([]float64, instances),
 				lostFrom: start.Add(from), lostUntil: start.Add(to)}
 		}
 		ways := map[string]way{
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -47,6 +47,9 @@
 	Known int
 	All   int
 	Age   time.Duration
+	// Paced tells that the targets tell the pace of their machines. Without it
+	// targets that are busy cannot be told from such that are slow.
+	Paced bool
 }
 
 const (
@@ -59,7 +62,7 @@
 
 // Tells tells whether enough is known to refuse anything.
 func (p PoolLoad) Tells() bool {
-	return p.All > fewTargets && p.Known > fewTargets && float64(p.Known) >= knownShare*float64(p.All)
+	return p.Paced && p.All > fewTargets && p.Known > fewTargets && float64(p.Known) >= knownShare*float64(p.All)
 }
 
 // Full tells that all slots are taken, as far as is known.
@@ -121,10 +124,10 @@
 // known from few targets and a moment ago, and callers come back several times: the
 // ramp is wide, so that a single view decides little.
 var (
-	firstRamp = ramp{start: 1.0, width: 0.9}
+	firstRamp = ramp{start: 0.85, width: 0.4}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.4, width: 0.9}
+	lateRamp = ramp{start: 1.3, width: 0.5}
 )
 
 const (
--- a/internal/structs/room.go
+++ b/internal/structs/room.go
@@ -74,8 +74,10 @@
 	Target string
 	// First tells that the owner knows of no turn of the program before this one.
 	First bool
-	// Loads are new reports of targets' loads that the owner knows of.
+	// Loads are new reports of targets' loads that the owner knows of, Pools what
+	// it knows of whole services.
 	Loads []TargetReport
+	Pools []PoolReport
 }
 
 // RoomSettle ends a lease: what was not used is free again.
--- a/internal/structs/targetreport.go
+++ b/internal/structs/targetreport.go
@@ -21,3 +21,14 @@
 	Speed    int
 	SpeedAge time.Duration
 }
+
+// PoolReport is what the sender knows of the load of a service as a whole.
+type PoolReport struct {
+	// Service is the hash of the service's name.
+	Service uint64
+	// Fill is what runs and waits, in thousandths of the slots; Known targets told
+	// of it, in the mean at Age.
+	Fill  int
+	Known int
+	Age   time.Duration
+}
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -29,24 +29,8 @@
 	poolHalfLife = 100 * time.Millisecond
 )
 
-// Pool is the load of a service as a whole.
-type Pool struct {
-	// Fill is how many requests run and wait, in parts of the slots, at those of
-	// the Known targets that reported lately; All counts the usable ones.
-	Fill  float64
-	Known int
-	All   int
-	// Age is the mean age of the reports; in both means newer ones count more.
-	Age time.Duration
-}
-
-// Pool tells the load of a service.
-func (r *Registry) Pool(service string, now time.Time) Pool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.pool(service, now)
-}
-
+// pool is the mean load of a service's targets, newer reports counting more: what
+// to expect of one that nothing is known of.
 func (r *Registry) pool(service string, now time.Time) Pool {
 	var pool Pool
 	slots, busy, ages := 0.0, 0.0, 0.0
--- /dev/null
+++ b/internal/targets/pools.go
@@ -0,0 +1,131 @@
+package targets
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// Who lets programs begin has to know the load of a service as a whole. The owners
+// of budgets hear most of all targets; their view goes with each of their replies.
+
+const (
+	// poolReportLife is the time in which a report fades to what its target usually
+	// reports, in the load of the service.
+	poolReportLife = 400 * time.Millisecond
+	// toldAge is how old another instance's view may be: the load changes within
+	// the time of a program.
+	toldAge = time.Second
+	// fillUnit is the part of the slots in which views are told.
+	fillUnit = 1e-3
+)
+
+// Pool is the load of a service as a whole.
+type Pool struct {
+	// Fill is what runs and waits, in parts of the work that the service's targets
+	// can do, as Known of All usable ones told.
+	Fill  float64
+	Known int
+	All   int
+	// Age is the mean age of the reports.
+	Age time.Duration
+	// Paced tells that targets tell the pace of their machines.
+	Paced bool
+}
+
+// told is another instance's view of a service.
+type told struct {
+	fill  float64
+	known int
+	// at is when the reports were given, in the mean, heard when it was told.
+	at, heard time.Time
+}
+
+// better tells whether a view rests on more targets, or on newer reports, than
+// what this instance knows itself.
+func (v told) better(own Pool, now time.Time) bool {
+	return v.known > own.Known || (v.known == own.Known && now.Sub(v.at) < own.Age)
+}
+
+// Pool tells the load of a service for who may begin. The better informed view
+// counts, of this instance or of another one.
+func (r *Registry) Pool(service string, now time.Time) Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pool := r.ownPool(service, now)
+	view, ok := r.told[xxhash.Sum64String(service)]
+	if ok && now.Sub(view.heard) <= toldAge && view.better(pool, now) {
+		pool.Fill, pool.Known, pool.Age = view.fill, min(view.known, pool.All), now.Sub(view.at)
+	}
+	return pool
+}
+
+// ownPool is the load of a service by what this instance knows of its targets. A
+// queue at a slow target says little of the room that the others have, so each
+// counts by its speed. One that has told nothing lately was asked for nothing, as
+// far as is known: it counts as free. The mutex is held.
+func (r *Registry) ownPool(service string, now time.Time) Pool {
+	all := r.byService[service]
+	usual := usualOf(all)
+	var pool Pool
+	capacity, busy, ages := 0.0, 0.0, 0.0
+	for _, t := range all {
+		if t.Draining {
+			continue
+		}
+		pool.All++
+		weight := float64(max(t.Slots, 1)) / t.slowness(usual, now)
+		capacity += weight
+		age := now.Sub(t.loadAt)
+		if t.loadAt.IsZero() || age > poolLoadAge {
+			continue
+		}
+		pool.Known++
+		pool.Paced = pool.Paced || t.load.Pace > 0
+		busy += weight * t.fill(0, poolReportLife, now)
+		ages += float64(age)
+	}
+	if pool.Known > 0 {
+		pool.Fill = busy / capacity
+		pool.Age = time.Duration(ages / float64(pool.Known))
+	}
+	return pool
+}
+
+// PoolReports tell other instances what this one knows of its services.
+func (r *Registry) PoolReports(now time.Time) []structs.PoolReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var reports []structs.PoolReport
+	for service := range r.byService {
+		pool := r.ownPool(service, now)
+		if pool.Known == 0 || !pool.Paced {
+			continue
+		}
+		reports = append(reports, structs.PoolReport{
+			Service: xxhash.Sum64String(service), Fill: int(pool.Fill / fillUnit), Known: pool.Known, Age: pool.Age,
+		})
+	}
+	return reports
+}
+
+// HearPools takes another instance's view of services, unless a better informed
+// one is new.
+func (r *Registry) HearPools(reports []structs.PoolReport, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range reports {
+		if p.Fill < 0 || p.Known <= 0 {
+			continue
+		}
+		before, ok := r.told[p.Service]
+		if ok && before.known > p.Known && now.Sub(before.heard) < toldAge/2 {
+			continue
+		}
+		r.told[p.Service] = told{
+			fill: float64(p.Fill) * fillUnit, known: p.Known, at: now.Add(-max(p.Age, 0)), heard: now,
+		}
+	}
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -106,6 +106,8 @@
 	byID          map[string]*Target
 	byIncarnation map[string]*Target
 	byService     map[string][]*Target
+	// told are other instances' views of services, by the hashes of their names.
+	told map[uint64]told
 	// byHash finds targets by the hash of their incarnation.
 	byHash map[uint64]*Target
 	// broken are the targets that broke connections lately, by incarnation.
@@ -130,6 +132,7 @@
 		byID:          make(map[string]*Target),
 		byIncarnation: make(map[string]*Target),
 		byHash:        make(map[uint64]*Target),
+		told:          make(map[uint64]told),
 		byService:     make(map[string][]*Target),
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
