--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -83,6 +83,7 @@
 	defer r.mu.Unlock()
 	var loads []structs.TargetReport
 	for _, all := range r.byService {
+		usual := usualOf(all)
 		start := rand.IntN(len(all) + 1)
 		for i := range all {
 			t := all[(start+i)%len(all)]
@@ -90,7 +91,7 @@
 			if t.loadAt.IsZero() || age > shareableAge || !tell(t) {
 				continue
 			}
-			loads = append(loads, t.report(now))
+			loads = append(loads, t.report(usual, now))
 			if len(loads) >= most {
 				return loads
 			}
