--- a/internal/allowance/needs.go
+++ b/internal/allowance/needs.go
@@ -17,7 +17,7 @@
 	// memory is the number of programs after which what was seen counts half.
 	memory = 200
 	// quiet is the time without a request after which a program counts as ended.
-	quiet = 5 * time.Second
+	quiet = 2 * time.Second
 	// countInterval is the time between two looks for programs that have ended.
 	countInterval = 250 * time.Millisecond
 	// maxFollowed bounds the programs of an organisation that are followed.
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -124,10 +124,10 @@
 // known from few targets and a moment ago, and callers come back several times: the
 // ramp is wide, so that a single view decides little.
 var (
-	firstRamp = ramp{start: 0.85, width: 0.4}
+	firstRamp = ramp{start: 0.8, width: 0.3}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.3, width: 0.5}
+	lateRamp = ramp{start: 1.1, width: 0.5}
 )
 
 const (
--- a/internal/targets/pools.go
+++ b/internal/targets/pools.go
@@ -35,8 +35,8 @@
 	Paced bool
 }
 
-// told is another instance's view of a service.
-type told struct {
+// poolView is another instance's view of a service.
+type poolView struct {
 	fill  float64
 	known int
 	// at is when the reports were given, in the mean, heard when it was told.
@@ -45,7 +45,7 @@
 
 // better tells whether a view rests on more targets, or on newer reports, than
 // what this instance knows itself.
-func (v told) better(own Pool, now time.Time) bool {
+func (v poolView) better(own Pool, now time.Time) bool {
 	return v.known > own.Known || (v.known == own.Known && now.Sub(v.at) < own.Age)
 }
 
@@ -55,7 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pool := r.ownPool(service, now)
-	view, ok := r.told[xxhash.Sum64String(service)]
+	view, ok := r.views[xxhash.Sum64String(service)]
 	if ok && now.Sub(view.heard) <= toldAge && view.better(pool, now) {
 		pool.Fill, pool.Known, pool.Age = view.fill, min(view.known, pool.All), now.Sub(view.at)
 	}
@@ -120,11 +120,11 @@
 		if p.Fill < 0 || p.Known <= 0 {
 			continue
 		}
-		before, ok := r.told[p.Service]
+		before, ok := r.views[p.Service]
 		if ok && before.known > p.Known && now.Sub(before.heard) < toldAge/2 {
 			continue
 		}
-		r.told[p.Service] = told{
+		r.views[p.Service] = poolView{
 			fill: float64(p.Fill) * fillUnit, known: p.Known, at: now.Add(-max(p.Age, 0)), heard: now,
 		}
 	}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -60,6 +60,9 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	heard          bool
+	// told is the newest report that was given to this instance itself, by which
+	// targets that do not tell their pace are placed.
+	told told
 	// usualFill is the moving mean of the reports, in parts of the slots.
 	usualFill float64
 	// speed is what was learned of the target's time for a unit of work, standing
@@ -106,8 +109,8 @@
 	byID          map[string]*Target
 	byIncarnation map[string]*Target
 	byService     map[string][]*Target
-	// told are other instances' views of services, by the hashes of their names.
-	told map[uint64]told
+	// views are other instances' views of services, by the hashes of their names.
+	views map[uint64]poolView
 	// byHash finds targets by the hash of their incarnation.
 	byHash map[uint64]*Target
 	// broken are the targets that broke connections lately, by incarnation.
@@ -132,7 +135,7 @@
 		byID:          make(map[string]*Target),
 		byIncarnation: make(map[string]*Target),
 		byHash:        make(map[uint64]*Target),
-		told:          make(map[uint64]told),
+		views:         make(map[uint64]poolView),
 		byService:     make(map[string][]*Target),
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
@@ -247,6 +250,7 @@
 	defer r.mu.Unlock()
 	r.setLoad(t, load, now)
 	t.heard = false
+	t.told = told{busy: load.Running + load.Waiting, at: now, inFlight: t.inFlight}
 	if t.DataCentre == r.dataCentre {
 		r.noteNearLoad(t, load)
 	}
@@ -277,11 +281,22 @@
 	return t.Service == entry.Service && t.Address == entry.Address && t.Start == entry.Start
 }
 
-// busy estimates how many requests run and wait at a target.
+// told is a target's report to this instance.
+type told struct {
+	// busy counts the requests that ran and waited at the time, inFlight those of
+	// this instance among them.
+	busy     int
+	at       time.Time
+	inFlight int
+}
+
+// busy estimates how many requests run and wait at a target, by what it told this
+// instance. What others heard makes programs leave engines that are full for a
+// moment, and read their prompts again.
 func (t *Target) busy(now time.Time) float64 {
-	if now.Sub(t.loadAt) > loadAge {
+	if now.Sub(t.told.at) > loadAge {
 		return float64(t.inFlight)
 	}
-	reported := t.load.Running + t.load.Waiting + t.inFlight - t.inFlightAtLoad
+	reported := t.told.busy + t.inFlight - t.told.inFlight
 	return float64(max(reported, t.inFlight))
 }
