--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -11,9 +11,8 @@
 )
 
 // outage tells whether turns can be kept at all. While they cannot, one of those
-// that wait tries on for all of them: at 80 turns a second and tries of each
-// every 0.3 s an outage of some seconds would take all the calls that the store
-// allows. The mutex of the Keeper guards it.
+// that wait tries on for all of them: tries of each would take all the calls that
+// the store allows. The mutex of the Keeper guards it.
 type outage struct {
 	// since is when the last round of tries failed after one had succeeded,
 	// zero if none has.
