--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -181,7 +181,7 @@
 	"budget_held_by_turns_under_way": "other turns of the program held what was left of its budget for longer than a turn waits",
 	"no_such_turn":                   "the turn that it continues does not exist or is past its retention; the line \"no such turn\" tells that every partition was read to its end",
 	"conversation_not_read":          "the turn that it continues was not found, and not every partition could be read; see \"turn not found for now\" and \"turns not read\" lines",
-	"turn_not_kept":                  "its turn could not be written to the store, or the store was known to be full before it began; see \"turns cannot be kept\" lines",
+	"turn_not_kept":                  "its turn could not be written to the store, or the store was known to be full, or away for longer than the caller would wait, before it began; see \"turns cannot be kept\" lines",
 	"timed_out":                      "the time left or the route's timeout was over while a target worked on it",
 	"timed_out_before_send":          "the time left was over before a target could be reached",
 	"target_broke_off":               "the target broke off and the request may not be repeated",
