policy: what is slow depends on how far the store is from an instance

Cause: answers over 30 ms were slow for all. Where one data centre is 20 ms away from the store every append takes longer than that: its instances would have told all others once a second that the store is slow, and all turns would have gone through gatherers for good.

Now an instance compares with three times its usual time (the shortest of late, growing slowly), and whoever made an append says whether it was slow (KeepReply.Slow). Notices of kept turns carry no times any more.

--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -41,7 +41,7 @@
 		case result := <-r.results:
 			delete(r.open, result.by)
 			if result.err == nil {
-				w.keptBy, w.took = result.by, result.took
+				w.keptBy = result.by
 				w.keeper.noteWinner(w.partition, result, r.open)
 				return true, nil
 			}
@@ -71,12 +71,10 @@
 	begun       time.Time
 }
 
-// tryResult is how one try ended: by which instance, and how long the store
-// took.
+// tryResult is how one try ended, and by which instance.
 type tryResult struct {
-	by   structs.InstanceID
-	took time.Duration
-	err  error
+	by structs.InstanceID
+	laneResult
 }
 
 // begin notes a try.
@@ -96,7 +94,7 @@
 	r.begin(self)
 	go func() {
 		result := w.keeper.ride(ctx, w.partition, w.turns, w.records)
-		r.results <- tryResult{self, result.took, result.err}
+		r.results <- tryResult{self, result}
 	}()
 }
 
@@ -143,8 +141,8 @@
 	}
 	r.begin(helper)
 	go func() {
-		took, err := r.writing.appendBy(ctx, helper)
-		r.results <- tryResult{helper, took, err}
+		took, slow, err := r.writing.appendBy(ctx, helper)
+		r.results <- tryResult{helper, laneResult{took, slow, err}}
 	}()
 	return true
 }
@@ -200,10 +198,10 @@
 		return // an instance of before does not tell
 	}
 	if winner.by != k.self.ID {
-		k.path.Answered(winner.took, now)
+		k.path.Heard(winner.answer(), now)
 	}
 	for id, begun := range open {
-		if !k.path.Overtaken(winner.took, now.Sub(begun)) {
+		if !k.path.Overtaken(winner.answer(), now.Sub(begun)) {
 			continue
 		}
 		if id != k.self.ID {
@@ -212,14 +210,14 @@
 		}
 		k.path.OwnAppend(false, now)
 		k.directAfter = now.Add(jittered(directPause))
-		p.lane.abandon(func(age time.Duration) bool { return k.path.Overtaken(winner.took, age) }, now)
+		p.lane.abandon(func(age time.Duration) bool { return k.path.Overtaken(winner.answer(), age) }, now)
 	}
 	k.noteState(nil)
 }
 
 // noteAppend learns from an append of this instance. Its outcome is unknown if
 // the Keeper stopped.
-func (k *Keeper) noteAppend(p *partition, result laneResult) {
+func (k *Keeper) noteAppend(p *partition, result *laneResult) {
 	if k.ctx.Err() != nil {
 		return
 	}
@@ -227,8 +225,9 @@
 	defer k.mu.Unlock()
 	now := time.Now()
 	if result.err == nil {
-		k.path.Answered(result.took, now)
-		p.lane.window.Answered(result.took, k.path.Shortest())
+		answer := k.path.Own(result.took, now)
+		result.slow = answer.Slow
+		p.lane.window.Answered(answer, k.path.Shortest())
 	}
 	if errors.Is(result.err, context.DeadlineExceeded) {
 		k.path.TimedOut(now)
@@ -273,10 +272,6 @@
 		k.noteState(nil)
 	case m.News == structs.StoreBack:
 		k.storeBack()
-	case m.Took > 0:
-		k.path.Answered(m.Took, now)
-		k.noteState(nil)
-		k.tellSlow(m.Took, now)
 	}
 	if len(m.Turns) > 0 {
 		k.add(m.Turns, m.Partition)
@@ -290,7 +285,7 @@
 	k.path.OwnAppend(true, now)
 	k.noteState(nil)
 	for _, p := range k.partitions {
-		p.lane.abandon(func(age time.Duration) bool { return !k.path.Slow(now) && k.path.Overtaken(0, age) }, now)
+		p.lane.abandon(func(age time.Duration) bool { return !k.path.Slow(now) && k.path.Overtaken(policy.StoreAnswer{}, age) }, now)
 	}
 	clear(k.unableUntil)
 	k.endOutage()
@@ -328,18 +323,18 @@
 }
 
 // appendBy has another instance append the turns. It returns how long the store
-// took.
-func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) (time.Duration, error) {
+// took, and whether the other instance takes that for slow.
+func (w *writing) appendBy(ctx context.Context, helper structs.InstanceID) (took time.Duration, slow bool, err error) {
 	answer := w.keeper.askWithin(ctx, helper, w.keeper.gatherPatience, func(number uint64) structs.Message {
 		return &structs.KeepRequest{Number: number, Partition: w.partition.number, Turns: w.turns}
 	})
 	if reply, ok := answer.(*structs.KeepReply); ok && reply.Kept {
-		return reply.Took, nil
+		return reply.Took, reply.Slow, nil
 	}
 	if ctx.Err() == nil {
 		w.keeper.setUnable(helper)
 	}
-	return 0, errNotKept
+	return 0, false, errNotKept
 }
 
 // patience is how long an append may take.
@@ -366,7 +361,7 @@
 	defer k.mu.Unlock()
 	k.spawn(func() {
 		result := k.keepForOther(k.partitions[m.Partition], m.Turns)
-		k.peers.Send(from, &structs.KeepReply{Number: m.Number, Kept: result.err == nil, Took: result.took})
+		k.peers.Send(from, &structs.KeepReply{Number: m.Number, Kept: result.err == nil, Took: result.took, Slow: result.slow})
 	})
 }
 
--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -38,7 +38,7 @@
 	k.metrics.seconds.RecordDuration(time.Since(begun))
 	k.learn(w.turns, w.partition.number)
 	if index := k.indexOf(home, nil); index != "" && index != k.self.ID && index != w.keptBy {
-		k.peers.Send(index, &structs.TurnsNotice{Partition: w.partition.number, Turns: w.turns, Took: w.took})
+		k.peers.Send(index, &structs.TurnsNotice{Partition: w.partition.number, Turns: w.turns})
 	}
 	return nil
 }
@@ -90,10 +90,8 @@
 	records   []platform.Record
 	// helpers are the instances that were asked to append them.
 	helpers []structs.InstanceID
-	// keptBy is the instance whose append kept the turn, which took the store
-	// some time.
+	// keptBy is the instance whose append kept the turn.
 	keptBy structs.InstanceID
-	took   time.Duration
 }
 
 // persist tries until the store holds the turn or the context ends.
--- a/internal/conversation/lane.go
+++ b/internal/conversation/lane.go
@@ -61,9 +61,15 @@
 // laneResult is how an append ended, and how long the store took for it.
 type laneResult struct {
 	took time.Duration
+	slow bool
 	err  error
 }
 
+// answer is what an append that succeeded tells of the store.
+func (r laneResult) answer() policy.StoreAnswer {
+	return policy.StoreAnswer{Took: r.took, Slow: r.slow}
+}
+
 // ride appends turns together with all others that wait for the partition. If
 // the context ends first, the store may still get them.
 func (k *Keeper) ride(ctx context.Context, p *partition, turns []structs.KeptTurn, records []platform.Record) laneResult {
@@ -165,7 +171,7 @@
 		err = errors.Wrap(context.Cause(ctx), "append turns")
 	}
 	result := laneResult{took: time.Since(f.begun), err: err}
-	k.noteAppend(p, result)
+	k.noteAppend(p, &result)
 	k.metrics.appends.Inc(1)
 	k.metrics.batch.RecordValue(float64(len(records)))
 	return result
--- a/internal/policy/appendwindow.go
+++ b/internal/policy/appendwindow.go
@@ -22,13 +22,13 @@
 // Size is the number of appends that may be in flight.
 func (w *AppendWindow) Size() int { return 1 + w.more }
 
-// Answered notes how long an append took, and the shortest one since the store is
+// Answered notes an answer and the shortest one since the store is
 // slow.
-func (w *AppendWindow) Answered(took, shortest time.Duration) {
+func (w *AppendWindow) Answered(a StoreAnswer, shortest time.Duration) {
 	switch {
-	case took <= storeSlowAbove:
+	case !a.Slow:
 		w.more = 0
-	case float64(took) <= appendWindowSlack*float64(shortest):
+	case float64(a.Took) <= appendWindowSlack*float64(shortest):
 		w.more = min(w.more+1, appendWindowMost-1)
 	default:
 		w.more = max(w.more-1, 0)
--- a/internal/policy/appendwindow_test.go
+++ b/internal/policy/appendwindow_test.go
@@ -14,7 +14,8 @@
 		if i >= 20 {
 			largest = max(largest, w.Size())
 		}
-		w.Answered(base+queue*time.Duration(w.Size()), base+queue)
+		took := base + queue*time.Duration(w.Size())
+		w.Answered(StoreAnswer{Took: took, Slow: took > storeSlowAbove}, base+queue)
 	}
 	return largest
 }
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -18,8 +18,16 @@
 	// storeMemory is how long an answer tells of the store's state.
 	storeMemory = 2 * time.Second
 	// storeSlowAbove is the time of an append from which on it mostly waits in
-	// the partition's queue; going through another instance takes less.
+	// the partition's queue; going through another instance takes less. It is
+	// longer, as a multiple of the usual time, where the store is far away.
 	storeSlowAbove = 30 * time.Millisecond
+	storeSlowTimes = 3
+	// storeUsualMost bounds the usual time, so that an instance that starts
+	// beside a slow store does not take that for usual.
+	storeUsualMost = 60 * time.Millisecond
+	// storeUsualInertia is how many long answers it takes until about that much
+	// longer ones are usual.
+	storeUsualInertia = 200
 	// storePatienceLeast and storePatienceMost bound the time that an append
 	// may take: a store that is well needs a few milliseconds, and one that
 	// would need over two seconds refuses.
@@ -65,6 +73,8 @@
 	// succeeded after that.
 	failing  bool
 	returned time.Time
+	// usual is the time of this instance's appends when the store is well.
+	usual time.Duration
 	// told is when this instance last told others that the store is slow, heard
 	// how often it was told so since heardFrom.
 	told      time.Time
@@ -84,21 +94,50 @@
 	StoreClosed StoreState = "closed"
 )
 
-// Answered notes an append that the store took, by this instance or another.
-func (s *StorePath) Answered(took time.Duration, now time.Time) {
+// StoreAnswer is an append that the store took, as the instance that made it saw
+// it: whether the time is long depends on how far the store is from there.
+type StoreAnswer struct {
+	Took time.Duration
+	Slow bool
+}
+
+// Own notes an append of this instance that the store took.
+func (s *StorePath) Own(took time.Duration, now time.Time) StoreAnswer {
+	s.learnUsual(min(took, storeUsualMost))
+	a := StoreAnswer{Took: took, Slow: took > s.slowAbove()}
+	s.Heard(a, now)
+	return a
+}
+
+// learnUsual follows the short answers at once and the long ones slowly.
+func (s *StorePath) learnUsual(took time.Duration) {
+	if s.usual == 0 || took < s.usual {
+		s.usual = took
+		return
+	}
+	s.usual += (took - s.usual) / storeUsualInertia
+}
+
+// slowAbove is the time from which on an append of this instance is slow.
+func (s *StorePath) slowAbove() time.Duration {
+	return max(storeSlowAbove, storeSlowTimes*s.usual)
+}
+
+// Heard notes an append that the store took from another instance.
+func (s *StorePath) Heard(a StoreAnswer, now time.Time) {
 	if len(s.answers) == storeAnswers {
 		s.answers = s.answers[1:]
 	}
-	s.answers = append(s.answers, storeAnswer{took, now})
-	if took > storeSlowAbove {
-		if s.shortest == 0 || s.fast >= storeFastAgain || now.Sub(s.slowAt) > storeMemory {
-			s.shortest = took
-		}
-		s.shortest = min(s.shortest, took)
-		s.slowAt, s.fast = now, 0
+	s.answers = append(s.answers, storeAnswer{a.Took, now})
+	if !a.Slow {
+		s.fast++
 		return
 	}
-	s.fast++
+	if s.shortest == 0 || s.fast >= storeFastAgain || now.Sub(s.slowAt) > storeMemory {
+		s.shortest = a.Took
+	}
+	s.shortest = min(s.shortest, a.Took)
+	s.slowAt, s.fast = now, 0
 }
 
 // Shortest is the shortest answer of a slow store since it is slow.
@@ -112,7 +151,7 @@
 	}
 	s.heard++
 	if took > 0 {
-		s.Answered(took, now)
+		s.Heard(StoreAnswer{Took: took, Slow: true}, now)
 		return
 	}
 	s.suspected, s.fast = now, 0
@@ -164,10 +203,10 @@
 }
 
 // Overtaken tells whether the way of an append is bad that has no answer after
-// a time, while another instance's was answered that took the store some time.
+// a time, while another instance's was answered.
 // It is not if the store itself is slow.
-func (s *StorePath) Overtaken(took, without time.Duration) bool {
-	return took <= storeSlowAbove && without > storeSlowAbove
+func (s *StorePath) Overtaken(other StoreAnswer, without time.Duration) bool {
+	return !other.Slow && without > s.slowAbove()
 }
 
 // Failing tells that this instance's appends fail.
@@ -229,7 +268,7 @@
 		return true
 	}
 	for _, p := range pending {
-		if s.Hangs(p.Begun, now) || p.Partition == partition && now.Sub(p.Begun) > storeSlowAbove {
+		if s.Hangs(p.Begun, now) || p.Partition == partition && now.Sub(p.Begun) > s.slowAbove() {
 			return true
 		}
 	}
@@ -239,7 +278,7 @@
 // Hangs tells whether an append takes long and nothing was answered since it
 // began.
 func (s *StorePath) Hangs(begun, now time.Time) bool {
-	return now.Sub(begun) > storeSlowAbove && !s.AnsweredSince(begun)
+	return now.Sub(begun) > s.slowAbove() && !s.AnsweredSince(begun)
 }
 
 // AnsweredSince tells whether the store answered an append of anyone, as far as
@@ -265,7 +304,7 @@
 	case s.suspects(now):
 		return s.Patience(now) / 2
 	}
-	return storeHedgeLeast
+	return max(storeHedgeLeast, 2*s.slowAbove())
 }
 
 // State is the state as a whole.
--- a/internal/policy/storepath_test.go
+++ b/internal/policy/storepath_test.go
@@ -12,7 +12,7 @@
 func pathWith(took time.Duration, answers int) *StorePath {
 	s := new(StorePath)
 	for i := range answers {
-		s.Answered(took, at(time.Duration(i)*10*time.Millisecond))
+		s.Own(took, at(time.Duration(i)*10*time.Millisecond))
 	}
 	return s
 }
@@ -30,11 +30,11 @@
 	if got := s.HedgeAfter(now); got < time.Second {
 		t.Errorf("another instance is asked after %s", got)
 	}
-	if s.Overtaken(300*time.Millisecond, time.Second) {
+	if s.Overtaken(StoreAnswer{Took: 300 * time.Millisecond, Slow: true}, time.Second) {
 		t.Error("the way is blamed for a slow store")
 	}
 	for range 20 {
-		s.Answered(5*time.Millisecond, now)
+		s.Own(5*time.Millisecond, now)
 	}
 	if s.Gathers(1, nil, now) || s.State(now) != StoreGood {
 		t.Error("turns are gathered when the store is well again")
@@ -52,7 +52,7 @@
 	if s.Patience(now) != storePatienceLeast || s.HedgeAfter(now) != storeHedgeLeast {
 		t.Errorf("patience %s, hedge %s", s.Patience(now), s.HedgeAfter(now))
 	}
-	if !s.Overtaken(5*time.Millisecond, 100*time.Millisecond) {
+	if !s.Overtaken(StoreAnswer{Took: 5 * time.Millisecond}, 100*time.Millisecond) {
 		t.Error("the way is not blamed though others are answered")
 	}
 }
@@ -61,7 +61,7 @@
 func TestPartitionThatHangsStopsNoOther(t *testing.T) {
 	s := pathWith(5*time.Millisecond, 8)
 	hung := []Pending{{Partition: 2, Begun: at(100 * time.Millisecond)}}
-	s.Answered(5*time.Millisecond, at(120*time.Millisecond))
+	s.Own(5*time.Millisecond, at(120*time.Millisecond))
 	now := at(200 * time.Millisecond)
 	if s.Gathers(1, hung, now) || !s.Gathers(2, hung, now) {
 		t.Errorf("gathers 1: %v, 2: %v", s.Gathers(1, hung, now), s.Gathers(2, hung, now))
@@ -108,3 +108,16 @@
 		t.Error("that the store stays slow is not told")
 	}
 }
+
+// Far from the store longer appends are usual; ten times that is slow there as
+// well.
+func TestFarStoreIsNotSlow(t *testing.T) {
+	s := pathWith(50*time.Millisecond, 8)
+	now := at(200 * time.Millisecond)
+	if s.Own(60*time.Millisecond, now).Slow || s.Gathers(1, nil, now) || s.HedgeAfter(now) < 100*time.Millisecond {
+		t.Error("a store that is far away is taken for slow")
+	}
+	if !s.Own(500*time.Millisecond, now).Slow || !s.Gathers(1, nil, now) {
+		t.Error("a slow store that is far away is not noticed")
+	}
+}
--- a/internal/structs/conversation.go
+++ b/internal/structs/conversation.go
@@ -64,7 +64,8 @@
 type TurnsNotice struct {
 	Partition int
 	Turns     []KeptTurn
-	// Took is how long the store took for the append, 0 if it is unknown.
+	// Took is how long the store took for an append with StoreSlow, 0 if one
+	// hangs.
 	Took time.Duration
 	// News is what the sender has found out about the store. A notice may hold
 	// nothing else.
@@ -95,8 +96,10 @@
 	Number uint64
 	// Kept tells that the store holds the turns; if not, it may still.
 	Kept bool
-	// Took is how long the store took for the append, 0 if it is unknown.
+	// Took is how long the store took for the append, 0 if it is unknown. Slow
+	// tells that this is long for the instance that made it.
 	Took time.Duration
+	Slow bool
 }
 
 // Kind tags of the messages.
