--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -36,21 +36,28 @@
 // isTurn tells whether the request is a turn of a program.
 func (x *transfer) isTurn() bool { return x.call.Turn != nil && x.route.Kind == route.Stream }
 
-// hasRoom asks for room before anything is asked of others. Whether a turn of a
-// route that does not keep turns is a program's first is known later.
+// mayBegin tells whether a turn may be a program's first: of a route that keeps
+// turns one that continues none.
+func (x *transfer) mayBegin() bool {
+	return x.isTurn() && x.call.LastEvent == "" && (!x.route.KeepsTurns || x.call.PreviousTurn == "")
+}
+
+// begins tells whether a turn with room in its budget is its program's first.
+func (x *transfer) begins(lease Lease) bool {
+	return x.mayBegin() && (x.route.KeepsTurns || lease.First())
+}
+
+// hasRoom asks for room before anything is asked of others. First turns ask
+// later: the owner of their budget tells the load of the services, which an
+// instance that refuses all of them would not hear of.
 func (x *transfer) hasRoom() bool {
-	first := x.isTurn() && x.route.KeepsTurns && x.call.PreviousTurn == ""
-	return x.admitClass(x.roomClass(first))
+	return x.mayBegin() || x.admitClass(x.roomClass(false))
 }
 
-// hasRoomFirst asks for room once it is known that a turn is its program's first
-// and what its organisation uses. One that was let in before is asked for again
-// only where that speaks against it.
-func (x *transfer) hasRoomFirst(first bool) bool {
-	if !first || (x.route.KeepsTurns && x.use() <= policy.FairUse) {
-		return true
-	}
-	if x.admitClass(x.roomClass(true)) {
+// hasRoomForTurn asks for room for a turn that may have been its program's first,
+// once that is known; its organisation lets it in.
+func (x *transfer) hasRoomForTurn(begins bool) bool {
+	if !x.mayBegin() || x.admitClass(x.roomClass(begins)) {
 		return true
 	}
 	if permit, ok := x.permit.(usePermit); ok {
@@ -64,7 +71,7 @@
 	switch {
 	case x.call.Program == "":
 		return policy.RoomOutside
-	case first && x.call.LastEvent == "":
+	case first:
 		return policy.RoomFirst
 	case x.call.ProgramOver:
 		return policy.RoomLate
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -238,7 +238,8 @@
 		x.lastOfProgram = lease.Target()
 		x.settle = func() { lease.Settle(x.turnEnd(perEvent)) }
 		defer x.settleOnce()
-		if x.admit(lease.First()) && x.hasRoomFirst(lease.First()) {
+		begins := x.begins(lease)
+		if x.admit(begins) && x.hasRoomForTurn(begins) {
 			x.forward()
 		}
 	}
