--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -121,10 +121,10 @@
 // known from few targets and a moment ago, and callers come back several times: the
 // ramp is wide, so that a single view decides little.
 var (
-	firstRamp = ramp{start: 1.0, width: 0.9}
+	firstRamp = ramp{start: 1.15, width: 0.7}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.4, width: 0.9}
+	lateRamp = ramp{start: 1.3, width: 0.8}
 )
 
 const (
@@ -133,10 +133,10 @@
 	// mostRefused lets some through, whose answers tell how full targets are.
 	mostRefused = 0.97
 	// rankShift is how much earlier each rank is refused than the one before it.
-	rankShift = 0.1
+	rankShift = 0.05
 	// sizeShift is how much earlier programs are refused that need twice as much as
 	// others: their room carries several small ones.
-	sizeShift = 0.15
+	sizeShift = 0.05
 	// mostShift bounds both, around the mean.
 	mostShift = 0.3
 	// FairUse is the part of its limit up to which an organisation is served as
