Room: slow targets count less in a service's load; first turns are refused from 0.9 on

Cause: turns avoid slow engines, so these lower the mean fill while the quick ones have queues. Change: targets count by the work that they do (Registry.pool). Tests that name fills follow the ramp.

--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -116,12 +116,11 @@
 }
 
 // Programs are in time if they take up to about one and a half of their time on
-// idle engines, so few requests may wait at an engine; while as many run as there
-// are slots, a program that is refused and comes back is late for nothing. A fill is
-// known from few targets and a moment ago, and callers come back several times: the
-// ramp is wide, so that a single view decides little.
+// idle engines, so few requests may wait at an engine. A fill is known from few
+// targets and a moment ago, and callers come back several times: the ramp is wide,
+// so that a single view decides little.
 var (
-	firstRamp = ramp{start: 1.15, width: 0.7}
+	firstRamp = ramp{start: 0.9, width: 0.9}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
 	lateRamp = ramp{start: 1.3, width: 0.8}
--- a/internal/policy/room_test.go
+++ b/internal/policy/room_test.go
@@ -32,8 +32,8 @@
 		least, most float64
 	}{
 		{"half of the slots are free", RoomAsk{Class: RoomFirst, Rank: 9, Use: 1}, pool(0.5), 1, 1},
-		{"all slots are taken", first, pool(1), 1, 1},
-		{"some wait", first, pool(1.3), 0.6, 0.9},
+		{"slots are free", first, pool(0.85), 1, 1},
+		{"all slots are taken", first, pool(1.1), 0.6, 0.9},
 		{"as many wait as run", first, pool(2), 0.01, 0.1},
 		{"far too many", first, pool(100), 0.01, 0.1},
 		{"late work beside first turns", late, pool(1.25), 1, 1},
@@ -73,7 +73,7 @@
 			t.Fatalf("fill %.2f: served at the limit %.2f, else %.2f", fill, over, mean)
 		}
 	}
-	if over, usual := served(RoomAsk{Class: RoomFirst, Use: 1}, pool(1.4)), served(RoomAsk{Class: RoomFirst, Use: 0.6}, pool(1.4)); over > usual-0.3 {
+	if over, usual := served(RoomAsk{Class: RoomFirst, Use: 1}, pool(1.1)), served(RoomAsk{Class: RoomFirst, Use: 0.6}, pool(1.1)); over > usual-0.3 {
 		t.Errorf("at the limit %.2f are served, at a usual use %.2f", over, usual)
 	}
 }
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -36,7 +36,8 @@
 	Fill  float64
 	Known int
 	All   int
-	// Age is the mean age of the reports; in both means newer ones count more.
+	// Age is the mean age of the reports; in both means newer ones count more, and
+	// slow targets less, by the work that they do.
 	Age time.Duration
 }
 
@@ -50,6 +51,7 @@
 func (r *Registry) pool(service string, now time.Time) Pool {
 	var pool Pool
 	slots, busy, ages := 0.0, 0.0, 0.0
+	u := usualOf(r.byService[service])
 	for _, t := range r.byService[service] {
 		if t.Draining {
 			continue
@@ -59,7 +61,7 @@
 			continue
 		}
 		age := now.Sub(t.loadAt)
-		weight := float64(max(t.Slots, 1)) * math.Exp2(-float64(age)/float64(poolHalfLife))
+		weight := float64(max(t.Slots, 1)) * math.Exp2(-float64(age)/float64(poolHalfLife)) / max(t.slowness(u, now), 1)
 		pool.Known++
 		slots += weight
 		busy += weight * float64(t.load.Running+t.load.Waiting) / float64(max(t.Slots, 1))
