--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -119,15 +119,14 @@
 }
 
 // Programs are in time if they take up to about one and a half of their time on
-// idle engines, so few requests may wait at an engine; while as many run as there
-// are slots, a program that is refused and comes back is late for nothing. A fill is
-// known from few targets and a moment ago, and callers come back several times: the
-// ramp is wide, so that a single view decides little.
+// idle engines, so few requests may wait at an engine: the share that is let in has
+// to settle where the slots are just taken, and a wide ramp would settle it at a
+// queue.
 var (
-	firstRamp = ramp{start: 0.8, width: 0.3}
+	firstRamp = ramp{start: 0.9, width: 0.3}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.1, width: 0.5}
+	lateRamp = ramp{start: 1.2, width: 0.5}
 )
 
 const (
@@ -136,10 +135,10 @@
 	// mostRefused lets some through, whose answers tell how full targets are.
 	mostRefused = 0.97
 	// rankShift is how much earlier each rank is refused than the one before it.
-	rankShift = 0.1
+	rankShift = 0.05
 	// sizeShift is how much earlier programs are refused that need twice as much as
 	// others: their room carries several small ones.
-	sizeShift = 0.15
+	sizeShift = 0.05
 	// mostShift bounds both, around the mean.
 	mostShift = 0.3
 	// FairUse is the part of its limit up to which an organisation is served as
