--- a/internal/allowance/needs.go
+++ b/internal/allowance/needs.go
@@ -16,8 +16,12 @@
 	defaultWeight = 2
 	// memory is the number of programs after which what was seen counts half.
 	memory = 200
-	// quiet is the time without a request after which a program counts as ended.
-	quiet = 5 * time.Second
+	// quiet is the time without a request after which a program counts as ended;
+	// what it sends later is added. Long pauses are rare, and what programs need
+	// should be known before an overload.
+	quiet = time.Second
+	// forgotten is the time without a request after which it is followed no more.
+	forgotten = 10 * time.Second
 	// countInterval is the time between two looks for programs that have ended.
 	countInterval = 250 * time.Millisecond
 	// maxFollowed bounds the programs of an organisation that are followed.
@@ -28,6 +32,8 @@
 type followed struct {
 	requests int
 	last     time.Time
+	// counted tells that it counts as ended.
+	counted bool
 }
 
 // needs learns what a program of one organisation needs, in requests.
@@ -53,8 +59,15 @@
 
 // add counts a request of a program under way.
 func (n *needs) add(program uint64, now time.Time) {
-	if f, ok := n.under[program]; ok {
-		n.under[program] = followed{requests: f.requests + 1, last: now}
+	f, ok := n.under[program]
+	if !ok {
+		return
+	}
+	f.requests++
+	f.last = now
+	n.under[program] = f
+	if f.counted {
+		n.requests++
 	}
 }
 
@@ -68,10 +81,14 @@
 	longer, longerRequests := 0.0, 0.0
 	for program, f := range n.under {
 		switch {
+		case f.counted && now.Sub(f.last) > forgotten:
+			delete(n.under, program)
+		case f.counted:
 		case now.Sub(f.last) > quiet:
 			n.requests += float64(f.requests)
 			n.programs++
-			delete(n.under, program)
+			f.counted = true
+			n.under[program] = f
 		case float64(f.requests) > n.perProgram:
 			longer++
 			longerRequests += float64(f.requests)
--- a/internal/allowance/needs_test.go
+++ b/internal/allowance/needs_test.go
@@ -25,6 +25,7 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 	n.count(now.Add(quiet + time.Second))
+	n.count(now.Add(forgotten + time.Second))
 	if math.Abs(n.perProgram-26) > 0.2 {
 		t.Errorf("%.1f requests a program after all ended", n.perProgram)
 	}
@@ -46,3 +47,23 @@
 		t.Errorf("%.1f requests a program, one under way has sent 201", n.perProgram)
 	}
 }
+
+// TestAProgramThatPausesCountsOnce replays a program with a pause in the middle.
+func TestAProgramThatPausesCountsOnce(t *testing.T) {
+	n, now := newNeeds(), time.Unix(0, 0)
+	for program := range uint64(100) {
+		n.begin(program+1, now)
+	}
+	for range 2 {
+		for range 5 {
+			for program := range uint64(100) {
+				n.add(program+1, now)
+			}
+		}
+		now = now.Add(quiet + countInterval)
+		n.count(now)
+	}
+	if n.programs != 100 || n.requests != 1100 {
+		t.Errorf("%g programs with %g requests, 100 have sent 11 each", n.programs, n.requests)
+	}
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -52,6 +52,7 @@
 room|3|N=2 MAXCLAIM=5 MAXHAND=2 MAXDIE=4|the same with more claims and deaths
 turns|9||a turn whose caller saw its end is never called unknown
 turns|10||a turn that can be named lies with all before it in one partition
+votes|11||a voter's part of a limit counts in full for one coordinator at most
 config|5||one accepted value a version, verdicts true
 config|7||each operator hears a verdict once faults cease
 config|cycle||every run is finite, so end states are reached
@@ -101,6 +102,12 @@
 turns|10|STALE_KNOWN|a turn taken to be where it was, though it was dropped there since
 turns|10|DROP_UNREAD|turns dropped without reading what continues them
 turns|10|NO_MARGIN|turns dropped while one that continues them is on its way
+votes|11|COUNT_FROM_REPLY|a vote counts from its arrival, not from the request
+votes|11|LEND_TWICE|the voter does not look at its loan
+votes|11|FRESH_IS_FULL|a vote of a voter that has just started counts in full
+votes|11|ENDED_IF_SILENT|a coordinator that is not heard taken for ended
+votes|11|RELEASE_FIRST|a coordinator that leaves tells so before it drops its vote
+votes|11|LATE_VOTE|a coordinator that has left takes a vote that comes late
 config|5|NO_READBACK|"accepted" on the append's reply
 config|5|STALE_BASE|stale base accepted
 config|5|LAST_COPY|verdict taken from a duplicate
