--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -25,14 +25,6 @@
 	Dump(now time.Time) []overload.Dump
 }
 
-// usePermit is a permit that tells of its organisation's use.
-type usePermit interface {
-	// Use is what the organisation uses, in parts of its limit; 0 if unknown.
-	Use() float64
-	// GiveBack tells that the request does not run.
-	GiveBack()
-}
-
 // isTurn tells whether the request is a turn of a program.
 func (x *transfer) isTurn() bool { return x.call.Turn != nil && x.route.Kind == route.Stream }
 
@@ -60,8 +52,8 @@
 	if !x.mayBegin() || x.admitClass(x.roomClass(begins)) {
 		return true
 	}
-	if permit, ok := x.permit.(usePermit); ok {
-		permit.GiveBack()
+	if x.permit != nil {
+		x.permit.GiveBack()
 	}
 	return false
 }
@@ -109,10 +101,10 @@
 
 // use is what the request's organisation uses, 0 if that is not known.
 func (x *transfer) use() float64 {
-	if permit, ok := x.permit.(usePermit); ok {
-		return permit.Use()
+	if x.permit == nil {
+		return 0
 	}
-	return 0
+	return x.permit.Use()
 }
 
 // comeBack is when the caller should come back after no target took the request.
