Targets without a pace are placed by what they told this instance; means are told without their noise

Change: the former placement reads the instance's own reports alone; what others heard counts for the pools' loads and the placement by expected end. The learned mean that instances tell each other is told without what may be noise, since the hearer cannot know how many samples it rests on and took it as sure.

--- a/internal/policy/estimate.go
+++ b/internal/policy/estimate.go
@@ -86,12 +86,27 @@
 	if s.At.IsZero() || usual <= 0 {
 		return standing
 	}
-	off := s.Mean/usual - standing
-	sure := off * off / (off*off + noiseWeight*s.errorOfMean()/(usual*usual) + math.SmallestNonzeroFloat64)
-	slowness := standing + off*sure*fade(now.Sub(s.At), speedLife)
+	slowness := standing + s.trend(usual, standing)*fade(now.Sub(s.At), speedLife)
 	return min(max(slowness, minSlowness), maxSlowness)
 }
 
+// trend is how far the mean is from the target's standing, in parts of the usual,
+// without what may be noise.
+func (s *Speed) trend(usual, standing float64) float64 {
+	off := s.Mean/usual - standing
+	noise := noiseWeight * s.errorOfMean() / (usual * usual)
+	return off * off * off / (off*off + noise + math.SmallestNonzeroFloat64)
+}
+
+// Told is the mean that others are told: without what may be noise, which they
+// cannot know. It is 0 if nothing was learned.
+func (s *Speed) Told(usual, standing float64) float64 {
+	if s.At.IsZero() || usual <= 0 {
+		return 0
+	}
+	return usual * (standing + s.trend(usual, standing))
+}
+
 // errorOfMean is the variance of the moving mean.
 func (s *Speed) errorOfMean() float64 { return s.Variance * speedGain / (2 - speedGain) }
 
--- a/internal/policy/estimate_test.go
+++ b/internal/policy/estimate_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// Others are told what is left of a mean without its noise: nearly the usual of a
+// target of which two uneven answers were seen, the mean of a target that is slow.
+func TestSpeedIsToldWithoutItsNoise(t *testing.T) {
+	uneven := []float64{0.4, 2.6}
+	few, _ := speedOf(2, func() float64 { next := uneven[0]; uneven = uneven[1:]; return next })
+	if told := few.Told(1, 1); told < 0.8 || told > 1.2 {
+		t.Errorf("told %.2f of a mean of %.2f", told, few.Mean)
+	}
+	slow, _ := speedOf(10, func() float64 { return 4 })
+	if told := slow.Told(1, 1); told < 3 {
+		t.Errorf("told %.2f of a mean of %.2f", told, slow.Mean)
+	}
+	if none := new(Speed).Told(1, 1); none != 0 {
+		t.Errorf("told %.2f of nothing", none)
+	}
+}
+
 func TestSpeedHearsWhatIsNewer(t *testing.T) {
 	var s Speed
 	s.Hear(4, estimateStart)
--- a/internal/structs/targetreport.go
+++ b/internal/structs/targetreport.go
@@ -16,8 +16,8 @@
 	// Age is the time since the target sent the report.
 	Age time.Duration
 	// Speed is the time that the target takes for a unit of its service's work,
-	// in millionths, as some instance learned it; 0 if unknown. SpeedAge is the
-	// time since its last sample.
+	// in millionths, as some instance learned it, without what may be noise; 0 if
+	// unknown. SpeedAge is the time since its last sample.
 	Speed    int
 	SpeedAge time.Duration
 }
--- a/internal/targets/ends_test.go
+++ b/internal/targets/ends_test.go
@@ -76,7 +76,7 @@
 	later := now.Add(20 * time.Millisecond)
 	var told []structs.TargetReport
 	for _, target := range r.byID {
-		told = append(told, target.report(later))
+		told = append(told, target.report(usualOf(r.byService["s"]), later))
 	}
 	other.HearLoads(told, later)
 	for name, at := range map[string]*Registry{"seen": r, "heard": other} {
@@ -125,6 +125,22 @@
 	}
 }
 
+// What other instances heard does not move the programs of targets that say
+// nothing of their pace.
+func TestProgramsStayAtTargetsWithoutAPaceWhateverOthersHeard(t *testing.T) {
+	now := time.Unix(100, 0)
+	r, other := newTestRegistry(3), newTestRegistry(3)
+	other.Report(other.byID["t0"], call.Load{Running: 3 * testSlots, Slots: testSlots}, now)
+	r.HearLoads(other.Loads(now), now)
+	want := Want{Service: "s", Key: "p", Last: "t0", Remembered: true, Stream: true}
+	if got := r.Pick(want, now); got.ID != "t0" {
+		t.Errorf("%s was chosen", got.ID)
+	}
+	if pool := r.Pool("s", now); pool.Known != 1 || pool.Fill != 3 {
+		t.Errorf("the pool's load is %+v", pool)
+	}
+}
+
 func TestWhyTellsTheEstimateAndTheRunnerUp(t *testing.T) {
 	now := time.Unix(100, 0)
 	r := pacedRegistry(2, keptTo{}, now)
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -101,7 +101,7 @@
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var loads []structs.TargetReport
 	for _, t := range newest[:most] {
-		loads = append(loads, t.report(now))
+		loads = append(loads, t.report(usualOf(r.byService[t.Service]), now))
 	}
 	return loads
 }
--- a/internal/targets/speeds.go
+++ b/internal/targets/speeds.go
@@ -201,11 +201,15 @@
 // slowness is the target's time for the same work over the usual one, apart from
 // what it says of the present.
 func (t *Target) slowness(u usual, now time.Time) float64 {
-	standing := 1.0
-	if t.standing.Middle > 0 {
-		standing = t.standing.Middle / u.standing
+	return t.speed.Slowness(u.speed, t.says(u), now)
+}
+
+// says is what the target usually says of its pace, over the usual one.
+func (t *Target) says(u usual) float64 {
+	if t.standing.Middle <= 0 {
+		return 1
 	}
-	return t.speed.Slowness(u.speed, standing, now)
+	return t.standing.Middle / u.standing
 }
 
 // present is the slowness with what the target says of the present.
@@ -226,12 +230,12 @@
 }
 
 // report is what others are told of a target.
-func (t *Target) report(now time.Time) structs.TargetReport {
+func (t *Target) report(u usual, now time.Time) structs.TargetReport {
 	report := structs.TargetReport{
 		Target: t.hash, Running: t.load.Running, Waiting: t.load.Waiting, Pace: t.load.Pace, Age: now.Sub(t.loadAt),
 	}
-	if !t.speed.At.IsZero() {
-		report.Speed, report.SpeedAge = int(t.speed.Mean/speedUnit), now.Sub(t.speed.At)
+	if told := t.speed.Told(u.speed, t.says(u)); told > 0 {
+		report.Speed, report.SpeedAge = int(told/speedUnit), now.Sub(t.speed.At)
 	}
 	return report
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -60,6 +60,9 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	heard          bool
+	// told is the newest report that was given to this instance itself, by which
+	// targets that do not tell their pace are placed.
+	told told
 	// usualFill is the moving mean of the reports, in parts of the slots.
 	usualFill float64
 	// speed is what was learned of the target's time for a unit of work, standing
@@ -244,6 +247,7 @@
 	defer r.mu.Unlock()
 	r.setLoad(t, load, now)
 	t.heard = false
+	t.told = told{busy: load.Running + load.Waiting, at: now, inFlight: t.inFlight}
 	if t.DataCentre == r.dataCentre {
 		r.noteNearLoad(t, load)
 	}
@@ -274,11 +278,22 @@
 	return t.Service == entry.Service && t.Address == entry.Address && t.Start == entry.Start
 }
 
-// busy estimates how many requests run and wait at a target.
+// told is a target's report to this instance.
+type told struct {
+	// busy counts the requests that ran and waited at the time, inFlight those of
+	// this instance among them.
+	busy     int
+	at       time.Time
+	inFlight int
+}
+
+// busy estimates how many requests run and wait at a target, by what it told this
+// instance. What others heard makes programs leave engines that are full for a
+// moment, and read their prompts again.
 func (t *Target) busy(now time.Time) float64 {
-	if now.Sub(t.loadAt) > loadAge {
+	if now.Sub(t.told.at) > loadAge {
 		return float64(t.inFlight)
 	}
-	reported := t.load.Running + t.load.Waiting + t.inFlight - t.inFlightAtLoad
+	reported := t.told.busy + t.inFlight - t.told.inFlight
 	return float64(max(reported, t.inFlight))
 }
