--- a/internal/policy/expected.go
+++ b/internal/policy/expected.go
@@ -22,15 +22,15 @@
 	// moveGain is how much sooner a program's turn must be expected to end
 	// elsewhere for the program to move.
 	moveGain = 0.5
-	// shareCost is added for a target that usually has twice what others have, so
-	// that connections that are kept do not crowd some.
-	shareCost = 0.4
-	// moveTimesCrowded is how many times as long the turn must be expected to take
-	// where it is for the program to move while no target has room.
-	moveTimesCrowded = 3
 	// moveGainOpen is the same where this instance has no connection to the engine
 	// that has the prompt: the program's turns came through another one so far.
 	moveGainOpen = 0.1
+	// moveTimesCrowded is how many times as long the turn must be expected to take
+	// where it is for the program to move while no target has room.
+	moveTimesCrowded = 3
+	// shareCost is added for a target that usually has twice what others have, so
+	// that connections that are kept do not crowd some.
+	shareCost = 0.4
 	// warmGain is what a target saves that may have kept what an object needs: half
 	// of the work at most, and only if the object came there lately.
 	warmGain = 0.25
@@ -57,8 +57,8 @@
 	// for the same work over the usual.
 	Fill     float64
 	Slowness float64
-	// Share is what the target usually has over what those of its service usually
-	// have, 1 if unknown.
+	// Share is what the target usually has over what those of its data centre
+	// usually have, 1 if unknown.
 	Share float64
 	// Opens tells that a connection has to be opened, Far that it is in another
 	// data centre, Cold that it started just now.
--- a/internal/targets/speeds.go
+++ b/internal/targets/speeds.go
@@ -12,6 +12,8 @@
 	speedUnit = 1e-6
 	// routeGain is the weight of an answer in the usual time of its route.
 	routeGain = 0.02
+	// maxRoutes bounds the routes whose times are kept for one service.
+	maxRoutes = 4096
 	// initialRequest is taken for the time of a request until some were seen.
 	initialRequest = 200 * time.Millisecond
 )
@@ -47,6 +49,9 @@
 func (w *work) route(name string) *routeTimes {
 	times := w.routes[name]
 	if times == nil {
+		if len(w.routes) >= maxRoutes {
+			clear(w.routes) // most are of former settings
+		}
 		times = new(routeTimes)
 		w.routes[name] = times
 	}
