--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -80,8 +80,9 @@
 // Open makes an Account that holds nothing.
 func (b *Bound) Open() Account { return Account{bound: b} }
 
-// SetUnderWay tells that the request belongs to a program under way.
-func (a *Account) SetUnderWay() { a.underWay = true }
+// SetUnderWay tells whether what is held next is needed by a program under way,
+// which may use the whole bound.
+func (a *Account) SetUnderWay(needed bool) { a.underWay = needed }
 
 // Hold takes some bytes more, or returns a *ShortError.
 func (a *Account) Hold(size int64) error {
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -105,8 +105,9 @@
 // readAnswer reads a plain answer as far as it is held: up to maxBuffered, or
 // less while memory is short. The answer is longer if it was not read to its end.
 func (x *transfer) readAnswer(resp *exchange.Response) (body []byte, longer bool, err error) {
-	// The request has run, so that its answer goes before what has not.
-	x.held.SetUnderWay()
+	// An answer that is not held is passed on as it comes, so that it leaves to
+	// requests of programs under way what they cannot do without.
+	x.held.SetUnderWay(false)
 	expected := resp.Length
 	if expected > maxBuffered {
 		expected = 0
--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -31,7 +31,7 @@
 // false if the request has been answered.
 func (x *transfer) readBody() bool {
 	if x.ofProgramUnderWay() {
-		x.held.SetUnderWay()
+		x.held.SetUnderWay(true)
 	}
 	limit := x.table.Limits.MaxBodyBytes
 	source := io.Reader(x.request.Body)
