Speeds of targets are learned, and first turns refused, where callers may press

Cause: one of the deployments whose callers compete for too little room tells no pace of its targets' machines, so that neither placement by expected end nor admission worked there.

Change: the settings' contracts say whether callers may ask for more than is there; then the speeds of all targets are learned.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,7 +93,11 @@
 }
 
 func newRegistry(machine platform.Machine, pool *exchange.Pool) *targets.Registry {
-	return targets.NewRegistry(machine.DataCentre, pool)
+	registry := targets.NewRegistry(machine.DataCentre, pool)
+	if machine.Contended {
+		registry.LearnSpeeds()
+	}
+	return registry
 }
 
 func newConnections(pool *exchange.Pool) connections { return pool }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -199,7 +199,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.service(name, now)
-	if !s.view.Paced || !s.view.Full() && (s.view.Tells() || refusals <= 1) {
+	if !s.view.Learned || !s.view.Full() && (s.view.Tells() || refusals <= 1) {
 		return true
 	}
 	return s.again()
@@ -256,7 +256,7 @@
 	}
 	if s.viewAt.IsZero() || now.Sub(s.viewAt) >= viewAge {
 		p := g.pools.Pool(name, now)
-		s.view = policy.PoolLoad{Service: name, Fill: p.Fill, Known: p.Known, All: p.All, Age: p.Age, Paced: p.Paced}
+		s.view = policy.PoolLoad{Service: name, Fill: p.Fill, Known: p.Known, All: p.All, Age: p.Age, Learned: p.Learned}
 		s.viewAt = now
 		s.metrics.see(s.view)
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return targets.Pool{}
 	}
-	return targets.Pool{Fill: fill, Known: 40, All: 44, Age: 200 * time.Millisecond, Paced: true}
+	return targets.Pool{Fill: fill, Known: 40, All: 44, Age: 200 * time.Millisecond, Learned: true}
 }
 
 var start = time.Unix(1000, 0)
@@ -95,7 +95,7 @@
 		t.Errorf("where nothing is known %d of 1000 are sent again once", got)
 	}
 	if got := again(guard(nil), 3); got != 1000 {
-		t.Errorf("where targets tell no pace %d of 1000 are sent again", got)
+		t.Errorf("where no speeds are learned %d of 1000 are sent again", got)
 	}
 	g := guard(fills{"engine": 3})
 	failures := 0
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -47,9 +47,9 @@
 	Known int
 	All   int
 	Age   time.Duration
-	// Paced tells that the targets tell the pace of their machines. Without it
-	// targets that are busy cannot be told from such that are slow.
-	Paced bool
+	// Learned tells that the targets' speeds are learned. Otherwise those that are
+	// busy cannot be told from those that are slow.
+	Learned bool
 }
 
 const (
@@ -62,7 +62,7 @@
 
 // Tells tells whether enough is known to refuse anything.
 func (p PoolLoad) Tells() bool {
-	return p.Paced && p.All > fewTargets && p.Known > fewTargets && float64(p.Known) >= knownShare*float64(p.All)
+	return p.Learned && p.All > fewTargets && p.Known > fewTargets && float64(p.Known) >= knownShare*float64(p.All)
 }
 
 // Full tells that all slots are taken, as far as is known.
--- a/internal/policy/room_test.go
+++ b/internal/policy/room_test.go
@@ -7,7 +7,7 @@
 
 // pool is one of many targets that all reported.
 func pool(fill float64) PoolLoad {
-	return PoolLoad{Service: "s", Fill: fill, Known: 40, All: 44, Age: 300 * time.Millisecond, Paced: true}
+	return PoolLoad{Service: "s", Fill: fill, Known: 40, All: 44, Age: 300 * time.Millisecond, Learned: true}
 }
 
 // served is the share of evenly drawn programs that are let in.
--- a/internal/targets/pool_test.go
+++ b/internal/targets/pool_test.go
@@ -89,7 +89,7 @@
 		report(r, 0, 4, 4*testSlots, 400, now)
 		report(r, 4, 12, testSlots/2, 100, now)
 	}
-	if pool := r.Pool("s", now); !pool.Paced || pool.Fill < 0.5 || pool.Fill > 1 {
+	if pool := r.Pool("s", now); !pool.Learned || pool.Fill < 0.5 || pool.Fill > 1 {
 		t.Errorf("a third has long queues, the others are half free: %+v", pool)
 	}
 }
@@ -111,7 +111,7 @@
 	report(owner, 0, 20, 2*testSlots, 100, now)
 	report(r, 0, 5, 0, 100, now)
 	r.HearPools(owner.PoolReports(now), now)
-	if pool := r.Pool("s", now); pool.Known != 20 || pool.Fill < 1.9 || !pool.Paced {
+	if pool := r.Pool("s", now); pool.Known != 20 || pool.Fill < 1.9 || !pool.Learned {
 		t.Errorf("the owner knows that all are full: %+v", pool)
 	}
 	less := newTestRegistry(20)
@@ -124,3 +124,18 @@
 		t.Errorf("an old view still counts: %+v", pool)
 	}
 }
+
+// Speeds are learned where targets tell their pace, or where that is asked for.
+func TestSpeedsAreLearnedWhereAskedFor(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := newTestRegistry(4)
+	report(r, 0, 4, testSlots, 0, now)
+	if pool := r.Pool("s", now); pool.Learned || len(r.PoolReports(now)) != 0 {
+		t.Errorf("nobody asked for speeds: %+v", pool)
+	}
+	r.LearnSpeeds()
+	r.Put(Entry{ID: "u", Service: "other", Address: "u", DataCentre: "dc", Slots: testSlots})
+	if pool := r.Pool("s", now); !pool.Learned || !r.Pool("other", now).Learned {
+		t.Errorf("got %+v", pool)
+	}
+}
--- a/internal/targets/pools.go
+++ b/internal/targets/pools.go
@@ -31,8 +31,8 @@
 	All   int
 	// Age is the mean age of the reports.
 	Age time.Duration
-	// Paced tells that targets tell the pace of their machines.
-	Paced bool
+	// Learned tells that the speeds of the targets are learned.
+	Learned bool
 }
 
 // poolView is another instance's view of a service.
@@ -69,7 +69,7 @@
 func (r *Registry) ownPool(service string, now time.Time) Pool {
 	all := r.byService[service]
 	usual := usualOf(all)
-	var pool Pool
+	pool := Pool{Learned: r.works[service] != nil}
 	capacity, busy, ages := 0.0, 0.0, 0.0
 	for _, t := range all {
 		if t.Draining {
@@ -83,7 +83,6 @@
 			continue
 		}
 		pool.Known++
-		pool.Paced = pool.Paced || t.load.Pace > 0
 		busy += weight * t.fill(0, poolReportLife, now)
 		ages += float64(age)
 	}
@@ -101,7 +100,7 @@
 	var reports []structs.PoolReport
 	for service := range r.byService {
 		pool := r.ownPool(service, now)
-		if pool.Known == 0 || !pool.Paced {
+		if pool.Known == 0 || !pool.Learned {
 			continue
 		}
 		reports = append(reports, structs.PoolReport{
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -118,8 +118,10 @@
 	// nearLoads are the usual loads of the targets of this data centre, by
 	// service, in parts of their slots.
 	nearLoads map[string]float64
-	// works are the usual works of services whose targets tell their pace.
+	// works are what is usual for services whose targets' speeds are learned.
 	works map[string]*work
+	// learns tells that the speeds of all targets are learned.
+	learns bool
 	// seed differs between instances, so that each prefers other targets of those
 	// that are alike.
 	seed string
@@ -144,6 +146,17 @@
 	}
 }
 
+// LearnSpeeds has the speeds of all targets learned, also of those that do not tell
+// the pace of their machines.
+func (r *Registry) LearnSpeeds() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.learns = true
+	for service := range r.byService {
+		r.work(service)
+	}
+}
+
 // Put adds or updates a target and tells whether it is new or began to leave.
 // Nothing that is known of an earlier start, or of another service or address
 // under the same id, holds for the new one.
@@ -163,6 +176,9 @@
 	r.byIncarnation[t.incarnation] = t
 	r.byHash[t.hash] = t
 	r.byService[entry.Service] = append(r.byService[entry.Service], t)
+	if r.learns {
+		r.work(entry.Service)
+	}
 	return true
 }
 
