--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -187,14 +187,3 @@
 	defer k.mu.Unlock()
 	p.awayUntil = time.Now().Add(awayTime)
 }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/conversation/lane.go
+++ b/internal/conversation/lane.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/policy"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/platform"
@@ -186,7 +187,7 @@
 			f.cancel(context.DeadlineExceeded)
 			return
 		}
-		if !pause(ctx, left) {
+		if !delay.Sleep(ctx, left) {
 			return
 		}
 	}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/banyanglade/banyanglade/internal/call"
+	"github.com/banyanglade/banyanglade/internal/rendezvous"
 )
 
 // Want says what kind of target a request needs.
@@ -170,11 +169,4 @@
 }
 
 // rank orders targets for a key by rendezvous hashing.
-func rank(key, id string) float64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(id)
-	return float64(d.Sum64())
-}
+func rank(key, id string) float64 { return float64(rendezvous.Score(key, id)) }
