Store path: partitions that refuse are no outage; programs begin until a quarter of the slots waits

Change: a failure within 0.3 s of a success is its partition's own, an outage shorter than that is told to nobody, and what was set aside stays so.

--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -109,8 +109,11 @@
 	case err != nil:
 		o.pause = min(2*o.pause, appendRetryMost)
 	case failing:
+		told := k.path.Ended(time.Since(o.since))
 		k.endOutage()
-		k.tellBack()
+		if told {
+			k.tellBack()
+		}
 	}
 	return o.pause
 }
@@ -123,9 +126,6 @@
 	}
 	k.log.Info("turns can be kept again", "away_ms", time.Since(o.since).Milliseconds())
 	o.since = time.Time{}
-	for _, p := range k.partitions {
-		p.awayUntil = time.Time{}
-	}
 	o.signal()
 }
 
--- a/internal/policy/room.go
+++ b/internal/policy/room.go
@@ -119,14 +119,13 @@
 }
 
 // Programs are in time if they take up to about one and a half of their time on
-// idle engines, so few requests may wait at an engine: the share that is let in has
-// to settle where the slots are just taken, and a wide ramp would settle it at a
-// queue.
+// idle engines: a quarter of the slots may wait, and the share that is let in has to
+// settle before a second round does.
 var (
-	firstRamp = ramp{start: 0.9, width: 0.3}
+	firstRamp = ramp{start: 1.25, width: 0.5}
 	// Late work still earns a part: it goes only where refusing first turns did
 	// not suffice.
-	lateRamp = ramp{start: 1.2, width: 0.5}
+	lateRamp = ramp{start: 1.6, width: 0.6}
 )
 
 const (
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -46,6 +46,10 @@
 	storeTellPause = time.Second
 	// storeTellers is how many instances tell: none is connected with all.
 	storeTellers = 4
+	// storeOutage is how long appends fail at least for their return to be news to
+	// others, and how long after a success a failure is taken for the partition's
+	// own: a part of the partitions may be away.
+	storeOutage = 300 * time.Millisecond
 	// storeSettle is how long turns are gathered after the store's return, when
 	// all that waited comes at once.
 	storeSettle = 500 * time.Millisecond
@@ -69,10 +73,12 @@
 	shortest time.Duration
 	// suspected is when an append was last seen to hang, here or elsewhere.
 	suspected time.Time
-	// failing tells that this instance's last append failed, returned when one
-	// succeeded after that.
-	failing  bool
-	returned time.Time
+	// failing tells that this instance's appends fail since failedAt; succeeded is
+	// when one last succeeded, returned when one did after an outage.
+	failing   bool
+	failedAt  time.Time
+	succeeded time.Time
+	returned  time.Time
 	// usual is the time of this instance's appends when the store is well.
 	usual time.Duration
 	// told is when this instance last told others that the store is slow, heard
@@ -182,16 +188,25 @@
 }
 
 // OwnAppend notes whether an append of this instance succeeded. It tells whether
-// appends succeed again.
+// appends succeed again after an outage.
 func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
-	back = ok && s.failing
-	if back {
-		s.returned = now
+	if ok {
+		back = s.failing && now.Sub(s.failedAt) >= storeOutage
+		s.failing, s.succeeded = false, now
+		if back {
+			s.returned = now
+		}
+		return back
+	}
+	if !s.failing && now.Sub(s.succeeded) >= storeOutage {
+		s.failing, s.failedAt = true, now
 	}
-	s.failing = !ok
-	return back
+	return false
 }
 
+// Ended tells whether an outage that has lasted for a time is news to others.
+func (s *StorePath) Ended(lasted time.Duration) bool { return lasted >= storeOutage }
+
 // TellsOfHanging tells whether others should be told that an append hangs: the
 // store may be slow, which all would find out one after the other.
 func (s *StorePath) TellsOfHanging(now time.Time) bool {
