--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -74,7 +74,7 @@
 // tryResult is how one try ended, and by which instance.
 type tryResult struct {
 	by structs.InstanceID
-	laneResult
+	appendResult
 }
 
 // begin notes a try.
@@ -93,7 +93,7 @@
 	r.directTried = true
 	r.begin(self)
 	go func() {
-		result := w.keeper.ride(ctx, w.partition, w.turns, w.records)
+		result := w.keeper.appendBatched(ctx, w.partition, w.turns, w.records)
 		r.results <- tryResult{self, result}
 	}()
 }
@@ -142,7 +142,7 @@
 	r.begin(helper)
 	go func() {
 		took, slow, err := r.writing.appendBy(ctx, helper)
-		r.results <- tryResult{helper, laneResult{took, slow, err}}
+		r.results <- tryResult{helper, appendResult{took, slow, err}}
 	}()
 	return true
 }
@@ -210,14 +210,14 @@
 		}
 		k.path.OwnAppend(false, now)
 		k.directAfter = now.Add(jittered(directPause))
-		p.lane.abandon(func(age time.Duration) bool { return k.path.Overtaken(winner.answer(), age) }, now)
+		p.appends.abandon(func(age time.Duration) bool { return k.path.Overtaken(winner.answer(), age) }, now)
 	}
 	k.noteState(nil)
 }
 
 // noteAppend learns from an append of this instance. Its outcome is unknown if
 // the Keeper stopped.
-func (k *Keeper) noteAppend(p *partition, result *laneResult) {
+func (k *Keeper) noteAppend(p *partition, result *appendResult) {
 	if k.ctx.Err() != nil {
 		return
 	}
@@ -227,7 +227,7 @@
 	if result.err == nil {
 		answer := k.path.Own(result.took, now)
 		result.slow = answer.Slow
-		p.lane.window.Answered(answer, k.path.Shortest())
+		p.appends.window.Answered(answer, k.path.Shortest())
 	}
 	if errors.Is(result.err, context.DeadlineExceeded) {
 		k.path.TimedOut(now)
@@ -285,7 +285,7 @@
 	k.path.OwnAppend(true, now)
 	k.noteState(nil)
 	for _, p := range k.partitions {
-		p.lane.abandon(func(age time.Duration) bool { return !k.path.Slow(now) && k.path.Overtaken(policy.StoreAnswer{}, age) }, now)
+		p.appends.abandon(func(age time.Duration) bool { return !k.path.Slow(now) && k.path.Overtaken(policy.StoreAnswer{}, age) }, now)
 	}
 	clear(k.unableUntil)
 	k.endOutage()
@@ -367,19 +367,19 @@
 
 // keepForOther appends turns of another instance, at once or not at all if this
 // instance's appends fail.
-func (k *Keeper) keepForOther(p *partition, turns []structs.KeptTurn) laneResult {
+func (k *Keeper) keepForOther(p *partition, turns []structs.KeptTurn) appendResult {
 	k.mu.Lock()
 	failing := k.path.Failing()
 	k.mu.Unlock()
 	if failing && !k.triesDirect() {
-		return laneResult{err: errNotKept}
+		return appendResult{err: errNotKept}
 	}
 	records, err := encodeTurns(turns)
 	if err != nil {
 		k.log.Error("turns of another instance not encoded", "error", err.Error())
-		return laneResult{err: err}
+		return appendResult{err: err}
 	}
-	result := k.ride(k.ctx, p, turns, records)
+	result := k.appendBatched(k.ctx, p, turns, records)
 	if result.err == nil {
 		k.learn(turns, p.number)
 	}
--- a/internal/conversation/lane.go
+++ b/internal/conversation/batch.go
@@ -22,96 +22,96 @@
 	recordOverhead = 8
 )
 
-// lane is the way of one instance's turns to one partition: what comes while as
-// many appends are in flight as the store carries rides on the next one. That is
-// one, unless a slow store's answers only are long on their way. The Keeper's
+// appendQueue is what an instance appends to one partition: what comes while as
+// many appends are in flight as the store carries goes into the next one. That is
+// one, unless a slow store's answers only take long on their way. The Keeper's
 // mutex guards it.
-type lane struct {
-	waiting []*rider
-	// flights are the appends in flight, the oldest first.
-	flights []*flight
-	window  policy.AppendWindow
+type appendQueue struct {
+	waiting []*waitingTurns
+	// open are the appends in flight, the oldest first.
+	open   []*openAppend
+	window policy.AppendWindow
 }
 
-// flight is an append in flight.
-type flight struct {
+// openAppend is an append in flight.
+type openAppend struct {
 	begun  time.Time
 	cancel context.CancelCauseFunc
 }
 
 // abandon ends appends that have no answer for a time: they may take effect yet,
-// and those that ride on them try again.
-func (l *lane) abandon(hang func(age time.Duration) bool, now time.Time) {
-	for _, f := range l.flights {
+// and those whose turns they hold try again.
+func (q *appendQueue) abandon(hang func(age time.Duration) bool, now time.Time) {
+	for _, f := range q.open {
 		if hang(now.Sub(f.begun)) {
 			f.cancel(context.DeadlineExceeded)
 		}
 	}
 }
 
-// rider is turns that must be appended together.
-type rider struct {
+// waitingTurns are turns that must be appended together.
+type waitingTurns struct {
 	ctx     context.Context
 	turns   []structs.KeptTurn
 	records []platform.Record
 	bytes   int
 	// done gets the outcome; it has room for it.
-	done chan laneResult
+	done chan appendResult
 }
 
-// laneResult is how an append ended, and how long the store took for it.
-type laneResult struct {
+// appendResult is how an append ended, and how long the store took for it.
+type appendResult struct {
 	took time.Duration
 	slow bool
 	err  error
 }
 
 // answer is what an append that succeeded tells of the store.
-func (r laneResult) answer() policy.StoreAnswer {
+func (r appendResult) answer() policy.StoreAnswer {
 	return policy.StoreAnswer{Took: r.took, Slow: r.slow}
 }
 
-// ride appends turns together with all others that wait for the partition. If
+// appendBatched appends turns together with all others that wait for the partition. If
 // the context ends first, the store may still get them.
-func (k *Keeper) ride(ctx context.Context, p *partition, turns []structs.KeptTurn, records []platform.Record) laneResult {
-	r := &rider{ctx: ctx, turns: turns, records: records, done: make(chan laneResult, 1)}
+func (k *Keeper) appendBatched(ctx context.Context, p *partition, turns []structs.KeptTurn, records []platform.Record) appendResult {
+	r := &waitingTurns{ctx: ctx, turns: turns, records: records, done: make(chan appendResult, 1)}
 	for _, record := range records {
 		r.bytes += len(record.Key) + len(record.Value) + recordOverhead
 	}
 	k.mu.Lock()
-	p.lane.waiting = append(p.lane.waiting, r)
-	k.startFlights(p)
+	p.appends.waiting = append(p.appends.waiting, r)
+	k.startAppends(p)
 	k.mu.Unlock()
 	select {
 	case result := <-r.done:
 		return result
 	case <-ctx.Done():
-		return laneResult{err: ctx.Err()}
+		return appendResult{err: ctx.Err()}
 	case <-k.ctx.Done():
-		return laneResult{err: k.ctx.Err()}
+		return appendResult{err: k.ctx.Err()}
 	}
 }
 
-// startFlights begins appends for those that wait, as far as the store carries
+// startAppends begins appends for those that wait, as far as the store carries
 // them. The mutex is held.
-func (k *Keeper) startFlights(p *partition) {
-	l := &p.lane
-	for len(l.flights) < l.window.Size() && !k.stopped {
-		batch := k.takeRiders(p)
+func (k *Keeper) startAppends(p *partition) {
+	l := &p.appends
+	for len(l.open) < l.window.Size() && !k.stopped {
+		batch := k.takeBatch(p)
 		if len(batch) == 0 {
 			return
 		}
-		f := &flight{begun: time.Now()}
+		f := &openAppend{begun: time.Now()}
 		var ctx context.Context
 		ctx, f.cancel = context.WithCancelCause(k.ctx)
-		l.flights = append(l.flights, f)
-		k.spawn(func() { k.fly(ctx, p, f, batch) })
+		l.open = append(l.open, f)
+		k.spawn(func() { k.runAppend(ctx, p, f, batch) })
 	}
 }
 
-// fly makes an append and hands its outcome to those that ride on it.
-func (k *Keeper) fly(ctx context.Context, p *partition, f *flight, batch []*rider) {
-	result := k.appendRiders(ctx, p, f, batch)
+// runAppend makes an append and hands its outcome to those whose turns it holds.
+func (k *Keeper) runAppend(ctx context.Context, p *partition, f *openAppend, batch []*waitingTurns) {
+	result := k.appendBatch(ctx, p, f, batch)
 	f.cancel(nil)
 	if errors.Is(result.err, platform.ErrRejected) && len(batch) > 1 {
 		k.appendOneByOne(p, batch)
@@ -122,28 +122,28 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	p.lane.flights = slices.DeleteFunc(p.lane.flights, func(other *flight) bool { return other == f })
-	k.startFlights(p)
+	p.appends.open = slices.DeleteFunc(p.appends.open, func(other *openAppend) bool { return other == f })
+	k.startAppends(p)
 }
 
-// appendOneByOne appends each rider alone, after the store rejected all of them
+// appendOneByOne appends the turns of each alone, after the store rejected all of them
 // together: one that it rejects must not stop the others.
-func (k *Keeper) appendOneByOne(p *partition, batch []*rider) {
+func (k *Keeper) appendOneByOne(p *partition, batch []*waitingTurns) {
 	for _, r := range batch {
-		f := &flight{begun: time.Now()}
+		f := &openAppend{begun: time.Now()}
 		var ctx context.Context
 		ctx, f.cancel = context.WithCancelCause(k.ctx)
-		r.done <- k.appendRiders(ctx, p, f, []*rider{r})
+		r.done <- k.appendBatch(ctx, p, f, []*waitingTurns{r})
 		f.cancel(nil)
 	}
 }
 
-// takeRiders takes those that ride on the next append, leaving out those whose
+// takeBatch takes those whose turns go into the next append, leaving out those whose
 // callers left. The mutex is held.
-func (k *Keeper) takeRiders(p *partition) []*rider {
-	var batch []*rider
+func (k *Keeper) takeBatch(p *partition) []*waitingTurns {
+	var batch []*waitingTurns
 	records, bytes, taken := 0, 0, 0
-	for _, r := range p.lane.waiting {
+	for _, r := range p.appends.waiting {
 		full := records+len(r.records) > maxBatchRecords || bytes+r.bytes > k.callBytes
 		if len(batch) > 0 && full {
 			break
@@ -156,12 +156,12 @@
 		records += len(r.records)
 		bytes += r.bytes
 	}
-	p.lane.waiting = p.lane.waiting[taken:]
+	p.appends.waiting = p.appends.waiting[taken:]
 	return batch
 }
 
-// appendRiders makes one append and notes how it went.
-func (k *Keeper) appendRiders(ctx context.Context, p *partition, f *flight, batch []*rider) laneResult {
+// appendBatch makes one append and notes how it went.
+func (k *Keeper) appendBatch(ctx context.Context, p *partition, f *openAppend, batch []*waitingTurns) appendResult {
 	var records []platform.Record
 	for _, r := range batch {
 		records = append(records, r.records...)
@@ -171,7 +171,7 @@
 	if err != nil && ctx.Err() != nil {
 		err = errors.Wrap(context.Cause(ctx), "append turns")
 	}
-	result := laneResult{took: time.Since(f.begun), err: err}
+	result := appendResult{took: time.Since(f.begun), err: err}
 	k.noteAppend(p, &result)
 	k.metrics.appends.Inc(1)
 	k.metrics.batch.RecordValue(float64(len(records)))
@@ -180,7 +180,7 @@
 
 // endInTime ends an append that takes longer than the store's state lets
 // expect, which may change meanwhile.
-func (k *Keeper) endInTime(ctx context.Context, f *flight) {
+func (k *Keeper) endInTime(ctx context.Context, f *openAppend) {
 	for {
 		left := k.patience() - time.Since(f.begun)
 		if left <= 0 {
@@ -197,7 +197,7 @@
 func (k *Keeper) pendingAppends() []policy.Pending {
 	var pending []policy.Pending
 	for _, p := range k.partitions {
-		for _, f := range p.lane.flights {
+		for _, f := range p.appends.open {
 			pending = append(pending, policy.Pending{Partition: p.number, Begun: f.begun})
 		}
 	}
--- a/internal/conversation/lane_test.go
+++ b/internal/conversation/batch_test.go
@@ -50,9 +50,9 @@
 
 func (nobody) Broadcast(structs.Message) {}
 
-// rideAll has records of a size, one a rider, ride to one partition while an
-// append is in flight. It returns the riders' errors.
-func rideAll(t *testing.T, store *slowStore, callBytes, size int, keys ...string) map[string]error {
+// appendAll has records of a size, one a caller, appended to one partition while an
+// append is in flight. It returns the callers' errors.
+func appendAll(t *testing.T, store *slowStore, callBytes, size int, keys ...string) map[string]error {
 	outcome := make(map[string]error)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -65,7 +65,7 @@
 		var mu sync.Mutex
 		for _, key := range append([]string{"first"}, keys...) {
 			work.Go(func() {
-				err := k.ride(ctx, k.partitions[0], nil, []platform.Record{{Key: key, Value: make([]byte, size)}}).err
+				err := k.appendBatched(ctx, k.partitions[0], nil, []platform.Record{{Key: key, Value: make([]byte, size)}}).err
 				mu.Lock()
 				defer mu.Unlock()
 				outcome[key] = err
@@ -77,7 +77,7 @@
 	return outcome
 }
 
-// What comes while an append is in flight rides on the next one, within the
+// What comes while an append is in flight goes into the next one, within the
 // bytes that a call may have.
 func TestTurnsRideTogetherWithinTheBytesOfACall(t *testing.T) {
 	var keys []string
@@ -85,7 +85,7 @@
 		keys = append(keys, fmt.Sprint("turn", i))
 	}
 	store := new(slowStore)
-	rideAll(t, store, 1000, 200, keys...)
+	appendAll(t, store, 1000, 200, keys...)
 	var sizes []int
 	for _, records := range store.appends {
 		sizes = append(sizes, len(records))
@@ -97,7 +97,7 @@
 
 // A record that the store rejects stops no other.
 func TestRejectedTurnStopsNoOther(t *testing.T) {
-	for key, err := range rideAll(t, new(slowStore), 0, 10, "bad", "good", "better") {
+	for key, err := range appendAll(t, new(slowStore), 0, 10, "bad", "good", "better") {
 		if errors.Is(err, platform.ErrRejected) != (key == "bad") {
 			t.Errorf("%s: %v", key, err)
 		}
--- a/internal/conversation/keeper_test.go
+++ b/internal/conversation/keeper_test.go
@@ -256,7 +256,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := n.keeper.ride(t.Context(), n.keeper.partitionOf("p"), nil, records).err; err != nil {
+		if err := n.keeper.appendBatched(t.Context(), n.keeper.partitionOf("p"), nil, records).err; err != nil {
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/conversation/partition.go
+++ b/internal/conversation/partition.go
@@ -33,7 +33,7 @@
 	spoilt map[string]bool
 	// awayUntil is how long the partition is tried last for appends.
 	awayUntil time.Time
-	lane      lane
+	appends   appendQueue
 }
 
 func newPartition(number int) *partition {
--- a/internal/conversation/random_test.go
+++ b/internal/conversation/random_test.go
@@ -145,7 +145,7 @@
 	case 10:
 		w.Store.Set(metastore.Fault{Status: 503, Partitions: []int{r.IntN(testPartitions), r.IntN(testPartitions)}})
 	case 11:
-		// Appends come in each other's way, so that many ride on one.
+		// Appends come in each other's way, so that many go into one.
 		w.Store.Set(metastore.Fault{AppendTime: time.Duration(50+r.IntN(250)) * time.Millisecond})
 	case 12:
 		w.Store.Set(metastore.Fault{
--- a/internal/conversation/sweep.go
+++ b/internal/conversation/sweep.go
@@ -64,7 +64,7 @@
 	k.mu.Unlock()
 	for len(expired) > 0 {
 		n := min(len(expired), maxDropped)
-		if err := k.ride(ctx, p, nil, expired[:n]).err; err != nil {
+		if err := k.appendBatched(ctx, p, nil, expired[:n]).err; err != nil {
 			k.log.Warn("expired turns not dropped", "partition", p.number, "turns", len(expired), "error", err.Error())
 			return
 		}
