--- a/internal/policy/estimate.go
+++ b/internal/policy/estimate.go
@@ -23,10 +23,10 @@
 	maxSlowness = 8
 	// heardSpeed is the weight of another instance's mean that is newer.
 	heardSpeed = 0.5
-	// paceLife is the age in which a target's word on its present pace fades:
+	// paceLife is the age in which a target's report of its present pace fades:
 	// it changes many times a second.
 	paceLife = 250 * time.Millisecond
-	// standingStep is the least part by which a word moves a target's Standing.
+	// standingStep is the least part by which a report moves a target's Standing.
 	standingStep = 0.04
 	// trendGain is the weight of a report in a target's usual load, and trendLife
 	// the time in which that fades.
@@ -79,7 +79,7 @@
 	s.At = at
 }
 
-// Slowness is the target's time over the usual one; standing is what its own word
+// Slowness is the target's time over the usual one; standing is what its own reports
 // says, which counts where nothing was learned. A distance from that within the
 // mean's own error counts little.
 func (s *Speed) Slowness(usual, standing float64, now time.Time) float64 {
@@ -110,25 +110,25 @@
 // errorOfMean is the variance of the moving mean.
 func (s *Speed) errorOfMean() float64 { return s.Variance * speedGain / (2 - speedGain) }
 
-// Standing is the middle of a target's words on its pace, 1 as usual: machines that
+// Standing is the median of the paces that a target reports, 1 as usual: machines that
 // turn slow for parts of a second do not move it.
 type Standing struct {
-	Middle float64
-	words  int
+	Middle  float64
+	reports int
 }
 
-// Add takes a word in, in percent of the usual.
+// Add takes a reported pace in, in percent of the usual.
 func (s *Standing) Add(percent int) {
-	word := float64(percent) / 100
-	if s.words == 0 {
-		s.Middle = word
+	pace := float64(percent) / 100
+	if s.reports == 0 {
+		s.Middle = pace
 	}
-	s.words++
-	step := s.Middle * max(1/float64(s.words+1), standingStep)
-	s.Middle += min(max(word-s.Middle, -step), step)
+	s.reports++
+	step := s.Middle * max(1/float64(s.reports+1), standingStep)
+	s.Middle += min(max(pace-s.Middle, -step), step)
 }
 
-// Present is the slowness of a target that turned slow for now, by a new word on
+// Present is the slowness of a target that turned slow for now, by a new report of
 // its pace: slowness where that says nothing worse. Both are over the usual.
 func Present(slowness, pace float64, age time.Duration) float64 {
 	return slowness + max(pace-slowness, 0)*fade(age, paceLife)
