--- a/internal/policy/estimate.go
+++ b/internal/policy/estimate.go
@@ -80,7 +80,7 @@
 }
 
 // Slowness is the target's time over the usual one; standing is what its own reports
-// says, which counts where nothing was learned. A distance from that within the
+// say, which counts where nothing was learned. A distance from that within the
 // mean's own error counts little.
 func (s *Speed) Slowness(usual, standing float64, now time.Time) float64 {
 	if s.At.IsZero() || usual <= 0 {
