--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -245,7 +245,7 @@
 		return
 	}
 	k.number++
-	ask := l.ask(k.number, slot)
+	ask := l.askOf(to, k.number, slot)
 	k.pending[ask.Number] = sentAsk{line: l, to: to}
 	k.metrics.asks.Inc(1)
 	if to == k.self {
@@ -276,9 +276,10 @@
 	k.askForWaiting(sent.line)
 }
 
-// askForWaiting asks again if requests wait. The mutex is held.
+// askForWaiting asks again if requests wait, or permits are to be given back. The
+// mutex is held.
 func (k *Keeper) askForWaiting(l *line) {
-	if len(l.waiting) > 0 {
+	if len(l.waiting) > 0 || l.returned > 0 || l.returnedStarts > 0 {
 		k.startAsk(l, time.Now())
 	}
 }
@@ -293,6 +294,7 @@
 	newcomers := len(sent.line.waiting) > len(sent.line.asked)
 	sent.line.settle(reply, sent.to, now)
 	if len(sent.line.waiting) == 0 {
+		k.askForWaiting(sent.line)
 		return
 	}
 	pause := noSharePause
--- a/internal/allowance/line.go
+++ b/internal/allowance/line.go
@@ -42,6 +42,9 @@
 	// are told with the next ask.
 	debt                     int
 	returned, returnedStarts int
+	// dealtBy is the coordinator that dealt out last: no other one may take back
+	// what it dealt.
+	dealtBy structs.InstanceID
 	// told is the organisation's use as the last answer told it.
 	told told
 	// asking is the number of the ask under way, 0 for none; asked are the
@@ -50,6 +53,15 @@
 	asked  []*waiter
 }
 
+// askOf makes the next ask of an instance. What another one dealt out is not given
+// back to it.
+func (l *line) askOf(to structs.InstanceID, number uint64, slot int) *structs.AllowanceAsk {
+	if to != l.dealtBy {
+		l.returned, l.returnedStarts = 0, 0
+	}
+	return l.ask(number, slot)
+}
+
 // ask makes the next ask, with what waits now.
 func (l *line) ask(number uint64, slot int) *structs.AllowanceAsk {
 	m := &structs.AllowanceAsk{
@@ -84,8 +96,10 @@
 	asked := l.asked
 	l.asking, l.asked = 0, nil
 	if reply.Outcome != structs.AllowanceDealt {
+		l.returned, l.returnedStarts = 0, 0
 		return
 	}
+	l.dealtBy = from
 	l.told = told{use: reply.Use, at: now}
 	granted, starts := reply.Granted, reply.Starts
 	for _, w := range asked {
--- a/internal/allowance/needs.go
+++ b/internal/allowance/needs.go
@@ -9,8 +9,9 @@
 // be carried. So a program counts once it has ended.
 
 const (
-	// defaultRequests is what a program is taken to need before any was seen, in
-	// requests; the users' programs need 10 to 30.
+	// defaultRequests is the number of requests that a program is assumed to need
+	// before any has ended: more than most need, so that too few are let in rather
+	// than too many.
 	defaultRequests = 30
 	// defaultWeight is how many programs that guess counts for.
 	defaultWeight = 2
--- a/internal/allowance/use_test.go
+++ b/internal/allowance/use_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
 // TestPermitsTellTheUse replays an organisation at its usual load, 1/1.6 of its
@@ -105,3 +106,26 @@
 		t.Errorf("%.1f requests a second after a silence of 5 s", got)
 	}
 }
+
+// What was let in by one coordinator is given back to no other: that one would
+// deal out what its votes never allowed.
+func TestPermitsAreGivenBackToTheirCoordinatorAlone(t *testing.T) {
+	l := &line{organisation: "o", limit: org.Limit{PerSecond: 10}}
+	l.settle(&structs.AllowanceReply{Outcome: structs.AllowanceDealt}, "a", time.Unix(100, 0))
+	if l.dealtBy != "a" {
+		t.Fatalf("dealt by %q", l.dealtBy)
+	}
+	l.returned = 3
+	if got := l.askOf("a", 1, 0).Returned; got != 3 {
+		t.Errorf("%d of 3 given back", got)
+	}
+	l.returned = 3
+	if got := l.askOf("b", 2, 0).Returned; got != 0 {
+		t.Errorf("%d given back to another coordinator", got)
+	}
+	l.returned = 3
+	l.settle(&structs.AllowanceReply{Outcome: structs.AllowanceNoShare}, "a", time.Unix(100, 0))
+	if l.returned != 0 {
+		t.Error("kept for whoever coordinates next")
+	}
+}
--- a/internal/conversation/append.go
+++ b/internal/conversation/append.go
@@ -195,7 +195,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if winner.took == 0 {
-		return // an instance of before does not tell
+		return // an instance of an older version does not report the time
 	}
 	if winner.by != k.self.ID {
 		k.path.Heard(winner.answer(), now)
@@ -229,9 +229,12 @@
 		result.slow = answer.Slow
 		p.appends.window.Answered(answer, k.path.Shortest())
 	}
-	if errors.Is(result.err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(result.err, context.DeadlineExceeded):
 		k.path.TimedOut(now)
-	} else if k.path.OwnAppend(result.err == nil, now) {
+	case result.err != nil:
+		k.path.Refused(now)
+	case k.path.OwnAppend(true, now):
 		k.tellBack()
 	}
 	k.noteState(result.err)
@@ -291,7 +294,7 @@
 	k.endOutage()
 }
 
-// noteState logs when the state of the way to the store changes. The mutex is
+// noteState logs when the state of the access to the store changes. The mutex is
 // held.
 func (k *Keeper) noteState(err error) {
 	state := k.path.State(time.Now())
--- a/internal/conversation/batch.go
+++ b/internal/conversation/batch.go
@@ -129,12 +129,21 @@
 // appendOneByOne appends the turns of each alone, after the store rejected all of them
 // together: one that it rejects must not stop the others.
 func (k *Keeper) appendOneByOne(p *partition, batch []*waitingTurns) {
+	var last appendResult
 	for _, r := range batch {
+		if last.err != nil && !errors.Is(last.err, platform.ErrRejected) {
+			r.done <- last // the store is away: they try again
+			continue
+		}
+		if r.ctx.Err() != nil {
+			continue
+		}
 		f := &openAppend{begun: time.Now()}
 		var ctx context.Context
 		ctx, f.cancel = context.WithCancelCause(k.ctx)
-		r.done <- k.appendBatch(ctx, p, f, []*waitingTurns{r})
+		last = k.appendBatch(ctx, p, f, []*waitingTurns{r})
 		f.cancel(nil)
+		r.done <- last
 	}
 }
 
@@ -156,6 +165,7 @@
 		records += len(r.records)
 		bytes += r.bytes
 	}
+	clear(p.appends.waiting[:taken]) // so that the turns can be collected
 	p.appends.waiting = p.appends.waiting[taken:]
 	return batch
 }
--- a/internal/conversation/batch_test.go
+++ b/internal/conversation/batch_test.go
@@ -19,9 +19,10 @@
 )
 
 // slowStore takes an append in a tenth of a second and rejects those with a
-// record whose key begins with "bad".
+// record whose key begins with "bad"; behind one whose key is "away" it refuses.
 type slowStore struct {
 	Store
+	away    bool
 	mu      sync.Mutex
 	flying  int
 	appends [][]platform.Record
@@ -37,6 +38,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.flying--
+	s.away = s.away || len(a.Records) == 1 && a.Records[0].Key == "away"
+	if s.away {
+		return 0, platform.ErrBusy
+	}
 	for _, r := range a.Records {
 		if strings.HasPrefix(r.Key, "bad") {
 			return 0, platform.ErrRejected
@@ -103,3 +108,16 @@
 		}
 	}
 }
+
+// A store that goes away while turns are appended one by one does not hold up the
+// partition for each of them.
+func TestTurnsApartStopWhenTheStoreIsAway(t *testing.T) {
+	store := new(slowStore)
+	outcome := appendAll(t, store, 0, 10, "bad", "away", "c", "d", "e", "f")
+	if len(store.appends) != 4 {
+		t.Errorf("%d appends", len(store.appends))
+	}
+	if !errors.Is(outcome["f"], platform.ErrBusy) {
+		t.Errorf("the last one got %v", outcome["f"])
+	}
+}
--- a/internal/conversation/dump.go
+++ b/internal/conversation/dump.go
@@ -13,7 +13,7 @@
 	Bytes int `json:"bytes"`
 	// DirectFailing tells that others append for this instance.
 	DirectFailing bool `json:"direct_failing"`
-	// Store is the state of the way to the store, TypicalAppend the median of
+	// Store is the state of the access to the store, TypicalAppend the median of
 	// the appends seen lately, 0 without any.
 	Store         policy.StoreState `json:"store"`
 	TypicalAppend time.Duration     `json:"typical_append_ns"`
--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -15,6 +15,9 @@
 const (
 	// awayTime is how long a partition that took no append is tried last.
 	awayTime = time.Second
+	// helpersAgain is the time after which instances may be asked again that were
+	// asked to append a turn: the store may serve them by then.
+	helpersAgain = time.Second
 	// maxPartitionsTried bounds the partitions of one round of tries.
 	maxPartitionsTried = 2
 )
@@ -88,8 +91,9 @@
 	partition *partition
 	turns     []structs.KeptTurn
 	records   []platform.Record
-	// helpers are the instances that were asked to append them.
-	helpers []structs.InstanceID
+	// helpers are the instances that were asked to append them since askedAnew.
+	helpers   []structs.InstanceID
+	askedAnew time.Time
 	// keptBy is the instance whose append kept the turn.
 	keptBy structs.InstanceID
 }
@@ -131,6 +135,7 @@
 		if kept {
 			return nil
 		}
+		w.askAnew(err)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -143,6 +148,16 @@
 	return failure
 }
 
+// askAnew lets all instances be asked again after the store refused a round, once a
+// second at most. It does not while the store is silent: whoever is asked then
+// would keep the turn waiting behind the store's return.
+func (w *writing) askAnew(failure error) {
+	now := time.Now()
+	if errors.Is(failure, platform.ErrBusy) && now.Sub(w.askedAnew) >= helpersAgain {
+		w.helpers, w.askedAnew = nil, now
+	}
+}
+
 // silentSince tells whether the store has answered nobody since a time, for as
 // long as an append may take: another partition is then no better.
 func (k *Keeper) silentSince(begun time.Time) bool {
--- a/internal/conversation/keeper.go
+++ b/internal/conversation/keeper.go
@@ -62,7 +62,7 @@
 	// unableUntil is how long an instance that could not read or write the
 	// store is passed over.
 	unableUntil map[structs.InstanceID]time.Time
-	// path is this instance's way to the store, state its state as last logged.
+	// path is this instance's access to the store, state its state as last logged.
 	path  policy.StorePath
 	state policy.StoreState
 	// directAfter is when an instance whose appends fail tries again.
--- a/internal/conversation/metrics.go
+++ b/internal/conversation/metrics.go
@@ -25,8 +25,8 @@
 	// appends counts this instance's appends, batch the records of each.
 	appends tally.Counter
 	batch   tally.Histogram
-	// state is 0 for a good way to the store, 1 for a slow store, 2 for a way
-	// that is closed.
+	// state is 0 if the store answers in time, 1 if it is slow, 2 if this
+	// instance's appends fail.
 	state tally.Gauge
 	bytes tally.Gauge
 	turns tally.Gauge
@@ -39,7 +39,7 @@
 
 var batchBuckets = tally.ValueBuckets{1, 2, 4, 8, 16, 32, 64, 128, 256, 512}
 
-// setState shows the state of the way to the store.
+// setState shows the state of the access to the store.
 func (m metrics) setState(state policy.StoreState) {
 	values := map[policy.StoreState]float64{policy.StoreGood: 0, policy.StoreSlow: 1, policy.StoreClosed: 2}
 	m.state.Update(values[state])
--- a/internal/conversation/outage.go
+++ b/internal/conversation/outage.go
@@ -17,6 +17,9 @@
 	// since is when the last round of tries failed after one had succeeded,
 	// zero if none has.
 	since time.Time
+	// whole tells that more than single partitions failed: its end is news to
+	// others, and all partitions may be tried again.
+	whole bool
 	// pause is the time until the next round.
 	pause time.Duration
 	// full tells that the store had no room in the last round, at tried.
@@ -105,13 +108,14 @@
 	switch {
 	case err != nil && !failing:
 		o.since, o.pause = time.Now(), appendRetryFirst
+		o.whole = k.path.Outage(o.since)
 		k.log.Warn("turns cannot be kept", "error", err.Error())
 	case err != nil:
 		o.pause = min(2*o.pause, appendRetryMost)
 	case failing:
-		told := k.path.Ended(time.Since(o.since))
+		whole := o.whole
 		k.endOutage()
-		if told {
+		if whole {
 			k.tellBack()
 		}
 	}
@@ -126,6 +130,11 @@
 	}
 	k.log.Info("turns can be kept again", "away_ms", time.Since(o.since).Milliseconds())
 	o.since = time.Time{}
+	if o.whole {
+		for _, p := range k.partitions {
+			p.awayUntil = time.Time{}
+		}
+	}
 	o.signal()
 }
 
--- a/internal/conversation/slow_test.go
+++ b/internal/conversation/slow_test.go
@@ -103,3 +103,22 @@
 	work.Wait()
 	return longest, sum / time.Duration(turns)
 }
+
+// A turn that has asked all others while the store refused everyone is kept once
+// it serves the others, though it still refuses this instance.
+func TestOthersAreAskedAgainAfterAnOutage(t *testing.T) {
+	inWorldOf(t, 3, 4, func(t *testing.T, w *world) {
+		n := w.all()[0]
+		w.Store.Set(metastore.Fault{Status: 503})
+		w.Work.Go(func() {
+			time.Sleep(5 * time.Second)
+			n.Refused.Store(true)
+			w.Store.Set(metastore.Fault{})
+		})
+		begun := time.Now()
+		w.turn(n, "p", "", 30*time.Second)
+		if took := time.Since(begun); took > 7*time.Second {
+			t.Errorf("the turn took %s", took)
+		}
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -106,7 +106,7 @@
 		stop()
 		p.drop(c)
 		if ctx.Err() != nil {
-			return nil, errors.Mark(errors.Mark(err, ctx.Err()), ErrBroken)
+			return nil, errors.Mark(errors.Mark(err, context.Cause(ctx)), ErrBroken)
 		}
 		return nil, p.broken(c, err)
 	}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -19,9 +19,10 @@
 	// probeMargin is the same for a read after a failure, which does not wait
 	// at the store, so that the store's return is noticed soon.
 	probeMargin = 600 * time.Millisecond
-	// retryFirst and retryMost bound the pause after a failed read; it doubles
-	// with each failure. A refused read is priced like any other, so that topics
-	// that fail together share the tries: the first one that succeeds wakes all.
+	// retryFirst and retryMost bound the time between two tries of all failing
+	// topics together; it doubles with each failure of a topic. A refused read
+	// costs a call, so topics that fail together take turns, and the first success
+	// wakes all.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 )
@@ -89,6 +90,10 @@
 func (f *Follower) stepUnless(
 	ctx context.Context, returned <-chan struct{}, from int64, probe bool,
 ) (int64, error) {
+	if from < 0 && !probe {
+		// A first read is long, and would begin anew.
+		return f.step(ctx, from, probe)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/internal/memlimit/buffer.go
+++ b/internal/memlimit/buffer.go
@@ -1,6 +1,9 @@
 package memlimit
 
-import "io"
+import (
+	"io"
+	"math"
+)
 
 // leastGrowth is the smallest step of a Buffer, in bytes.
 const leastGrowth = 4 << 10
@@ -14,7 +17,7 @@
 // NewBuffer makes a Buffer with room for some bytes, or returns a *ShortError.
 func NewBuffer(account *Account, size int64) (*Buffer, error) {
 	b := &Buffer{account: account}
-	if size <= 0 {
+	if size <= 0 || size == math.MaxInt64 {
 		return b, nil
 	}
 	// One byte more, so that the end of what has that size is read without
--- a/internal/overload/metrics.go
+++ b/internal/overload/metrics.go
@@ -8,7 +8,6 @@
 
 // metrics of one service.
 type metrics struct {
-	scope   tally.Scope
 	fill    tally.Gauge
 	known   tally.Gauge
 	age     tally.Gauge
@@ -21,7 +20,7 @@
 func newMetrics(scope tally.Scope, service string) metrics {
 	scope = scope.Tagged(map[string]string{"service": service})
 	m := metrics{
-		scope: scope, fill: scope.Gauge("fill"), known: scope.Gauge("known_targets"),
+		fill: scope.Gauge("fill"), known: scope.Gauge("known_targets"),
 		age: scope.Gauge("report_age_seconds"), noRetry: scope.Counter("sends_over_retry_budget"),
 		admitted: make(map[policy.RoomClass]tally.Counter),
 		refused:  make(map[policy.RoomClass]map[policy.RoomCause]tally.Counter),
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -21,6 +21,8 @@
 	// viewAge is how long a view of a pool is used: far below the age of the
 	// reports that it is made of.
 	viewAge = 50 * time.Millisecond
+	// maxRoutes bounds the routes whose programs' sizes are kept.
+	maxRoutes = 4096
 	// usedFor is how long a service counts among those that programs call.
 	usedFor = 10 * time.Second
 	// rankWeight is the part of one first turn in the mean rank of a service.
@@ -124,12 +126,15 @@
 // rankAbove is how much less urgent a request is than first turns in the mean.
 func (s *service) rankAbove(r Request) float64 {
 	rank := float64(r.Rank)
-	if !s.ranked {
-		s.rank, s.ranked = rank, true
-	}
 	if r.Class == policy.RoomFirst {
+		if !s.ranked {
+			s.rank, s.ranked = rank, true
+		}
 		s.rank += rankWeight * (rank - s.rank)
 	}
+	if !s.ranked {
+		return 0
+	}
 	return rank - s.rank
 }
 
@@ -160,6 +165,9 @@
 	}
 	n := s.needs[r.Route]
 	if n == nil {
+		if len(s.needs) >= maxRoutes {
+			clear(s.needs) // most are of former settings
+		}
 		n = new(need)
 		s.needs[r.Route] = n
 	}
--- a/internal/policy/expected.go
+++ b/internal/policy/expected.go
@@ -1,9 +1,9 @@
 package policy
 
-// The load pattern: targets of one service end the same request at different
-// times, by their speed, what is ahead there and what they have kept. Choosing
-// the least busy sends a third of the requests to slow targets while fast ones
-// have room; many instances that choose the one best target push each other.
+// Load pattern: targets of one service end the same request at different times,
+// by their speed, what is ahead there and what they have kept. Choosing the least
+// busy target sends many requests to slow ones while fast ones have room; instances
+// that all choose the one best target overload it.
 
 const (
 	// ReadyFill is how busy a target may be, in parts of its slots, to have room
--- a/internal/policy/storepath.go
+++ b/internal/policy/storepath.go
@@ -28,9 +28,9 @@
 	// storeUsualInertia is how many long answers it takes until about that much
 	// longer ones are usual.
 	storeUsualInertia = 200
-	// storePatienceLeast and storePatienceMost bound the time that an append
-	// may take: a store that is well needs a few milliseconds, and one that
-	// would need over two seconds refuses.
+	// storePatienceLeast and storePatienceMost bound the timeout of an append: far
+	// above the time of a healthy store, and no longer than an overloaded one keeps
+	// an append before it refuses it.
 	storePatienceLeast = time.Second
 	storePatienceMost  = 2500 * time.Millisecond
 	// storePatienceTimes is how many times the longest answer seen lately an
@@ -46,8 +46,7 @@
 	storeTellPause = time.Second
 	// storeTellers is how many instances tell: none is connected with all.
 	storeTellers = 4
-	// storeOutage is how long appends fail at least for their return to be news to
-	// others, and how long after a success a failure is taken for the partition's
+	// storeOutage is how long after a success a failure is taken for the partition's
 	// own: a part of the partitions may be away.
 	storeOutage = 300 * time.Millisecond
 	// storeSettle is how long turns are gathered after the store's return, when
@@ -61,7 +60,7 @@
 	at   time.Time
 }
 
-// StorePath is what an instance knows of its way to the store and of the
+// StorePath is what an instance knows of its access to the store and of the
 // store's speed. The zero value knows nothing and takes all for well.
 type StorePath struct {
 	answers []storeAnswer
@@ -73,10 +72,9 @@
 	shortest time.Duration
 	// suspected is when an append was last seen to hang, here or elsewhere.
 	suspected time.Time
-	// failing tells that this instance's appends fail since failedAt; succeeded is
-	// when one last succeeded, returned when one did after an outage.
+	// failing tells that this instance's appends fail; succeeded is when one last
+	// succeeded, returned when one did after an outage.
 	failing   bool
-	failedAt  time.Time
 	succeeded time.Time
 	returned  time.Time
 	// usual is the time of this instance's appends when the store is well.
@@ -88,10 +86,10 @@
 	heardFrom time.Time
 }
 
-// StoreState is the state of the way to the store.
+// StoreState is the state of the access to the store.
 type StoreState string
 
-// States of the way to the store.
+// States of the access to the store.
 const (
 	StoreGood StoreState = "good"
 	// StoreSlow means that the store answers late, whoever asks.
@@ -190,22 +188,24 @@
 // OwnAppend notes whether an append of this instance succeeded. It tells whether
 // appends succeed again after an outage.
 func (s *StorePath) OwnAppend(ok bool, now time.Time) (back bool) {
-	if ok {
-		back = s.failing && now.Sub(s.failedAt) >= storeOutage
-		s.failing, s.succeeded = false, now
-		if back {
-			s.returned = now
-		}
-		return back
+	back = ok && s.failing
+	if back {
+		s.returned = now
 	}
-	if !s.failing && now.Sub(s.succeeded) >= storeOutage {
-		s.failing, s.failedAt = true, now
+	if ok {
+		s.succeeded = now
 	}
-	return false
+	s.failing = !ok
+	return back
 }
 
-// Ended tells whether an outage that has lasted for a time is news to others.
-func (s *StorePath) Ended(lasted time.Duration) bool { return lasted >= storeOutage }
+// Refused notes that the store refused an append of this instance or cut it off. A
+// single refusal among successes is its partition's own.
+func (s *StorePath) Refused(now time.Time) { s.failing = s.failing || s.Outage(now) }
+
+// Outage tells whether a failure now is more than that of single partitions: no
+// append of this instance succeeded lately.
+func (s *StorePath) Outage(now time.Time) bool { return now.Sub(s.succeeded) >= storeOutage }
 
 // TellsOfHanging tells whether others should be told that an append hangs: the
 // store may be slow, which all would find out one after the other.
--- a/internal/policy/storepath_test.go
+++ b/internal/policy/storepath_test.go
@@ -76,7 +76,7 @@
 	for i := range 40 {
 		now := at(100*time.Millisecond + time.Duration(i)*50*time.Millisecond)
 		if i%4 == 3 {
-			s.OwnAppend(false, now)
+			s.Refused(now)
 		} else if s.OwnAppend(true, now) {
 			t.Fatal("a success beside refusals is told as the store's return")
 		}
@@ -84,8 +84,8 @@
 			t.Fatalf("after append %d the way is taken for %s", i, s.State(now))
 		}
 	}
-	if s.Ended(50*time.Millisecond) || !s.Ended(time.Second) {
-		t.Error("what ended is told wrongly")
+	if last := at(2100 * time.Millisecond); s.Outage(last) || !s.Outage(last.Add(time.Second)) {
+		t.Error("single failures and an outage are not told apart")
 	}
 }
 
@@ -93,7 +93,7 @@
 func TestRefusedAppendsGoThroughOthers(t *testing.T) {
 	now := at(100 * time.Millisecond)
 	s := pathWith(5*time.Millisecond, 8)
-	s.OwnAppend(false, now)
+	s.Refused(now)
 	if !s.Gathers(1, nil, now) || s.State(now) != StoreClosed {
 		t.Error("turns go where they are refused")
 	}
--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -65,6 +65,8 @@
 		return policy.RoomOutside
 	case first:
 		return policy.RoomFirst
+	case x.call.LastEvent != "":
+		return policy.RoomUnderWay // an earlier attempt may have run
 	case x.call.ProgramOver:
 		return policy.RoomLate
 	}
--- a/internal/serve/admission_test.go
+++ b/internal/serve/admission_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,3 +164,24 @@
 		t.Errorf("ranks %d %d %d", x(&urgent, 9), x(&later, 0), x(&later, 1))
 	}
 }
+
+// A send that this instance gave up for taking long goes on elsewhere, whatever is
+// left of the budget of retries: its target might have answered.
+func TestASendGivenUpHereGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	var first atomic.Bool
+	slowThenQuick := func(_ int, rw http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			return
+		}
+		sign(rw)
+		_, _ = io.WriteString(rw, "ok")
+	}
+	w.target("a", "app", slowThenQuick)
+	w.target("b", "app", slowThenQuick)
+	w.server.room = &fullRoom{refused: policy.RoomLate}
+	if got := w.do(w.request("GET", "/quick/", "")); got.status != 200 || got.body != "ok" {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -77,9 +77,12 @@
 // can be repeated or reported as such.
 func (x *transfer) deliverWhole(target *targets.Target, resp *exchange.Response) bool {
 	body, longer, err := x.readAnswer(resp)
+	// What is passed on as it comes takes as long as the caller reads.
+	x.stopPatience()
 	if err != nil {
 		x.detail = err.Error()
 		x.passOverSilent(target, err)
+		x.gaveUpStraggler(target, err, x.sentAt)
 		return x.brokeOff(target)
 	}
 	x.reason = reasonServed
@@ -89,7 +92,7 @@
 	if x.failsTurn(resp) {
 		x.noteFailedTurn(target)
 	} else {
-		x.noteAnswer(target)
+		x.noteAnswer(target, resp.Status)
 	}
 	x.copyHead(resp, longer, len(body))
 	if _, err := x.writer.Write(body); err != nil {
--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanglade/banyanglade/internal/memlimit"
-	"github.com/banyanglade/banyanglade/internal/route"
 )
 
 // requestBytes is held for each request besides its body, in bytes: its heads,
@@ -23,8 +22,7 @@
 // ofProgramUnderWay tells whether a request is known not to begin a program:
 // calls of tools, later turns of a kept conversation and resumed streams.
 func (x *transfer) ofProgramUnderWay() bool {
-	isTurn := x.call.Turn != nil && x.route.Kind == route.Stream
-	return x.call.LastEvent != "" || x.call.PreviousTurn != "" || (x.call.Program != "" && !isTurn)
+	return x.call.LastEvent != "" || x.call.PreviousTurn != "" || (x.call.Program != "" && !x.isTurn())
 }
 
 // readBody reads the request's body into memory that is held for it. It returns
@@ -76,7 +74,8 @@
 	}
 }
 
-// refuseUnread refuses a request whose body was not read. It returns false.
+// refuseUnread refuses a request whose body, or the conversation before it, could
+// not be read or held. It returns false.
 func (x *transfer) refuseUnread(err error) bool {
 	x.detail = err.Error()
 	var short *memlimit.ShortError
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -125,6 +125,7 @@
 	})
 	ctx, cancel := x.sendContext()
 	defer cancel()
+	x.sendCtx = ctx
 	var answer call.Answer
 	sentAt := time.Now()
 	x.sentAt = sentAt
@@ -164,10 +165,18 @@
 	if rare, ok := x.rarePatience(); another && ok {
 		patience, x.hurried = rare, true
 	}
+	x.stopPatience = func() bool { return true }
 	if !another || patience <= 0 || patience > time.Duration(slowShare*float64(time.Until(x.deadline))) {
+		x.hurried = false
 		return x.ctx, func() {}
 	}
-	return context.WithTimeout(x.ctx, patience)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	timer := time.AfterFunc(patience, func() { cancel(context.DeadlineExceeded) })
+	x.stopPatience = timer.Stop
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
 }
 
 // rarePatience is the time that answers of the route rarely pass, false if the
@@ -183,7 +192,7 @@
 // gaveUpStraggler tells whether a send was given up for a second one, and counts
 // it. Its target is slow at most, not failing.
 func (x *transfer) gaveUpStraggler(target *targets.Target, err error, sentAt time.Time) bool {
-	if !x.hurried || !errors.Is(err, context.DeadlineExceeded) {
+	if !x.hurried || errors.Is(err, exchange.ErrNotSent) || !errors.Is(err, context.DeadlineExceeded) {
 		return false
 	}
 	now := time.Now()
@@ -280,13 +289,20 @@
 // mayRepeat tells whether the request may be sent once more after it may have
 // run; if not, it ends it.
 func (x *transfer) mayRepeat() bool {
-	if x.route.MayRepeat() && x.sends < maxSends && x.server.room.AgainAfterFailure(x.service, time.Now()) {
+	if x.route.MayRepeat() && x.sends < maxSends && x.mayTryAgain() {
 		return true
 	}
 	x.giveUp(reasonBroken)
 	return false
 }
 
+// mayTryAgain tells whether the service's budget of retries allows one more send. A
+// send that this instance gave up itself, or a stream that its caller has a part
+// of, goes on in any case.
+func (x *transfer) mayTryAgain() bool {
+	return x.sendCtx.Err() != nil || x.headSent || x.server.room.AgainAfterFailure(x.service, time.Now())
+}
+
 // maxSends bounds the sends of one request of any outcome.
 const maxSends = 6
 
--- a/internal/serve/timing.go
+++ b/internal/serve/timing.go
@@ -1,17 +1,22 @@
 package serve
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/policy"
+	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
-// noteAnswer draws the conclusions from a whole plain answer.
-func (x *transfer) noteAnswer(target *targets.Target) {
+// noteAnswer draws the conclusions from a whole plain answer. Failures take
+// another time than work, and an engine's speed is that between events.
+func (x *transfer) noteAnswer(target *targets.Target, status int) {
 	now := time.Now()
 	x.server.targets.Succeeded(target, now)
-	x.server.targets.Answered(target, x.route.Name, now.Sub(x.sentAt), now)
+	if x.route.Kind != route.Stream && status < http.StatusBadRequest {
+		x.server.targets.Answered(target, x.route.Name, now.Sub(x.sentAt), now)
+	}
 }
 
 // streamTiming follows the times of one stream's events.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -112,6 +112,10 @@
 
 	// hurried tells that the last send was to end early for a second one.
 	hurried bool
+	// sendCtx is the context of the last send.
+	sendCtx context.Context
+	// stopPatience ends what bounds the last send besides the request's time.
+	stopPatience func() bool
 
 	// headSent tells that the head of the answer went out.
 	headSent bool
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,7 +26,8 @@
 	Instances int
 	Programs  int
 	// EntryFaults adds targets that start again under their ids and entries of
-	// other writers. Seeds that failed before there were such faults go without.
+	// other writers. Without it a seed plays the same faults as before the option
+	// existed.
 	EntryFaults bool
 	// LoadFaults adds slow and small targets, bursts, a slow store and callers
 	// that do not read.
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -11,8 +11,8 @@
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
-// An instance sends each target a request every few seconds, so what it hears
-// itself is old when it is needed. Instances pass reports on to the owners of
+// With many instances each one seldom sends to a given target, so its own reports
+// are old when they are needed. Instances pass reports on to the owners of
 // budgets, and these to all that ask them for room.
 
 const (
--- a/internal/targets/pools.go
+++ b/internal/targets/pools.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -115,6 +116,7 @@
 func (r *Registry) HearPools(reports []structs.PoolReport, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.views, func(_ uint64, v poolView) bool { return now.Sub(v.heard) > toldAge })
 	for _, p := range reports {
 		if p.Fill < 0 || p.Known <= 0 {
 			continue
