--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -1,17 +1,11 @@
 package edge
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -28,6 +22,9 @@
 	copyInterval = 4 * time.Second
 	// copyTimeout bounds a call for a copy.
 	copyTimeout = 700 * time.Millisecond
+	// copyRate bounds the bytes a second that the copies of one topic take in a
+	// partition: larger ones are written less often.
+	copyRate = 8 << 10
 	// copyRetry is the time between two tries to read a copy.
 	copyRetry = 100 * time.Millisecond
 )
@@ -44,7 +41,7 @@
 // writeCopies keeps the copies up to date. Each partition's are written by the
 // instance that ranks first for it.
 func (e *edge) writeCopies(ctx context.Context) {
-	written := make(map[copyKey]int64)
+	written := make(map[copyKey]writtenCopy)
 	ticker := time.NewTicker(copyInterval)
 	defer ticker.Stop()
 	for {
@@ -57,8 +54,7 @@
 			continue
 		}
 		for partition := range e.machine.Store.Partitions {
-			ranked := e.directory.Ranked("copies/" + strconv.Itoa(partition))
-			if len(ranked) == 0 || ranked[0] != e.directory.Self().ID {
+			if e.directory.First("copies/"+strconv.Itoa(partition)) != e.directory.Self().ID {
 				continue
 			}
 			for _, topic := range e.sourceTopics() {
@@ -68,17 +64,30 @@
 	}
 }
 
+// writtenCopy is the copy of a topic that this instance wrote last to a partition.
+type writtenCopy struct {
+	changed int64
+	at      time.Time
+	bytes   int
+}
+
+// due tells whether the next copy may be written.
+func (w writtenCopy) due(now time.Time) bool {
+	return now.Sub(w.at) >= time.Duration(float64(w.bytes)/copyRate*float64(time.Second))
+}
+
 // writeCopy writes a topic's copy if the topic has changed since the last one.
-func (e *edge) writeCopy(ctx context.Context, topic *feed.Topic, partition int, written map[copyKey]int64) {
+func (e *edge) writeCopy(ctx context.Context, topic *feed.Topic, partition int, written map[copyKey]writtenCopy) {
 	key := copyKey{partition, topic.Name}
-	records, newest := topic.Since(-1)
-	if last, ok := written[key]; len(records) == 0 || (ok && last == newest) {
+	changed, now := topic.Changed(), time.Now()
+	last, ok := written[key]
+	if changed < 0 || (ok && (last.changed == changed || !last.due(now))) {
 		return
 	}
-	value, err := encodeCopy(topicCopy{Whole: topic.Known(), Records: records})
+	value, err := e.encodeCopy(topic, now)
 	if err != nil || len(value) > e.machine.Store.MaxRecordBytes {
-		e.log.Warn("copy not written", "topic", topic.Name, "bytes", len(value))
-		written[key] = newest
+		e.log.Warn("copy not written", "topic", topic.Name, "bytes", len(value), "error", err)
+		written[key] = writtenCopy{changed: changed, at: now, bytes: len(value)}
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, copyTimeout)
@@ -90,41 +99,17 @@
 		e.log.Debug("copy not written", "topic", topic.Name, "error", err.Error())
 		return
 	}
-	written[key] = newest
+	written[key] = writtenCopy{changed: changed, at: now, bytes: len(value)}
 }
 
-// encodeCopy makes the value of a copy's record. It is compressed: settings of
-// 1,500 routes would else be larger than a record of the store may be.
-func encodeCopy(given topicCopy) ([]byte, error) {
-	var value bytes.Buffer
-	compressor := gzip.NewWriter(&value)
-	if err := json.NewEncoder(compressor).Encode(given); err != nil {
-		return nil, errors.Wrap(err, "encode a copy")
-	}
-	if err := compressor.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress a copy")
-	}
-	return value.Bytes(), nil
-}
-
-// decodeCopy reads the value of a copy's record.
-func decodeCopy(value []byte) (topicCopy, error) {
-	plain, err := gzip.NewReader(bytes.NewReader(value))
-	if err != nil {
-		return topicCopy{}, errors.Wrap(err, "decompress a copy")
-	}
-	data, err := io.ReadAll(io.LimitReader(plain, maxTopicsBytes+1))
+// encodeCopy makes the value of a copy's record.
+func (e *edge) encodeCopy(topic *feed.Topic, now time.Time) ([]byte, error) {
+	given, err := topic.Copy(feed.Unread, now)
 	if err != nil {
-		return topicCopy{}, errors.Wrap(err, "decompress a copy")
+		return nil, err
 	}
-	if len(data) > maxTopicsBytes {
-		return topicCopy{}, errors.Newf("a copy of more than %d bytes", maxTopicsBytes)
-	}
-	var found topicCopy
-	if err := json.Unmarshal(data, &found); err != nil {
-		return topicCopy{}, errors.Wrap(err, "decode a copy")
-	}
-	return found, nil
+	given.AgeMs = feed.UnknownAge // it ages in the store
+	return given.Encode()
 }
 
 // copiesRead is how many partitions' copies are read before they are used: one
@@ -134,16 +119,16 @@
 // readCopies reads copies until the settings and the targets are known, from
 // wherever that is.
 func (e *edge) readCopies(ctx context.Context) {
-	found := make([]map[string]topicCopy, 0, copiesRead)
+	found := make([]map[string]feed.Copy, 0, copiesRead)
 	for ctx.Err() == nil && !(e.server.Table() != nil && e.targets.Known()) {
-		if !e.health.OK() {
+		if !e.health.OK() && e.relay.Reading() {
 			if copies := e.readCopy(ctx, rand.IntN(e.machine.Store.Partitions)); len(copies) > 0 {
 				found = append(found, copies)
 			}
 		}
 		if len(found) == copiesRead {
 			for _, copies := range found {
-				e.takeCopies(copies, topicCopies)
+				e.takeCopies(copies)
 			}
 			found = found[:0]
 		}
@@ -155,7 +140,7 @@
 }
 
 // readCopy reads what one partition holds.
-func (e *edge) readCopy(ctx context.Context, partition int) map[string]topicCopy {
+func (e *edge) readCopy(ctx context.Context, partition int) map[string]feed.Copy {
 	call, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	list, err := e.store.Newest(call, topicCopies, partition)
@@ -163,9 +148,9 @@
 		e.log.Debug("copies not read", "partition", partition, "error", err.Error())
 		return nil
 	}
-	copies := make(map[string]topicCopy)
+	copies := make(map[string]feed.Copy)
 	for _, r := range list.Records {
-		found, err := decodeCopy(r.Value)
+		found, err := feed.DecodeCopy(r.Value)
 		if err != nil {
 			e.log.Error("copy ignored", "topic", r.Key, "partition", partition, "error", err.Error())
 			continue
@@ -174,3 +159,19 @@
 	}
 	return copies
 }
+
+// takeCopies merges copies of topics that the store held.
+func (e *edge) takeCopies(copies map[string]feed.Copy) {
+	for _, topic := range e.sourceTopics() {
+		given, ok := copies[topic.Name]
+		if !ok {
+			continue
+		}
+		taken, err := topic.Take(given, time.Now())
+		if err != nil {
+			e.log.Error("copy ignored", "topic", topic.Name, "error", err.Error())
+			continue
+		}
+		e.log.Info("records taken from a copy", "topic", topic.Name, "records", taken, "source", topicCopies)
+	}
+}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -6,6 +6,7 @@
 	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/overload"
+	"github.com/banyanglade/banyanglade/internal/relay"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
@@ -19,6 +20,7 @@
 	Conversations   conversation.Dump  `json:"conversations"`
 	Allowances      allowance.Dump     `json:"allowances"`
 	Room            []overload.Dump    `json:"room"`
+	Topics          relay.Dump         `json:"topics"`
 }
 
 func (e *edge) dump() state {
@@ -26,6 +28,7 @@
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
 		Targets: e.incoming.registry.Snapshot(), Conversations: e.conversations.Dump(),
 		Allowances: e.allowances.Dump(), Room: e.server.Room().Dump(time.Now()),
+		Topics: e.relay.Dump(time.Now()),
 	}
 	if table := e.server.Table(); table != nil {
 		s.SettingsVersion = table.Version
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,7 @@
 	"github.com/banyanglade/banyanglade/internal/logqueue"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/peer"
+	"github.com/banyanglade/banyanglade/internal/relay"
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -159,6 +161,10 @@
 	settings  *feed.Topic
 	targets   *feed.Topic
 	instances *feed.Topic
+	// relay keeps the topics up to date.
+	relay *relay.Node
+	// keepsTurns tells that turns of conversations are written to the store here.
+	keepsTurns atomic.Bool
 	// reregister tells that this instance's record has to be written again.
 	reregister chan struct{}
 
@@ -179,12 +185,37 @@
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	currency.topic = e.settings
-	e.targets = feed.NewTopic(platform.TopicTargets, incoming.apply)
+	e.targets = feed.NewHeartbeatTopic(platform.TopicTargets, platform.RepeatsTarget, incoming.apply)
 	e.instances = feed.NewTopic(topicInstances, applyInstance(dir, e.reregister, log))
 	instances.topic.Store(e.instances)
+	e.relay = e.newRelay()
 	return e
 }
 
+// newRelay makes what keeps the topics up to date.
+func (e *edge) newRelay() *relay.Node {
+	m := e.machine
+	return relay.New(relay.Parts{
+		Self:  relay.Entry{Machine: m.Name, Address: m.PeerAddress, DataCentre: m.DataCentre},
+		Power: m.CPUShare, Seeds: m.Seeds, Store: e.store, Peers: newTopicsClient(),
+		Topics: []relay.Followed{
+			{Topic: e.settings, Wait: waitWithin(m.ConfigDelay)},
+			{Topic: e.targets, Wait: waitWithin(m.DrainDelay), Pause: targetsPause(m.DrainDelay), Large: true},
+			{Topic: e.instances, Wait: instancesWait, Pause: instancesPause},
+		},
+		Direct: func() bool { return e.keepsTurns.Load() || e.keeper.Owns() },
+		Others: e.otherAddresses, Health: e.health, Log: e.log,
+	})
+}
+
+func (e *edge) otherAddresses() []string {
+	var addresses []string
+	for _, p := range e.directory.Others() {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
 // applySettings puts a version of the operator's settings in force. Offsets
 // order the versions, so an older one never comes after a newer.
 func (e *edge) applySettings(r platform.Record) {
@@ -197,6 +228,7 @@
 		return
 	}
 	e.server.SetTable(route.NewTable(settings))
+	e.keepsTurns.Store(slices.ContainsFunc(settings.Routes, func(r *route.Route) bool { return r.KeepsTurns }))
 	e.allowances.SetActive(settings.Organisations.Limited())
 	e.log.Info("settings in force", "settings_version", settings.Version, "offset", r.Offset,
 		"routes", len(settings.Routes), "organisations", settings.Organisations.Len())
@@ -226,11 +258,8 @@
 
 func (e *edge) startWorkers(ctx context.Context) {
 	e.spawn(func() { e.pool.Run(ctx) })
-	e.spawn(func() { e.follow(ctx, e.settings, waitWithin(e.machine.ConfigDelay), 0) })
-	e.spawn(func() { e.follow(ctx, e.targets, waitWithin(e.machine.DrainDelay), targetsPause(e.machine.DrainDelay)) })
-	e.spawn(func() { e.follow(ctx, e.instances, instancesWait, instancesPause) })
+	e.spawn(func() { e.relay.Run(ctx) })
 	e.spawn(func() { e.register(ctx) })
-	e.spawn(func() { e.askPeers(ctx) })
 	e.spawn(func() { e.writeCopies(ctx) })
 	e.spawn(func() { e.readCopies(ctx) })
 	e.spawn(func() { e.keeper.Run(ctx) })
@@ -242,13 +271,6 @@
 
 func (e *edge) spawn(work func()) { e.work.Go(work) }
 
-func (e *edge) follow(ctx context.Context, topic *feed.Topic, wait, pause time.Duration) {
-	follower := feed.Follower{
-		Store: e.store, Topic: topic, Wait: wait, Pause: pause, Health: e.health, Log: e.log,
-	}
-	follower.Run(ctx)
-}
-
 // sweep removes targets whose time to register again has passed.
 func (e *edge) sweep(ctx context.Context) {
 	ticker := time.NewTicker(returnTime / 8)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
-	"net"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,157 +10,134 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
+	"github.com/ugorji/go/codec"
 
 	"github.com/banyanglade/banyanglade/internal/feed"
-	"github.com/banyanglade/banyanglade/platform"
+	"github.com/banyanglade/banyanglade/internal/netopt"
+	"github.com/banyanglade/banyanglade/internal/relay"
 )
 
-// While the store refuses an instance, or is away when it starts, it asks other
-// instances for the newest records of the topics that it follows.
+// How instances ask each other for the newest records of the topics.
 
 const (
 	// topicsPath is where an instance gives its copies of the topics.
 	topicsPath = "/topics"
-	// peerInterval is the time between two questions; settings have to be in
-	// force within 2 s.
-	peerInterval = 400 * time.Millisecond
-	// peerTimeout bounds one question.
-	peerTimeout = 600 * time.Millisecond
-	// maxTopicsBytes bounds an answer: settings of some thousand routes.
-	maxTopicsBytes = 16 << 20
+	// waitField names how long an answer may wait for news, in milliseconds; the
+	// other fields of a question are topics and offsets.
+	waitField = "wait_ms"
+	// topicsDial bounds the set-up of a connection to another instance, topicsSilence
+	// the time without a byte of an answer beyond the wait asked for.
+	topicsDial    = 300 * time.Millisecond
+	topicsSilence = 900 * time.Millisecond
+	// longestAnswerWait bounds the wait that others may ask for.
+	longestAnswerWait = 30 * time.Second
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 32 << 20
 )
 
-// topicCopy is the newest records of one topic, above an offset.
-type topicCopy struct {
-	// Whole tells that the sender knows the whole topic.
-	Whole   bool              `json:"whole"`
-	Records []platform.Record `json:"records"`
-	// AgeMs is how long ago the sender knew that its copy was the newest, in
-	// milliseconds; nil if that is not known.
-	AgeMs *int64 `json:"age_ms,omitempty"`
-}
+var answerCodec = newAnswerCodec()
 
-// copies are the topics that instances give each other.
-func (e *edge) copies() []*feed.Topic { return []*feed.Topic{e.settings, e.targets, e.instances} }
+func newAnswerCodec() *codec.CborHandle {
+	h := new(codec.CborHandle)
+	h.MaxInitLen = 1024 // elements allocated ahead on the word of a length field
+	return h
+}
 
 // giveTopics answers another instance's question.
 func (e *edge) giveTopics(c *gin.Context) {
-	answer := make(map[string]topicCopy)
-	for _, topic := range e.copies() {
-		since, err := strconv.ParseInt(c.DefaultQuery(topic.Name, "-1"), 10, 64)
-		if err != nil {
-			c.Status(http.StatusBadRequest)
-			return
-		}
-		// The age comes first: what it covers is in the records then.
-		age := topic.Age(time.Now()).Milliseconds()
-		records, _ := topic.Since(since)
-		answer[topic.Name] = topicCopy{Whole: topic.Known(), Records: records, AgeMs: &age}
+	question, err := decodeQuestion(c.Request.URL.Query())
+	if err != nil {
+		c.String(http.StatusBadRequest, "%s", err.Error())
+		return
 	}
-	c.JSON(http.StatusOK, answer)
+	answer, err := e.relay.Answer(c.Request.Context(), question)
+	if err != nil {
+		e.log.Debug("question for topics not answered", "error", err.Error())
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	var body []byte
+	if err := codec.NewEncoderBytes(&body, answerCodec).Encode(answer); err != nil {
+		e.log.Error("answer to a question for topics not encoded", "error", err.Error())
+		c.Status(http.StatusInternalServerError)
+		return
+	}
+	c.Data(http.StatusOK, "application/cbor", body)
 }
 
-// askPeers asks other instances while the store does not answer.
-func (e *edge) askPeers(ctx context.Context) {
-	client := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: peerTimeout / 2}).DialContext,
-		IdleConnTimeout:   10 * time.Second,
-		DisableKeepAlives: false,
-	}}
-	ticker := time.NewTicker(peerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			client.CloseIdleConnections()
-			return
-		case <-ticker.C:
-		}
-		if e.health.OK() {
-			continue
+func encodeQuestion(q relay.Question) url.Values {
+	query := url.Values{waitField: {strconv.FormatInt(q.Wait.Milliseconds(), 10)}}
+	for topic, from := range q.From {
+		query.Set(topic, strconv.FormatInt(from, 10))
+	}
+	return query
+}
+
+func decodeQuestion(query url.Values) (relay.Question, error) {
+	q := relay.Question{From: make(map[string]int64, len(query))}
+	for field := range query {
+		value, err := strconv.ParseInt(query.Get(field), 10, 64)
+		if err != nil || value < feed.Unread {
+			return relay.Question{}, errors.Newf("%s: %q: expected a whole number", field, query.Get(field))
 		}
-		address := e.anyPeer()
-		if address == "" {
+		if field == waitField {
+			q.Wait = min(time.Duration(max(value, 0))*time.Millisecond, longestAnswerWait)
 			continue
 		}
-		if err := e.askPeer(ctx, client, address); err != nil {
-			e.log.Debug("peer gave no topics", "address", address, "error", err.Error())
-		}
+		q.From[field] = value
 	}
+	return q, nil
 }
 
-// anyPeer chooses an instance at random, or a seed if none is known.
-func (e *edge) anyPeer() string {
-	var addresses []string
-	for _, p := range e.directory.Others() {
-		addresses = append(addresses, p.Address)
-	}
-	if len(addresses) == 0 {
-		for _, seed := range e.machine.Seeds {
-			if seed != e.machine.PeerAddress {
-				addresses = append(addresses, seed)
-			}
-		}
-	}
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[rand.IntN(len(addresses))]
+// topicsClient asks other instances. It implements relay.Peers.
+type topicsClient struct{ client *http.Client }
+
+func newTopicsClient() *topicsClient {
+	return &topicsClient{client: &http.Client{Transport: &http.Transport{
+		DialContext:        netopt.Dialer(topicsDial, topicsSilence).DialContext,
+		IdleConnTimeout:    10 * time.Second,
+		DisableCompression: true,
+	}}}
 }
 
-func (e *edge) askPeer(ctx context.Context, client *http.Client, address string) error {
-	query := url.Values{}
-	for _, topic := range e.copies() {
-		_, newest := topic.Since(int64(1) << 62)
-		if !topic.Known() {
-			newest = -1
-		}
-		query.Set(topic.Name, strconv.FormatInt(newest, 10))
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+topicsPath+"?"+query.Encode(), nil)
+// Ask implements relay.Peers. An answer may take long as long as bytes come: many
+// ask a relay at once when all start.
+func (t *topicsClient) Ask(ctx context.Context, address string, q relay.Question) (relay.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(q.Wait+topicsSilence, cancel)
+	defer silence.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+topicsPath+"?"+encodeQuestion(q).Encode(), nil)
 	if err != nil {
-		return errors.Wrap(err, "make the question")
+		return relay.Answer{}, errors.Wrap(err, "make the question")
 	}
-	asked := time.Now()
-	resp, err := client.Do(req)
+	resp, err := t.client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "ask")
+		return relay.Answer{}, errors.Wrap(err, "ask")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("status %d", resp.StatusCode)
+		return relay.Answer{}, errors.Newf("status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(&heardReader{http.MaxBytesReader(nil, resp.Body, maxAnswerBytes), silence})
+	if err != nil {
+		return relay.Answer{}, errors.Wrap(err, "read the answer")
 	}
-	var answer map[string]topicCopy
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxTopicsBytes)).Decode(&answer); err != nil {
-		return errors.Wrap(err, "decode")
+	var answer relay.Answer
+	if err := codec.NewDecoderBytes(body, answerCodec).Decode(&answer); err != nil {
+		return relay.Answer{}, errors.Wrap(err, "decode")
 	}
-	e.takeCopies(answer, address)
-	e.confirmCopies(answer, asked)
-	return nil
+	return answer, nil
 }
 
-// confirmCopies notes how old the topics are now that another instance's copies
-// were merged, which it was asked for at a time.
-func (e *edge) confirmCopies(answer map[string]topicCopy, asked time.Time) {
-	for _, topic := range e.copies() {
-		if given := answer[topic.Name]; given.Whole && given.AgeMs != nil {
-			topic.Confirm(asked.Add(-time.Duration(*given.AgeMs) * time.Millisecond))
-		}
-	}
+// heardReader puts off the end of a call with each byte that comes.
+type heardReader struct {
+	io.Reader
+	silence *time.Timer
 }
 
-// takeCopies merges copies of topics from an instance or from the store.
-func (e *edge) takeCopies(answer map[string]topicCopy, source string) {
-	for _, topic := range e.copies() {
-		given, ok := answer[topic.Name]
-		if !ok {
-			continue
-		}
-		if taken := topic.Merge(given.Records); taken > 0 {
-			e.log.Info("records taken from a copy", "topic", topic.Name, "records", taken, "source", source)
-		}
-		if given.Whole {
-			topic.MarkKnown()
-		}
-	}
+// Read implements io.Reader.
+func (r *heardReader) Read(p []byte) (int, error) {
+	r.silence.Reset(topicsSilence)
+	return r.Reader.Read(p)
 }
--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/platform"
@@ -68,7 +70,7 @@
 			ID: record.ID, Region: structs.Region(record.Region),
 			DataCentre: structs.DataCentre(record.DataCentre), Address: record.Address,
 		})
-		log.Info("instance listed", "peer", record.ID, "address", record.Address, "offset", r.Offset)
+		log.Debug("instance listed", "peer", record.ID, "address", record.Address, "offset", r.Offset)
 	}
 }
 
@@ -113,10 +115,11 @@
 	}
 }
 
-// Waits between two tries to register; they double.
+// Waits between two tries to register. They double up to a time that keeps the load
+// of all instances far below what the store gives; its return ends them.
 const (
 	registerRetryFirst = 50 * time.Millisecond
-	registerRetryMost  = 500 * time.Millisecond
+	registerRetryMost  = 4 * time.Second
 )
 
 // writeRecord appends a record until it is acknowledged. Taking effect twice
@@ -131,9 +134,12 @@
 			return
 		}
 		e.log.Debug("instance not registered yet", "error", err.Error())
-		timer := time.NewTimer(wait)
+		returned := e.health.Returned()
+		timer := time.NewTimer(wait/2 + rand.N(wait))
 		select {
 		case <-ctx.Done():
+		case <-returned:
+			delay.Sleep(ctx, rand.N(registerRetryFirst))
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -41,9 +41,7 @@
 	longestWait = 3 * time.Second
 	// targetsShare of the time for which a target that leaves goes on serving is
 	// the time between two reads of the targets' records: while targets come and
-	// go each read finds some, and three more reads still come in time. With
-	// instancesPause and longestWait: 14,817 -> 9,474 calls of 59 instances in a
-	// day of 72 s (one run).
+	// go each read finds some, and three more reads still come in time.
 	targetsShare = 0.25
 	// targetsPauseMost bounds it where targets serve on for long, so that new
 	// targets are found soon.
@@ -54,9 +52,8 @@
 	// waits: they are rare, and a link that was cut meanwhile is noticed by the
 	// readers of the other topics.
 	instancesWait = 12 * time.Second
-	// instancesPause is the time between two such reads. When all start at once
-	// each reads the others' records some times and not once for each record:
-	// with n instances that would be n*n calls.
+	// instancesPause is the time between two such reads: when all start at once a
+	// relay reads their records in batches, not once for each.
 	instancesPause = 300 * time.Millisecond
 )
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -62,12 +62,12 @@
 
 func newKeeper(
 	life lifetime, machine platform.Machine, dir *directory.Directory, store *platform.Store,
-	transport *peer.Transport, registry *targets.Registry, health *feed.Health, r *receiver, scope tally.Scope,
-	log *slog.Logger,
+	transport *peer.Transport, registry *targets.Registry, health *feed.Health, instances *listing, r *receiver,
+	scope tally.Scope, log *slog.Logger,
 ) *budget.Keeper {
 	r.keeper = budget.New(life, budget.Parts{
 		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, Breaks: registry, Loads: registry,
-		Health: health, Scope: scope, Log: log,
+		Health: health, Listed: instances.known, Scope: scope, Log: log,
 	})
 	return r.keeper
 }
--- a/internal/edge/targetfeed.go
+++ b/internal/edge/targetfeed.go
@@ -97,7 +97,7 @@
 		f.connections.Forget(former.Address)
 	}
 	if f.registry.Put(entry) {
-		f.log.Info("target changed", "target", entry.ID, "service", entry.Service, "address", entry.Address,
+		f.log.Debug("target changed", "target", entry.ID, "service", entry.Service, "address", entry.Address,
 			"draining", entry.Draining, "start", entry.Start, "offset", offset)
 	}
 }
@@ -124,8 +124,12 @@
 
 func (f *targetFeed) remove(id string) {
 	delete(f.lapsed, id)
+	if s, ok := f.starts[id]; ok {
+		s.seen = time.Now()
+		f.starts[id] = s
+	}
 	if f.registry.Remove(id) {
-		f.log.Info("target removed", "target", id)
+		f.log.Debug("target removed", "target", id)
 	}
 }
 
--- a/internal/edge/targetfeed_test.go
+++ b/internal/edge/targetfeed_test.go
@@ -32,11 +32,11 @@
 	return s.instancesAway.Load()
 }
 
-func (s *topicStore) Newest(_ context.Context, topic string, _ int) (platform.Newest, error) {
+func (s *topicStore) NewestPage(_ context.Context, topic string, _ int, _ string) (platform.Newest, bool, error) {
 	if s.away(topic) {
-		return platform.Newest{}, errAway
+		return platform.Newest{}, false, errAway
 	}
-	return platform.Newest{}, nil
+	return platform.Newest{}, false, nil
 }
 
 func (s *topicStore) Read(ctx context.Context, topic string, _ int, from int64, wait time.Duration) ([]platform.Record, int64, error) {
--- a/internal/edge/copies_test.go
+++ b/internal/feed/copy_test.go
@@ -1,10 +1,11 @@
-package edge
+package feed
 
 import (
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -28,46 +29,63 @@
 	return value
 }
 
+// encoded is a whole copy of a topic.
+func encoded(t testing.TB, topic *Topic) []byte {
+	t.Helper()
+	given, err := topic.Copy(Unread, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := given.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 // A copy of settings of some thousand routes fits into a record of the store and
 // comes back as it was.
 func TestCopyOfLargeSettingsFitsIntoARecord(t *testing.T) {
-	given := topicCopy{Whole: true, Records: []platform.Record{{Key: platform.KeySettings, Value: largeSettings(), Offset: 5}}}
-	if len(given.Records[0].Value) <= recordLimit {
-		t.Fatalf("the settings take %d bytes only", len(given.Records[0].Value))
+	settings := largeSettings()
+	if len(settings) <= recordLimit {
+		t.Fatalf("the settings take %d bytes only", len(settings))
+	}
+	giver := NewTopic("t", func(platform.Record) {})
+	giver.Replace(platform.Newest{Records: []platform.Record{{Key: platform.KeySettings, Value: settings, Offset: 5}}, End: 6})
+	value := encoded(t, giver)
+	if len(value) > recordLimit {
+		t.Fatalf("%d bytes", len(value))
 	}
-	value, err := encodeCopy(given)
-	if err != nil || len(value) > recordLimit {
-		t.Fatalf("%d bytes, %v", len(value), err)
+	got, err := DecodeCopy(value)
+	if err != nil || !got.Whole || got.Next != 6 {
+		t.Fatalf("got %+v, %v", got, err)
 	}
-	got, err := decodeCopy(value)
-	if err != nil || !got.Whole || len(got.Records) != 1 || !bytes.Equal(got.Records[0].Value, given.Records[0].Value) {
-		t.Errorf("got %d records, %v", len(got.Records), err)
+	records, err := unpack(got.Packed)
+	if err != nil || len(records) != 1 || !bytes.Equal(records[0].Value, settings) {
+		t.Errorf("got %d records, %v", len(records), err)
 	}
 }
 
 // What another writer puts in place of a copy is refused, whatever it says of its
 // size.
 func TestCopyOfAnotherWriterIsRefused(t *testing.T) {
-	whole, err := encodeCopy(topicCopy{Records: []platform.Record{{Key: "k", Value: make([]byte, maxTopicsBytes)}}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	giver := NewTopic("t", func(platform.Record) {})
+	giver.Merge([]platform.Record{{Key: "k", Value: make([]byte, MaxCopyBytes), Offset: 1}})
+	whole := encoded(t, giver)
 	for _, value := range [][]byte{nil, []byte("{}"), []byte("\xff"), whole[:len(whole)/2], whole} {
-		if got, err := decodeCopy(value); err == nil {
-			t.Errorf("%d bytes were taken for a copy of %d records", len(value), len(got.Records))
+		if got, err := DecodeCopy(value); err == nil {
+			t.Errorf("%d bytes were taken for a copy %+v", len(value), got)
 		}
 	}
 }
 
 func FuzzDecodeCopy(f *testing.F) {
-	value, err := encodeCopy(topicCopy{Whole: true, Records: []platform.Record{{Key: "k", Value: []byte("v"), Offset: 3}}})
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(value)
+	giver := NewTopic("t", func(platform.Record) {})
+	giver.Merge([]platform.Record{record("k", "v", 3)})
+	f.Add(encoded(f, giver))
 	f.Add([]byte("{}"))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		if _, err := decodeCopy(value); err != nil {
+		if _, err := DecodeCopy(value); err != nil {
 			return
 		}
 	})
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -29,7 +29,7 @@
 
 // Store is what a Follower reads from.
 type Store interface {
-	Newest(ctx context.Context, topic string, partition int) (platform.Newest, error)
+	NewestPage(ctx context.Context, topic string, partition int, after string) (platform.Newest, bool, error)
 	Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) ([]platform.Record, int64, error)
 }
 
@@ -41,16 +41,40 @@
 	Wait time.Duration
 	// Pause is the time between two reads, so that topics with many records
 	// are read in batches.
-	Pause  time.Duration
-	Health *Health
-	Log    *slog.Logger
+	Pause time.Duration
+	// CatchUp tries to have another instance's copy taken before the whole topic is
+	// read from the store; nil for none.
+	CatchUp func(ctx context.Context) bool
+	Health  *Health
+	Log     *slog.Logger
+
+	// pages is what a read of the whole topic has given so far, after the last key
+	// in it.
+	pages []platform.Record
+	after string
+	end   int64
+	begun time.Time
 }
 
-// Run follows the topic until the context ends.
+// Unread is the offset from which a topic is read whose content is not known.
+const Unread = int64(-1)
+
+// mostCatchUps bounds how often in a row another instance's copy is taken that ends
+// before what the store still holds.
+const mostCatchUps = 2
+
+// Run follows the topic until the context ends, from where its content ends.
 func (f *Follower) Run(ctx context.Context) {
-	from := int64(-1)
+	from := f.begin()
 	failures := 0
+	catchUps := 0
 	for ctx.Err() == nil {
+		if from == Unread && catchUps < mostCatchUps && f.CatchUp != nil {
+			catchUps++
+			if f.CatchUp(ctx) {
+				from = f.begin()
+			}
+		}
 		returned := f.Health.Returned()
 		next, err := f.stepUnless(ctx, returned, from, failures > 0)
 		if ctx.Err() != nil {
@@ -60,7 +84,7 @@
 			continue
 		}
 		if errors.Is(err, platform.ErrTrimmed) {
-			from = -1
+			from = Unread
 			continue
 		}
 		f.Health.note(f.Topic.Name, err, time.Now(), f.Log)
@@ -69,11 +93,18 @@
 			failures++
 			continue
 		}
-		from, failures = next, 0
+		from, failures, catchUps = next, 0, 0
 		sleep(ctx, f.Pause, nil)
 	}
 }
 
+func (f *Follower) begin() int64 {
+	if !f.Topic.Known() {
+		return Unread
+	}
+	return f.Topic.Next()
+}
+
 // retryPause is the time until the next try after some failures. Topics that fail
 // together try in turn; the pauses are drawn at random, so that instances do not try
 // together.
@@ -113,18 +144,10 @@
 // step reads the whole topic, or what came after an offset; a probe does not
 // wait for a record.
 func (f *Follower) step(ctx context.Context, from int64, probe bool) (int64, error) {
-	started := time.Now()
 	if from < 0 {
-		ctx, cancel := context.WithTimeout(ctx, callMargin)
-		defer cancel()
-		list, err := f.Store.Newest(ctx, f.Topic.Name, 0)
-		if err != nil {
-			return from, err
-		}
-		f.Topic.Replace(list)
-		f.Topic.Confirm(started)
-		return list.End, nil
+		return f.readWhole(ctx)
 	}
+	started := time.Now()
 	wait, timeout := f.Wait, f.Wait+callMargin
 	if probe {
 		wait, timeout = 0, probeMargin
@@ -135,7 +158,7 @@
 	if err != nil {
 		return from, err
 	}
-	f.Topic.Merge(records)
+	f.Topic.advance(records, next)
 	if len(records) == 0 {
 		// The store has waited that long and had nothing new.
 		started = started.Add(wait)
@@ -144,6 +167,38 @@
 	return next, nil
 }
 
+// readWhole reads the whole topic page by page. After a failure it goes on behind the
+// pages that it has: a store that is slow or refuses much would else never be read.
+func (f *Follower) readWhole(ctx context.Context) (int64, error) {
+	for {
+		started := time.Now()
+		page, more, err := f.readPage(ctx)
+		if err != nil {
+			return Unread, err
+		}
+		if f.after == "" {
+			// Reading on from the end of the first page misses no change made while
+			// later pages were read.
+			f.end, f.begun = page.End, started
+		}
+		f.pages = append(f.pages, page.Records...)
+		if more {
+			f.after = page.Records[len(page.Records)-1].Key
+			continue
+		}
+		f.Topic.Replace(platform.Newest{Records: f.pages, End: f.end})
+		f.Topic.Confirm(f.begun)
+		f.pages, f.after = nil, ""
+		return f.end, nil
+	}
+}
+
+func (f *Follower) readPage(ctx context.Context) (platform.Newest, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	return f.Store.NewestPage(ctx, f.Topic.Name, 0, f.after)
+}
+
 // sleep waits, at most until woken is closed.
 func sleep(ctx context.Context, wait time.Duration, woken <-chan struct{}) {
 	if wait <= 0 {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -39,14 +39,14 @@
 	return s.calls
 }
 
-func (s *fakeStore) Newest(context.Context, string, int) (platform.Newest, error) {
+func (s *fakeStore) NewestPage(context.Context, string, int, string) (platform.Newest, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.refuse {
-		return platform.Newest{}, platform.ErrBusy
+		return platform.Newest{}, false, platform.ErrBusy
 	}
-	return s.newest, nil
+	return s.newest, false, nil
 }
 
 func (s *fakeStore) Read(
@@ -117,7 +117,7 @@
 		store.set(false, false)
 		time.Sleep(retryMost * 5 / 4)
 		for _, topic := range topics {
-			if records, _ := topic.Since(3); len(records) != 1 {
+			if records := lockedSince(topic, 4); len(records) != 1 {
 				t.Errorf("topic %s has %d new records", topic.Name, len(records))
 			}
 		}
@@ -143,7 +143,7 @@
 		slow.set(false, false)
 		other.set(false, false)
 		time.Sleep(retryMost * 2)
-		if records, _ := topic.Since(3); len(records) != 1 {
+		if records := lockedSince(topic, 4); len(records) != 1 {
 			t.Errorf("%d records", len(records))
 		}
 	})
@@ -160,3 +160,43 @@
 		}
 	})
 }
+
+// lockedSince lists what a topic has that began at or behind an offset.
+func lockedSince(t *Topic, offset int64) []platform.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.since(offset)
+}
+
+// pagedStore has a topic of some pages and refuses every other call.
+type pagedStore struct {
+	fakeStore
+	asked []string
+}
+
+func (s *pagedStore) NewestPage(_ context.Context, _ string, _ int, after string) (platform.Newest, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.calls%2 == 0 {
+		return platform.Newest{}, false, platform.ErrBusy
+	}
+	s.asked = append(s.asked, after)
+	next := map[string]string{"": "a", "a": "b", "b": "c"}[after]
+	return platform.Newest{Records: []platform.Record{record(next, "v", 1)}, End: 2}, next != "c", nil
+}
+
+// A read of the whole topic goes on from the page that it has: a store that refuses
+// much would else never be read to the end.
+func TestReadOfTheWholeTopicGoesOnBehindAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := new(pagedStore)
+		topic := follow(t, NewHealth(), store, time.Second, "t")[0]
+		time.Sleep(2 * time.Second)
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if !topic.Known() || len(store.asked) != 3 {
+			t.Errorf("pages asked behind %q", store.asked)
+		}
+	})
+}
--- a/internal/feed/topic_test.go
+++ b/internal/feed/topic_test.go
@@ -29,8 +29,7 @@
 			topic.Merge([]platform.Record{record("k", "v", offset)})
 			highest = max(highest, offset)
 		}
-		_, newest := topic.Since(-1)
-		return grows && last == highest && (len(offsets) == 0 || newest == highest)
+		return grows && last == highest && topic.Changed() == highest
 	}, gen.SliceOf(gen.Int64Range(0, 50))))
 	properties.TestingRun(t)
 }
@@ -51,9 +50,9 @@
 func TestSinceGivesDroppedKeysToo(t *testing.T) {
 	topic := NewTopic("t", func(platform.Record) {})
 	topic.Merge([]platform.Record{record("a", "1", 1), record("b", "2", 2), record("a", "", 3)})
-	records, newest := topic.Since(2)
-	if len(records) != 1 || records[0].Key != "a" || len(records[0].Value) != 0 || newest != 3 {
-		t.Errorf("got %+v, %d", records, newest)
+	records := topic.since(3)
+	if len(records) != 1 || records[0].Key != "a" || len(records[0].Value) != 0 || topic.Changed() != 3 {
+		t.Errorf("got %+v, %d", records, topic.Changed())
 	}
 }
 
@@ -69,3 +68,156 @@
 		t.Errorf("got %s", age)
 	}
 }
+
+// sameKind takes values for the same that begin alike.
+func sameKind(a, b []byte) bool { return a[0] == b[0] }
+
+// A record that repeats the one before it is neither applied nor passed on, and one
+// that comes behind it counts as newer than both.
+func TestHeartbeatsAreNotPassedOn(t *testing.T) {
+	applied := 0
+	topic := NewHeartbeatTopic("t", sameKind, func(platform.Record) { applied++ })
+	topic.Merge([]platform.Record{record("k", "a1", 1), record("k", "a2", 5), record("k", "a3", 9)})
+	if applied != 1 || topic.Changed() != 1 {
+		t.Errorf("applied %d times, changed at %d", applied, topic.Changed())
+	}
+	if taken := topic.Merge([]platform.Record{record("k", "b1", 7)}); taken != 0 {
+		t.Error("an older record was taken")
+	}
+	topic.Merge([]platform.Record{record("k", "b1", 11)})
+	if applied != 2 || topic.Changed() != 11 {
+		t.Errorf("applied %d times, changed at %d", applied, topic.Changed())
+	}
+}
+
+// Who has read a copy up to its end learns of keys that the giver finds dropped later.
+func TestDropsFoundInTheWholeListArePassedOn(t *testing.T) {
+	giver, receiver := NewTopic("t", func(platform.Record) {}), NewTopic("t", func(platform.Record) {})
+	giver.Replace(platform.Newest{Records: []platform.Record{record("a", "1", 1), record("b", "1", 2)}, End: 3})
+	pass(t, giver, receiver)
+	giver.Replace(platform.Newest{Records: []platform.Record{record("b", "1", 2)}, End: 8})
+	pass(t, giver, receiver)
+	if r := receiver.newest["a"]; len(r.Value) != 0 || receiver.Next() != 8 {
+		t.Errorf("the receiver holds %+v, next %d", r, receiver.Next())
+	}
+}
+
+// pass gives a receiver what it lacks.
+func pass(t *testing.T, giver, receiver *Topic) {
+	t.Helper()
+	from := Unread
+	if receiver.Known() {
+		from = receiver.Next()
+	}
+	given, err := giver.Copy(from, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := receiver.Take(given, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Whatever is read where and in which order it is passed on, all hold the same in the
+// end, though each giver has read to another offset.
+func TestReceiversEndWithWhatTheStoreHolds(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("same content", prop.ForAll(func(steps []uint8) bool {
+		var history []platform.Record
+		topics := make([]*Topic, 4)
+		for i := range topics {
+			topics[i] = NewHeartbeatTopic("t", sameKind, func(platform.Record) {})
+		}
+		for _, step := range steps {
+			switch who := int(step>>2) % 2; step % 4 {
+			case 0:
+				value := string("ab"[step>>7]) + string(rune('0'+step>>4))
+				history = append(history, record(string("xyz"[step>>4%3]), value, int64(len(history))))
+			case 1:
+				history = append(history, record(string("xyz"[step>>4%3]), "", int64(len(history))))
+			case 2:
+				readSome(topics[who], history, int(step>>4))
+			case 3:
+				pass(t, topics[who], topics[2+int(step>>3)%2])
+			}
+		}
+		for i, topic := range topics {
+			if i < 2 {
+				readSome(topic, history, len(history))
+			} else {
+				// The first one may be a whole copy of before.
+				pass(t, topics[0], topic)
+				pass(t, topics[0], topic)
+			}
+		}
+		for _, topic := range topics {
+			if !holds(topic, history) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOf(gen.UInt8())))
+	properties.TestingRun(t)
+}
+
+// readSome reads a history on from where a topic ends.
+func readSome(topic *Topic, history []platform.Record, most int) {
+	if !topic.Known() {
+		topic.Replace(newestOf(history))
+		return
+	}
+	from := topic.Next()
+	to := min(from+int64(most), int64(len(history)))
+	topic.advance(history[from:to], to)
+}
+
+func newestOf(history []platform.Record) platform.Newest {
+	newest := make(map[string]platform.Record)
+	for _, r := range history {
+		newest[r.Key] = r
+	}
+	list := platform.Newest{End: int64(len(history))}
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			list.Records = append(list.Records, r)
+		}
+	}
+	return list
+}
+
+// holds tells whether a topic holds the newest kind of each key.
+func holds(topic *Topic, history []platform.Record) bool {
+	list := newestOf(history)
+	present := 0
+	for _, r := range topic.newest {
+		if len(r.Value) > 0 {
+			present++
+		}
+	}
+	for _, r := range list.Records {
+		if got := topic.newest[r.Key]; len(got.Value) == 0 || !sameKind(got.Value, r.Value) {
+			return false
+		}
+	}
+	return present == len(list.Records)
+}
+
+// A topic that is given to many at once is encoded once in a while, not once for each.
+func TestWholeCopiesAreMadeOnceForMany(t *testing.T) {
+	giver := NewTopic("t", func(platform.Record) {})
+	giver.Replace(platform.Newest{Records: []platform.Record{record("a", "1", 1)}, End: 2})
+	now := time.Now()
+	first, err := giver.Copy(Unread, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	giver.Merge([]platform.Record{record("b", "1", 3)})
+	second, err := giver.Copy(Unread, now.Add(wholeCopyLife/2))
+	if err != nil || &first.Packed[0] != &second.Packed[0] {
+		t.Errorf("made anew: %v", err)
+	}
+	third, err := giver.Copy(Unread, now.Add(2*wholeCopyLife))
+	if err != nil || &first.Packed[0] == &third.Packed[0] {
+		t.Errorf("not made anew: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/feed"
+)
+
+// Question asks an instance for what is new in some topics.
+type Question struct {
+	// From is the offset for each topic that the copy has to begin at, feed.Unread for
+	// all of a topic that is not known.
+	From map[string]int64
+	// Wait is how long the answer may wait for news.
+	Wait time.Duration
+}
+
+// Answer is what an instance knows.
+type Answer struct {
+	// Relay tells that the instance reads the topics from the store.
+	Relay bool
+	// HeldMs is how long the question waited at the instance, in milliseconds.
+	HeldMs int64
+	Topics map[string]Given
+}
+
+// Given is what an instance knows of a topic.
+type Given struct {
+	feed.Copy
+	// Failing tells that the instance's reads of the topic fail, BackMs how long ago
+	// they last came back, in milliseconds.
+	Failing bool
+	BackMs  int64
+}
+
+// Answer answers another instance once there is news for it or its wait is over.
+func (n *Node) Answer(ctx context.Context, q Question) (Answer, error) {
+	begun := time.Now()
+	timer := time.NewTimer(max(q.Wait, 0))
+	defer timer.Stop()
+	urgent := n.Topics[0].Topic
+	for over := q.Wait <= 0; ; {
+		moved := n.moved()
+		now := time.Now()
+		confirmed := urgent.Age(now) < now.Sub(begun)
+		if over || confirmed || n.hasNews(q) {
+			return n.answer(q, begun)
+		}
+		select {
+		case <-ctx.Done():
+			return Answer{}, errors.Wrap(ctx.Err(), "wait for news")
+		case <-timer.C:
+			over = true
+		case <-moved[0]:
+		case <-moved[1]:
+		case <-moved[2]:
+		case <-moved[3]:
+		}
+	}
+}
+
+// movedTopics is how many topics a question may wait for.
+const movedTopics = 4
+
+// moved are closed when topics next move; nil where there are fewer topics.
+func (n *Node) moved() [movedTopics]<-chan struct{} {
+	var channels [movedTopics]<-chan struct{}
+	channels[0] = n.slots.Moved()
+	for i, f := range n.Topics {
+		channels[i+1] = f.Topic.Moved()
+	}
+	return channels
+}
+
+// each calls a function for each topic.
+func (n *Node) each(visit func(*feed.Topic)) {
+	visit(n.slots)
+	for _, f := range n.Topics {
+		visit(f.Topic)
+	}
+}
+
+// hasNews tells whether a question can be answered with records that its sender
+// lacks.
+func (n *Node) hasNews(q Question) bool {
+	news := false
+	n.each(func(t *feed.Topic) {
+		from, asked := q.From[t.Name]
+		switch {
+		case !asked:
+		case from < 0:
+			news = news || t.Known()
+		default:
+			news = news || t.Changed() >= from
+		}
+	})
+	return news
+}
+
+func (n *Node) answer(q Question, begun time.Time) (Answer, error) {
+	now := time.Now()
+	answer := Answer{Relay: n.reading.Load(), HeldMs: now.Sub(begun).Milliseconds(), Topics: make(map[string]Given)}
+	var failure error
+	n.each(func(t *feed.Topic) {
+		from, asked := q.From[t.Name]
+		if !asked {
+			return
+		}
+		c, err := t.Copy(from, now)
+		if err != nil {
+			failure = err
+			return
+		}
+		back, answers := n.Health.BackSince(t.Name)
+		given := Given{Copy: c, Failing: !answers}
+		if !back.IsZero() {
+			given.BackMs = now.Sub(back).Milliseconds()
+		} else {
+			given.BackMs = feed.NeverBack.Milliseconds()
+		}
+		answer.Topics[t.Name] = given
+	})
+	return answer, failure
+}
--- /dev/null
+++ b/internal/relay/node.go
@@ -0,0 +1,369 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/delay"
+	"github.com/banyanglade/banyanglade/internal/feed"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// Store is what an instance reads the topics from.
+type Store interface {
+	feed.Store
+	Append(ctx context.Context, a platform.Append) (int64, error)
+}
+
+// Peers ask other instances.
+type Peers interface {
+	Ask(ctx context.Context, address string, q Question) (Answer, error)
+}
+
+// Followed is a topic that relays read and pass on.
+type Followed struct {
+	Topic *feed.Topic
+	// Wait is how long a read waits at the store for a record, Pause the time
+	// between two reads.
+	Wait  time.Duration
+	Pause time.Duration
+	// Large topics are read from the store by the first relay of a data centre; the
+	// others take its copy and read on from there.
+	Large bool
+}
+
+// Parts are what a Node works with.
+type Parts struct {
+	Self Entry
+	// Power is what the machine can do, 1 for a whole core.
+	Power float64
+	// Seeds are addresses of other instances, which may be stale.
+	Seeds []string
+	Store Store
+	Peers Peers
+	// Topics are passed on; a reader is told at once when the first of them was
+	// confirmed.
+	Topics []Followed
+	// Direct tells that this instance writes to the store and has to notice by itself
+	// whether the store answers.
+	Direct func() bool
+	// Others lists the addresses of other instances.
+	Others func() []string
+	Health *feed.Health
+	Log    *slog.Logger
+}
+
+// Node keeps the topics of an instance up to date, as a relay or from relays.
+type Node struct {
+	Parts
+	// slots is the topic of the slots.
+	slots *feed.Topic
+	// reading tells that this instance reads the topics from the store.
+	reading atomic.Bool
+	source  atomic.Pointer[string]
+
+	mu    sync.Mutex
+	table table
+	// failures are relays that did not answer, by address.
+	failures map[string]failure
+	// vacant is since when a slot of the data centre is known to be free.
+	vacant time.Time
+	// claimPause is how long this instance waits before it takes a slot.
+	claimPause time.Duration
+	// claimAfter is when a slot may be claimed again after a try that failed.
+	claimAfter time.Time
+	// claimsLost counts claims in a row before which another instance wrote.
+	claimsLost int
+	// readAlone is when the topics are read without knowing the slots.
+	readAlone time.Time
+	learning  int // tries to read the slots
+}
+
+// failure is a relay that does not answer.
+type failure struct {
+	since, until time.Time
+}
+
+// New makes a Node. Run has to be called once.
+func New(parts Parts) *Node {
+	n := &Node{Parts: parts, table: make(table), failures: make(map[string]failure)}
+	n.slots = feed.NewTopic(Topic, n.applySlot)
+	n.claimPause = n.drawClaimPause()
+	return n
+}
+
+func (n *Node) applySlot(r platform.Record) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(r.Value) == 0 {
+		delete(n.table, r.Key)
+		return
+	}
+	e, err := decodeEntry(r)
+	if err != nil {
+		n.Log.Error("slot ignored", "slot", r.Key, "offset", r.Offset, "error", err.Error())
+		delete(n.table, r.Key)
+		return
+	}
+	n.table[r.Key] = e
+	n.Log.Info("relay listed", "slot", r.Key, "machine", e.Machine, "address", e.Address)
+}
+
+// Reading tells whether this instance reads the topics from the store.
+func (n *Node) Reading() bool { return n.reading.Load() }
+
+const (
+	// pollWait is how long a question waits at a relay for news.
+	pollWait = 2 * time.Second
+	// pollPause is the least time between two questions: changes that come in
+	// series are asked for together.
+	pollPause = 150 * time.Millisecond
+	// askPause is the time between two questions while no relay answers.
+	askPause = 400 * time.Millisecond
+	// roleInterval is how often it is looked whether the slot is still held.
+	roleInterval = 200 * time.Millisecond
+	// slotsWait is how long a relay's read of the slots waits; directWait is that of
+	// an instance that has to notice a cut link to the store.
+	slotsWait  = 12 * time.Second
+	directWait = 3 * time.Second
+)
+
+// Run keeps the topics up to date until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	n.setReadAlone()
+	var work sync.WaitGroup
+	work.Go(func() { n.watchStore(ctx) })
+	for ctx.Err() == nil {
+		switch {
+		case n.holdsSlot():
+			n.read(ctx, func() bool { return !n.holdsSlot() })
+		case !n.slots.Known():
+			n.learnSlots(ctx)
+			if n.slotsAlone(ctx) {
+				n.Log.Warn("topics are read without knowing the relays")
+				n.read(ctx, n.slots.Known)
+			}
+		default:
+			n.follow(ctx)
+		}
+	}
+	work.Wait()
+}
+
+func (n *Node) holdsSlot() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.table.held(n.Self)
+	return ok
+}
+
+// read reads the topics from the store until an event.
+func (n *Node) read(ctx context.Context, ended func() bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var work sync.WaitGroup
+	for _, f := range n.Topics {
+		work.Go(func() { n.followStore(ctx, f) })
+	}
+	work.Go(func() { n.followStore(ctx, Followed{Topic: n.slots, Wait: slotsWait}) })
+	work.Go(func() { n.askWhileFailing(ctx) })
+	n.reading.Store(true)
+	n.source.Store(nil)
+	n.Log.Info("topics are read from the store")
+	for ctx.Err() == nil && !ended() {
+		delay.Sleep(ctx, roleInterval)
+	}
+	n.reading.Store(false)
+	cancel()
+	work.Wait()
+}
+
+func (n *Node) followStore(ctx context.Context, f Followed) {
+	follower := feed.Follower{
+		Store: n.Store, Topic: f.Topic, Wait: f.Wait, Pause: f.Pause, Health: n.Health, Log: n.Log,
+	}
+	if f.Large {
+		follower.CatchUp = func(ctx context.Context) bool { return n.catchUp(ctx, f) }
+	}
+	follower.Run(ctx)
+}
+
+// watchStore follows the slots at the store while this instance has to notice by
+// itself whether the store answers.
+func (n *Node) watchStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.Direct() && !n.reading.Load() && n.slots.Known() {
+			n.watchWhile(ctx, func() bool { return n.Direct() && !n.reading.Load() })
+		}
+		delay.Sleep(ctx, roleInterval)
+	}
+}
+
+func (n *Node) watchWhile(ctx context.Context, holds func() bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	work.Go(func() { n.followStore(ctx, Followed{Topic: n.slots, Wait: directWait}) })
+	for ctx.Err() == nil && holds() {
+		delay.Sleep(ctx, roleInterval)
+	}
+	cancel()
+	work.Wait()
+}
+
+// Bounds of the wait for another relay's copy of a large topic. One that is not
+// known is urgent; one whose history was dropped is taken once the other relay has
+// read it again, after its pause.
+const (
+	catchUpFirst = 700 * time.Millisecond
+	catchUpAgain = 300 * time.Millisecond
+)
+
+// catchUp takes a topic from a relay with an earlier slot. It tells whether there
+// was more to take than is known.
+func (n *Node) catchUp(ctx context.Context, f Followed) bool {
+	n.mu.Lock()
+	number, _ := n.table.held(n.Self)
+	earlier := n.table.earlier(n.Self.DataCentre, number)
+	n.mu.Unlock()
+	before, wait := f.Topic.Next(), catchUpFirst
+	if f.Topic.Known() {
+		wait = f.Pause + catchUpAgain
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for _, e := range earlier {
+		for ctx.Err() == nil {
+			if err := n.ask(ctx, e.Address, wait, f.Topic); err != nil {
+				n.Log.Debug("relay gave no copy", "address", e.Address, "topic", f.Topic.Name, "error", err.Error())
+				break
+			}
+			if f.Topic.Known() && f.Topic.Next() > before {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// askWhileFailing asks others for news while the store refuses this instance.
+func (n *Node) askWhileFailing(ctx context.Context) {
+	for delay.Sleep(ctx, askPause) {
+		if !n.Health.OK() {
+			n.askAnyone(ctx)
+		}
+	}
+}
+
+// askAnyone asks another relay, or any instance if none is known.
+func (n *Node) askAnyone(ctx context.Context) {
+	address := n.anyone()
+	if address == "" {
+		return
+	}
+	if err := n.askAll(ctx, address, 0); err != nil {
+		n.Log.Debug("instance gave no topics", "address", address, "error", err.Error())
+	}
+}
+
+// anyone is the address of another relay or, for as often as not, of any instance.
+func (n *Node) anyone() string {
+	n.mu.Lock()
+	sources := n.table.sources(n.Self)
+	n.mu.Unlock()
+	var addresses []string
+	for _, e := range sources {
+		addresses = append(addresses, e.Address)
+	}
+	if len(addresses) == 0 || rand.IntN(2) == 0 {
+		addresses = append(addresses[:0], n.Others()...)
+	}
+	if len(addresses) == 0 {
+		addresses = n.otherSeeds()
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+func (n *Node) otherSeeds() []string {
+	var seeds []string
+	for _, seed := range n.Seeds {
+		if seed != n.Self.Address {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+// errNoRelay tells that an instance that was asked as a relay is none.
+var errNoRelay = errors.New("the instance does not read the topics from the store")
+
+// askAll asks an instance for what is new in all topics.
+func (n *Node) askAll(ctx context.Context, address string, wait time.Duration) error {
+	topics := []*feed.Topic{n.slots}
+	for _, f := range n.Topics {
+		topics = append(topics, f.Topic)
+	}
+	return n.ask(ctx, address, wait, topics...)
+}
+
+// ask asks an instance for what is new in topics. It returns errNoRelay, with the
+// answer taken, if the instance is no relay.
+func (n *Node) ask(ctx context.Context, address string, wait time.Duration, topics ...*feed.Topic) error {
+	q := Question{From: make(map[string]int64, len(topics)), Wait: wait}
+	for _, t := range topics {
+		if t.Known() {
+			q.From[t.Name] = t.Next()
+		} else {
+			q.From[t.Name] = feed.Unread
+		}
+	}
+	asked := time.Now()
+	answer, err := n.Peers.Ask(ctx, address, q)
+	if err != nil {
+		return err
+	}
+	answered := asked.Add(time.Duration(answer.HeldMs) * time.Millisecond)
+	for _, t := range topics {
+		given, ok := answer.Topics[t.Name]
+		if !ok {
+			continue
+		}
+		taken, err := t.Take(given.Copy, answered)
+		if err != nil {
+			return errors.Wrapf(err, "topic %s of %s", t.Name, address)
+		}
+		if taken > 0 {
+			n.Log.Info("records taken from a copy", "topic", t.Name, "records", taken, "next", t.Next(), "source", address)
+		}
+		n.hear(t, given, answered)
+	}
+	if !answer.Relay {
+		return errNoRelay
+	}
+	return nil
+}
+
+// hear takes the word of a relay on the store, where this instance does not know by
+// itself. One that has not read a topic yet knows nothing of it.
+func (n *Node) hear(t *feed.Topic, given Given, answered time.Time) {
+	if !given.Whole || n.reading.Load() || (t == n.slots && n.Direct()) {
+		return
+	}
+	n.Health.Hear(t.Name, given.Failing, answered.Add(-time.Duration(given.BackMs)*time.Millisecond), time.Now())
+}
+
+// entries is a copy of who holds the slots.
+func (n *Node) entries() table {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.table)
+}
