targets: a choice looks at a bounded number of targets

Change: beyond 512 targets a choice looks at those used last, the one of the program, those behind the key on a ring that all instances share, and some drawn at random, most in the data centre; if none of these is to be used, at all. Reports are kept in a list of those that may still be believed; sums of slots are kept as targets come and go. Up to 512 targets nothing changes. Services whose targets tell their pace are still chosen by a walk over all (docs/design/fleet.md).

--- a/internal/targets/breaks.go
+++ b/internal/targets/breaks.go
@@ -73,7 +73,7 @@
 		if !ok || b.Age >= heardFor || !at.After(t.brokeAt) || t.provenAt.After(at) {
 			continue
 		}
-		if !now.Before(t.heardUntil) && r.heardAt(t.Service, now)+1 > int(heardShare*float64(len(r.byService[t.Service]))) {
+		if !now.Before(t.heardUntil) && r.heardAt(t.Service, now)+1 > int(heardShare*float64(len(r.of(t.Service).all))) {
 			continue
 		}
 		t.brokeAt, t.heardUntil = at, at.Add(heardFor)
@@ -85,7 +85,7 @@
 // others. The mutex is held.
 func (r *Registry) heardAt(service string, now time.Time) int {
 	n := 0
-	for _, t := range r.byService[service] {
+	for _, t := range r.of(service).all {
 		if now.Before(t.heardUntil) {
 			n++
 		}
--- a/internal/targets/ends_test.go
+++ b/internal/targets/ends_test.go
@@ -76,7 +76,7 @@
 	later := now.Add(20 * time.Millisecond)
 	var told []structs.TargetReport
 	for _, target := range r.byID {
-		told = append(told, target.report(usualOf(r.byService["s"]), later))
+		told = append(told, target.report(usualOf(r.of("s").all), later))
 	}
 	other.HearLoads(told, later)
 	for name, at := range map[string]*Registry{"seen": r, "heard": other} {
--- a/internal/targets/loads.go
+++ b/internal/targets/loads.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -32,15 +33,12 @@
 // pool is the mean load of a service's targets, newer reports counting more: what
 // to expect of one that nothing is known of.
 func (r *Registry) pool(service string, now time.Time) Pool {
-	var pool Pool
+	s := r.of(service)
+	pool := Pool{All: s.usable}
 	slots, busy, ages := 0.0, 0.0, 0.0
-	for _, t := range r.byService[service] {
+	s.eachTold(now, func(t *Target) {
 		if t.Draining {
-			continue
-		}
-		pool.All++
-		if t.loadAt.IsZero() || now.Sub(t.loadAt) > poolLoadAge {
-			continue
+			return
 		}
 		age := now.Sub(t.loadAt)
 		weight := float64(max(t.Slots, 1)) * math.Exp2(-float64(age)/float64(poolHalfLife))
@@ -48,7 +46,7 @@
 		slots += weight
 		busy += weight * float64(t.load.Running+t.load.Waiting) / float64(max(t.Slots, 1))
 		ages += weight * float64(age)
-	}
+	})
 	if slots > 0 {
 		pool.Fill = busy / slots
 		pool.Age = time.Duration(ages / slots)
@@ -72,20 +70,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var newest []*Target
-	for _, all := range r.byService {
-		for _, t := range all {
-			if !t.loadAt.IsZero() && now.Sub(t.loadAt) <= shareableAge && tell(t) {
+	for _, s := range r.byService {
+		s.eachTold(now, func(t *Target) {
+			if now.Sub(t.loadAt) <= shareableAge && tell(t) {
 				newest = append(newest, t)
 			}
-		}
+		})
 	}
-	slices.SortFunc(newest, func(a, b *Target) int { return b.loadAt.Compare(a.loadAt) })
+	slices.SortFunc(newest, func(a, b *Target) int {
+		return cmp.Or(b.loadAt.Compare(a.loadAt), cmp.Compare(a.place, b.place))
+	})
 	most = min(most, len(newest))
 	others := newest[(most+1)/2:]
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var loads []structs.TargetReport
 	for _, t := range newest[:most] {
-		loads = append(loads, t.report(usualOf(r.byService[t.Service]), now))
+		loads = append(loads, t.report(r.usual(t.Service), now))
 	}
 	return loads
 }
@@ -115,6 +115,9 @@
 	fill := float64(load.Running+load.Waiting) / float64(max(t.Slots, 1))
 	t.usualFill = policy.TrendFill(t.usualFill, fill, t.loadAt.IsZero())
 	t.load, t.loadAt, t.inFlightAtLoad = load, at, t.inFlight
+	if s := r.byService[t.Service]; r.byID[t.ID] == t {
+		s.tell(t)
+	}
 	if load.Pace > 0 {
 		r.work(t.Service)
 		t.standing.Add(load.Pace)
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -60,14 +61,20 @@
 func (r *Registry) Pick(want Want, now time.Time) *Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := r.byService[want.Service]
-	chosen := r.choose(all, want, now, false)
+	s := r.of(want.Service)
+	candidates, keyed := r.candidates(s, want)
+	chosen := r.choose(candidates, keyed, want, now, false)
+	anyKeyed := func(int) bool { return true }
+	if chosen == nil && len(candidates) < len(s.all) {
+		chosen = r.choose(s.all, anyKeyed, want, now, false)
+	}
 	if chosen == nil {
 		// Each target failed lately: trying one is better than none.
-		chosen = r.choose(all, want, now, true)
+		chosen = r.choose(s.all, anyKeyed, want, now, true)
 	}
 	if chosen != nil {
 		chosen.inFlight++
+		s.use(chosen)
 	}
 	return chosen
 }
@@ -79,6 +86,7 @@
 	t := r.byIncarnation[incarnation]
 	if t != nil {
 		t.inFlight++
+		r.of(t.Service).use(t)
 	}
 	return t
 }
@@ -89,17 +97,22 @@
 //   - the one that the key ranks first, which all instances find without asking;
 //   - the least busy one, preferably one to which a connection is kept.
 //
-// Where targets tell their pace the expected ends decide.
-func (r *Registry) choose(all []*Target, want Want, now time.Time, includeAvoided bool) *Target {
+// Where targets tell their pace the expected ends decide. The function keyed tells of
+// a position whether the key may rank the target there.
+func (r *Registry) choose(
+	all []*Target, keyed func(i int) bool, want Want, now time.Time, includeAvoided bool,
+) *Target {
 	if w := r.works[want.Service]; w != nil {
-		return r.chooseByEnd(w, all, want, now, includeAvoided)
+		return r.chooseByEnd(w, r.of(want.Service).all, want, now, includeAvoided)
 	}
 	var last, near, ranked, least best
 	beginsNear := want.Remembered && r.nearLoads[want.Service] < nearFill
 	// Instances with the same view must not all choose the same target.
 	start := rand.IntN(len(all) + 1)
+	sampled := len(all) < len(r.of(want.Service).all)
 	for i := range all {
-		t := all[(start+i)%len(all)]
+		at := (start + i) % len(all)
+		t := all[at]
 		if t.Draining || slices.Contains(want.Exclude, t.incarnation) {
 			continue
 		}
@@ -113,8 +126,15 @@
 			continue
 		}
 		rank := rank(want.Key, t.ID)
-		ranked.offer(t, rank)
+		if keyed(at) {
+			ranked.offer(t, rank)
+		}
 		if beginsNear && t.DataCentre == r.dataCentre && fill < nearFill {
+			if sampled && kept {
+				// Among thousands of targets hardly any other program's connection
+				// or prompt would be met again.
+				rank += keptRank
+			}
 			near.offer(t, rank)
 		}
 		if t.incarnation == want.Last {
@@ -140,6 +160,9 @@
 	r.nearLoads[t.Service] += nearLoadWeight * (fill - r.nearLoads[t.Service])
 }
 
+// keptRank sets targets to which a connection is kept before all others.
+const keptRank = math.MaxUint64
+
 // best is the target with the highest score so far.
 type best struct {
 	target *Target
--- a/internal/targets/pools.go
+++ b/internal/targets/pools.go
@@ -68,25 +68,27 @@
 // counts by its speed. One that has told nothing lately was asked for nothing, as
 // far as is known: it counts as free. The mutex is held.
 func (r *Registry) ownPool(service string, now time.Time) Pool {
-	all := r.byService[service]
-	usual := usualOf(all)
-	pool := Pool{Learned: r.works[service] != nil}
-	capacity, busy, ages := 0.0, 0.0, 0.0
-	for _, t := range all {
-		if t.Draining {
-			continue
+	s, usual := r.of(service), r.usual(service)
+	pool := Pool{All: s.usable, Learned: r.works[service] != nil}
+	weight := func(t *Target) float64 { return float64(max(t.Slots, 1)) }
+	capacity, busy, ages := float64(s.slots), 0.0, 0.0
+	if pool.Learned {
+		weight = func(t *Target) float64 { return float64(max(t.Slots, 1)) / t.slowness(usual, now) }
+		capacity = 0
+		for _, t := range s.all {
+			if !t.Draining {
+				capacity += weight(t)
+			}
 		}
-		pool.All++
-		weight := float64(max(t.Slots, 1)) / t.slowness(usual, now)
-		capacity += weight
-		age := now.Sub(t.loadAt)
-		if t.loadAt.IsZero() || age > poolLoadAge {
-			continue
+	}
+	s.eachTold(now, func(t *Target) {
+		if t.Draining {
+			return
 		}
 		pool.Known++
-		busy += weight * t.fill(0, poolReportLife, now)
-		ages += float64(age)
-	}
+		busy += weight(t) * t.fill(0, poolReportLife, now)
+		ages += float64(now.Sub(t.loadAt))
+	})
 	if pool.Known > 0 {
 		pool.Fill = busy / capacity
 		pool.Age = time.Duration(ages / float64(pool.Known))
@@ -100,8 +102,11 @@
 	defer r.mu.Unlock()
 	var reports []structs.PoolReport
 	for service := range r.byService {
+		if r.works[service] == nil {
+			continue
+		}
 		pool := r.ownPool(service, now)
-		if pool.Known == 0 || !pool.Learned {
+		if pool.Known == 0 {
 			continue
 		}
 		reports = append(reports, structs.PoolReport{
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -52,6 +52,9 @@
 	// incarnation is that of the entry, hash its hash; they never change.
 	incarnation string
 	hash        uint64
+	// key is the hash of the id, place where the target stands in its service.
+	key   uint64
+	place int
 	// inFlight counts this instance's requests at the target.
 	inFlight int
 	// load is the newest report, inFlight as it was then; heard tells that it
@@ -60,6 +63,8 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	heard          bool
+	// isTold tells that the target is among those with a report.
+	isTold bool
 	// told is the newest report that was given to this instance itself, by which
 	// targets that do not tell their pace are placed.
 	told told
@@ -108,7 +113,7 @@
 	mu            sync.Mutex
 	byID          map[string]*Target
 	byIncarnation map[string]*Target
-	byService     map[string][]*Target
+	byService     map[string]*service
 	// views are other instances' views of services, by the hashes of their names.
 	views map[uint64]poolView
 	// byHash finds targets by the hash of their incarnation.
@@ -138,7 +143,7 @@
 		byIncarnation: make(map[string]*Target),
 		byHash:        make(map[uint64]*Target),
 		views:         make(map[uint64]poolView),
-		byService:     make(map[string][]*Target),
+		byService:     make(map[string]*service),
 		broken:        make(map[string]*Target),
 		nearLoads:     make(map[string]float64),
 		works:         make(map[string]*work),
@@ -165,17 +170,23 @@
 	defer r.mu.Unlock()
 	if t, ok := r.byID[entry.ID]; ok && t.same(entry) {
 		changed := t.Draining != entry.Draining
+		s := r.byService[t.Service]
+		s.count(t, -1)
 		// The fields that name the target are read without the mutex.
 		t.DataCentre, t.Slots, t.Draining, t.ColdRemaining = entry.DataCentre, entry.Slots, entry.Draining, entry.ColdRemaining
+		s.count(t, 1)
 		return changed
 	}
 	r.remove(entry.ID)
 	t := &Target{Entry: entry, incarnation: entry.Incarnation()}
-	t.hash = xxhash.Sum64String(t.incarnation)
+	t.hash, t.key = xxhash.Sum64String(t.incarnation), xxhash.Sum64String(t.ID)
 	r.byID[entry.ID] = t
 	r.byIncarnation[t.incarnation] = t
 	r.byHash[t.hash] = t
-	r.byService[entry.Service] = append(r.byService[entry.Service], t)
+	if r.byService[entry.Service] == nil {
+		r.byService[entry.Service] = new(service)
+	}
+	r.byService[entry.Service].add(t, r.dataCentre)
 	if r.learns {
 		r.work(entry.Service)
 	}
@@ -197,14 +208,7 @@
 	delete(r.byID, id)
 	delete(r.byIncarnation, t.incarnation)
 	delete(r.byHash, t.hash)
-	all := r.byService[t.Service]
-	kept := make([]*Target, 0, len(all))
-	for _, other := range all {
-		if other != t {
-			kept = append(kept, other)
-		}
-	}
-	r.byService[t.Service] = kept
+	r.byService[t.Service].remove(t)
 	return true
 }
 
