budget: nothing is claimed before the instances are known; who leaves tells few

One that leaves opened a connection to each other one. Whom to watch was worked out anew each 1.5 s with a look at each instance for each partition.

Change: vacant partitions are claimed once the list is known; what is asked for also without it, 2 s after the start. Who leaves tells those that are connected and those that would claim what it owns. Whom to watch is worked out when the list has changed. The search for an owner takes the best instance without sorting all.

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -111,8 +111,7 @@
 	}
 	if now.owner != nil {
 		// When all instances start together, owners are known from their claims before
-		// the list names them; otherwise each would claim in turn: 87 claims of 3
-		// partitions by 87 instances, 3 with this (virtual time, one run).
+		// the list names them; otherwise each would claim in turn.
 		k.directory.Learn(now.owner.Owner, now.owner.Address)
 		k.confirm(now.owner.Owner)
 		if k.adopt(p, now.owner) {
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -17,14 +18,41 @@
 func (k *Keeper) Leave(ctx context.Context) {
 	k.leaving.Store(true)
 	k.directory.SetLeaving(k.self.ID)
-	for _, p := range k.directory.Others() {
-		k.peers.Send(p.ID, new(structs.Leaving))
-	}
+	k.tellLeaving()
 	for _, p := range k.partitions {
 		k.handOver(ctx, p)
 	}
 }
 
+// tellLeaving tells those who may ask this instance, or would claim what it owns, that
+// it leaves. An instance that is not told and asks is sent on. To tell all would take
+// a connection to each: a small machine needs its grace period for that where there
+// are hundreds.
+func (k *Keeper) tellLeaving() {
+	k.peers.Broadcast(new(structs.Leaving))
+	for _, id := range k.successors() {
+		k.peers.Send(id, new(structs.Leaving))
+	}
+}
+
+// successors lists the instances that would claim the partitions of this one.
+func (k *Keeper) successors() []structs.InstanceID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var successors []structs.InstanceID
+	for _, p := range k.partitions {
+		if p.own == nil {
+			continue
+		}
+		for _, id := range k.directory.Listed(p.key(), standbys) {
+			if id != k.self.ID && !slices.Contains(successors, id) {
+				successors = append(successors, id)
+			}
+		}
+	}
+	return successors
+}
+
 // handOver gives a partition to the first instance that takes it. Only an
 // explicit refusal lets the next one be asked: an answer that does not come
 // may mean that the first has the partition.
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	ctx     context.Context
 	work    sync.WaitGroup
 	leaving atomic.Bool
+	listed  func() bool
+	started time.Time
 
 	mu sync.Mutex
 	// stopped tells that no more work is begun.
@@ -83,6 +86,9 @@
 	pending   map[structs.RoomLease]*pendingAsk
 	handovers map[uint64]chan bool
 	number    uint64
+	// watchedAt is the version of the directory by which it was last decided whom to
+	// watch.
+	watchedAt uint64
 	// confirms wait to hear whether an instance answers.
 	confirms map[structs.InstanceID][]chan struct{}
 }
@@ -122,8 +128,10 @@
 	Breaks     Breaks
 	Loads      Loads
 	Health     Health
-	Scope      tally.Scope
-	Log        *slog.Logger
+	// Listed tells whether the list of instances is known; nil if it always is.
+	Listed func() bool
+	Scope  tally.Scope
+	Log    *slog.Logger
 }
 
 // New makes a Keeper that works until the context ends.
@@ -131,6 +139,7 @@
 	k := &Keeper{
 		self: parts.Directory.Self(), directory: parts.Directory, store: parts.Store, peers: parts.Peers,
 		breaks: parts.Breaks, loads: parts.Loads, health: parts.Health, log: parts.Log, metrics: newMetrics(parts.Scope), ctx: ctx,
+		listed: parts.Listed, started: time.Now(),
 		pending:   make(map[structs.RoomLease]*pendingAsk),
 		handovers: make(map[uint64]chan bool),
 		confirms:  make(map[structs.InstanceID][]chan struct{}),
@@ -252,11 +261,11 @@
 func (k *Keeper) claimVacant() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	// Who ranks first changes as instances come and go.
-	k.watchOwners()
+	k.watchChanged()
+	known := k.knowsOthers()
 	for _, p := range k.partitions {
 		handed := p.own != nil && !p.own.claimed
-		vacant := p.own == nil && !k.ownerUsable(p) && k.firstChoice(p) == k.self.ID
+		vacant := known && p.own == nil && !k.ownerUsable(p) && k.firstChoice(p) == k.self.ID
 		if handed || vacant {
 			k.startClaim(p)
 		}
@@ -266,11 +275,25 @@
 // firstChoice is the instance that should own a partition, empty if there is
 // none.
 func (k *Keeper) firstChoice(p *partition) structs.InstanceID {
-	ranked := k.directory.Ranked(p.key())
-	if len(ranked) == 0 {
-		return ""
-	}
-	return ranked[0]
+	return k.directory.First(p.key())
+}
+
+// listPatience is how long an instance that starts waits for the list of instances
+// before it claims what it is asked for: alone it would take itself for the first
+// choice of all partitions, as all that start with it would.
+const listPatience = 2 * time.Second
+
+// knowsOthers tells whether the list of instances is known.
+func (k *Keeper) knowsOthers() bool { return k.listed == nil || k.listed() }
+
+// mayClaim tells whether this instance may claim a partition that it is asked for.
+func (k *Keeper) mayClaim() bool { return k.knowsOthers() || time.Since(k.started) > listPatience }
+
+// Owns tells whether this instance owns a partition.
+func (k *Keeper) Owns() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.ContainsFunc(k.partitions, func(p *partition) bool { return p.own != nil })
 }
 
 // ownerUsable tells whether another instance is known to own the partition and
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -103,15 +103,14 @@
 // standbys is how many instances watch the owner of a partition: those that
 // would claim it, in rendezvous order. They tell all others who claimed. The
 // others notice a silent owner when they ask it. If all watched, heartbeats would
-// grow with instances times owners: 35,000 a second at 295 instances and 24
-// owners, 1,900 with this (worked out). Processor time of 59 instances in a day of
-// 72 s: 15.6 -> 8.2 s (one run). Small deployments have all watch.
+// grow with instances times owners. Small deployments have all watch.
 const standbys = 16
 
 // watchOwners has the other owners watched whose partitions this instance would
 // claim, so that a silent one is noticed before a turn waits for it, and those that
 // did not answer, so that their return is noticed. The mutex is held.
 func (k *Keeper) watchOwners() {
+	k.watchedAt = k.directory.Version()
 	var watched []structs.InstanceID
 	for _, p := range k.partitions {
 		if p.owner == "" || p.owner == k.self.ID || slices.Contains(watched, p.owner) {
@@ -124,6 +123,14 @@
 	k.peers.Watch(watched)
 }
 
+// watchChanged looks again whom to watch if the list of instances has changed: it takes
+// a look at each instance for each partition. The mutex is held.
+func (k *Keeper) watchChanged() {
+	if k.directory.Version() != k.watchedAt {
+		k.watchOwners()
+	}
+}
+
 // rewatch looks again whom to watch after an instance went silent or came back, if
 // it owns a partition. The mutex is held.
 func (k *Keeper) rewatch(id structs.InstanceID) {
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -181,12 +181,9 @@
 	if k.ownerUsable(p) && p.owner != s.suspect && !slices.Contains(s.unable, p.owner) {
 		return p.owner
 	}
-	for _, id := range k.directory.Ranked(p.key()) {
-		if id != s.suspect && !slices.Contains(s.unable, id) {
-			return id
-		}
-	}
-	return ""
+	return k.directory.FirstBut(p.key(), func(id structs.InstanceID) bool {
+		return id == s.suspect || slices.Contains(s.unable, id)
+	})
 }
 
 // await waits for the answer of the instance asked.
@@ -310,7 +307,7 @@
 			k.peers.Probe(p.owner)
 		}
 		reply(answer{outcome: structs.RoomNotOwner, owner: p.owner})
-	case k.leaving.Load() || time.Now().Before(p.claimAfter):
+	case k.leaving.Load() || time.Now().Before(p.claimAfter) || !k.mayClaim():
 		reply(answer{outcome: structs.RoomUnavailable})
 	default:
 		p.parked = append(p.parked, parkedAsk{r, reply})
--- a/internal/budget/storm_test.go
+++ b/internal/budget/storm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,34 @@
 		})
 	}
 }
+
+// Instances that do not know the list of instances claim nothing of their own: each
+// would take itself for the first choice of all partitions. What they are asked for
+// they claim after a while, since the list may stay away.
+func TestNothingIsClaimedBeforeTheInstancesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var known atomic.Bool
+		w := newWorld(t)
+		w.listed = known.Load
+		n := w.start("m")
+		time.Sleep(listPatience / 2)
+		if err := w.turn(n, "p", 1000, testMost, testMost, 0); err == nil {
+			t.Error("a turn was let in before the instances are known")
+		}
+		time.Sleep(3 * claimInterval)
+		if calls := w.Store.Calls(); calls != 0 {
+			t.Errorf("%d calls to the store without a request", calls)
+		}
+		if err := w.turn(n, "p", 1000, testMost, testMost, 0); err != nil {
+			t.Errorf("a turn while the list stays away: %v", err)
+		}
+		known.Store(true)
+		time.Sleep(3 * claimInterval)
+		for p := range testPartitions {
+			if w.epochOf(t, p) == 0 {
+				t.Errorf("partition %d is not claimed once the instances are known", p)
+			}
+		}
+		w.Stop()
+	})
+}
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -23,6 +23,8 @@
 	*simnet.Net
 	lives simnet.Lives[*node]
 	t     *testing.T
+	// listed tells whether instances that start know the list of instances.
+	listed func() bool
 
 	mu sync.Mutex
 	// delivered is what the callers of each program received, in tokens.
@@ -84,7 +86,7 @@
 	n := &node{Node: sim}
 	n.keeper = New(ctx, Parts{
 		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, Breaks: &n.breaks, Loads: &n.breaks,
-		Health: sim, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+		Health: sim, Listed: w.listed, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	w.lives.Put(sim, n)
 	w.Work.Go(func() { n.keeper.Run(ctx) })
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,8 @@
 	byMachine map[string]structs.Peer
 	silent    map[structs.InstanceID]bool
 	leaving   map[structs.InstanceID]bool
+	// version counts the changes.
+	version uint64
 }
 
 // New makes a directory that holds this instance only.
@@ -48,6 +50,13 @@
 	}
 }
 
+// Version changes whenever what the directory says may have changed.
+func (d *Directory) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
 // Self is this instance.
 func (d *Directory) Self() structs.Peer { return d.self }
 
@@ -59,6 +68,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	if old, ok := d.byMachine[machine]; ok && old.ID != p.ID {
 		d.forget(old.ID)
 	}
@@ -74,6 +84,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	old, ok := d.byMachine[machine]
 	if ok && !startedAfter(id, old.ID) {
 		return
@@ -98,6 +109,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	d.forget(d.byMachine[machine].ID)
 	delete(d.byMachine, machine)
 }
@@ -128,6 +140,10 @@
 func (d *Directory) SetSilent(id structs.InstanceID, silent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.silent[id] == silent {
+		return
+	}
+	d.version++
 	if silent {
 		d.silent[id] = true
 		return
@@ -139,6 +155,7 @@
 func (d *Directory) SetLeaving(id structs.InstanceID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	d.leaving[id] = true
 }
 
@@ -192,11 +209,16 @@
 
 // First is the first of Ranked, empty if there is none.
 func (d *Directory) First(key string) structs.InstanceID {
+	return d.FirstBut(key, func(structs.InstanceID) bool { return false })
+}
+
+// FirstBut is the first of Ranked that is not excluded, empty if there is none.
+func (d *Directory) FirstBut(key string, excluded func(structs.InstanceID) bool) structs.InstanceID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var first candidate
 	for machine, p := range d.byMachine {
-		if !d.usable(p.ID) || d.leaving[p.ID] {
+		if !d.usable(p.ID) || d.leaving[p.ID] || excluded(p.ID) {
 			continue
 		}
 		c := candidate{ID: p.ID, Score: rendezvous.Score(key, machine)}
