--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -169,6 +169,7 @@
 	"body_too_large":                 "the body was longer than the operator's limit",
 	"no_settings_yet":                "the instance had no settings: it had just started and read them from neither the store nor another instance",
 	"no_route":                       "no route of the settings version matches the host and path",
+	"settings_not_current":           "the settings have no route for the host and path, and the instance had not heard for too long which settings are in force; the field detail has their age",
 	"unknown_key":                    "no organisation of the settings version holds the key, or the request carries none or more than one",
 	"keys_not_current":               "the instance had not heard for too long which keys are in force; the field detail has the age of its settings",
 	"over_organisation_limit":        "its organisation was over its limit; the field detail names the limit, the instance that deals it out and what that had left",
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -17,6 +17,7 @@
 	reasonTooLarge     reason = "body_too_large"
 	reasonNoSettings   reason = "no_settings_yet"
 	reasonNoRoute      reason = "no_route"
+	reasonOldSettings  reason = "settings_not_current"
 	reasonUnknownKey   reason = "unknown_key"
 	reasonStaleKeys    reason = "keys_not_current"
 	reasonOverLimit    reason = "over_organisation_limit"
@@ -70,7 +71,7 @@
 		byReason: make(map[reason]reasonMetrics),
 	}
 	for _, r := range []reason{
-		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute,
+		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute, reasonOldSettings,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonNoRoom, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonNoTurn, reasonUncertain, reasonNotKept, reasonTimedOut,
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// refuseUnknownRoute ends a request for which the settings have no route. While they
+// may be old the route may have been added since: a caller that is told that there is
+// none gives up.
+func (x *transfer) refuseUnknownRoute() {
+	age := x.server.currency.SettingsAge()
+	if age > x.server.keys.ConfigDelay {
+		x.detail = "settings are " + age.String() + " old"
+		x.refuse(http.StatusServiceUnavailable, reasonOldSettings, x.server.retryAfter(retrySettings))
+		return
+	}
+	x.refuse(http.StatusNotFound, reasonNoRoute, 0)
+}
+
 // refuse answers a request itself.
 func (x *transfer) refuse(status int, why reason, retryAfter time.Duration) {
 	x.status, x.reason = status, why
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/explain"
 )
@@ -280,3 +281,21 @@
 	}
 	return b.String()
 }
+
+// While the settings may be old a route that they lack may be new: the caller is told
+// to come back, and that the request has not run.
+func TestUnknownRouteIsNoVerdictWhileTheSettingsMayBeOld(t *testing.T) {
+	w := newWorld(t)
+	w.server.keys.ConfigDelay = 5 * time.Second
+	for age, want := range map[time.Duration]int{time.Second: http.StatusNotFound, 6 * time.Second: http.StatusServiceUnavailable} {
+		w.currency.age = age
+		resp, err := http.Get(w.front.URL + "/nowhere/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want || (want == http.StatusServiceUnavailable) != (resp.Header.Get("Retry-After") != "") {
+			t.Errorf("settings of %s: status %d, Retry-After %q", age, resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+	}
+}
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -175,7 +175,7 @@
 	}
 	found, ok := x.table.Match(x.request.Host, rawPath(x.uri()))
 	if !ok {
-		x.refuse(http.StatusNotFound, reasonNoRoute, 0)
+		x.refuseUnknownRoute()
 		return false
 	}
 	x.route = found
