Answers of relays follow time; owners that change are told to a bounded number

Change: news of topics that are read with pauses wait such a pause at the relay. A handover is told to those connected, the former owner sends others on; a claim behind a silent owner to 128 more at the most. An offer is accepted only after a read of the partition.

--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -196,15 +196,31 @@
 // of a newer owner.
 func (k *Keeper) receiveHandover(from structs.InstanceID, m *structs.PartitionHandover) {
 	if m.Offer {
-		would := !k.leaving.Load() && k.health.OK()
-		k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: would})
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.spawn(func() { k.answerOffer(from, m) })
 		return
 	}
 	accepted := k.takeOver(from, m)
 	k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: accepted})
 	if accepted {
-		k.announce(from)
+		// Who asks the former owner is sent on by it.
+		k.mu.Lock()
+		notice := k.ownNotice()
+		k.mu.Unlock()
+		k.peers.Broadcast(notice)
+	}
+}
+
+// answerOffer tells whether this instance would take a partition over: whether the
+// store serves it the partition. What others say of the store is no sign of that.
+func (k *Keeper) answerOffer(from structs.InstanceID, m *structs.PartitionHandover) {
+	would := !k.leaving.Load() && k.health.OK() && m.Partition >= 0 && m.Partition < len(k.partitions)
+	if would {
+		_, err := k.read(k.partitions[m.Partition])
+		would = err == nil
 	}
+	k.peers.Send(from, &structs.HandoverReply{Number: m.Number, Accepted: would})
 }
 
 func (k *Keeper) takeOver(from structs.InstanceID, m *structs.PartitionHandover) bool {
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -142,19 +143,25 @@
 	}
 }
 
-// announce tells others what this instance owns: all of them if they may wait for
-// a silent former owner, else those that are connected. When all instances start
-// together nobody waits, and a dial from each owner to each instance would take
-// small machines a second.
+// announceMost bounds the instances that are told of a claim without a connection to
+// them: a dial to each of hundreds takes a small machine seconds. The others notice the
+// silent owner when they ask it.
+const announceMost = 128
+
+// announce tells others what this instance owns: those that are connected and, if they
+// may wait for a silent former owner, others too. When all instances start together
+// nobody waits.
 func (k *Keeper) announce(former structs.InstanceID) {
 	k.mu.Lock()
 	notice := k.ownNotice()
 	k.mu.Unlock()
+	k.peers.Broadcast(notice)
 	if former == "" || former == k.self.ID || k.directory.Ended(former) {
-		k.peers.Broadcast(notice)
 		return
 	}
-	for _, p := range k.directory.Others() {
+	others := k.directory.Others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, p := range others[:min(len(others), announceMost)] {
 		k.peers.Send(p.ID, notice)
 	}
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -36,7 +36,9 @@
 	BackMs  int64
 }
 
-// Answer answers another instance once there is news for it or its wait is over.
+// Answer answers another instance once there is news for it or its wait is over. News
+// of a topic that is read with pauses wait as long as such a pause for more: answers
+// then follow time and not the number of changes.
 func (n *Node) Answer(ctx context.Context, q Question) (Answer, error) {
 	begun := time.Now()
 	timer := time.NewTimer(max(q.Wait, 0))
@@ -46,14 +48,21 @@
 		moved := n.moved()
 		now := time.Now()
 		confirmed := urgent.Age(now) < now.Sub(begun)
-		if over || confirmed || n.hasNews(q) {
+		news, after := n.hasNews(q)
+		held := now.Sub(begun)
+		if over || confirmed || (news && held >= after) {
 			return n.answer(q, begun)
 		}
+		var gathered <-chan time.Time
+		if news {
+			gathered = time.After(after - held)
+		}
 		select {
 		case <-ctx.Done():
 			return Answer{}, errors.Wrap(ctx.Err(), "wait for news")
 		case <-timer.C:
 			over = true
+		case <-gathered:
 		case <-moved[0]:
 		case <-moved[1]:
 		case <-moved[2]:
@@ -83,21 +92,25 @@
 	}
 }
 
-// hasNews tells whether a question can be answered with records that its sender
-// lacks.
-func (n *Node) hasNews(q Question) bool {
-	news := false
-	n.each(func(t *feed.Topic) {
-		from, asked := q.From[t.Name]
+// hasNews tells whether a question can be answered with records that its sender lacks,
+// and how long they may wait for more.
+func (n *Node) hasNews(q Question) (news bool, after time.Duration) {
+	after = q.Wait
+	look := func(f Followed) {
+		from, asked := q.From[f.Topic.Name]
 		switch {
 		case !asked:
-		case from < 0:
-			news = news || t.Known()
-		default:
-			news = news || t.Changed() >= from
+		case from < 0 && f.Topic.Known():
+			news, after = true, 0
+		case from >= 0 && f.Topic.Changed() >= from:
+			news, after = true, min(after, f.Pause)
 		}
-	})
-	return news
+	}
+	look(Followed{Topic: n.slots})
+	for _, f := range n.Topics {
+		look(f)
+	}
+	return news, after
 }
 
 func (n *Node) answer(q Question, begun time.Time) (Answer, error) {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -129,6 +129,9 @@
 	askPause = 400 * time.Millisecond
 	// roleInterval is how often it is looked whether the slot is still held.
 	roleInterval = 200 * time.Millisecond
+	// directInterval is how often it is looked whether this instance has to notice by
+	// itself whether the store answers.
+	directInterval = time.Second
 	// slotsWait is how long a relay's read of the slots waits; directWait is that of
 	// an instance that has to notice a cut link to the store.
 	slotsWait  = 12 * time.Second
@@ -202,7 +205,7 @@
 		if n.Direct() && !n.reading.Load() && n.slots.Known() {
 			n.watchWhile(ctx, func() bool { return n.Direct() && !n.reading.Load() })
 		}
-		delay.Sleep(ctx, roleInterval)
+		delay.Sleep(ctx, directInterval)
 	}
 }
 
@@ -211,7 +214,7 @@
 	var work sync.WaitGroup
 	work.Go(func() { n.followStore(ctx, Followed{Topic: n.slots, Wait: directWait}) })
 	for ctx.Err() == nil && holds() {
-		delay.Sleep(ctx, roleInterval)
+		delay.Sleep(ctx, directInterval)
 	}
 	cancel()
 	work.Wait()
