--- /dev/null
+++ b/internal/edge/take_bench_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/feed"
+	"github.com/banyanglade/banyanglade/internal/targets"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// BenchmarkTakeTargets takes the copy of a list of 10,000 targets, as each instance
+// that starts does.
+func BenchmarkTakeTargets(b *testing.B) {
+	const n = 10_000
+	records := make([]platform.Record, 0, n)
+	for i := range n {
+		records = append(records, platform.Record{
+			Key: fmt.Sprintf("i-%010x", i*7919131), Offset: int64(i), Value: fmt.Appendf(nil,
+				`{"Service":"s%d","Address":"10.%d.%d.%d:8524","Zone":"dc%d","Version":"v1","Slots":6,"State":"ready",`+
+					`"ColdRemainingMs":0,"Sequence":%d}`, i%2, i%5, i/250, i%250, i%5, i),
+		})
+	}
+	giver := feed.NewTopic("t", func(platform.Record) {})
+	giver.Replace(platform.Newest{Records: records, End: n})
+	given, err := giver.Copy(feed.Unread, time.Now())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(given.Packed)), "copy-bytes")
+	for b.Loop() {
+		registry := targets.NewRegistry("dc1", exchange.NewPool(tally.NoopScope))
+		f := newTargetFeed(registry, new(forgotten), feed.NewHealth(), tally.NoopScope, slog.New(slog.DiscardHandler))
+		topic := feed.NewHeartbeatTopic("t", platform.RepeatsTarget, f.apply)
+		if _, err := topic.Take(given, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/targets/service.go
+++ b/internal/targets/service.go
@@ -26,8 +26,10 @@
 	all []*Target
 	// near are those of this data centre.
 	near []*Target
-	// ring are all in the order of the hashes of their ids.
-	ring []*Target
+	// ring are all in the order of the hashes of their ids, if sorted is set: thousands
+	// come one by one when an instance starts.
+	ring   []*Target
+	sorted bool
 	// used are those that this instance sent to last, the last one first.
 	used []*Target
 	// told are those with a report of their load that may still be believed.
@@ -51,7 +53,7 @@
 	if t.DataCentre == dataCentre {
 		s.near = append(s.near, t)
 	}
-	s.ring = slices.Insert(s.ring, s.position(t.key, t.ID), t)
+	s.sorted = false
 	s.count(t, 1)
 }
 
@@ -62,8 +64,7 @@
 	is := func(other *Target) bool { return other == t }
 	s.near = slices.DeleteFunc(s.near, is)
 	s.used = slices.DeleteFunc(s.used, is)
-	at := s.position(t.key, t.ID)
-	s.ring = slices.Delete(s.ring, at, at+1)
+	s.sorted = false
 	s.told = slices.DeleteFunc(s.told, is)
 	s.count(t, -1)
 }
@@ -77,12 +78,16 @@
 	s.slots += sign * max(t.Slots, 1)
 }
 
-// position is where a target of a hash and id stands in the ring, or would stand.
-func (s *service) position(key uint64, id string) int {
-	at, _ := slices.BinarySearchFunc(s.ring, id, func(t *Target, id string) int {
-		return cmp.Or(cmp.Compare(t.key, key), cmp.Compare(t.ID, id))
+// sort puts the ring in order after targets came or went.
+func (s *service) sort() {
+	if s.sorted {
+		return
+	}
+	s.ring = append(s.ring[:0], s.all...)
+	slices.SortFunc(s.ring, func(a, b *Target) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.ID, b.ID))
 	})
-	return at
+	s.sorted = true
 }
 
 // use notes that this instance sends to a target.
@@ -114,10 +119,13 @@
 
 // ranked are the targets behind a key in the ring, which all instances find.
 func (s *service) ranked(key string) []*Target {
-	if key == "" || len(s.ring) == 0 {
+	if key == "" {
 		return nil
 	}
-	at := s.position(xxhash.Sum64String(key), "")
+	s.sort()
+	at, _ := slices.BinarySearchFunc(s.ring, xxhash.Sum64String(key), func(t *Target, key uint64) int {
+		return cmp.Compare(t.key, key)
+	})
 	ranked := make([]*Target, 0, keyedMost)
 	for i := range min(keyedMost, len(s.ring)) {
 		ranked = append(ranked, s.ring[(at+i)%len(s.ring)])
--- a/internal/targets/service_test.go
+++ b/internal/targets/service_test.go
@@ -123,6 +123,7 @@
 	draining.Draining = true
 	r.Put(draining)
 	r.Put(entry)
+	r.of("s").sort()
 	if s := r.of("s"); s.usable != 8 || s.slots != 7*6+8 || len(s.all) != 9 || len(s.ring) != 9 || len(s.near) != 2 {
 		t.Errorf("usable %d, slots %d, all %d, ring %d, near %d", s.usable, s.slots, len(s.all), len(s.ring), len(s.near))
 	}
