relay: a change is known within its bound though a relay falls silent

Change: the times of a poll, of a relay's reads while others ask it, and the age at which a relay is passed over are parts of the shorter of the two bounds; an instance asks the relay that was stale the longest time ago if all are.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -199,15 +199,24 @@
 		Self:  relay.Entry{Machine: m.Name, Address: m.PeerAddress, DataCentre: m.DataCentre},
 		Power: m.CPUShare, Seeds: m.Seeds, Store: e.store, Peers: newTopicsClient(),
 		Topics: []relay.Followed{
-			{Topic: e.settings, Wait: waitWithin(m.ConfigDelay)},
-			{Topic: e.targets, Wait: waitWithin(m.DrainDelay), Pause: targetsPause(m.DrainDelay), Large: true},
+			{Topic: e.settings, Wait: waitWithin(m.ConfigDelay), Bounded: true},
+			{Topic: e.targets, Wait: waitWithin(m.DrainDelay), Pause: targetsPause(m.DrainDelay), Bounded: true, Large: true},
 			{Topic: e.instances, Wait: instancesWait, Pause: instancesPause},
 		},
+		Bound:  leastBound(m.ConfigDelay, m.DrainDelay),
 		Direct: func() bool { return e.keepsTurns.Load() || e.keeper.Owns() },
 		Others: e.otherAddresses, Health: e.health, Log: e.log,
 	})
 }
 
+// leastBound is the shorter of two bounds of which 0 stands for none.
+func leastBound(a, b time.Duration) time.Duration {
+	if a <= 0 || b <= 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 func (e *edge) otherAddresses() []string {
 	var addresses []string
 	for _, p := range e.directory.Others() {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -26,7 +26,7 @@
 	// other fields of a question are topics and offsets.
 	waitField = "wait_ms"
 	// topicsDial bounds the set-up of a connection to another instance, topicsSilence
-	// the time without a byte of an answer beyond the wait asked for.
+	// the time between two bytes of an answer.
 	topicsDial    = 300 * time.Millisecond
 	topicsSilence = 900 * time.Millisecond
 	// longestAnswerWait bounds the wait that others may ask for.
@@ -105,7 +105,7 @@
 func (t *topicsClient) Ask(ctx context.Context, address string, q relay.Question) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(q.Wait+topicsSilence, cancel)
+	silence := time.AfterFunc(q.Wait+q.Silence, cancel)
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+topicsPath+"?"+encodeQuestion(q).Encode(), nil)
 	if err != nil {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -42,6 +42,8 @@
 	// Pause is the time between two reads, so that topics with many records
 	// are read in batches.
 	Pause time.Duration
+	// Limit bounds both for now; nil for no bound.
+	Limit func(wait, pause time.Duration) (time.Duration, time.Duration)
 	// CatchUp tries to have another instance's copy taken before the whole topic is
 	// read from the store; nil for none.
 	CatchUp func(ctx context.Context) bool
@@ -94,10 +96,19 @@
 			continue
 		}
 		from, failures, catchUps = next, 0, 0
-		sleep(ctx, f.Pause, nil)
+		_, pause := f.times()
+		sleep(ctx, pause, nil)
 	}
 }
 
+// times are how long a read waits and the time between two of them.
+func (f *Follower) times() (wait, pause time.Duration) {
+	if f.Limit == nil {
+		return f.Wait, f.Pause
+	}
+	return f.Limit(f.Wait, f.Pause)
+}
+
 func (f *Follower) begin() int64 {
 	if !f.Topic.Known() {
 		return Unread
@@ -148,7 +159,8 @@
 		return f.readWhole(ctx)
 	}
 	started := time.Now()
-	wait, timeout := f.Wait, f.Wait+callMargin
+	wait, _ := f.times()
+	timeout := wait + callMargin
 	if probe {
 		wait, timeout = 0, probeMargin
 	}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -16,6 +16,9 @@
 	From map[string]int64
 	// Wait is how long the answer may wait for news.
 	Wait time.Duration
+	// Silence is how long the answer may take beyond that before the instance counts
+	// as silent; it is not sent.
+	Silence time.Duration
 }
 
 // Answer is what an instance knows.
@@ -41,6 +44,9 @@
 // then follow time and not the number of changes.
 func (n *Node) Answer(ctx context.Context, q Question) (Answer, error) {
 	begun := time.Now()
+	if q.Wait > 0 {
+		n.followedAt.Store(&begun)
+	}
 	timer := time.NewTimer(max(q.Wait, 0))
 	defer timer.Stop()
 	urgent := n.Topics[0].Topic
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -16,9 +16,6 @@
 const (
 	// avoidTime is how long a relay is not asked after it did not answer.
 	avoidTime = 2 * time.Second
-	// staleAge is how old a relay's settings may be whose reads fail before another
-	// relay is asked.
-	staleAge = 2 * time.Second
 	// takeoverAfter is how long a relay does not answer before its slot is taken.
 	takeoverAfter = 3 * time.Second
 	// claimSpan is the time over which the claims of instances of a whole core are
@@ -148,7 +145,7 @@
 		delay.Sleep(ctx, wait)
 		return
 	}
-	if !due.IsZero() {
+	if !due.IsZero() && due.Sub(now) < n.times.poll {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, due.Add(time.Millisecond))
 		defer cancel()
@@ -160,10 +157,11 @@
 // followFrom asks one relay.
 func (n *Node) followFrom(ctx context.Context, source Entry) {
 	n.source.Store(&source.Address)
-	err := n.askAll(ctx, source.Address, pollWait)
+	err := n.askAll(ctx, source.Address, n.times.poll)
 	if ctx.Err() != nil {
 		return
 	}
+	stale := n.staleTopics(time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -176,23 +174,29 @@
 			n.Log.Info("relay does not answer", "address", source.Address, "error", err.Error())
 		}
 		n.failures[source.Address] = failure{since: since, until: now.Add(avoidTime)}
-	case !n.Health.OK() && n.Topics[0].Topic.Age(now) > staleAge:
-		n.failures[source.Address] = failure{until: now.Add(avoidTime)}
+	case stale:
+		n.failures[source.Address] = failure{until: now.Add(n.times.poll)}
 	default:
 		delete(n.failures, source.Address)
 	}
 }
 
-// nextSource is the relay to ask, false if none may be asked now.
+// nextSource is the relay to ask: the first one that is in order, or the one that was
+// stale the longest time ago. It returns false if none may be asked now.
 func (n *Node) nextSource(now time.Time) (Entry, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var stale Entry
 	for _, e := range n.table.sources(n.Self) {
-		if now.After(n.failures[e.Address].until) {
+		f := n.failures[e.Address]
+		if now.After(f.until) {
 			return e, true
 		}
+		if f.since.IsZero() && (stale.Address == "" || f.until.Before(n.failures[stale.Address].until)) {
+			stale = e
+		}
 	}
-	return Entry{}, false
+	return stale, stale.Address != ""
 }
 
 // claimDue is when this instance should take a slot; zero if there is none to take.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -34,6 +34,8 @@
 	// between two reads.
 	Wait  time.Duration
 	Pause time.Duration
+	// Bounded topics have to be known everywhere within Parts.Bound of a change.
+	Bounded bool
 	// Large topics are read from the store by the first relay of a data centre; the
 	// others take its copy and read on from there.
 	Large bool
@@ -51,6 +53,8 @@
 	// Topics are passed on; a reader is told at once when the first of them was
 	// confirmed.
 	Topics []Followed
+	// Bound is the time within which all have to know what changed; 0 for none.
+	Bound time.Duration
 	// Direct tells that this instance writes to the store and has to notice by itself
 	// whether the store answers.
 	Direct func() bool
@@ -68,6 +72,9 @@
 	// reading tells that this instance reads the topics from the store.
 	reading atomic.Bool
 	source  atomic.Pointer[string]
+	times   times
+	// followedAt is when another instance last asked this one for news.
+	followedAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	table table
@@ -93,7 +100,7 @@
 
 // New makes a Node. Run has to be called once.
 func New(parts Parts) *Node {
-	n := &Node{Parts: parts, table: make(table), failures: make(map[string]failure)}
+	n := &Node{Parts: parts, table: make(table), failures: make(map[string]failure), times: timesWithin(parts.Bound)}
 	n.slots = feed.NewTopic(Topic, n.applySlot)
 	n.claimPause = n.drawClaimPause()
 	return n
@@ -120,8 +127,6 @@
 func (n *Node) Reading() bool { return n.reading.Load() }
 
 const (
-	// pollWait is how long a question waits at a relay for news.
-	pollWait = 2 * time.Second
 	// pollPause is the least time between two questions: changes that come in
 	// series are asked for together.
 	pollPause = 150 * time.Millisecond
@@ -192,6 +197,9 @@
 	follower := feed.Follower{
 		Store: n.Store, Topic: f.Topic, Wait: f.Wait, Pause: f.Pause, Health: n.Health, Log: n.Log,
 	}
+	if f.Bounded {
+		follower.Limit = n.limit
+	}
 	if f.Large {
 		follower.CatchUp = func(ctx context.Context) bool { return n.catchUp(ctx, f) }
 	}
@@ -318,16 +326,20 @@
 	return n.ask(ctx, address, wait, topics...)
 }
 
+// wholeSilence is how long an answer with a whole topic may be silent.
+const wholeSilence = 900 * time.Millisecond
+
 // ask asks an instance for what is new in topics. It returns errNoRelay, with the
 // answer taken, if the instance is no relay.
 func (n *Node) ask(ctx context.Context, address string, wait time.Duration, topics ...*feed.Topic) error {
-	q := Question{From: make(map[string]int64, len(topics)), Wait: wait}
+	q := Question{From: make(map[string]int64, len(topics)), Wait: wait, Silence: n.times.silence}
 	for _, t := range topics {
 		if t.Known() {
 			q.From[t.Name] = t.Next()
-		} else {
-			q.From[t.Name] = feed.Unread
+			continue
 		}
+		// A whole topic takes a relay a while that many ask at once.
+		q.From[t.Name], q.Silence = feed.Unread, wholeSilence
 	}
 	asked := time.Now()
 	answer, err := n.Peers.Ask(ctx, address, q)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -118,6 +118,38 @@
 	})
 }
 
+// Instances know of a change within the bound although their relay, or the store for
+// their relay, has fallen silent right before it.
+func TestChangesAreKnownWithinTheBoundWhileARelayIsSilent(t *testing.T) {
+	for name, silence := range map[string]func(n *testNode){
+		"relay frozen":          func(n *testNode) { n.frozen.Store(true) },
+		"store silent to relay": func(n *testNode) { n.storeSilent.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 1, storeFault{}, func(f *fleet) {
+				f.store.put(targetsTopic, "t", "x")
+				for i := range 40 {
+					f.start(i)
+				}
+				f.until(startBound)
+				time.Sleep(3 * time.Second)
+				for round := range 5 {
+					silent := f.nodes[address(f.relays()[round%SlotsPerDataCentre])]
+					silence(silent)
+					time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+					f.store.put(targetsTopic, "t", fmt.Sprint("draining", round))
+					if took := f.untilBut(silent, testBound); took >= testBound {
+						t.Errorf("round %d: known after %s", round, took)
+					}
+					silent.frozen.Store(false)
+					silent.storeSilent.Store(false)
+					time.Sleep(10 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // Where the store drops its history not every relay reads the whole list again.
 func TestDroppedHistoryIsReadOnceADataCentre(t *testing.T) {
 	inFleet(t, fleetDataCentres, storeFault{}, func(f *fleet) {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 	storeWrites     = 4000  // a second
 	storePage       = 20    // records
 	testWait        = 3 * time.Second
+	testBound       = 2 * time.Second
 )
 
 // storeFault is how the store behaves.
@@ -123,6 +125,17 @@
 type reachedStore struct {
 	*limitedStore
 	refused bool
+	// silent has calls hang.
+	silent *atomic.Bool
+}
+
+// hang waits until the call is given up if the store is silent for the instance.
+func (s reachedStore) hang(ctx context.Context) error {
+	if !s.silent.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (s reachedStore) call(write bool) error {
@@ -132,7 +145,10 @@
 	return platform.ErrBusy
 }
 
-func (s reachedStore) NewestPage(_ context.Context, topic string, _ int, after string) (platform.Newest, bool, error) {
+func (s reachedStore) NewestPage(ctx context.Context, topic string, _ int, after string) (platform.Newest, bool, error) {
+	if err := s.hang(ctx); err != nil {
+		return platform.Newest{}, false, err
+	}
 	if err := s.call(false); err != nil {
 		return platform.Newest{}, false, err
 	}
@@ -175,6 +191,8 @@
 		switch {
 		case trimmed:
 			return nil, from, platform.ErrTrimmed
+		case s.silent.Load():
+			return nil, from, s.hang(ctx)
 		case int64(len(records)) > from:
 			return slices.Clone(records[from:]), int64(len(records)), nil
 		case over:
@@ -221,6 +239,8 @@
 	stop   context.CancelFunc
 	done   chan struct{}
 	topics []*feed.Topic
+	// frozen has questions to it hang, storeSilent its calls to the store.
+	frozen, storeSilent atomic.Bool
 }
 
 const (
@@ -239,8 +259,12 @@
 	if !delay.Sleep(ctx, time.Millisecond) || n == nil {
 		return Answer{}, errUnreachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+time.Second)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+q.Silence)
 	defer cancel()
+	if n.frozen.Load() {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
 	go func() {
 		select {
 		case <-n.done:
@@ -282,13 +306,16 @@
 	for _, name := range []string{settingsTopic, targetsTopic, instancesTopic} {
 		topic := feed.NewTopic(name, func(platform.Record) {})
 		n.topics = append(n.topics, topic)
-		followed = append(followed, Followed{Topic: topic, Wait: testWait, Large: name == targetsTopic})
+		followed = append(followed, Followed{
+			Topic: topic, Wait: testWait, Large: name == targetsTopic, Bounded: name != instancesTopic,
+		})
 	}
 	followed[1].Pause, followed[2].Pause = time.Second, 300*time.Millisecond
 	n.Node = New(Parts{
 		Self:  Entry{Machine: fmt.Sprint("m", i), Address: address(i), DataCentre: fmt.Sprint("dc", i%f.dataCentres)},
 		Power: power, Seeds: f.seeds, Topics: followed, Peers: f,
-		Store:  reachedStore{f.store, rand.Float64() < f.store.fault.refused},
+		Store:  reachedStore{f.store, rand.Float64() < f.store.fault.refused, &n.storeSilent},
+		Bound:  testBound,
 		Direct: func() bool { return false }, Others: func() []string { return nil },
 		Health: feed.NewHealth(), Log: slog.New(slog.DiscardHandler),
 	})
@@ -314,10 +341,13 @@
 	<-n.done
 }
 
-// lacking counts the instances that do not know all that the store holds.
-func (f *fleet) lacking() int {
+// lacking counts the instances but one that do not know all that the store holds.
+func (f *fleet) lacking(but *testNode) int {
 	lacking := 0
 	for _, n := range f.nodes {
+		if n == but {
+			continue
+		}
 		for _, topic := range n.topics {
 			f.store.mu.Lock()
 			end := int64(len(f.store.records[topic.Name]))
@@ -332,11 +362,14 @@
 }
 
 // until waits until all instances know all and returns how long it took.
-func (f *fleet) until(most time.Duration) time.Duration {
+func (f *fleet) until(most time.Duration) time.Duration { return f.untilBut(nil, most) }
+
+// untilBut is until without one instance.
+func (f *fleet) untilBut(but *testNode, most time.Duration) time.Duration {
 	begun := time.Now()
-	for f.lacking() > 0 {
+	for f.lacking(but) > 0 {
 		if time.Since(begun) > most {
-			f.t.Errorf("%d of %d instances do not know all after %s", f.lacking(), len(f.nodes), most)
+			f.t.Errorf("%d of %d instances do not know all after %s", f.lacking(but), len(f.nodes), most)
 			return most
 		}
 		time.Sleep(50 * time.Millisecond)
