relay: relays greet the seeds, so that refused instances find them

Change: a relay tells each seed of itself every two seconds; a seed that does not know the slots asks it.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
@@ -25,6 +26,8 @@
 	// waitField names how long an answer may wait for news, in milliseconds; the
 	// other fields of a question are topics and offsets.
 	waitField = "wait_ms"
+	// relayField names the address of a relay that asks.
+	relayField = "relay"
 	// topicsDial bounds the set-up of a connection to another instance, topicsSilence
 	// the time between two bytes of an answer.
 	topicsDial    = 300 * time.Millisecond
@@ -67,6 +70,9 @@
 
 func encodeQuestion(q relay.Question) url.Values {
 	query := url.Values{waitField: {strconv.FormatInt(q.Wait.Milliseconds(), 10)}}
+	if q.Relay != "" {
+		query.Set(relayField, q.Relay)
+	}
 	for topic, from := range q.From {
 		query.Set(topic, strconv.FormatInt(from, 10))
 	}
@@ -76,6 +82,13 @@
 func decodeQuestion(query url.Values) (relay.Question, error) {
 	q := relay.Question{From: make(map[string]int64, len(query))}
 	for field := range query {
+		if field == relayField {
+			if _, err := netip.ParseAddrPort(query.Get(field)); err != nil {
+				return relay.Question{}, errors.Wrap(err, relayField)
+			}
+			q.Relay = query.Get(field)
+			continue
+		}
 		value, err := strconv.ParseInt(query.Get(field), 10, 64)
 		if err != nil || value < feed.Unread {
 			return relay.Question{}, errors.Newf("%s: %q: expected a whole number", field, query.Get(field))
--- a/internal/edge/exchange_test.go
+++ b/internal/edge/exchange_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestQuestionForTopicsComesBack(t *testing.T) {
-	asked := relay.Question{From: map[string]int64{"keyed.a": 7, "keyed.b": feed.Unread}, Wait: 2 * time.Second}
+	asked := relay.Question{From: map[string]int64{"keyed.a": 7, "keyed.b": feed.Unread}, Wait: 2 * time.Second, Relay: "10.0.0.1:80"}
 	got, err := decodeQuestion(encodeQuestion(asked))
 	if err != nil || !reflect.DeepEqual(got, asked) {
 		t.Errorf("got %+v, %v", got, err)
@@ -19,7 +19,7 @@
 }
 
 func TestMalformedQuestionForTopicsIsRefused(t *testing.T) {
-	for _, query := range []string{"keyed.a=x", "keyed.a=", "keyed.a=-2", "wait_ms=soon", "wait_ms=-9"} {
+	for _, query := range []string{"keyed.a=x", "keyed.a=", "keyed.a=-2", "wait_ms=soon", "wait_ms=-9", "relay=somewhere"} {
 		values, err := url.ParseQuery(query)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -16,6 +16,8 @@
 	From map[string]int64
 	// Wait is how long the answer may wait for news.
 	Wait time.Duration
+	// Relay is the address of the sender if it reads the topics from the store.
+	Relay string
 	// Silence is how long the answer may take beyond that before the instance counts
 	// as silent; it is not sent.
 	Silence time.Duration
@@ -44,6 +46,9 @@
 // then follow time and not the number of changes.
 func (n *Node) Answer(ctx context.Context, q Question) (Answer, error) {
 	begun := time.Now()
+	if q.Relay != "" {
+		n.hint.Store(&q.Relay)
+	}
 	if q.Wait > 0 {
 		n.followedAt.Store(&begun)
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -73,6 +73,8 @@
 	reading atomic.Bool
 	source  atomic.Pointer[string]
 	times   times
+	// hint is the address of a relay that greeted this instance as a seed.
+	hint atomic.Pointer[string]
 	// followedAt is when another instance last asked this one for news.
 	followedAt atomic.Pointer[time.Time]
 
@@ -182,6 +184,7 @@
 	}
 	work.Go(func() { n.followStore(ctx, Followed{Topic: n.slots, Wait: slotsWait}) })
 	work.Go(func() { n.askWhileFailing(ctx) })
+	work.Go(func() { n.greetSeeds(ctx) })
 	n.reading.Store(true)
 	n.source.Store(nil)
 	n.Log.Info("topics are read from the store")
@@ -263,6 +266,22 @@
 	return false
 }
 
+// greetInterval is the time between two greetings of the seeds.
+const greetInterval = 2 * time.Second
+
+// greetSeeds tells the seeds of this relay: they are all that an instance knows which
+// the store refuses, and the store may refuse them too.
+func (n *Node) greetSeeds(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, seed := range n.otherSeeds() {
+			if err := n.ask(ctx, seed, 0); err != nil && !errors.Is(err, errNoRelay) {
+				n.Log.Debug("seed does not answer", "address", seed, "error", err.Error())
+			}
+		}
+		delay.Sleep(ctx, greetInterval)
+	}
+}
+
 // askWhileFailing asks others for news while the store refuses this instance.
 func (n *Node) askWhileFailing(ctx context.Context) {
 	for delay.Sleep(ctx, askPause) {
@@ -297,6 +316,9 @@
 	}
 	if len(addresses) == 0 {
 		addresses = n.otherSeeds()
+		if hint := n.hint.Load(); hint != nil {
+			addresses = []string{*hint}
+		}
 	}
 	if len(addresses) == 0 {
 		return ""
@@ -341,6 +363,9 @@
 		// A whole topic takes a relay a while that many ask at once.
 		q.From[t.Name], q.Silence = feed.Unread, wholeSilence
 	}
+	if n.reading.Load() {
+		q.Relay = n.Self.Address
+	}
 	asked := time.Now()
 	answer, err := n.Peers.Ask(ctx, address, q)
 	if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// Instances that the store refuses learn of the relays although it refuses all seeds.
+func TestRefusedInstancesFindTheRelaysThroughRefusedSeeds(t *testing.T) {
+	inFleet(t, 2, storeFault{}, func(f *fleet) {
+		for i := range 60 {
+			f.startRefused(i, i < len(f.seeds) || i%3 == 0)
+		}
+		f.until(startBound)
+	})
+}
+
 // What idle instances ask of the store does not grow with their number.
 func TestReadsOfTheStoreDoNotFollowTheInstances(t *testing.T) {
 	rates := make(map[int]int)
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -296,6 +296,11 @@
 
 // start starts an instance; every fifth machine is a large one.
 func (f *fleet) start(i int) *testNode {
+	return f.startRefused(i, rand.Float64() < f.store.fault.refused)
+}
+
+// startRefused is start of an instance that the store may refuse.
+func (f *fleet) startRefused(i int, refused bool) *testNode {
 	power := 0.2
 	if i%5 == 0 {
 		power = 0.8
@@ -314,7 +319,7 @@
 	n.Node = New(Parts{
 		Self:  Entry{Machine: fmt.Sprint("m", i), Address: address(i), DataCentre: fmt.Sprint("dc", i%f.dataCentres)},
 		Power: power, Seeds: f.seeds, Topics: followed, Peers: f,
-		Store:  reachedStore{f.store, rand.Float64() < f.store.fault.refused, &n.storeSilent},
+		Store:  reachedStore{f.store, refused, &n.storeSilent},
 		Bound:  testBound,
 		Direct: func() bool { return false }, Others: func() []string { return nil },
 		Health: feed.NewHealth(), Log: slog.New(slog.DiscardHandler),
