relay: slots are taken beside the questions to relays

Change: claims run beside. Test: the case 'relay frozen, store silent to all' fails without it (round 4: known after 2 s).

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 	takeoverSpans = 10
 	// leastPower bounds the waits of small machines.
 	leastPower = 0.1
+	// noSourcePause is the time between two questions while no relay is known.
+	noSourcePause = 100 * time.Millisecond
 	// mostClaimDoublings bounds the waits of instances that write to the slots at once.
 	mostClaimDoublings = 4
 	// claimTimeout bounds a call to the store for a slot.
@@ -127,33 +130,51 @@
 	return list.End, nil
 }
 
-// follow asks a relay once, or takes a slot if it is time to.
+// follow asks a relay once.
 func (n *Node) follow(ctx context.Context) {
-	now := time.Now()
-	due := n.claimDue(now)
-	if !due.IsZero() && !now.Before(due) {
-		n.claim(ctx)
-		return
-	}
-	source, ok := n.nextSource(now)
+	source, ok := n.nextSource(time.Now())
 	if !ok {
 		n.askAnyone(ctx)
-		wait := askPause
-		if !due.IsZero() {
-			wait = min(wait, due.Sub(now))
-		}
-		delay.Sleep(ctx, wait)
+		delay.Sleep(ctx, noSourcePause)
 		return
 	}
-	if !due.IsZero() && due.Sub(now) < n.times.poll {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, due.Add(time.Millisecond))
-		defer cancel()
-	}
 	n.followFrom(ctx, source)
 	delay.Sleep(ctx, pollPause)
 }
 
+// claimWhileFollowing takes a slot whenever it is time to, beside the questions to
+// relays: the store may take long to answer, or not answer at all, and what is new must
+// not wait for that. It ends with the context or once this instance holds a slot.
+func (n *Node) claimWhileFollowing(ctx context.Context) {
+	for ctx.Err() == nil && !n.holdsSlot() {
+		now := time.Now()
+		due := n.claimDue(now)
+		switch {
+		case due.IsZero():
+			delay.Sleep(ctx, roleInterval)
+		case now.Before(due):
+			delay.Sleep(ctx, min(due.Sub(now), roleInterval))
+		default:
+			n.claim(ctx)
+		}
+	}
+}
+
+// followWhile follows relays until this instance holds a slot.
+func (n *Node) followWhile(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var work sync.WaitGroup
+	work.Go(func() {
+		n.claimWhileFollowing(ctx)
+		cancel()
+	})
+	for ctx.Err() == nil {
+		n.follow(ctx)
+	}
+	work.Wait()
+}
+
 // followFrom asks one relay.
 func (n *Node) followFrom(ctx context.Context, source Entry) {
 	n.source.Store(&source.Address)
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -161,7 +161,7 @@
 				n.read(ctx, n.slots.Known)
 			}
 		default:
-			n.follow(ctx)
+			n.followWhile(ctx)
 		}
 	}
 	work.Wait()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -134,6 +134,12 @@
 	for name, silence := range map[string]func(n *testNode){
 		"relay frozen":          func(n *testNode) { n.frozen.Store(true) },
 		"store silent to relay": func(n *testNode) { n.storeSilent.Store(true) },
+		"relay frozen, store silent to all": func(n *testNode) {
+			n.frozen.Store(true)
+			for _, other := range n.fleet.nodes {
+				other.storeSilent.Store(!other.Reading())
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, 1, storeFault{}, func(f *fleet) {
@@ -146,13 +152,15 @@
 				for round := range 5 {
 					silent := f.nodes[address(f.relays()[round%SlotsPerDataCentre])]
 					silence(silent)
-					time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+					time.Sleep(time.Duration(round) * 900 * time.Millisecond)
 					f.store.put(targetsTopic, "t", fmt.Sprint("draining", round))
 					if took := f.untilBut(silent, testBound); took >= testBound {
 						t.Errorf("round %d: known after %s", round, took)
 					}
 					silent.frozen.Store(false)
-					silent.storeSilent.Store(false)
+					for _, n := range f.nodes {
+						n.storeSilent.Store(false)
+					}
 					time.Sleep(10 * time.Second)
 				}
 			})
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -236,6 +236,7 @@
 
 type testNode struct {
 	*Node
+	fleet  *fleet
 	stop   context.CancelFunc
 	done   chan struct{}
 	topics []*feed.Topic
@@ -306,7 +307,7 @@
 		power = 0.8
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
-	n := &testNode{stop: cancel, done: make(chan struct{})}
+	n := &testNode{fleet: f, stop: cancel, done: make(chan struct{})}
 	var followed []Followed
 	for _, name := range []string{settingsTopic, targetsTopic, instancesTopic} {
 		topic := feed.NewTopic(name, func(platform.Record) {})
