relay: that the store refuses a relay alone is no outage for its followers

Followers took over when a relay's own reads had last come back; a target whose registration goes within 2 s of that is kept, as it may only have lapsed in an outage. A relay that the store refuses alone is no outage.

Change: a relay's word counts as an outage only while its copy is old too, and the return is when that ends here. Test: TestRefusalOfARelayIsNoOutageForItsFollowers.

--- a/internal/feed/health.go
+++ b/internal/feed/health.go
@@ -87,26 +87,19 @@
 	return h.back[topic], !failing
 }
 
-// Hear takes what another instance that reads a topic says of its reads: that they
-// fail, or that they last came back at a time.
-func (h *Health) Hear(topic string, failing bool, back, now time.Time) {
+// Hear takes what another instance says of the store: that nobody whom it asks could
+// read a topic lately, or that somebody can.
+func (h *Health) Hear(topic string, failing bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	_, before := h.failing[topic]
 	switch {
 	case failing && !before:
 		h.failing[topic] = now
-	case !failing:
+	case !failing && before:
 		delete(h.failing, topic)
-		if back.After(h.back[topic]) {
-			h.back[topic] = back
-		}
-		if before {
-			close(h.returned)
-			h.returned = make(chan struct{})
-		}
+		h.back[topic] = now
+		close(h.returned)
+		h.returned = make(chan struct{})
 	}
 }
-
-// NeverBack stands for the time since the return of reads that never failed.
-const NeverBack = 24 * time.Hour
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -35,10 +35,8 @@
 // Given is what an instance knows of a topic.
 type Given struct {
 	feed.Copy
-	// Failing tells that the instance's reads of the topic fail, BackMs how long ago
-	// they last came back, in milliseconds.
+	// Failing tells that the instance's reads of the topic fail.
 	Failing bool
-	BackMs  int64
 }
 
 // Answer answers another instance once there is news for it or its wait is over. News
@@ -138,14 +136,8 @@
 			failure = err
 			return
 		}
-		back, answers := n.Health.BackSince(t.Name)
-		given := Given{Copy: c, Failing: !answers}
-		if !back.IsZero() {
-			given.BackMs = now.Sub(back).Milliseconds()
-		} else {
-			given.BackMs = feed.NeverBack.Milliseconds()
-		}
-		answer.Topics[t.Name] = given
+		_, answers := n.Health.BackSince(t.Name)
+		answer.Topics[t.Name] = Given{Copy: c, Failing: !answers}
 	})
 	return answer, failure
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -92,8 +92,7 @@
 func (n *Node) learnSlots(ctx context.Context) {
 	returned := n.Health.Returned()
 	_, err := n.readSlots(ctx)
-	now := time.Now()
-	n.Health.Hear(Topic, err != nil, now, now)
+	n.Health.Hear(Topic, err != nil, time.Now())
 	if err == nil {
 		return
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -384,7 +384,7 @@
 		if taken > 0 {
 			n.Log.Info("records taken from a copy", "topic", t.Name, "records", taken, "next", t.Next(), "source", address)
 		}
-		n.hear(t, given, answered)
+		n.hear(t, given)
 	}
 	if !answer.Relay {
 		return errNoRelay
@@ -393,12 +393,15 @@
 }
 
 // hear takes the word of a relay on the store, where this instance does not know by
-// itself. One that has not read a topic yet knows nothing of it.
-func (n *Node) hear(t *feed.Topic, given Given, answered time.Time) {
+// itself. One that has not read a topic yet knows nothing of it; one whose copy is
+// fresh all the same is refused alone, and has it from others: that is no outage, in
+// which registrations lapse.
+func (n *Node) hear(t *feed.Topic, given Given) {
 	if !given.Whole || n.reading.Load() || (t == n.slots && n.Direct()) {
 		return
 	}
-	n.Health.Hear(t.Name, given.Failing, answered.Add(-time.Duration(given.BackMs)*time.Millisecond), time.Now())
+	fresh := given.AgeMs >= 0 && given.AgeMs <= n.times.stale.Milliseconds()
+	n.Health.Hear(t.Name, given.Failing && !fresh, time.Now())
 }
 
 // entries is a copy of who holds the slots.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -209,6 +210,33 @@
 	})
 }
 
+// That the store refuses a relay alone is no outage for those who ask it: a target whose
+// registration goes then is gone, and not kept for its return.
+func TestRefusalOfARelayIsNoOutageForItsFollowers(t *testing.T) {
+	topic := feed.NewTopic(targetsTopic, func(platform.Record) {})
+	health := feed.NewHealth()
+	n := New(Parts{
+		Health: health, Bound: testBound, Direct: func() bool { return false },
+		Topics: []Followed{{Topic: topic, Bounded: true}}, Log: slog.New(slog.DiscardHandler),
+	})
+	given := func(failing bool, age time.Duration) {
+		n.hear(topic, Given{Copy: feed.Copy{Whole: true, AgeMs: age.Milliseconds()}, Failing: failing})
+	}
+	given(true, testBound/4)
+	given(false, testBound/4)
+	if back, ok := health.BackSince(targetsTopic); !ok || !back.IsZero() {
+		t.Errorf("an outage ended at %s", back)
+	}
+	given(true, testBound)
+	if _, ok := health.BackSince(targetsTopic); ok {
+		t.Error("no outage although nobody knows anything new")
+	}
+	given(false, testBound/4)
+	if back, ok := health.BackSince(targetsTopic); !ok || time.Since(back) > time.Minute {
+		t.Errorf("the outage ended at %s", back)
+	}
+}
+
 // What no instance can have written names no holder, and leaves the slot free.
 func TestSlotOfAnotherWriterNamesNobody(t *testing.T) {
 	self := Entry{Machine: "m", Address: "10.0.0.1:80", DataCentre: "dc"}
