--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -268,11 +268,13 @@
 	defer n.mu.Unlock()
 	n.claimPause = n.drawClaimPause()
 	switch {
+	case err == nil:
+		n.claimsLost = 0
 	case errors.Is(err, platform.ErrCondition):
 		// Another instance wrote first, probably for another data centre.
 		n.claimsLost++
 		n.claimAfter = time.Now().Add(n.claimPause << min(n.claimsLost, mostClaimDoublings))
-	case err != nil:
+	default:
 		n.claimAfter = time.Now().Add(claimBackoff + n.claimPause)
 		n.Log.Info("slot not taken", "error", err.Error())
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -69,6 +69,10 @@
 	Parts
 	// slots is the topic of the slots.
 	slots *feed.Topic
+	// readAlone is when the topics may be read without knowing the slots, learning
+	// counts the tries to learn them; both belong to Run.
+	readAlone time.Time
+	learning  int
 	// reading tells that this instance reads the topics from the store.
 	reading atomic.Bool
 	source  atomic.Pointer[string]
@@ -90,9 +94,6 @@
 	claimAfter time.Time
 	// claimsLost counts claims in a row before which another instance wrote.
 	claimsLost int
-	// readAlone is when the topics are read without knowing the slots.
-	readAlone time.Time
-	learning  int // tries to read the slots
 }
 
 // failure is a relay that does not answer.
