Copies are read also while the store does not give the relays' slots

Change: without the slots the seeds read copies at once and others later; a seed is asked with a wait; what is asked for is claimed 0.5 s after a start without the list of instances (2 s before). Test: TestInstanceReadsCopiesWhileTheSlotsOfRelaysAreAwayToo.

--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -281,7 +281,7 @@
 // listPatience is how long an instance that starts waits for the list of instances
 // before it claims what it is asked for: alone it would take itself for the first
 // choice of all partitions, as all that start with it would.
-const listPatience = 2 * time.Second
+const listPatience = 500 * time.Millisecond
 
 // knowsOthers tells whether the list of instances is known.
 func (k *Keeper) knowsOthers() bool { return k.listed == nil || k.listed() }
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -121,7 +121,7 @@
 func (e *edge) readCopies(ctx context.Context) {
 	found := make([]map[string]feed.Copy, 0, copiesRead)
 	for ctx.Err() == nil && !(e.server.Table() != nil && e.targets.Known()) {
-		if !e.health.OK() && e.relay.Reading() {
+		if !e.health.OK() && e.relay.MayReadCopies() {
 			if copies := e.readCopy(ctx, rand.IntN(e.machine.Store.Partitions)); len(copies) > 0 {
 				found = append(found, copies)
 			}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/relay"
 	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/platform"
@@ -249,6 +250,23 @@
 	eventually(t, "ready from copies", second.ready)
 }
 
+// Copies are read also while the store does not give the slots of the relays: a start of
+// all in an outage of part of the store would else wait for its end.
+func TestInstanceReadsCopiesWhileTheSlotsOfRelaysAreAwayToo(t *testing.T) {
+	d := newDeployment(t)
+	first := d.start("a")
+	eventually(t, "ready", first.ready)
+	eventually(t, "copies are written", func() bool { return d.store.Records(topicCopies) >= 2*4 })
+	first.stop()
+	<-first.done
+	d.seeds = nil
+	d.store.Set(metastore.Fault{Status: 503, Topics: []string{
+		platform.TopicOperator, platform.TopicTargets, relay.Topic, topicInstances,
+	}})
+	second := d.start("b")
+	eventually(t, "ready from copies", second.ready)
+}
+
 func TestDumpAndMetrics(t *testing.T) {
 	d := newDeployment(t)
 	i := d.start("a")
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -65,12 +65,17 @@
 // setReadAlone draws when the topics are read without knowing the slots.
 func (n *Node) setReadAlone() {
 	wait := othersAlone + time.Duration(rand.Float64()*float64(aloneSpan)/n.power())
-	if slices.Contains(n.Seeds, n.Self.Address) || len(n.Seeds) == 0 {
+	if n.isSeed() {
 		wait = seedAlone
 	}
 	n.readAlone = time.Now().Add(wait)
 }
 
+// isSeed tells whether others know this instance from their start on, or nobody is.
+func (n *Node) isSeed() bool {
+	return len(n.Seeds) == 0 || slices.Contains(n.Seeds, n.Self.Address)
+}
+
 // slotsAlone tells whether the store has served other topics for a while and not the
 // slots.
 func (n *Node) slotsAlone(ctx context.Context) bool {
@@ -97,7 +102,7 @@
 		return
 	}
 	n.Log.Debug("slots not read", "error", err.Error())
-	n.askAnyone(ctx)
+	n.askAnyone(ctx, n.times.poll)
 	if n.slots.Known() {
 		return
 	}
@@ -133,7 +138,7 @@
 func (n *Node) follow(ctx context.Context) {
 	source, ok := n.nextSource(time.Now())
 	if !ok {
-		n.askAnyone(ctx)
+		n.askAnyone(ctx, 0)
 		delay.Sleep(ctx, noSourcePause)
 		return
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -73,6 +73,8 @@
 	// counts the tries to learn them; both belong to Run.
 	readAlone time.Time
 	learning  int
+	// copiesAfter is when copies may be read without knowing the slots.
+	copiesAfter time.Time
 	// reading tells that this instance reads the topics from the store.
 	reading atomic.Bool
 	source  atomic.Pointer[string]
@@ -106,6 +108,10 @@
 	n := &Node{Parts: parts, table: make(table), failures: make(map[string]failure), times: timesWithin(parts.Bound)}
 	n.slots = feed.NewTopic(Topic, n.applySlot)
 	n.claimPause = n.drawClaimPause()
+	n.copiesAfter = time.Now()
+	if !n.isSeed() {
+		n.copiesAfter = n.copiesAfter.Add(seedAlone + time.Duration(rand.Float64()*float64(aloneSpan)/n.power()))
+	}
 	return n
 }
 
@@ -129,6 +135,13 @@
 // Reading tells whether this instance reads the topics from the store.
 func (n *Node) Reading() bool { return n.reading.Load() }
 
+// MayReadCopies tells whether this instance may read what the store keeps of the topics
+// elsewhere: as a relay, or while the store does not give the slots. Then the seeds
+// begin, which the others ask, and those follow one by one.
+func (n *Node) MayReadCopies() bool {
+	return n.reading.Load() || (!n.slots.Known() && time.Now().After(n.copiesAfter))
+}
+
 const (
 	// pollPause is the least time between two questions: changes that come in
 	// series are asked for together.
@@ -287,18 +300,19 @@
 func (n *Node) askWhileFailing(ctx context.Context) {
 	for delay.Sleep(ctx, askPause) {
 		if !n.Health.OK() {
-			n.askAnyone(ctx)
+			n.askAnyone(ctx, 0)
 		}
 	}
 }
 
-// askAnyone asks another relay, or any instance if none is known.
-func (n *Node) askAnyone(ctx context.Context) {
+// askAnyone asks another relay, or any instance if none is known, which may wait for
+// news.
+func (n *Node) askAnyone(ctx context.Context, wait time.Duration) {
 	address := n.anyone()
 	if address == "" {
 		return
 	}
-	if err := n.askAll(ctx, address, 0); err != nil {
+	if err := n.askAll(ctx, address, wait); err != nil {
 		n.Log.Debug("instance gave no topics", "address", address, "error", err.Error())
 	}
 }
