Log and count resumed streams with the versions of their targets

The incident's logs could not tell a stream that an instance continues within its response from one that its caller takes up again: requests that are served are logged at debug level, no line names a target's software version, and the counter streams_resumed existed but was never incremented. Registrations now keep the version, the dump and the log of requests show it, each resumed stream writes one line with the version that began it (if known) and the one that continues it, and streams_resumed counts by instance and by caller.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -35,6 +35,9 @@
 	// LastEvent is the ID of the last event that the caller received of the
 	// stream that it resumes, empty for a new stream.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of the
+	// stream that this one resumes, empty for a new stream.
+	Resumes string
 }
 
 // Turn holds the token counts of a program's turn.
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -171,6 +171,7 @@
 func (x *transfer) deliverStream(target *targets.Target, resp *exchange.Response) bool {
 	events := newEventReader(resp.Body)
 	timing := x.newStreamTiming(target)
+	x.recordResumption(target)
 	for {
 		event, err := events.next()
 		if err == nil && !x.isNextEvent(event) {
@@ -188,6 +189,7 @@
 			return x.handleBrokenResponse(target)
 		}
 		if !x.headSent {
+			x.recordBegin(target)
 			x.copyHead(resp, true, 0)
 		}
 		x.delivered++
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -47,9 +47,11 @@
 }
 
 type metrics struct {
-	scope   tally.Scope
-	sends   tally.Counter
-	resumed tally.Counter
+	scope tally.Scope
+	sends tally.Counter
+	// resumedHere counts the sends that continue a stream within its response,
+	// resumedByCaller the streams that callers resume with another request.
+	resumedHere, resumedByCaller tally.Counter
 	// earlyRetries counts first sends that were cancelled for a retry at another target.
 	earlyRetries tally.Counter
 	byReason     map[reason]reasonMetrics
@@ -62,11 +64,12 @@
 
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
-		scope:        scope,
-		sends:        scope.Counter("sends"),
-		resumed:      scope.Counter("streams_resumed"),
-		earlyRetries: scope.Counter("stragglers_sent_again"),
-		byReason:     make(map[reason]reasonMetrics),
+		scope:           scope,
+		sends:           scope.Counter("sends"),
+		resumedHere:     scope.Tagged(map[string]string{"by": "instance"}).Counter("streams_resumed"),
+		resumedByCaller: scope.Tagged(map[string]string{"by": "caller"}).Counter("streams_resumed"),
+		earlyRetries:    scope.Counter("stragglers_sent_again"),
+		byReason:        make(map[reason]reasonMetrics),
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -113,7 +113,7 @@
 		x.permit.CountRerun()
 	}
 	x.sends++
-	x.lastTarget = target.ID
+	x.lastTarget, x.lastVersion = target.ID, target.Version
 	resumeAfter := ""
 	if x.headSent {
 		resumeAfter = x.lastEvent
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -283,7 +283,7 @@
 		slog.String("request", x.call.ID), slog.String("program", x.call.Program),
 		slog.String("reason", string(x.reason)), slog.Int("status", x.status),
 		slog.String("route", routeName), slog.Int64("settings_version", version),
-		slog.String("target", x.lastTarget), slog.Int("sends", x.sends),
+		slog.String("target", x.lastTarget), slog.String("target_version", x.lastVersion), slog.Int("sends", x.sends),
 		slog.Int("events", x.delivered), slog.Int64("ms", elapsed.Milliseconds()),
 		slog.String("organisation", x.orgName()), slog.String("detail", x.detail),
 	)
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -105,7 +105,9 @@
 	// connFailures lists the incarnations of targets whose connection failed without a
 	// response.
 	connFailures []string
-	lastTarget   string
+	// lastTarget and lastVersion are the target of the last send and its software
+	// version.
+	lastTarget, lastVersion string
 	// sentAt is the time of the last send.
 	sentAt   time.Time
 	sends    int
@@ -123,6 +125,9 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	delivered int
+	// beganAtVersion is the software version of the target that began the stream, empty
+	// if unknown.
+	beganAtVersion string
 
 	status int
 	reason reason
--- a/internal/targets/dump.go
+++ b/internal/targets/dump.go
@@ -11,6 +11,7 @@
 	ID       string  `json:"id"`
 	Service  string  `json:"service"`
 	Address  string  `json:"address"`
+	Version  string  `json:"version"`
 	Draining bool    `json:"draining"`
 	InFlight int     `json:"in_flight"`
 	Busy     float64 `json:"busy"`
@@ -32,7 +33,7 @@
 	all := make([]Dump, 0, len(r.byID))
 	for _, t := range r.byID {
 		all = append(all, Dump{
-			ID: t.ID, Service: t.Service, Address: t.Address, Draining: t.Draining,
+			ID: t.ID, Service: t.Service, Address: t.Address, Version: t.Version, Draining: t.Draining,
 			InFlight: t.inFlight, Busy: t.busy(now), Avoided: t.avoided(now),
 			Utilization: t.utilization(r.recentPool(t.Service, now).Utilization, r.meanRequestDuration(t.Service), now), Slowness: t.currentSlowness(r.means(t.Service), now),
 			ReportAge: age(t.loadAt, now).Seconds(), SpeedAge: age(t.unitTime.UpdatedAt, now).Seconds(),
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -31,6 +31,9 @@
 	// under the same ID is a different incarnation, which shares no state with the
 	// earlier one.
 	Start int64
+	// Version is the version of the target's software. Targets of several versions may
+	// serve side by side.
+	Version string
 }
 
 // Incarnation identifies one start of the target. A target that does not report its
