A response continues only at the software version that began it

Callers saw one response with events of two software versions of a target. When a target breaks a stream, transfer.pick chose the next one among all of the service; the registration's version was decoded and dropped. The first event now fixes the version: the selection (Criteria.Version) and the return to the same target keep to it, a version under the same id is another target, and a response whose target was replaced under its id meanwhile is not continued, since either incarnation may have run it. Without a target of the version the response ends incomplete.

--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -175,6 +175,13 @@
 }
 
 func (h *harness) target(id, service string, handle func(n int, rw http.ResponseWriter, r *http.Request)) *target {
+	h.t.Helper()
+	return h.versionedTarget(id, service, "", handle)
+}
+
+func (h *harness) versionedTarget(
+	id, service, version string, handle func(n int, rw http.ResponseWriter, r *http.Request),
+) *target {
 	h.t.Helper()
 	tg := &target{id: id}
 	tg.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -195,6 +202,7 @@
 	h.t.Cleanup(tg.server.Close)
 	h.targets.Put(targets.Entry{
 		ID: id, Service: service, Address: tg.server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+		Version: version,
 	})
 	return tg
 }
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -56,7 +56,7 @@
 	}
 	criteria := targets.Criteria{
 		Service: x.service, Key: x.placementKey(), LastIncarnation: x.programTarget, Sticky: x.settle != nil,
-		Exclude: x.excluded, Stream: x.route.Kind == route.Stream, PromptTokens: x.promptTokens(),
+		Version: x.version, Exclude: x.excluded, Stream: x.route.Kind == route.Stream, PromptTokens: x.promptTokens(),
 	}
 	if !x.server.log.Enabled(x.ctx, slog.LevelDebug) {
 		return x.server.targets.Pick(criteria, time.Now())
@@ -92,13 +92,19 @@
 	return x.call.Turn.PromptTokens
 }
 
-// pickSame returns the target that ran the request last, unless it is excluded.
+// pickSame returns the target that ran the request last, unless it is excluded or has
+// another software version by now.
 func (x *transfer) pickSame() *targets.Target {
 	last := x.ran[len(x.ran)-1]
 	if slices.Contains(x.excluded, last) {
 		return nil
 	}
-	return x.server.targets.PickIncarnation(last)
+	same := x.server.targets.PickIncarnation(last)
+	if same != nil && x.version != nil && same.Version != *x.version {
+		x.server.targets.End(same)
+		return nil
+	}
+	return same
 }
 
 // dropEnded removes the targets that have ended from those that run the request.
@@ -287,7 +293,7 @@
 // retryOrGiveUp reports whether the request, which may have run, may be sent again. If
 // not, it ends the request.
 func (x *transfer) retryOrGiveUp() bool {
-	if x.route.Retryable() && x.sends < maxSends && x.retryBudgetAllows() {
+	if x.route.Retryable() && x.mayResume() && x.sends < maxSends && x.retryBudgetAllows() {
 		return true
 	}
 	x.giveUp(reasonTargetAborted)
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -125,9 +125,9 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	delivered int
-	// beganAtVersion is the software version of the target that began the stream, empty
-	// if unknown.
-	beganAtVersion string
+	// version is the software version of the target that began the stream, nil before
+	// its first event or if unknown. The stream may only continue at this version.
+	version *string
 
 	status int
 	reason reason
--- a/internal/targets/completion.go
+++ b/internal/targets/completion.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/policy"
@@ -29,7 +28,7 @@
 			Utilization: t.utilization(pool, model.requestDuration, now), Slowness: slowness, RelativeLoad: t.relativeUtilization(meanUtilizationByDataCentre),
 			NeedsConnection: !hasIdle, Remote: t.DataCentre != r.dataCentre, Cold: t.ColdRemaining > 0,
 			HasPrompt: last, Warm: t == preferred,
-			Excluded: t.Draining || slices.Contains(criteria.Exclude, t.incarnation) || (!includeAvoided && t.avoided(now)),
+			Excluded: !criteria.allows(t) || (!includeAvoided && t.avoided(now)),
 			Rank:     r.tieBreak(t, hasIdle || !criteria.Stream),
 		})
 	}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -25,12 +25,20 @@
 	// PromptTokens.
 	Stream       bool
 	PromptTokens int
+	// Version restricts the selection to targets of one software version; nil allows
+	// all.
+	Version *string
 	// Exclude lists the incarnations that were already tried.
 	Exclude []string
 	// Explanation, if not nil, receives the reason for the selection.
 	Explanation *Explanation
 }
 
+// allows reports whether a target may get the request at all.
+func (c Criteria) allows(t *Target) bool {
+	return !t.Draining && (c.Version == nil || t.Version == *c.Version) && !slices.Contains(c.Exclude, t.incarnation)
+}
+
 const (
 	// maxKeyedUtilization is the utilization, as a fraction of the slots, up to which a
 	// request goes to the target preferred by its key. It is above 1 because waiting
@@ -111,7 +119,7 @@
 	for i := range all {
 		at := (start + i) % len(all)
 		t := all[at]
-		if t.Draining || slices.Contains(criteria.Exclude, t.incarnation) {
+		if !criteria.allows(t) {
 			continue
 		}
 		if !includeAvoided && t.avoided(now) {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -167,8 +167,8 @@
 }
 
 // Put adds or updates a target. It reports whether the target is new or its
-// draining state changed. A new incarnation, or a new service or address under the
-// same ID, starts without state.
+// draining state changed. A new incarnation, or a new service, address or software
+// version under the same ID, starts without state.
 func (r *Registry) Put(entry Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,8 +176,8 @@
 		changed := t.Draining != entry.Draining
 		s := r.byService[t.Service]
 		s.adjustTotals(t, -1)
-		// ID, Service, Address and Start are not updated: they are read without the
-		// mutex.
+		// ID, Service, Address, Start and Version are not updated: they are read
+		// without the mutex.
 		t.DataCentre, t.Slots, t.Draining, t.ColdRemaining = entry.DataCentre, entry.Slots, entry.Draining, entry.ColdRemaining
 		s.adjustTotals(t, 1)
 		return changed
@@ -255,6 +255,15 @@
 	return ok
 }
 
+// Replaced reports whether another incarnation or version is registered under the ID of
+// a target.
+func (r *Registry) Replaced(t *Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current, ok := r.byID[t.ID]
+	return ok && current != t
+}
+
 // Begin records that a request is sent to a target.
 func (r *Registry) Begin(t *Target) {
 	r.mu.Lock()
@@ -301,9 +310,10 @@
 // Incarnation returns Entry.Incarnation without formatting it again.
 func (t *Target) Incarnation() string { return t.incarnation }
 
-// matches reports whether an entry is of the same incarnation, service and address.
+// matches reports whether an entry is of the same incarnation, service, address and
+// version.
 func (t *Target) matches(entry Entry) bool {
-	return t.Service == entry.Service && t.Address == entry.Address && t.Start == entry.Start
+	return t.Service == entry.Service && t.Address == entry.Address && t.Start == entry.Start && t.Version == entry.Version
 }
 
 // directReport is a load report that this instance received from the target.
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -228,3 +228,45 @@
 		t.Error("the target inherited the state of another service's target")
 	}
 }
+
+func TestSelectionKeepsToTheVersion(t *testing.T) {
+	for _, learns := range []bool{false, true} {
+		r := NewRegistry("dc", idleConnections{})
+		if learns {
+			r.LearnSpeeds()
+		}
+		now := time.Unix(100, 0)
+		for i := range 12 {
+			version := []string{"v1", "v1.1", "v2"}[i%3]
+			r.Put(Entry{ID: fmt.Sprint("t", i), Service: "s", DataCentre: "dc", Slots: 4, Version: version, Draining: i < 3})
+		}
+		version := "v1.1"
+		criteria := Criteria{Service: "s", Key: "k", LastIncarnation: "t3", Sticky: true, Version: &version}
+		for range 12 {
+			if got := r.Pick(criteria, now); got == nil || got.Version != version || got.Draining {
+				t.Fatalf("learns speeds: %t: got %+v", learns, got)
+			}
+		}
+		criteria.Exclude = []string{"t4", "t7", "t10"}
+		if got := r.Pick(criteria, now); got != nil {
+			t.Errorf("learns speeds: %t: got %s, want none", learns, got.ID)
+		}
+	}
+}
+
+func TestTargetWithANewVersionUnderItsIDIsAnotherOne(t *testing.T) {
+	r := NewRegistry("dc", idleConnections{})
+	r.Put(Entry{ID: "t", Service: "s", Slots: 4, Version: "v1"})
+	old := r.PickIncarnation("t")
+	if r.Replaced(old) {
+		t.Error("a registered target counts as replaced")
+	}
+	r.Put(Entry{ID: "t", Service: "s", Slots: 4, Version: "v2"})
+	if got := r.PickIncarnation("t"); got == old || got.Version != "v2" || !r.Replaced(old) {
+		t.Errorf("got %+v", got)
+	}
+	r.Remove("t")
+	if r.Replaced(old) {
+		t.Error("a target that was removed counts as replaced")
+	}
+}
