soak: engines of several software versions, callers that resume streams

Engines are replaced by others of one of three versions, forward and back, beside the faults there are (crashes of one and of all, cuts, a silent store). Callers break one in four turns after some events and resume it at another instance, naming the attempt that began it; so do callers whose connection breaks. A new check finds streams with events of several versions; two a run are allowed, as in the users' rule. Each check was seen red by a planted history (TestCheckFindsEachViolation).

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -58,16 +58,21 @@
 	forged bool
 	// readDelay is the time from the response headers to the first read of the body.
 	readDelay time.Duration
-	// stored and previous are as in attempt.
+	// stored, previous, resumes and after are as in attempt.
 	stored   bool
 	previous string
+	resumes  *attempt
+	after    int
+	// leaveAfter is the number of events after which the caller breaks the connection,
+	// 0 for never.
+	leaveAfter int
 }
 
 // send makes one attempt and records its outcome.
 func (c *caller) send(ctx context.Context, req request) *attempt {
 	a := &attempt{
 		id: strconv.FormatUint(c.rng.Uint64(), 16), program: req.program, kind: req.kind, body: req.body,
-		stored: req.stored, previous: req.previous, organisation: c.organisation.name,
+		stored: req.stored, previous: req.previous, resumes: req.resumes, after: req.after, organisation: c.organisation.name,
 		incarnation: c.instance.current(), start: time.Now(),
 	}
 	key := c.organisation.key
@@ -103,6 +108,10 @@
 	if req.previous != "" {
 		r.Header.Set("Banyanglade-Previous-Turn", req.previous)
 	}
+	if req.resumes != nil {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(req.after))
+		r.Header.Set("Resumes", req.resumes.id)
+	}
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		a.aborted = wrote && sendCtx.Err() == nil
@@ -112,23 +121,28 @@
 	a.status, a.signature = resp.StatusCode, resp.Header.Get("Banyanglade-Server-Signature")
 	delay.Sleep(sendCtx, req.readDelay)
 	if req.kind == turn && resp.StatusCode == statusOK {
-		err = a.readEvents(resp.Body)
+		err = a.readEvents(resp.Body, req.leaveAfter)
 	} else {
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		a.received = string(body)
 	}
-	a.complete, a.aborted = err == nil, err != nil && sendCtx.Err() == nil
+	a.cancelled = a.cancelled || errors.Is(err, errLeft)
+	a.complete, a.aborted = err == nil, err != nil && !errors.Is(err, errLeft) && sendCtx.Err() == nil
 	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		delay.Sleep(ctx, min(time.Duration(after*float64(time.Second)), maxRetryWait))
 	}
 	return a
 }
 
-// readEvents records the events that arrive complete.
-func (a *attempt) readEvents(body io.Reader) error {
+// errLeft indicates that the caller breaks the connection by intent.
+var errLeft = errors.New("the caller left")
+
+// readEvents records the events that arrive complete. It returns errLeft after the given
+// number of events, unless that is 0.
+func (a *attempt) readEvents(body io.Reader, leaveAfter int) error {
 	reader := bufio.NewReader(body)
-	number, data := 0, ""
+	number, data, version := 0, "", ""
 	for {
 		line, err := reader.ReadString('\n')
 		if err == io.EOF && line == "" && number == 0 {
@@ -145,10 +159,16 @@
 			}
 		case strings.HasPrefix(line, "data: "):
 			data = line[len("data: "):]
+		case strings.HasPrefix(line, versionComment):
+			version = line[len(versionComment):]
 		case line == "":
 			a.events = append(a.events, number)
+			a.versions = append(a.versions, version)
 			a.received = data
 			number = 0
+			if len(a.events) == leaveAfter {
+				return errLeft
+			}
 		}
 	}
 }
@@ -160,6 +180,9 @@
 // false if the turn or call must not be retried.
 func (c *caller) sendWithRetry(ctx context.Context, req request) (last *attempt, proceed bool) {
 	for range maxAttempts {
+		if c.deployment.options.Versions {
+			req.leaveAfter = c.leaveAfter(req)
+		}
 		a := c.send(ctx, req)
 		last = a
 		switch {
@@ -170,9 +193,12 @@
 		case req.kind == once && (a.status == 0 || a.status >= http.StatusInternalServerError) && a.status != http.StatusServiceUnavailable:
 			return a, false // may have run
 		}
-		if a.status == 0 || a.aborted {
+		if a.status == 0 || a.aborted || req.leaveAfter > 0 {
 			c.switchInstance()
 		}
+		if c.deployment.options.Versions {
+			req = req.afterFailureOf(a)
+		}
 		delay.Sleep(ctx, time.Duration(50+c.rng.IntN(200))*time.Millisecond)
 	}
 	return last, true
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,7 @@
 	invariantNotRun      = "a request refused as not run does not run"
 	invariantComplete    = "an answer is the complete answer of one target to this request"
 	invariantOrder       = "the events of a stream arrive in order, each once"
+	invariantVersion     = "a stream has events of one software version"
 	invariantBudget      = "a program receives at most its budget and the maximum of one turn"
 	invariantTargets     = "an attempt runs at no more targets than its route allows"
 	invariantSent        = "a target runs only what a caller sent"
@@ -48,6 +49,7 @@
 		found = append(found, violated(invariantEntries, "request %s", s)...)
 	}
 	found = append(found, h.checkRuns()...)
+	found = append(found, h.checkVersions()...)
 	found = append(found, h.checkBudgets()...)
 	found = append(found, h.checkOrganisations()...)
 	return append(found, h.checkSettings()...)
@@ -69,7 +71,7 @@
 		return violated(invariantNotRun, "%s (%s) got %d and ran", a.id, a.kind, a.status)
 	case h.countTargets(a) > maxTargetsOf(a.kind):
 		return violated(invariantTargets, "%s (%s) ran at %d targets", a.id, a.kind, h.countTargets(a))
-	case !inOrder(a.events):
+	case !inOrder(a.events, a.after):
 		return violated(invariantOrder, "%s received events %v", a.id, a.events)
 	}
 	if at, ok := a.incarnation.cleanShutdown(); ok && a.aborted && !a.cancelled && a.end.After(at) && ranCleanly(runs) && !a.timedOut() {
@@ -123,9 +125,9 @@
 	return len(runs) > 0
 }
 
-func inOrder(events []int) bool {
+func inOrder(events []int, after int) bool {
 	for i, n := range events {
-		if n != i+1 {
+		if n != after+i+1 {
 			return false
 		}
 	}
@@ -143,9 +145,9 @@
 		return violated(invariantComplete, "%s received an answer with signature %q", a.id, a.signature)
 	case a.kind != turn && a.received != responseBody(a.id, a.body):
 		return violated(invariantComplete, "%s received %q", a.id, a.received)
-	case a.kind == turn && len(a.events) != eventCount(a.body):
-		return violated(invariantComplete, "%s ended after %d of %d events", a.id, len(a.events), eventCount(a.body))
-	case a.kind == turn && a.received != a.body:
+	case a.kind == turn && a.after+len(a.events) != eventCount(a.body):
+		return violated(invariantComplete, "%s ended after %d of %d events", a.id, a.after+len(a.events), eventCount(a.body))
+	case a.kind == turn && len(a.events) > 0 && a.received != a.body:
 		return violated(invariantComplete, "%s received events of %q", a.id, a.received)
 	}
 	return nil
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -15,6 +15,7 @@
 type validHistory struct {
 	*history
 	turn, safe, once, refused, stored *attempt
+	begun, resumed                    *attempt
 	incarnation                       *incarnation
 	a, b                              *target
 }
@@ -27,6 +28,10 @@
 	}
 	v.turn = v.add(&attempt{id: "t1", program: "p", kind: turn, body: "2 p x", status: 200, signature: "a.t1", complete: true,
 		events: []int{1, 2}, received: "2 p x"}, v.a)
+	v.begun = v.add(&attempt{id: "t2", program: "p", kind: turn, body: "3 p y", status: 200, aborted: true,
+		events: []int{1}, received: "3 p y", versions: []string{"v1"}}, v.a)
+	v.resumed = v.add(&attempt{id: "t3", program: "p", kind: turn, body: "3 p y", status: 200, signature: "b.t3", complete: true,
+		resumes: v.begun, after: 1, events: []int{2, 3}, received: "3 p y", versions: []string{"v1", "v1"}}, v.b)
 	v.safe = v.add(&attempt{id: "s1", program: "p", kind: safe, body: "x", status: 200, signature: "b.s1", complete: true,
 		received: responseBody("s1", "x")}, v.a, v.b)
 	v.once = v.add(&attempt{id: "o1", program: "p", kind: once, body: "y", status: 200, signature: "a.o1", complete: true,
@@ -37,7 +42,7 @@
 		signature: "a.k2", complete: true, events: []int{1}, received: "1 p l"}, v.a)
 	v.runs["k2"][0].body = "1 p k" + "1 p k\n" + "1 p l"
 	v.refused = v.add(&attempt{id: "r1", program: "p", kind: once, body: "z", status: 503, complete: true})
-	h.recordProgram("p", 40)
+	h.recordProgram("p", 70)
 	h.published[1], h.published[2] = testTime(0), testTime(100)
 	v.addProbe(1, 10, true)
 	v.addProbe(2, 200, true)
@@ -88,6 +93,15 @@
 		{"the stream of another turn", invariantComplete, func(v *validHistory) { v.turn.received = "2 q x" }},
 		{"an event twice", invariantOrder, func(v *validHistory) { v.turn.events = []int{1, 1, 2} }},
 		{"an event missing", invariantOrder, func(v *validHistory) { v.turn.events = []int{2} }},
+		{"a resumed stream that repeats an event", invariantOrder, func(v *validHistory) { v.resumed.events = []int{1, 2, 3} }},
+		{"a resumed stream that ends early", invariantComplete, func(v *validHistory) { v.resumed.events = []int{2} }},
+		{"streams that continue at another version", invariantVersion, func(v *validHistory) {
+			v.resumed.versions = []string{"v2"}
+			for i := range maxMixedStreams {
+				v.add(&attempt{id: fmt.Sprint("m", i), program: "p", kind: turn, body: "2 p x", status: 200, aborted: true,
+					events: []int{1, 2}, versions: []string{"v1", "v1.1"}}, v.a)
+			}
+		}},
 		{"too many tokens", invariantBudget, func(v *validHistory) { v.programs["p"] = -maxTurnTokens }},
 		{"too many targets", invariantTargets, func(v *validHistory) {
 			v.recordRun(&run{request: "s1", target: &target{id: "c"}, body: "x", organisation: "north"})
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -66,7 +66,7 @@
 		if i%2 == 1 {
 			service = appService
 		}
-		if err := d.addTarget(service); err != nil {
+		if err := d.addTarget(service, firstSoftwareVersion); err != nil {
 			return nil, err
 		}
 	}
@@ -104,11 +104,11 @@
 }
 
 // addTarget starts a target and registers it.
-func (d *deployment) addTarget(service string) error {
+func (d *deployment) addTarget(service, version string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.targetsStarted++
-	t, err := startTarget(fmt.Sprintf("%s-%d", service, d.targetsStarted), service, d.history, uint64(d.targetsStarted))
+	t, err := startTarget(fmt.Sprintf("%s-%d", service, d.targetsStarted), service, version, d.history, uint64(d.targetsStarted))
 	if err != nil {
 		return err
 	}
@@ -121,7 +121,7 @@
 func (d *deployment) register(t *target, state string) {
 	d.sequence++
 	value, err := json.Marshal(map[string]any{
-		"Service": t.service, "Address": t.address, "Zone": "dc", "Version": "v1", "Slots": targetSlots, "State": state,
+		"Service": t.service, "Address": t.address, "Zone": "dc", "Version": t.version, "Slots": targetSlots, "State": state,
 		"ColdRemainingMs": 0, "Sequence": d.sequence, "born": t.startedMS,
 	})
 	if err != nil {
@@ -158,7 +158,7 @@
 		return nil
 	}
 	t.stop()
-	if err := d.addTarget(t.service); err != nil {
+	if err := d.addTarget(t.service, t.version); err != nil {
 		return err
 	}
 	time.Sleep(registrationTTL)
@@ -166,12 +166,12 @@
 	return nil
 }
 
-// drainTarget replaces a target gracefully.
-func (d *deployment) drainTarget(t *target) error {
+// drainTarget replaces a target gracefully by one of a software version.
+func (d *deployment) drainTarget(t *target, version string) error {
 	if !d.removeTarget(t) {
 		return nil
 	}
-	if err := d.addTarget(t.service); err != nil {
+	if err := d.addTarget(t.service, version); err != nil {
 		return err
 	}
 	d.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -114,7 +114,7 @@
 
 func (inj *injector) drainTarget(*instance, time.Duration) {
 	t := inj.deployment.randomTarget(inj.rng)
-	inj.inject("drain "+t.id, targetDrainTime, func() error { return inj.deployment.drainTarget(t) })
+	inj.inject("drain "+t.id, targetDrainTime, func() error { return inj.deployment.drainTarget(t, t.version) })
 }
 
 func (inj *injector) changeSettings(*instance, time.Duration) {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -43,6 +43,12 @@
 	received    string
 	// events are the ids of the events received, in order of arrival.
 	events []int
+	// resumes is the attempt that brought the first event of a stream that this one
+	// resumes after an event, nil for a new stream. versions are the software versions
+	// of the events received.
+	resumes  *attempt
+	after    int
+	versions []string
 	// complete is true if the response was received to its end, aborted if the
 	// connection broke after the request was written.
 	complete bool
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,9 @@
 	// LoadFaults adds slow targets, targets with few slots, bursts of programs, a
 	// slow store and slow readers.
 	LoadFaults bool
+	// Versions adds engines of several software versions, which are rolled forward and
+	// back, and callers that resume their streams.
+	Versions bool
 }
 
 // Result is the outcome of a run.
@@ -42,6 +45,10 @@
 	// Served counts complete successful responses, Attempts all requests.
 	Served   int
 	Attempts int
+	// Resumed counts the attempts that resume a stream, Continued those that were not
+	// refused.
+	Resumed   int
+	Continued int
 	// Faults lists the injected faults with their start times.
 	Faults []string
 }
@@ -54,6 +61,8 @@
 	entryFaultStream = 3
 	// loadFaultStream is the random stream of the load faults of a seed.
 	loadFaultStream = 5
+	// versionStream is the random stream of the changes of software versions of a seed.
+	versionStream = 11
 	// checkInterval is the time between two checks of the history.
 	checkInterval = time.Second
 )
@@ -76,6 +85,7 @@
 	}
 	found := d.runWorkload(ctx, inj)
 	result := &Result{Seed: options.Seed, Served: d.history.served(), Attempts: len(d.history.attempts), Faults: inj.log}
+	result.Resumed, result.Continued = d.history.resumed()
 	if len(found) == 0 {
 		found = d.checkService(ctx)
 	}
@@ -103,6 +113,9 @@
 	if d.options.LoadFaults {
 		work.Go(func() { inj.runLoadFaults(faultCtx, rand.New(rand.NewPCG(d.options.Seed, loadFaultStream))) })
 	}
+	if d.options.Versions {
+		work.Go(func() { inj.runVersionRolls(faultCtx, rand.New(rand.NewPCG(d.options.Seed, versionStream))) })
+	}
 	work.Go(func() { inj.run(faultCtx) })
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,10 +16,12 @@
 // productPackage is the package of the executable of the instances.
 const productPackage = "github.com/banyanglade/banyanglade/cmd/banyanglade"
 
-// ciSeeds run in CI, and ciLoadSeeds also with load faults.
+// ciSeeds run in CI, ciLoadSeeds with load faults.
 var (
 	ciSeeds     = []uint64{1, 2}
 	ciLoadSeeds = []uint64{3}
+	// ciVersionSeeds run with targets of several software versions.
+	ciVersionSeeds = []uint64{4, 5}
 )
 
 // regressions are seeds that have found faults, with the cause.
@@ -39,11 +41,12 @@
 	if output, err := exec.Command("go", "build", "-o", binary, productPackage).CombinedOutput(); err != nil {
 		t.Fatalf("build the product: %v\n%s", err, output)
 	}
-	for _, seed := range append(ciSeeds, ciLoadSeeds...) {
+	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, Options{
 				Binary: binary, Seed: seed, FaultDuration: *faultDuration, Instances: 3, Programs: 6,
 				EntryFaults: true, LoadFaults: slices.Contains(ciLoadSeeds, seed),
+				Versions: slices.Contains(ciVersionSeeds, seed),
 			})
 		})
 	}
@@ -74,5 +77,6 @@
 			t.Log(line)
 		}
 	}
-	t.Logf("%d of %d attempts served, %d faults", result.Served, result.Attempts, len(result.Faults))
+	t.Logf("%d of %d attempts served, %d of %d resumed streams continued, %d faults",
+		result.Served, result.Attempts, result.Continued, result.Resumed, len(result.Faults))
 }
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -57,6 +57,8 @@
 type target struct {
 	id      string
 	service string
+	// version is the version of the target's software.
+	version string
 	history *history
 	server  *http.Server
 	address string
@@ -76,13 +78,13 @@
 }
 
 // startTarget starts a target of a service on a free loopback port.
-func startTarget(id, service string, h *history, seed uint64) (*target, error) {
+func startTarget(id, service, version string, h *history, seed uint64) (*target, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	t := &target{
-		id: id, service: service, history: h, address: listener.Addr().String(), startedMS: time.Now().UnixMilli(),
+		id: id, service: service, version: version, history: h, address: listener.Addr().String(), startedMS: time.Now().UnixMilli(),
 		rng: rand.New(rand.NewPCG(seed, 7)),
 	}
 	t.slowdown.Store(1)
@@ -253,7 +255,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, input)
+		_, err := fmt.Fprintf(w, "id: %d\n%s%s\ndata: %s\n\n", i, versionComment, t.version, input)
 		if err != nil || http.NewResponseController(w).Flush() != nil || !t.simulateWork(r, eventGap) {
 			return
 		}
