--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -7,6 +7,7 @@
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/relay"
+	"github.com/banyanglade/banyanglade/internal/streampin"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
@@ -19,6 +20,7 @@
 	Targets         []targets.Dump         `json:"targets"`
 	Conversations   conversation.Dump      `json:"conversations"`
 	Allowances      allowance.Dump         `json:"allowances"`
+	StreamPins      streampin.Dump         `json:"stream_pins"`
 	Admission       []overload.ServiceDump `json:"room"`
 	Topics          relay.Dump             `json:"topics"`
 }
@@ -27,7 +29,7 @@
 	s := state{
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
 		Targets: e.targetFeed.registry.Dump(), Conversations: e.conversations.Dump(),
-		Allowances: e.allowances.Dump(), Admission: e.server.Admission().Dump(time.Now()),
+		Allowances: e.allowances.Dump(), StreamPins: e.streamPins.Dump(), Admission: e.server.Admission().Dump(time.Now()),
 		Topics: e.relay.Dump(time.Now()),
 	}
 	if table := e.server.Table(); table != nil {
