--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -64,7 +64,7 @@
 	l.b.ends = append(l.b.ends, end)
 }
 
-// fakeVersions is a StreamVersions of one instance. Streams that the caller does not name
+// fakeVersions is a StreamVersions of one instance. Streams that were not recorded there
 // began at the version sole, if that is set.
 type fakeVersions struct {
 	mu      sync.Mutex
