Log and count lost runs with the state of their targets

Neither logs nor metrics told at which targets a request had been, whether those ended or only the connection broke, and which attempts are tries of one request. A target that accepts a new connection serves; the connection is kept, so that the next request there needs none.

--- a/internal/exchange/causes.go
+++ b/internal/exchange/causes.go
@@ -19,6 +19,8 @@
 	// causeClosed: the target closed the last idle connection, or it had received
 	// unexpected data.
 	causeClosed cause = "closed"
+	// causeProbe: to find out whether a target has ended.
+	causeProbe cause = "probe"
 )
 
 // closeCauseRetention is how long the close cause of an address's last idle connection
@@ -96,7 +98,7 @@
 
 func newCauseCounters(scope tally.Scope) causeCounters {
 	counters := make(causeCounters)
-	for _, c := range []cause{causeFirst, causeBusy, causeExpired, causeClosed} {
+	for _, c := range []cause{causeFirst, causeBusy, causeExpired, causeClosed, causeProbe} {
 		counters[c] = scope.Tagged(map[string]string{"cause": string(c)}).Counter("connections_opened")
 	}
 	return counters
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -235,3 +235,54 @@
 		t.Errorf("%d connections", conns)
 	}
 }
+
+func TestListening(t *testing.T) {
+	pool := NewPool(tally.NoopScope)
+	defer pool.close()
+	serving := newScriptedTarget(t, func(int) string { return "" })
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ended.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for address, want := range map[string]bool{serving.address: true, ended.Addr().String(): false} {
+		if got, err := pool.Listening(t.Context(), address); err != nil || got != want {
+			t.Errorf("listening at %s: got %v, %v, want %v", address, got, err, want)
+		}
+	}
+	if !pool.HasIdle(serving.address, time.Now()) {
+		t.Error("the connection was not kept")
+	}
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := pool.Listening(cancelled, serving.address); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v after the context ended", err)
+	}
+}
+
+// A target that closes connections beyond its limit has not ended.
+func TestTargetThatResetsNewConnectionsIsListening(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	pool := NewPool(tally.NoopScope)
+	if got, err := pool.Listening(t.Context(), listener.Addr().String()); err != nil || !got {
+		t.Errorf("got %v, %v", got, err)
+	}
+	if pool.HasIdle(listener.Addr().String(), time.Now()) {
+		t.Error("a closed connection was kept")
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -54,6 +54,8 @@
 	reader  *bufio.Reader
 	// reused indicates that the connection carried a request before.
 	reused bool
+	// fresh indicates that an idle connection has carried no request yet.
+	fresh bool
 	// expires is the time after which the connection must not be reused.
 	expires time.Time
 }
@@ -111,7 +113,7 @@
 			break
 		}
 		if now.Before(c.expires) && c.usable() {
-			c.reused = true
+			c.reused, c.fresh = !c.fresh, false
 			return c, nil
 		}
 		p.discard(c, now)
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -44,6 +44,7 @@
 // handleBrokenResponse handles a response that cannot be passed on completely. It
 // reports whether another send may follow.
 func (x *transfer) handleBrokenResponse(target *targets.Target) bool {
+	x.recordLostRun(target, x.sendCtx.Err() == nil)
 	if x.ctx.Err() != nil {
 		x.giveUpOnContext()
 		return false
@@ -193,8 +194,8 @@
 			x.copyHead(resp, true, 0)
 		}
 		x.delivered++
-		x.lastEvent = event.id
-		timing.event(time.Now(), events.buffered())
+		x.lastEvent, x.lastEventAt = event.id, time.Now()
+		timing.event(x.lastEventAt, events.buffered())
 		x.recordEvent(event)
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerLeft(err)
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -56,7 +56,9 @@
 	resumedHere, resumedByCaller tally.Counter
 	// earlyRetries counts first sends that were cancelled for a retry at another target.
 	earlyRetries tally.Counter
-	byReason     map[reason]reasonMetrics
+	// lostRuns counts the runs that targets did not complete, by the state of the target.
+	lostRuns map[targetState]tally.Counter
+	byReason map[reason]reasonMetrics
 }
 
 type reasonMetrics struct {
@@ -71,8 +73,12 @@
 		resumedHere:     scope.Tagged(map[string]string{"by": "instance"}).Counter("streams_resumed"),
 		resumedByCaller: scope.Tagged(map[string]string{"by": "caller"}).Counter("streams_resumed"),
 		earlyRetries:    scope.Counter("stragglers_sent_again"),
+		lostRuns:        make(map[targetState]tally.Counter),
 		byReason:        make(map[reason]reasonMetrics),
 	}
+	for _, state := range []targetState{targetServes, targetEnded, targetUnknown} {
+		m.lostRuns[state] = scope.Tagged(map[string]string{"target": string(state)}).Counter("runs_lost")
+	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -213,6 +213,7 @@
 	if x.ctx.Err() != nil {
 		if !errors.Is(err, exchange.ErrNotSent) {
 			x.markRan(target)
+			x.recordLostRun(target, false)
 		}
 		x.giveUpOnContext()
 		return false
@@ -225,6 +226,7 @@
 		return true
 	}
 	x.markRan(target)
+	x.recordLostRun(target, x.sendCtx.Err() == nil)
 	x.excludeUnresponsive(target, err)
 	return x.retryOrGiveUp()
 }
