holders: the instances that hold shared state, out of streampin

The choice of the instances that hold a pin and the queries to them serve a second kind of state next.

--- a/internal/streampin/lookup.go
+++ b/internal/streampin/lookup.go
@@ -44,73 +44,27 @@
 // or once all have replied or are unresponsive. complete reports whether there are other
 // instances and all have replied.
 func (m *Manager) ask(ctx context.Context, request structs.StreamPinRequest) (replies []*structs.StreamPinReply, complete bool) {
-	m.mu.Lock()
-	holders := m.holdersOf(request.Stream)
-	arriving := make(chan *structs.StreamPinReply, len(holders))
-	first := m.lastNumber + 1
-	for _, to := range holders {
-		m.lastNumber++
-		m.pending[m.lastNumber] = pendingRequest{to, arriving}
-	}
-	last := m.lastNumber
-	m.mu.Unlock()
-	for i, to := range holders {
+	others := m.ring.Of(request.Stream)
+	round := m.queries.Begin(others, func(to structs.InstanceID, number uint64) {
 		message := request
-		message.Number = first + uint64(i)
+		message.Number = number
 		m.Peers.Send(to, &message)
+	})
+	replies, silent := round.Collect(ctx, replyTimeout, hasPin)
+	for _, to := range silent {
+		// The connection may be dead without having been closed.
+		m.Peers.Probe(to)
 	}
-	replies, timedOut := collect(ctx, arriving, len(holders))
-	for _, to := range m.abandon(first, last) {
-		if timedOut {
-			// The connection may be dead without having been closed.
-			m.Peers.Probe(to)
-		}
-	}
-	return replies, len(replies) == len(holders) && len(holders) > 0
+	return replies, len(replies) == len(others) && len(others) > 0
 }
 
-// collect waits for replies until one has the pin, all have arrived or replyTimeout has
-// passed.
-func collect(ctx context.Context, arriving <-chan *structs.StreamPinReply, expected int) (replies []*structs.StreamPinReply, timedOut bool) {
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	for range expected {
-		select {
-		case reply := <-arriving:
-			if reply == nil {
-				continue
-			}
-			replies = append(replies, reply)
-			if reply.Outcome == structs.StreamPinFound {
-				return replies, false
-			}
-		case <-timer.C:
-			return replies, true
-		case <-ctx.Done():
-			return replies, false
-		}
-	}
-	return replies, false
-}
-
-// abandon ends a range of requests and returns the instances that have not replied.
-func (m *Manager) abandon(first, last uint64) []structs.InstanceID {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var silent []structs.InstanceID
-	for number := first; number <= last; number++ {
-		if pending, ok := m.pending[number]; ok {
-			silent = append(silent, pending.to)
-			delete(m.pending, number)
-		}
-	}
-	return silent
-}
+// hasPin reports whether a reply has the pin.
+func hasPin(reply *structs.StreamPinReply) bool { return reply.Outcome == structs.StreamPinFound }
 
 // pinned returns the origin in the reply with a pin.
 func pinned(replies []*structs.StreamPinReply) (serve.StreamOrigin, bool) {
 	for _, reply := range replies {
-		if reply.Outcome == structs.StreamPinFound {
+		if hasPin(reply) {
 			return serve.StreamOrigin{Service: reply.Service, Version: reply.Version}, true
 		}
 	}
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/holders"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
@@ -81,27 +80,14 @@
 // serve.StreamVersions and is safe for concurrent use.
 type Manager struct {
 	Config
-	self    structs.InstanceID
 	metrics metrics
+	ring    *holders.Ring
+	queries holders.Queries[*structs.StreamPinReply]
 	// versionsChanged has an element while pins may have to be sent.
 	versionsChanged chan struct{}
 
-	mu         sync.Mutex
-	pins       *table
-	lastNumber uint64
-	// pending are the requests in flight, by number.
-	pending map[uint64]pendingRequest
-	// holders are the instances that hold the pins of each slot, in order, as of
-	// version holdersVersion of the directory.
-	holders        [][]structs.InstanceID
-	holdersVersion uint64
-}
-
-// pendingRequest is a request to another instance in flight.
-type pendingRequest struct {
-	to structs.InstanceID
-	// reply receives the reply, or nil if there will be none.
-	reply chan<- *structs.StreamPinReply
+	mu   sync.Mutex
+	pins *table
 }
 
 type metrics struct {
@@ -113,16 +99,16 @@
 
 // New creates a Manager.
 func New(config Config) *Manager {
-	config.Slots = max(config.Slots, 1)
 	lookups := func(result string) tally.Counter {
 		return config.Scope.Tagged(map[string]string{"result": result}).Counter("stream_pin_lookups")
 	}
 	return &Manager{
-		Config: config, self: config.Directory.Self().ID,
+		Config: config,
 		metrics: metrics{
 			sent: config.Scope.Counter("stream_pins_sent"), found: lookups("found"), sole: lookups("sole_version"), unknown: lookups("unknown"),
 		},
-		versionsChanged: make(chan struct{}, 1), pins: newTable(), pending: make(map[uint64]pendingRequest),
+		ring:            holders.NewRing(holders.Config{Directory: config.Directory, Slots: config.Slots, Key: config.Key, Count: maxAsked}),
+		versionsChanged: make(chan struct{}, 1), pins: newTable(),
 	}
 }
 
@@ -192,8 +178,8 @@
 func (m *Manager) send(pins []structs.StreamPin) {
 	messages := make(map[structs.InstanceID]*structs.StreamPins)
 	for _, p := range pins {
-		holders := m.holdersOf(p.Stream)
-		for _, to := range holders[:min(copies, len(holders))] {
+		others := m.ring.Of(p.Stream)
+		for _, to := range others[:min(copies, len(others))] {
 			if messages[to] == nil {
 				messages[to] = new(structs.StreamPins)
 			}
@@ -206,33 +192,6 @@
 	}
 }
 
-// holdersOf returns up to maxAsked other instances that hold the pin of a stream, in
-// order. The mutex is held.
-func (m *Manager) holdersOf(stream string) []structs.InstanceID {
-	if version := m.Directory.Version(); m.holders == nil || version != m.holdersVersion {
-		m.holders, m.holdersVersion = make([][]structs.InstanceID, m.Slots), version
-	}
-	slot := int(xxhash.Sum64String(stream) % uint64(m.Slots))
-	if m.holders[slot] == nil {
-		m.holders[slot] = m.rankHolders(slot)
-	}
-	return m.holders[slot]
-}
-
-// rankHolders returns the instances that rank first for a slot and for those behind it.
-// With instances that rank second for the slot, each instance would need connections to
-// twice as many others.
-func (m *Manager) rankHolders(slot int) []structs.InstanceID {
-	holders := make([]structs.InstanceID, 0, maxAsked)
-	for i := 0; i < m.Slots && len(holders) < maxAsked; i++ {
-		first := m.Directory.First(m.Key((slot + i) % m.Slots))
-		if first != "" && first != m.self && !slices.Contains(holders, first) {
-			holders = append(holders, first)
-		}
-	}
-	return holders
-}
-
 // Handles reports whether a message is one of this package.
 func Handles(message structs.Message) bool {
 	switch message.(type) {
@@ -248,7 +207,7 @@
 	case structs.PeerMessage:
 		m.receiveMessage(e.From, e.Msg)
 	case structs.PeerDown:
-		m.peerDown(e.Peer)
+		m.queries.PeerDown(e.Peer)
 	}
 }
 
@@ -259,7 +218,7 @@
 	case *structs.StreamPinRequest:
 		m.Peers.Send(from, m.answer(msg))
 	case *structs.StreamPinReply:
-		m.receiveReply(from, msg)
+		m.queries.Receive(from, msg.Number, msg)
 	}
 }
 
@@ -287,24 +246,3 @@
 	}
 	return reply
 }
-
-func (m *Manager) receiveReply(from structs.InstanceID, reply *structs.StreamPinReply) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if pending, ok := m.pending[reply.Number]; ok && pending.to == from {
-		delete(m.pending, reply.Number)
-		pending.reply <- reply
-	}
-}
-
-// peerDown ends the requests to an unresponsive instance.
-func (m *Manager) peerDown(id structs.InstanceID) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for number, pending := range m.pending {
-		if pending.to == id {
-			delete(m.pending, number)
-			pending.reply <- nil
-		}
-	}
-}
