--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/conversation"
+	"github.com/banyanglade/banyanglade/internal/lostruns"
 	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/relay"
 	"github.com/banyanglade/banyanglade/internal/streampin"
@@ -21,6 +22,7 @@
 	Conversations   conversation.Dump      `json:"conversations"`
 	Allowances      allowance.Dump         `json:"allowances"`
 	StreamPins      streampin.Dump         `json:"stream_pins"`
+	LostRuns        lostruns.Dump          `json:"lost_runs"`
 	Admission       []overload.ServiceDump `json:"room"`
 	Topics          relay.Dump             `json:"topics"`
 }
@@ -29,7 +31,7 @@
 	s := state{
 		Instance: e.machine.Name, Ready: e.ready(), InFlight: e.server.InFlight(),
 		Targets: e.targetFeed.registry.Dump(), Conversations: e.conversations.Dump(),
-		Allowances: e.allowances.Dump(), StreamPins: e.streamPins.Dump(), Admission: e.server.Admission().Dump(time.Now()),
+		Allowances: e.allowances.Dump(), StreamPins: e.streamPins.Dump(), LostRuns: e.lostRuns.Dump(), Admission: e.server.Admission().Dump(time.Now()),
 		Topics: e.relay.Dump(time.Now()),
 	}
 	if table := e.server.Table(); table != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/httpapi"
 	"github.com/banyanglade/banyanglade/internal/logqueue"
+	"github.com/banyanglade/banyanglade/internal/lostruns"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/relay"
@@ -72,7 +73,7 @@
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
 			newTransport, newBudgets, newConversations, newInstanceList, newAllowances, newSettingsFreshness, newServer,
-			newTargetList, newStreamPins, newVersionListener, newTargetFeed, newEdge,
+			newTargetList, newStreamPins, newLostRuns, newVersionListener, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -131,11 +132,11 @@
 func newServer(
 	machine platform.Machine, freshness *settingsFreshness, allowances *allowance.Manager,
 	registry *targets.Registry, pool *exchange.Pool, budgets *budget.Manager, conversations *conversation.Manager,
-	streamPins *streampin.Manager, health *feed.Health, scope tally.Scope, log *slog.Logger,
+	streamPins *streampin.Manager, lostRuns *lostruns.Manager, health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Config{
 		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: budgets, Allowances: allowances,
-		Conversations: conversations, StreamVersions: streamPins, FailureReporter: budgets, Health: health, Freshness: freshness,
+		Conversations: conversations, StreamVersions: streamPins, LostRuns: lostRuns, FailureReporter: budgets, Health: health, Freshness: freshness,
 		Memory:    memlimit.New(int64(float64(machine.MemoryBytes)*requestMemoryFraction), scope),
 		KeyPolicy: keyPolicy(machine),
 		Scope:     scope, Log: log,
@@ -164,6 +165,7 @@
 	conversations *conversation.Manager
 	allowances    *allowance.Manager
 	streamPins    *streampin.Manager
+	lostRuns      *lostruns.Manager
 
 	settings  *feed.Topic
 	targets   *feed.Topic
@@ -184,13 +186,13 @@
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, targetFeed *targetFeed,
 	dir *directory.Directory, transport *peer.Transport, budgets *budget.Manager, conversations *conversation.Manager,
 	freshness *settingsFreshness, instances *instanceList, allowances *allowance.Manager,
-	streamPins *streampin.Manager, list *targetList,
+	streamPins *streampin.Manager, lostRuns *lostruns.Manager, list *targetList,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
 		pool: pool, server: server, targetFeed: targetFeed,
 		directory: dir, transport: transport, budgets: budgets,
-		conversations: conversations, allowances: allowances, streamPins: streamPins, reregister: make(chan struct{}, 1),
+		conversations: conversations, allowances: allowances, streamPins: streamPins, lostRuns: lostRuns, reregister: make(chan struct{}, 1),
 	}
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	freshness.topic = e.settings
@@ -285,6 +287,7 @@
 	e.spawn(func() { e.conversations.Run(ctx) })
 	e.spawn(func() { e.allowances.Run(ctx) })
 	e.spawn(func() { e.streamPins.Run(ctx) })
+	e.spawn(func() { e.lostRuns.Run(ctx) })
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
 }
--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -101,13 +101,15 @@
 	complete bool
 }
 
-// patience is how long a caller waits for each try.
+// patience is how long a caller waits before it sends a request again.
 const patience = 400 * time.Millisecond
 
 // try sends a turn of a program; after is the number of events that the caller has.
-func (i *instance) try(t *testing.T, program, body string, attempt, after int, begunBy string) tryResult {
+func (i *instance) try(
+	t *testing.T, timeout time.Duration, program, body string, attempt, after int, begunBy string,
+) tryResult {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	last := ""
 	if after > 0 {
@@ -130,60 +132,60 @@
 // callerTries is the number of tries of one turn: three, with one more behind each.
 const callerTries = 6
 
-// tryAll makes all tries of a turn at the instances in turn and returns the last result.
-// Each second try resumes what the one before received.
-func tryAll(t *testing.T, program, body string, instances []*instance) (last tryResult) {
+// tryAll makes all tries of a turn, at the instances in turn. Each second try resumes what
+// the one before received.
+func tryAll(t *testing.T, program, body string, instances []*instance) {
 	t.Helper()
 	after, begunBy := 0, ""
 	for attempt := range callerTries {
-		last = instances[attempt%len(instances)].try(t, program, body, attempt, after, begunBy)
-		if attempt%2 == 0 && last.status == http.StatusOK && last.events > 0 {
-			after, begunBy = last.events, fmt.Sprintf("%s-%d", program, attempt)
-		} else {
-			after, begunBy = 0, ""
+		got := instances[attempt%len(instances)].try(t, patience, program, body, attempt, after, begunBy)
+		after, begunBy = 0, ""
+		if attempt%2 == 0 && got.status == http.StatusOK && got.events > 0 {
+			after, begunBy = got.events, fmt.Sprintf("%s-%d", program, attempt)
 		}
 	}
-	return last
 }
 
 func TestRequestEndsAtMostThreeTargets(t *testing.T) {
 	for _, how := range []string{endAtOnce, endMidway, endSilently} {
-		check := func(name string, run func(t *testing.T, d *deployment, instances []*instance) tryResult) {
+		check := func(name string, run func(t *testing.T, instances []*instance)) {
 			t.Run(how+" "+name, func(t *testing.T) {
+				t.Parallel()
 				d := newDeployment(t)
 				ended := d.startMortalEngines(42)
 				instances := []*instance{d.start("a"), d.start("b"), d.start("c"), d.start("d")}
 				for _, i := range instances {
 					eventually(t, "ready", i.ready)
 				}
-				last := run(t, d, instances)
-				t.Logf("%d targets ended, last status %d", ended.Load(), last.status)
+				run(t, instances)
+				again := callerTries
+				eventually(t, "final refusal", func() bool {
+					again++
+					return instances[1].try(t, testTimeout, "p", how, again, 0, "").status == http.StatusBadRequest
+				})
 				if got := ended.Load(); got > maxEnded {
 					t.Errorf("%d targets ended, want at most %d", got, maxEnded)
 				}
-				if last.status != http.StatusBadRequest {
-					t.Errorf("last status %d, want a final refusal", last.status)
-				}
 				for n, i := range instances[1:] {
-					if got := i.try(t, fmt.Sprint("innocent", n), "x", 0, 0, ""); !got.complete || got.events != eventsPerTurn {
+					if got := i.try(t, testTimeout, fmt.Sprint("innocent", n), "x", 0, 0, ""); !got.complete || got.events != eventsPerTurn {
 						t.Errorf("another program's turn: %+v", got)
 					}
 				}
 			})
 		}
-		check("at one instance", func(t *testing.T, _ *deployment, instances []*instance) tryResult {
-			return tryAll(t, "p", how, instances[:1])
+		check("at one instance", func(t *testing.T, instances []*instance) {
+			tryAll(t, "p", how, instances[:1])
 		})
-		check("at several instances", func(t *testing.T, _ *deployment, instances []*instance) tryResult {
-			return tryAll(t, "p", how, instances)
+		check("at several instances", func(t *testing.T, instances []*instance) {
+			tryAll(t, "p", how, instances)
 		})
-		check("after the end of the instance that saw it", func(t *testing.T, _ *deployment, instances []*instance) tryResult {
-			instances[0].try(t, "p", how, callerTries, 0, "")
+		check("after the end of the instance that saw it", func(t *testing.T, instances []*instance) {
+			instances[0].try(t, patience, "p", how, callerTries, 0, "")
 			instances[0].stop()
 			if err := <-instances[0].done; err != nil {
 				t.Fatal(err)
 			}
-			return tryAll(t, "p", how, instances[1:])
+			tryAll(t, "p", how, instances[1:])
 		})
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -13,6 +13,7 @@
 	"github.com/banyanglade/banyanglade/internal/conversation"
 	"github.com/banyanglade/banyanglade/internal/directory"
 	"github.com/banyanglade/banyanglade/internal/feed"
+	"github.com/banyanglade/banyanglade/internal/lostruns"
 	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/streampin"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -30,12 +31,13 @@
 	conversations *conversation.Manager
 	allowances    *allowance.Manager
 	streamPins    *streampin.Manager
+	lostRuns      *lostruns.Manager
 }
 
 // dispatch routes one event. Events that arrive before the receivers are set are dropped,
 // like messages to an instance that has not started.
 func (r *eventRouter) dispatch(event structs.Event) bool {
-	if r.budgets == nil || r.conversations == nil || r.allowances == nil || r.streamPins == nil {
+	if r.budgets == nil || r.conversations == nil || r.allowances == nil || r.streamPins == nil || r.lostRuns == nil {
 		return true
 	}
 	message, isMessage := event.(structs.PeerMessage)
@@ -46,11 +48,14 @@
 		r.allowances.Receive(event)
 	case isMessage && streampin.Handles(message.Msg):
 		r.streamPins.Receive(event)
+	case isMessage && lostruns.Handles(message.Msg):
+		r.lostRuns.Receive(event)
 	default:
 		r.conversations.Receive(event)
 		r.budgets.Receive(event)
 		r.allowances.Receive(event)
 		r.streamPins.Receive(event)
+		r.lostRuns.Receive(event)
 	}
 	return true
 }
@@ -138,3 +143,12 @@
 	})
 	return r.streamPins
 }
+
+func newLostRuns(
+	machine platform.Machine, dir *directory.Directory, transport *peer.Transport, r *eventRouter, scope tally.Scope, log *slog.Logger,
+) *lostruns.Manager {
+	r.lostRuns = lostruns.New(lostruns.Config{
+		Directory: dir, Slots: machine.Store.Partitions, Key: budget.PartitionKey, Peers: transport, Scope: scope, Log: log,
+	})
+	return r.lostRuns
+}
--- /dev/null
+++ b/internal/lostruns/cluster_test.go
@@ -0,0 +1,268 @@
+package lostruns
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+	"github.com/banyanglade/banyanglade/internal/testkit/simnet"
+)
+
+const testLifetime = 10 * time.Second
+
+// cluster simulates instances with a network, in virtual time.
+type cluster struct {
+	*simnet.Net
+	nodes simnet.NodeValues[*node]
+}
+
+// node is one incarnation of an instance.
+type node struct {
+	*simnet.Node
+	manager *Manager
+	// unsupported makes the instance drop messages like an earlier build.
+	unsupported bool
+
+	mu sync.Mutex
+	// received counts the notices without runs.
+	received int
+}
+
+func runInCluster(t *testing.T, machines int, body func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{Net: simnet.New()}
+		for i := range machines {
+			c.Start(string(rune('a'+i)), c.run)
+		}
+		defer c.Stop()
+		body(t, c)
+	})
+}
+
+// run starts an incarnation of an instance.
+func (c *cluster) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
+	n := &node{Node: sim}
+	n.manager = New(Config{
+		Directory: sim.Directory, Slots: 12, Key: func(slot int) string { return fmt.Sprint("slot/", slot) },
+		Peers: sim, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+	})
+	c.nodes.Put(sim, n)
+	c.Background.Go(func() { n.manager.Run(ctx) })
+	return n.receive
+}
+
+func (n *node) receive(event structs.Event) {
+	switch e := event.(type) {
+	case structs.PeerDown:
+		n.Directory.SetUnresponsive(e.Peer, true)
+	case structs.PeerUp:
+		n.Directory.SetUnresponsive(e.Peer, false)
+	case structs.PeerMessage:
+		if notice, ok := e.Msg.(*structs.LostRunsNotice); ok && len(notice.Runs) == 0 {
+			n.mu.Lock()
+			n.received++
+			n.mu.Unlock()
+		}
+		if n.unsupported {
+			return
+		}
+	}
+	n.manager.Receive(event)
+}
+
+func (c *cluster) all() []*node { return c.nodes.All(c.Net) }
+
+func work(number int) serve.Work {
+	return serve.Work{ID: fmt.Sprint("work", number), Key: fmt.Sprint("program", number), Lifetime: testLifetime}
+}
+
+func ended(number int) structs.LostRuns {
+	return structs.LostRuns{{ID: fmt.Sprint("run", number), Target: fmt.Sprint("target", number), State: structs.LostRunTargetEnded}}
+}
+
+func (n *node) record(t *testing.T, work serve.Work, runs structs.LostRuns) structs.LostRuns {
+	return n.manager.Exchange(work, runs).Wait(t.Context())
+}
+
+func (n *node) lookup(t *testing.T, work serve.Work) int {
+	return len(n.record(t, work, nil).Targets(structs.LostRunTargetEnded))
+}
+
+const manyWorks = 60
+
+// recordMany records a lost run of each of many works at the given instances in turn.
+func recordMany(t *testing.T, nodes ...*node) {
+	t.Helper()
+	for i := range manyWorks {
+		nodes[i%len(nodes)].record(t, work(i), ended(i))
+	}
+}
+
+// checkKnown looks all works up at all instances.
+func (c *cluster) checkKnown(t *testing.T) {
+	t.Helper()
+	for _, n := range c.all() {
+		for i := range manyWorks {
+			if got := n.lookup(t, work(i)); got != 1 {
+				t.Errorf("%s knows %d lost runs of work %d", n.ID, got, i)
+			}
+		}
+	}
+}
+
+func TestLostRunsOfACrashedInstanceAreKnown(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		first := c.all()[0]
+		recordMany(t, first)
+		c.Kill(first.Node)
+		c.checkKnown(t)
+	})
+}
+
+func TestLostRunsOfAPoweredOffInstanceAreKnown(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		time.Sleep(testLifetime)
+		first := c.all()[0]
+		recordMany(t, first)
+		c.PowerOff(first.Node)
+		c.checkKnown(t)
+	})
+}
+
+// One of the instances that hold the runs may crash with the one that recorded them, and
+// come back without them.
+func TestLostRunsAreKnownAfterTwoRestarts(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		nodes := c.all()
+		recordMany(t, nodes[0])
+		for _, n := range nodes[:2] {
+			c.Restart(n.Node)
+		}
+		time.Sleep(2 * simnet.LinkLatency)
+		c.checkKnown(t)
+	})
+}
+
+func TestOneInstanceIsAskedWhileTheHoldersAreStable(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		first := c.all()[0]
+		first.lookup(t, work(1))
+		time.Sleep(testLifetime)
+		before := c.asked()
+		first.lookup(t, work(1))
+		if got := c.asked() - before; got != 1 {
+			t.Errorf("%d instances were asked, want 1", got)
+		}
+	})
+}
+
+// asked counts the queries that instances received.
+func (c *cluster) asked() int {
+	total := 0
+	for _, n := range c.all() {
+		n.mu.Lock()
+		total += n.received
+		n.mu.Unlock()
+	}
+	return total
+}
+
+// A reply that will never come must not delay each request during an upgrade.
+func TestInstancesOfEarlierBuildsAreNotAskedAgain(t *testing.T) {
+	runInCluster(t, 3, func(t *testing.T, c *cluster) {
+		first := c.all()[0]
+		for _, n := range c.all()[1:] {
+			n.unsupported = true
+			first.Post(structs.MessageUnsupported{Peer: n.ID, Kind: structs.KindLostRunsNotice})
+		}
+		synctest.Wait()
+		started := time.Now()
+		first.lookup(t, work(1))
+		if waited := time.Since(started); waited > 0 {
+			t.Errorf("waited %s", waited)
+		}
+	})
+}
+
+func TestLostRunsExpire(t *testing.T) {
+	runInCluster(t, 5, func(t *testing.T, c *cluster) {
+		recordMany(t, c.all()...)
+		time.Sleep(testLifetime + 2*sweepInterval)
+		for _, n := range c.all() {
+			if got := n.manager.Dump().Works; got != 0 {
+				t.Errorf("%s holds %d works", n.ID, got)
+			}
+		}
+	})
+}
+
+// maxEnded is the number of targets that may end under a piece of work.
+const maxEnded = 3
+
+// attempt sends work that ends each target, as serve does, until it may not run again or
+// the instance is killed. It returns how many targets ended.
+func (n *node) attempt(ctx context.Context, w serve.Work, rng *rand.Rand, alive func() bool) int {
+	targets := 0
+	known := n.manager.Exchange(w, nil).Wait(ctx)
+	for alive() && len(known.Targets(structs.LostRunOpen, structs.LostRunTargetEnded)) < maxEnded {
+		run := structs.LostRun{ID: fmt.Sprint(rng.Uint64()), Target: fmt.Sprint(rng.Uint64()), State: structs.LostRunOpen}
+		if len(known) > 0 {
+			others := n.manager.Exchange(w, append(known, run)).Wait(ctx)
+			known = known.Merge(others)
+		}
+		if !alive() || len(known.Without(run.ID).Targets(structs.LostRunOpen, structs.LostRunTargetEnded)) >= maxEnded {
+			return targets
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(50 * time.Millisecond))))
+		targets++
+		run.State = structs.LostRunTargetEnded
+		known = known.Merge(structs.LostRuns{run})
+	}
+	if alive() {
+		n.manager.Exchange(w, known).Wait(ctx)
+	}
+	return targets
+}
+
+// Callers send work that ends targets through random instances, while instances crash one
+// after the other.
+func TestWorkEndsFewTargetsOverRandomCrashes(t *testing.T) {
+	for seed := range uint64(6) {
+		runInCluster(t, 9, func(t *testing.T, c *cluster) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			excess := 0
+			for number := range 40 {
+				targets, unseen := 0, 0
+				for range 6 {
+					n := simnet.Pick(rng, c.all())
+					crash := rng.IntN(3) == 0
+					crashAt := time.Now().Add(time.Duration(rng.Int64N(int64(120 * time.Millisecond))))
+					alive := func() bool { return !crash || time.Now().Before(crashAt) }
+					before := targets
+					targets += n.attempt(t.Context(), work(number), rng, alive)
+					if !alive() {
+						c.Restart(n.Node)
+						// The run in progress is known to others unless it is the first.
+						if before == 0 && targets > 0 {
+							unseen = 1
+						}
+					}
+				}
+				if targets > maxEnded+unseen {
+					t.Errorf("seed %d: %d targets ended under work %d", seed, targets, number)
+				}
+				excess += max(targets-maxEnded, 0)
+			}
+			t.Logf("seed %d: %d targets beyond %d each", seed, excess, maxEnded)
+		})
+	}
+}
--- /dev/null
+++ b/internal/lostruns/manager.go
@@ -0,0 +1,220 @@
+package lostruns
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/holders"
+	"github.com/banyanglade/banyanglade/internal/serve"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// copies is the number of other instances that are told of lost runs.
+	copies = 2
+	// maxAsked is the number of instances that are asked while the holders change: one
+	// may have taken the place of an instance that crashed, one may have left its place
+	// to an instance that came back.
+	maxAsked = copies + 2
+	// replyTimeout covers a round trip and a pause of the other instance by CPU
+	// throttling.
+	replyTimeout = 150 * time.Millisecond
+	// firstReplyTimeout is the time after which the other holders are asked, too.
+	firstReplyTimeout = 50 * time.Millisecond
+	// sweepInterval is the time between two sweeps of expired runs.
+	sweepInterval = time.Second
+)
+
+// Peers sends messages to other instances. Sending never blocks.
+type Peers interface {
+	Send(to structs.InstanceID, msg structs.Message)
+	Probe(to structs.InstanceID)
+}
+
+// Config holds the dependencies of a Manager.
+type Config struct {
+	Directory *directory.Directory
+	// Slots and Key are those of holders.Config.
+	Slots int
+	Key   func(slot int) string
+	Peers Peers
+	Scope tally.Scope
+	Log   *slog.Logger
+}
+
+// Manager records and looks up lost runs. It implements serve.LostRuns and is safe for
+// concurrent use.
+type Manager struct {
+	Config
+	ring    *holders.Ring
+	queries holders.Queries[*structs.LostRunsReply]
+	metrics metrics
+
+	mu   sync.Mutex
+	runs *table
+	// unsupported holds the instances whose builds have no lost runs.
+	unsupported map[structs.InstanceID]bool
+}
+
+type metrics struct {
+	asked      tally.Counter
+	told       tally.Counter
+	unanswered tally.Counter
+}
+
+// New creates a Manager.
+func New(config Config) *Manager {
+	return &Manager{
+		Config: config,
+		ring:   holders.NewRing(holders.Config{Directory: config.Directory, Slots: config.Slots, Key: config.Key, Count: maxAsked}),
+		metrics: metrics{
+			asked: config.Scope.Counter("lost_runs_queries"), told: config.Scope.Counter("lost_runs_notices"),
+			unanswered: config.Scope.Counter("lost_runs_unanswered"),
+		},
+		runs: newTable(), unsupported: make(map[structs.InstanceID]bool),
+	}
+}
+
+// Run drops expired runs until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			m.mu.Lock()
+			m.runs.sweep(now)
+			m.mu.Unlock()
+		}
+	}
+}
+
+// Exchange implements serve.LostRuns.
+func (m *Manager) Exchange(work serve.Work, runs structs.LostRuns) serve.RunsExchange {
+	m.mu.Lock()
+	m.runs.merge(work.ID, runs, work.Lifetime, time.Now())
+	m.mu.Unlock()
+	all, stable := m.holdersOf(work)
+	to, rest := all, all[len(all):]
+	switch {
+	case len(runs) > 0:
+		to = all[:min(copies, len(all))]
+		m.metrics.told.Inc(int64(len(to)))
+	case stable && len(all) > 0:
+		to, rest = all[:1], all[1:]
+		m.metrics.asked.Inc(1)
+	default:
+		m.metrics.asked.Inc(int64(len(to)))
+	}
+	return &exchange{manager: m, work: work, rest: rest, round: m.send(work, runs, to)}
+}
+
+// holdersOf returns the holders of a piece of work that know of lost runs, and whether
+// they know all recorded ones.
+func (m *Manager) holdersOf(work serve.Work) ([]structs.InstanceID, bool) {
+	all, stable := m.ring.OfStable(work.Key, work.Lifetime)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.unsupported) == 0 {
+		return all, stable
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(id structs.InstanceID) bool { return m.unsupported[id] }), stable
+}
+
+func (m *Manager) send(work serve.Work, runs structs.LostRuns, to []structs.InstanceID) *holders.Round[*structs.LostRunsReply] {
+	return m.queries.Begin(to, func(id structs.InstanceID, number uint64) {
+		m.Peers.Send(id, &structs.LostRunsNotice{Number: number, Work: work.ID, Runs: runs, Lifetime: work.Lifetime})
+	})
+}
+
+// exchange is a notice to the holders of a piece of work, or a query.
+type exchange struct {
+	manager *Manager
+	work    serve.Work
+	round   *holders.Round[*structs.LostRunsReply]
+	// rest are the holders that are asked if none of the round's replies.
+	rest []structs.InstanceID
+}
+
+// Wait implements serve.RunsExchange.
+func (e *exchange) Wait(ctx context.Context) structs.LostRuns {
+	m, timeout := e.manager, replyTimeout
+	if len(e.rest) > 0 {
+		timeout = firstReplyTimeout
+	}
+	replies := e.collect(ctx, timeout)
+	if len(replies) == 0 && len(e.rest) > 0 && ctx.Err() == nil {
+		e.round = m.send(e.work, nil, e.rest)
+		m.metrics.asked.Inc(int64(len(e.rest)))
+		replies = e.collect(ctx, replyTimeout)
+	}
+	if len(replies) == 0 {
+		m.metrics.unanswered.Inc(1)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, reply := range replies {
+		m.runs.merge(e.work.ID, reply.Runs, e.work.Lifetime, now)
+	}
+	return m.runs.merge(e.work.ID, nil, e.work.Lifetime, now)
+}
+
+// collect waits for the replies to the current round.
+func (e *exchange) collect(ctx context.Context, timeout time.Duration) []*structs.LostRunsReply {
+	replies, silent := e.round.Collect(ctx, timeout, func(*structs.LostRunsReply) bool { return false })
+	for _, id := range silent {
+		// The connection may be dead without having been closed.
+		e.manager.Peers.Probe(id)
+	}
+	return replies
+}
+
+// Cancel implements serve.RunsExchange.
+func (e *exchange) Cancel() { e.round.Cancel() }
+
+// Handles reports whether a message is one of this package.
+func Handles(message structs.Message) bool {
+	switch message.(type) {
+	case *structs.LostRunsNotice, *structs.LostRunsReply:
+		return true
+	}
+	return false
+}
+
+// Receive handles an event of the transport between instances.
+func (m *Manager) Receive(event structs.Event) {
+	switch e := event.(type) {
+	case structs.PeerMessage:
+		m.receiveMessage(e.From, e.Msg)
+	case structs.PeerDown:
+		m.queries.PeerDown(e.Peer)
+	case structs.MessageUnsupported:
+		if e.Kind == structs.KindLostRunsNotice {
+			m.mu.Lock()
+			m.unsupported[e.Peer] = true
+			m.mu.Unlock()
+			m.queries.PeerDown(e.Peer)
+		}
+	}
+}
+
+func (m *Manager) receiveMessage(from structs.InstanceID, message structs.Message) {
+	switch msg := message.(type) {
+	case *structs.LostRunsNotice:
+		m.mu.Lock()
+		known := m.runs.merge(msg.Work, msg.Runs, msg.Lifetime, time.Now())
+		m.mu.Unlock()
+		m.Peers.Send(from, &structs.LostRunsReply{Number: msg.Number, Runs: known})
+	case *structs.LostRunsReply:
+		m.queries.Receive(from, msg.Number, msg)
+	}
+}
--- /dev/null
+++ b/internal/lostruns/table.go
@@ -0,0 +1,70 @@
+package lostruns
+
+import (
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+const (
+	// maxWorks bounds the pieces of work in memory.
+	maxWorks = 1 << 14
+	// maxRuns bounds the runs of one piece of work.
+	maxRuns = 64
+)
+
+// entry holds the runs of a piece of work.
+type entry struct {
+	runs      structs.LostRuns
+	expiresAt time.Time
+}
+
+// table holds lost runs by work.
+type table struct{ works map[string]*entry }
+
+func newTable() *table { return &table{works: make(map[string]*entry)} }
+
+// merge adds runs and returns all runs of the work.
+func (t *table) merge(work string, runs structs.LostRuns, lifetime time.Duration, now time.Time) structs.LostRuns {
+	known, ok := t.works[work]
+	if ok && !now.Before(known.expiresAt) {
+		delete(t.works, work)
+		ok = false
+	}
+	if len(runs) == 0 {
+		if !ok {
+			return nil
+		}
+		return known.clone()
+	}
+	if !ok {
+		if len(t.works) >= maxWorks {
+			t.evict()
+		}
+		known = new(entry)
+		t.works[work] = known
+	}
+	known.runs = known.runs.Merge(runs)
+	known.runs = known.runs[max(len(known.runs)-maxRuns, 0):]
+	known.expiresAt = now.Add(lifetime)
+	return known.clone()
+}
+
+func (e *entry) clone() structs.LostRuns { return append(structs.LostRuns(nil), e.runs...) }
+
+// evict drops some piece of work.
+func (t *table) evict() {
+	for work := range t.works {
+		delete(t.works, work)
+		return
+	}
+}
+
+// sweep drops the work that has expired.
+func (t *table) sweep(now time.Time) {
+	for work, e := range t.works {
+		if !now.Before(e.expiresAt) {
+			delete(t.works, work)
+		}
+	}
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -137,6 +137,7 @@
 		kind := structs.MessageKind(frame[1])
 		if !s.remote.decodes(kind) {
 			s.transport.metrics.framesUnsupported.Inc(1)
+			s.transport.sink.Deliver(ctx, structs.MessageUnsupported{Peer: s.remote.ID, Kind: kind})
 			continue
 		}
 		if err := s.writeStamp(ctx); err != nil {
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -95,6 +95,9 @@
 	} else {
 		x.recordResponse(target, resp.Status)
 	}
+	if !longer {
+		x.finishWork()
+	}
 	x.copyHead(resp, longer, len(body))
 	if _, err := x.writer.Write(body); err != nil {
 		x.callerLeft(err)
@@ -131,7 +134,9 @@
 func (x *transfer) copyRest(resp *exchange.Response) {
 	if _, err := io.Copy(x.writer, resp.Body); err != nil {
 		x.detail, x.reason, x.abort = err.Error(), reasonTruncated, true
+		return
 	}
+	x.finishWork()
 }
 
 // copyHead passes on the status and header of a response.
@@ -232,6 +237,7 @@
 func (x *transfer) endStream(target *targets.Target, resp *exchange.Response) bool {
 	x.server.targets.RecordSuccess(target, time.Now())
 	x.failedTarget = ""
+	x.finishWork()
 	if !x.headSent {
 		x.copyHead(resp, true, 0)
 	}
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
 	"github.com/banyanglade/banyanglade/platform"
 )
@@ -93,6 +95,31 @@
 	return StreamOrigin{}, ErrStreamVersionUnknown
 }
 
+// fakeLostRuns is a LostRuns of one instance.
+type fakeLostRuns struct {
+	mu    sync.Mutex
+	works map[string]structs.LostRuns
+	// initial are runs that other instances lost of all work.
+	initial structs.LostRuns
+}
+
+func (l *fakeLostRuns) Exchange(work Work, runs structs.LostRuns) RunsExchange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.works == nil {
+		l.works = make(map[string]structs.LostRuns)
+	}
+	l.works[work.ID] = l.works[work.ID].Merge(l.initial).Merge(runs)
+	return knownRuns(slices.Clone(l.works[work.ID]))
+}
+
+// knownRuns is a RunsExchange that has ended.
+type knownRuns structs.LostRuns
+
+func (k knownRuns) Wait(context.Context) structs.LostRuns { return structs.LostRuns(k) }
+
+func (k knownRuns) Cancel() {}
+
 // harness is a Server with its targets.
 type harness struct {
 	t       *testing.T
@@ -103,6 +130,7 @@
 	// conversations is only used by the route "kept".
 	conversations *fakeConversations
 	versions      fakeVersions
+	lostRuns      fakeLostRuns
 	health        fakeHealth
 	freshness     fakeFreshness
 	log           *logBuffer
@@ -176,7 +204,7 @@
 	work.Go(func() { pool.Run(ctx) })
 	h.server = New(Config{
 		Codec: platform.Codec{}, Targets: h.targets, Pool: pool, Budgets: h.budgets, Conversations: h.conversations,
-		StreamVersions:  &h.versions,
+		StreamVersions: &h.versions, LostRuns: &h.lostRuns,
 		FailureReporter: h, Health: &h.health, Freshness: &h.freshness,
 		Scope: tally.NoopScope, Log: slog.New(slog.NewJSONHandler(h.log, nil)),
 	})
--- a/internal/serve/lostrun.go
+++ b/internal/serve/lostrun.go
@@ -3,11 +3,22 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
+// maxEndedTargets is the number of targets that may end under one request, over all of
+// its attempts. Below it the request is sent on, since most requests of a target that ends
+// are not the cause.
+const maxEndedTargets = 3
+
 const (
 	// endCheckPatience bounds the delay of a further send by the check whether the
 	// target has ended: a round trip to another data centre and its checks.
@@ -17,28 +28,132 @@
 	recentlyHeard = 250 * time.Millisecond
 )
 
-// targetState is what is known of the target of a run that was not completed.
-type targetState string
+// targetStates names the states of lost runs in logs and metrics.
+var targetStates = map[structs.LostRunState]string{
+	structs.LostRunOpen: "unknown", structs.LostRunHarmless: "serves", structs.LostRunTargetEnded: "ended",
+}
 
-const (
-	targetServes  targetState = "serves"
-	targetEnded   targetState = "ended"
-	targetUnknown targetState = "unknown"
-)
+// runIDBase is the base of the random numbers in the ids of runs.
+const runIDBase = 36
+
+// newRunID returns an id for a run.
+func newRunID() string { return strconv.FormatUint(rand.Uint64(), runIDBase) }
+
+// suspicion returns the number of targets that may have ended under the request.
+func suspicion(runs structs.LostRuns) int {
+	return len(runs.Targets(structs.LostRunOpen, structs.LostRunTargetEnded))
+}
+
+// mayLoseAnotherRun reports whether the request may be sent to one more target. If not,
+// it ends the request.
+func (x *transfer) mayLoseAnotherRun() bool {
+	if suspicion(x.lostRuns) < maxEndedTargets {
+		return true
+	}
+	x.resolveOpenRuns()
+	ended := x.lostRuns.Targets(structs.LostRunTargetEnded)
+	switch {
+	case len(ended) >= maxEndedTargets:
+		x.detail = "targets ended under the request: " + strings.Join(ended, " ")
+		x.refuseForGood()
+		return false
+	case x.ctx.Err() != nil:
+		x.giveUpOnContext()
+		return false
+	case suspicion(x.lostRuns) >= maxEndedTargets:
+		x.giveUp(reasonNoTarget)
+		return false
+	}
+	return true
+}
 
-// recordLostRun records a run that its target did not complete. broken indicates that the
-// connection broke, and not that this instance closed it.
+// refuseForGood ends a request that must not run again. Its status stops the caller from
+// trying again, and does not state that the request has not run.
+func (x *transfer) refuseForGood() {
+	if x.headSent {
+		x.reason, x.abort = reasonEndsTargets, true
+		return
+	}
+	x.refuse(http.StatusBadRequest, reasonEndsTargets, 0)
+}
+
+// resolveOpenRuns finds out whether the targets of open runs have ended.
+func (x *transfer) resolveOpenRuns() {
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	var resolved structs.LostRuns
+	for _, run := range x.lostRuns {
+		if run.State != structs.LostRunOpen {
+			continue
+		}
+		work.Go(func() {
+			run.State = x.checkIncarnation(x.ctx, run.Target)
+			mu.Lock()
+			defer mu.Unlock()
+			resolved = append(resolved, run)
+		})
+	}
+	work.Wait()
+	x.setLostRuns(resolved...)
+}
+
+// setLostRuns records states of runs, to be shared with other instances.
+func (x *transfer) setLostRuns(runs ...structs.LostRun) {
+	if len(runs) == 0 {
+		return
+	}
+	x.lostRuns = x.lostRuns.Merge(runs)
+	x.unsharedRuns = true
+}
+
+// announceRun tells other instances of the run that is about to begin at a target, if the
+// request has lost runs: this instance may end under it, too. It returns false if the run
+// must not begin, since others know of more lost runs.
+func (x *transfer) announceRun(target *targets.Target) bool {
+	x.runID = newRunID()
+	if suspicion(x.lostRuns) == 0 {
+		return true
+	}
+	run := structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunOpen}
+	others := x.server.lostRuns.Exchange(x.work, append(x.lostRuns, run)).Wait(x.ctx)
+	x.lostRuns, x.unsharedRuns = x.lostRuns.Merge(others), false
+	before := x.lostRuns.Without(run.ID)
+	if suspicion(before) < maxEndedTargets {
+		return true
+	}
+	x.markRunHarmless(target)
+	return false
+}
+
+// markRunHarmless records that the target did not end under the current run, if other
+// instances know of that.
+func (x *transfer) markRunHarmless(target *targets.Target) {
+	if suspicion(x.lostRuns) > 0 {
+		x.setLostRuns(structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunHarmless})
+	}
+}
+
+// recordLostRun records that the target did not complete the current run. broken
+// indicates that the connection broke, and not that this instance closed it.
 func (x *transfer) recordLostRun(target *targets.Target, broken bool) {
-	state := targetServes
+	state := structs.LostRunHarmless
 	if broken || !x.heardFrom(target) {
 		state = x.checkTarget(target)
 	}
 	x.server.metrics.lostRuns[state].Inc(1)
 	x.server.log.LogAttrs(x.request.Context(), slog.LevelInfo, "run lost",
-		slog.String("request", x.call.ID), slog.String("work", x.workID()), slog.String("target", target.Incarnation()),
-		slog.String("target_state", string(state)), slog.Bool("connection_broke", broken),
+		slog.String("request", x.call.ID), slog.String("work", x.work.ID), slog.String("target", target.Incarnation()),
+		slog.String("target_state", targetStates[state]), slog.Bool("connection_broke", broken),
 		slog.Int("send", x.sends), slog.Int("events", x.delivered), slog.Int64("ms", time.Since(x.sentAt).Milliseconds()),
-		slog.String("detail", x.detail))
+		slog.Int("earlier_lost", len(x.lostRuns)), slog.String("detail", x.detail))
+	if state == structs.LostRunHarmless {
+		x.markRunHarmless(target)
+		return
+	}
+	x.setLostRuns(structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: state})
+	if state == structs.LostRunTargetEnded {
+		x.excludeUnreachable(target)
+	}
 }
 
 // heardFrom reports whether a response of the target arrived recently.
@@ -50,20 +165,53 @@
 	return time.Since(heard) < recentlyHeard
 }
 
-// checkTarget finds out whether a target has ended or only a connection to it.
-func (x *transfer) checkTarget(target *targets.Target) targetState {
-	if x.server.targets.Replaced(target) {
-		return targetEnded
-	}
+// checkTarget finds out whether a target has ended or only a connection to it. A target
+// that does not reply in time remains open.
+func (x *transfer) checkTarget(target *targets.Target) structs.LostRunState {
 	// The caller may have left.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.request.Context()), endCheckPatience)
 	defer cancel()
-	listening, err := x.server.pool.Listening(ctx, target.Address)
+	if x.server.targets.Replaced(target) {
+		return structs.LostRunTargetEnded
+	}
+	return x.checkAddress(ctx, target.Address)
+}
+
+// checkIncarnation finds out whether a target has ended.
+func (x *transfer) checkIncarnation(ctx context.Context, incarnation string) structs.LostRunState {
+	address, registered := x.server.targets.AddressOf(incarnation)
+	if !registered {
+		return structs.LostRunTargetEnded
+	}
+	return x.checkAddress(ctx, address)
+}
+
+func (x *transfer) checkAddress(ctx context.Context, address string) structs.LostRunState {
+	listening, err := x.server.pool.Listening(ctx, address)
 	switch {
 	case err != nil:
-		return targetUnknown
+		return structs.LostRunOpen
 	case listening:
-		return targetServes
+		return structs.LostRunHarmless
+	}
+	return structs.LostRunTargetEnded
+}
+
+// finishWork records that a target completed the request, if runs were lost before.
+func (x *transfer) finishWork() {
+	if suspicion(x.lostRuns) == 0 {
+		return
+	}
+	x.lostRuns, x.unsharedRuns = x.lostRuns.Finish(), false
+	// The response does not wait for the replies.
+	x.server.lostRuns.Exchange(x.work, x.lostRuns).Cancel()
+}
+
+// shareLostRuns tells other instances of lost runs that they have not been told of. The
+// caller may send the request again as soon as it has the response.
+func (x *transfer) shareLostRuns() {
+	if !x.unsharedRuns {
+		return
 	}
-	return targetEnded
+	x.server.lostRuns.Exchange(x.work, x.lostRuns).Wait(context.WithoutCancel(x.request.Context()))
 }
--- /dev/null
+++ b/internal/serve/lostrun_test.go
@@ -0,0 +1,160 @@
+package serve
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// endingTargets starts targets that stop listening and break the connection under each
+// request whose body is not "x", after a number of events.
+func (h *harness) endingTargets(count, events int) []*target {
+	h.t.Helper()
+	var all []*target
+	for n := range count {
+		var tg *target
+		tg = h.target(fmt.Sprint("t", n), "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+			if tg.lastBody() == "x" {
+				serveEvents(4, neverCut)(n, rw, r)
+				return
+			}
+			_ = tg.server.Listener.Close()
+			if events == 0 {
+				cutConnection(n, rw, r)
+			}
+			after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 for a new stream
+			serveEvents(4, func(int) int { return after + events })(n, rw, r)
+		})
+		all = append(all, tg)
+	}
+	return all
+}
+
+func (tg *target) lastBody() string {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return tg.body[len(tg.body)-1]
+}
+
+func runsOf(all []*target) int {
+	runs := 0
+	for _, tg := range all {
+		runs += tg.count()
+	}
+	return runs
+}
+
+func TestAttemptEndsAtMostThreeTargets(t *testing.T) {
+	h := newHarness(t)
+	all := h.endingTargets(8, 0)
+	got := h.do(h.request("POST", "/turns/", "b"))
+	if got.status != http.StatusBadRequest || !strings.Contains(got.body, string(reasonEndsTargets)) {
+		t.Errorf("got %+v", got)
+	}
+	if runs := runsOf(all); runs != maxEndedTargets {
+		t.Errorf("%d runs, want %d", runs, maxEndedTargets)
+	}
+	if got := h.do(h.request("POST", "/turns/", "b", "Banyanglade-Request-Id", "id2")); got.status != http.StatusBadRequest || runsOf(all) != maxEndedTargets {
+		t.Errorf("another attempt got %+v after %d runs", got, runsOf(all))
+	}
+	if got := h.do(h.request("POST", "/turns/", "x", "Banyanglade-Request-Id", "id3")); got.err != nil || got.body != events(1, 4) {
+		t.Errorf("another request got %+v", got)
+	}
+}
+
+// A response that has begun cannot become a refusal: the caller's next attempt gets that.
+func TestStreamThatEndsTargetsIsCutAndThenRefused(t *testing.T) {
+	h := newHarness(t)
+	all := h.endingTargets(8, 1)
+	if got := h.do(h.request("POST", "/turns/", "b")); got.err == nil || got.status != http.StatusOK {
+		t.Errorf("got %+v, want an incomplete stream", got)
+	}
+	got := h.do(h.request("POST", "/turns/", "b", "Banyanglade-Request-Id", "id2", "Last-Event-Id", "3", "Resumes", "id1"))
+	if got.status != http.StatusBadRequest || runsOf(all) != maxEndedTargets {
+		t.Errorf("the resumed stream got %+v after %d runs", got, runsOf(all))
+	}
+}
+
+// A target whose connections break serves on: nobody has to be told of its runs.
+func TestBrokenConnectionsAreNotEndsOfTargets(t *testing.T) {
+	h := newHarness(t)
+	for n := range 8 {
+		h.target(fmt.Sprint("t", n), "app", cutConnection)
+	}
+	for attempt := range 4 {
+		got := h.do(h.request("GET", "/safe/", "", "Banyanglade-Request-Id", fmt.Sprint("id", attempt)))
+		if got.status != http.StatusBadGateway {
+			t.Errorf("attempt %d got %+v", attempt, got)
+		}
+	}
+	for work, runs := range h.lostRuns.works {
+		if suspicion(runs) > 0 {
+			t.Errorf("work %s has lost runs %+v", work, runs)
+		}
+	}
+}
+
+// Most requests of a target that ends are not the cause.
+func TestRequestsThatSharedTwoEndedTargetsAreServed(t *testing.T) {
+	h := newHarness(t)
+	var runs atomic.Int64
+	for n := range maxEndedTargets {
+		var tg *target
+		tg = h.target(fmt.Sprint("t", n), "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) < maxEndedTargets {
+				_ = tg.server.Listener.Close()
+				cutConnection(n, rw, r)
+			}
+			serveEvents(4, neverCut)(n, rw, r)
+		})
+	}
+	if got := h.do(h.request("POST", "/turns/", "b")); got.err != nil || got.body != events(1, 4) {
+		t.Errorf("got %+v", got)
+	}
+	for work, runs := range h.lostRuns.works {
+		if suspicion(runs) > 0 {
+			t.Errorf("work %s that was completed has lost runs %+v", work, runs)
+		}
+	}
+}
+
+// Another instance may have lost runs since the request arrived here.
+func TestRunDoesNotBeginAfterOthersLostTooMany(t *testing.T) {
+	h := newHarness(t)
+	tg := h.target("a", "engine", serveEvents(4, neverCut))
+	x := h.request("POST", "/turns/", "b")
+	var runs structs.LostRuns
+	for n := range maxEndedTargets {
+		runs = append(runs, structs.LostRun{ID: fmt.Sprint(n), Target: fmt.Sprint("gone", n), State: structs.LostRunOpen})
+	}
+	h.lostRuns.initial = runs
+	if got := h.do(x); got.status != http.StatusBadRequest || tg.count() != 0 {
+		t.Errorf("got %+v after %d runs", got, tg.count())
+	}
+}
+
+func TestWorkIsTheSameOverAttempts(t *testing.T) {
+	h := newHarness(t)
+	h.target("a", "engine", serveEvents(4, neverCut))
+	send := func(body string, header ...string) int {
+		h.do(h.request("POST", "/turns/", body, header...))
+		h.lostRuns.mu.Lock()
+		defer h.lostRuns.mu.Unlock()
+		return len(h.lostRuns.works)
+	}
+	send("b", "Banyanglade-Program-Id", "p", "Banyanglade-Deadline-Ms", "4000")
+	if got := send("b", "Banyanglade-Program-Id", "p", "Banyanglade-Request-Id", "id2", "Banyanglade-Deadline-Ms", "900", "Last-Event-Id", "2"); got != 1 {
+		t.Errorf("two attempts are %d pieces of work", got)
+	}
+	if got := send("b", "Banyanglade-Program-Id", "q"); got != 2 {
+		t.Errorf("%d pieces of work after a request of another program", got)
+	}
+	if got := send("c", "Banyanglade-Program-Id", "p"); got != 3 {
+		t.Errorf("%d pieces of work after another request of the program", got)
+	}
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
 // reason is the outcome of a request, used in logs, metrics and refusals.
@@ -37,6 +39,7 @@
 	reasonTimedOut            reason = "timed_out"
 	reasonNotSent             reason = "timed_out_before_send"
 	reasonTargetAborted       reason = "target_broke_off"
+	reasonEndsTargets         reason = "targets_ended_under_request"
 	reasonTruncated           reason = "stream_cut"
 	reasonCallerLeft          reason = "caller_left"
 	reasonStalled             reason = "caller_reads_nothing"
@@ -56,8 +59,8 @@
 	resumedHere, resumedByCaller tally.Counter
 	// earlyRetries counts first sends that were cancelled for a retry at another target.
 	earlyRetries tally.Counter
-	// lostRuns counts the runs that targets did not complete, by the state of the target.
-	lostRuns map[targetState]tally.Counter
+	// lostRuns counts the runs that targets did not complete, by their state.
+	lostRuns map[structs.LostRunState]tally.Counter
 	byReason map[reason]reasonMetrics
 }
 
@@ -73,18 +76,18 @@
 		resumedHere:     scope.Tagged(map[string]string{"by": "instance"}).Counter("streams_resumed"),
 		resumedByCaller: scope.Tagged(map[string]string{"by": "caller"}).Counter("streams_resumed"),
 		earlyRetries:    scope.Counter("stragglers_sent_again"),
-		lostRuns:        make(map[targetState]tally.Counter),
+		lostRuns:        make(map[structs.LostRunState]tally.Counter),
 		byReason:        make(map[reason]reasonMetrics),
 	}
-	for _, state := range []targetState{targetServes, targetEnded, targetUnknown} {
-		m.lostRuns[state] = scope.Tagged(map[string]string{"target": string(state)}).Counter("runs_lost")
+	for state, name := range targetStates {
+		m.lostRuns[state] = scope.Tagged(map[string]string{"target": name}).Counter("runs_lost")
 	}
 	for _, r := range []reason{
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonVersionUnknown, reasonNoVersion, reasonNoCapacity, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonTurnNotFound, reasonConversationNotRead, reasonTurnNotStored, reasonTimedOut,
-		reasonNotSent, reasonTargetAborted, reasonTruncated, reasonCallerLeft, reasonStalled,
+		reasonNotSent, reasonTargetAborted, reasonEndsTargets, reasonTruncated, reasonCallerLeft, reasonStalled,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
 		m.byReason[r] = reasonMetrics{
--- a/internal/serve/resume.go
+++ b/internal/serve/resume.go
@@ -18,13 +18,14 @@
 	x.server.streamVersions.Record(x.stream(x.call.ID), StreamOrigin{Service: x.service, Version: target.Version})
 }
 
-// resumeTimeouts is the number of the route's timeouts within which a caller may resume a
-// stream: its own time limit may be longer than the timeout of one request.
-const resumeTimeouts = 3
+// callerLifetime is the number of the route's timeouts within which a caller may send its
+// request again, or resume a stream: its own time limit may be longer than the timeout of
+// one request.
+const callerLifetime = 3
 
 // stream identifies the stream that a request began.
 func (x *transfer) stream(request string) Stream {
-	return Stream{ID: x.scoped(request), Lifetime: resumeTimeouts * x.route.Timeout}
+	return Stream{ID: x.scoped(request), Lifetime: callerLifetime * x.route.Timeout}
 }
 
 // findOrigin finds out at which service and version a stream that the caller resumes
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -23,6 +23,8 @@
 
 // forward sends the request to targets until one has responded or the request fails.
 func (x *transfer) forward() {
+	x.lostRuns = x.earlierRuns.Wait(x.ctx)
+	defer x.shareLostRuns()
 	for x.attempt() {
 	}
 }
@@ -33,12 +35,18 @@
 		x.giveUpOnContext()
 		return false
 	}
+	if !x.mayLoseAnotherRun() {
+		return false
+	}
 	target := x.pick()
 	if target == nil {
 		x.giveUpWithoutTarget()
 		return false
 	}
 	defer x.server.targets.End(target)
+	if !x.announceRun(target) {
+		return true
+	}
 	return x.send(target)
 }
 
@@ -222,6 +230,7 @@
 		x.recordFailure(target, err, sentAt)
 	}
 	if errors.Is(err, exchange.ErrNotSent) {
+		x.markRunHarmless(target)
 		x.excludeUnreachable(target)
 		return true
 	}
@@ -319,6 +328,7 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		x.detail = err.Error()
 	}
+	x.markRunHarmless(target)
 	x.excluded = append(x.excluded, target.Incarnation())
 	x.refusals++
 	if resp.Status == http.StatusMisdirectedRequest {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -20,6 +20,7 @@
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
 
@@ -152,6 +153,31 @@
 	Lookup(ctx context.Context, stream Stream, service string) (StreamOrigin, error)
 }
 
+// Work identifies what a caller asks for over all of its attempts.
+type Work struct {
+	ID string
+	// Key selects the instances that remember lost runs of the work.
+	Key string
+	// Lifetime is the maximum time from one attempt to the next.
+	Lifetime time.Duration
+}
+
+// LostRuns remembers lost runs over all instances.
+type LostRuns interface {
+	// Exchange tells other instances of runs, which may be empty, and asks for those that
+	// they know. It does not block.
+	Exchange(work Work, runs structs.LostRuns) RunsExchange
+}
+
+// RunsExchange is an exchange of lost runs in progress. One of its methods must be called.
+type RunsExchange interface {
+	// Wait waits until other instances have replied, and returns all known runs of the
+	// work. It returns early if they do not reply in time or the context ends.
+	Wait(ctx context.Context) structs.LostRuns
+	// Cancel ends the exchange. What was sent is not withdrawn.
+	Cancel()
+}
+
 // FailureReporter notifies other instances of failing targets.
 type FailureReporter interface {
 	// ReportTargetFailures notifies other instances of the failures recorded in the
@@ -180,6 +206,7 @@
 	// Conversations is required if routes store turns.
 	Conversations   Conversations
 	StreamVersions  StreamVersions
+	LostRuns        LostRuns
 	FailureReporter FailureReporter
 	Health          Health
 	Freshness       Freshness
@@ -203,6 +230,7 @@
 	allowances      Allowances
 	conversations   Conversations
 	streamVersions  StreamVersions
+	lostRuns        LostRuns
 	failureReporter FailureReporter
 	health          Health
 	freshness       Freshness
@@ -228,7 +256,7 @@
 	}
 	return &Server{
 		codec: config.Codec, targets: config.Targets, pool: config.Pool, budgets: config.Budgets, allowances: config.Allowances, conversations: config.Conversations,
-		streamVersions:  config.StreamVersions,
+		streamVersions: config.StreamVersions, lostRuns: config.LostRuns,
 		failureReporter: config.FailureReporter, health: config.Health, freshness: config.Freshness, memory: config.Memory, keyPolicy: config.KeyPolicy, admission: config.Admission,
 		log: config.Log, metrics: newMetrics(config.Scope),
 		connFailureThreshold: defaultConnFailureThreshold,
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -98,6 +98,17 @@
 	// reserved.
 	settle func()
 
+	// work is what the caller asks for, earlierRuns the query for lost runs of its
+	// earlier attempts.
+	work        Work
+	earlierRuns RunsExchange
+	// lostRuns are the lost runs of the work. unsharedRuns indicates that other instances
+	// were not told of all.
+	lostRuns     structs.LostRuns
+	unsharedRuns bool
+	// runID identifies the run of the last send.
+	runID string
+
 	// excluded lists the incarnations of targets that must not get the request again.
 	excluded []string
 	// ran lists the incarnations of targets that may be running the request. mayHaveRun
@@ -155,7 +166,13 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	if !x.readBody() || !x.checkAdmission() || !x.findOrigin() || !x.prependConversation() {
+	if !x.readBody() || !x.checkAdmission() || !x.findOrigin() {
+		return
+	}
+	x.work = x.workOf()
+	x.earlierRuns = x.server.lostRuns.Exchange(x.work, nil)
+	defer x.earlierRuns.Cancel()
+	if !x.prependConversation() {
 		return
 	}
 	if !x.isTurn() {
--- a/internal/serve/work.go
+++ b/internal/serve/work.go
@@ -10,18 +10,23 @@
 // workIDBytes is the length of an id of work.
 const workIDBytes = 16
 
-// workID identifies what the caller asks for over all of its attempts: those have
+// workOf identifies what the caller asks for over all of its attempts. Those have
 // different ids, deadlines and, of a stream, numbers of the last event.
-func (x *transfer) workID() string {
+func (x *transfer) workOf() Work {
+	program := x.scoped(x.call.Program)
 	digest := sha256.New()
 	for _, field := range []string{
-		x.scoped(x.call.Program), x.call.Session, x.call.AffinityKey, x.call.PreviousTurn,
-		x.request.Method, x.request.Host, x.uri(),
+		program, x.call.Session, x.scoped(x.call.AffinityKey), x.call.PreviousTurn, x.request.Method, x.request.Host, x.uri(),
 	} {
 		writeField(digest, []byte(field))
 	}
 	writeField(digest, x.body)
-	return hex.EncodeToString(digest.Sum(nil)[:workIDBytes])
+	id := hex.EncodeToString(digest.Sum(nil)[:workIDBytes])
+	key := id
+	if x.call.Program != "" {
+		key = program
+	}
+	return Work{ID: id, Key: key, Lifetime: callerLifetime * x.route.Timeout}
 }
 
 // writeField adds a field to a digest, with its length so that fields cannot run into
--- a/internal/structs/events.go
+++ b/internal/structs/events.go
@@ -67,6 +67,13 @@
 // connection broke. Messages sent to it may be lost.
 type PeerDown struct{ Peer InstanceID }
 
+// MessageUnsupported reports that a message to an instance was dropped, since the build
+// there does not decode its kind.
+type MessageUnsupported struct {
+	Peer InstanceID
+	Kind MessageKind
+}
+
 // LogAppended reports that an append took effect at offset First.
 type LogAppended struct {
 	ID     AppendID
@@ -218,6 +225,7 @@
 func (PeerMessage) event()        {}
 func (PeerUp) event()             {}
 func (PeerDown) event()           {}
+func (MessageUnsupported) event() {}
 func (LogAppended) event()        {}
 func (LogAppendFailed) event()    {}
 func (LogRead) event()            {}
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -373,6 +373,9 @@
 	KindStreamPins:       func() Message { return new(StreamPins) },
 	KindStreamPinRequest: func() Message { return new(StreamPinRequest) },
 	KindStreamPinReply:   func() Message { return new(StreamPinReply) },
+
+	KindLostRunsNotice: func() Message { return new(LostRunsNotice) },
+	KindLostRunsReply:  func() Message { return new(LostRunsReply) },
 }
 
 // LastKind returns the highest kind of message that this build decodes.
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -255,6 +255,18 @@
 	return ok
 }
 
+// AddressOf returns the address of an incarnation, false if it is not the registered one
+// of its target.
+func (r *Registry) AddressOf(incarnation string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.byIncarnation[incarnation]
+	if !ok {
+		return "", false
+	}
+	return t.Address, true
+}
+
 // Replaced reports whether another incarnation or version is registered under the ID of
 // a target.
 func (r *Registry) Replaced(t *Target) bool {
