Requests that may end their target are kept apart

A target takes all its requests along; each is then suspected like the cause. Change: a request under which targets have ended goes to the less busy of two targets that its own hash ranks first, so that those of one target spread out; from the second end on it avoids targets at which another such request runs, which the instances tell each other by the same exchange under the service's name, and requests of this instance avoid its target. All of it is soft: with no other target the request is served all the same.

--- a/internal/serve/lostrun_test.go
+++ b/internal/serve/lostrun_test.go
@@ -158,3 +158,28 @@
 		t.Errorf("%d pieces of work after another request of the program", got)
 	}
 }
+
+func TestSuspectsOfSeveralEndsDoNotShareATarget(t *testing.T) {
+	for _, all := range [][]string{{"a", "b", "c"}, {"a"}} {
+		h := newHarness(t)
+		served := make(map[string]*target)
+		for _, id := range all {
+			served[id] = h.target(id, "engine", serveEvents(4, neverCut))
+		}
+		h.lostRuns.works = map[string]structs.LostRuns{isolationPrefix + "engine": {
+			{ID: "1", Target: "a", State: structs.LostRunOpen}, {ID: "2", Target: "b", State: structs.LostRunHarmless},
+		}}
+		h.lostRuns.initial = structs.LostRuns{
+			{ID: "3", Target: "gone1", State: structs.LostRunTargetEnded}, {ID: "4", Target: "gone2", State: structs.LostRunTargetEnded},
+		}
+		for n := range 8 {
+			got := h.do(h.request("POST", "/turns/", fmt.Sprint(n)))
+			if got.err != nil || got.body != events(1, 4) {
+				t.Errorf("with targets %v: got %+v", all, got)
+			}
+		}
+		if runs := served["a"].count(); (runs > 0) != (len(all) == 1) {
+			t.Errorf("with targets %v: %d runs at the one that is occupied", all, runs)
+		}
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -47,6 +47,11 @@
 	if !x.announceRun(target) {
 		return true
 	}
+	ended := suspicion(x.lostRuns.Without(x.runID))
+	if !x.isolateRun(target, ended) {
+		return true
+	}
+	defer x.endIsolation(target, ended)
 	return x.send(target)
 }
 
@@ -62,9 +67,18 @@
 			return nil
 		}
 	}
+	if target := x.pickExcept(slices.Concat(x.occupied, x.excluded)); target != nil || len(x.occupied) == 0 {
+		return target
+	}
+	return x.pickExcept(x.excluded)
+}
+
+// pickExcept chooses among the targets that are not excluded.
+func (x *transfer) pickExcept(excluded []string) *targets.Target {
 	criteria := targets.Criteria{
 		Service: x.service, Key: x.placementKey(), LastIncarnation: x.programTarget, Sticky: x.settle != nil,
-		Version: x.version, Exclude: x.excluded, Stream: x.route.Kind == route.Stream, PromptTokens: x.promptTokens(),
+		Version: x.version, Ended: suspicion(x.lostRuns), Work: x.work.ID, Exclude: excluded,
+		Stream: x.route.Kind == route.Stream, PromptTokens: x.promptTokens(),
 	}
 	if !x.server.log.Enabled(x.ctx, slog.LevelDebug) {
 		return x.server.targets.Pick(criteria, time.Now())
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -106,6 +106,9 @@
 	// were not told of all.
 	lostRuns     structs.LostRuns
 	unsharedRuns bool
+	// occupied lists the incarnations of targets that other requests should have to
+	// themselves.
+	occupied []string
 	// runID identifies the run of the last send.
 	runID string
 
--- a/internal/targets/completion.go
+++ b/internal/targets/completion.go
@@ -120,8 +120,8 @@
 	return policy.RequestProfile{Batched: true, PromptCost: prefill.Seconds() / max(response, time.Millisecond).Seconds()}
 }
 
-// avoided reports whether the target recently failed and should not receive
-// requests.
+// avoided reports whether the target should not receive requests: it recently failed, or a
+// request runs there that may end it.
 func (t *Target) avoided(now time.Time) bool {
-	return now.Before(t.avoidUntil) || now.Before(t.peerAvoidUntil)
+	return now.Before(t.avoidUntil) || now.Before(t.peerAvoidUntil) || t.isolated > 0
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -28,6 +28,10 @@
 	// Version restricts the selection to targets of one software version; nil allows
 	// all.
 	Version *string
+	// Ended is the number of targets that may have ended under the request, and Work
+	// identifies it over its attempts.
+	Ended int
+	Work  string
 	// Exclude lists the incarnations that were already tried.
 	Exclude []string
 	// Explanation, if not nil, receives the reason for the selection.
@@ -68,7 +72,13 @@
 	defer r.mu.Unlock()
 	s := r.serviceByName(criteria.Service)
 	candidates, keyed := r.candidates(s, criteria)
-	chosen := r.choose(candidates, keyed, criteria, now, false)
+	var chosen *Target
+	if criteria.Ended > 0 {
+		chosen = r.chooseIsolated(candidates, criteria, now)
+	}
+	if chosen == nil {
+		chosen = r.choose(candidates, keyed, criteria, now, false)
+	}
 	anyKeyed := func(int) bool { return true }
 	if chosen == nil && len(candidates) < len(s.all) {
 		chosen = r.choose(s.all, anyKeyed, criteria, now, false)
