A target that answered lately may have ended since

A run that this instance closed, for an early retry, counted as harmless if its target had answered another request within 250 ms; the silent end came in between. The target is checked by a connection now, always. TestTargetThatAnsweredLatelyMayHaveEnded failed before.

--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -199,8 +199,8 @@
 			x.copyHead(resp, true, 0)
 		}
 		x.delivered++
-		x.lastEvent, x.lastEventAt = event.id, time.Now()
-		timing.event(x.lastEventAt, events.buffered())
+		x.lastEvent = event.id
+		timing.event(time.Now(), events.buffered())
 		x.recordEvent(event)
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerLeft(err)
--- a/internal/serve/lostrun.go
+++ b/internal/serve/lostrun.go
@@ -19,14 +19,9 @@
 // are not the cause.
 const maxEndedTargets = 3
 
-const (
-	// endCheckPatience bounds the delay of a further send by the check whether the
-	// target has ended: a round trip to another data centre and its checks.
-	endCheckPatience = 25 * time.Millisecond
-	// recentlyHeard is the time within which a response proves that a target that is
-	// slow to answer another request has not ended.
-	recentlyHeard = 250 * time.Millisecond
-)
+// endCheckPatience bounds the delay of a further send by the check whether the target has
+// ended: a round trip to another data centre and its checks.
+const endCheckPatience = 25 * time.Millisecond
 
 // targetStates names the states of lost runs in logs and metrics.
 var targetStates = map[structs.LostRunState]string{
@@ -136,10 +131,7 @@
 // recordLostRun records that the target did not complete the current run. broken
 // indicates that the connection broke, and not that this instance closed it.
 func (x *transfer) recordLostRun(target *targets.Target, broken bool) {
-	state := structs.LostRunHarmless
-	if broken || !x.heardFrom(target) {
-		state = x.checkTarget(target)
-	}
+	state := x.checkTarget(target)
 	x.server.metrics.lostRuns[state].Inc(1)
 	x.server.log.LogAttrs(x.request.Context(), slog.LevelInfo, "run lost",
 		slog.String("request", x.call.ID), slog.String("work", x.work.ID), slog.String("target", target.Incarnation()),
@@ -156,15 +148,6 @@
 	}
 }
 
-// heardFrom reports whether a response of the target arrived recently.
-func (x *transfer) heardFrom(target *targets.Target) bool {
-	heard := x.server.targets.LastSuccess(target)
-	if x.lastEventAt.After(x.sentAt) && x.lastEventAt.After(heard) {
-		heard = x.lastEventAt
-	}
-	return time.Since(heard) < recentlyHeard
-}
-
 // checkTarget finds out whether a target has ended or only a connection to it. A target
 // that does not reply in time remains open.
 func (x *transfer) checkTarget(target *targets.Target) structs.LostRunState {
--- a/internal/serve/lostrun_test.go
+++ b/internal/serve/lostrun_test.go
@@ -1,12 +1,14 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
@@ -183,3 +185,32 @@
 		}
 	}
 }
+
+// A target may have answered another request just before it went silent.
+func TestTargetThatAnsweredLatelyMayHaveEnded(t *testing.T) {
+	h := newHarness(t)
+	var tg *target
+	tg = h.target("a", "engine", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			serveEvents(4, neverCut)(n, rw, r)
+			return
+		}
+		_ = tg.server.Listener.Close()
+		<-r.Context().Done()
+	})
+	h.do(h.request("POST", "/turns/", "first"))
+	leaving, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	h.do(h.request("POST", "/turns/", "b").WithContext(leaving))
+	h.front.Close() // waits for the end of the request
+	if got := len(h.lostRuns.works); got != 2 {
+		t.Fatalf("%d pieces of work", got)
+	}
+	suspected := 0
+	for _, runs := range h.lostRuns.works {
+		suspected += suspicion(runs)
+	}
+	if suspected != 1 {
+		t.Errorf("lost runs: %+v", h.lostRuns.works)
+	}
+}
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -143,9 +143,7 @@
 	headSent bool
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
-	// lastEventAt is when the last event arrived, zero if none has.
-	lastEventAt time.Time
-	delivered   int
+	delivered int
 	// version is the software version of the target that began the stream, nil before
 	// its first event or if unknown. The stream may only continue at this version.
 	version *string
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -312,13 +312,6 @@
 	t.failures, t.avoidUntil, t.peerAvoidUntil, t.lastSuccessAt = 0, time.Time{}, time.Time{}, now
 }
 
-// LastSuccess returns when a request of this instance last succeeded at a target.
-func (r *Registry) LastSuccess(t *Target) time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return t.lastSuccessAt
-}
-
 // RecordFailure records that a target was unreachable or aborted a request. The
 // target is avoided for a time that grows with consecutive failures.
 func (r *Registry) RecordFailure(t *Target, now time.Time) {
