soak: requests that end the target that runs them

At once, midway or silently, sent again and again through random instances, beside all other faults.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -72,10 +72,12 @@
 	result, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, FaultDuration: a.Faults, Instances: a.Instances, Programs: a.Programs,
 		EntryFaults: true, LoadFaults: true, Versions: true,
+		DeadlyRequests: true,
 	})
 	if err == nil && len(result.Violations) == 0 {
-		fmt.Printf("seed %d: %d of %d attempts served, %d of %d resumed streams continued, %d faults\n",
-			seed, result.Served, result.Attempts, result.Continued, result.Resumed, len(result.Faults))
+		fmt.Printf("seed %d: %d of %d attempts served, %d of %d resumed streams continued, %d targets ended under %d requests, "+
+			"%d others refused for good, %d faults\n",
+			seed, result.Served, result.Attempts, result.Continued, result.Resumed, result.Ended, result.Deadly, result.Innocent, len(result.Faults))
 		_ = os.RemoveAll(dir)
 		return true
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -188,7 +188,7 @@
 		switch {
 		case a.served():
 			return a, true
-		case a.status == http.StatusPaymentRequired, a.status == statusNotFound, ctx.Err() != nil:
+		case a.status == http.StatusPaymentRequired, a.status == http.StatusBadRequest, a.status == statusNotFound, ctx.Err() != nil:
 			return a, false
 		case req.kind == once && (a.status == 0 || a.status >= http.StatusInternalServerError) && a.status != http.StatusServiceUnavailable:
 			return a, false // may have run
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,8 @@
 	invariantNoCrash     = "no instance exits by itself"
 	invariantEntries     = "only entries that a target wrote itself are used"
 	invariantKeys        = "a target runs only requests with a valid key, and receives their organisation but not the key"
+	invariantEnds        = "at most three targets end under a request over all of its attempts"
+	invariantRefusal     = "a request is refused for good only after three targets ended under it"
 	invariantLimits      = "an organisation stays within its limit over all instances"
 )
 
@@ -51,6 +53,7 @@
 	found = append(found, h.checkRuns()...)
 	found = append(found, h.checkVersions()...)
 	found = append(found, h.checkBudgets()...)
+	found = append(found, h.checkEnds()...)
 	found = append(found, h.checkOrganisations()...)
 	return append(found, h.checkSettings()...)
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -132,6 +132,19 @@
 				a.organisation, v.runs[id][0].organisation = o.name, o.name
 			}
 		}},
+		{"four targets ended under one request", invariantEnds, func(v *validHistory) {
+			for i := range maxEndedTargets + 1 {
+				ended := &target{id: fmt.Sprint("e", i)}
+				ended.stopped.Store(true)
+				v.add(&attempt{id: fmt.Sprint("d", i), program: "p", kind: turn, body: "2 p d", status: 502}, ended)
+				v.runs[fmt.Sprint("d", i)][0].endedTarget = true
+			}
+		}},
+		{"a final refusal after the end of one target", invariantRefusal, func(v *validHistory) {
+			ended := &target{id: "e"}
+			ended.stopped.Store(true)
+			v.add(&attempt{id: "d", program: "p", kind: turn, body: "2 p d", status: 400}, ended)
+		}},
 		{"a request where no target's entry points", invariantEntries, func(v *validHistory) { v.recordMisrouted("o1") }},
 		{"a request cut by a shutdown", invariantShutdown, func(v *validHistory) {
 			v.incarnation.terminated = testTime(-1)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -47,6 +47,8 @@
 	store     *metastore.Service
 	instances []*instance
 	decoy     *decoy
+	// ending counts the replacements of targets that requests have ended.
+	ending sync.WaitGroup
 
 	mu             sync.Mutex
 	targets        []*target
@@ -61,7 +63,11 @@
 	if d.decoy, err = startDecoy(d.history); err != nil {
 		return nil, err
 	}
-	for i := range 2 * options.Instances {
+	targets := 2 * options.Instances
+	if options.DeadlyRequests {
+		targets *= targetsPerInstance
+	}
+	for i := range targets {
 		service := engineService
 		if i%2 == 1 {
 			service = appService
@@ -108,7 +114,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.targetsStarted++
-	t, err := startTarget(fmt.Sprintf("%s-%d", service, d.targetsStarted), service, version, d.history, uint64(d.targetsStarted))
+	t, err := startTarget(fmt.Sprintf("%s-%d", service, d.targetsStarted), service, version, d.history, uint64(d.targetsStarted), d.endTarget)
 	if err != nil {
 		return err
 	}
@@ -154,15 +160,22 @@
 // crashTarget stops a target without notice and starts a replacement. The
 // registration of the stopped one expires later.
 func (d *deployment) crashTarget(t *target) error {
+	t.stop()
+	return d.replaceEnded(t)
+}
+
+// replaceEnded starts a replacement of a target that has ended, and removes the
+// registration later. It does nothing if the target is not listed.
+func (d *deployment) replaceEnded(t *target) error {
 	if !d.removeTarget(t) {
 		return nil
 	}
-	t.stop()
 	if err := d.addTarget(t.service, t.version); err != nil {
 		return err
 	}
 	time.Sleep(registrationTTL)
 	d.store.Put(platform.TopicTargets, t.id, nil)
+	t.stop()
 	return nil
 }
 
--- a/internal/soak/entryfaults.go
+++ b/internal/soak/entryfaults.go
@@ -92,7 +92,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.targetsStarted++
-	next, err := startTarget(t.id, t.service, t.version, d.history, uint64(d.targetsStarted))
+	next, err := startTarget(t.id, t.service, t.version, d.history, uint64(d.targetsStarted), d.endTarget)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -91,6 +91,7 @@
 	if inj.rng.IntN(3) != 0 {
 		return
 	}
+	inj.deployment.history.recordAllKilled()
 	for _, each := range inj.deployment.instances {
 		inj.restart(each, "kill all", duration/4, each.kill)
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -74,6 +74,8 @@
 	// it sent the response to its end.
 	faulted   bool
 	completed bool
+	// endedTarget is true if the request ended the target.
+	endedTarget bool
 }
 
 // probe is an observation of the settings in force at an instance.
@@ -102,6 +104,8 @@
 	crashed []*incarnation
 	// misrouted are the requests that arrived at the decoy.
 	misrouted []string
+	// allKilled are the times at which all instances were killed at once.
+	allKilled []time.Time
 }
 
 func newHistory() *history {
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -62,6 +62,13 @@
 	return inc.terminated, !inc.disrupted && !inc.terminated.IsZero()
 }
 
+// killed reports whether the process ended by a kill.
+func (inc *incarnation) killed() bool {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	return inc.disrupted && inc.stopping.Load()
+}
+
 // newInstance creates the settings file and the relays of an instance.
 func newInstance(name, dir, store string, seeds []string) (*instance, error) {
 	host := testkit.LoopbackHost()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// Versions adds engines of several software versions, which are rolled forward and
 	// back, and callers that resume their streams.
 	Versions bool
+	// DeadlyRequests adds requests that end the target that runs them.
+	DeadlyRequests bool
 }
 
 // Result is the outcome of a run.
@@ -49,6 +51,9 @@
 	// refused.
 	Resumed   int
 	Continued int
+	// Deadly counts the requests that end targets, Ended the targets that ended under
+	// them, Innocent other requests that were refused for good.
+	Deadly, Ended, Innocent int
 	// Faults lists the injected faults with their start times.
 	Faults []string
 }
@@ -63,6 +68,8 @@
 	loadFaultStream = 5
 	// versionStream is the random stream of the changes of software versions of a seed.
 	versionStream = 11
+	// deadlyStream is the random stream of the requests that end targets.
+	deadlyStream = 13
 	// checkInterval is the time between two checks of the history.
 	checkInterval = time.Second
 )
@@ -86,6 +93,7 @@
 	found := d.runWorkload(ctx, inj)
 	result := &Result{Seed: options.Seed, Served: d.history.served(), Attempts: len(d.history.attempts), Faults: inj.log}
 	result.Resumed, result.Continued = d.history.resumed()
+	result.Deadly, result.Ended, result.Innocent = d.history.deadly()
 	if len(found) == 0 {
 		found = d.checkService(ctx)
 	}
@@ -116,6 +124,12 @@
 	if d.options.Versions {
 		work.Go(func() { inj.runVersionRolls(faultCtx, rand.New(rand.NewPCG(d.options.Seed, versionStream))) })
 	}
+	if d.options.DeadlyRequests {
+		work.Go(func() {
+			d.runDeadlyRequests(faultCtx, rand.New(rand.NewPCG(d.options.Seed, deadlyStream)))
+			d.ending.Wait()
+		})
+	}
 	work.Go(func() { inj.run(faultCtx) })
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,8 @@
 	ciLoadSeeds = []uint64{3}
 	// ciVersionSeeds run with targets of several software versions.
 	ciVersionSeeds = []uint64{4, 5}
+	// ciDeadlySeeds run with requests that end targets.
+	ciDeadlySeeds = []uint64{6, 7}
 )
 
 // regressions are seeds that have found faults, with the cause.
@@ -41,12 +43,12 @@
 	if output, err := exec.Command("go", "build", "-o", binary, productPackage).CombinedOutput(); err != nil {
 		t.Fatalf("build the product: %v\n%s", err, output)
 	}
-	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds) {
+	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds, ciDeadlySeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, Options{
 				Binary: binary, Seed: seed, FaultDuration: *faultDuration, Instances: 3, Programs: 6,
 				EntryFaults: true, LoadFaults: slices.Contains(ciLoadSeeds, seed),
-				Versions: slices.Contains(ciVersionSeeds, seed),
+				Versions: slices.Contains(ciVersionSeeds, seed), DeadlyRequests: slices.Contains(ciDeadlySeeds, seed),
 			})
 		})
 	}
@@ -77,6 +79,6 @@
 			t.Log(line)
 		}
 	}
-	t.Logf("%d of %d attempts served, %d of %d resumed streams continued, %d faults",
-		result.Served, result.Attempts, result.Continued, result.Resumed, len(result.Faults))
+	t.Logf("%d of %d attempts served, %d of %d resumed streams continued, %d targets ended under %d requests, %d others refused for good, %d faults",
+		result.Served, result.Attempts, result.Continued, result.Resumed, result.Ended, result.Deadly, result.Innocent, len(result.Faults))
 }
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -61,12 +61,18 @@
 	version string
 	history *history
 	server  *http.Server
-	address string
+	// listener accepts the connections of server.
+	listener net.Listener
+	address  string
 	// startedMS is the start time in Unix milliseconds.
 	startedMS int64
 
 	running atomic.Int64
 	stopped atomic.Bool
+	// silent makes the target send nothing more. ended replaces the target after a
+	// request has ended it.
+	silent atomic.Bool
+	ended  func(t *target, silently bool)
 	// slowdown multiplies the duration of work, slots is the number of concurrent
 	// requests.
 	slowdown atomic.Int64
@@ -77,15 +83,18 @@
 	faultProbability float64
 }
 
-// startTarget starts a target of a service on a free loopback port.
-func startTarget(id, service, version string, h *history, seed uint64) (*target, error) {
+// startTarget starts a target of a service on a free loopback port. The function ended
+// replaces it after a request has ended it.
+func startTarget(
+	id, service, version string, h *history, seed uint64, ended func(t *target, silently bool),
+) (*target, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	t := &target{
-		id: id, service: service, version: version, history: h, address: listener.Addr().String(), startedMS: time.Now().UnixMilli(),
-		rng: rand.New(rand.NewPCG(seed, 7)),
+		id: id, service: service, version: version, history: h, listener: listener, address: listener.Addr().String(), startedMS: time.Now().UnixMilli(),
+		rng: rand.New(rand.NewPCG(seed, 7)), ended: ended,
 	}
 	t.slowdown.Store(1)
 	t.slots.Store(targetSlots)
@@ -122,6 +131,10 @@
 	if err != nil {
 		return // the sender has disconnected
 	}
+	if t.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	id := r.Header.Get("Banyanglade-Request-Id")
 	w.Header().Set("Banyanglade-Request-Id", id)
 	if expected := r.Header.Get("Banyanglade-Expect-Instance"); expected != t.id {
@@ -139,6 +152,7 @@
 		organisation: r.Header.Get("Banyanglade-Tenant"), credential: r.Header.Get("Banyanglade-Credential"),
 	}
 	t.history.recordRun(exec)
+	t.endMidRun(r, exec, endsAtOnce)
 	w.Header().Set("Banyanglade-Server-Signature", t.id+"."+id)
 	w.Header().Set("Banyanglade-Server-Load", t.loadReport())
 	fault := t.pickFault()
@@ -171,6 +185,7 @@
 	if !t.simulateWork(r, time.Duration(len(exec.request)%5+1)*8*time.Millisecond) {
 		return
 	}
+	t.endMidRun(r, exec, endsSilently)
 	text := responseBody(exec.request, exec.body)
 	switch fault {
 	case faultCloseBefore:
@@ -216,7 +231,14 @@
 
 // simulateWork sleeps, and reports whether the sender is still waiting.
 func (t *target) simulateWork(r *http.Request, d time.Duration) bool {
-	return delay.Sleep(r.Context(), d*time.Duration(t.slowdown.Load()))
+	if !delay.Sleep(r.Context(), d*time.Duration(t.slowdown.Load())) {
+		return false
+	}
+	if t.silent.Load() {
+		<-r.Context().Done()
+		return false
+	}
+	return true
 }
 
 // newInput returns the input of a turn without the conversation before it, whose
@@ -255,6 +277,9 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if i > from+1 {
+			t.endMidRun(r, exec, endsMidway, endsSilently)
+		}
 		_, err := fmt.Fprintf(w, "id: %d\n%s%s\ndata: %s\n\n", i, versionComment, t.version, input)
 		if err != nil || http.NewResponseController(w).Flush() != nil || !t.simulateWork(r, eventGap) {
 			return
