--- a/internal/serve/isolate.go
+++ b/internal/serve/isolate.go
@@ -22,7 +22,10 @@
 // returns false if such a request of another instance runs at the target; another target
 // has to be chosen then.
 func (x *transfer) isolateRun(target *targets.Target, ended int) bool {
-	if ended >= targets.IsolationThreshold && x.occupied == nil {
+	if ended < targets.IsolationThreshold {
+		return true
+	}
+	if x.occupied == nil {
 		run := structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunOpen}
 		known := x.server.lostRuns.Exchange(x.isolationOf(), structs.LostRuns{run}).Wait(x.ctx)
 		occupied := known.Without(run.ID).Targets(structs.LostRunOpen)
@@ -33,16 +36,17 @@
 			return false
 		}
 	}
-	x.server.targets.BeginSuspect(target, ended)
+	x.server.targets.BeginIsolation(target)
 	return true
 }
 
 // endIsolation ends what isolateRun began.
 func (x *transfer) endIsolation(target *targets.Target, ended int) {
-	x.server.targets.EndSuspect(target, ended)
-	if ended >= targets.IsolationThreshold {
-		x.withdrawIsolation(structs.LostRun{ID: x.runID, Target: target.Incarnation()})
+	if ended < targets.IsolationThreshold {
+		return
 	}
+	x.server.targets.EndIsolation(target)
+	x.withdrawIsolation(structs.LostRun{ID: x.runID, Target: target.Incarnation()})
 }
 
 // withdrawIsolation tells other instances that a run has its target no longer to itself.
--- a/internal/targets/completion.go
+++ b/internal/targets/completion.go
@@ -122,6 +122,9 @@
 
 // avoided reports whether the target should not receive requests: it recently failed, or a
 // request runs there that may end it.
-func (t *Target) avoided(now time.Time) bool {
-	return now.Before(t.avoidUntil) || now.Before(t.peerAvoidUntil) || t.isolated > 0
+func (t *Target) avoided(now time.Time) bool { return t.failing(now) || t.isolated > 0 }
+
+// failing reports whether the target recently failed.
+func (t *Target) failing(now time.Time) bool {
+	return now.Before(t.avoidUntil) || now.Before(t.peerAvoidUntil)
 }
--- a/internal/targets/isolate.go
+++ b/internal/targets/isolate.go
@@ -12,20 +12,20 @@
 
 // chooseIsolated selects a target for a request that may end it: the less busy of the two
 // that the work ranks first. The requests of a target that ended thereby spread out, and
-// few of them meet the cause again. Targets with other suspects of this instance come
-// last. The mutex must be held.
+// few of them meet the cause again. Targets with other such requests of this instance
+// come last. The mutex must be held.
 func (r *Registry) chooseIsolated(all []*Target, criteria Criteria, now time.Time) *Target {
 	var first, second *Target
 	for _, t := range all {
 		switch {
-		case !criteria.allows(t) || t.avoided(now):
+		case !criteria.allows(t) || t.failing(now):
 		case first == nil || t.before(first, criteria.Work):
 			first, second = t, first
 		case second == nil || t.before(second, criteria.Work):
 			second = t
 		}
 	}
-	if second != nil && second.suspects == first.suspects && second.busy(now) < first.busy(now) {
+	if second != nil && second.isolated == first.isolated && second.busy(now) < first.busy(now) {
 		return second
 	}
 	return first
@@ -33,27 +33,21 @@
 
 // before reports whether a target precedes another one for suspected work.
 func (t *Target) before(other *Target, work string) bool {
-	if t.suspects != other.suspects {
-		return t.suspects < other.suspects
+	if t.isolated != other.isolated {
+		return t.isolated < other.isolated
 	}
 	return rank(work, t.ID) > rank(work, other.ID)
 }
 
-// BeginSuspect records that a request under which a number of targets have ended runs at
-// a target. The caller must call EndSuspect with the same number.
-func (r *Registry) BeginSuspect(t *Target, ended int) { r.addSuspect(t, ended, 1) }
+// BeginIsolation makes other requests of this instance avoid a target. The caller must
+// call EndIsolation.
+func (r *Registry) BeginIsolation(t *Target) { r.addIsolated(t, 1) }
 
-// EndSuspect records that the request has ended there.
-func (r *Registry) EndSuspect(t *Target, ended int) { r.addSuspect(t, ended, -1) }
+// EndIsolation ends what BeginIsolation began.
+func (r *Registry) EndIsolation(t *Target) { r.addIsolated(t, -1) }
 
-func (r *Registry) addSuspect(t *Target, ended, change int) {
-	if ended == 0 {
-		return
-	}
+func (r *Registry) addIsolated(t *Target, change int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.suspects += change
-	if ended >= IsolationThreshold {
-		t.isolated += change
-	}
+	t.isolated += change
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -73,7 +73,7 @@
 	s := r.serviceByName(criteria.Service)
 	candidates, keyed := r.candidates(s, criteria)
 	var chosen *Target
-	if criteria.Ended > 0 {
+	if criteria.Ended >= IsolationThreshold {
 		chosen = r.chooseIsolated(candidates, criteria, now)
 	}
 	if chosen == nil {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -88,9 +88,8 @@
 	// instances.
 	lastSharedFailureAt time.Time
 	peerAvoidUntil      time.Time
-	// suspects counts this instance's requests at the target under which others have
-	// ended, isolated those of them that have the target to themselves.
-	suspects, isolated int
+	// isolated counts this instance's requests that should have the target to themselves.
+	isolated int
 	// lastNoticeAt is when other instances were last notified of a failure.
 	lastNoticeAt time.Time
 }
