Queries for lost runs open no connections

Each request asks one of the holders of its program (three while they change). Sent like other messages, queries dial instances that have not come up yet after a start of all, and their failure marks these as unresponsive for the budgets too. They go out on connections that exist or are being opened now, and a second time behind the reservation, which opens one.

--- a/internal/holders/holders_test.go
+++ b/internal/holders/holders_test.go
@@ -60,9 +60,12 @@
 func TestCollect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var queries Queries[int]
-		to := []structs.InstanceID{"a", "b", "c", "d"}
+		to := []structs.InstanceID{"a", "b", "c", "d", "unsent"}
 		numbers := make(map[structs.InstanceID]uint64)
-		round := queries.Begin(to, func(id structs.InstanceID, number uint64) { numbers[id] = number })
+		round := queries.Begin(to, func(id structs.InstanceID, number uint64) bool {
+			numbers[id] = number
+			return id != "unsent"
+		})
 		queries.Receive("a", numbers["a"], 1)
 		queries.Receive("a", numbers["b"], 2) // not its number
 		queries.PeerDown("b")
--- a/internal/holders/queries.go
+++ b/internal/holders/queries.go
@@ -36,8 +36,9 @@
 }
 
 // Begin sends a query to instances with the given function, which gets the number that
-// the reply must carry. Collect or Cancel must be called.
-func (q *Queries[R]) Begin(to []structs.InstanceID, send func(to structs.InstanceID, number uint64)) *Round[R] {
+// the reply must carry, and returns false if there will be no reply. Collect or Cancel
+// must be called.
+func (q *Queries[R]) Begin(to []structs.InstanceID, send func(to structs.InstanceID, number uint64) bool) *Round[R] {
 	results := make(chan result[R], len(to))
 	q.mu.Lock()
 	if q.pending == nil {
@@ -51,7 +52,9 @@
 	round.last = q.lastNumber
 	q.mu.Unlock()
 	for i, id := range to {
-		send(id, round.first+uint64(i))
+		if number := round.first + uint64(i); !send(id, number) {
+			q.end(number)
+		}
 	}
 	return round
 }
@@ -108,6 +111,16 @@
 	}
 }
 
+// end ends a query without a reply.
+func (q *Queries[R]) end(number uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if query, ok := q.pending[number]; ok {
+		delete(q.pending, number)
+		query.results <- result[R]{}
+	}
+}
+
 // PeerDown ends the queries to an unresponsive instance.
 func (q *Queries[R]) PeerDown(id structs.InstanceID) {
 	q.mu.Lock()
--- a/internal/lostruns/manager.go
+++ b/internal/lostruns/manager.go
@@ -19,9 +19,8 @@
 	// copies is the number of other instances that are told of lost runs.
 	copies = 2
 	// maxAsked is the number of instances that are asked while the holders change: one
-	// may have taken the place of an instance that crashed, one may have left its place
-	// to an instance that came back.
-	maxAsked = copies + 2
+	// may have come back without the runs that it held.
+	maxAsked = copies + 1
 	// replyTimeout covers a round trip and a pause of the other instance by CPU
 	// throttling.
 	replyTimeout = 150 * time.Millisecond
@@ -34,7 +33,8 @@
 // Peers sends messages to other instances. Sending never blocks.
 type Peers interface {
 	Send(to structs.InstanceID, msg structs.Message)
-	Probe(to structs.InstanceID)
+	// TrySend sends a message only if that needs no new connection.
+	TrySend(to structs.InstanceID, msg structs.Message) bool
 }
 
 // Config holds the dependencies of a Manager.
@@ -103,18 +103,16 @@
 	m.runs.merge(work.ID, runs, work.Lifetime, time.Now())
 	m.mu.Unlock()
 	all, stable := m.holdersOf(work)
-	to, rest := all, all[len(all):]
+	e := &exchange{manager: m, work: work, rest: all}
 	switch {
 	case len(runs) > 0:
-		to = all[:min(copies, len(all))]
-		m.metrics.told.Inc(int64(len(to)))
-	case stable && len(all) > 0:
-		to, rest = all[:1], all[1:]
-		m.metrics.asked.Inc(1)
+		e.tell(all[:min(copies, len(all))], runs)
+	case stable:
+		e.ask(min(1, len(all)))
 	default:
-		m.metrics.asked.Inc(int64(len(to)))
+		e.ask(len(all))
 	}
-	return &exchange{manager: m, work: work, rest: rest, round: m.send(work, runs, to)}
+	return e
 }
 
 // holdersOf returns the holders of a piece of work that know of lost runs, and whether
@@ -129,21 +127,47 @@
 	return slices.DeleteFunc(slices.Clone(all), func(id structs.InstanceID) bool { return m.unsupported[id] }), stable
 }
 
-func (m *Manager) send(work serve.Work, runs structs.LostRuns, to []structs.InstanceID) *holders.Round[*structs.LostRunsReply] {
-	return m.queries.Begin(to, func(id structs.InstanceID, number uint64) {
-		m.Peers.Send(id, &structs.LostRunsNotice{Number: number, Work: work.ID, Runs: runs, Lifetime: work.Lifetime})
-	})
-}
-
 // exchange is a notice to the holders of a piece of work, or a query.
 type exchange struct {
 	manager *Manager
 	work    serve.Work
 	round   *holders.Round[*structs.LostRunsReply]
-	// rest are the holders that are asked if none of the round's replies.
+	// rest are the holders that the notice or query was not sent to.
 	rest []structs.InstanceID
 }
 
+// tell sends runs to holders.
+func (e *exchange) tell(to []structs.InstanceID, runs structs.LostRuns) {
+	m := e.manager
+	m.metrics.told.Inc(int64(len(to)))
+	e.rest = e.rest[len(to):]
+	e.round = m.queries.Begin(to, func(id structs.InstanceID, number uint64) bool {
+		m.Peers.Send(id, e.notice(number, runs))
+		return true
+	})
+}
+
+// ask queries the first of the remaining holders, if there are connections to them. Each
+// request asks: after a start of all instances, dialing would take those that are still
+// starting for unresponsive, also for the budgets.
+func (e *exchange) ask(count int) {
+	m, to := e.manager, e.rest[:count]
+	m.metrics.asked.Inc(int64(count))
+	var unsent []structs.InstanceID
+	e.round = m.queries.Begin(to, func(id structs.InstanceID, number uint64) bool {
+		sent := m.Peers.TrySend(id, e.notice(number, nil))
+		if !sent {
+			unsent = append(unsent, id)
+		}
+		return sent
+	})
+	e.rest = append(unsent, e.rest[count:]...)
+}
+
+func (e *exchange) notice(number uint64, runs structs.LostRuns) *structs.LostRunsNotice {
+	return &structs.LostRunsNotice{Number: number, Work: e.work.ID, Runs: runs, Lifetime: e.work.Lifetime}
+}
+
 // Wait implements serve.RunsExchange.
 func (e *exchange) Wait(ctx context.Context) structs.LostRuns {
 	m, timeout := e.manager, replyTimeout
@@ -152,8 +176,8 @@
 	}
 	replies := e.collect(ctx, timeout)
 	if len(replies) == 0 && len(e.rest) > 0 && ctx.Err() == nil {
-		e.round = m.send(e.work, nil, e.rest)
-		m.metrics.asked.Inc(int64(len(e.rest)))
+		// A connection may have been opened for the request's reservation since.
+		e.ask(len(e.rest))
 		replies = e.collect(ctx, replyTimeout)
 	}
 	if len(replies) == 0 {
@@ -170,11 +194,7 @@
 
 // collect waits for the replies to the current round.
 func (e *exchange) collect(ctx context.Context, timeout time.Duration) []*structs.LostRunsReply {
-	replies, silent := e.round.Collect(ctx, timeout, func(*structs.LostRunsReply) bool { return false })
-	for _, id := range silent {
-		// The connection may be dead without having been closed.
-		e.manager.Peers.Probe(id)
-	}
+	replies, _ := e.round.Collect(ctx, timeout, func(*structs.LostRunsReply) bool { return false })
 	return replies
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -124,7 +124,17 @@
 // Send queues a message to an instance and dials the instance if there is no
 // connection. If the message cannot be queued or the connection breaks, the
 // message is lost and PeerDown is posted.
-func (t *Transport) Send(to structs.InstanceID, msg structs.Message) {
+func (t *Transport) Send(to structs.InstanceID, msg structs.Message) { t.send(to, msg, true) }
+
+// TrySend is Send if there is a connection to the instance or one is being opened.
+// Otherwise it returns false, neither dials nor posts PeerDown.
+func (t *Transport) TrySend(to structs.InstanceID, msg structs.Message) bool {
+	return t.send(to, msg, false)
+}
+
+// send queues a message. Unless dial is set, it does so only on an existing connection,
+// and returns false if there is none.
+func (t *Transport) send(to structs.InstanceID, msg structs.Message, dial bool) bool {
 	frame, err := EncodeFrame(msg)
 	if err == nil && len(frame) > t.cfg.MaxFrameBytes {
 		err = errors.Wrapf(ErrFrameTooLarge, "%d bytes", len(frame))
@@ -133,20 +143,24 @@
 		t.metrics.framesInvalid.Inc(1)
 		t.logger.Error("message cannot be sent", "peer", to, "kind", msg.Kind(), "error", err)
 		t.liveness.down(to)
-		return
+		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.resolveLink(to)
+	if !dial && l.current == nil && !l.dialing {
+		return false
+	}
 	if !t.ensureConnected(l) {
 		t.metrics.framesLost.Inc(1)
 		t.liveness.down(to)
-		return
+		return true
 	}
 	if err := l.queue.push(frame); err != nil {
 		t.metrics.framesLost.Inc(1)
 		t.disconnect(l, err)
 	}
+	return true
 }
 
 // Broadcast sends a message to all connected instances.
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+func TestTrySendNeedsAConnection(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	a.peers.Store(structs.InstanceID("b"), b.address)
+	if a.TrySend("b", withdraw(0)) {
+		t.Error("sent without a connection")
+	}
+	a.Send("b", withdraw(1))
+	if !a.TrySend("b", withdraw(2)) {
+		t.Error("not sent while a connection is being opened")
+	}
+	for want := 1; want <= 2; want++ {
+		if got := b.awaitMessage("a").(*structs.Withdraw); *got != *withdraw(want) {
+			t.Errorf("got %v, want message %d", got, want)
+		}
+	}
+}
+
 func TestSimultaneousDials(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	a.peers.Store(structs.InstanceID("b"), b.address)
--- a/internal/streampin/lookup.go
+++ b/internal/streampin/lookup.go
@@ -45,10 +45,11 @@
 // instances and all have replied.
 func (m *Manager) ask(ctx context.Context, request structs.StreamPinRequest) (replies []*structs.StreamPinReply, complete bool) {
 	others := m.ring.Of(request.Stream)
-	round := m.queries.Begin(others, func(to structs.InstanceID, number uint64) {
+	round := m.queries.Begin(others, func(to structs.InstanceID, number uint64) bool {
 		message := request
 		message.Number = number
 		m.Peers.Send(to, &message)
+		return true
 	})
 	replies, silent := round.Collect(ctx, replyTimeout, hasPin)
 	for _, to := range silent {
--- a/internal/testkit/simnet/simnet.go
+++ b/internal/testkit/simnet/simnet.go
@@ -263,7 +263,10 @@
 
 // Send delivers a message after LinkLatency. If the target cannot be reached, the
 // sender receives PeerDown instead.
-func (n *Node) Send(to structs.InstanceID, msg structs.Message) {
+func (n *Node) Send(to structs.InstanceID, msg structs.Message) { n.TrySend(to, msg) }
+
+// TrySend is Send: all instances are connected.
+func (n *Node) TrySend(to structs.InstanceID, msg structs.Message) bool {
 	n.net.Background.Go(func() {
 		time.Sleep(LinkLatency)
 		target, ok := n.reachable(to)
@@ -274,6 +277,7 @@
 		}
 		target.Post(structs.PeerMessage{From: n.ID, Msg: msg})
 	})
+	return true
 }
 
 // Broadcast sends a message to all other running instances.
