--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -190,6 +190,7 @@
 	"timed_out":                        "the time left or the route's timeout expired while a target worked on it",
 	"timed_out_before_send":            "the time left expired before a target could be reached",
 	"target_broke_off":                 "the target did not complete its response and the request may not be repeated",
+	"targets_ended_under_request":      "three targets ended while they ran it, over all of its caller's attempts, so that it is refused for good; the field detail names them, and lines \"run lost\" with its work tell when",
 	"stream_cut":                       "the stream was interrupted and could not be resumed; see the field detail",
 	"caller_left":                      "the caller disconnected before the response was complete",
 	"caller_reads_nothing":             "the caller stopped reading the response; the field detail has the duration",
