Instances that know lost runs raise an alarm; the others are not asked

Change: an instance that learns of a lost run tells all that are connected to it, and those that connect later, before it replies; while the first holder has raised no alarm on a connection older than a second, it is not asked. An alarm covers one and a half lifetimes and is raised again after half of one. The holders of all slots are ranked once a second, so that they count as old as they are and not as their first use.

--- a/internal/holders/ring.go
+++ b/internal/holders/ring.go
@@ -63,11 +63,28 @@
 	return holders, now.Sub(changedAt) >= age
 }
 
+// Refresh ranks the holders of all slots after a change of the directory. Without it, they
+// are taken for as new as their first use.
+func (r *Ring) Refresh() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget()
+	for number := range r.slots {
+		r.slotAt(number, now)
+	}
+}
+
 func (r *Ring) ofAt(key string, now time.Time) ([]structs.InstanceID, time.Time) {
-	number := int(xxhash.Sum64String(key) % uint64(r.Slots))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refresh()
+	r.forget()
+	s := r.slotAt(int(xxhash.Sum64String(key)%uint64(r.Slots)), now)
+	return s.holders, s.changedAt
+}
+
+// slotAt returns a slot with its holders. The mutex is held.
+func (r *Ring) slotAt(number int, now time.Time) *slot {
 	s := &r.slots[number]
 	if s.holders == nil {
 		s.holders = r.rank(number)
@@ -75,11 +92,11 @@
 			s.changedAt = now
 		}
 	}
-	return s.holders, s.changedAt
+	return s
 }
 
-// refresh makes slots be ranked again after a change of the directory. The mutex is held.
-func (r *Ring) refresh() {
+// forget makes slots be ranked again after a change of the directory. The mutex is held.
+func (r *Ring) forget() {
 	version := r.Directory.Version()
 	if version == r.version {
 		return
--- a/internal/lostruns/manager.go
+++ b/internal/lostruns/manager.go
@@ -35,6 +35,8 @@
 	Send(to structs.InstanceID, msg structs.Message)
 	// TrySend sends a message only if that needs no new connection.
 	TrySend(to structs.InstanceID, msg structs.Message) bool
+	// Broadcast sends a message to all connected instances.
+	Broadcast(msg structs.Message)
 }
 
 // Config holds the dependencies of a Manager.
@@ -56,8 +58,9 @@
 	queries holders.Queries[*structs.LostRunsReply]
 	metrics metrics
 
-	mu   sync.Mutex
-	runs *table
+	mu     sync.Mutex
+	runs   *table
+	alarms alarms
 	// unsupported holds the instances whose builds have no lost runs.
 	unsupported map[structs.InstanceID]bool
 }
@@ -77,11 +80,11 @@
 			asked: config.Scope.Counter("lost_runs_queries"), told: config.Scope.Counter("lost_runs_notices"),
 			unanswered: config.Scope.Counter("lost_runs_unanswered"),
 		},
-		runs: newTable(), unsupported: make(map[structs.InstanceID]bool),
+		runs: newTable(), alarms: newAlarms(), unsupported: make(map[structs.InstanceID]bool),
 	}
 }
 
-// Run drops expired runs until the context ends.
+// Run drops expired runs and follows the list of instances until the context ends.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -92,21 +95,24 @@
 		case now := <-ticker.C:
 			m.mu.Lock()
 			m.runs.sweep(now)
+			m.alarms.sweep(now)
 			m.mu.Unlock()
+			m.ring.Refresh()
 		}
 	}
 }
 
 // Exchange implements serve.LostRuns.
 func (m *Manager) Exchange(work serve.Work, runs structs.LostRuns) serve.RunsExchange {
-	m.mu.Lock()
-	m.runs.merge(work.ID, runs, work.Lifetime, time.Now())
-	m.mu.Unlock()
+	m.merge(work.ID, runs, work.Lifetime)
 	all, stable := m.holdersOf(work)
 	e := &exchange{manager: m, work: work, rest: all}
 	switch {
 	case len(runs) > 0:
 		e.tell(all[:min(copies, len(all))], runs)
+	case stable && len(all) > 0 && m.knowsNothing(all[0]):
+		e.rest = nil
+		e.ask(0)
 	case stable:
 		e.ask(min(1, len(all)))
 	default:
@@ -115,6 +121,26 @@
 	return e
 }
 
+// merge adds lost runs and returns all that are known of the work. Other instances are
+// alarmed before any of them is told.
+func (m *Manager) merge(work string, runs structs.LostRuns, lifetime time.Duration) structs.LostRuns {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if len(runs) > 0 && m.alarms.raise(lifetime, now) {
+		m.Peers.Broadcast(m.alarms.message(now))
+	}
+	return m.runs.merge(work, runs, lifetime, now)
+}
+
+// knowsNothing reports whether another instance would have raised an alarm here if it knew
+// lost runs.
+func (m *Manager) knowsNothing(id structs.InstanceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.alarms.absent(id, time.Now())
+}
+
 // holdersOf returns the holders of a piece of work that know of lost runs, and whether
 // they know all recorded ones.
 func (m *Manager) holdersOf(work serve.Work) ([]structs.InstanceID, bool) {
@@ -204,7 +230,7 @@
 // Handles reports whether a message is one of this package.
 func Handles(message structs.Message) bool {
 	switch message.(type) {
-	case *structs.LostRunsNotice, *structs.LostRunsReply:
+	case *structs.LostRunsNotice, *structs.LostRunsReply, *structs.LostRunsAlarm:
 		return true
 	}
 	return false
@@ -215,7 +241,12 @@
 	switch e := event.(type) {
 	case structs.PeerMessage:
 		m.receiveMessage(e.From, e.Msg)
+	case structs.PeerUp:
+		m.peerUp(e.Peer)
 	case structs.PeerDown:
+		m.mu.Lock()
+		m.alarms.disconnected(e.Peer)
+		m.mu.Unlock()
 		m.queries.PeerDown(e.Peer)
 	case structs.MessageUnsupported:
 		if e.Kind == structs.KindLostRunsNotice {
@@ -230,11 +261,23 @@
 func (m *Manager) receiveMessage(from structs.InstanceID, message structs.Message) {
 	switch msg := message.(type) {
 	case *structs.LostRunsNotice:
+		known := m.merge(msg.Work, msg.Runs, msg.Lifetime)
+		m.Peers.Send(from, &structs.LostRunsReply{Number: msg.Number, Runs: known})
+	case *structs.LostRunsAlarm:
 		m.mu.Lock()
-		known := m.runs.merge(msg.Work, msg.Runs, msg.Lifetime, time.Now())
+		m.alarms.heard(from, msg.Duration, time.Now())
 		m.mu.Unlock()
-		m.Peers.Send(from, &structs.LostRunsReply{Number: msg.Number, Runs: known})
 	case *structs.LostRunsReply:
 		m.queries.Receive(from, msg.Number, msg)
 	}
 }
+
+// peerUp sends an alarm that is in force to an instance that has connected.
+func (m *Manager) peerUp(id structs.InstanceID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.alarms.connected(id, now) && m.alarms.inForce(now) {
+		m.Peers.Send(id, m.alarms.message(now))
+	}
+}
--- a/internal/structs/lostrun.go
+++ b/internal/structs/lostrun.go
@@ -9,6 +9,7 @@
 const (
 	KindLostRunsNotice MessageKind = 46
 	KindLostRunsReply  MessageKind = 47
+	KindLostRunsAlarm  MessageKind = 48
 )
 
 // LostRunState is what is known of a run that its target has not completed. A state
@@ -92,6 +93,11 @@
 	Runs   LostRuns
 }
 
+// LostRunsAlarm tells the receiver that the sender knows lost runs, for which it has to be
+// asked within a time.
+type LostRunsAlarm struct{ Duration time.Duration }
+
 // Kind implements Message.
 func (*LostRunsNotice) Kind() MessageKind { return KindLostRunsNotice }
 func (*LostRunsReply) Kind() MessageKind  { return KindLostRunsReply }
+func (*LostRunsAlarm) Kind() MessageKind  { return KindLostRunsAlarm }
--- a/internal/structs/messages.go
+++ b/internal/structs/messages.go
@@ -376,6 +376,7 @@
 
 	KindLostRunsNotice: func() Message { return new(LostRunsNotice) },
 	KindLostRunsReply:  func() Message { return new(LostRunsReply) },
+	KindLostRunsAlarm:  func() Message { return new(LostRunsAlarm) },
 }
 
 // LastKind returns the highest kind of message that this build decodes.
