--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -28,7 +28,7 @@
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && !meta.Signed {
 		x.detail = "a successful response without the target's signature"
-		return x.handleBrokenResponse(target)
+		return x.handleBrokenResponse(target, resp)
 	}
 	if x.route.Kind == route.Stream && success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
 		return x.deliverStream(target, resp)
@@ -36,14 +36,16 @@
 	if x.headSent {
 		// A plain response cannot continue a stream.
 		x.detail = "status " + strconv.Itoa(resp.Status) + " to a resumed stream"
-		return x.handleBrokenResponse(target)
+		return x.handleBrokenResponse(target, resp)
 	}
 	return x.deliverWhole(target, resp)
 }
 
 // handleBrokenResponse handles a response that cannot be passed on completely. It
 // reports whether another send may follow.
-func (x *transfer) handleBrokenResponse(target *targets.Target) bool {
+func (x *transfer) handleBrokenResponse(target *targets.Target, resp *exchange.Response) bool {
+	// The run may still end the target until it is cancelled.
+	resp.Close(0)
 	x.recordLostRun(target, x.sendCtx.Err() == nil)
 	if x.ctx.Err() != nil {
 		x.giveUpOnContext()
@@ -84,7 +86,7 @@
 		x.detail = err.Error()
 		x.excludeIfTimedOut(target, err)
 		x.recordEarlyRetry(target, err, x.sentAt)
-		return x.handleBrokenResponse(target)
+		return x.handleBrokenResponse(target, resp)
 	}
 	x.reason = reasonServed
 	if resp.Status >= http.StatusInternalServerError {
@@ -192,15 +194,15 @@
 			if x.flush() != nil {
 				return false
 			}
-			return x.handleBrokenResponse(target)
+			return x.handleBrokenResponse(target, resp)
 		}
 		if !x.headSent {
 			x.recordBegin(target)
 			x.copyHead(resp, true, 0)
 		}
 		x.delivered++
-		x.lastEvent = event.id
-		timing.event(time.Now(), events.buffered())
+		x.lastEvent, x.heardAt = event.id, time.Now()
+		timing.event(x.heardAt, events.buffered())
 		x.recordEvent(event)
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerLeft(err)
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -99,6 +99,8 @@
 type fakeLostRuns struct {
 	mu    sync.Mutex
 	works map[string]structs.LostRuns
+	// notices are the runs that other instances were told of, in order.
+	notices []structs.LostRuns
 	// initial are runs that other instances lost of all work.
 	initial structs.LostRuns
 }
@@ -109,6 +111,9 @@
 	if l.works == nil {
 		l.works = make(map[string]structs.LostRuns)
 	}
+	if len(runs) > 0 {
+		l.notices = append(l.notices, slices.Clone(runs))
+	}
 	l.works[work.ID] = l.works[work.ID].Merge(l.initial).Merge(runs)
 	return knownRuns(slices.Clone(l.works[work.ID]))
 }
--- a/internal/serve/lostrun.go
+++ b/internal/serve/lostrun.go
@@ -23,6 +23,13 @@
 // ended: a round trip to another data centre and its checks.
 const endCheckPatience = 25 * time.Millisecond
 
+// cancelTime is the time in which a target notices that a request was cancelled. Until
+// then the request may end it.
+const cancelTime = 10 * time.Millisecond
+
+// silentTime is the time without a byte after which a target may have ended silently.
+const silentTime = 250 * time.Millisecond
+
 // targetStates names the states of lost runs in logs and metrics.
 var targetStates = map[structs.LostRunState]string{
 	structs.LostRunOpen: "unknown", structs.LostRunHarmless: "serves", structs.LostRunTargetEnded: "ended",
@@ -131,6 +138,9 @@
 // recordLostRun records that the target did not complete the current run. broken
 // indicates that the connection broke, and not that this instance closed it.
 func (x *transfer) recordLostRun(target *targets.Target, broken bool) {
+	if x.ctx.Err() != nil {
+		x.leaveRun(target)
+	}
 	state := x.checkTarget(target)
 	x.server.metrics.lostRuns[state].Inc(1)
 	x.server.log.LogAttrs(x.request.Context(), slog.LevelInfo, "run lost",
@@ -148,6 +158,16 @@
 	}
 }
 
+// leaveRun waits until the target has noticed that the caller left. The caller of a target
+// that has gone silent may be trying elsewhere already, so that others are told before.
+func (x *transfer) leaveRun(target *targets.Target) {
+	if time.Since(x.heardAt) >= silentTime {
+		x.setLostRuns(structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunOpen})
+		x.server.lostRuns.Exchange(x.work, x.lostRuns).Cancel()
+	}
+	time.Sleep(cancelTime)
+}
+
 // checkTarget finds out whether a target has ended or only a connection to it. A target
 // that does not reply in time remains open.
 func (x *transfer) checkTarget(target *targets.Target) structs.LostRunState {
--- a/internal/serve/lostrun_test.go
+++ b/internal/serve/lostrun_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -214,3 +215,24 @@
 		t.Errorf("lost runs: %+v", h.lostRuns.works)
 	}
 }
+
+// The caller of a silent target sends its request again as soon as it has left.
+func TestOthersAreToldOfASilentTargetBeforeItIsChecked(t *testing.T) {
+	h := newHarness(t)
+	var tg *target
+	tg = h.target("a", "engine", func(_ int, _ http.ResponseWriter, r *http.Request) {
+		_ = tg.server.Listener.Close()
+		<-r.Context().Done()
+	})
+	leaving, cancel := context.WithTimeout(t.Context(), silentTime+50*time.Millisecond)
+	defer cancel()
+	h.do(h.request("POST", "/turns/", "b").WithContext(leaving))
+	h.front.Close() // waits for the end of the request
+	var states []structs.LostRunState
+	for _, runs := range h.lostRuns.notices {
+		states = append(states, runs[0].State)
+	}
+	if !slices.Equal(states, []structs.LostRunState{structs.LostRunOpen, structs.LostRunTargetEnded}) {
+		t.Errorf("others were told of states %v", states)
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -154,7 +154,7 @@
 	x.sendCtx = ctx
 	var meta call.Response
 	sentAt := time.Now()
-	x.sentAt = sentAt
+	x.sentAt, x.heardAt = sentAt, sentAt
 	resp, err := x.server.pool.Do(ctx, exchange.Request{
 		Address: target.Address, Method: x.request.Method, URI: x.uri(),
 		Host: x.request.Host, Header: header, Body: x.body,
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -127,8 +127,9 @@
 	// lastTarget and lastVersion are the target of the last send and its software
 	// version.
 	lastTarget, lastVersion string
-	// sentAt is the time of the last send.
+	// sentAt is the time of the last send, heardAt that of the last event or send.
 	sentAt   time.Time
+	heardAt  time.Time
 	sends    int
 	refusals int
 
