Instances that shut down hold lost runs and pins if too few others can

Three of four instances were shutting down, and the second one to get the request had no current list: all instances that it knew were leaving, and those were no holders, though they serve and answer meanwhile. Now they take the places that are left. TestInstancesThatShutDownHoldWhatOthersCannot failed before. Where three others (four for pins) rank first for some slot, nothing changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -192,6 +192,20 @@
 	return others
 }
 
+// Leaving lists the other usable instances that are shutting down.
+func (d *Directory) Leaving() []structs.InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var leaving []structs.InstanceID
+	for id := range d.leaving {
+		if id != d.self.ID && d.usable(id) {
+			leaving = append(leaving, id)
+		}
+	}
+	slices.Sort(leaving)
+	return leaving
+}
+
 // Ranked lists the usable instances that are not shutting down, ordered by rendezvous
 // hashing of a key. When an instance joins or leaves, only the keys for which it ranks
 // first move.
--- a/internal/holders/holders_test.go
+++ b/internal/holders/holders_test.go
@@ -36,6 +36,20 @@
 	}
 }
 
+func TestInstancesThatShutDownHoldWhatOthersCannot(t *testing.T) {
+	ring, dir := newTestRing(t, 4)
+	var leaving []structs.InstanceID
+	for i := range 3 {
+		id := directory.InstanceID(fmt.Sprint("m", i), "1")
+		dir.SetLeaving(id)
+		leaving = append(leaving, id)
+	}
+	last := directory.InstanceID("m3", "1")
+	if got, want := ring.Of("key"), append([]structs.InstanceID{last}, leaving[:2]...); !slices.Equal(got, want) {
+		t.Errorf("got holders %v, want %v", got, want)
+	}
+}
+
 func TestHoldersAreStableAfterTheLastChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ring, dir := newTestRing(t, 6)
--- a/internal/holders/ring.go
+++ b/internal/holders/ring.go
@@ -121,5 +121,7 @@
 			holders = append(holders, first)
 		}
 	}
-	return holders
+	// Most instances may be shutting down, and serve meanwhile.
+	leaving := r.Directory.Leaving()
+	return append(holders, leaving[:min(len(leaving), r.Count-len(holders))]...)
 }
