A run that was announced and not sent is harmless, also if its caller left

Its third run had been announced to others; the caller left while the connection was being opened, and the run stayed open there, later ended since its target was gone. Every other way out of an unsent run marked it.

--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -233,7 +233,9 @@
 func (x *transfer) sendFailed(target *targets.Target, err error, sentAt time.Time) bool {
 	x.detail = err.Error()
 	if x.ctx.Err() != nil {
-		if !errors.Is(err, exchange.ErrNotSent) {
+		if errors.Is(err, exchange.ErrNotSent) {
+			x.markRunHarmless(target)
+		} else {
 			x.markRan(target)
 			x.recordLostRun(target, false)
 		}
