--- /dev/null
+++ b/review/cmd/standin/runner.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// runner is a stand-in of a runner. It writes one line to its file of runs as it begins
+// to run a request.
+type runner struct {
+	id      string
+	runs    *os.File
+	slots   int64
+	queue   int64
+	work    time.Duration
+	events  int
+	gap     time.Duration
+	breakAt time.Duration
+	running atomic.Int64
+}
+
+// serveRunner runs a runner until the process is killed.
+func serveRunner(arguments []string) error {
+	r := new(runner)
+	var path string
+	flags := flag.NewFlagSet("runner", flag.ContinueOnError)
+	flags.StringVar(&r.id, "id", "", "its id")
+	flags.StringVar(&path, "runs", "", "the file of runs")
+	flags.Int64Var(&r.slots, "slots", 6, "requests at once")
+	flags.Int64Var(&r.queue, "queue", 24, "requests that wait")
+	flags.DurationVar(&r.work, "work", 50*time.Millisecond, "the time of a plain request")
+	flags.IntVar(&r.events, "events", 7, "the events of a stream")
+	flags.DurationVar(&r.gap, "gap", 30*time.Millisecond, "the time between two events")
+	flags.DurationVar(&r.breakAt, "break-at", 0, "break a stream off in the middle of an event after this time")
+	if err := flags.Parse(arguments); err != nil {
+		return err
+	}
+	var err error
+	if r.runs, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	fmt.Println(listener.Addr())
+	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	return server.Serve(listener)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/health" {
+		w.Header().Set("Banyanglade-Instance-Id", r.id)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return // the sender has left
+	}
+	id := req.Header.Get("Banyanglade-Request-Id")
+	if expected := req.Header.Get("Banyanglade-Expect-Instance"); expected != "" && expected != r.id {
+		w.Header().Set("Banyanglade-Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Banyanglade-Request-Id", id)
+	running := r.running.Add(1)
+	defer r.running.Add(-1)
+	w.Header().Set("Banyanglade-Server-Load", fmt.Sprintf("%d,%d,%d", min(running, r.slots), max(running-r.slots, 0), r.slots))
+	if running > r.slots+r.queue {
+		w.Header().Set("Banyanglade-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if _, err := fmt.Fprintf(r.runs, "%d %s %s %s %d\n", time.Now().UnixNano(), id, req.Method, req.URL.Path, len(body)); err != nil {
+		panic(err)
+	}
+	w.Header().Set("Banyanglade-Server-Signature", r.id+"."+id)
+	if req.Header.Get("Banyanglade-Token-Usage") != "" {
+		r.stream(w, req)
+		return
+	}
+	time.Sleep(r.work)
+	_, _ = fmt.Fprintf(w, "the answer of %s to %s", r.id, id)
+}
+
+func (r *runner) stream(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil {
+		from = 0
+	}
+	began := time.Now()
+	for n := from + 1; n <= r.events; n++ {
+		time.Sleep(r.gap)
+		if r.breakAt > 0 && time.Since(began) >= r.breakAt {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		if err != nil || http.NewResponseController(w).Flush() != nil || req.Context().Err() != nil {
+			return
+		}
+	}
+}
