--- a/review/cmd/standin/main.go
+++ b/review/cmd/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]check{
 	"smuggled": smuggled,
 	"denied":   denied,
+	"spoilt":   spoilt,
 }
 
 func main() {
--- a/review/cmd/standin/runner.go
+++ b/review/cmd/standin/runner.go
@@ -23,6 +23,8 @@
 	events  int
 	gap     time.Duration
 	breakAt time.Duration
+	spoil   int64
+	answers atomic.Int64
 	running atomic.Int64
 }
 
@@ -39,6 +41,7 @@
 	flags.IntVar(&r.events, "events", 7, "the events of a stream")
 	flags.DurationVar(&r.gap, "gap", 30*time.Millisecond, "the time between two events")
 	flags.DurationVar(&r.breakAt, "break-at", 0, "break a stream off in the middle of an event after this time")
+	flags.Int64Var(&r.spoil, "spoil", 0, "spoil each answer whose number this divides")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
@@ -89,6 +92,10 @@
 		return
 	}
 	time.Sleep(r.work)
+	if r.spoil > 0 && r.answers.Add(1)%r.spoil == 0 {
+		r.sendNoAnswer(w)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "the answer of %s to %s", r.id, id)
 }
 
@@ -112,3 +119,27 @@
 		}
 	}
 }
+
+const (
+	// chunkBytes are sent each chunkTime of a spoilt answer: 50 MB a second, two fifths of
+	// what the link of a machine carries.
+	chunkBytes = 500 << 10
+	chunkTime  = 10 * time.Millisecond
+	// noAnswerTime is how long a spoilt answer lasts: at most 100 MB come.
+	noAnswerTime = 2 * time.Second
+)
+
+// sendNoAnswer sends bytes that are not a response until the channel is closed.
+func (r *runner) sendNoAnswer(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the sender has left
+	}
+	defer func() { _ = conn.Close() }()
+	chunk := make([]byte, chunkBytes)
+	for began := time.Now(); time.Since(began) < noAnswerTime; time.Sleep(chunkTime) {
+		if _, err := conn.Write(chunk); err != nil {
+			return
+		}
+	}
+}
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -24,6 +24,7 @@
 	ConfigMs    = 2000
 	GraceS      = 8
 	StableMs    = 3000
+	MemoryMb    = 144
 	partitions  = 12
 )
 
@@ -72,8 +73,11 @@
 	Ready    string
 	control  string
 	env      []string
-	Command  *exec.Cmd
 	log      *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   bool
 }
 
 // Runner is a stand-in of a runner, a process of its own.
@@ -115,9 +119,7 @@
 	close(d.stop)
 	d.done.Wait()
 	for _, i := range d.Instances {
-		_ = i.Command.Process.Kill()
-		_ = i.Command.Wait()
-		_ = i.log.Close()
+		i.end()
 	}
 	for _, r := range d.runners {
 		if r.Command.ProcessState == nil {
@@ -181,7 +183,7 @@
 		"Ip": "127.0.0.1", "Zone": zone, "Region": "great-lakes", "Zones": regions,
 		"Listen": map[string]string{"Frontend": i.Frontend, "Ready": i.Ready, "Control": i.control},
 		"Seeds":  seeds, "Bootstrap": true, "LossCounts": false,
-		"Limits":    map[string]any{"CpuShare": 0.8, "Cores": 1, "MemoryMb": 144, "MaxFds": 8200, "LinkMbps": 1000, "DiskMb": 0},
+		"Limits":    map[string]any{"CpuShare": 0.8, "Cores": 1, "MemoryMb": MemoryMb, "MaxFds": 8200, "LinkMbps": 1000, "DiskMb": 0},
 		"Discovery": "platform", "Entry": "vip", "HeartbeatMs": HeartbeatMs,
 		"Contracts":      []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"},
 		"FaultTolerance": map[string]int{"Machines": 1, "Zones": 0, "Regions": 0},
@@ -213,10 +215,97 @@
 	if i.log, err = os.Create(filepath.Join(d.dir, i.Name+".log")); err != nil {
 		return err
 	}
-	i.Command = exec.Command("target/banyanglade", "edge")
-	i.Command.Dir, i.Command.Env = d.root, i.env
-	i.Command.Stdout, i.Command.Stderr = i.log, i.log
-	return i.Command.Start()
+	return i.start(d.root)
+}
+
+// start starts the next process, unless the deployment has been closed.
+func (i *Instance) start(root string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.ended {
+		return nil
+	}
+	i.command = exec.Command("target/banyanglade", "edge")
+	i.command.Dir, i.command.Env = root, i.env
+	i.command.Stdout, i.command.Stderr = i.log, i.log
+	return i.command.Start()
+}
+
+// kill kills the process and waits for its end.
+func (i *Instance) kill() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_ = i.command.Process.Kill()
+	_ = i.command.Wait() // killed
+}
+
+// end kills the process for good.
+func (i *Instance) end() {
+	i.mu.Lock()
+	if i.ended || i.command == nil {
+		i.mu.Unlock()
+		return
+	}
+	i.ended = true
+	i.mu.Unlock()
+	i.kill()
+	_ = i.log.Close()
+}
+
+// memoryMb returns the resident memory of the process, 0 if it has none.
+func (i *Instance) memoryMb() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", i.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
+const (
+	// memoryInterval is the time between two looks at a process's memory.
+	memoryInterval = 20 * time.Millisecond
+	// restartDelay is the time after which a killed process is started again.
+	restartDelay = 500 * time.Millisecond
+)
+
+// LimitMemory does what the platform does: it kills a process that exceeds its memory, and
+// starts it again after a short delay. It calls the function at each kill.
+func (d *Deployment) LimitMemory(killed func(i *Instance, megabytes int)) {
+	for _, i := range d.Instances {
+		d.done.Go(func() {
+			for d.sleep(memoryInterval) {
+				used := i.memoryMb()
+				if used <= MemoryMb {
+					continue
+				}
+				killed(i, used)
+				i.kill()
+				if !d.sleep(restartDelay) {
+					return
+				}
+				if err := i.start(d.root); err != nil {
+					d.Record.Logf("%s did not start again: %v", i.Name, err)
+					return
+				}
+			}
+		})
+	}
+}
+
+// sleep returns false if the deployment is closed meanwhile.
+func (d *Deployment) sleep(pause time.Duration) bool {
+	select {
+	case <-d.stop:
+		return false
+	case <-time.After(pause):
+		return true
+	}
 }
 
 // IsReady reports whether an instance says that it is ready.
