--- a/review/cmd/standin/main.go
+++ b/review/cmd/standin/main.go
@@ -27,6 +27,7 @@
 	"smuggled": smuggled,
 	"denied":   denied,
 	"spoilt":   spoilt,
+	"drained":  drained,
 }
 
 func main() {
--- a/review/cmd/standin/runner.go
+++ b/review/cmd/standin/runner.go
@@ -26,6 +26,7 @@
 	spoil   int64
 	answers atomic.Int64
 	running atomic.Int64
+	broken  atomic.Bool
 }
 
 // serveRunner runs a runner until the process is killed.
@@ -40,7 +41,7 @@
 	flags.DurationVar(&r.work, "work", 50*time.Millisecond, "the time of a plain request")
 	flags.IntVar(&r.events, "events", 7, "the events of a stream")
 	flags.DurationVar(&r.gap, "gap", 30*time.Millisecond, "the time between two events")
-	flags.DurationVar(&r.breakAt, "break-at", 0, "break a stream off in the middle of an event after this time")
+	flags.DurationVar(&r.breakAt, "break-at", 0, "break one stream off in the middle of an event after this time")
 	flags.Int64Var(&r.spoil, "spoil", 0, "spoil each answer whose number this divides")
 	if err := flags.Parse(arguments); err != nil {
 		return err
@@ -108,7 +109,7 @@
 	began := time.Now()
 	for n := from + 1; n <= r.events; n++ {
 		time.Sleep(r.gap)
-		if r.breakAt > 0 && time.Since(began) >= r.breakAt {
+		if r.breakAt > 0 && time.Since(began) >= r.breakAt && r.broken.CompareAndSwap(false, true) {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
--- a/review/cmd/standin/smuggled.go
+++ b/review/cmd/standin/smuggled.go
@@ -24,7 +24,7 @@
 // variants are the ways in which the header is sent, each to all instances.
 var variants = []variant{
 	{name: "short header, one packet", packets: 1},
-	{name: "header of 6 KB, one write", long: true, packets: 1},
+	{name: "header of 5 KB, one write", long: true, packets: 1},
 	{name: "short header, two packets", packets: 2},
 }
 
