--- a/review/cmd/standin/runner.go
+++ b/review/cmd/standin/runner.go
@@ -24,9 +24,11 @@
 	gap     time.Duration
 	breakAt time.Duration
 	spoil   int64
-	answers atomic.Int64
-	running atomic.Int64
-	broken  atomic.Bool
+	// spoilFrom and spoilUntil are Unix milliseconds.
+	spoilFrom, spoilUntil int64
+	answers               atomic.Int64
+	running               atomic.Int64
+	broken                atomic.Bool
 }
 
 // serveRunner runs a runner until the process is killed.
@@ -43,6 +45,8 @@
 	flags.DurationVar(&r.gap, "gap", 30*time.Millisecond, "the time between two events")
 	flags.DurationVar(&r.breakAt, "break-at", 0, "break one stream off in the middle of an event after this time")
 	flags.Int64Var(&r.spoil, "spoil", 0, "spoil each answer whose number this divides")
+	flags.Int64Var(&r.spoilFrom, "spoil-from", 0, "spoil answers from this time on, in Unix milliseconds")
+	flags.Int64Var(&r.spoilUntil, "spoil-until", 0, "spoil answers until this time, in Unix milliseconds")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
@@ -93,7 +97,7 @@
 		return
 	}
 	time.Sleep(r.work)
-	if r.spoil > 0 && r.answers.Add(1)%r.spoil == 0 {
+	if r.spoils() && r.answers.Add(1)%r.spoil == 0 {
 		r.sendNoAnswer(w)
 		return
 	}
@@ -121,13 +125,19 @@
 	}
 }
 
+// spoils reports whether the runner spoils some of its answers now.
+func (r *runner) spoils() bool {
+	now := time.Now().UnixMilli()
+	return r.spoil > 0 && now >= r.spoilFrom && now < r.spoilUntil
+}
+
 const (
-	// chunkBytes are sent each chunkTime of a spoilt answer: 50 MB a second, two fifths of
+	// chunkBytes are sent each chunkTime of a spoilt answer: 25 MB a second, a fifth of
 	// what the link of a machine carries.
-	chunkBytes = 500 << 10
+	chunkBytes = 250 << 10
 	chunkTime  = 10 * time.Millisecond
 	// noAnswerTime is how long a spoilt answer lasts: at most 100 MB come.
-	noAnswerTime = 2 * time.Second
+	noAnswerTime = 4 * time.Second
 )
 
 // sendNoAnswer sends bytes that are not a response until the channel is closed.
--- a/review/cmd/standin/spoilt.go
+++ b/review/cmd/standin/spoilt.go
@@ -20,10 +20,16 @@
 	spoiltOf = "50"
 	// sendsPerS and sendTime define the traffic, one in syncOf of which is unsafe.
 	sendsPerS = 300
-	syncOf    = 10
-	sendTime  = 40 * time.Second
-	// plainWork is the time of a plain request.
-	plainWork = "90ms"
+	syncOf    = 2
+	sendTime  = 20 * time.Second
+	// The faulty runners spoil answers for spoilTime, from spoilAfter behind the start of
+	// the traffic.
+	spoilAfter = 4 * time.Second
+	spoilTime  = 5500 * time.Millisecond
+	// plainWork is the time of a plain request, as the sheet has it for specimen-chk.
+	plainWork = "139ms"
+	// channels is the number of channels to each instance that clients keep from the start.
+	channels = 40
 	// toleratedLosses is the number of requests that the rule allows a machine to lose.
 	toleratedLosses = 3
 )
@@ -49,12 +55,14 @@
 	for _, r := range d.Runners() {
 		sound[r.ID] = true
 	}
+	from := time.Now().Add(harness.StableMs*time.Millisecond + spoilAfter)
 	for n := range faultyRunners {
 		spoil := "0"
 		if trouble {
 			spoil = spoiltOf
 		}
-		if _, err := d.StartRunner(harness.AppService, fmt.Sprintf("i-f%02d", n), "erie-hall", "-work", plainWork, "-spoil", spoil); err != nil {
+		if _, err := d.StartRunner(harness.AppService, fmt.Sprintf("i-f%02d", n), "erie-hall", "-work", plainWork, "-spoil", spoil,
+			"-spoil-from", fmt.Sprint(from.UnixMilli()), "-spoil-until", fmt.Sprint(from.Add(spoilTime).UnixMilli())); err != nil {
 			return false, err
 		}
 	}
@@ -110,6 +118,11 @@
 		all  []exchange
 		work sync.WaitGroup
 	)
+	for n := range channels * len(d.Instances) {
+		e := exchange{id: fmt.Sprintf("5b2907c14da%05x", n), instance: d.Instances[n%len(d.Instances)]}
+		work.Go(func() { e.send(client, http.MethodGet, fmt.Sprintf("/pule252/w%x", n), "1500") })
+	}
+	work.Wait()
 	ticker := time.NewTicker(time.Second / sendsPerS)
 	defer ticker.Stop()
 	number := 0
