review: a repeated refusal makes an unsafe request run twice (TWICE)

Faulty ones send one in 34 answers a second time, late. The instance takes the copy of a refusal for the answer to the next request on that channel and sends this one to another runner too, or answers 503.

--- a/review/cmd/standin/main.go
+++ b/review/cmd/standin/main.go
@@ -29,6 +29,7 @@
 	"spoilt":   spoilt,
 	"drained":  drained,
 	"returned": returned,
+	"doubled":  doubled,
 }
 
 func main() {
--- a/review/cmd/standin/runner.go
+++ b/review/cmd/standin/runner.go
@@ -17,6 +17,8 @@
 type runner struct {
 	id      string
 	runs    *os.File
+	notes   *os.File
+	slot    chan struct{}
 	slots   int64
 	queue   int64
 	work    time.Duration
@@ -35,6 +37,7 @@
 func serveRunner(arguments []string) error {
 	r := new(runner)
 	var path string
+	twice := false
 	flags := flag.NewFlagSet("runner", flag.ContinueOnError)
 	flags.StringVar(&r.id, "id", "", "its id")
 	flags.StringVar(&path, "runs", "", "the file of runs")
@@ -45,6 +48,7 @@
 	flags.DurationVar(&r.gap, "gap", 30*time.Millisecond, "the time between two events")
 	flags.DurationVar(&r.breakAt, "break-at", 0, "break one stream off in the middle of an event after this time")
 	flags.Int64Var(&r.spoil, "spoil", 0, "spoil each answer whose number this divides")
+	flags.BoolVar(&twice, "twice", false, "send an answer twice in place of spoiling it")
 	flags.Int64Var(&r.spoilFrom, "spoil-from", 0, "spoil answers from this time on, in Unix milliseconds")
 	flags.Int64Var(&r.spoilUntil, "spoil-until", 0, "spoil answers until this time, in Unix milliseconds")
 	if err := flags.Parse(arguments); err != nil {
@@ -54,11 +58,18 @@
 	if r.runs, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
+	if r.notes, err = os.OpenFile(path+".notes", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		return err
+	}
+	r.slot = make(chan struct{}, r.slots)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	fmt.Println(listener.Addr())
+	if twice {
+		return r.serveRaw(listener)
+	}
 	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
 	return server.Serve(listener)
 }
@@ -88,9 +99,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if _, err := fmt.Fprintf(r.runs, "%d %s %s %s %d\n", time.Now().UnixNano(), id, req.Method, req.URL.Path, len(body)); err != nil {
-		panic(err)
-	}
+	r.recordRun(id, req, len(body))
 	w.Header().Set("Banyanglade-Server-Signature", r.id+"."+id)
 	if req.Header.Get("Banyanglade-Token-Usage") != "" {
 		r.stream(w, req)
@@ -104,6 +113,13 @@
 	_, _ = fmt.Fprintf(w, "the answer of %s to %s", r.id, id)
 }
 
+// recordRun writes that the runner begins to run a request.
+func (r *runner) recordRun(id string, req *http.Request, body int) {
+	if _, err := fmt.Fprintf(r.runs, "%d %s %s %s %d\n", time.Now().UnixNano(), id, req.Method, req.URL.Path, body); err != nil {
+		panic(err)
+	}
+}
+
 func (r *runner) stream(w http.ResponseWriter, req *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -512,6 +513,33 @@
 	return runs, nil
 }
 
+// Note is what a runner noted besides its runs.
+type Note struct {
+	Runner string
+	At     time.Time
+	Text   string
+}
+
+// Notes reads what the runners noted.
+func (d *Deployment) Notes() ([]Note, error) {
+	var notes []Note
+	for _, r := range d.Runners() {
+		data, err := os.ReadFile(r.runs + ".notes")
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(data)) {
+			at, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+			nano, err := strconv.ParseInt(at, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("notes of %s: %q: %w", r.ID, line, err)
+			}
+			notes = append(notes, Note{Runner: r.ID, At: time.Unix(0, nano), Text: text})
+		}
+	}
+	return notes, nil
+}
+
 // PublishManifest writes the manifest.
 func (d *Deployment) PublishManifest(engineAttempts int) error {
 	value, err := json.Marshal(map[string]any{
