A request hidden in a body of ambiguous length does not run

Cause: net/http drops the Content-Length of a chunked request. callerConn looked for both fields in the bytes of one Read, up to the first blank line, so that longer, split and pipelined headers were not seen whole. The finding was kept for the connection: lines of a body made a later chunked request a 400.

Ruled out: a target that delimits the forwarded request otherwise.

Change: internal/framing follows the messages of a connection as net/http delimits them, whatever the pieces. An ambiguous header is refused by the number of its request on the connection, and nothing behind it is passed on. Also rejected: Transfer-Encoding in HTTP/1.0 (net/http took the chunks for a request) and a folded length or encoding. OPTIONS * reaches the handler (404): net/http answered it 200.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -10,7 +10,6 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/banyanglade/banyanglade/internal/peer"
-	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -26,17 +25,16 @@
 	base := func(net.Listener) context.Context { return ctx }
 	s := &servers{
 		callers: &http.Server{
-			Handler:           e.server,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       callerIdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       serve.ConnContext,
 			BaseContext:       base,
 		},
 		ready:  &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout},
 		admin:  &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: base},
 		failed: make(chan error, 3),
 	}
+	e.server.Configure(s.callers)
 	listeners := []struct {
 		server  *http.Server
 		address string
--- a/internal/serve/callerconn.go
+++ b/internal/serve/callerconn.go
@@ -1,70 +1,102 @@
 package serve
 
 import (
-	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/framing"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 )
 
 // net/http drops the Content-Length of a request that is also chunked, so other servers
-// on the path may delimit it differently (request smuggling). Such requests are
-// refused: callerConn detects the conflict while the header is read.
+// on the path may delimit it differently (request smuggling). callerConn finds such
+// requests in the bytes that net/http reads.
 
-// callerConn is a caller's connection. It inspects request headers and disconnects
-// callers that stop reading.
+// callerConn is a caller's connection. It follows the framing of requests and
+// disconnects callers that stop reading.
 type callerConn struct {
 	net.Conn
-	// conflict indicates that a request header contained both Content-Length and
-	// Transfer-Encoding.
-	conflict atomic.Bool
-	memory   *memlimit.Limiter
+	memory *memlimit.Limiter
+	// scanner and unparsable are used by Read only. If unparsable is set, the rest of the
+	// connection cannot be parsed as requests and is not passed on.
+	scanner    framing.Scanner
+	unparsable bool
+	// rejected is the request with a rejected header, nil if there is none.
+	rejected atomic.Pointer[rejectedRequest]
+	// requests is the number of requests that reached the handler.
+	requests atomic.Int64
+}
+
+// rejectedRequest is a request that must be refused.
+type rejectedRequest struct {
+	// number is the number of the request on its connection, from 1.
+	number int64
+	err    error
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.unparsable {
+		return 0, c.discardRest()
+	}
 	n, err := c.Conn.Read(p)
-	if n > 1 && headConflicts(p[:n]) {
-		c.conflict.Store(true)
+	passed, rejection := c.scanner.Scan(p[:n])
+	if rejection == nil {
+		return n, err
+	}
+	c.unparsable = true
+	if !errors.Is(rejection, framing.ErrMalformedChunk) {
+		c.rejected.Store(&rejectedRequest{c.scanner.Headers(), rejection})
 	}
-	return n, err
+	return passed, err
 }
 
-// headConflicts reports whether a request header, up to the first blank line, contains
-// both Content-Length and Transfer-Encoding.
-func headConflicts(data []byte) bool {
-	length, encoding := false, false
-	for len(data) > 0 {
-		line := data
-		if end := bytes.IndexByte(data, '\n'); end >= 0 {
-			line, data = data[:end], data[end+1:]
-		} else {
-			data = nil
-		}
-		if len(line) <= 1 {
-			break
-		}
-		switch line[0] {
-		case 'c', 'C':
-			length = length || hasField(line, "content-length")
-		case 't', 'T':
-			encoding = encoding || hasField(line, "transfer-encoding")
+// discardBufferBytes is the size of the reads of bytes that are discarded.
+const discardBufferBytes = 4 << 10
+
+// discardRest returns io.EOF once the last request that can be parsed has reached the
+// handler. Until then it reads, so that earlier requests are not taken for abandoned.
+func (c *callerConn) discardRest() error {
+	buffer := make([]byte, discardBufferBytes)
+	for c.requests.Load() < c.scanner.Headers() {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return err
 		}
 	}
-	return length && encoding
+	return io.EOF
 }
 
-func hasField(line []byte, name string) bool {
-	return len(line) > len(name) && line[len(name)] == ':' && bytes.EqualFold(line[:len(name)], []byte(name))
+// next counts a request that reached the handler and returns why it must be refused,
+// nil if it need not be. Requests on one connection are handled one after the other.
+func (c *callerConn) next() error {
+	number := c.requests.Add(1)
+	rejected := c.rejected.Load()
+	if rejected == nil || number < rejected.number {
+		return nil
+	}
+	return rejected.err
 }
 
 type connKey struct{}
 
-// WrapListener returns a listener whose connections detect conflicting lengths and
-// callers that stop reading. The http.Server that uses it must set ConnContext.
+// Configure sets the options of an http.Server that the Server needs. The http.Server
+// must use a listener from WrapListener.
+func (s *Server) Configure(server *http.Server) {
+	server.Handler = s
+	// Every request has to reach the handler, which counts them.
+	server.DisableGeneralOptionsHandler = true
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+}
+
+// WrapListener returns a listener whose connections detect ambiguous lengths and
+// callers that stop reading.
 func (s *Server) WrapListener(l net.Listener) net.Listener { return callerListener{l, s.memory} }
 
 type callerListener struct {
@@ -81,17 +113,12 @@
 	return &callerConn{Conn: c, memory: l.memory}, nil
 }
 
-// ConnContext stores the caller's connection in the context of its requests.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// lengthsConflict reports whether a request has both Content-Length and
-// Transfer-Encoding.
-func lengthsConflict(r *http.Request) bool {
-	if len(r.TransferEncoding) == 0 {
-		return false
-	}
+// checkFraming returns an error if the request has to be refused because its header
+// defines the length of its body ambiguously. It must be called once for each request.
+func checkFraming(r *http.Request) error {
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	return ok && c.conflict.Load()
+	if !ok {
+		return nil
+	}
+	return c.next()
 }
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -216,7 +216,7 @@
 	h.server.SetTable(route.NewTable(testRoutes()))
 	h.front = httptest.NewUnstartedServer(h.server)
 	h.front.Listener = h.server.WrapListener(h.front.Listener)
-	h.front.Config.ConnContext = ConnContext
+	h.server.Configure(h.front.Config)
 	h.front.Config.ErrorLog = nil
 	h.front.Start()
 	t.Cleanup(func() {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -189,12 +189,12 @@
 // accept validates the request and finds its route. It returns false if the request has
 // been refused.
 func (x *transfer) accept() bool {
-	if lengthsConflict(x.request) {
+	err := checkFraming(x.request)
+	if err != nil {
+		x.detail = err.Error()
 		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
-		x.detail = "both Content-Length and Transfer-Encoding"
 		return false
 	}
-	var err error
 	x.call, err = x.server.codec.DecodeRequest(x.request.Header)
 	if err != nil {
 		x.detail = err.Error()
