A program that returns within its retention keeps its spending

Cause: what is known of a program was kept for its retention from the wrong moment. Restored accounts and the charge for lost accounts counted from the claim, though turns granted before it still ran; a lease whose instance is unavailable counted from its grant. Restored accounts and the charge knew the default retention (60 s) only. The charge ended with the last crashed owner, though earlier ones that were cut off could still grant, and counted from the claim also if that owner ended long after it.

Change: a lease has the latest end of its turn, an account is kept from the last such end. Claims hold the longest times of turns and programs and the former owners that are not known to have ended; handovers carry these owners. The charge counts from the claim or the end of the last of them, plus the longest turn. A renewed claim waits for a write in progress, which it would fence.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -35,9 +35,13 @@
 	recorded     bool
 	pendingLimit int
 	// waiters wait for a reservation, in order of arrival.
-	waiters   []*waiter
+	waiters []*waiter
+	// retention is how long the program may return after lastEnd, the latest time at which
+	// a turn without a lease may have ended. restored indicates that the retention of
+	// earlier turns is unknown.
 	retention time.Duration
-	lastUsed  time.Time
+	lastEnd   time.Time
+	restored  bool
 	// lastTarget ran the last turn; empty if unknown.
 	lastTarget string
 }
@@ -45,6 +49,8 @@
 // lease is the reservation of one turn.
 type lease struct {
 	tokens int
+	// end is the latest time at which the turn ends.
+	end time.Time
 	// holderDown indicates that the turn's instance is unavailable: the lease counts
 	// as used unless the instance recovers and settles it.
 	holderDown bool
@@ -54,7 +60,9 @@
 type waiter struct {
 	lease     structs.LeaseID
 	maxTokens int
-	reply     func(result)
+	// end is the latest time at which the turn ends.
+	end   time.Time
+	reply func(result)
 }
 
 // newAccount creates the account of a program without a record. The slices of crashed
@@ -69,11 +77,11 @@
 
 // restoreAccount creates an account from the program's record. The owners between the
 // one that wrote the record and this one may have allocated their slices beyond its
-// limit, so these count as used.
-func restoreAccount(program string, r accountRecord, crashes int, retention time.Duration, now time.Time) *account {
+// limit, so these count as used. The program's last turn may run until lastEnd.
+func restoreAccount(program string, r accountRecord, crashes int, lastEnd time.Time) *account {
 	a := &account{
 		program: program, budget: r.Budget, maxTurn: r.MaxTurn, crashes: max(crashes, 1), recorded: true,
-		leases: make(map[structs.LeaseID]lease), retention: retention, lastUsed: now,
+		leases: make(map[structs.LeaseID]lease), lastEnd: lastEnd, restored: true,
 	}
 	past := r.Limit + unrecordedLimit(r.Budget, crashes) - unrecordedLimit(r.Budget, r.Crashes+1)
 	a.used = min(max(past, r.Limit), max(a.hardLimit(), r.Limit))
@@ -128,7 +136,7 @@
 
 // grant leases tokens to a waiter for which decide returned granted.
 func (a *account) grant(w *waiter) {
-	a.leases[w.lease] = lease{tokens: w.maxTokens}
+	a.leases[w.lease] = lease{tokens: w.maxTokens, end: w.end}
 	a.leased += w.maxTokens
 }
 
@@ -167,14 +175,16 @@
 	}
 }
 
-// chargeLeasesOf counts the leases of an unavailable instance as used.
+// chargeLeasesOf counts the leases of an unavailable instance as used. Its turns may
+// still run.
 func (a *account) chargeLeasesOf(holder structs.InstanceID) bool {
 	changed := false
 	for id, l := range a.leases {
 		if id.Holder != holder || l.holderDown {
 			continue
 		}
-		a.leases[id] = lease{tokens: l.tokens, holderDown: true}
+		a.leases[id] = lease{tokens: l.tokens, end: l.end, holderDown: true}
+		a.turnEnds(l.end)
 		a.leased -= l.tokens
 		a.used += l.tokens
 		changed = true
@@ -182,18 +192,35 @@
 	return changed
 }
 
+// turnEnds records that a turn ends at a time, at the latest.
+func (a *account) turnEnds(at time.Time) {
+	if at.After(a.lastEnd) {
+		a.lastEnd = at
+	}
+}
+
 // expired reports whether the account can be dropped: no turn is in progress and the
-// retention has passed.
-func (a *account) expired(now time.Time) bool {
-	return len(a.waiters) == 0 && a.leased == 0 && now.Sub(a.lastUsed) > a.retention
+// program can no longer return. longest is the longest retention of any program.
+func (a *account) expired(now time.Time, longest time.Duration) bool {
+	return len(a.waiters) == 0 && a.leased == 0 && now.Sub(a.lastEnd) > a.retentionWithin(longest)+deliveryMargin
+}
+
+// retentionWithin returns how long the program may return after lastEnd, given the longest
+// retention of any program.
+func (a *account) retentionWithin(longest time.Duration) time.Duration {
+	if a.restored {
+		return max(a.retention, longest)
+	}
+	return a.retention
 }
 
-// export returns the account in the form of a handover message.
-func (a *account) export(now time.Time) structs.BudgetAccount {
+// export returns the account in the form of a handover message. longest is the longest
+// retention of any program.
+func (a *account) export(now time.Time, longest time.Duration) structs.BudgetAccount {
 	out := structs.BudgetAccount{
 		Program: a.program, Budget: a.budget, MaxTurn: a.maxTurn, AfterCrash: a.crashes > 0, Crashes: a.crashes,
 		Used: a.used, Limit: a.limit, Recorded: a.recorded,
-		Retention: a.retention, Idle: now.Sub(a.lastUsed), LastTarget: a.lastTarget,
+		Retention: a.retentionWithin(longest), Idle: now.Sub(a.lastEnd), LastTarget: a.lastTarget,
 	}
 	for id, l := range a.leases {
 		if !l.holderDown {
@@ -212,16 +239,17 @@
 	return crashes
 }
 
-// importAccount creates an account from a handover message.
-func importAccount(in structs.BudgetAccount, now time.Time) *account {
+// importAccount creates an account from a handover message. Its turns in progress end
+// within longestTurn.
+func importAccount(in structs.BudgetAccount, now time.Time, longestTurn time.Duration) *account {
 	a := &account{
 		program: in.Program, budget: in.Budget, maxTurn: in.MaxTurn, crashes: reportedCrashes(in.Crashes, in.AfterCrash),
 		used: in.Used, limit: in.Limit, recorded: in.Recorded,
-		retention: in.Retention, lastUsed: now.Add(-in.Idle), lastTarget: in.LastTarget,
+		retention: in.Retention, lastEnd: now.Add(-in.Idle), lastTarget: in.LastTarget,
 		leases: make(map[structs.LeaseID]lease, len(in.Leases)),
 	}
 	for _, l := range in.Leases {
-		a.leases[l.ID] = lease{tokens: l.Tokens}
+		a.leases[l.ID] = lease{tokens: l.Tokens, end: now.Add(longestTurn)}
 		a.leased += l.Tokens
 	}
 	return a
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -14,7 +14,7 @@
 // accountAfterCrash returns the account at the next owner after a crash.
 func accountAfterCrash(a *account) *account {
 	if a.recorded {
-		return restoreAccount(a.program, accountRecord{Budget: a.budget, MaxTurn: a.maxTurn, Limit: a.limit, Crashes: a.crashes}, a.crashes+1, time.Minute, time.Time{})
+		return restoreAccount(a.program, accountRecord{Budget: a.budget, MaxTurn: a.maxTurn, Limit: a.limit, Crashes: a.crashes}, a.crashes+1, time.Time{})
 	}
 	return newAccount(a.program, a.budget, a.maxTurn, a.crashes+1)
 }
@@ -103,7 +103,7 @@
 		}
 		maxTurn := 1 + step/6%largest
 		if r, ok := recorded[true]; a == nil && ok {
-			a = restoreAccount("p", r, crashes, time.Minute, time.Time{})
+			a = restoreAccount("p", r, crashes, time.Time{})
 		} else if a == nil {
 			a = newAccount("p", budget, maxTurn, crashes)
 		}
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,9 +25,6 @@
 	// claimBackoff is the pause after a failed claim: each claim costs calls to the
 	// store.
 	claimBackoff = 400 * time.Millisecond
-	// defaultRetention is how long restored accounts are kept without a turn. A later
-	// turn sets the retention of its route.
-	defaultRetention = 60 * time.Second
 	// maxFirstSequence bounds the random first sequence number of an epoch. It is
 	// random so that the store does not take another claim under the same epoch for a
 	// retry of this one.
@@ -125,6 +123,7 @@
 	clean := m.hasAccountsOf(p, state.owner)
 	crashes := m.crashesBefore(p, state.owner, clean)
 	claim.Crashes = &crashes
+	m.describeClaim(&claim, p, state.owner, clean)
 	sequence := rand.Int64N(maxFirstSequence)
 	err = m.appendClaim(p, claim, sequence, state.end)
 	if err != nil {
@@ -259,8 +258,9 @@
 	if !clean {
 		p.own = newOwnership(claim.Epoch)
 		p.own.crashes = claim.crashes()
-		m.restoreAccounts(p.own, state)
+		m.restoreAccounts(p.own, claim, state)
 	}
+	p.own.lifetimes = claim.lifetimes()
 	p.own.epoch, p.own.claimed, p.own.sequence = claim.Epoch, true, sequence
 	p.servedEpoch = claim.Epoch
 	p.own.writeFailing = false
@@ -277,13 +277,35 @@
 	return nil
 }
 
+// describeClaim sets what a later owner has to know: the owners that may still grant
+// tokens, and for how long programs may return.
+func (m *Manager) describeClaim(claim *ownerRecord, p *partition, previous *ownerRecord, clean bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lifetimes = m.lifetimes.merge(previous.lifetimes())
+	claim.TurnMS, claim.RetentionMS = m.lifetimes.Turn.Milliseconds(), m.lifetimes.Retention.Milliseconds()
+	var lost crash
+	switch {
+	case clean && p.own != nil && p.own.crash != nil:
+		lost.owners = slices.Clone(p.own.crash.owners)
+	case !clean && previous != nil:
+		lost.owners = slices.Clone(previous.CrashedOwners)
+		lost.add(previous.Owner)
+	}
+	claim.CrashedOwners = slices.DeleteFunc(lost.owners, func(id structs.InstanceID) bool {
+		// This instance has dropped the accounts of its earlier claims.
+		return id == m.self.ID || m.directory.Ended(id)
+	})
+}
+
 // restoreAccounts creates accounts from the records of the previous owner. Accounts
-// without a record are lost.
-func (m *Manager) restoreAccounts(own *ownership, state partitionState) {
+// without a record are lost. The mutex is held.
+func (m *Manager) restoreAccounts(own *ownership, claim ownerRecord, state partitionState) {
+	now := time.Now()
 	for program, record := range state.programs {
-		own.accounts[program] = restoreAccount(program, record, own.crashes, defaultRetention, time.Now())
+		own.accounts[program] = restoreAccount(program, record, own.crashes, now.Add(m.lifetimes.Turn))
 	}
 	if state.owner != nil {
-		own.crash = &crash{owner: state.owner.Owner, at: time.Now()}
+		own.crash = &crash{last: state.owner.Owner, owners: slices.Clone(claim.CrashedOwners), lastGrant: now}
 	}
 }
--- a/internal/budget/cluster_test.go
+++ b/internal/budget/cluster_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -27,6 +28,8 @@
 	instancesLoaded func() bool
 
 	mu sync.Mutex
+	// lifetimes are those of the routes in force.
+	lifetimes Lifetimes
 	// delivered is the number of tokens that callers received, by program.
 	delivered map[string]int
 }
@@ -88,11 +91,25 @@
 		Directory: sim.Directory, Partitions: testPartitions, Store: sim.Store(), Peers: sim, TargetFailures: &n.failures, Loads: &n.failures,
 		Health: sim, InstancesLoaded: c.instancesLoaded, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
+	n.manager.ExtendLifetimes(c.currentLifetimes())
 	c.nodes.Put(sim, n)
 	c.Background.Go(func() { n.manager.Run(ctx) })
 	return n.manager.Receive
 }
 
+func (c *cluster) currentLifetimes() Lifetimes {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lifetimes
+}
+
+// setLifetimes sets the lifetimes of instances that start from now on.
+func (c *cluster) setLifetimes(lifetimes Lifetimes) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lifetimes = lifetimes
+}
+
 // restartAll kills all instances at once and starts them again.
 func (c *cluster) restartAll() {
 	nodes := c.all()
@@ -111,7 +128,11 @@
 func (c *cluster) turn(n *node, program string, budget, maxTurn, used int, duration time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	lease, err := n.manager.Reserve(ctx, serve.Turn{Program: program, Budget: budget, MaxTokens: maxTurn, Retention: time.Minute})
+	lifetimes := c.currentLifetimes()
+	lease, err := n.manager.Reserve(ctx, serve.Turn{
+		Program: program, Budget: budget, MaxTokens: maxTurn,
+		Retention: cmp.Or(lifetimes.Retention, time.Minute), TimeLeft: lifetimes.Turn,
+	})
 	if err != nil {
 		return err
 	}
@@ -119,7 +140,10 @@
 	c.mu.Lock()
 	c.delivered[program] += used
 	c.mu.Unlock()
-	lease.Settle(serve.TurnResult{UsedTokens: used})
+	if n.manager.ctx.Err() == nil {
+		// An instance that was killed meanwhile settles nothing.
+		lease.Settle(serve.TurnResult{UsedTokens: used})
+	}
 	return nil
 }
 
--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -38,7 +38,8 @@
 // holds the number of crashes, so a series of crashes allocates decreasing slices
 // whose sum stays within the budget. After the last slice each turn that does not fit
 // the limit needs a record. The charged total of a program may reach the budget plus
-// one turn; the tokens it generated never exceed that. The charge ends once the former
-// owner is known to have ended and no program that it knew can return. The partition
-// is then claimed anew, with all slices.
+// one turn; the tokens it generated never exceed that. The charge ends once all former
+// owners are known to have ended and no program that they knew can return. The claim
+// holds these owners and the longest times of turns and programs. The partition is then
+// claimed anew, with all slices.
 package budget
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -142,10 +142,10 @@
 		Number: m.nextNumber(), Partition: p.number, Epoch: p.own.epoch, Crashes: p.own.crashes,
 	}
 	if c := p.own.crash; c != nil {
-		message.CrashedOwner, message.SinceCrash = c.owner, now.Sub(c.at)
+		message.CrashedOwner, message.CrashedOwners, message.SinceCrash = c.last, c.owners, now.Sub(c.lastGrant)
 	}
 	for _, a := range p.own.accounts {
-		message.Accounts = append(message.Accounts, a.export(now))
+		message.Accounts = append(message.Accounts, a.export(now, m.lifetimes.Retention))
 	}
 	return message
 }
@@ -235,10 +235,15 @@
 	p.own = newOwnership(msg.Epoch)
 	p.own.crashes = reportedCrashes(msg.Crashes, msg.CrashedOwner != "")
 	if msg.CrashedOwner != "" {
-		p.own.crash = &crash{owner: msg.CrashedOwner, at: now.Add(-msg.SinceCrash)}
+		p.own.crash = &crash{
+			last: msg.CrashedOwner, owners: slices.Clone(msg.CrashedOwners), lastGrant: now.Add(-msg.SinceCrash),
+		}
+		if !m.directory.Ended(msg.CrashedOwner) {
+			p.own.crash.add(msg.CrashedOwner)
+		}
 	}
 	for _, a := range msg.Accounts {
-		p.own.accounts[a.Program] = importAccount(a, now)
+		p.own.accounts[a.Program] = importAccount(a, now, m.lifetimes.Turn)
 	}
 	m.setOwner(p, m.self.ID, msg.Epoch)
 	m.log.Info("partition taken over", "partition", p.number, "epoch", msg.Epoch, "from", from,
--- a/internal/budget/handover_test.go
+++ b/internal/budget/handover_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -77,7 +78,7 @@
 		if own == nil || !own.claimed {
 			t.Fatal("the successor did not claim the partition")
 		}
-		if own.crash == nil || own.crash.owner != third.ID {
+		if own.crash == nil || own.crash.last != third.ID || !slices.Contains(own.crash.owners, third.ID) {
 			t.Errorf("claimed with epoch %d, crash %+v, want a crash of %s", own.epoch, own.crash, third.ID)
 		}
 	})
--- a/internal/budget/manager.go
+++ b/internal/budget/manager.go
@@ -86,6 +86,7 @@
 	pending    map[structs.LeaseID]*pendingRequest
 	handovers  map[uint64]chan bool
 	lastNumber uint64
+	lifetimes  Lifetimes
 	// watchVersion is the version of the directory when the watched instances were
 	// last computed.
 	watchVersion uint64
@@ -144,6 +145,7 @@
 		pending:   make(map[structs.LeaseID]*pendingRequest),
 		handovers: make(map[uint64]chan bool),
 		probes:    make(map[structs.InstanceID][]chan struct{}),
+		lifetimes: defaultLifetimes,
 	}
 	for i := range config.Partitions {
 		m.partitions = append(m.partitions, &partition{number: i})
@@ -263,6 +265,9 @@
 	m.rewatchIfChanged()
 	known := m.instancesKnown()
 	for _, p := range m.partitions {
+		if p.own != nil {
+			m.extendClaim(p)
+		}
 		handed := p.own != nil && !p.own.claimed
 		vacant := known && p.own == nil && !m.ownerUsable(p) && m.preferredOwner(p) == m.self.ID
 		if handed || vacant {
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -15,6 +15,8 @@
 	claimed bool
 	// sequence numbers the appends of this instance under its epoch.
 	sequence int64
+	// lifetimes are those in the claim.
+	lifetimes Lifetimes
 	// crash is set while programs that a crashed owner knew may still return.
 	crash *crash
 	// crashes is how many earlier owners may have allocated their slice, as recorded
@@ -28,6 +30,10 @@
 	writeFailing bool
 }
 
+// mayReclaim reports whether the partition may be claimed anew, which fences the writes in
+// progress.
+func (o *ownership) mayReclaim() bool { return o.claimed && !o.writing }
+
 // initialCrashes is the crash count of a program without an account.
 func (o *ownership) initialCrashes() int {
 	if o.crash == nil {
@@ -36,13 +42,6 @@
 	return o.crashes
 }
 
-// crash describes the crash of an owner, which lost a partition's accounts.
-type crash struct {
-	// owner held the accounts.
-	owner structs.InstanceID
-	at    time.Time
-}
-
 func newOwnership(epoch int64) *ownership {
 	return &ownership{
 		epoch:    epoch,
@@ -58,10 +57,15 @@
 		a = newAccount(r.Program, r.Budget, r.MaxTokens, p.own.initialCrashes())
 		p.own.accounts[r.Program] = a
 	}
-	a.lastUsed = time.Now()
+	now := time.Now()
+	turnTime := m.lifetimes.Turn
+	if r.TimeLeft > 0 {
+		turnTime = r.TimeLeft
+	}
+	a.turnEnds(now)
 	a.maxTurn = max(a.maxTurn, r.MaxTokens)
 	a.retention = max(a.retention, r.Retention)
-	a.waiters = append(a.waiters, &waiter{lease: r.Lease, maxTokens: r.MaxTokens, reply: reply})
+	a.waiters = append(a.waiters, &waiter{lease: r.Lease, maxTokens: r.MaxTokens, end: now.Add(turnTime), reply: reply})
 	m.serveWaiters(p, a)
 }
 
@@ -139,7 +143,7 @@
 	if !ok || !a.settle(msg.Lease, msg.Used) {
 		return
 	}
-	a.lastUsed = time.Now()
+	a.turnEnds(time.Now())
 	a.updateTarget(msg.Target, msg.Failed)
 	m.serveWaiters(p, a)
 }
@@ -158,7 +162,7 @@
 func (m *Manager) sweepAccounts(p *partition, now time.Time) {
 	m.expireCrash(p, now)
 	for name, a := range p.own.accounts {
-		if a.expired(now) && !p.own.dirty[a] {
+		if a.expired(now, m.lifetimes.Retention) && !p.own.dirty[a] {
 			delete(p.own.accounts, name)
 		}
 	}
@@ -169,7 +173,7 @@
 // left that may have used the slice of a crashed owner. Otherwise the slices would run
 // out for good. The mutex is held.
 func (m *Manager) resetCrashes(p *partition) {
-	if p.own.crash != nil || p.own.crashes == 0 || !p.own.claimed {
+	if p.own.crash != nil || p.own.crashes == 0 || !p.own.mayReclaim() {
 		return
 	}
 	for _, a := range p.own.accounts {
@@ -181,27 +185,28 @@
 	m.startClaim(p)
 }
 
-// expireCrash ends the charge for a crash once no program of the lost accounts can
-// return and their owner is known to have ended: until then it might still allocate
-// tokens without a record. The mutex is held.
+// expireCrash ends the charge for crashes once no program of the lost accounts can return
+// and their owners are known to have ended. The mutex is held.
 func (m *Manager) expireCrash(p *partition, now time.Time) {
 	c := p.own.crash
-	if c == nil || !m.directory.Ended(c.owner) {
+	if c == nil {
 		return
 	}
-	if now.Sub(c.at) > longestRetention(p.own.accounts) {
+	c.removeEnded(m.directory.Ended, now)
+	if c.expired(now, m.lifetimes) {
 		p.own.crash = nil
-		m.log.Info("charge for lost accounts ended", "partition", p.number, "epoch", p.own.epoch, "owner", c.owner)
+		m.log.Info("charge for lost accounts ended", "partition", p.number, "epoch", p.own.epoch)
 	}
 }
 
-// longestRetention is the longest time after which a program may return.
-func longestRetention(accounts map[string]*account) time.Duration {
-	longest := defaultRetention
-	for _, a := range accounts {
-		longest = max(longest, a.retention)
+// extendClaim claims the partition anew if a later owner would not know how long programs
+// may return. The mutex is held.
+func (m *Manager) extendClaim(p *partition) {
+	if !p.own.mayReclaim() || p.own.lifetimes.merge(m.lifetimes) == p.own.lifetimes {
+		return
 	}
-	return longest
+	p.own.claimed = false
+	m.startClaim(p)
 }
 
 // dropOwnership ends this instance's ownership. The mutex is held.
--- a/internal/budget/record.go
+++ b/internal/budget/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +29,21 @@
 	// Crashes is how many earlier owners may have allocated their slice of budgets
 	// without a record; nil in records of versions without slices.
 	Crashes *int `json:"losses,omitempty"`
+	// CrashedOwners are the earlier owners that were not known to have ended.
+	CrashedOwners []structs.InstanceID `json:"lost_owners,omitempty"`
+	// TurnMS and RetentionMS are the lifetimes known to the owner, in milliseconds.
+	TurnMS      int64 `json:"turn_ms,omitempty"`
+	RetentionMS int64 `json:"retention_ms,omitempty"`
+}
+
+// lifetimes returns the lifetimes that the owner knew. It may be nil.
+func (r *ownerRecord) lifetimes() Lifetimes {
+	if r == nil {
+		return Lifetimes{}
+	}
+	return Lifetimes{
+		Turn: time.Duration(r.TurnMS) * time.Millisecond, Retention: time.Duration(r.RetentionMS) * time.Millisecond,
+	}
 }
 
 // defaultCrashes is the crash count of a claim without one. Versions without slices
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -91,6 +91,7 @@
 	p := m.partitionOf(turn.Program)
 	request := structs.ReservationRequest{
 		Partition: p.number, Program: turn.Program, Budget: turn.Budget, MaxTokens: turn.MaxTokens, Retention: turn.Retention,
+		TimeLeft: turn.TimeLeft,
 	}
 	search := ownerSearch{manager: m, partition: p}
 	started := time.Now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -249,12 +249,25 @@
 		return
 	}
 	e.server.SetTable(route.NewTable(settings))
+	e.budgets.ExtendLifetimes(lifetimesOf(settings.Routes))
 	e.storesTurns.Store(slices.ContainsFunc(settings.Routes, func(r *route.Route) bool { return r.StoresTurns }))
 	e.allowances.SetActive(settings.Organisations.Limited())
 	e.log.Info("settings in force", "settings_version", settings.Version, "offset", r.Offset,
 		"routes", len(settings.Routes), "organisations", settings.Organisations.Len())
 }
 
+// lifetimesOf returns the longest times of the routes' turns and programs.
+func lifetimesOf(routes []*route.Route) budget.Lifetimes {
+	var longest budget.Lifetimes
+	for _, r := range routes {
+		if r.Kind == route.Stream {
+			longest.Turn = max(longest.Turn, r.Timeout)
+			longest.Retention = max(longest.Retention, r.Retention)
+		}
+	}
+	return longest
+}
+
 // run serves until the context ends, then drains.
 func (e *edge) run(ctx, background context.Context, cancel context.CancelFunc, started time.Time) error {
 	servers, err := e.listen(background)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -33,6 +33,8 @@
 	MaxTokens int
 	// Retention is how long the program's state is retained after its last turn.
 	Retention time.Duration
+	// TimeLeft is the time within which the turn ends.
+	TimeLeft time.Duration
 }
 
 // Lease is a reservation in a program's budget.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -253,6 +253,7 @@
 	maxTokens := (x.call.Turn.MaxTokens + perEvent - 1) / perEvent * perEvent
 	lease, err := x.server.budgets.Reserve(x.ctx, Turn{
 		Program: x.scoped(x.call.Program), Budget: x.call.Turn.Budget, MaxTokens: maxTokens, Retention: x.route.Retention,
+		TimeLeft: time.Until(x.deadline),
 	})
 	switch {
 	case errors.Is(err, ErrBudgetSpent):
--- a/internal/structs/reservation.go
+++ b/internal/structs/reservation.go
@@ -56,6 +56,8 @@
 	Redirected bool
 	// Loads are the latest load reports that targets sent to the sender.
 	Loads []TargetReport
+	// TimeLeft is the time in which the turn ends, 0 if unknown.
+	TimeLeft time.Duration
 }
 
 // ReservationReply replies to a ReservationRequest.
@@ -110,8 +112,8 @@
 	Number    uint64
 	Partition int
 	Epoch     int64
-	// CrashedOwner is the owner that ended without a handover, empty if none did, and
-	// SinceCrash the time since then.
+	// CrashedOwner is the last owner that lost the partition without a handover, empty if
+	// none did, and SinceCrash the time since such an owner may last have reserved tokens.
 	CrashedOwner InstanceID
 	SinceCrash   time.Duration
 	Accounts     []BudgetAccount
@@ -121,6 +123,9 @@
 	// Crashes is the number of owners whose accounts were lost in a crash. Each may
 	// have reserved a slice of any program's budget.
 	Crashes int
+	// CrashedOwners are all owners that lost the partition without a handover and are not
+	// known to have ended.
+	CrashedOwners []InstanceID
 }
 
 // BudgetAccount is the owner's record of one program's budget, in tokens.
@@ -137,7 +142,8 @@
 	// Recorded indicates that the store holds a record of the program.
 	Recorded  bool
 	Retention time.Duration
-	// Idle is the time since the program's last turn.
+	// Idle is the time since the end of the program's last turn. It is negative if a turn
+	// may still run.
 	Idle   time.Duration
 	Leases []Lease
 	// LastTarget is the target that ran the program's last turn, empty if unknown.
