A repeated refusal is not taken for the answer to the next request

Cause: refusals may come without an id. On a connection that had carried such a refusal, its copy stands where the next response is due, and was taken for the refusal of that request, which the target ran.

Ruled out: copies of answers with an id; accept skips them.

Change: a refusal without an id ends its connection. Weighed and left: to keep it for repeatable requests only (two kinds of idle connections).

--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -169,7 +169,7 @@
 		x.server.targets.RecordLoad(target, *meta.Load, time.Now())
 	}
 	if meta.NotRun {
-		return x.handleRefusal(target, resp)
+		return x.handleRefusal(target, resp, meta)
 	}
 	return x.deliver(target, resp, meta)
 }
@@ -338,10 +338,8 @@
 
 // handleRefusal handles a target that refused to run the request. It reports whether
 // another send may follow.
-func (x *transfer) handleRefusal(target *targets.Target, resp *exchange.Response) bool {
-	if err := resp.Discard(); err != nil {
-		x.detail = err.Error()
-	}
+func (x *transfer) handleRefusal(target *targets.Target, resp *exchange.Response, meta call.Response) bool {
+	x.endRefusal(resp, meta)
 	x.markRunHarmless(target)
 	x.excluded = append(x.excluded, target.Incarnation())
 	x.refusals++
@@ -355,3 +353,16 @@
 	x.giveUp(reasonTargetsFull)
 	return false
 }
+
+// endRefusal reads the rest of a refusal, so that its connection can be reused. One without
+// an id ends its connection: a faulty target may send it again where the response to the
+// next request is due, and nothing would tell it from a refusal of that request.
+func (x *transfer) endRefusal(resp *exchange.Response, meta call.Response) {
+	if meta.RequestID == "" {
+		resp.Close(0)
+		return
+	}
+	if err := resp.Discard(); err != nil {
+		x.detail = err.Error()
+	}
+}
