Requests that a target completed recently are not taken for the cause of crashes

Cause: attempts are one request if they ask for the same, so that the lookups of a page share their lost runs. Three crashed targets under one page look like a request that ends targets; it was refused for good and never sent again, so that no completed run could clear it.

Ruled out: targets that are taken for ended wrongly; all three had crashed.

Change: an instance remembers for the lifetime of the work which requests outside programs a target completed. Their lost runs do not count; suspicions of other instances are ended. Requests of programs are as before.

The tests of requests that end targets pass.

--- a/internal/serve/lostrun.go
+++ b/internal/serve/lostrun.go
@@ -53,6 +53,10 @@
 	if suspicion(x.lostRuns) < maxEndedTargets {
 		return true
 	}
+	if x.isCompletedWork() {
+		x.endSuspicion()
+		return true
+	}
 	x.resolveOpenRuns()
 	ended := x.lostRuns.Targets(structs.LostRunTargetEnded)
 	switch {
@@ -152,6 +156,13 @@
 		x.markRunHarmless(target)
 		return
 	}
+	if x.isCompletedWork() {
+		x.markRunHarmless(target)
+		if state == structs.LostRunTargetEnded {
+			x.excludeUnreachable(target)
+		}
+		return
+	}
 	x.setLostRuns(structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: state})
 	if state == structs.LostRunTargetEnded {
 		x.excludeUnreachable(target)
@@ -161,7 +172,7 @@
 // leaveRun waits until the target has noticed that the caller left. The caller of a target
 // that has gone silent may be trying elsewhere already, so that others are told before.
 func (x *transfer) leaveRun(target *targets.Target) {
-	if time.Since(x.heardAt) >= silentTime {
+	if time.Since(x.heardAt) >= silentTime && !x.isCompletedWork() {
 		x.setLostRuns(structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunOpen})
 		x.server.lostRuns.Exchange(x.work, x.lostRuns).Cancel()
 	}
@@ -200,11 +211,23 @@
 	return structs.LostRunTargetEnded
 }
 
-// finishWork records that a target completed the request, if runs were lost before.
+// finishWork records that a target completed the request.
 func (x *transfer) finishWork() {
-	if suspicion(x.lostRuns) == 0 {
-		return
+	if x.call.Program == "" {
+		// The work of a program is its own.
+		x.server.completed.record(x.work, time.Now())
+	}
+	if suspicion(x.lostRuns) > 0 {
+		x.endSuspicion()
 	}
+}
+
+// isCompletedWork reports whether a target completed the same work recently, for this
+// caller or another one.
+func (x *transfer) isCompletedWork() bool { return x.server.completed.contains(x.work, time.Now()) }
+
+// endSuspicion tells other instances that the request does not end targets.
+func (x *transfer) endSuspicion() {
 	x.lostRuns, x.unsharedRuns = x.lostRuns.Finish(), false
 	// The response does not wait for the replies.
 	x.server.lostRuns.Exchange(x.work, x.lostRuns).Cancel()
--- a/internal/serve/lostrun_test.go
+++ b/internal/serve/lostrun_test.go
@@ -236,3 +236,40 @@
 		t.Errorf("others were told of states %v", states)
 	}
 }
+
+// Guards against refusing all requests for one page after targets that ran some of them
+// crashed for another reason.
+func TestPopularRequestsAreServedAfterTargetsCrash(t *testing.T) {
+	h := newHarness(t)
+	h.lostRuns.initial = structs.LostRuns{
+		{ID: "1", Target: "x~1", State: structs.LostRunTargetEnded}, {ID: "2", Target: "x~2", State: structs.LostRunTargetEnded},
+	}
+	var crashed atomic.Bool
+	for n := range maxEndedTargets {
+		var tg *target
+		tg = h.target(fmt.Sprint("t", n), "app", func(n int, rw http.ResponseWriter, r *http.Request) {
+			if !crashed.Load() {
+				serveText("ok")(n, rw, r)
+				return
+			}
+			_ = tg.server.Listener.Close()
+			cutConnection(n, rw, r)
+		})
+	}
+	lookup := func(id string) result {
+		return h.do(h.request("GET", "/safe/page", "", "Banyanglade-Request-Id", id))
+	}
+	if got := lookup("before"); got.status != http.StatusOK {
+		t.Fatalf("got %+v", got)
+	}
+	crashed.Store(true)
+	for n := range 4 {
+		_ = lookup(fmt.Sprint("lost", n)) // no target is left
+	}
+	h.target("sound", "app", serveText("ok"))
+	for n := range 4 {
+		if got := lookup(fmt.Sprint("after", n)); got.status != http.StatusOK {
+			t.Errorf("lookup %d got %+v", n, got)
+		}
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -241,6 +241,7 @@
 	admission       Admission
 	log             *slog.Logger
 	metrics         metrics
+	completed       completedWorks
 	// connFailureThreshold is the time within which the end of a connection indicates
 	// that its target is down. It is a field for tests.
 	connFailureThreshold time.Duration
