A broken request is not sent again to a draining target

Cause: a request that may have run goes on at the target that ran it last, which was taken by its incarnation without a look at its state.

Ruled out: an old list at the instance.

Change: PickIncarnation returns no draining target. Where the route allows one more target, the request goes on there, else the response ends incomplete and the caller resumes it.

--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -113,8 +113,8 @@
 	return x.call.Turn.PromptTokens
 }
 
-// pickSame returns the target that ran the request last, unless it is excluded or has
-// another software version by now.
+// pickSame returns the target that ran the request last, unless it is excluded, drains or
+// has another software version by now.
 func (x *transfer) pickSame() *targets.Target {
 	last := x.ran[len(x.ran)-1]
 	if slices.Contains(x.excluded, last) {
--- a/internal/serve/send_test.go
+++ b/internal/serve/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -308,3 +309,32 @@
 		}
 	}
 }
+
+// Guards against sending a broken request again to its target after that has begun to
+// drain: it goes on at another target where the route allows one more, else it ends.
+func TestBrokenRequestIsNotResentToADrainingTarget(t *testing.T) {
+	for path, want := range map[string]struct {
+		service  string
+		complete bool
+	}{"/turns/": {"engine", false}, "/safe/": {"app", true}} {
+		h := newHarness(t)
+		var first *target
+		first = h.target("a", want.service, func(n int, rw http.ResponseWriter, r *http.Request) {
+			h.targets.Put(targets.Entry{
+				ID: "a", Service: want.service, Address: first.server.Listener.Addr().String(), DataCentre: "dc", Slots: 4, Draining: true,
+			})
+			h.target("b", want.service, serveText("ok"))
+			if want.service == "engine" {
+				serveEvents(4, func(int) int { return 2 })(n, rw, r)
+			}
+			sign(rw)
+			rw.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(rw, "cut")
+			panic(http.ErrAbortHandler)
+		})
+		got := h.do(h.request("POST", path, "b"))
+		if (got.err == nil) != want.complete || first.count() != 1 {
+			t.Errorf("%s: got %+v after %d runs at the draining target", path, got, first.count())
+		}
+	}
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -95,15 +95,16 @@
 }
 
 // PickIncarnation counts a request at the target with the given incarnation; the
-// caller must call End. It returns nil if the incarnation is not registered.
+// caller must call End. It returns nil if the incarnation is not registered or drains.
 func (r *Registry) PickIncarnation(incarnation string) *Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.byIncarnation[incarnation]
-	if t != nil {
-		t.inFlight++
-		r.serviceByName(t.Service).markUsed(t)
+	if t == nil || t.Draining {
+		return nil
 	}
+	t.inFlight++
+	r.serviceByName(t.Service).markUsed(t)
 	return t
 }
 
