budget: no claim is renewed while the instance shuts down

Found in the read of the diff: resetCrashes and extendClaim cleared claimed while startClaim does nothing on an instance that leaves, so that turns would wait for a record. A handover message no longer shares the list of crashed owners with the ownership. No test; the window is that between SIGTERM and the handover.

--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -142,7 +142,8 @@
 		Number: m.nextNumber(), Partition: p.number, Epoch: p.own.epoch, Crashes: p.own.crashes,
 	}
 	if c := p.own.crash; c != nil {
-		message.CrashedOwner, message.CrashedOwners, message.SinceCrash = c.last, c.owners, now.Sub(c.lastGrant)
+		message.CrashedOwner, message.CrashedOwners = c.last, slices.Clone(c.owners)
+		message.SinceCrash = now.Sub(c.lastGrant)
 	}
 	for _, a := range p.own.accounts {
 		message.Accounts = append(message.Accounts, a.export(now, m.lifetimes.Retention))
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -30,10 +30,6 @@
 	writeFailing bool
 }
 
-// mayReclaim reports whether the partition may be claimed anew, which fences the writes in
-// progress.
-func (o *ownership) mayReclaim() bool { return o.claimed && !o.writing }
-
 // initialCrashes is the crash count of a program without an account.
 func (o *ownership) initialCrashes() int {
 	if o.crash == nil {
@@ -173,7 +169,7 @@
 // left that may have used the slice of a crashed owner. Otherwise the slices would run
 // out for good. The mutex is held.
 func (m *Manager) resetCrashes(p *partition) {
-	if p.own.crash != nil || p.own.crashes == 0 || !p.own.mayReclaim() {
+	if p.own.crash != nil || p.own.crashes == 0 || !m.mayReclaim(p) {
 		return
 	}
 	for _, a := range p.own.accounts {
@@ -185,6 +181,12 @@
 	m.startClaim(p)
 }
 
+// mayReclaim reports whether an owned partition may be claimed anew now, which would fence
+// a write in progress. The mutex is held.
+func (m *Manager) mayReclaim(p *partition) bool {
+	return p.own.claimed && !p.own.writing && !m.leaving.Load()
+}
+
 // expireCrash ends the charge for crashes once no program of the lost accounts can return
 // and their owners are known to have ended. The mutex is held.
 func (m *Manager) expireCrash(p *partition, now time.Time) {
@@ -202,7 +204,7 @@
 // extendClaim claims the partition anew if a later owner would not know how long programs
 // may return. The mutex is held.
 func (m *Manager) extendClaim(p *partition) {
-	if !p.own.mayReclaim() || p.own.lifetimes.merge(m.lifetimes) == p.own.lifetimes {
+	if !m.mayReclaim(p) || p.own.lifetimes.merge(m.lifetimes) == p.own.lifetimes {
 		return
 	}
 	p.own.claimed = false
--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -20,7 +20,7 @@
 )
 
 // errTooLong indicates that a target sent more bytes than a response may have.
-var errTooLong = errors.New("the target sent bytes without end")
+var errTooLong = errors.New("the target sent more bytes than a response may have")
 
 // boundedConn is a connection that can limit what is read of it.
 type boundedConn struct {
