--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		a.leases[id] = lease{tokens: l.tokens, end: l.end, holderDown: true}
-		a.turnEnds(l.end)
+		a.recordTurnEnd(l.end)
 		a.leased -= l.tokens
 		a.used += l.tokens
 		changed = true
@@ -192,8 +192,8 @@
 	return changed
 }
 
-// turnEnds records that a turn ends at a time, at the latest.
-func (a *account) turnEnds(at time.Time) {
+// recordTurnEnd records the latest time at which a turn ends.
+func (a *account) recordTurnEnd(at time.Time) {
 	if at.After(a.lastEnd) {
 		a.lastEnd = at
 	}
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -58,7 +58,7 @@
 	if r.TimeLeft > 0 {
 		turnTime = r.TimeLeft
 	}
-	a.turnEnds(now)
+	a.recordTurnEnd(now)
 	a.maxTurn = max(a.maxTurn, r.MaxTokens)
 	a.retention = max(a.retention, r.Retention)
 	a.waiters = append(a.waiters, &waiter{lease: r.Lease, maxTokens: r.MaxTokens, end: now.Add(turnTime), reply: reply})
@@ -139,7 +139,7 @@
 	if !ok || !a.settle(msg.Lease, msg.Used) {
 		return
 	}
-	a.turnEnds(time.Now())
+	a.recordTurnEnd(time.Now())
 	a.updateTarget(msg.Target, msg.Failed)
 	m.serveWaiters(p, a)
 }
--- a/internal/serve/callerconn.go
+++ b/internal/serve/callerconn.go
@@ -71,9 +71,9 @@
 	return io.EOF
 }
 
-// next counts a request that reached the handler and returns why it must be refused,
+// checkRequest counts a request that reached the handler and returns why it must be refused,
 // nil if it need not be. Requests on one connection are handled one after the other.
-func (c *callerConn) next() error {
+func (c *callerConn) checkRequest() error {
 	number := c.requests.Add(1)
 	rejected := c.rejected.Load()
 	if rejected == nil || number < rejected.number {
@@ -120,5 +120,5 @@
 	if !ok {
 		return nil
 	}
-	return c.next()
+	return c.checkRequest()
 }
