--- a/review/rig/grace/main.go
+++ b/review/rig/grace/main.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.NewNodes(3); err != nil {
+	if err := r.NewNodes(3, 1); err != nil {
 		return err
 	}
 	for _, n := range r.Nodes() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -27,6 +27,8 @@
 // Rig is one run of a case.
 type Rig struct {
 	Store *metastore.Service
+	// Bounds are the bounds in the settings, those of SmallBounds if nil.
+	Bounds map[string]any
 
 	dir     string
 	started time.Time
@@ -80,9 +82,15 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that no process listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// machineIP returns the loopback address of a machine. Outgoing connections do not use it,
+// so that its free ports stay free.
+func machineIP(number int) string {
+	return fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, number+1)
+}
+
+// freeAddress returns an address of a machine that no process listens on.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
@@ -96,6 +104,8 @@
 // Node is one machine with its process.
 type Node struct {
 	Name   string
+	Zone   string
+	IP     string
 	Caller string
 	Ready  string
 	Peer   string
@@ -107,14 +117,19 @@
 	done chan struct{}
 }
 
-// NewNodes creates machines; the first three are the seeds.
-func (r *Rig) NewNodes(count int) error {
+// Zones are the zones of a case.
+var Zones = []string{"duluth-hall", "erie-hall", "huron-hall"}
+
+// NewNodes creates a number of machines in each of the first zones. The first machines of
+// the zones are the seeds.
+func (r *Rig) NewNodes(zones, perZone int) error {
 	var seeds []string
-	for i := range count {
-		n := &Node{Name: fmt.Sprintf("edge-a-%d", i+1), rig: r}
+	for i := range zones * perZone {
+		zone := Zones[i%zones]
+		n := &Node{Name: fmt.Sprintf("edge-%s-%d", zone, i/zones+1), Zone: zone, IP: machineIP(i), rig: r}
 		for _, address := range []*string{&n.Caller, &n.Ready, &n.Peer} {
 			var err error
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = freeAddress(n.IP); err != nil {
 				return err
 			}
 		}
@@ -134,21 +149,32 @@
 // Nodes returns the machines.
 func (r *Rig) Nodes() []*Node { return r.nodes }
 
+// SmallBounds are the bounds of the pages' example.
+var SmallBounds = map[string]any{
+	"SeedLagS": 3, "ReuseAfterS": 2, "StableWindowMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000,
+	"GraceS": GraceS, "LossSlackMs": 200, "ConfigMs": 2000, "RollbackSlackMs": 250, "MaxSkewMs": 5000,
+	"RecoverS": 12, "PassMs": 120, "AgainS": 0, "FinishS": 10, "SettleMs": 1000,
+}
+
 func (n *Node) writeSettings(seeds []string) error {
+	bounds := n.rig.Bounds
+	if bounds == nil {
+		bounds = SmallBounds
+	}
+	zones := make(map[string]string)
+	for _, zone := range Zones {
+		zones[zone] = "great-lakes"
+	}
 	settings := map[string]any{
 		"Node": n.Name, "Role": "banyanglade", "MachineClass": "edge", "Serves": []string{"edge", "control_plane"},
-		"Ip": "127.0.0.1", "Zone": "hall", "Region": "great-lakes", "Zones": map[string]string{"hall": "great-lakes"},
+		"Ip": n.IP, "Zone": n.Zone, "Region": "great-lakes", "Zones": zones,
 		"Listen":        map[string]string{"Frontend": n.Caller, "Ready": n.Ready, "Control": n.Peer},
 		"InternalPorts": []int{7380, 7395}, "Seeds": seeds, "Bootstrap": true, "LossCounts": false,
 		"Limits":  map[string]any{"CpuShare": 0.8, "Cores": 1, "MemoryMb": 144, "MaxFds": 8200, "LinkMbps": 1000.0, "DiskMb": 0},
 		"DataDir": nil, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200,
 		"Contracts":      []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"},
 		"FaultTolerance": map[string]int{"Machines": 1, "Zones": 0, "Regions": 0},
-		"Bounds": map[string]any{
-			"SeedLagS": 3, "ReuseAfterS": 2, "StableWindowMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000,
-			"GraceS": GraceS, "LossSlackMs": 200, "ConfigMs": 2000, "RollbackSlackMs": 250, "MaxSkewMs": 5000,
-			"RecoverS": 12, "PassMs": 120, "AgainS": 0, "FinishS": 10, "SettleMs": 1000,
-		},
+		"Bounds":         bounds,
 		"Platform": map[string]any{
 			"Address": n.rig.Store.Address(), "form": "log", "WritesPerS": 800, "ReadsPerS": 2000, "parts": 12, "AppendMs": 2.0,
 			"IngressPerS": 20.0, "EgressPerS": 80.0, "RecordBytes": 262144, "CallBytes": 2097152, "RetentionS": 300,
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -31,6 +31,7 @@
 type Target struct {
 	ID      string
 	Service string
+	Zone    string
 	Slots   int
 	Version string
 
@@ -56,7 +57,7 @@
 		return nil, err
 	}
 	t := &Target{
-		ID: id, Service: service, Slots: 16, Version: "1", rig: r, listener: listener, born: time.Now().UnixMilli(), run: run,
+		ID: id, Service: service, Zone: Zones[0], Slots: 16, Version: "1", rig: r, listener: listener, born: time.Now().UnixMilli(), run: run,
 		stop: make(chan struct{}), state: "ready",
 	}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
@@ -75,7 +76,7 @@
 	defer t.mu.Unlock()
 	t.sequence++
 	value, err := json.Marshal(map[string]any{
-		"Service": t.Service, "Address": t.Address(), "Zone": "hall", "Version": t.Version, "Slots": t.Slots, "State": t.state,
+		"Service": t.Service, "Address": t.Address(), "Zone": t.Zone, "Version": t.Version, "Slots": t.Slots, "State": t.state,
 		"ColdRemainingMs": 0, "Sequence": t.sequence, "born": t.born,
 	})
 	if err == nil {
