--- a/review/rig/relays/main.go
+++ b/review/rig/relays/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +23,11 @@
 	freezeTime = 4 * time.Second
 	stable     = 4 * time.Second
 	timeLimit  = 3 * time.Second
+	// serves is how long the leaving target serves after the acknowledgement, a little
+	// longer than DrainMs.
+	serves = drain + 600*time.Millisecond
+	// workTime is how long a target works on a request.
+	workTime = 139 * time.Millisecond
 	// pause is the time between two requests to a machine.
 	pause = 40 * time.Millisecond
 	// tolerance is left for the way from a machine to a target.
@@ -55,6 +58,14 @@
 	drain time.Time
 	last  time.Time
 	count int
+	// cut counts the requests that were answered with 502 or not at all.
+	cut int
+}
+
+func (l *late) addCut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut++
 }
 
 func (l *late) observe(now time.Time) bool {
@@ -84,7 +95,7 @@
 		r.Logf("the case could not run: %v", err)
 		return rig.NotRun
 	}
-	still, err := relaysOf(r, rig.Zones[0])
+	still, err := r.Relays(rig.Zones[0])
 	if err != nil || len(still) != frozen {
 		r.Logf("the case could not run: %d relays, %v", len(still), err)
 		return rig.NotRun
@@ -94,7 +105,7 @@
 	var work sync.WaitGroup
 	for i, n := range r.Nodes() {
 		if !slices.Contains(still, n) && n.Zone == rig.Zones[0] {
-			work.Go(func() { send(r, n, i, stop) })
+			work.Go(func() { send(r, n, i, seen, stop) })
 		}
 	}
 	time.Sleep(time.Second)
@@ -107,7 +118,10 @@
 	leaving.SetState("draining")
 	seen.drain = time.Now()
 	seen.mu.Unlock()
-	time.Sleep(freezeTime)
+	time.Sleep(serves)
+	r.Logf("target %s: has served for %s since the acknowledgement and ends", leaving.ID, serves)
+	leaving.Stop()
+	time.Sleep(freezeTime - serves)
 	if disrupt {
 		for _, n := range still {
 			n.Signal(syscall.SIGCONT)
@@ -129,7 +143,11 @@
 			if work.Target == leaving && seen.observe(time.Now()) {
 				r.Logf("target %s: %s has reached it later than DrainMs after it was draining", work.Target.ID, work.ID)
 			}
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(workTime)
+			if work.Target.Stopped() {
+				r.Logf("target %s: has ended, %s is lost", work.Target.ID, work.ID)
+				return
+			}
 			rig.Answer(w, work, "the check of "+work.ID)
 		})
 		if err != nil {
@@ -155,45 +173,21 @@
 	return leaving, nil
 }
 
-// relaysOf returns the machines of a zone that wrote to the store last under a condition.
-func relaysOf(r *rig.Rig, zone string) ([]*rig.Node, error) {
-	resp, err := http.Get("http://" + r.Store.Address() + "/banyanglade/log-newest?Topic=keyed.relays&part=0")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var page struct {
-		Items []struct {
-			Key   string
-			Value []byte
-		} `json:"items"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
-		return nil, err
-	}
-	var found []*rig.Node
-	for _, item := range page.Items {
-		for _, n := range r.Nodes() {
-			if n.Zone == zone && strings.Contains(string(item.Value), `"`+n.Name+`"`) {
-				found = append(found, n)
-			}
-		}
-	}
-	return found, nil
-}
-
 // send sends requests to a machine until stop is closed.
-func send(r *rig.Rig, n *rig.Node, number int, stop chan struct{}) {
+func send(r *rig.Rig, n *rig.Node, number int, seen *late, stop chan struct{}) {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(pause):
 		}
-		r.Do(n.Caller, rig.Call{
+		reply := r.Do(n.Caller, rig.Call{
 			Method: http.MethodPost, Host: host, Path: fmt.Sprintf("/check/%d", i), ID: fmt.Sprintf("9c41%04x%08x", number, i),
 			Body: []byte("specimen"), Wait: timeLimit,
 		})
+		if reply.Status == 0 || reply.Status == http.StatusBadGateway {
+			seen.addCut()
+		}
 	}
 }
 
@@ -202,6 +196,7 @@
 	seen.mu.Lock()
 	defer seen.mu.Unlock()
 	code := rig.Held
+	r.Logf("%d requests got 502 or no answer", seen.cut)
 	if seen.count > 0 {
 		r.Logf("DRAIN: %d requests reached the target later than DrainMs, the last %s after the acknowledgement", seen.count, seen.last.Sub(seen.drain))
 		code = rig.Broken
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,8 @@
 	Store *metastore.Service
 	// Bounds are the bounds in the settings, those of SmallBounds if nil.
 	Bounds map[string]any
+	// Gates gives each machine its own gate to the store.
+	Gates bool
 
 	dir     string
 	started time.Time
@@ -66,6 +69,11 @@
 	for _, t := range r.targets {
 		t.Stop()
 	}
+	for _, n := range r.nodes {
+		if n.Gate != nil {
+			_ = n.Gate.server.Close()
+		}
+	}
 	r.Store.Close()
 	_ = r.record.Close()
 	_ = os.RemoveAll(r.dir)
@@ -109,6 +117,8 @@
 	Caller string
 	Ready  string
 	Peer   string
+	// Gate is nil unless the case has gates.
+	Gate *Gate
 
 	rig  *Rig
 	env  []string
@@ -139,6 +149,13 @@
 		r.nodes = append(r.nodes, n)
 	}
 	for _, n := range r.nodes {
+		if r.Gates {
+			gate, err := newGate(r.Store.Address())
+			if err != nil {
+				return err
+			}
+			n.Gate = gate
+		}
 		if err := n.writeSettings(seeds); err != nil {
 			return err
 		}
@@ -161,6 +178,10 @@
 	if bounds == nil {
 		bounds = SmallBounds
 	}
+	store := n.rig.Store.Address()
+	if n.Gate != nil {
+		store = n.Gate.listener.Addr().String()
+	}
 	zones := make(map[string]string)
 	for _, zone := range Zones {
 		zones[zone] = "great-lakes"
@@ -176,7 +197,7 @@
 		"FaultTolerance": map[string]int{"Machines": 1, "Zones": 0, "Regions": 0},
 		"Bounds":         bounds,
 		"Platform": map[string]any{
-			"Address": n.rig.Store.Address(), "form": "log", "WritesPerS": 800, "ReadsPerS": 2000, "parts": 12, "AppendMs": 2.0,
+			"Address": store, "form": "log", "WritesPerS": 800, "ReadsPerS": 2000, "parts": 12, "AppendMs": 2.0,
 			"IngressPerS": 20.0, "EgressPerS": 80.0, "RecordBytes": 262144, "CallBytes": 2097152, "RetentionS": 300,
 			"PartMb": 200, "TtlMinMs": 1000,
 		},
@@ -274,6 +295,34 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Relays returns the machines of a zone that hold a record of the topic keyed.relays, which
+// is written under a condition.
+func (r *Rig) Relays(zone string) ([]*Node, error) {
+	resp, err := http.Get("http://" + r.Store.Address() + "/banyanglade/log-newest?Topic=keyed.relays&part=0")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var page struct {
+		Items []struct {
+			Key   string
+			Value []byte
+		} `json:"items"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+		return nil, err
+	}
+	var found []*Node
+	for _, item := range page.Items {
+		for _, n := range r.nodes {
+			if n.Zone == zone && strings.Contains(string(item.Value), `"`+n.Name+`"`) {
+				found = append(found, n)
+			}
+		}
+	}
+	return found, nil
+}
+
 // AwaitReady waits until all machines are ready.
 func (r *Rig) AwaitReady(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -110,6 +110,16 @@
 	_ = t.server.Close()
 }
 
+// Stopped reports whether the target has ended.
+func (t *Target) Stopped() bool {
+	select {
+	case <-t.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
