edge: log requests that are cancelled at the end of a drain

A request in flight at the end of the grace period left no line in the log: the process closed its log and ended before the handler returned, and its reason would have been caller_left.

The contexts of requests are cancelled with a cause of their own, before the connections to other instances are closed, and the drain waits for the handlers, 0.3 s before the end of the grace period at most. The reason is instance_stopped.

TestRequestsCancelledByAShutdownAreLogged failed before: the log held 'stopping', 'grace period ended with requests in flight' and 'stopped', and no line with the request.

--- /dev/null
+++ b/internal/edge/drain_test.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// startStuckTarget registers a target of the service "app" that never responds, and puts
+// settings in force with a route of unsafe requests to it. Each request that it receives
+// is sent to the channel.
+func (d *deployment) startStuckTarget() <-chan string {
+	d.t.Helper()
+	received := make(chan string)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		received <- r.Header.Get("Banyanglade-Request-Id")
+		// The server notices a closed connection once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	d.t.Cleanup(target.Close)
+	d.store.Put(platform.TopicTargets, "a1", fmt.Appendf(nil,
+		`{"Service":"app","Address":"%s","Zone":"dc","Version":"v1","Slots":16,"State":"ready","ColdRemainingMs":0,"Sequence":1}`, target.Listener.Addr()))
+	d.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
+		`{"Version":2,"Routes":[{"Name":"once","Hostname":"%s","PathPrefix":"/once/","Type":"unsafe","TimeoutMs":30000,
+		"Service":"app","MaxAttempts":1}],"Services":[{"Name":"app"}]}`, testHost))
+	return received
+}
+
+// send sends an unsafe request and returns its status and body.
+func (i *instance) send(ctx context.Context, id string) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.machine.CallerAddress+"/once/x", strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = testHost
+	r.Header.Set("Banyanglade-Request-Id", id)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// awaitRequest waits until a target has received a request.
+func awaitRequest(t *testing.T, received <-chan string) {
+	t.Helper()
+	select {
+	case <-received:
+	case <-time.After(testTimeout):
+		t.Fatal("no request reached the target")
+	}
+}
+
+// The log of a stopped instance has to tell requests that it cancelled from those whose
+// callers left.
+func TestRequestsCancelledByAShutdownAreLogged(t *testing.T) {
+	d := newDeployment(t)
+	received := d.startStuckTarget()
+	i := d.start("a")
+	eventually(t, "the instance is ready", i.ready)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = i.send(t.Context(), "cancelled") // the response is not the subject
+	}()
+	awaitRequest(t, received)
+	i.stop()
+	<-i.done
+	<-done
+	if want := `"request":"cancelled","program":"","reason":"instance_stopped"`; !strings.Contains(i.log.String(), want) {
+		t.Errorf("log without %s:\n%s", want, i.log)
+	}
+}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/banyanglade/banyanglade/internal/peer"
+	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -19,19 +20,25 @@
 	ready   *http.Server
 	admin   *http.Server
 	failed  chan error
+	// cancelRequests cancels the callers' requests in flight.
+	cancelRequests context.CancelCauseFunc
 }
 
 func (e *edge) listen(ctx context.Context) (*servers, error) {
-	base := func(net.Listener) context.Context { return ctx }
+	requests, cancelRequests := context.WithCancelCause(ctx)
+	base := func(ctx context.Context) func(net.Listener) context.Context {
+		return func(net.Listener) context.Context { return ctx }
+	}
 	s := &servers{
+		cancelRequests: cancelRequests,
 		callers: &http.Server{
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       callerIdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			BaseContext:       base,
+			BaseContext:       base(requests),
 		},
 		ready:  &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout},
-		admin:  &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: base},
+		admin:  &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: base(ctx)},
 		failed: make(chan error, 3),
 	}
 	e.server.Configure(s.callers)
@@ -88,7 +95,7 @@
 
 // drain shuts the instance down without cutting requests: it reports not ready at once,
 // keeps serving until the platform has noticed, and ends when no request is in flight or
-// the grace period is nearly over.
+// the grace period is nearly over. The requests that are left are cancelled.
 func (e *edge) drain(s *servers) {
 	started := time.Now()
 	e.log.Info("stopping", "in_flight", e.server.InFlight())
@@ -101,6 +108,7 @@
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		e.log.Warn("grace period ended with requests in flight", "in_flight", e.server.InFlight(), "error", err.Error())
+		e.cancelRequests(s, started.Add(e.machine.GracePeriod-exitMargin))
 	}
 	for _, server := range []*http.Server{s.ready, s.admin} {
 		if err := server.Close(); err != nil {
@@ -108,3 +116,14 @@
 		}
 	}
 }
+
+// cancelRequests cancels the requests in flight and waits until their responses are sent,
+// at most until a time.
+func (e *edge) cancelRequests(s *servers, until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	s.cancelRequests(serve.ErrStopping)
+	if err := s.callers.Shutdown(ctx); err != nil {
+		e.log.Warn("cancelled requests have not ended", "in_flight", e.server.InFlight(), "error", err.Error())
+	}
+}
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -103,9 +103,10 @@
 	// drainNotice is the time within which the platform notices that an instance is not
 	// ready: two checks at one per second.
 	drainNotice = 2200 * time.Millisecond
-	// drainMargin is the part of the grace period that is left for the end of the
-	// process.
+	// drainMargin is the part of the grace period that is left for the responses of
+	// cancelled requests and the end of the process, exitMargin that for the latter.
 	drainMargin = 700 * time.Millisecond
+	exitMargin  = 300 * time.Millisecond
 	// heapLimitFraction is the soft limit of the heap as a fraction of the machine's
 	// memory.
 	heapLimitFraction = 0.7
--- a/internal/serve/conversation.go
+++ b/internal/serve/conversation.go
@@ -102,7 +102,7 @@
 	x.detail = err.Error()
 	x.reason, x.abort = reasonTurnNotStored, true
 	if x.request.Context().Err() != nil {
-		x.reason = reasonCallerLeft
+		x.reason = x.endOfContext()
 	}
 	return false
 }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -42,6 +42,7 @@
 	reasonEndsTargets         reason = "targets_ended_under_request"
 	reasonTruncated           reason = "stream_cut"
 	reasonCallerLeft          reason = "caller_left"
+	reasonStopped             reason = "instance_stopped"
 	reasonStalled             reason = "caller_reads_nothing"
 )
 
@@ -87,7 +88,7 @@
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonVersionUnknown, reasonNoVersion, reasonNoCapacity, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonTurnNotFound, reasonConversationNotRead, reasonTurnNotStored, reasonTimedOut,
-		reasonNotSent, reasonTargetAborted, reasonEndsTargets, reasonTruncated, reasonCallerLeft, reasonStalled,
+		reasonNotSent, reasonTargetAborted, reasonEndsTargets, reasonTruncated, reasonCallerLeft, reasonStopped, reasonStalled,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
 		m.byReason[r] = reasonMetrics{
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -1,10 +1,13 @@
 package serve
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // RetryAfter delays of refused requests.
@@ -30,11 +33,23 @@
 	}
 }
 
-// giveUpOnContext ends a request whose caller left or whose time is up.
+// endOfContext returns why the request's context ended.
+func (x *transfer) endOfContext() reason {
+	switch {
+	case errors.Is(context.Cause(x.request.Context()), ErrStopping):
+		return reasonStopped
+	case x.request.Context().Err() != nil:
+		return reasonCallerLeft
+	}
+	return reasonTimedOut
+}
+
+// giveUpOnContext ends a request whose caller left, whose time is up or whose instance
+// stops.
 func (x *transfer) giveUpOnContext() {
 	switch {
 	case x.request.Context().Err() != nil:
-		x.reason, x.abort = reasonCallerLeft, x.headSent
+		x.reason, x.abort = x.endOfContext(), x.headSent
 	case x.headSent:
 		x.reason, x.abort = reasonTimedOut, true
 	case x.possiblyRan():
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/call"
@@ -278,6 +279,10 @@
 // Drain makes each response from now on close its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// ErrStopping is the cause with which the contexts of requests must be cancelled when
+// the instance stops.
+var ErrStopping = errors.New("the instance stops")
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
