serve: a request that ends without a response does not end as an empty 200

A caller takes its request for completed.

Cause: a handler that returns without a status is completed by net/http as an empty 200. giveUpOnContext, and forwardTurn while a turn waits for its reservation, took the end of the request's context for a caller that has left and wrote nothing. The context also ends when the instance stops at the end of its drain, and when the caller has closed its sending half only. The class: a missing response is turned into a success by a layer below.

Ruled out: a target's second, late or partial response taken for another one (the success had no signature, which each 2xx must have).

Now a request that is cut while the instance stops gets 502 if a target may have run it, else 503; one whose caller has closed its sending half gets no response, and the connection ends. finish aborts any request without a status, so that a path that forgets its response cannot succeed.

--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -34,21 +34,21 @@
 	return received
 }
 
-// send sends an unsafe request and returns its status and body.
-func (i *instance) send(ctx context.Context, id string) (int, string, error) {
+// send sends an unsafe request.
+func (i *instance) send(ctx context.Context, id string) reply {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.machine.CallerAddress+"/once/x", strings.NewReader("body"))
 	if err != nil {
-		return 0, "", err
+		return reply{err: err}
 	}
 	r.Host = testHost
 	r.Header.Set("Banyanglade-Request-Id", id)
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return 0, "", err
+		return reply{err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
+	return reply{resp.StatusCode, string(body), err}
 }
 
 // awaitRequest waits until a target has received a request.
@@ -61,23 +61,41 @@
 	}
 }
 
-// The log of a stopped instance has to tell requests that it cancelled from those whose
-// callers left.
-func TestRequestsCancelledByAShutdownAreLogged(t *testing.T) {
+// reply is what a caller receives. err is set if there is no whole response.
+type reply struct {
+	status int
+	body   string
+	err    error
+}
+
+// stopDuringRequest stops an instance while a target has an unsafe request, which does
+// not end within the grace period, and returns what its caller receives.
+func stopDuringRequest(t *testing.T, id string) (*instance, reply) {
+	t.Helper()
 	d := newDeployment(t)
 	received := d.startStuckTarget()
 	i := d.start("a")
 	eventually(t, "the instance is ready", i.ready)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_, _, _ = i.send(t.Context(), "cancelled") // the response is not the subject
-	}()
+	replies := make(chan reply, 1)
+	go func() { replies <- i.send(t.Context(), id) }()
 	awaitRequest(t, received)
 	i.stop()
 	<-i.done
-	<-done
+	return i, <-replies
+}
+
+// The log of a stopped instance has to tell requests that it cancelled from those whose
+// callers left.
+func TestRequestsCancelledByAShutdownAreLogged(t *testing.T) {
+	i, _ := stopDuringRequest(t, "cancelled")
 	if want := `"request":"cancelled","program":"","reason":"instance_stopped"`; !strings.Contains(i.log.String(), want) {
 		t.Errorf("log without %s:\n%s", want, i.log)
 	}
 }
+
+// A caller whose unsafe request was cancelled must not take it for completed.
+func TestRequestsCancelledByAShutdownAreNotAnsweredWithAnEmptySuccess(t *testing.T) {
+	if _, got := stopDuringRequest(t, "cancelled"); got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("got status %d with body %q and error %v, want status %d", got.status, got.body, got.err, http.StatusBadGateway)
+	}
+}
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -139,6 +139,8 @@
 	health        fakeHealth
 	freshness     fakeFreshness
 	log           *logBuffer
+	// cancelRequests cancels the contexts of all requests.
+	cancelRequests context.CancelCauseFunc
 	// failureReports counts the calls of ReportTargetFailures.
 	failureReports atomic.Int64
 }
@@ -218,6 +220,9 @@
 	h.front.Listener = h.server.WrapListener(h.front.Listener)
 	h.server.Configure(h.front.Config)
 	h.front.Config.ErrorLog = nil
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	h.cancelRequests = cancelRequests
+	h.front.Config.BaseContext = func(net.Listener) context.Context { return requests }
 	h.front.Start()
 	t.Cleanup(func() {
 		h.front.Close()
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -47,13 +47,16 @@
 // giveUpOnContext ends a request whose caller left, whose time is up or whose instance
 // stops.
 func (x *transfer) giveUpOnContext() {
+	end := x.endOfContext()
 	switch {
-	case x.request.Context().Err() != nil:
-		x.reason, x.abort = x.endOfContext(), x.headSent
-	case x.headSent:
-		x.reason, x.abort = reasonTimedOut, true
+	case x.headSent || end == reasonCallerLeft:
+		x.reason, x.abort = end, true
+	case end == reasonStopped && x.possiblyRan():
+		x.refuse(http.StatusBadGateway, end, 0)
+	case end == reasonStopped:
+		x.refuse(http.StatusServiceUnavailable, end, 0)
 	case x.possiblyRan():
-		x.refuse(http.StatusGatewayTimeout, reasonTimedOut, 0)
+		x.refuse(http.StatusGatewayTimeout, end, 0)
 	default:
 		x.refuse(http.StatusServiceUnavailable, reasonNotSent, x.targetRetryAfter())
 	}
--- /dev/null
+++ b/internal/serve/responseend_test.go
@@ -0,0 +1,257 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/org"
+	"github.com/banyanglade/banyanglade/internal/route"
+	"github.com/banyanglade/banyanglade/internal/structs"
+)
+
+// blocked blocks requests in one stage until their contexts end. It takes the place of
+// the parts of a Server that requests wait for.
+type blocked struct {
+	fakeConversations
+	// reached has an element for each request that is blocked.
+	reached chan struct{}
+	// late makes what was waited for succeed after the context has ended.
+	late bool
+}
+
+func (b *blocked) wait(ctx context.Context) error {
+	b.reached <- struct{}{}
+	<-ctx.Done()
+	if b.late {
+		return nil
+	}
+	return ctx.Err()
+}
+
+func (b *blocked) Reserve(ctx context.Context, _ Turn) (Lease, error) {
+	return fakeLease{new(fakeBudgets)}, b.wait(ctx)
+}
+
+func (b *blocked) Admit(ctx context.Context, _ AllowanceRequest) (Permit, error) {
+	return new(utilizationPermit), b.wait(ctx)
+}
+
+func (b *blocked) History(ctx context.Context, _, _ string) ([]byte, error) {
+	return []byte("history"), b.wait(ctx)
+}
+
+func (b *blocked) StoreTurn(ctx context.Context, _ string, _ CompletedTurn) error {
+	return errors.Join(b.wait(ctx), ctx.Err())
+}
+
+func (b *blocked) Lookup(ctx context.Context, _ Stream, service string) (StreamOrigin, error) {
+	return StreamOrigin{Service: service}, b.wait(ctx)
+}
+
+func (b *blocked) Record(Stream, StreamOrigin) {}
+
+func (b *blocked) Exchange(Work, structs.LostRuns) RunsExchange { return blockedExchange{b} }
+
+type blockedExchange struct{ *blocked }
+
+func (e blockedExchange) Wait(ctx context.Context) structs.LostRuns {
+	_ = e.wait(ctx) // no runs are known in any case
+	return nil
+}
+
+func (e blockedExchange) Cancel() {}
+
+// blockedTarget sends part of a response and then nothing more.
+func (b *blocked) target(part func(rw http.ResponseWriter)) func(int, http.ResponseWriter, *http.Request) {
+	return func(_ int, rw http.ResponseWriter, r *http.Request) {
+		part(rw)
+		_ = http.NewResponseController(rw).Flush()
+		_ = b.wait(r.Context()) // the caller's side is the subject
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stage is a stage in which a request waits.
+type stage struct {
+	name   string
+	path   string
+	header []string
+	// runs indicates that the target has the request.
+	runs  bool
+	block func(h *harness, b *blocked)
+}
+
+var turnHeader = []string{"Banyanglade-Program-Id", "p", "Banyanglade-Token-Budget", "900", "Banyanglade-Token-Usage", "100,100"}
+
+// blockTarget is the block of a stage in which the target has sent part of a response.
+func blockTarget(service string, part func(rw http.ResponseWriter)) func(h *harness, b *blocked) {
+	return func(h *harness, b *blocked) { h.target("t", service, b.target(part)) }
+}
+
+func nothing(http.ResponseWriter) {}
+
+// partOfText sends part of a plain response that is longer than its body so far.
+func partOfText(bytes int) func(rw http.ResponseWriter) {
+	return func(rw http.ResponseWriter) {
+		sign(rw)
+		_, _ = io.WriteString(rw, strings.Repeat("x", bytes))
+	}
+}
+
+// partOfStream sends the first events of a stream.
+func partOfStream(count int) func(rw http.ResponseWriter) {
+	return func(rw http.ResponseWriter) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(rw, events(1, count))
+	}
+}
+
+func limitOrganisations(h *harness) {
+	set, err := org.NewSet([]*org.Organisation{{Name: "a", Keys: []org.Digest{org.DigestOf(keyA)}, Limit: org.Limit{PerSecond: 1, Burst: 1}}})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	settings := testRoutes()
+	settings.Organisations = set
+	h.server.SetTable(route.NewTable(settings))
+}
+
+func waitStages() []stage {
+	targetStages := []stage{
+		{name: "target at a kept turn", path: "/kept/", header: turnHeader, runs: true, block: blockTarget("engine", nothing)},
+		{name: "part of a long response", path: "/once/", runs: true, block: blockTarget("app", partOfText(2*maxBufferedBytes))},
+	}
+	for _, path := range []string{"/once/", "/safe/", "/quick/"} {
+		targetStages = append(targetStages,
+			stage{name: "target" + path, path: path, runs: true, block: blockTarget("app", nothing)},
+			stage{name: "part of the body" + path, path: path, runs: true, block: blockTarget("app", partOfText(10))})
+	}
+	for _, path := range []string{"/turns/", "/fixed/"} {
+		targetStages = append(targetStages,
+			stage{name: "target" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", nothing)},
+			stage{name: "head of a stream" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", partOfStream(0))},
+			stage{name: "part of a stream" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", partOfStream(3))})
+	}
+	return append(targetStages,
+		stage{name: "lost runs", path: "/once/", block: func(h *harness, b *blocked) {
+			h.target("t", "app", serveText("late"))
+			h.server.lostRuns = b
+		}},
+		stage{name: "reservation", path: "/turns/", header: turnHeader, block: func(h *harness, b *blocked) { h.server.budgets = b }},
+		stage{name: "organisation's limit", path: "/once/", header: []string{"Banyanglade-Credential", keyA}, block: func(h *harness, b *blocked) {
+			limitOrganisations(h)
+			h.server.allowances = b
+		}},
+		stage{name: "origin of a resumed stream", path: "/turns/", header: append([]string{"Last-Event-Id", "2", "Resumes", "id0"}, turnHeader...),
+			block: func(h *harness, b *blocked) { h.server.streamVersions = b }},
+		stage{name: "conversation", path: "/kept/", header: append([]string{"Banyanglade-Previous-Turn", "id0"}, turnHeader...),
+			block: func(h *harness, b *blocked) { h.server.conversations = b }},
+		stage{name: "turn to be stored", path: "/kept/", header: turnHeader, runs: true, block: func(h *harness, b *blocked) {
+			h.target("t", "engine", serveEvents(3, neverCut))
+			h.server.conversations = b
+		}})
+}
+
+// end is a way in which a request that waits is ended.
+type end struct {
+	header []string
+	end    func(h *harness, c *net.TCPConn)
+}
+
+var ends = map[string]end{
+	"the caller half-closes": {end: func(h *harness, c *net.TCPConn) {
+		if err := c.CloseWrite(); err != nil {
+			h.t.Error(err)
+		}
+	}},
+	"the instance stops": {end: func(h *harness, _ *net.TCPConn) { h.cancelRequests(ErrStopping) }},
+	"the time is up":     {header: []string{"Banyanglade-Deadline-Ms", "250"}, end: func(*harness, *net.TCPConn) {}},
+}
+
+// requestText returns the bytes of a request.
+func requestText(path string, header ...string) string {
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nBanyanglade-Request-Id: id1\r\nContent-Length: 4\r\n", path, testHost)
+	for i := 0; i+1 < len(header); i += 2 {
+		text += header[i] + ": " + header[i+1] + "\r\n"
+	}
+	return text + "\r\nbody"
+}
+
+// checkNotServed fails the test if what a caller receives looks like the whole response of
+// a target, or promises that a request has not run that a target has.
+func checkNotServed(t *testing.T, c net.Conn, runs bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get("Banyanglade-Server-Signature") != "" {
+		t.Errorf("got status %d with signature %q and %d bytes, though no target has completed the request",
+			resp.StatusCode, resp.Header.Get("Banyanglade-Server-Signature"), len(body))
+	}
+	promises := []int{http.StatusPaymentRequired, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	if runs && slices.Contains(promises, resp.StatusCode) {
+		t.Errorf("got status %d, though a target has the request", resp.StatusCode)
+	}
+}
+
+// endRequest blocks a request in the stage, ends it and checks what its caller receives.
+func (s stage) endRequest(t *testing.T, b *blocked, e end) {
+	t.Helper()
+	h := newHarness(t)
+	s.block(h, b)
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, requestText(s.path, slices.Concat(s.header, e.header)...)); err != nil {
+		t.Fatal(err)
+	}
+	awaitBlocked(t, b)
+	e.end(h, c.(*net.TCPConn))
+	checkNotServed(t, c, s.runs)
+}
+
+// Whatever ends a request before its target has completed it, its caller must not receive
+// what looks like a whole response.
+func TestEndedRequestsAreNotAnsweredWithAnEmptySuccess(t *testing.T) {
+	for _, s := range waitStages() {
+		for name, end := range ends {
+			for _, late := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/late=%v", s.name, name, late), func(t *testing.T) {
+					t.Parallel()
+					s.endRequest(t, &blocked{reached: make(chan struct{}, maxSends), late: late}, end)
+				})
+			}
+		}
+	}
+}
+
+// stageTimeout bounds the wait for a request to reach a stage.
+const stageTimeout = 10 * time.Second
+
+func awaitBlocked(t *testing.T, b *blocked) {
+	t.Helper()
+	select {
+	case <-b.reached:
+	case <-time.After(stageTimeout):
+		t.Fatal("the request has not reached the stage")
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -320,8 +320,8 @@
 		s.admission.RecordDuration(x.service, elapsed)
 	}
 	s.logOutcome(x, elapsed)
-	if x.abort {
-		// The response must not look complete.
+	if x.abort || x.status == 0 {
+		// net/http would complete the response, and send an empty 200 if there is none.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -262,7 +262,7 @@
 		if err == nil {
 			lease.Settle(TurnResult{})
 		}
-		x.reason = x.endOfContext()
+		x.giveUpOnContext()
 	case errors.Is(err, ErrBudgetHeld):
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetHeld, retryBudget)
 	case errors.Is(err, ErrStoreUnavailable):
