serve: cut responses to HTTP/1.0 callers do not look whole

What callers see: a stream or a long response that the instance cuts ends with the regular end of its connection, which delimits a response without a length in HTTP/1.0: the part looks like the whole. Found by ending requests in each stage over both versions of HTTP; nobody reported it, and the users' pages name HTTP/1.1 only.

TestResponsesCutOverHTTP10AreNotTakenForWhole failed in 8 cases before (streams, stored turns and long responses, in each way to end) and passes. The connection is reset instead. A process that is killed still ends such connections regularly; that is left.

The tests of ended requests read what the caller receives while the target writes, so that a response longer than the socket buffers does not block them.

--- a/internal/serve/callerconn.go
+++ b/internal/serve/callerconn.go
@@ -122,3 +122,17 @@
 	}
 	return c.checkRequest()
 }
+
+// resetOnClose makes the connection of a request end with a reset, which the caller cannot
+// take for the end of a response.
+func resetOnClose(r *http.Request) error {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	return lingering.SetLinger(0)
+}
--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -179,40 +179,47 @@
 }
 
 // requestText returns the bytes of a request.
-func requestText(path string, header ...string) string {
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nBanyanglade-Request-Id: id1\r\nContent-Length: 4\r\n", path, testHost)
+func requestText(path, proto string, header ...string) string {
+	text := fmt.Sprintf("POST %s %s\r\nHost: %s\r\nBanyanglade-Request-Id: id1\r\nContent-Length: 4\r\n", path, proto, testHost)
 	for i := 0; i+1 < len(header); i += 2 {
 		text += header[i] + ": " + header[i+1] + "\r\n"
 	}
 	return text + "\r\nbody"
 }
 
-// checkNotServed fails the test if what a caller receives looks like the whole response of
-// a target, or promises that a request has not run that a target has.
-func checkNotServed(t *testing.T, c net.Conn, runs bool) {
-	t.Helper()
+// readWhole reads a response of a caller's connection. The result has an error unless the
+// response is whole.
+func readWhole(c net.Conn) result {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return
+		return result{err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	return result{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// checkNotServed fails the test if what a caller received looks like the whole response of
+// a target, or promises that a request has not run that a target has.
+func checkNotServed(t *testing.T, got result, runs bool) {
+	t.Helper()
+	if got.err != nil {
 		return
 	}
-	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get("Banyanglade-Server-Signature") != "" {
+	signature := got.header.Get("Banyanglade-Server-Signature")
+	if got.status < http.StatusBadRequest || signature != "" {
 		t.Errorf("got status %d with signature %q and %d bytes, though no target has completed the request",
-			resp.StatusCode, resp.Header.Get("Banyanglade-Server-Signature"), len(body))
+			got.status, signature, len(got.body))
 	}
 	promises := []int{http.StatusPaymentRequired, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
 		http.StatusTooManyRequests, http.StatusServiceUnavailable}
-	if runs && slices.Contains(promises, resp.StatusCode) {
-		t.Errorf("got status %d, though a target has the request", resp.StatusCode)
+	if runs && slices.Contains(promises, got.status) {
+		t.Errorf("got status %d, though a target has the request", got.status)
 	}
 }
 
 // endRequest blocks a request in the stage, ends it and checks what its caller receives.
-func (s stage) endRequest(t *testing.T, b *blocked, e end) {
+func (s stage) endRequest(t *testing.T, proto string, b *blocked, e end) {
 	t.Helper()
 	h := newHarness(t)
 	s.block(h, b)
@@ -221,12 +228,14 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if _, err := io.WriteString(c, requestText(s.path, slices.Concat(s.header, e.header)...)); err != nil {
+	if _, err := io.WriteString(c, requestText(s.path, proto, slices.Concat(s.header, e.header)...)); err != nil {
 		t.Fatal(err)
 	}
+	received := make(chan result, 1)
+	go func() { received <- readWhole(c) }()
 	awaitBlocked(t, b)
 	e.end(h, c.(*net.TCPConn))
-	checkNotServed(t, c, s.runs)
+	checkNotServed(t, <-received, s.runs)
 }
 
 // Whatever ends a request before its target has completed it, its caller must not receive
@@ -237,13 +246,26 @@
 			for _, late := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/late=%v", s.name, name, late), func(t *testing.T) {
 					t.Parallel()
-					s.endRequest(t, &blocked{reached: make(chan struct{}, maxSends), late: late}, end)
+					s.endRequest(t, "HTTP/1.1", &blocked{reached: make(chan struct{}, maxSends), late: late}, end)
 				})
 			}
 		}
 	}
 }
 
+// The end of the connection ends a response to HTTP/1.0, so an incomplete one must not end
+// like that.
+func TestResponsesCutOverHTTP10AreNotTakenForWhole(t *testing.T) {
+	for _, s := range waitStages() {
+		for name, end := range ends {
+			t.Run(s.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				s.endRequest(t, "HTTP/1.0", &blocked{reached: make(chan struct{}, maxSends)}, end)
+			})
+		}
+	}
+}
+
 // stageTimeout bounds the wait for a request to reach a stage.
 const stageTimeout = 10 * time.Second
 
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -322,10 +322,22 @@
 	s.logOutcome(x, elapsed)
 	if x.abort || x.status == 0 {
 		// net/http would complete the response, and send an empty 200 if there is none.
-		panic(http.ErrAbortHandler)
+		s.abortConn(x.request)
 	}
 }
 
+// abortConn ends the connection of an incomplete response. It panics with
+// http.ErrAbortHandler.
+func (s *Server) abortConn(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// The end of the connection delimits a response without a length.
+		if err := resetOnClose(r); err != nil {
+			s.log.Warn("failed to reset the connection of an incomplete response", "error", err.Error())
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // logOutcome logs one line for a request: at level info if it was not served, else at
 // debug.
 func (s *Server) logOutcome(x *transfer, elapsed time.Duration) {
