--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -136,6 +136,9 @@
 	d.store.Put(platform.TopicTargets, t.id, value)
 }
 
+// unregister ends a target's registration.
+func (d *deployment) unregister(t *target) { d.store.Put(platform.TopicTargets, t.id, nil) }
+
 // randomTarget returns a random target that is registered as ready.
 func (d *deployment) randomTarget(rng *rand.Rand) *target {
 	d.mu.Lock()
@@ -174,7 +177,7 @@
 		return err
 	}
 	time.Sleep(registrationTTL)
-	d.store.Put(platform.TopicTargets, t.id, nil)
+	d.unregister(t)
 	t.stop()
 	return nil
 }
@@ -191,7 +194,7 @@
 	d.register(t, "draining")
 	d.mu.Unlock()
 	time.Sleep(targetDrainTime)
-	d.store.Put(platform.TopicTargets, t.id, nil)
+	d.unregister(t)
 	// Requests in flight may finish: instances may have been notified of the
 	// draining late.
 	time.Sleep(targetDrainTime)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,10 +39,7 @@
 
 // TestShortRuns runs a few seeds; "go run ./cmd/soak" runs more seeds for longer.
 func TestShortRuns(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "banyanglade")
-	if output, err := exec.Command("go", "build", "-o", binary, productPackage).CombinedOutput(); err != nil {
-		t.Fatalf("build the product: %v\n%s", err, output)
-	}
+	binary := buildProduct(t)
 	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds, ciDeadlySeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runSeed(t, Options{
@@ -59,6 +56,16 @@
 	}
 }
 
+// buildProduct builds the executable of the instances.
+func buildProduct(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "banyanglade")
+	if output, err := exec.Command("go", "build", "-o", binary, productPackage).CombinedOutput(); err != nil {
+		t.Fatalf("build the product: %v\n%s", err, output)
+	}
+	return binary
+}
+
 // regressionFaultDuration is the fault duration with which the regressions were found.
 const regressionFaultDuration = 12 * time.Second
 
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -83,6 +83,15 @@
 // checkVersions checks that streams have events of one software version. Rare overlaps of
 // faults may mix a few.
 func (h *history) checkVersions() []violation {
+	mixed := h.mixedStreams()
+	if len(mixed) <= maxMixedStreams {
+		return nil
+	}
+	return violated(invariantVersion, "%s", strings.Join(mixed, "; "))
+}
+
+// mixedStreams describes the streams that have events of several software versions.
+func (h *history) mixedStreams() []string {
 	versions := make(map[*attempt][]string)
 	for _, a := range h.attempts {
 		versions[a.origin()] = append(versions[a.origin()], a.versions...)
@@ -94,10 +103,7 @@
 			mixed = append(mixed, fmt.Sprintf("%s has events of %v", origin.id, distinct))
 		}
 	}
-	if len(mixed) <= maxMixedStreams {
-		return nil
-	}
-	return violated(invariantVersion, "%s", strings.Join(mixed, "; "))
+	return mixed
 }
 
 // resumed counts the attempts that resume a stream, and those that were not refused.
