streampin: a version is not certain after a gap in the list of targets

An instance that could not read the list of targets for a while (cut off, or frozen) may get it from another instance afterwards. Such a copy has the newest record of each target, so that a version whose targets came and went meanwhile does not show. The instance went on counting how long the former version had been the only one, took it for certain at once, and resumed streams of the other version there if the instances with their pins had crashed: one text of two versions, answered 200.

The list now tells since when it was followed without a gap of more than 3 s, and a version is certain only if that was so all the time that is asked for. Without more, a gap would cost resumptions: pins that an instance keeps to itself while the version is certain were sent only when targets changed. They are sent within a second now.

TestVersionThatServedWhileTheListWasUnreadIsNotForgotten failed before: of 60 streams, those of the other version would have continued at the former one. TestStreamsAreResumedAfterAGapOfTheList fails without the second part (0 of 60 continue). The simulated instances now notify of changed versions only when a target changed, as the real ones do; with a notification at each read the second test could not fail.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -117,6 +117,9 @@
 // Age implements streampin.List.
 func (l *targetList) Age() time.Duration { return l.topic.Load().Age(time.Now()) }
 
+// FollowedSince implements streampin.List.
+func (l *targetList) FollowedSince() time.Time { return l.topic.Load().FollowedSince() }
+
 // AwaitConfirmed implements streampin.List.
 func (l *targetList) AwaitConfirmed(ctx context.Context, after time.Time) bool {
 	topic := l.topic.Load()
--- a/internal/feed/topic.go
+++ b/internal/feed/topic.go
@@ -40,8 +40,10 @@
 	floor int64
 	// lastChanged is the highest firstOffset.
 	lastChanged int64
-	// confirmedAt is when the copy was last known to be current.
-	confirmedAt time.Time
+	// confirmedAt is when the copy was last known to be current, followedSince since when
+	// that has been so every MaxUnfollowed.
+	confirmedAt   time.Time
+	followedSince time.Time
 	// updated is closed and replaced when the content changes or is confirmed.
 	updated chan struct{}
 	cache   copyCache
@@ -195,10 +197,26 @@
 }
 
 func (t *Topic) confirm(at time.Time) {
-	if at.After(t.confirmedAt) {
-		t.confirmedAt = at
-		t.notify()
+	if !at.After(t.confirmedAt) {
+		return
+	}
+	if at.Sub(t.confirmedAt) > MaxUnfollowed {
+		t.followedSince = at
 	}
+	t.confirmedAt = at
+	t.notify()
+}
+
+// MaxUnfollowed is the time between two confirmations after which the copy may have missed
+// changes: a copy of another instance does not contain what was replaced meanwhile.
+const MaxUnfollowed = 3 * time.Second
+
+// FollowedSince returns since when the copy has followed the topic without a gap. It may
+// have missed changes before, and after the time that Age tells.
+func (t *Topic) FollowedSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.followedSince
 }
 
 // maxAge is the age of a copy that was never confirmed, and the upper bound of all ages.
--- a/internal/feed/topic_test.go
+++ b/internal/feed/topic_test.go
@@ -221,3 +221,21 @@
 		t.Errorf("not encoded again after the TTL: %v", err)
 	}
 }
+
+func TestTopicIsFollowedSinceTheLastGap(t *testing.T) {
+	topic := NewTopic("t", func(platform.Record) {})
+	start := time.Now()
+	for _, c := range []struct{ at, since time.Duration }{
+		{0, 0},
+		{MaxUnfollowed, 0},
+		{MaxUnfollowed - 1, 0}, // an older confirmation
+		{2 * MaxUnfollowed, 0},
+		{3*MaxUnfollowed + 1, 3*MaxUnfollowed + 1},
+		{4 * MaxUnfollowed, 3*MaxUnfollowed + 1},
+	} {
+		topic.Confirm(start.Add(c.at))
+		if got := topic.FollowedSince().Sub(start); got != c.since {
+			t.Errorf("confirmed at %s: followed since %s, want %s", c.at, got, c.since)
+		}
+	}
+}
--- a/internal/streampin/cluster_test.go
+++ b/internal/streampin/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -48,10 +49,11 @@
 	manager  *Manager
 	registry *targets.Registry
 
+	// Topic tells when the targets were read.
+	*feed.Topic
+
 	mu sync.Mutex
-	// listedAt is the time of the last read of the targets. A node whose reads fail
-	// keeps its list.
-	listedAt  time.Time
+	// readsFail indicates that the node keeps its list.
 	readsFail bool
 }
 
@@ -72,7 +74,7 @@
 
 // run starts an incarnation of an instance.
 func (c *cluster) run(ctx context.Context, sim *simnet.Node) func(structs.Event) {
-	n := &node{Node: sim, registry: targets.NewRegistry("dc", exchange.NewPool(tally.NoopScope))}
+	n := &node{Node: sim, registry: targets.NewRegistry("dc", exchange.NewPool(tally.NoopScope)), Topic: feed.NewTopic("targets", nil)}
 	n.manager = New(Config{
 		Directory: sim.Directory, Slots: 12, Key: func(slot int) string { return fmt.Sprint("slot/", slot) },
 		Peers: sim, Versions: n.registry, List: n,
@@ -101,11 +103,7 @@
 }
 
 // Age implements List.
-func (n *node) Age() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return time.Since(n.listedAt)
-}
+func (n *node) Age() time.Duration { return n.Topic.Age(time.Now()) }
 
 // AwaitConfirmed implements List.
 func (n *node) AwaitConfirmed(ctx context.Context, after time.Time) bool {
@@ -130,7 +128,7 @@
 	if n.readsFail {
 		return
 	}
-	n.listedAt = time.Now()
+	n.Confirm(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range n.registry.IDs() {
@@ -139,9 +137,10 @@
 		}
 	}
 	for id, version := range c.registered {
-		n.registry.Put(targets.Entry{ID: id, Service: testService, Address: id, DataCentre: "dc", Slots: 4, Version: version})
+		if n.registry.Put(targets.Entry{ID: id, Service: testService, Address: id, DataCentre: "dc", Slots: 4, Version: version}) {
+			n.manager.VersionsChanged()
+		}
 	}
-	n.manager.VersionsChanged()
 }
 
 // register registers a target; an empty version removes it.
@@ -379,3 +378,49 @@
 		c.SetIsolation(outdated.ID, 0)
 	})
 }
+
+// An instance that could not read the list for a while does not know of a version that
+// came and went meanwhile. The instances with the pins crash.
+func TestVersionThatServedWhileTheListWasUnreadIsNotForgotten(t *testing.T) {
+	runInCluster(t, 5, func(t *testing.T, c *cluster) {
+		time.Sleep(settleTime)
+		outdated := c.all()[0]
+		outdated.setReadsFail(true)
+		c.register("t1", "v2")
+		time.Sleep(2 * maxListAge)
+		streams := c.beginAt(c.all()[1:]...)
+		c.register("t1", "")
+		time.Sleep(2 * readInterval)
+		outdated.setReadsFail(false)
+		time.Sleep(2 * readInterval)
+		for _, n := range c.all()[1:] {
+			c.Restart(n.Node)
+		}
+		time.Sleep(2 * simnet.LinkLatency)
+		for _, s := range streams {
+			c.resume(t, outdated, s)
+		}
+	})
+}
+
+// Pins are kept by the instance that began the stream while the version is certain, and it
+// is no longer certain after a gap.
+func TestStreamsAreResumedAfterAGapOfTheList(t *testing.T) {
+	runInCluster(t, 5, func(t *testing.T, c *cluster) {
+		time.Sleep(settleTime)
+		first := c.all()[0]
+		streams := c.beginAt(first)
+		for _, n := range c.all() {
+			n.setReadsFail(true)
+		}
+		time.Sleep(maxListAge + 2*sweepInterval)
+		for _, n := range c.all() {
+			n.setReadsFail(false)
+		}
+		time.Sleep(2 * readInterval)
+		c.Kill(first.Node)
+		if got := c.resumeAll(t, streams); got != manyStreams {
+			t.Errorf("%d of %d streams would continue", got, manyStreams)
+		}
+	})
+}
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/holders"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -17,7 +18,7 @@
 const (
 	// maxListAge is the age up to which the list of targets can make a version certain. A
 	// list that is read regularly is younger.
-	maxListAge = 3 * time.Second
+	maxListAge = feed.MaxUnfollowed
 	// maxUnlisted is how long a target may serve after its registration has ended.
 	maxUnlisted = 10 * time.Second
 	// copies is the number of other instances that are sent a pin.
@@ -31,7 +32,8 @@
 	// confirmTimeout bounds the wait for a newer list of targets. It covers the pause
 	// between two reads of the list.
 	confirmTimeout = 600 * time.Millisecond
-	// sweepInterval is the time between two sweeps of expired pins.
+	// sweepInterval is the time between two sweeps of expired pins, and after which pins
+	// of a service whose version is no longer certain are sent.
 	sweepInterval = time.Second
 )
 
@@ -49,6 +51,9 @@
 type List interface {
 	// Age returns the time since the copy was last known to be current.
 	Age() time.Duration
+	// FollowedSince returns since when the copy has followed the list without a gap. It
+	// may have missed targets before.
+	FollowedSince() time.Time
 	// AwaitConfirmed waits until the copy is known to have been current after a time. It
 	// returns false if the context ends first.
 	AwaitConfirmed(ctx context.Context, after time.Time) bool
@@ -112,7 +117,8 @@
 	}
 }
 
-// Run sends pins when versions change and drops expired ones, until the context ends.
+// Run sends pins once their version is no longer certain and drops expired ones, until the
+// context ends.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -126,6 +132,7 @@
 			m.mu.Lock()
 			m.pins.sweep(now)
 			m.mu.Unlock()
+			m.sendUnshared()
 		}
 	}
 }
@@ -168,6 +175,9 @@
 // that are in progress must have begun, false if that is uncertain.
 func (m *Manager) certainVersion(service string, lifetime time.Duration) (string, bool) {
 	version, since, ok := m.Versions.SoleVersion(service)
+	if followed := m.List.FollowedSince(); followed.After(since) {
+		since = followed
+	}
 	if !ok || time.Since(since) < lifetime+maxListAge+maxUnlisted || m.List.Age() > maxListAge {
 		return "", false
 	}
