serve: a stream keeps its version where its route is no longer resumable

A caller that resumes a stream on a route without Resumable was sent to any target of the service, whatever version began the stream: the check of the version was made on resumable routes only. The settings decide that, and they may have changed since the stream began, or an instance that starts again may know older ones for a while.

The version is looked up for each request that resumes a stream. On a route that never was resumable nothing is recorded, so such a request continues only while the service has had one version, and is refused with 503 otherwise.

TestStreamOfAnUnknownVersionIsRefusedOnARouteWithoutResumption failed before: 200 with the rest of the stream.

--- a/internal/serve/resume.go
+++ b/internal/serve/resume.go
@@ -29,9 +29,10 @@
 }
 
 // findOrigin finds out at which service and version a stream that the caller resumes
-// began. It returns false if the request has been refused.
+// began, also on a route that is not resumable: other settings may have made it so when the
+// stream began. It returns false if the request has been refused.
 func (x *transfer) findOrigin() bool {
-	if x.route.Kind != route.Stream || !x.route.Resumable || x.call.LastEvent == "" {
+	if x.route.Kind != route.Stream || x.call.LastEvent == "" {
 		return true
 	}
 	origin, err := x.server.streamVersions.Lookup(x.ctx, x.stream(x.call.Resumes), x.service)
--- a/internal/serve/resume_test.go
+++ b/internal/serve/resume_test.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// Other settings may have let the route's streams be resumed.
+func TestStreamOfAnUnknownVersionIsRefusedOnARouteWithoutResumption(t *testing.T) {
+	h := newHarness(t)
+	h.versions.sole = nil
+	tg := h.versionedTarget("a", "engine", "v1", serveEvents(4, neverCut))
+	if got := h.resume("/fixed/"); got.status != http.StatusServiceUnavailable || tg.count() != 0 {
+		t.Errorf("got %+v after %d runs", got, tg.count())
+	}
+}
+
 func TestStreamWhoseVersionHasNoTargetIsRefusedAtOnce(t *testing.T) {
 	h := newHarness(t)
 	h.begin("v1")
