streampin: no version is certain after routes of streams have changed

A stream without a known pin continues at the service to which its route leads, if that service has had one version for long enough. But the route may have led to another service when the stream began, or had a longer timeout, so that its caller may come back later than the present timeout tells. If the instance that began the stream had crashed and had kept its pin to itself, the text was continued by a target of another service, or of another version, and answered 200.

The server compares the routes of streams when it puts settings into force. After a change, no version is certain until the streams of the former routes, with their timeouts, can no longer be resumed; the pins kept so far are sent at once. Other changes of the settings have no effect.

TestStreamOfAServiceThatItsRouteLeftIsNotResumed fails without the rule: all streams would continue at the other service at its version. With it, those whose pins could be sent still continue where they began.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -134,6 +134,38 @@
 	return t
 }
 
+// SameStreams reports whether another table sends all streams to the same services, with
+// the same timeouts.
+func (t *Table) SameStreams(other *Table) bool {
+	streams, others := t.streams(), other.streams()
+	return len(streams) == len(others) && !slices.ContainsFunc(streams, func(r *Route) bool {
+		o := other.byHost[r.Host][r.Prefix]
+		return o == nil || o.Kind != Stream || o.Timeout != r.Timeout || !slices.Equal(o.Splits, r.Splits)
+	})
+}
+
+// LongestStream returns the longest timeout of the routes of streams.
+func (t *Table) LongestStream() time.Duration {
+	var longest time.Duration
+	for _, r := range t.streams() {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
+
+// streams lists the routes of streams.
+func (t *Table) streams() []*Route {
+	var streams []*Route
+	for _, byPrefix := range t.byHost {
+		for _, r := range byPrefix {
+			if r.Kind == Stream {
+				streams = append(streams, r)
+			}
+		}
+	}
+	return streams
+}
+
 // Match finds the route of the host with the longest prefix of the path. The host may
 // include a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 func table(prefixes ...string) *Table {
@@ -52,3 +53,42 @@
 		}
 	}
 }
+
+func TestSameStreams(t *testing.T) {
+	tableOf := func(routes ...Route) *Table {
+		s := Settings{}
+		for _, r := range routes {
+			s.Routes = append(s.Routes, &r)
+		}
+		return NewTable(s)
+	}
+	stream := Route{Host: "a", Prefix: "/a/", Kind: Stream, Timeout: time.Second, Splits: []Split{{"x", 9}, {"y", 1}}}
+	change := func(f func(r *Route)) Route {
+		r := stream
+		f(&r)
+		return r
+	}
+	plain := Route{Host: "a", Prefix: "/b/", Kind: Repeatable, Timeout: time.Hour}
+	for _, c := range []struct {
+		name   string
+		routes []Route
+		same   bool
+	}{
+		{"equal", []Route{stream}, true},
+		{"another plain route", []Route{plain, stream}, true},
+		{"another goal", []Route{change(func(r *Route) { r.LatencyGoal = time.Minute })}, true},
+		{"another timeout", []Route{change(func(r *Route) { r.Timeout++ })}, false},
+		{"another service", []Route{change(func(r *Route) { r.Splits = []Split{{"z", 1}} })}, false},
+		{"other weights", []Route{change(func(r *Route) { r.Splits = []Split{{"x", 8}, {"y", 2}} })}, false},
+		{"another prefix", []Route{change(func(r *Route) { r.Prefix = "/" })}, false},
+		{"one more", []Route{stream, change(func(r *Route) { r.Prefix = "/a/b/" })}, false},
+		{"none", nil, false},
+	} {
+		if got := tableOf(stream).SameStreams(tableOf(c.routes...)); got != c.same {
+			t.Errorf("%s: got %t", c.name, got)
+		}
+	}
+	if got := tableOf(stream, plain).LongestStream(); got != stream.Timeout {
+		t.Errorf("longest stream %s, want %s", got, stream.Timeout)
+	}
+}
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -72,6 +72,14 @@
 	mu      sync.Mutex
 	origins map[Stream]StreamOrigin
 	sole    *string
+	// changed are the lifetimes of RoutesChanged.
+	changed []time.Duration
+}
+
+func (v *fakeVersions) RoutesChanged(lifetime time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.changed = append(v.changed, lifetime)
 }
 
 func (v *fakeVersions) Record(stream Stream, origin StreamOrigin) {
--- a/internal/serve/resume_test.go
+++ b/internal/serve/resume_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/targets"
@@ -158,3 +160,20 @@
 		t.Errorf("got %+v after %d runs", got, tg.count())
 	}
 }
+
+func TestStreamsOfFormerRoutesAreNoted(t *testing.T) {
+	h := newHarness(t)
+	h.server.SetTable(route.NewTable(testRoutes()))
+	if len(h.versions.changed) != 0 {
+		t.Errorf("changes %v without a change", h.versions.changed)
+	}
+	settings := testRoutes()
+	timeout := settings.Routes[0].Timeout
+	for _, r := range settings.Routes {
+		r.Timeout /= 10
+	}
+	h.server.SetTable(route.NewTable(settings))
+	if want := callerLifetime * timeout; !slices.Equal(h.versions.changed, []time.Duration{want}) {
+		t.Errorf("changes %v, want one of %s", h.versions.changed, want)
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -153,6 +153,9 @@
 	// Lookup returns the origin of a stream. It returns ErrStreamVersionUnknown if the
 	// origin is neither known nor certain because service has had no other version.
 	Lookup(ctx context.Context, stream Stream, service string) (StreamOrigin, error)
+	// RoutesChanged notifies of routes that lead to other services, or have other
+	// timeouts, than those through which streams with a lifetime have begun so far.
+	RoutesChanged(lifetime time.Duration)
 }
 
 // Work identifies what a caller asks for over all of its attempts.
@@ -267,7 +270,12 @@
 }
 
 // SetTable puts a version of the settings into effect.
-func (s *Server) SetTable(table *route.Table) { s.table.Store(table) }
+func (s *Server) SetTable(table *route.Table) {
+	if previous := s.table.Load(); previous != nil && !previous.SameStreams(table) {
+		s.streamVersions.RoutesChanged(callerLifetime * previous.LongestStream())
+	}
+	s.table.Store(table)
+}
 
 // Table returns the settings in effect, nil if there are none yet.
 func (s *Server) Table() *route.Table { return s.table.Load() }
--- a/internal/streampin/cluster_test.go
+++ b/internal/streampin/cluster_test.go
@@ -137,12 +137,20 @@
 		}
 	}
 	for id, version := range c.registered {
-		if n.registry.Put(targets.Entry{ID: id, Service: testService, Address: id, DataCentre: "dc", Slots: 4, Version: version}) {
+		if n.registry.Put(targets.Entry{ID: id, Service: serviceOf(id), Address: id, DataCentre: "dc", Slots: 4, Version: version}) {
 			n.manager.VersionsChanged()
 		}
 	}
 }
 
+// serviceOf returns the service of a target. One has the name of its service.
+func serviceOf(id string) string {
+	if id == otherService {
+		return otherService
+	}
+	return testService
+}
+
 // register registers a target; an empty version removes it.
 func (c *cluster) register(id, version string) {
 	c.mu.Lock()
@@ -424,3 +432,38 @@
 		}
 	})
 }
+
+// otherService is a service of one version, to which routes are moved.
+const otherService = "engine2"
+
+func TestStreamOfAServiceThatItsRouteLeftIsNotResumed(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		runInCluster(t, 5, func(t *testing.T, c *cluster) {
+			c.register(otherService, "v7")
+			time.Sleep(settleTime)
+			first := c.all()[0]
+			streams := c.beginAt(first)
+			if !kept {
+				c.Kill(first.Node)
+			}
+			for _, n := range c.all() {
+				n.manager.RoutesChanged(testLifetime)
+			}
+			time.Sleep(2 * simnet.LinkLatency)
+			if kept {
+				c.Kill(first.Node)
+			}
+			for _, s := range streams {
+				origin, err := simnet.Pick(c.rng, c.all()).manager.Lookup(t.Context(), s.Stream, otherService)
+				want := serve.StreamOrigin{Service: testService, Version: s.version}
+				if kept && origin != want || !kept && !errors.Is(err, serve.ErrStreamVersionUnknown) {
+					t.Errorf("stream %s (known to others: %t): %+v, %v", s.ID, kept, origin, err)
+				}
+			}
+			time.Sleep(settleTime)
+			if _, err := c.all()[0].manager.Lookup(t.Context(), serve.Stream{ID: "later", Lifetime: testLifetime}, otherService); err != nil {
+				t.Errorf("a stream that began later: %v", err)
+			}
+		})
+	}
+}
--- a/internal/streampin/doc.go
+++ b/internal/streampin/doc.go
@@ -15,9 +15,10 @@
 // A version is the certain one of a service if there has been no other for the lifetime
 // of a stream, maxUnlisted and maxListAge, in a list of targets that is at most
 // maxListAge old and has been followed without a gap all that time: no target of another
-// version can have begun a stream that is still in progress. An instance resumes such
-// streams without a pin, and pins are not sent. When the version is no longer certain, an
-// instance sends the pins that it has kept to itself.
+// version can have begun a stream that is still in progress. Nor may streams be in progress
+// that began while the routes led to other services or had other timeouts. An instance
+// resumes such streams without a pin, and pins are not sent. When the version is no longer
+// certain, an instance sends the pins that it has kept to itself.
 //
 // # The invariant
 //
--- a/internal/streampin/lookup.go
+++ b/internal/streampin/lookup.go
@@ -79,7 +79,13 @@
 	if !ok {
 		return "", false
 	}
+	m.mu.Lock()
 	_, certain := m.certainVersion(service, lifetime)
+	settled := m.routesSettled()
+	m.mu.Unlock()
+	if !settled {
+		return "", false // others may not have these routes yet
+	}
 	for _, reply := range replies {
 		switch {
 		case reply.Outcome == structs.StreamPinSeveralVersions:
@@ -102,5 +108,7 @@
 	if !m.List.AwaitConfirmed(wait, after) {
 		return "", false
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.certainVersion(service, lifetime)
 }
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -21,6 +21,8 @@
 	maxListAge = feed.MaxUnfollowed
 	// maxUnlisted is how long a target may serve after its registration has ended.
 	maxUnlisted = 10 * time.Second
+	// margin is how long after its end a version, or a route, may still begin streams.
+	margin = maxListAge + maxUnlisted
 	// copies is the number of other instances that are sent a pin.
 	copies = 2
 	// maxAsked is the number of instances that are asked for a pin. One of them may be
@@ -93,6 +95,9 @@
 
 	mu   sync.Mutex
 	pins *table
+	// uncertainUntil is the time until which streams may be resumed that began through
+	// former routes.
+	uncertainUntil time.Time
 }
 
 type metrics struct {
@@ -161,6 +166,17 @@
 	}
 }
 
+// RoutesChanged notifies the Manager that streams with a lifetime may have begun at other
+// services than those to which the routes lead now, or may last longer. It does not block.
+func (m *Manager) RoutesChanged(lifetime time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until := time.Now().Add(lifetime + margin); until.After(m.uncertainUntil) {
+		m.uncertainUntil = until
+	}
+	m.VersionsChanged()
+}
+
 // sendUnshared sends the pins kept here whose service has no certain version any more.
 func (m *Manager) sendUnshared() {
 	m.mu.Lock()
@@ -172,18 +188,22 @@
 }
 
 // certainVersion returns the version at which all streams of a service with a lifetime
-// that are in progress must have begun, false if that is uncertain.
+// that are in progress must have begun, false if that is uncertain. The mutex is held.
 func (m *Manager) certainVersion(service string, lifetime time.Duration) (string, bool) {
 	version, since, ok := m.Versions.SoleVersion(service)
 	if followed := m.List.FollowedSince(); followed.After(since) {
 		since = followed
 	}
-	if !ok || time.Since(since) < lifetime+maxListAge+maxUnlisted || m.List.Age() > maxListAge {
+	if !ok || !m.routesSettled() || time.Since(since) < lifetime+margin || m.List.Age() > maxListAge {
 		return "", false
 	}
 	return version, true
 }
 
+// routesSettled reports whether all streams that may be resumed began at the services to
+// which the routes lead. The mutex is held.
+func (m *Manager) routesSettled() bool { return !time.Now().Before(m.uncertainUntil) }
+
 // send sends pins to the instances that hold them. The mutex is held.
 func (m *Manager) send(pins []structs.StreamPin) {
 	messages := make(map[structs.InstanceID]*structs.StreamPins)
