streampin: another version that an instance knows of contradicts a certain one

An instance whose list of targets was a second or two old could take the version in it for certain, although the targets of that version had just left: the instances that it asked for the pin had all started again, listed only the new version, and replied that they knew neither the pin nor several versions. A stream that the new version had begun, and whose pins were lost with those instances, then continued at the former version while its targets still served.

The reply to a request for a pin now has the only version that the receiver lists, also if that is not certain there, and one that differs makes the version unknown. Builds before this send none, which means the same as before.

TestVersionThatOthersDoNotListIsNotResumed failed before: streams of v2 would have continued at v1.

--- a/internal/streampin/cluster_test.go
+++ b/internal/streampin/cluster_test.go
@@ -433,6 +433,27 @@
 	})
 }
 
+// The list of an instance that was not restarted may be older than those of the others,
+// whose pins are lost.
+func TestVersionThatOthersDoNotListIsNotResumed(t *testing.T) {
+	runInCluster(t, 5, func(t *testing.T, c *cluster) {
+		time.Sleep(settleTime)
+		outdated := c.all()[0]
+		outdated.setReadsFail(true)
+		c.register("t1", "v2")
+		c.register("t0", "")
+		time.Sleep(2 * readInterval)
+		streams := c.beginAt(c.all()[1:]...)
+		for _, n := range c.all()[1:] {
+			c.Restart(n.Node)
+		}
+		time.Sleep(2 * simnet.LinkLatency)
+		for _, s := range streams {
+			c.resume(t, outdated, s)
+		}
+	})
+}
+
 // otherService is a service of one version, to which routes are moved.
 const otherService = "engine2"
 
--- a/internal/streampin/doc.go
+++ b/internal/streampin/doc.go
@@ -26,6 +26,6 @@
 // service. Otherwise the request is refused. A lost message or instance may make the
 // version unknown. A stream of a version that is not in the list here yet is not taken
 // for one of the certain version: unless all instances that may hold the pin reply that
-// they know neither the pin nor several versions, the list must have been current after
-// the request arrived.
+// they know neither the pin nor another version, the list must have been current after the
+// request arrived.
 package streampin
--- a/internal/streampin/lookup.go
+++ b/internal/streampin/lookup.go
@@ -90,10 +90,9 @@
 		switch {
 		case reply.Outcome == structs.StreamPinSeveralVersions:
 			return "", false // the list here may be older
-		case reply.Outcome != structs.StreamPinSoleVersion:
-		case reply.Version != version:
+		case reply.Service != "" && reply.Version != version:
 			return "", false
-		default:
+		case reply.Outcome == structs.StreamPinSoleVersion:
 			certain = true
 		}
 	}
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -269,10 +269,15 @@
 		reply.Outcome, reply.Service, reply.Version = structs.StreamPinFound, p.Service, p.Version
 		return reply
 	}
-	if version, ok := m.certainVersion(request.Service, request.Lifetime); ok {
-		reply.Outcome, reply.Service, reply.Version = structs.StreamPinSoleVersion, request.Service, version
-	} else if m.Versions.HasSeveralVersions(request.Service) {
+	if m.Versions.HasSeveralVersions(request.Service) {
 		reply.Outcome = structs.StreamPinSeveralVersions
+		return reply
+	}
+	if version, _, ok := m.Versions.SoleVersion(request.Service); ok {
+		reply.Service, reply.Version = request.Service, version
+	}
+	if _, certain := m.certainVersion(request.Service, request.Lifetime); certain {
+		reply.Outcome = structs.StreamPinSoleVersion
 	}
 	return reply
 }
--- a/internal/structs/streampin.go
+++ b/internal/structs/streampin.go
@@ -37,7 +37,8 @@
 
 // Outcomes of a StreamPinRequest.
 const (
-	// StreamPinUnknown: the receiver knows neither the pin nor of several versions.
+	// StreamPinUnknown: the receiver knows neither the pin nor of several versions. The
+	// reply has the only version that it knows, without a Service if it knows none.
 	StreamPinUnknown StreamPinOutcome = 1
 	// StreamPinFound: Service and Version of the reply are those that began the stream.
 	StreamPinFound StreamPinOutcome = 2
