streampin: an instance without a list does not confirm a version

TestVersionThatOthersDoNotListIsNotResumed, extended by instances that start without a list, failed before: streams of v2 would have continued at v1.

--- a/internal/streampin/cluster_test.go
+++ b/internal/streampin/cluster_test.go
@@ -41,6 +41,8 @@
 	removedAt  map[string]time.Time
 	streams    int
 	rng        *rand.Rand
+	// startsUnread indicates that instances start without a list of targets.
+	startsUnread bool
 }
 
 // node is one incarnation of an instance.
@@ -81,6 +83,7 @@
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	c.nodes.Put(sim, n)
+	n.setReadsFail(c.startsUnread)
 	c.read(n)
 	c.Background.Go(func() { n.manager.Run(ctx) })
 	c.Background.Go(func() {
@@ -434,24 +437,27 @@
 }
 
 // The list of an instance that was not restarted may be older than those of the others,
-// whose pins are lost.
+// whose pins are lost. Others may have no list yet.
 func TestVersionThatOthersDoNotListIsNotResumed(t *testing.T) {
-	runInCluster(t, 5, func(t *testing.T, c *cluster) {
-		time.Sleep(settleTime)
-		outdated := c.all()[0]
-		outdated.setReadsFail(true)
-		c.register("t1", "v2")
-		c.register("t0", "")
-		time.Sleep(2 * readInterval)
-		streams := c.beginAt(c.all()[1:]...)
-		for _, n := range c.all()[1:] {
-			c.Restart(n.Node)
-		}
-		time.Sleep(2 * simnet.LinkLatency)
-		for _, s := range streams {
-			c.resume(t, outdated, s)
-		}
-	})
+	for _, unread := range []bool{false, true} {
+		runInCluster(t, 5, func(t *testing.T, c *cluster) {
+			time.Sleep(settleTime)
+			outdated := c.all()[0]
+			outdated.setReadsFail(true)
+			c.register("t1", "v2")
+			c.register("t0", "")
+			time.Sleep(2 * readInterval)
+			streams := c.beginAt(c.all()[1:]...)
+			c.startsUnread = unread
+			for _, n := range c.all()[1:] {
+				c.Restart(n.Node)
+			}
+			time.Sleep(2 * simnet.LinkLatency)
+			for _, s := range streams {
+				c.resume(t, outdated, s)
+			}
+		})
+	}
 }
 
 // otherService is a service of one version, to which routes are moved.
--- a/internal/streampin/lookup.go
+++ b/internal/streampin/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/serve"
@@ -27,8 +28,8 @@
 	}
 	version, ok := m.agreedVersion(service, stream.Lifetime, replies)
 	if ok && !complete {
-		// The silent instances may know the pin, of a version that is not in the list
-		// here yet.
+		// The other instances may know, or have known, the pin, of a version that is not
+		// in the list here yet.
 		version, ok = m.confirmedVersion(ctx, service, stream.Lifetime, started)
 	}
 	if ok {
@@ -42,7 +43,7 @@
 
 // ask asks the instances that may hold the pin. It returns at the first reply with a pin,
 // or once all have replied or are unresponsive. complete reports whether there are other
-// instances and all have replied.
+// instances, and all have replied and know the service's versions.
 func (m *Manager) ask(ctx context.Context, request structs.StreamPinRequest) (replies []*structs.StreamPinReply, complete bool) {
 	others := m.ring.Of(request.Stream)
 	round := m.queries.Begin(others, func(to structs.InstanceID, number uint64) bool {
@@ -56,7 +57,14 @@
 		// The connection may be dead without having been closed.
 		m.Peers.Probe(to)
 	}
-	return replies, len(replies) == len(others) && len(others) > 0
+	complete = len(replies) == len(others) && len(others) > 0 && !slices.ContainsFunc(replies, knowsNoVersion)
+	return replies, complete
+}
+
+// knowsNoVersion reports whether a reply is of an instance that lists no targets of the
+// service. It may have started a moment ago.
+func knowsNoVersion(reply *structs.StreamPinReply) bool {
+	return reply.Outcome == structs.StreamPinUnknown && reply.Service == ""
 }
 
 // hasPin reports whether a reply has the pin.
