soak: kills of all around a release leave one instance at times

Each kill of a run now comes after, during or before a release in turn, so that a short run has all three, and one instance survives one kill in four.

--- a/internal/soak/rejoined_test.go
+++ b/internal/soak/rejoined_test.go
@@ -94,31 +94,37 @@
 	return nil
 }
 
-// killAllAround kills all instances before, during or after a release, and waits until
-// those that start again are ready.
-func (d *deployment) killAllAround(ctx context.Context, t *testing.T, rng *rand.Rand, version string) {
+// killAround kills all instances, at times all but one, and waits until all are ready again.
+// The kill with a number comes after, during or before a release.
+func (d *deployment) killAround(ctx context.Context, t *testing.T, rng *rand.Rand, number int) {
 	t.Helper()
 	releaseErr := make(chan error, 1)
-	release := func() { releaseErr <- d.release(ctx, rand.New(rand.NewPCG(rng.Uint64(), 1)), version) }
-	when := rng.IntN(3)
-	switch when {
+	version := softwareVersions[(number+1)%len(softwareVersions)]
+	releaseRng := rand.New(rand.NewPCG(rng.Uint64(), 1))
+	release := func() { releaseErr <- d.release(ctx, releaseRng, version) }
+	switch number % 3 {
 	case 0:
 		release()
 	case 1:
 		go release()
 	}
 	delay.Sleep(ctx, time.Duration(rng.IntN(150))*time.Millisecond)
+	killed := slices.Clone(d.instances)
+	rng.Shuffle(len(killed), func(i, j int) { killed[i], killed[j] = killed[j], killed[i] })
+	if rng.IntN(4) == 0 {
+		killed = killed[1:]
+	}
 	var kills sync.WaitGroup
-	for _, inst := range d.instances {
+	for _, inst := range killed {
 		kills.Go(inst.kill)
 	}
 	kills.Wait()
-	if when == 2 {
+	if number%3 == 2 {
 		go release()
 	}
-	for _, i := range rng.Perm(len(d.instances)) {
+	for _, inst := range killed {
 		delay.Sleep(ctx, time.Duration(rng.IntN(100))*time.Millisecond)
-		if err := d.instances[i].start(d.options.Binary, d.options.Dir, d.history); err != nil {
+		if err := inst.start(d.options.Binary, d.options.Dir, d.history); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -185,7 +191,7 @@
 	rng := rand.New(rand.NewPCG(seed, 17))
 	for kill := range *allKills {
 		delay.Sleep(ctx, time.Duration(rng.Int64N(int64(*maxKillPause))))
-		d.killAllAround(ctx, t, rng, softwareVersions[(kill+1)%len(softwareVersions)])
+		d.killAround(ctx, t, rng, kill)
 	}
 	d.awaitResumptions(ctx)
 	cancel()
