--- a/internal/streampin/doc.go
+++ b/internal/streampin/doc.go
@@ -14,9 +14,11 @@
 //
 // A version is the certain one of a service if there has been no other for the lifetime
 // of a stream, maxUnlisted and maxListAge, in a list of targets that is at most
-// maxListAge old: no target of another version can have begun a stream that is still in
-// progress. An instance resumes such streams without a pin, and pins are not sent. When
-// another version appears, an instance sends the pins that it has kept to itself.
+// maxListAge old and has been followed without a gap all that time: no target of another
+// version can have begun a stream that is still in progress. Nor may streams be in progress
+// that began while the routes led to other services or had other timeouts. An instance
+// resumes such streams without a pin, and pins are not sent. When the version is no longer
+// certain, an instance sends the pins that it has kept to itself.
 //
 // # The invariant
 //
@@ -24,6 +26,6 @@
 // service. Otherwise the request is refused. A lost message or instance may make the
 // version unknown. A stream of a version that is not in the list here yet is not taken
 // for one of the certain version: unless all instances that may hold the pin reply that
-// they know neither the pin nor several versions, the list must have been current after
-// the request arrived.
+// they know neither the pin nor another version, the list must have been current after the
+// request arrived.
 package streampin
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanglade/banyanglade/internal/directory"
+	"github.com/banyanglade/banyanglade/internal/feed"
 	"github.com/banyanglade/banyanglade/internal/holders"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -17,9 +18,11 @@
 const (
 	// maxListAge is the age up to which the list of targets can make a version certain. A
 	// list that is read regularly is younger.
-	maxListAge = 3 * time.Second
+	maxListAge = feed.MaxUnfollowed
 	// maxUnlisted is how long a target may serve after its registration has ended.
 	maxUnlisted = 10 * time.Second
+	// margin is how long after its end a version, or a route, may still begin streams.
+	margin = maxListAge + maxUnlisted
 	// copies is the number of other instances that are sent a pin.
 	copies = 2
 	// maxAsked is the number of instances that are asked for a pin. One of them may be
@@ -31,7 +34,8 @@
 	// confirmTimeout bounds the wait for a newer list of targets. It covers the pause
 	// between two reads of the list.
 	confirmTimeout = 600 * time.Millisecond
-	// sweepInterval is the time between two sweeps of expired pins.
+	// sweepInterval is the time between two sweeps of expired pins, and after which pins
+	// of a service whose version is no longer certain are sent.
 	sweepInterval = time.Second
 )
 
@@ -49,6 +53,9 @@
 type List interface {
 	// Age returns the time since the copy was last known to be current.
 	Age() time.Duration
+	// FollowedSince returns since when the copy has followed the list without a gap. It
+	// may have missed targets before.
+	FollowedSince() time.Time
 	// AwaitConfirmed waits until the copy is known to have been current after a time. It
 	// returns false if the context ends first.
 	AwaitConfirmed(ctx context.Context, after time.Time) bool
@@ -88,6 +95,9 @@
 
 	mu   sync.Mutex
 	pins *table
+	// uncertainUntil is the time until which streams may be resumed that began through
+	// former routes.
+	uncertainUntil time.Time
 }
 
 type metrics struct {
@@ -112,7 +122,8 @@
 	}
 }
 
-// Run sends pins when versions change and drops expired ones, until the context ends.
+// Run sends pins once their version is no longer certain and drops expired ones, until the
+// context ends.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -126,6 +137,7 @@
 			m.mu.Lock()
 			m.pins.sweep(now)
 			m.mu.Unlock()
+			m.sendUnshared()
 		}
 	}
 }
@@ -154,6 +166,17 @@
 	}
 }
 
+// RoutesChanged notifies the Manager that streams with a lifetime may have begun at other
+// services than those to which the routes lead now, or may last longer. It does not block.
+func (m *Manager) RoutesChanged(lifetime time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until := time.Now().Add(lifetime + margin); until.After(m.uncertainUntil) {
+		m.uncertainUntil = until
+	}
+	m.VersionsChanged()
+}
+
 // sendUnshared sends the pins kept here whose service has no certain version any more.
 func (m *Manager) sendUnshared() {
 	m.mu.Lock()
@@ -165,15 +188,22 @@
 }
 
 // certainVersion returns the version at which all streams of a service with a lifetime
-// that are in progress must have begun, false if that is uncertain.
+// that are in progress must have begun, false if that is uncertain. The mutex is held.
 func (m *Manager) certainVersion(service string, lifetime time.Duration) (string, bool) {
 	version, since, ok := m.Versions.SoleVersion(service)
-	if !ok || time.Since(since) < lifetime+maxListAge+maxUnlisted || m.List.Age() > maxListAge {
+	if followed := m.List.FollowedSince(); followed.After(since) {
+		since = followed
+	}
+	if !ok || !m.routesSettled() || time.Since(since) < lifetime+margin || m.List.Age() > maxListAge {
 		return "", false
 	}
 	return version, true
 }
 
+// routesSettled reports whether all streams that may be resumed began at the services to
+// which the routes lead. The mutex is held.
+func (m *Manager) routesSettled() bool { return !time.Now().Before(m.uncertainUntil) }
+
 // send sends pins to the instances that hold them. The mutex is held.
 func (m *Manager) send(pins []structs.StreamPin) {
 	messages := make(map[structs.InstanceID]*structs.StreamPins)
@@ -239,10 +269,15 @@
 		reply.Outcome, reply.Service, reply.Version = structs.StreamPinFound, p.Service, p.Version
 		return reply
 	}
-	if version, ok := m.certainVersion(request.Service, request.Lifetime); ok {
-		reply.Outcome, reply.Service, reply.Version = structs.StreamPinSoleVersion, request.Service, version
-	} else if m.Versions.HasSeveralVersions(request.Service) {
+	if m.Versions.HasSeveralVersions(request.Service) {
 		reply.Outcome = structs.StreamPinSeveralVersions
+		return reply
+	}
+	if version, _, ok := m.Versions.SoleVersion(request.Service); ok {
+		reply.Service, reply.Version = request.Service, version
+	}
+	if _, certain := m.certainVersion(request.Service, request.Lifetime); certain {
+		reply.Outcome = structs.StreamPinSoleVersion
 	}
 	return reply
 }
