A run is announced again after the instance was stopped meanwhile

Cause: an instance decides by what others reply to the announcement of a run, however long that took. Its caller left after 0.6 s and sent the request through m2, which lost runs of its own. When m1 resumed, the time for the replies was over and it sent the request at once, to one or two more targets; it noticed 13 ms later that its caller had left.

An announcement that took longer than others are waited for is repeated after 50 ms, in which the end of the caller's connection and of those to other instances are noticed, and a run does not begin once its caller has left. The announcement before a send is therefore a recent one.

Not covered: that m2 knew nothing of m1's first lost run.

--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -103,6 +103,8 @@
 	notices []structs.LostRuns
 	// initial are runs that other instances lost of all work.
 	initial structs.LostRuns
+	// standstill is called while the first notice waits for replies.
+	standstill func()
 }
 
 func (l *fakeLostRuns) Exchange(work Work, runs structs.LostRuns) RunsExchange {
@@ -115,7 +117,22 @@
 		l.notices = append(l.notices, slices.Clone(runs))
 	}
 	l.works[work.ID] = l.works[work.ID].Merge(l.initial).Merge(runs)
-	return knownRuns(slices.Clone(l.works[work.ID]))
+	known := knownRuns(slices.Clone(l.works[work.ID]))
+	if len(l.notices) == 1 && l.standstill != nil {
+		return stoppedExchange{known, l.standstill}
+	}
+	return known
+}
+
+// stoppedExchange is a RunsExchange during which the instance stands still.
+type stoppedExchange struct {
+	knownRuns
+	standstill func()
+}
+
+func (e stoppedExchange) Wait(ctx context.Context) structs.LostRuns {
+	e.standstill()
+	return e.knownRuns.Wait(ctx)
 }
 
 // knownRuns is a RunsExchange that has ended.
--- a/internal/serve/lostrun.go
+++ b/internal/serve/lostrun.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/delay"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
 )
@@ -29,6 +30,12 @@
 	cancelTime = 10 * time.Millisecond
 	// silentTime is the time without a byte after which a target may have ended silently.
 	silentTime = 250 * time.Millisecond
+	// maxAnnouncementTime is longer than other instances are waited for when a run is
+	// announced. An instance that took longer was stopped meanwhile.
+	maxAnnouncementTime = 400 * time.Millisecond
+	// resumeTime is the time in which an instance that was stopped notices which callers
+	// have left and which connections have broken.
+	resumeTime = 50 * time.Millisecond
 )
 
 // targetStates names the states of lost runs in logs and metrics.
@@ -115,22 +122,35 @@
 
 // announceRun tells other instances of the run that is about to begin at a target, if the
 // request has lost runs: this instance may end under it, too. It returns false if the run
-// must not begin, since others know of more lost runs.
+// must not begin, since others know of more lost runs or the caller has left.
 func (x *transfer) announceRun(target *targets.Target) bool {
 	x.runID = newRunID()
 	if suspicion(x.lostRuns) == 0 {
 		return true
 	}
 	run := structs.LostRun{ID: x.runID, Target: target.Incarnation(), State: structs.LostRunOpen}
-	known := x.server.lostRuns.Exchange(x.work, append(slices.Clone(x.lostRuns), run)).Wait(x.ctx)
-	x.lostRuns, x.unsharedRuns = x.lostRuns.Merge(known), false
-	if suspicion(x.lostRuns.Without(run.ID)) < maxEndedTargets {
+	x.lostRuns, x.unsharedRuns = x.lostRuns.Merge(x.exchangeRuns(append(slices.Clone(x.lostRuns), run))), false
+	if x.ctx.Err() == nil && suspicion(x.lostRuns.Without(run.ID)) < maxEndedTargets {
 		return true
 	}
 	x.markRunHarmless(target)
 	return false
 }
 
+// exchangeRuns tells other instances of runs and returns those that they know. It does so
+// again if this instance was stopped meanwhile, since the caller may have sent the request
+// through others.
+func (x *transfer) exchangeRuns(runs structs.LostRuns) structs.LostRuns {
+	for {
+		begun := time.Now()
+		known := x.server.lostRuns.Exchange(x.work, runs).Wait(x.ctx)
+		if time.Since(begun) < maxAnnouncementTime || x.ctx.Err() != nil {
+			return known
+		}
+		delay.Sleep(x.ctx, resumeTime)
+	}
+}
+
 // markRunHarmless records that the target did not end under the current run, if other
 // instances know of that.
 func (x *transfer) markRunHarmless(target *targets.Target) {
--- a/internal/serve/lostrun_test.go
+++ b/internal/serve/lostrun_test.go
@@ -141,6 +141,39 @@
 	}
 }
 
+// An instance that was stopped while it announced a run may wake when its caller has left
+// and others have lost more runs.
+func TestRunIsAnnouncedAgainAfterAStandstill(t *testing.T) {
+	for _, callerLeft := range []bool{false, true} {
+		h := newHarness(t)
+		tg := h.target("a", "engine", serveEvents(4, neverCut))
+		lost := func(count int) (runs structs.LostRuns) {
+			for n := range count {
+				runs = append(runs, structs.LostRun{ID: fmt.Sprint(n), Target: fmt.Sprint("gone", n), State: structs.LostRunTargetEnded})
+			}
+			return runs
+		}
+		h.lostRuns.initial = lost(1)
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		h.lostRuns.standstill = func() {
+			time.Sleep(maxAnnouncementTime + 20*time.Millisecond)
+			if callerLeft {
+				leave()
+				return
+			}
+			h.lostRuns.mu.Lock()
+			defer h.lostRuns.mu.Unlock()
+			h.lostRuns.initial = lost(maxEndedTargets)
+		}
+		got := h.do(h.request("POST", "/turns/", "b").WithContext(ctx))
+		h.front.Close() // waits for the end of the request
+		if tg.count() != 0 || (!callerLeft && got.status != http.StatusBadRequest) {
+			t.Errorf("got %+v after %d runs, the caller left: %t", got, tg.count(), callerLeft)
+		}
+	}
+}
+
 func TestWorkIsTheSameOverAttempts(t *testing.T) {
 	h := newHarness(t)
 	h.target("a", "engine", serveEvents(4, neverCut))
