lostruns: notices without a reply are told to all connected instances

Cause: runs are told to the two first holders by the list of instances. After all instances were killed, and with the store keeping the new list back, both were incarnations that had ended, so that nobody but the instance that lost the runs knew them; with it they were forgotten. With a third holder in the list, that one was sent a query after 50 ms, without the runs.

A notice that has no reply after 50 ms now goes to the third holder and to all connected instances, with its runs. Those that are connected are running, and after a start of all of them the request's next instance asks its three holders, which are among them. No message is added while a holder replies.

TestLostRunsAreToldIfTheListedHoldersHaveEnded failed before (each of 4 instances knew none of 60 works) and TestLostRunsAreToldToOthersIfTheHoldersAreSilent (both holders powered off: none of the 6 others knew the run); both pass.

Not measured: the cost where both holders are silent at an instance with many connections, such as a broken link between data centres.

--- a/internal/lostruns/alarms.go
+++ b/internal/lostruns/alarms.go
@@ -1,6 +1,8 @@
 package lostruns
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/structs"
@@ -69,6 +71,11 @@
 // disconnected records that the connection to another instance has ended.
 func (a *alarms) disconnected(id structs.InstanceID) { delete(a.since, id) }
 
+// connections lists the connected instances.
+func (a *alarms) connections() []structs.InstanceID {
+	return slices.Collect(maps.Keys(a.since))
+}
+
 // absent reports whether another instance has certainly not raised an alarm.
 func (a *alarms) absent(id structs.InstanceID, now time.Time) bool {
 	since, ok := a.since[id]
--- a/internal/lostruns/cluster_test.go
+++ b/internal/lostruns/cluster_test.go
@@ -152,6 +152,47 @@
 	})
 }
 
+// After all instances started again, one may lose runs before it reads the list of the
+// others, which have connected to it.
+func TestLostRunsAreToldIfTheListedHoldersHaveEnded(t *testing.T) {
+	runInCluster(t, 5, func(t *testing.T, c *cluster) {
+		before := c.all()
+		for _, n := range before {
+			c.Restart(n.Node)
+		}
+		first := c.all()[0]
+		for _, n := range before {
+			first.Directory.Put(structs.Peer{ID: n.ID, Address: n.Machine()})
+		}
+		c.connectAll()
+		synctest.Wait()
+		recordMany(t, first)
+		c.Kill(first.Node)
+		c.checkKnown(t)
+	})
+}
+
+// The instances that hold the runs of a piece of work may have lost power, which is not
+// detected at once.
+func TestLostRunsAreToldToOthersIfTheHoldersAreSilent(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		time.Sleep(testLifetime)
+		c.connectAll()
+		synctest.Wait()
+		first := c.all()[0]
+		for _, id := range first.manager.ring.Of(work(0).Key)[:copies] {
+			c.PowerOff(c.nodes.ByID(id).Node)
+		}
+		first.record(t, work(0), ended(0))
+		c.Kill(first.Node)
+		for _, n := range c.all() {
+			if got := n.lookup(t, work(0)); got != 1 {
+				t.Errorf("%s knows %d lost runs", n.ID, got)
+			}
+		}
+	})
+}
+
 // connectAll connects all instances.
 func (c *cluster) connectAll() {
 	for _, n := range c.all() {
--- a/internal/lostruns/doc.go
+++ b/internal/lostruns/doc.go
@@ -13,9 +13,10 @@
 //
 // Before work that has lost a run is sent again, and before its caller gets a response, two
 // other instances are told of its lost runs and of the one about to begin. The instances
-// are chosen by rendezvous hashing of the program, whose budget they own too. Before the
-// first send of an attempt the first of them is asked; all of them while they have
-// recently changed.
+// are chosen by rendezvous hashing of the program, whose budget they own too. If neither
+// replies, all that are connected are told: a holder may have lost power, and the list of
+// instances may be out of date after all were restarted. Before the first send of an
+// attempt the first holder is asked; all holders while they have recently changed.
 //
 // # Alarms
 //
--- a/internal/lostruns/manager.go
+++ b/internal/lostruns/manager.go
@@ -106,10 +106,11 @@
 func (m *Manager) Exchange(work serve.Work, runs structs.LostRuns) serve.RunsExchange {
 	m.merge(work.ID, runs, work.Lifetime)
 	all, stable := m.holdersOf(work)
-	e := &exchange{manager: m, work: work, rest: all}
+	e := &exchange{manager: m, work: work, runs: runs, rest: all}
 	switch {
 	case len(runs) > 0:
-		e.tell(all[:min(copies, len(all))], runs)
+		e.tell(min(copies, len(all)))
+		e.rest = append(slices.Clone(e.rest), m.connectedExcept(all)...)
 	case stable && len(all) > 0 && m.knowsNothing(all[0]):
 		e.rest = nil
 		e.ask(0)
@@ -153,35 +154,47 @@
 	return slices.DeleteFunc(slices.Clone(all), func(id structs.InstanceID) bool { return m.unsupported[id] }), stable
 }
 
-// exchange is a notice to the holders of a piece of work, or a query.
+// connectedExcept returns the connected instances that know of lost runs, except some.
+func (m *Manager) connectedExcept(some []structs.InstanceID) []structs.InstanceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(m.alarms.connections(), func(id structs.InstanceID) bool {
+		return m.unsupported[id] || slices.Contains(some, id)
+	})
+}
+
+// exchange is a notice to the holders of a piece of work, or a query if it has no runs.
 type exchange struct {
 	manager *Manager
 	work    serve.Work
+	runs    structs.LostRuns
 	round   *holders.Round[*structs.LostRunsReply]
-	// rest are the holders that the notice or query was not sent to.
+	// rest are the instances that are sent the notice or query if nobody replies: the
+	// other holders and, of a notice, all that are connected, since the listed holders
+	// may have ended.
 	rest []structs.InstanceID
 }
 
-// tell sends runs to holders.
-func (e *exchange) tell(to []structs.InstanceID, runs structs.LostRuns) {
-	m := e.manager
-	m.metrics.told.Inc(int64(len(to)))
-	e.rest = e.rest[len(to):]
+// tell sends the notice to the first holders.
+func (e *exchange) tell(count int) {
+	m, to := e.manager, e.rest[:count]
+	e.count(count)
+	e.rest = e.rest[count:]
 	e.round = m.queries.Begin(to, func(id structs.InstanceID, number uint64) bool {
-		m.Peers.Send(id, e.notice(number, runs))
+		m.Peers.Send(id, e.notice(number))
 		return true
 	})
 }
 
-// ask queries the first of the remaining holders, if there are connections to them. Many
-// requests ask after a start of all instances: dialing would take those that are still
-// starting for unresponsive, also for the budgets.
+// ask sends the notice or query to the first of the remaining instances, if there are
+// connections to them. Many requests ask after a start of all instances: dialing would take
+// those that are still starting for unresponsive, also for the budgets.
 func (e *exchange) ask(count int) {
 	m, to := e.manager, e.rest[:count]
-	m.metrics.asked.Inc(int64(count))
+	e.count(count)
 	var unsent []structs.InstanceID
 	e.round = m.queries.Begin(to, func(id structs.InstanceID, number uint64) bool {
-		sent := m.Peers.TrySend(id, e.notice(number, nil))
+		sent := m.Peers.TrySend(id, e.notice(number))
 		if !sent {
 			unsent = append(unsent, id)
 		}
@@ -190,8 +203,17 @@
 	e.rest = append(unsent, e.rest[count:]...)
 }
 
-func (e *exchange) notice(number uint64, runs structs.LostRuns) *structs.LostRunsNotice {
-	return &structs.LostRunsNotice{Number: number, Work: e.work.ID, Runs: runs, Lifetime: e.work.Lifetime}
+// count counts messages to instances.
+func (e *exchange) count(instances int) {
+	counter := e.manager.metrics.asked
+	if len(e.runs) > 0 {
+		counter = e.manager.metrics.told
+	}
+	counter.Inc(int64(instances))
+}
+
+func (e *exchange) notice(number uint64) *structs.LostRunsNotice {
+	return &structs.LostRunsNotice{Number: number, Work: e.work.ID, Runs: e.runs, Lifetime: e.work.Lifetime}
 }
 
 // Wait implements serve.RunsExchange.
