lostruns: an instance that shuts down hands over the lost runs that it holds

Cause: lost runs are held by the instance that lost them and by those told of them, and an instance that was shut down took them with it.

At the end of a drain, when no request is left, an instance now tells all connected instances of the works with lost runs that have not expired, with the time that is left. A notice no longer shortens the time for which runs are kept.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -283,6 +283,7 @@
 		return err
 	}
 	e.drain(servers)
+	e.lostRuns.HandOver()
 	e.transport.Close()
 	cancel()
 	e.work.Wait()
--- a/internal/lostruns/cluster_test.go
+++ b/internal/lostruns/cluster_test.go
@@ -193,6 +193,22 @@
 	})
 }
 
+// A planned restart of the holders, one after the other, must not lose what they hold.
+func TestLostRunsAreKnownAfterARollingRestart(t *testing.T) {
+	runInCluster(t, 9, func(t *testing.T, c *cluster) {
+		c.connectAll()
+		recordMany(t, c.all()[0])
+		for _, n := range c.all() {
+			n.manager.HandOver()
+			time.Sleep(2 * simnet.LinkLatency)
+			c.Restart(n.Node)
+			c.connectAll()
+			synctest.Wait()
+		}
+		c.checkKnown(t)
+	})
+}
+
 // connectAll connects all instances.
 func (c *cluster) connectAll() {
 	for _, n := range c.all() {
--- a/internal/lostruns/doc.go
+++ b/internal/lostruns/doc.go
@@ -16,7 +16,8 @@
 // are chosen by rendezvous hashing of the program, whose budget they own too. If neither
 // replies, all that are connected are told: a holder may have lost power, and the list of
 // instances may be out of date after all were restarted. Before the first send of an
-// attempt the first holder is asked; all holders while they have recently changed.
+// attempt the first holder is asked; all holders while they have recently changed. An
+// instance that shuts down tells all that are connected of the runs it holds.
 //
 // # Alarms
 //
--- a/internal/lostruns/manager.go
+++ b/internal/lostruns/manager.go
@@ -26,6 +26,9 @@
 	replyTimeout = 150 * time.Millisecond
 	// firstReplyTimeout is the time after which the other holders are asked, too.
 	firstReplyTimeout = 50 * time.Millisecond
+	// maxHandedOver bounds the works that are handed over to each instance, below the
+	// length of its send queue.
+	maxHandedOver = 1 << 10
 	// sweepInterval is the time between two sweeps of expired runs.
 	sweepInterval = time.Second
 )
@@ -122,6 +125,34 @@
 	return e
 }
 
+// HandOver tells the connected instances of the lost runs known here, before this instance
+// ends. The holders of each piece of work are not known here.
+func (m *Manager) HandOver() {
+	notices := m.handedOver()
+	for _, id := range m.connectedExcept(nil) {
+		for _, notice := range notices {
+			m.Peers.TrySend(id, notice)
+		}
+	}
+}
+
+// handedOver returns notices of the works with lost runs known here.
+func (m *Manager) handedOver() []*structs.LostRunsNotice {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var notices []*structs.LostRunsNotice
+	for work, e := range m.runs.works {
+		if len(notices) == maxHandedOver {
+			break
+		}
+		if left := e.expiresAt.Sub(now); left > 0 && len(e.runs.Targets(structs.LostRunOpen, structs.LostRunTargetEnded)) > 0 {
+			notices = append(notices, &structs.LostRunsNotice{Work: work, Runs: e.clone(), Lifetime: left})
+		}
+	}
+	return notices
+}
+
 // merge adds lost runs and returns all that are known of the work. Other instances are
 // alarmed before any of them is told.
 func (m *Manager) merge(work string, runs structs.LostRuns, lifetime time.Duration) structs.LostRuns {
--- a/internal/lostruns/table.go
+++ b/internal/lostruns/table.go
@@ -46,7 +46,9 @@
 	}
 	known.runs = known.runs.Merge(runs)
 	known.runs = known.runs[max(len(known.runs)-maxRuns, 0):]
-	known.expiresAt = now.Add(lifetime)
+	if expiresAt := now.Add(lifetime); expiresAt.After(known.expiresAt) {
+		known.expiresAt = expiresAt
+	}
 	return known.clone()
 }
 
