soak: a final refusal counts targets that went silent before the request

The request was allowed to be refused.

No instance can tell whether a silent target had ended before it received a request or under it, and the design counts both (docs/design/ended-targets.md).

targetsLost says that it counts targets that have ended for any reason, but a silent target left before it recorded that it had received a request, so that the history knew two of the three. It records that now. Each target still counts once, and two are still too few; the request is no run for the other checks.

TestCheckCountsTargetsThatDoNotAnswer failed before; the case of one silent target that received a request twice is found as before.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -145,6 +145,13 @@
 			ended.stopped.Store(true)
 			v.add(&attempt{id: "d", program: "p", kind: turn, body: "2 p d", status: 400}, ended)
 		}},
+		{"a final refusal after one of two targets did not answer twice", invariantRefusal, func(v *validHistory) {
+			ended, silent := &target{id: "e"}, &target{id: "f"}
+			ended.stopped.Store(true)
+			v.add(&attempt{id: "d", program: "p", kind: turn, body: "2 p d", status: 400}, ended)
+			v.recordUnanswered("d", silent)
+			v.recordUnanswered("d", silent)
+		}},
 		{"a request where no target's entry points", invariantEntries, func(v *validHistory) { v.recordMisrouted("o1") }},
 		{"a request cut by a shutdown", invariantShutdown, func(v *validHistory) {
 			v.incarnation.terminated = testTime(-1)
@@ -166,6 +173,23 @@
 	}
 }
 
+// A target that has gone silent still receives requests on connections that are open.
+func TestCheckCountsTargetsThatDoNotAnswer(t *testing.T) {
+	v := newValidHistory()
+	for i := range maxEndedTargets - 1 {
+		ended := &target{id: fmt.Sprint("e", i)}
+		ended.silent.Store(true)
+		v.add(&attempt{id: fmt.Sprint("d", i), program: "p", kind: turn, body: "2 p d"}, ended)
+		v.runs[fmt.Sprint("d", i)][0].endedTarget = true
+	}
+	v.add(&attempt{id: "unanswered", program: "p", kind: turn, body: "2 p d"})
+	v.recordUnanswered("unanswered", &target{id: "silent"})
+	v.add(&attempt{id: "refused", program: "p", kind: turn, body: "2 p d", status: 400})
+	if found := check(v.history); len(found) > 0 {
+		t.Error(found)
+	}
+}
+
 // Faults of targets and of the network explain failed requests; those are no
 // violations.
 func TestCheckAllowsWhatFaultsExplain(t *testing.T) {
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -123,9 +123,11 @@
 // checkEnds checks how many targets ended under each request, and that a request refused
 // for good has met as many that ended.
 func (h *history) checkEnds() []violation {
-	runs, refused := make(map[string][]*run), make(map[string]*attempt)
+	runs, unanswered := make(map[string][]*run), make(map[string][]*target)
+	refused := make(map[string]*attempt)
 	for _, a := range h.attempts {
 		runs[a.work()] = append(runs[a.work()], h.runs[a.id]...)
+		unanswered[a.work()] = append(unanswered[a.work()], h.unanswered[a.id]...)
 		if a.status == http.StatusBadRequest {
 			refused[a.work()] = a
 		}
@@ -138,7 +140,7 @@
 		}
 	}
 	for work, a := range refused {
-		if lost := h.targetsLost(runs[work]); lost < maxEndedTargets {
+		if lost := h.targetsLost(runs[work], unanswered[work]); lost < maxEndedTargets {
 			found = append(found, violated(invariantRefusal, "%s (%s) was refused after %d targets ended", a.id, work, lost)...)
 		}
 	}
@@ -156,14 +158,19 @@
 	return ended
 }
 
-// targetsLost counts the targets of runs that have ended for any reason.
-func (h *history) targetsLost(runs []*run) int {
-	var lost []string
+// targetsLost counts the targets of runs that have ended for any reason, and those that
+// did not answer: an instance cannot tell whether a target went silent before or after it
+// received the request.
+func (h *history) targetsLost(runs []*run, unanswered []*target) int {
+	lost := make(map[string]bool)
 	for _, r := range runs {
-		if (r.target.stopped.Load() || r.target.silent.Load()) && !slices.Contains(lost, r.target.id) {
-			lost = append(lost, r.target.id)
+		if r.target.stopped.Load() || r.target.silent.Load() {
+			lost[r.target.id] = true
 		}
 	}
+	for _, t := range unanswered {
+		lost[t.id] = true
+	}
 	return len(lost)
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -93,8 +93,10 @@
 	mu       sync.Mutex
 	attempts []*attempt
 	runs     map[string][]*run
-	probes   []probe
-	programs map[string]int
+	// unanswered holds the targets that had gone silent when they received a request.
+	unanswered map[string][]*target
+	probes     []probe
+	programs   map[string]int
 	// published holds the time at which each version of the settings was published.
 	published    map[int]time.Time
 	attemptsByID map[string]*attempt
@@ -110,7 +112,7 @@
 
 func newHistory() *history {
 	return &history{
-		runs: make(map[string][]*run), programs: make(map[string]int), published: make(map[int]time.Time),
+		runs: make(map[string][]*run), unanswered: make(map[string][]*target), programs: make(map[string]int), published: make(map[int]time.Time),
 		attemptsByID: make(map[string]*attempt),
 	}
 }
@@ -146,6 +148,13 @@
 	h.runs[r.request] = append(h.runs[r.request], r)
 }
 
+// recordUnanswered records that a silent target received a request, which it does not run.
+func (h *history) recordUnanswered(request string, t *target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unanswered[request] = append(h.unanswered[request], t)
+}
+
 // recordMisrouted records a request that arrived at the decoy.
 func (h *history) recordMisrouted(what string) {
 	h.mu.Lock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -131,11 +131,12 @@
 	if err != nil {
 		return // the sender has disconnected
 	}
+	id := r.Header.Get("Banyanglade-Request-Id")
 	if t.silent.Load() {
+		t.history.recordUnanswered(id, t)
 		<-r.Context().Done()
 		return
 	}
-	id := r.Header.Get("Banyanglade-Request-Id")
 	w.Header().Set("Banyanglade-Request-Id", id)
 	if expected := r.Header.Get("Banyanglade-Expect-Instance"); expected != t.id {
 		t.refuse(w, http.StatusMisdirectedRequest)
