--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// logLostRuns logs what the instances logged of lost runs, of requests and of each other.
+func logLostRuns(t *testing.T, instances []*instance) {
+	t.Helper()
+	for _, i := range instances {
+		for line := range strings.Lines(i.log.String()) {
+			for _, message := range []string{"run lost", "request ended", "peer ", "instance listed", "started", "stopp"} {
+				if strings.Contains(line, `"msg":"`+message) {
+					t.Log(strings.TrimSpace(line))
+				}
+			}
+		}
+	}
+}
+
 func TestRequestEndsAtMostThreeTargets(t *testing.T) {
 	for _, how := range []string{endAtOnce, endMidway, endSilently} {
 		check := func(name string, run func(t *testing.T, instances []*instance)) {
@@ -165,6 +179,7 @@
 				})
 				if got := ended.Load(); got > maxEnded {
 					t.Errorf("%d targets ended, want at most %d", got, maxEnded)
+					logLostRuns(t, instances)
 				}
 				for n, i := range instances[1:] {
 					if got := i.try(t, testTimeout, fmt.Sprint("innocent", n), "x", 0, 0, ""); !got.complete || got.events != eventsPerTurn {
