edge: engines of TestRequestEndsAtMostThreeTargets listen at addresses of their own

Cause: the engines listened on free ports of 127.0.0.1, where all outgoing connections and most listeners of a test run take theirs. With many connections in TIME_WAIT (22,672 of the 28,232 ports of 127.0.0.1 at one look) the port of an engine that had ended was taken by another listener within 0.4 s. Instances then reached somebody at the engine's address and logged target_state "serves" for its lost run, which does not count.

Evidence: in each failed part that was looked at, a run that the engine recorded as the cause of its end is logged as "serves"; /proc/net/tcp, read at the check, shows a socket that listens on the port 0.6 to 0.8 s after the engine closed it.

The engines now listen at a random loopback address each, as instances and the seeds of other tests do. Nothing that is checked has changed: the same ends at the same tries, the same limit.

That a target whose address another process takes at once counts as serving remains so, see docs/incidents/ended-targets.md.

--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -43,7 +44,8 @@
 	d.store.Put(platform.TopicTargets, "e1", nil)
 	ended = new(atomic.Int64)
 	for n := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		// Nothing else must listen where an engine has ended.
+		listener, err := net.Listen("tcp", testkit.LoopbackHost()+":0")
 		if err != nil {
 			d.t.Fatal(err)
 		}
