--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -62,6 +62,8 @@
 
 func (b *blocked) Record(Stream, StreamOrigin) {}
 
+func (b *blocked) RoutesChanged(time.Duration) {}
+
 func (b *blocked) Exchange(Work, structs.LostRuns) RunsExchange { return blockedExchange{b} }
 
 type blockedExchange struct{ *blocked }
