soak: targets listen at addresses of their own

It is what made TestRequestEndsAtMostThreeTargets fail: a free port of 127.0.0.1 is taken again at once while few are free.

Targets of the soak now listen at a random loopback address each, like its instances. No check has changed.

--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanglade/banyanglade/internal/delay"
+	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
 const (
@@ -83,12 +84,13 @@
 	faultProbability float64
 }
 
-// startTarget starts a target of a service on a free loopback port. The function ended
+// startTarget starts a target of a service at a free loopback address. The function ended
 // replaces it after a request has ended it.
 func startTarget(
 	id, service, version string, h *history, seed uint64, ended func(t *target, silently bool),
 ) (*target, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing else must listen where a target has ended.
+	listener, err := net.Listen("tcp", testkit.LoopbackHost()+":0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
