Relay: read the store through standbys while the relays are refused

Cause: a follower learns of settings and targets from relays only. A relay that the store refuses answers with stale copies; it kept its slot, which only an unresponsive relay loses, and its followers, which went from one stale relay to the next.

Fix: from an age of 0.7 of the bound on, the standbys read the changes of the bounded topics from the store: one instance of 16 and eight at least, in rendezvous order. The others query two, then four of them; an instance that finds no fresh copies there reads the store itself, spread over 2 ms an instance and with backoff. A relay that reports failed reads is not polled while others answer, but probed every two seconds. After three seconds a standby that the store serves takes its slot, and queries the holder once more before that. An instance that gets fresh copies this way does not count the store as lost on the word of its relay.

Why it works: the copies of a standby are at most 0.7 of the bound and a read old, and 0.05 of the bound later all others ask standbys. The calls grow with the standbys.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -156,6 +156,16 @@
 	return next, err
 }
 
+// Refresh reads the changes of a loaded topic once, without waiting for records. It reads
+// the whole topic if the store has dropped the history.
+func (f *Follower) Refresh(ctx context.Context) error {
+	_, err := f.step(ctx, f.startOffset(), true)
+	if errors.Is(err, platform.ErrTrimmed) {
+		_, err = f.readAll(ctx)
+	}
+	return err
+}
+
 // step reads the whole topic, or the records from an offset on; a probe does not wait for
 // records.
 func (f *Follower) step(ctx context.Context, from int64, probe bool) (int64, error) {
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -124,7 +125,8 @@
 // instanceStore is the store as seen by one instance.
 type instanceStore struct {
 	*limitedStore
-	refused bool
+	// refused makes the store refuse calls.
+	refused *atomic.Bool
 	// hanging makes calls block until they are cancelled.
 	hanging *atomic.Bool
 }
@@ -139,7 +141,7 @@
 }
 
 func (s instanceStore) call(write bool) error {
-	if err := s.limitedStore.call(write); err != nil || !s.refused {
+	if err := s.limitedStore.call(write); err != nil || !s.refused.Load() {
 		return err
 	}
 	return platform.ErrBusy
@@ -233,6 +235,8 @@
 
 	mu    sync.Mutex
 	nodes map[string]*testNode
+	// knownPeers is the list of instances that all instances know, nil at first.
+	knownPeers []string
 	// started is one more than the highest machine number started.
 	started int
 }
@@ -244,7 +248,8 @@
 	done    chan struct{}
 	topics  []*feed.Topic
 	// frozen makes queries to the node hang, storeHangs its calls to the store.
-	frozen, storeHangs atomic.Bool
+	// storeRefuses makes the store refuse them.
+	frozen, storeHangs, storeRefuses atomic.Bool
 }
 
 const (
@@ -322,6 +327,7 @@
 	}
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n := &testNode{cluster: c, stop: cancel, done: make(chan struct{})}
+	n.storeRefuses.Store(refused)
 	var followed []FollowedTopic
 	for _, name := range []string{settingsTopic, targetsTopic, instancesTopic} {
 		topic := feed.NewTopic(name, func(platform.Record) {})
@@ -334,9 +340,9 @@
 	n.Node = New(Config{
 		Self:     Holder{Machine: fmt.Sprint("m", i), Address: address(i), DataCentre: fmt.Sprint("dc", i%c.dataCentres)},
 		CPUShare: cpuShare, Seeds: c.seeds, Topics: followed, Peers: c,
-		Store:         instanceStore{c.store, refused, &n.storeHangs},
+		Store:         instanceStore{c.store, &n.storeRefuses, &n.storeHangs},
 		MaxStaleness:  testBound,
-		WritesToStore: func() bool { return false }, PeerAddresses: func() []string { return nil },
+		WritesToStore: func() bool { return false }, PeerAddresses: c.peerAddresses,
 		Health: feed.NewHealth(), Log: slog.New(slog.DiscardHandler),
 	})
 	c.mu.Lock()
@@ -405,6 +411,19 @@
 	return time.Since(started)
 }
 
+// announcePeers makes all instances known to each other.
+func (c *cluster) announcePeers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.knownPeers = slices.Sorted(maps.Keys(c.nodes))
+}
+
+func (c *cluster) peerAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.knownPeers
+}
+
 // relayNodes lists the instances of a data centre that read the topics from the store.
 func (c *cluster) relayNodes(dataCentre string) []*testNode {
 	var nodes []*testNode
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -15,10 +15,17 @@
 )
 
 const (
-	// avoidDuration is how long a relay is not polled after a failed query.
-	avoidDuration = 2 * time.Second
-	// takeoverAfter is how long a relay has to be unresponsive before its slot is taken.
+	// avoidDuration is how long a relay is not polled after a failed query, or a reply
+	// that it is refused by the store. refusedTolerance is how long it may be refused
+	// while it gets fresh copies from others.
+	avoidDuration    = 2 * time.Second
+	refusedTolerance = time.Second
+	// takeoverAfter is how long a relay has to be unresponsive or refused by the store
+	// before its slot is taken.
 	takeoverAfter = 3 * time.Second
+	// storeServedValidity is how long an instance that the store has served counts as
+	// served. It exceeds the time between two reads of a standby.
+	storeServedValidity = 5 * time.Second
 	// claimJitter is the range of the random delay before a claim on a machine with a
 	// whole core; smaller machines wait longer.
 	claimJitter = 100 * time.Millisecond
@@ -195,16 +202,17 @@
 	}
 }
 
-// nextPollWait returns how long a relay may hold the next poll. An unresponsive one is
-// probed without a wait, so that several of them are soon passed over. A poll ends early
-// when the copies get old, so that its reply comes before they have to be refreshed.
+// nextPollWait returns how long a relay may hold the next poll. One that was unresponsive
+// or refused is probed without a wait, so that several of them are soon passed over.
+// A poll ends early when the copies get old, so that its reply comes before they have to
+// be refreshed.
 func (n *Node) nextPollWait(source Holder, now time.Time) time.Duration {
 	n.mu.Lock()
-	unresponsive := !n.failures[source.Address].unresponsiveSince.IsZero()
+	f := n.failures[source.Address]
 	n.mu.Unlock()
 	age := n.copyAge(now)
 	switch {
-	case unresponsive:
+	case f.isLasting() && !f.avoidUntil.IsZero() && now.After(f.avoidUntil):
 		return 0
 	case age >= n.timing.refreshAge:
 		return n.timing.pollWait
@@ -212,29 +220,43 @@
 	return min(max(n.timing.pollAge-age, n.timing.refreshInterval), n.timing.pollWait)
 }
 
-// recordReply records whether a relay is unresponsive or its copies are stale.
+// recordReply records whether a relay is unresponsive, refused by the store or stale.
 func (n *Node) recordReply(source Holder, reply Reply, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	before, f := n.failures[source.Address], failure{}
+	if err == nil && n.isRefused(reply) {
+		f.refusedSince = earliest(before.refusedSince, now)
+	}
 	switch {
 	case err != nil:
-		since := now
-		if before, ok := n.failures[source.Address]; ok && !before.unresponsiveSince.IsZero() {
-			since = before.unresponsiveSince
-		} else {
+		f.unresponsiveSince, f.avoidUntil = earliest(before.unresponsiveSince, now), now.Add(avoidDuration)
+		if before.unresponsiveSince.IsZero() {
 			n.Log.Info("relay does not answer", "address", source.Address, "error", err.Error())
 		}
-		n.failures[source.Address] = failure{unresponsiveSince: since, avoidUntil: now.Add(avoidDuration)}
+	case !f.refusedSince.IsZero() && (n.isStale(reply) || now.Sub(f.refusedSince) > refusedTolerance):
+		f.avoidUntil = now.Add(avoidDuration)
 	case n.isStale(reply):
-		n.failures[source.Address] = failure{avoidUntil: now.Add(n.timing.pollWait)}
-	default:
+		f.avoidUntil = now.Add(n.timing.pollWait)
+	}
+	if f == (failure{}) {
 		delete(n.failures, source.Address)
+		return
 	}
+	n.failures[source.Address] = f
+}
+
+// earliest returns the first of two times, where the zero time stands for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
 }
 
 // nextSource returns the relay to poll: the first one that is not avoided, else the one
-// that has been stale the longest. It returns false if there is none.
+// that has been stale or refused the longest. It returns false if there is none.
 func (n *Node) nextSource(now time.Time) (Holder, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -266,7 +288,7 @@
 		due = n.vacantSince.Add(n.claimDelay * time.Duration(1+claimDelaysPerSlot*held))
 	} else {
 		n.vacantSince = time.Time{}
-		if _, since, ok := n.unresponsiveSlot(); ok {
+		if _, since, ok := n.failedSlot(); ok {
 			due = since.Add(takeoverAfter + takeoverDelayFactor*n.claimDelay)
 		}
 	}
@@ -276,23 +298,35 @@
 	return due
 }
 
-// unresponsiveSlot returns the slot of this data centre whose holder has been
-// unresponsive the longest, and since when. n.mu is held.
-func (n *Node) unresponsiveSlot() (string, time.Time, bool) {
+// failedSlot returns the slot of this data centre whose holder has been unresponsive, or
+// refused by a store that serves this instance, the longest, and since when. n.mu is held.
+func (n *Node) failedSlot() (string, time.Time, bool) {
+	served := n.isServedByStore(time.Now())
 	var longest string
 	var since time.Time
 	for number := range SlotsPerDataCentre {
 		key := slotKey(n.Self.DataCentre, number)
 		f := n.failures[n.table[key].Address]
-		if !f.unresponsiveSince.IsZero() && (longest == "" || f.unresponsiveSince.Before(since)) {
-			longest, since = key, f.unresponsiveSince
+		failedSince := f.unresponsiveSince
+		if failedSince.IsZero() && served {
+			failedSince = f.refusedSince
+		}
+		if !failedSince.IsZero() && (longest == "" || failedSince.Before(since)) {
+			longest, since = key, failedSince
 		}
 	}
 	return longest, since, longest != ""
 }
 
+// isServedByStore reports whether the store has served this instance recently.
+func (n *Node) isServedByStore(now time.Time) bool {
+	at := n.storeServedAt.Load()
+	return at != nil && now.Sub(*at) < storeServedValidity
+}
+
 // claim reads the slots again and takes one if one can still be claimed.
 func (n *Node) claim(ctx context.Context) {
+	n.recheckFailedSlot(ctx)
 	end, err := n.readSlots(ctx)
 	if err == nil {
 		err = n.claimAt(ctx, end)
@@ -313,6 +347,18 @@
 	}
 }
 
+// recheckFailedSlot queries the holder of the slot that is about to be taken, which may
+// have recovered since it was last queried.
+func (n *Node) recheckFailedSlot(ctx context.Context) {
+	n.mu.Lock()
+	key, _, failed := n.failedSlot()
+	holder := n.table[key]
+	n.mu.Unlock()
+	if failed {
+		n.querySource(ctx, holder)
+	}
+}
+
 // claimAt takes a slot on the condition that the slots' topic still ends at an offset.
 func (n *Node) claimAt(ctx context.Context, end int64) error {
 	key, ok := n.claimableSlot()
@@ -345,6 +391,6 @@
 	if key, free := n.table.freeSlot(n.Self); free {
 		return key, true
 	}
-	key, since, ok := n.unresponsiveSlot()
+	key, since, ok := n.failedSlot()
 	return key, ok && time.Since(since) > takeoverAfter
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -87,6 +87,9 @@
 	relayHint atomic.Pointer[string]
 	// lastQueriedAt is when another instance last polled this one for updates.
 	lastQueriedAt atomic.Pointer[time.Time]
+	// refreshedAt is when this instance last got fresh copies while relays had none,
+	// storeServedAt when it last read them from the store.
+	refreshedAt, storeServedAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	table slotTable
@@ -103,10 +106,18 @@
 	claimConflicts int
 }
 
-// failure describes a relay that is avoided. unresponsiveSince is zero if the relay
-// responds but its copies are stale.
+// failure describes a relay that is unresponsive, that is refused by the store or whose
+// copies are stale.
 type failure struct {
-	unresponsiveSince, avoidUntil time.Time
+	// unresponsiveSince is zero if the relay responds, refusedSince if its reads of the
+	// store succeed.
+	unresponsiveSince, refusedSince time.Time
+	avoidUntil                      time.Time
+}
+
+// isLasting reports whether more than the age of the relay's copies is wrong.
+func (f failure) isLasting() bool {
+	return !f.unresponsiveSince.IsZero() || !f.refusedSince.IsZero()
 }
 
 // New returns a Node. Run has to be called once.
@@ -418,13 +429,18 @@
 // updateHealth records a relay's report on the store where this instance does not read
 // the store itself. Reports on topics that the relay has not loaded are ignored. If the
 // relay's reads fail but its copy is fresh, the store serves other relays: this is not
-// recorded as an outage, during which registrations would be allowed to lapse.
+// recorded as an outage, during which registrations would be allowed to lapse. The same
+// holds if this instance got fresh copies without the relays recently.
 func (n *Node) updateHealth(t *feed.Topic, update TopicReply) {
 	if !update.Whole || n.reading.Load() || (t == n.slots && n.WritesToStore()) {
 		return
 	}
 	fresh := update.AgeMs >= 0 && update.AgeMs <= n.timing.maxAge.Milliseconds()
-	n.Health.SetFailing(t.Name, update.Failing && !fresh, time.Now())
+	now := time.Now()
+	if at := n.refreshedAt.Load(); at != nil && now.Sub(*at) < n.timing.fallbackValidity {
+		fresh = true
+	}
+	n.Health.SetFailing(t.Name, update.Failing && !fresh, now)
 }
 
 // slotHolders returns a copy of the slot table.
--- a/internal/relay/refresh.go
+++ b/internal/relay/refresh.go
@@ -19,13 +19,24 @@
 // keepFresh runs beside the polling of relays and refreshes the copies when they get too
 // old, because the polled relay is unresponsive or stale.
 func (n *Node) keepFresh(ctx context.Context) {
-	for {
-		wait := n.timing.refreshAge - n.copyAge(time.Now())
-		if !delay.Sleep(ctx, max(wait, n.timing.refreshInterval)) {
-			return
-		}
+	var work sync.WaitGroup
+	work.Go(func() { (&storeFallback{Node: n}).run(ctx) })
+	for n.sleepUntilAge(ctx, n.timing.refreshAge) {
 		n.refresh(ctx)
 	}
+	work.Wait()
+}
+
+// sleepUntilAge waits until the copies have an age. It returns false if the context ends.
+func (n *Node) sleepUntilAge(ctx context.Context, age time.Duration) bool {
+	for ctx.Err() == nil {
+		wait := age - n.copyAge(time.Now())
+		if wait <= 0 {
+			return true
+		}
+		delay.Sleep(ctx, wait)
+	}
+	return false
 }
 
 // refresh queries the relays until the copies are fresh again, without waiting for those
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -202,6 +202,146 @@
 	})
 }
 
+// While the store refuses all relays, or their calls to it hang, changes reach the other
+// instances within the bound, and these turn to the store in small numbers.
+func TestChangesArriveInTimeWhileTheStoreRefusesAllRelays(t *testing.T) {
+	const (
+		// outageDuration spans several refreshes of all copies.
+		outageDuration = 8 * testBound
+		// maxFallbackCalls bounds the calls to the store per instance and bound during
+		// the outage, those of the relays among them.
+		maxFallbackCalls = 0.5
+	)
+	for name, induceFault := range map[string]func(n *testNode){
+		"refused": func(n *testNode) { n.storeRefuses.Store(true) },
+		"hanging": func(n *testNode) { n.storeHangs.Store(true) },
+	} {
+		for _, instances := range []int{42, 1000} {
+			t.Run(fmt.Sprint(name, "/", instances), func(t *testing.T) {
+				t.Parallel()
+				withCluster(t, 3, storeFault{}, func(c *cluster) {
+					c.store.put(targetsTopic, "t", "x")
+					for i := range instances {
+						c.start(i)
+					}
+					c.waitUntilSynced(startTimeout)
+					c.announcePeers()
+					time.Sleep(3 * time.Second)
+					var refused []*testNode
+					for _, i := range c.relays() {
+						refused = append(refused, c.nodes[address(i)])
+					}
+					for _, n := range refused {
+						induceFault(n)
+					}
+					started, before := time.Now(), c.store.callCount()
+					for round := 0; time.Since(started) < outageDuration; round++ {
+						time.Sleep(rand.N(testBound / 2))
+						c.store.put(targetsTopic, "t", fmt.Sprint("draining", round))
+						c.store.put(settingsTopic, "settings", fmt.Sprint("round", round))
+						if took := c.waitUntilSyncedExcept(testBound, refused...); took >= testBound {
+							t.Errorf("round %d: change took %s", round, took)
+						}
+					}
+					bounds := float64(time.Since(started)) / float64(testBound)
+					calls := float64(c.store.callCount()-before) / float64(instances) / bounds
+					t.Logf("%.2f calls to the store per instance and bound", calls)
+					if instances >= 1000 && calls > maxFallbackCalls {
+						t.Errorf("%.2f calls to the store per instance and bound", calls)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Relays that the store refuses for long keep neither their followers nor all of their
+// slots.
+func TestRefusedRelaysLoseFollowersAndSlots(t *testing.T) {
+	const (
+		samples        = 60
+		sampleInterval = 150 * time.Millisecond
+		// maxRefusedPolls bounds the share of probes among the polls.
+		maxRefusedPolls = 0.1
+	)
+	withCluster(t, 3, storeFault{}, func(c *cluster) {
+		for i := range 42 {
+			c.start(i)
+		}
+		c.waitUntilSynced(startTimeout)
+		c.announcePeers()
+		time.Sleep(3 * time.Second)
+		refused := make(map[string]bool)
+		for _, i := range c.relays() {
+			refused[address(i)] = true
+			c.nodes[address(i)].storeRefuses.Store(true)
+		}
+		time.Sleep(2 * (takeoverAfter + takeoverDelayFactor*claimJitter*5))
+		served := 0
+		for _, i := range c.relays() {
+			if !refused[address(i)] {
+				served++
+			}
+		}
+		if served < SlotsPerDataCentre {
+			t.Errorf("%d relays that the store serves", served)
+		}
+		polls, refusedPolls := 0, 0
+		for range samples {
+			time.Sleep(sampleInterval)
+			for address, n := range c.nodes {
+				if source := n.source.Load(); !refused[address] && source != nil {
+					polls++
+					if refused[*source] {
+						refusedPolls++
+					}
+				}
+			}
+		}
+		t.Logf("%d relays that the store serves, %d of %d polls at others", served, refusedPolls, polls)
+		if float64(refusedPolls) > maxRefusedPolls*float64(polls) {
+			t.Errorf("%d of %d polls at relays that the store refuses", refusedPolls, polls)
+		}
+	})
+}
+
+// While the store refuses all instances, their attempts to read it stay within its limits.
+func TestReadsOfAnUnavailableStoreStayWithinItsLimits(t *testing.T) {
+	const (
+		instances = 1000
+		// maxReadRate is the lowest limit of the platform, in reads a second.
+		maxReadRate = 2000
+	)
+	withCluster(t, 3, storeFault{}, func(c *cluster) {
+		for i := range instances {
+			c.start(i)
+		}
+		c.waitUntilSynced(startTimeout)
+		c.announcePeers()
+		time.Sleep(3 * time.Second)
+		for _, n := range c.nodes {
+			n.storeRefuses.Store(true)
+		}
+		peak, total := 0, 0
+		const seconds = 20
+		for range seconds {
+			before := c.store.callCount()
+			time.Sleep(time.Second)
+			calls := c.store.callCount() - before
+			peak, total = max(peak, calls), total+calls
+		}
+		t.Logf("%d calls in the busiest second, %d in %d s", peak, total, seconds)
+		if peak > maxReadRate {
+			t.Errorf("%d calls in the busiest second", peak)
+		}
+		for _, n := range c.nodes {
+			n.storeRefuses.Store(false)
+		}
+		c.store.put(settingsTopic, "settings", "v2")
+		c.waitUntilSynced(testBound)
+	})
+}
+
 // While all relays answer, each follower polls a single one.
 func TestFollowersQueryOneRelayWhileAllAnswer(t *testing.T) {
 	withCluster(t, 3, storeFault{}, func(c *cluster) {
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -75,6 +75,16 @@
 	return "", false
 }
 
+// holds reports whether the instance with an address holds a slot.
+func (t slotTable) holds(address string) bool {
+	for _, holder := range t {
+		if holder.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // sources lists the other relays in the order in which an instance polls them: those of
 // its data centre first, ordered by rendezvous hashing to spread the load.
 func (t slotTable) sources(self Holder) []Holder {
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -20,6 +20,9 @@
 	// pollAge is the age of its copies at which an instance ends a poll, refreshAge the
 	// age from which it queries several relays at once, every refreshInterval at first.
 	pollAge, refreshAge, refreshInterval time.Duration
+	// standbyAge is the age from which the standbys are used. For fallbackValidity after
+	// such a refresh, relays' reports of a failing store are not taken for an outage.
+	standbyAge, fallbackValidity time.Duration
 }
 
 // The timeouts as fractions of the staleness bound.
@@ -34,6 +37,10 @@
 	pollAgeFraction         = 0.5
 	refreshAgeFraction      = 0.65
 	refreshIntervalFraction = 1.0 / 20
+	// Behind standbyAge there is time for a read of the store by a standby, the queries of
+	// the standbys and a read by each instance.
+	standbyAgeFraction       = 0.7
+	fallbackValidityFraction = 1.5
 	// maxStalenessCap is used in place of longer bounds or none.
 	maxStalenessCap = 5 * time.Second
 	// followerTimeout is how long after a query an instance counts as polled by others.
@@ -49,6 +56,7 @@
 		pollWait: fraction(pollWaitFraction), replyTimeout: fraction(replyTimeoutFraction), maxReadWait: fraction(readWaitFraction), maxReadPause: fraction(readPauseFraction),
 		maxAge: fraction(maxAgeFraction), pollAge: fraction(pollAgeFraction),
 		refreshAge: fraction(refreshAgeFraction), refreshInterval: fraction(refreshIntervalFraction),
+		standbyAge: fraction(standbyAgeFraction), fallbackValidity: fraction(fallbackValidityFraction),
 	}
 }
 
@@ -83,3 +91,13 @@
 	}
 	return false
 }
+
+// isRefused reports whether the sender's reads of a bounded topic fail.
+func (n *Node) isRefused(reply Reply) bool {
+	for _, f := range n.Topics {
+		if update, ok := reply.Topics[f.Topic.Name]; f.Bounded && ok && update.Failing {
+			return true
+		}
+	}
+	return false
+}
