Serve: guard what callers get for a target's faulty bytes

A stand-in target writes raw bytes: responses twice at once, again while the connection is idle or while the next request waits, whole, cut and in pieces; refusals with and without an id; informational responses; faulty lengths, encodings, chunks, trailers and signatures; ends by FIN and by RST. Each delivery is played for safe and unsafe requests, for streams that cannot be resumed, can be, and are resumed by their caller, on a new and on a reused connection and with a body that is written concurrently. The caller must get the whole answer of one run of its request, a failure of the instance's own, or a response that is visibly cut; a request on the same targets follows.

--- /dev/null
+++ b/internal/serve/targetbytes_test.go
@@ -0,0 +1,573 @@
+package serve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanglade/banyanglade/internal/targets"
+)
+
+// These tests check what callers get for the bytes of a faulty target: the whole answer of
+// one run, a failure of the instance's own, or an answer that is visibly cut.
+
+// pieceGap separates the writes of a target, so that most are read separately. Results do
+// not depend on it.
+const pieceGap = 100 * time.Microsecond
+
+// ending is what a target does to its connection behind its bytes.
+type ending int
+
+const (
+	keepOpen ending = iota
+	sendFIN
+	sendRST
+)
+
+// answer is the whole response of a run.
+type answer struct {
+	status          int
+	signature, body string
+}
+
+// delivery is what a target sends for one request.
+type delivery struct {
+	// pieces are written one after the other, idle once the caller has its response.
+	pieces []string
+	idle   string
+	end    ending
+	// answer is nil if the bytes hold no whole response to the request.
+	answer *answer
+	// notRun indicates that the target states that it did not run the request.
+	notRun bool
+	// lossy indicates that the answer may be lost.
+	lossy bool
+}
+
+// run is a request that a target received.
+type run struct {
+	id       string
+	delivery delivery
+	// conn is the number of its connection.
+	conn int
+}
+
+// byteTargets are targets that write the bytes of deliveries.
+type byteTargets struct {
+	t       *testing.T
+	h       *harness
+	service string
+	kind    requestKind
+	// script returns the delivery for a request, nil for a sound response.
+	script func(id, signature string) *delivery
+	// answered is closed once the caller has the response, idleSent once the target has
+	// written what it sends on the idle connection.
+	answered, idleSent chan struct{}
+
+	mu    sync.Mutex
+	conns int
+	runs  []run
+}
+
+// requestKind is a kind of request that a caller sends.
+type requestKind struct {
+	name, path, service string
+	// once indicates that the request may run once at most.
+	once   bool
+	header []string
+	// from and last are the numbers of the first and last event, 0 for a plain response.
+	from, last int
+}
+
+var requestKinds = []requestKind{
+	{name: "safe", path: "/safe/", service: "app"},
+	{name: "unsafe", path: "/once/", service: "app", once: true},
+	{name: "stream", path: "/fixed/", service: "engine", once: true, from: 1, last: 4},
+	{name: "resumable stream", path: "/turns/", service: "engine", from: 1, last: 4},
+	{name: "resumed stream", path: "/turns/", service: "engine", from: 3, last: 4,
+		header: []string{"Last-Event-Id", "2", "Resumes", "id0"}},
+}
+
+func (k requestKind) isStream() bool { return k.from > 0 }
+
+func newByteTargets(t *testing.T, kind requestKind, script func(id, signature string) *delivery) *byteTargets {
+	b := &byteTargets{t: t, h: newHarness(t), service: kind.service, kind: kind, script: script,
+		answered: make(chan struct{}), idleSent: make(chan struct{})}
+	b.listen("a")
+	return b
+}
+
+// listen registers a target.
+func (b *byteTargets) listen(id string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Error(err)
+		return
+	}
+	conns := make(map[net.Conn]bool)
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	work.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns[c] = true
+			mu.Unlock()
+			work.Go(func() { b.serve(c) })
+		}
+	})
+	b.t.Cleanup(func() {
+		_ = l.Close() // ends Accept
+		mu.Lock()
+		for c := range conns {
+			_ = c.Close() // ends the reads of its requests
+		}
+		mu.Unlock()
+		work.Wait()
+	})
+	b.h.targets.Put(targets.Entry{ID: id, Service: b.service, Address: l.Addr().String(), DataCentre: "dc", Slots: 4})
+}
+
+func (b *byteTargets) serve(c net.Conn) {
+	defer c.Close()
+	b.mu.Lock()
+	b.conns++
+	number := b.conns
+	b.mu.Unlock()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		d := b.record(r, number)
+		if !write(c, d) {
+			return
+		}
+		// A long body is read after the response. The connection may be closed before.
+		_, err = io.Copy(io.Discard, r.Body)
+		if d.idle != "" {
+			<-b.answered
+			_, _ = io.WriteString(c, d.idle) // the connection may be closed
+			close(b.idleSent)
+		}
+		if err != nil || d.end != keepOpen {
+			return
+		}
+	}
+}
+
+// write sends a delivery and reports whether the connection goes on.
+func write(c net.Conn, d delivery) bool {
+	for i, piece := range d.pieces {
+		if i > 0 {
+			time.Sleep(pieceGap)
+		}
+		if _, err := io.WriteString(c, piece); err != nil {
+			return false
+		}
+	}
+	tcp := c.(*net.TCPConn)
+	switch d.end {
+	case sendFIN:
+		return tcp.CloseWrite() == nil
+	case sendRST:
+		_ = tcp.SetLinger(0) // the deferred Close resets the connection
+		return false
+	}
+	return true
+}
+
+// record returns the delivery for a request.
+func (b *byteTargets) record(r *http.Request, conn int) delivery {
+	id := r.Header.Get("Banyanglade-Request-Id")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	signature := fmt.Sprint("s", len(b.runs))
+	d := b.script(id, signature)
+	if d == nil {
+		from := b.kind.from
+		if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			from = after + 1
+		}
+		d = newMessage(id, signature, b.kind, from).whole()
+	}
+	b.runs = append(b.runs, run{id: id, delivery: *d, conn: conn})
+	return *d
+}
+
+func (b *byteTargets) runsOf(id string) []run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(b.runs), func(r run) bool { return r.id != id })
+}
+
+// message holds the parts of a response.
+type message struct {
+	id, signature, contentType, body string
+}
+
+// newMessage returns a response, to a stream with the events from a number on.
+func newMessage(id, signature string, kind requestKind, from int) message {
+	if kind.isStream() {
+		return message{id, signature, eventStream, events(from, kind.last)}
+	}
+	return message{id, signature, "text/plain", "body of " + signature}
+}
+
+// head returns a header without the fields of the framing and its blank line.
+func (m message) head(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: %s\r\nBanyanglade-Request-Id: %s\r\nBanyanglade-Server-Signature: %s\r\n",
+		status, http.StatusText(status), m.contentType, m.id, m.signature)
+}
+
+// length returns a response with a Content-Length.
+func (m message) length(status int) string {
+	return m.head(status) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(m.body), m.body)
+}
+
+const chunkedField = "Transfer-Encoding: chunked\r\n"
+
+// chunks returns the body in two chunks, without the last chunk.
+func (m message) chunks() string {
+	half := len(m.body) / 2
+	return fmt.Sprintf("%x\r\n%s\r\n%x;ext\r\n%s\r\n", half, m.body[:half], len(m.body)-half, m.body[half:])
+}
+
+func (m message) chunked(status int) string {
+	return m.head(status) + chunkedField + "\r\n" + m.chunks() + "0\r\n\r\n"
+}
+
+// unframed returns a response that ends with its connection.
+func (m message) unframed(status int) string { return m.head(status) + "\r\n" + m.body }
+
+// refusal states that the request has not run.
+func (m message) refusal(withID bool) string {
+	id := ""
+	if withID {
+		id = "Banyanglade-Request-Id: " + m.id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\nBanyanglade-Not-Executed: 1\r\n" + id + "Retry-After: 0.1\r\nContent-Length: 5\r\n\r\nfull\n"
+}
+
+func (m message) answer(status int) *answer { return &answer{status, m.signature, m.body} }
+
+func (m message) whole() *delivery {
+	return &delivery{pieces: []string{m.length(200)}, answer: m.answer(200)}
+}
+
+// none is a delivery without a whole response.
+func none(end ending, pieces ...string) delivery { return delivery{pieces: pieces, end: end} }
+
+// served is a delivery whose answer has to reach the caller.
+func served(a *answer, pieces ...string) delivery { return delivery{pieces: pieces, answer: a} }
+
+// lost is a delivery whose answer may be lost.
+func lost(a *answer, end ending, pieces ...string) delivery {
+	return delivery{pieces: pieces, end: end, answer: a, lossy: true}
+}
+
+// pieceBytes is the size of the pieces of a response that is written slowly. It ends within
+// lines, chunk sizes and the last chunk.
+const pieceBytes = 5
+
+// slowly splits a response into pieces.
+func slowly(text string) []string {
+	var pieces []string
+	for piece := range slices.Chunk([]byte(text), pieceBytes) {
+		pieces = append(pieces, string(piece))
+	}
+	return pieces
+}
+
+// checkResult compares what a caller got with what was sent to it.
+func (b *byteTargets) checkResult(id string, got result) {
+	b.t.Helper()
+	runs := b.runsOf(id)
+	ran := slices.DeleteFunc(slices.Clone(runs), func(r run) bool { return r.delivery.notRun })
+	if b.kind.once && len(ran) > 1 {
+		b.t.Errorf("%s ran %d times", id, len(ran))
+	}
+	if got.err != nil || b.isOwnFailure(got, len(ran) > 0) {
+		return
+	}
+	signatures := got.header.Values("Banyanglade-Server-Signature")
+	for _, r := range ran {
+		a := r.delivery.answer
+		if a != nil && got.status == a.status && got.body == a.body && slices.Equal(signatures, []string{a.signature}) {
+			return
+		}
+		// A response that goes on at another run keeps the header of the first.
+		first := len(signatures) == 1 && strings.Contains(strings.Join(r.delivery.pieces, ""), "Signature: "+signatures[0]+"\r\n")
+		if b.kind.isStream() && !b.kind.once && first && got.status == 200 && got.body == events(b.kind.from, b.kind.last) {
+			return
+		}
+	}
+	b.t.Errorf("%s got status %d, signatures %q, body %q, which is the whole answer of no run: %+v", id, got.status, signatures, got.body, runs)
+}
+
+// isOwnFailure reports whether a response is a failure of the instance's own that is true.
+func (b *byteTargets) isOwnFailure(got result, ran bool) bool {
+	if len(got.header.Values("Banyanglade-Server-Signature")) > 0 {
+		return false
+	}
+	switch got.status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true
+	case http.StatusServiceUnavailable:
+		return !ran
+	}
+	return false
+}
+
+// send sends a request of the kind and returns what its caller got.
+func (b *byteTargets) send(method, id, body string, header ...string) result {
+	b.t.Helper()
+	header = append([]string{"Banyanglade-Request-Id", id, "Banyanglade-Deadline-Ms", "2000"}, header...)
+	return b.h.do(b.h.request(method, b.kind.path, body, header...))
+}
+
+// connectionUse is how a request is sent to its target.
+type connectionUse struct {
+	name   string
+	reused bool
+	body   string
+}
+
+var connectionUses = []connectionUse{
+	{"new connection", false, "b"},
+	{"reused connection", true, "b"},
+	// Above the size that is written concurrently with reading the response.
+	{"long body", true, strings.Repeat("b", 40<<10)},
+}
+
+// checkDelivery plays a delivery for the second of three requests.
+func checkDelivery(t *testing.T, kind requestKind, use connectionUse, makeDelivery func(old, own message) delivery) {
+	previous := newMessage("id0", "s0", kind, max(1, kind.from))
+	if kind.header != nil {
+		previous = newMessage("id0", "s0", kind, 1)
+	}
+	var b *byteTargets
+	var d *delivery
+	b = newByteTargets(t, kind, func(id, signature string) *delivery {
+		if id == "id0" {
+			return previous.whole()
+		}
+		if id != "id1" || d != nil {
+			return nil
+		}
+		b.listen("b")
+		made := makeDelivery(previous, newMessage(id, signature, kind, kind.from))
+		d = &made
+		return d
+	})
+	if use.reused {
+		if got := b.send("POST", "id0", "b"); got.err != nil || got.body != previous.body {
+			t.Fatalf("the first request got %+v", got)
+		}
+	}
+	got := b.send("POST", "id1", use.body, kind.header...)
+	b.checkResult("id1", got)
+	if a := d.answer; a != nil && !d.lossy && (got.err != nil || got.status != a.status || got.body != a.body) {
+		t.Errorf("got %+v, want %+v", got, *a)
+	}
+	if use.reused && b.runsOf("id1")[0].conn != b.runsOf("id0")[0].conn {
+		t.Error("the connection was not reused")
+	}
+	close(b.answered)
+	if d.idle != "" {
+		<-b.idleSent
+	}
+	b.checkResult("id2", b.send("POST", "id2", "b", kind.header...))
+}
+
+// wrongLength returns a response whose Content-Length differs from the length of its body.
+func (m message) wrongLength(difference int) string {
+	return m.head(200) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(m.body)+difference, m.body)
+}
+
+var targetDeliveries = []struct {
+	name string
+	make func(old, own message) delivery
+}{
+	{"length", func(_, own message) delivery { return served(own.answer(200), own.length(200)) }},
+	{"chunked", func(_, own message) delivery { return served(own.answer(200), own.chunked(200)) }},
+	{"without length", func(_, own message) delivery {
+		return delivery{pieces: []string{own.unframed(200)}, end: sendFIN, answer: own.answer(200)}
+	}},
+	{"without length, reset", func(_, own message) delivery { return none(sendRST, own.unframed(200)) }},
+	{"length, slowly", func(_, own message) delivery { return served(own.answer(200), slowly(own.length(200))...) }},
+	{"chunked, slowly", func(_, own message) delivery { return served(own.answer(200), slowly(own.chunked(200))...) }},
+	{"failure", func(_, own message) delivery { return served(own.answer(500), own.length(500)) }},
+	{"failure at the time limit, chunked", func(_, own message) delivery { return served(own.answer(504), own.chunked(504)) }},
+	{"refusal", func(_, own message) delivery { return delivery{pieces: []string{own.refusal(true)}, notRun: true} }},
+	{"refusal without id", func(_, own message) delivery { return delivery{pieces: []string{own.refusal(false)}, notRun: true} }},
+
+	{"twice at once", func(_, own message) delivery { return served(own.answer(200), own.length(200)+own.length(200)) }},
+	{"chunked, twice at once", func(_, own message) delivery { return served(own.answer(200), own.chunked(200)+own.chunked(200)) }},
+	{"twice, one after the other", func(_, own message) delivery { return served(own.answer(200), own.length(200), own.length(200)) }},
+	{"failure twice", func(_, own message) delivery { return served(own.answer(500), own.length(500)+own.length(500)) }},
+	{"refusal twice", func(_, own message) delivery {
+		return delivery{pieces: []string{own.refusal(true) + own.refusal(true)}, notRun: true}
+	}},
+	{"refusal without id twice", func(_, own message) delivery {
+		return delivery{pieces: []string{own.refusal(false) + own.refusal(false)}, notRun: true}
+	}},
+	{"again while idle", func(_, own message) delivery {
+		return delivery{pieces: []string{own.length(200)}, idle: own.length(200), answer: own.answer(200)}
+	}},
+	{"part of it again while idle", func(_, own message) delivery {
+		return delivery{pieces: []string{own.length(200)}, idle: own.length(200)[:20], answer: own.answer(200)}
+	}},
+	{"refusal again while idle", func(_, own message) delivery {
+		return delivery{pieces: []string{own.length(200)}, idle: own.refusal(false), answer: own.answer(200)}
+	}},
+	{"no response while idle", func(_, own message) delivery {
+		return delivery{pieces: []string{own.length(200)}, idle: "xyz\r\n\r\n", answer: own.answer(200)}
+	}},
+
+	{"late copy", func(old, own message) delivery { return served(own.answer(200), old.length(200)+own.length(200)) }},
+	{"late copy, chunked", func(old, own message) delivery {
+		return served(own.answer(200), old.chunked(200), own.chunked(200))
+	}},
+	{"late copy, slowly", func(old, own message) delivery {
+		return served(own.answer(200), append(slowly(old.chunked(200)), own.length(200))...)
+	}},
+	{"late copy of a failure", func(old, own message) delivery {
+		return served(own.answer(200), old.length(500), old.length(504), own.length(200))
+	}},
+	{"late copy before a failure", func(old, own message) delivery {
+		return served(own.answer(500), old.length(200), own.length(500))
+	}},
+	{"late copy of a refusal", func(old, own message) delivery {
+		return served(own.answer(200), old.refusal(true), own.length(200))
+	}},
+	{"late copy of an empty response", func(old, own message) delivery {
+		old.body = ""
+		return served(own.answer(200), old.length(200), own.length(200))
+	}},
+	{"late copy without length", func(old, _ message) delivery { return none(sendFIN, old.unframed(200)) }},
+	{"late copy without length, then the response", func(old, own message) delivery {
+		return none(sendFIN, old.unframed(200), own.length(200))
+	}},
+	{"late copy, reset", func(old, _ message) delivery { return none(sendRST, old.length(200)) }},
+	{"late copies without end", func(old, _ message) delivery { return none(keepOpen, strings.Repeat(old.length(200), 6)) }},
+	{"late copy, cut, then the response", func(old, own message) delivery {
+		return none(sendFIN, strings.TrimSuffix(old.length(200), old.body), own.length(200))
+	}},
+
+	{"informational before", func(old, own message) delivery {
+		return served(own.answer(200), "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", own.length(200))
+	}},
+	{"informational with id and signature", func(old, own message) delivery {
+		return served(own.answer(200), own.head(102)+"\r\n"+own.length(200))
+	}},
+	{"informational with the length of a body", func(_, own message) delivery {
+		return served(own.answer(200), own.head(103)+"Content-Length: 5\r\n\r\n", own.length(200))
+	}},
+	{"informational between", func(old, own message) delivery {
+		return served(own.answer(200), old.length(200)+"HTTP/1.1 100 Continue\r\n\r\n"+own.length(200))
+	}},
+	{"informational after", func(_, own message) delivery {
+		return served(own.answer(200), own.length(200)+"HTTP/1.1 100 Continue\r\n\r\n")
+	}},
+	{"informational only", func(_, own message) delivery { return none(sendFIN, own.head(100)+"\r\n") }},
+	{"status below 100", func(_, own message) delivery {
+		return none(sendFIN, strings.Replace(own.length(200), " 200 ", " 099 ", 1))
+	}},
+
+	{"no content with bytes behind", func(_, own message) delivery {
+		length := own.length(204)
+		own.body = ""
+		return served(own.answer(204), length)
+	}},
+	{"not modified with bytes behind", func(_, own message) delivery {
+		length := own.length(304)
+		own.body = ""
+		return served(own.answer(304), length)
+	}},
+	{"body beyond its length", func(_, own message) delivery {
+		return served(own.answer(200), own.length(200)+"and more")
+	}},
+	{"body short of its length", func(_, own message) delivery { return none(sendFIN, own.wrongLength(5)) }},
+	{"body short of its length, reset", func(_, own message) delivery { return none(sendRST, own.wrongLength(5)) }},
+	{"negative length", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+"Content-Length: -5\r\n\r\n"+own.body)
+	}},
+	{"length that is no number", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+"Content-Length: 0x5\r\n\r\n"+own.body)
+	}},
+	{"two lengths", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+fmt.Sprintf("Content-Length: 5\r\nContent-Length: %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"list of lengths", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+fmt.Sprintf("Content-Length: 5, %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"same length twice", func(_, own message) delivery {
+		field := fmt.Sprintf("Content-Length: %d\r\n", len(own.body))
+		return served(own.answer(200), own.head(200)+field+field+"\r\n"+own.body)
+	}},
+	{"length and chunked", func(_, own message) delivery {
+		return lost(own.answer(200), keepOpen, own.head(200)+"Content-Length: 3\r\n"+chunkedField+"\r\n"+own.chunks()+"0\r\n\r\n")
+	}},
+	{"unknown encoding", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+"Transfer-Encoding: gzip, chunked\r\n\r\n"+own.chunks()+"0\r\n\r\n")
+	}},
+	{"chunked, cut before the last chunk", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+chunkedField+"\r\n"+own.chunks())
+	}},
+	{"chunked, cut in the last chunk", func(_, own message) delivery {
+		return none(sendFIN, own.head(200)+chunkedField+"\r\n"+own.chunks()+"0\r\n")
+	}},
+	{"chunked, reset in the last chunk", func(_, own message) delivery {
+		return none(sendRST, own.head(200)+chunkedField+"\r\n"+own.chunks()+"0\r\n")
+	}},
+	{"chunk without a size", func(_, own message) delivery {
+		return none(keepOpen, own.head(200)+chunkedField+"\r\n"+own.chunks()+"x\r\n")
+	}},
+	{"trailers", func(_, own message) delivery {
+		return served(own.answer(200), own.head(200)+chunkedField+"Trailer: X-Sum\r\n\r\n"+own.chunks()+"0\r\nX-Sum: 1\r\n\r\n")
+	}},
+	{"signature in a trailer", func(_, own message) delivery {
+		head := strings.Replace(own.head(200), "Banyanglade-Server-Signature", "X", 1)
+		return none(sendFIN, head+chunkedField+"Trailer: Banyanglade-Server-Signature\r\n\r\n"+own.chunks()+"0\r\nBanyanglade-Server-Signature: s\r\n\r\n")
+	}},
+	{"no signature", func(_, own message) delivery {
+		return none(keepOpen, strings.Replace(own.length(200), "Banyanglade-Server-Signature", "X", 1))
+	}},
+	{"empty signature", func(_, own message) delivery {
+		own.signature = ""
+		return none(keepOpen, own.length(200))
+	}},
+	{"no id", func(_, own message) delivery {
+		return none(sendFIN, strings.Replace(own.length(200), "Banyanglade-Request-Id", "X", 1))
+	}},
+	{"failure without an id", func(_, own message) delivery {
+		return none(sendFIN, strings.Replace(own.length(503), "Banyanglade-Request-Id", "X", 1))
+	}},
+	{"no response", func(_, _ message) delivery { return none(keepOpen, "xyz\r\n\r\n") }},
+	{"no response, then the response", func(_, own message) delivery { return none(keepOpen, "xyz\r\n"+own.length(200)) }},
+}
+
+// Guards against passing on anything but the whole answer of a run when a target sends
+// responses twice, late, in part, or bytes that are no response.
+func TestFaultyTargetsDoNotCauseMixedAnswers(t *testing.T) {
+	for _, kind := range requestKinds {
+		for _, use := range connectionUses {
+			for _, c := range targetDeliveries {
+				t.Run(kind.name+"/"+use.name+"/"+c.name, func(t *testing.T) { checkDelivery(t, kind, use, c.make) })
+			}
+		}
+	}
+}
