Exchange: do not join a cut response to the one behind it

Callers got a status that their target had not given, under its signature: 200 for a run that had ended with 500 or 504, 500 for one that had ended with 200, and 503, which promises that the request has not run, for one that had run. Unsafe requests and streams behind a cut refusal ran twice.

Cause: a faulty target may send a response again, late and cut. If the cut is within the reason phrase or the value of a header field, the status line of the next response ends that line, and net/http parses both heads as one: the status and the first fields are of the copy, the id, the signature and the body of the request that waits. The check of the id passes.

Evidence: TestCutResponseIsNotJoinedToTheNext cuts a copied success, failure and refusal at every byte. Of the rows that are added to TestFaultyTargetsDoNotCauseMixedAnswers, the one of a cut refusal fails without the fix for unsafe requests and streams ("ran 2 times"), the one of a cut failure for all kinds; the one of a cut informational response passes on both. Ruled out: cuts in the status code, in the name of a field, behind a line, in the body and in a chunk are malformed or belong to the skipped copy.

A header that contains the beginning of a response within a line cannot be told apart from two that were joined, so it breaks the connection: the request may have run, and goes on or ends accordingly.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,10 @@
 	"context"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -190,6 +193,9 @@
 		if err != nil {
 			return nil, skipped, errors.Wrap(err, "read the answer")
 		}
+		if containsStatusLine(raw) {
+			return nil, skipped, errJoinedResponses
+		}
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
@@ -208,6 +214,33 @@
 	return nil, skipped, errors.New("the response belongs to another request")
 }
 
+// errJoinedResponses indicates that a response which was cut in its header is followed by
+// another one, so that the status and some fields are of the first.
+var errJoinedResponses = errors.New("the response header contains another response")
+
+// statusLine matches the beginning of a response within a line of a header.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}( |$)`)
+
+// containsStatusLine reports whether a status line follows within the header of a response.
+// Behind a complete line of the header it is malformed, but not behind a part of one.
+func containsStatusLine(raw *http.Response) bool {
+	if isJoined(raw.Status) {
+		return true
+	}
+	for _, values := range raw.Header {
+		if slices.ContainsFunc(values, isJoined) {
+			return true
+		}
+	}
+	return false
+}
+
+// isJoined reports whether a line of a header ends with a status line. Matching the
+// expression is slow, and few values have the prefix.
+func isJoined(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
+}
+
 func encodeHead(req Request) []byte {
 	var b bytes.Buffer
 	b.Grow(512 + len(req.Body))
--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -467,6 +467,18 @@
 		return none(sendFIN, strings.TrimSuffix(old.length(200), old.body), own.length(200))
 	}},
 
+	{"late copy of a refusal, cut in a field", func(old, own message) delivery {
+		cut, _, _ := strings.Cut(old.refusal(true), "\r\nBanyanglade-Request-Id")
+		return lost(own.answer(200), keepOpen, cut, own.length(200))
+	}},
+	{"late copy of a failure, cut in its reason", func(old, own message) delivery {
+		cut, _, _ := strings.Cut(old.length(500), "Error\r\n")
+		return lost(own.answer(200), keepOpen, cut, own.length(200))
+	}},
+	{"informational response, cut in its reason", func(_, own message) delivery {
+		return lost(own.answer(200), keepOpen, "HTTP/1.1 100 Cont", own.length(200))
+	}},
+
 	{"informational before", func(old, own message) delivery {
 		return served(own.answer(200), "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", own.length(200))
 	}},
@@ -571,3 +583,55 @@
 		}
 	}
 }
+
+// copiedResponses are responses of which a target sends a part again, before the response to
+// the next request, which has another status.
+var copiedResponses = []struct {
+	name   string
+	make   func(m message) delivery
+	status int
+}{
+	{"success", func(m message) delivery { return served(m.answer(200), m.length(200)) }, 500},
+	{"chunked success", func(m message) delivery { return served(m.answer(200), m.chunked(200)) }, 504},
+	{"failure", func(m message) delivery { return served(m.answer(500), m.length(500)) }, 200},
+	{"refusal", func(m message) delivery { return delivery{pieces: []string{m.refusal(true)}, notRun: true} }, 200},
+}
+
+// Guards against joining a late response that is cut to the response behind it, which would
+// give that another status, or make a run look like a refusal.
+func TestCutResponseIsNotJoinedToTheNext(t *testing.T) {
+	for _, kind := range requestKinds[:2] {
+		for _, copied := range copiedResponses {
+			t.Run(kind.name+"/"+copied.name, func(t *testing.T) { checkCuts(t, kind, copied.make, copied.status) })
+		}
+	}
+}
+
+// checkCuts plays a response, then a part of it before the next one, for parts of any length.
+func checkCuts(t *testing.T, kind requestKind, copied func(m message) delivery, status int) {
+	var previous delivery
+	b := newByteTargets(t, kind, func(id, signature string) *delivery {
+		m := newMessage(id, signature, kind, 0)
+		number, isNext := strings.CutPrefix(id, "next")
+		if !isNext {
+			previous = copied(m)
+			return &previous
+		}
+		cut, err := strconv.Atoi(number)
+		if err != nil || previous.pieces == nil {
+			return nil // the request is sent again
+		}
+		d := lost(m.answer(status), sendFIN, previous.pieces[0][:cut]+m.length(status))
+		previous = delivery{}
+		return &d
+	})
+	for cut, size := 1, 2; cut < size; cut++ {
+		first := b.send("POST", fmt.Sprint("first", cut), "b")
+		if previous.pieces == nil {
+			t.Fatalf("the target did not get a request, whose caller got %+v", first)
+		}
+		size = len(previous.pieces[0])
+		id := fmt.Sprint("next", cut)
+		b.checkResult(id, b.send("POST", id, "b"))
+	}
+}
