Exchange: do not take a reset while the body is written for the response's end

Callers got a cut body or stream as a whole one, with status 200 and the target's signature.

Cause: a response without a length ends with its connection, so the end of the connection is the end of the body and a reset is an error. The kernel reports the reset once. A body above 16 KiB is written while the response is read: if the reset goes to that write, the read gets the end of the connection, and the response counts as complete. The same is to be expected of the other errors of a connection, such as unacknowledged data; that was not run.

Ruled out: shorter bodies, which are written before the response is read; responses with a length or in chunks, whose framing shows the cut; connections that the target closes properly before it has read the body, which stay complete (TestResponseWithoutLengthBeforeALongBodyIsRead).

At the end of such a response the write is ended and its error decides: only that of the deadline, and EPIPE, which follows a proper close, leave the response complete.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -93,6 +94,18 @@
 	}
 }
 
+// failed ends the write and reports whether the connection broke under it. The kernel
+// reports an error of a connection once: if that was to a write, reads get the end of the
+// connection as after a proper close. A write behind a proper close fails with EPIPE.
+func (b *bodyWrite) failed(c *conn) bool {
+	if b == nil {
+		return false
+	}
+	_ = c.SetWriteDeadline(expiredDeadline) // on failure the write ends with the connection
+	<-b.done
+	return b.err != nil && !errors.Is(b.err, os.ErrDeadlineExceeded) && !errors.Is(b.err, syscall.EPIPE)
+}
+
 // Do sends a request and reads the response header. When the context ends, the
 // connection is closed, which cancels the work at the target. Errors are marked with
 // ErrNotSent or ErrConnBroken, and with the context's cause if it has ended.
@@ -267,15 +280,27 @@
 	return b.Bytes()
 }
 
+// errReset indicates that the connection of a response without a length was reset.
+var errReset = errors.New("the connection was reset before the response ended")
+
 // completionReader records that the body was read to its end.
 type completionReader struct{ resp *Response }
 
 func (c *completionReader) Read(p []byte) (int, error) {
 	n, err := c.resp.raw.Body.Read(p)
-	if err == io.EOF {
-		c.resp.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if c.resp.endsWithConn() && c.resp.written.failed(c.resp.conn) {
+		return n, errReset
 	}
-	return n, err
+	c.resp.complete = true
+	return n, io.EOF
+}
+
+// endsWithConn reports whether the end of the connection is the end of the body.
+func (r *Response) endsWithConn() bool {
+	return r.Length < 0 && len(r.raw.TransferEncoding) == 0 && r.raw.Body != http.NoBody
 }
 
 // Close returns the connection to the pool if the response was read to its end and the
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -217,6 +217,67 @@
 	}
 }
 
+// newEarlyTarget starts a target that responds to each request before it reads the body, then
+// ends the connection.
+func newEarlyTarget(t *testing.T, response string, end func(*net.TCPConn) error) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() }) // ends Accept
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				t.Error(err)
+			}
+			if _, err := io.WriteString(c, response); err != nil {
+				t.Error(err)
+			}
+			if err := end(c.(*net.TCPConn)); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// The reset of a connection is reported to one system call only. Guards against taking a
+// response that ends with its connection for complete if that was the write of the body.
+func TestResetWhileTheBodyIsWrittenMakesTheResponseIncomplete(t *testing.T) {
+	address := newEarlyTarget(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nbeginning", func(c *net.TCPConn) error {
+		if err := c.SetLinger(0); err != nil {
+			return err
+		}
+		return c.Close()
+	})
+	p, long := newPool(t), bytes.Repeat([]byte("x"), 8<<20)
+	for range 20 {
+		resp, err := p.Do(t.Context(), Request{Address: address, Method: "POST", URI: "/x", Host: "h", Body: long}, acceptMine)
+		if err != nil {
+			continue // the reset was read before the header
+		}
+		<-resp.written.done
+		if got, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("the response %q was taken for complete; the body was written with error %v", got, resp.written.err)
+		}
+		resp.Close(time.Minute)
+	}
+}
+
+// A target may end its response properly before it has read the body.
+func TestResponseWithoutLengthBeforeALongBodyIsRead(t *testing.T) {
+	address := newEarlyTarget(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nok", (*net.TCPConn).CloseWrite)
+	p, long := newPool(t), bytes.Repeat([]byte("x"), 8<<20)
+	if got, err := exchangeOnce(t.Context(), p, address, long); got != "ok" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
 func TestExpiredConnectionsAreNotUsed(t *testing.T) {
 	s := newScriptedTarget(t, func(int) string { return okResponse })
 	p := newPool(t)
