Serve: keep a stream's position over events without an id

Callers of streams got events twice: a stream that broke behind a comment or behind data without an id went on from its first event within the response, and an event that its target sent again behind a comment was passed on.

Cause: the id of the last event was set from each event, so that one without an id emptied it. Without it the order is not checked and a further send does not say where to go on.

Ruled out: events cut in the middle and resets, which were handled. The position is kept as in the specification of server-sent events; a stream whose caller has data behind the last id cannot go on without repeating it, so it is cut there.

--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -204,7 +204,8 @@
 			x.copyHead(resp, true, 0)
 		}
 		x.delivered++
-		x.lastEvent, x.heardAt = event.id, time.Now()
+		x.heardAt = time.Now()
+		x.recordPosition(event)
 		timing.event(x.heardAt, events.buffered())
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			x.callerLeft(err)
@@ -251,6 +252,16 @@
 	return false
 }
 
+// recordPosition records the event that the caller received last. An event without an id
+// keeps the last id.
+func (x *transfer) recordPosition(event event) {
+	if event.id != "" {
+		x.lastEvent, x.beyondLastEvent = event.id, false
+	} else if event.hasData() {
+		x.beyondLastEvent = true
+	}
+}
+
 // isNextEvent reports whether an event follows the last one sent to the caller. Streams
 // without numeric event ids are not checked.
 func (x *transfer) isNextEvent(event event) bool {
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -29,6 +29,16 @@
 	id string
 }
 
+// hasData reports whether the event has data. One without is a comment.
+func (e event) hasData() bool {
+	for line := range bytes.Lines(e.bytes) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // data joins the data lines with line feeds.
 func (e event) data() []byte {
 	var data []byte
--- a/internal/serve/resume.go
+++ b/internal/serve/resume.go
@@ -63,8 +63,10 @@
 }
 
 // mayResume reports whether the request may continue at another target: a stream that has
-// begun only if its version is known.
-func (x *transfer) mayResume() bool { return !x.headSent || x.version != nil }
+// begun only if its version is known and its caller has no data without an id.
+func (x *transfer) mayResume() bool {
+	return !x.headSent || (x.version != nil && !x.beyondLastEvent)
+}
 
 // recordResumption logs and counts a stream that continues at a target: within its
 // response, or because its caller resumes it with another request.
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -144,7 +144,10 @@
 	headSent bool
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
-	delivered int
+	// beyondLastEvent indicates that data without an id was sent after lastEvent, so that
+	// no target can resume the stream there.
+	beyondLastEvent bool
+	delivered       int
 	// version is the software version of the target that began the stream, nil before
 	// its first event or if unknown. The stream may only continue at this version.
 	version *string
