Serve: do not end an event within a line that fills the read buffer

A line of exactly the size of the read buffer, 2 KiB, ended its event: the line feed that was read next was taken for a blank line. Such an event counted as two of the turn's tokens, a cut of it before its blank line was not noticed, and if the rest of a longer line began with "id:", it was taken for the event's id, so that the stream was cut as out of order.

Cause: next looked at each part that ReadSlice returned as at a line.

Evidence: TestLinesLongerThanTheReadBuffer fails without the fix for three of its four texts (the event has one byte less and a second one follows, or it has the id 9), and for none with it. The effects on callers are read from the code, they were not run. Now the rest of a longer line is only added to the event.

--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -101,12 +101,14 @@
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	id := ""
+	atLineStart := true
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		if addErr := e.add(line); addErr != nil {
 			return event{}, addErr
 		}
 		if err == bufio.ErrBufferFull {
+			atLineStart = false
 			continue
 		}
 		if err == io.EOF && len(e.buffer) > 0 {
@@ -115,6 +117,10 @@
 		if err != nil {
 			return event{}, err
 		}
+		if !atLineStart {
+			atLineStart = true
+			continue
+		}
 		content := bytes.TrimRight(line, "\r\n")
 		if len(content) == 0 {
 			return event{bytes: e.buffer, id: id}, nil
