Serve: do not pass on a response within a stream

Callers of streams got the header of a response, with the id and signature that it holds, as a part of their stream; it looked complete, or went on behind it.

Cause: a response without a length ends with its connection, so that what a faulty target sends behind it, such as the response again, belongs to its body. The header lines of a response end with a blank line and were taken for an event without an id.

Ruled out: streams with chunks or a length, whose framing ends them before.

Behind a part of a data line the header cannot be told apart from the data, and neither can a plain response without a length that is followed by another one: both are passed on as before.

--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -20,6 +20,13 @@
 // errEventTooLong indicates that a target sent an event that exceeds maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// responsePrefix begins the status line of a response. No field of an event has the name.
+var responsePrefix = []byte("HTTP/1.")
+
+// errResponseInStream indicates that a target sent another response behind the events of a
+// stream without a length.
+var errResponseInStream = errors.New("the stream contains another response")
+
 // event is one complete server-sent event.
 type event struct {
 	// bytes is the event including its terminating blank line. It is valid until the
@@ -97,7 +104,8 @@
 }
 
 // next reads an event. It returns io.EOF at the end of a complete stream, and a
-// *memlimit.LimitError or errEventTooLong if the event cannot be held.
+// *memlimit.LimitError or errEventTooLong if the event cannot be held, and
+// errResponseInStream if another response begins there.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	id := ""
@@ -125,6 +133,9 @@
 		if len(content) == 0 {
 			return event{bytes: e.buffer, id: id}, nil
 		}
+		if bytes.HasPrefix(content, responsePrefix) {
+			return event{}, errResponseInStream
+		}
 		if value, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -653,6 +653,22 @@
 	name string
 	make func(old, own message) delivery
 }{
+	// Without a length, what follows is part of the body.
+	{"without length, twice", func(_, own message) delivery {
+		return lost(own.answer(200), sendFIN, own.unframed(200)+own.unframed(200))
+	}},
+	{"without length, its events twice", func(_, own message) delivery {
+		return lost(own.answer(200), sendFIN, own.unframed(200)+own.body)
+	}},
+	{"without length, twice and cut", func(_, own message) delivery {
+		return lost(own.answer(200), sendFIN, own.unframed(200)+own.unframed(200)[:20])
+	}},
+	{"without length, another response behind", func(old, own message) delivery {
+		return lost(own.answer(200), sendFIN, own.unframed(200)+old.length(200))
+	}},
+	{"without length, the response again in an event", func(_, own message) delivery {
+		return none(sendFIN, strings.TrimSuffix(own.unframed(200), "\n")+own.unframed(200))
+	}},
 	{"without length, cut in an event", func(_, own message) delivery {
 		return none(sendFIN, strings.TrimSuffix(own.unframed(200), "\n"))
 	}},
