Serve: do not pass on a response that names two requests or signatures

Callers got responses with two different ids or two different signatures, with status 200 as well as 500, and an unsafe request whose refusal named another request too was sent to a second target.

Cause: only the first value of each field was looked at.

Evidence: of the rows that are added to TestFaultyTargetsDoNotCauseMixedAnswers 45 parts fail without the fix (two signatures of a success and of a failure, two ids with the own one first, a refusal with two ids, after which unsafe requests and streams ran twice), none with it. A field that occurs twice with the same value is no fault.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -71,6 +71,9 @@
 type Response struct {
 	// RequestID is the ID of the request that was answered, empty if unset.
 	RequestID string
+	// Ambiguous reports whether the response names several requests or signatures, so
+	// that it is not known to which request it belongs.
+	Ambiguous bool
 	// Signed reports whether the response carries a target's signature, which
 	// distinguishes it from the response of an intermediary.
 	Signed bool
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,6 +75,10 @@
 	complete bool
 }
 
+// Accept reports whether a response with this status and header belongs to the request,
+// and returns an error if that cannot be determined.
+type Accept func(status int, header http.Header) (bool, error)
+
 // bodyWrite is a body that is written concurrently with reading the response.
 type bodyWrite struct {
 	done chan struct{}
@@ -111,8 +115,8 @@
 // ErrNotSent or ErrConnBroken, and with the context's cause if it has ended.
 //
 // The function accept inspects the header of each response. A response that it rejects
-// belongs to an earlier request and is skipped.
-func (p *Pool) Do(ctx context.Context, req Request, accept func(status int, header http.Header) bool) (*Response, error) {
+// belongs to an earlier request and is skipped. An error of it breaks the connection.
+func (p *Pool) Do(ctx context.Context, req Request, accept Accept) (*Response, error) {
 	c, err := p.get(ctx, req.Address, time.Now())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
@@ -157,7 +161,7 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func (p *Pool) exchange(c *conn, req Request, accept func(int, http.Header) bool) (*Response, error) {
+func (p *Pool) exchange(c *conn, req Request, accept Accept) (*Response, error) {
 	head := encodeHead(req)
 	var written *bodyWrite
 	if len(req.Body) <= concurrentBodyBytes {
@@ -198,7 +202,7 @@
 
 // readHead reads response headers until one is final and accepted. It reports whether
 // it skipped any response before. The connection stays limited.
-func readHead(c *conn, method string, accept func(int, http.Header) bool) (*http.Response, bool, error) {
+func readHead(c *conn, method string, accept Accept) (*http.Response, bool, error) {
 	skipped := false
 	for range maxInformational {
 		c.limit(maxHeadBytes)
@@ -212,8 +216,9 @@
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
-		if accept(raw.StatusCode, raw.Header) {
-			return raw, skipped, nil
+		accepted, err := accept(raw.StatusCode, raw.Header)
+		if accepted || err != nil {
+			return raw, skipped, err
 		}
 		skipped = true
 		c.limit(maxSkippedBytes)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -89,7 +89,7 @@
 
 const okResponse = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
 
-func acceptMine(_ int, h http.Header) bool { return h.Get("Id") == "mine" }
+func acceptMine(_ int, h http.Header) (bool, error) { return h.Get("Id") == "mine", nil }
 
 // exchangeOnce sends a request and returns the body of the response.
 func exchangeOnce(ctx context.Context, p *Pool, address string, body []byte) (string, error) {
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -133,6 +133,9 @@
 	x.ran = slices.DeleteFunc(x.ran, func(incarnation string) bool { return !x.server.targets.IsRegistered(incarnation) })
 }
 
+// errAmbiguousResponse indicates that a response names several requests or signatures.
+var errAmbiguousResponse = errors.New("the response names several requests or signatures")
+
 // send sends the request to a target and handles the response. It reports whether
 // another send may follow.
 func (x *transfer) send(target *targets.Target) bool {
@@ -157,9 +160,12 @@
 	resp, err := x.server.pool.Do(ctx, exchange.Request{
 		Address: target.Address, Method: x.request.Method, URI: x.uri(),
 		Host: x.request.Host, Header: header, Body: x.body,
-	}, func(status int, h http.Header) bool {
+	}, func(status int, h http.Header) (bool, error) {
 		meta = x.server.codec.DecodeResponse(status, h)
-		return meta.RequestID == x.call.ID || (meta.RequestID == "" && meta.NotRun)
+		if meta.Ambiguous {
+			return false, errAmbiguousResponse
+		}
+		return meta.RequestID == x.call.ID || (meta.RequestID == "" && meta.NotRun), nil
 	})
 	if err != nil {
 		return x.sendFailed(target, err, sentAt)
--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -577,6 +577,21 @@
 		own.signature = ""
 		return none(keepOpen, own.length(200))
 	}},
+	{"two signatures", func(_, own message) delivery {
+		return none(keepOpen, own.head(200)+"Banyanglade-Server-Signature: other\r\n"+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"two signatures of a failure", func(_, own message) delivery {
+		return none(keepOpen, own.head(500)+"Banyanglade-Server-Signature: other\r\n"+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"two ids", func(old, own message) delivery {
+		return none(sendFIN, own.head(200)+"Banyanglade-Request-Id: "+old.id+"\r\n"+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"two ids, the other one first", func(old, own message) delivery {
+		return none(sendFIN, old.head(200)+"Banyanglade-Request-Id: "+own.id+"\r\n"+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(own.body), own.body))
+	}},
+	{"refusal with two ids", func(old, own message) delivery {
+		return none(keepOpen, strings.Replace(own.refusal(true), "Retry-After", "Banyanglade-Request-Id: "+old.id+"\r\nRetry-After", 1))
+	}},
 	{"no id", func(_, own message) delivery {
 		return none(sendFIN, strings.Replace(own.length(200), "Banyanglade-Request-Id", "X", 1))
 	}},
