--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -548,6 +548,10 @@
 	{"length and chunked", func(_, own message) delivery {
 		return lost(own.answer(200), keepOpen, own.head(200)+"Content-Length: 3\r\n"+chunkedField+"\r\n"+own.chunks()+"0\r\n\r\n")
 	}},
+	{"content encoding", func(_, own message) delivery {
+		return served(own.answer(200), strings.Replace(own.length(200), "Content-Length", "Content-Encoding: br\r\nContent-Length", 1))
+	}},
+	{"own failure that promises nothing", func(_, own message) delivery { return served(own.answer(503), own.length(503)) }},
 	{"unknown encoding", func(_, own message) delivery {
 		return none(sendFIN, own.head(200)+"Transfer-Encoding: gzip, chunked\r\n\r\n"+own.chunks()+"0\r\n\r\n")
 	}},
@@ -735,3 +739,82 @@
 		}
 	}
 }
+
+// Guards against taking the body of a response to GET for a response while one to HEAD is
+// due, and the other way round.
+func TestBytesBehindResponsesToHEAD(t *testing.T) {
+	kind := requestKinds[0]
+	headOf := func(m message) string { return strings.TrimSuffix(m.length(200), m.body) }
+	for _, c := range []struct {
+		name, first, second string
+		deliver             func(old, own message) []string
+	}{
+		{"body behind", "HEAD", "HEAD", func(_, own message) []string { return []string{own.length(200)} }},
+		{"twice", "HEAD", "HEAD", func(_, own message) []string { return []string{headOf(own) + headOf(own)} }},
+		{"late copy", "HEAD", "HEAD", func(old, own message) []string { return []string{headOf(old), headOf(own)} }},
+		{"late copy of a response to GET", "GET", "HEAD", func(old, own message) []string { return []string{old.length(200), headOf(own)} }},
+		{"late copy of a response to HEAD", "HEAD", "GET", func(old, own message) []string { return []string{headOf(old), own.length(200)} }},
+		{"chunked", "GET", "HEAD", func(_, own message) []string { return []string{own.chunked(200)} }},
+		{"without length", "GET", "HEAD", func(_, own message) []string { return []string{own.unframed(200)} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			previous := newMessage("id0", "s0", kind, 0)
+			var b *byteTargets
+			b = newByteTargets(t, kind, func(id, signature string) *delivery {
+				method, own := c.second, newMessage(id, signature, kind, 0)
+				if id == "id0" {
+					method = c.first
+				}
+				pieces := []string{own.length(200)}
+				switch {
+				case len(b.runs) == 1:
+					pieces = c.deliver(previous, own)
+				case method == "HEAD":
+					pieces = []string{headOf(own)}
+				}
+				if method == "HEAD" {
+					own.body = ""
+				}
+				return &delivery{pieces: pieces, answer: own.answer(200)}
+			})
+			b.checkResult("id0", b.send(c.first, "id0", ""))
+			got := b.send(c.second, "id1", "")
+			if c.second == "HEAD" && got.body != "" {
+				t.Errorf("the response to HEAD has the body %q", got.body)
+			}
+			b.checkResult("id1", got)
+		})
+	}
+}
+
+// Guards against a response that looks whole though it was cut behind the part that is
+// buffered.
+func TestLongResponsesAreWholeOrVisiblyCut(t *testing.T) {
+	for _, size := range []int{maxBufferedBytes - 1, maxBufferedBytes, maxBufferedBytes + 1, 2 * maxBufferedBytes} {
+		for name, encode := range map[string]func(m message) string{
+			"length":         func(m message) string { return m.length(200) },
+			"chunked":        func(m message) string { return m.chunked(200) },
+			"without length": func(m message) string { return m.unframed(200) },
+		} {
+			t.Run(fmt.Sprintf("%d/%s", size, name), func(t *testing.T) {
+				for _, end := range []ending{sendFIN, sendRST} {
+					checkDelivery(t, requestKinds[1], connectionUses[0], func(_, own message) delivery {
+						own.body = strings.Repeat("y", size)
+						text := encode(own)
+						if name == "without length" && end == sendFIN {
+							return delivery{pieces: []string{text}, end: end, answer: own.answer(200)}
+						}
+						return none(end, text[:len(text)-1])
+					})
+				}
+				checkDelivery(t, requestKinds[1], connectionUses[0], func(_, own message) delivery {
+					own.body = strings.Repeat("y", size)
+					if name == "without length" {
+						return none(sendRST, encode(own))
+					}
+					return served(own.answer(200), encode(own))
+				})
+			})
+		}
+	}
+}
