--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -71,6 +75,10 @@
 	complete bool
 }
 
+// Accept reports whether a response with this status and header belongs to the request,
+// and returns an error if that cannot be determined.
+type Accept func(status int, header http.Header) (bool, error)
+
 // bodyWrite is a body that is written concurrently with reading the response.
 type bodyWrite struct {
 	done chan struct{}
@@ -90,13 +98,25 @@
 	}
 }
 
+// failed ends the write and reports whether the connection broke under it. The kernel
+// reports an error of a connection once: if that was to a write, reads get the end of the
+// connection as after a proper close. A write behind a proper close fails with EPIPE.
+func (b *bodyWrite) failed(c *conn) bool {
+	if b == nil {
+		return false
+	}
+	_ = c.SetWriteDeadline(expiredDeadline) // on failure the write ends with the connection
+	<-b.done
+	return b.err != nil && !errors.Is(b.err, os.ErrDeadlineExceeded) && !errors.Is(b.err, syscall.EPIPE)
+}
+
 // Do sends a request and reads the response header. When the context ends, the
 // connection is closed, which cancels the work at the target. Errors are marked with
 // ErrNotSent or ErrConnBroken, and with the context's cause if it has ended.
 //
 // The function accept inspects the header of each response. A response that it rejects
-// belongs to an earlier request and is skipped.
-func (p *Pool) Do(ctx context.Context, req Request, accept func(status int, header http.Header) bool) (*Response, error) {
+// belongs to an earlier request and is skipped. An error of it breaks the connection.
+func (p *Pool) Do(ctx context.Context, req Request, accept Accept) (*Response, error) {
 	c, err := p.get(ctx, req.Address, time.Now())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
@@ -141,7 +161,7 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func (p *Pool) exchange(c *conn, req Request, accept func(int, http.Header) bool) (*Response, error) {
+func (p *Pool) exchange(c *conn, req Request, accept Accept) (*Response, error) {
 	head := encodeHead(req)
 	var written *bodyWrite
 	if len(req.Body) <= concurrentBodyBytes {
@@ -182,7 +202,7 @@
 
 // readHead reads response headers until one is final and accepted. It reports whether
 // it skipped any response before. The connection stays limited.
-func readHead(c *conn, method string, accept func(int, http.Header) bool) (*http.Response, bool, error) {
+func readHead(c *conn, method string, accept Accept) (*http.Response, bool, error) {
 	skipped := false
 	for range maxInformational {
 		c.limit(maxHeadBytes)
@@ -190,11 +210,15 @@
 		if err != nil {
 			return nil, skipped, errors.Wrap(err, "read the answer")
 		}
+		if containsStatusLine(raw) {
+			return nil, skipped, errJoinedResponses
+		}
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
-		if accept(raw.StatusCode, raw.Header) {
-			return raw, skipped, nil
+		accepted, err := accept(raw.StatusCode, raw.Header)
+		if accepted || err != nil {
+			return raw, skipped, err
 		}
 		skipped = true
 		c.limit(maxSkippedBytes)
@@ -208,6 +232,33 @@
 	return nil, skipped, errors.New("the response belongs to another request")
 }
 
+// errJoinedResponses indicates that a response which was cut in its header is followed by
+// another one, so that the status and some fields are of the first.
+var errJoinedResponses = errors.New("the response header contains another response")
+
+// statusLine matches the beginning of a response within a line of a header.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}( |$)`)
+
+// containsStatusLine reports whether a status line follows within the header of a response.
+// Behind a complete line of the header it is malformed, but not behind a part of one.
+func containsStatusLine(raw *http.Response) bool {
+	if isJoined(raw.Status) {
+		return true
+	}
+	for _, values := range raw.Header {
+		if slices.ContainsFunc(values, isJoined) {
+			return true
+		}
+	}
+	return false
+}
+
+// isJoined reports whether a line of a header ends with a status line. Matching the
+// expression is slow, and few values have the prefix.
+func isJoined(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
+}
+
 func encodeHead(req Request) []byte {
 	var b bytes.Buffer
 	b.Grow(512 + len(req.Body))
@@ -234,15 +285,27 @@
 	return b.Bytes()
 }
 
+// errReset indicates that the connection of a response without a length was reset.
+var errReset = errors.New("the connection was reset before the response ended")
+
 // completionReader records that the body was read to its end.
 type completionReader struct{ resp *Response }
 
 func (c *completionReader) Read(p []byte) (int, error) {
 	n, err := c.resp.raw.Body.Read(p)
-	if err == io.EOF {
-		c.resp.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if c.resp.endsWithConn() && c.resp.written.failed(c.resp.conn) {
+		return n, errReset
 	}
-	return n, err
+	c.resp.complete = true
+	return n, io.EOF
+}
+
+// endsWithConn reports whether the end of the connection is the end of the body.
+func (r *Response) endsWithConn() bool {
+	return r.Length < 0 && len(r.raw.TransferEncoding) == 0 && r.raw.Body != http.NoBody
 }
 
 // Close returns the connection to the pool if the response was read to its end and the
