serve: tests of ended requests know the status, bound their waits and do not depend on load

Found by review. No fault of the product; the tests would miss some.

- The stage 'target' flushed the head of an unsigned 200, which the instance refuses at once.
Its cases with a time limit ended after 10 to 30 ms with 502 and never reached the limit (5 of 5 such cases of TestEndedRequestsAreAnswered got 502 instead of 504).
The target sends nothing now.
- Any broken connection passed.
TestEndedRequestsAreAnswered wants the status: 502 or 503 at a stop, 504 or 503 at the time limit, no response to a caller that has closed its sending half.
- Reads of the caller had no bound: they fail after stageTimeout now, with the log, in place of the timeout of go test.
- On /quick/ a send ends after 40 ms, so that a request on a busy machine ended before it reached the stage: 17 failures in 4 runs of -count 20 of (-test.parallel 24 and 64, two at a time, load 8 to 16).
Such a request is checked and repeated with a new server.

--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -70,11 +71,13 @@
 
 func (e blockedExchange) Cancel() {}
 
-// blockedTarget sends part of a response and then nothing more.
+// target sends part of a response, not even its head if part is nil, and then nothing more.
 func (b *blocked) target(part func(rw http.ResponseWriter)) func(int, http.ResponseWriter, *http.Request) {
 	return func(_ int, rw http.ResponseWriter, r *http.Request) {
-		part(rw)
-		_ = http.NewResponseController(rw).Flush()
+		if part != nil {
+			part(rw)
+			_ = http.NewResponseController(rw).Flush()
+		}
 		_ = b.wait(r.Context()) // the caller's side is the subject
 		panic(http.ErrAbortHandler)
 	}
@@ -85,8 +88,10 @@
 	name   string
 	path   string
 	header []string
-	// runs indicates that the target has the request.
+	// runs indicates that the target has the request, begun that the caller has part of the
+	// response.
 	runs  bool
+	begun bool
 	block func(h *harness, b *blocked)
 }
 
@@ -97,8 +102,6 @@
 	return func(h *harness, b *blocked) { h.target("t", service, b.target(part)) }
 }
 
-func nothing(http.ResponseWriter) {}
-
 // partOfText sends part of a plain response that is longer than its body so far.
 func partOfText(bytes int) func(rw http.ResponseWriter) {
 	return func(rw http.ResponseWriter) {
@@ -128,19 +131,19 @@
 
 func waitStages() []stage {
 	targetStages := []stage{
-		{name: "target at a kept turn", path: "/kept/", header: turnHeader, runs: true, block: blockTarget("engine", nothing)},
-		{name: "part of a long response", path: "/once/", runs: true, block: blockTarget("app", partOfText(2*maxBufferedBytes))},
+		{name: "target at a kept turn", path: "/kept/", header: turnHeader, runs: true, block: blockTarget("engine", nil)},
+		{name: "part of a long response", path: "/once/", runs: true, begun: true, block: blockTarget("app", partOfText(2*maxBufferedBytes))},
 	}
 	for _, path := range []string{"/once/", "/safe/", "/quick/"} {
 		targetStages = append(targetStages,
-			stage{name: "target" + path, path: path, runs: true, block: blockTarget("app", nothing)},
+			stage{name: "target" + path, path: path, runs: true, block: blockTarget("app", nil)},
 			stage{name: "part of the body" + path, path: path, runs: true, block: blockTarget("app", partOfText(10))})
 	}
 	for _, path := range []string{"/turns/", "/fixed/"} {
 		targetStages = append(targetStages,
-			stage{name: "target" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", nothing)},
+			stage{name: "target" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", nil)},
 			stage{name: "head of a stream" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", partOfStream(0))},
-			stage{name: "part of a stream" + path, path: path, header: turnHeader, runs: true, block: blockTarget("engine", partOfStream(3))})
+			stage{name: "part of a stream" + path, path: path, header: turnHeader, runs: true, begun: true, block: blockTarget("engine", partOfStream(3))})
 	}
 	return append(targetStages,
 		stage{name: "lost runs", path: "/once/", block: func(h *harness, b *blocked) {
@@ -156,7 +159,7 @@
 			block: func(h *harness, b *blocked) { h.server.streamVersions = b }},
 		stage{name: "conversation", path: "/kept/", header: append([]string{"Banyanglade-Previous-Turn", "id0"}, turnHeader...),
 			block: func(h *harness, b *blocked) { h.server.conversations = b }},
-		stage{name: "turn to be stored", path: "/kept/", header: turnHeader, runs: true, block: func(h *harness, b *blocked) {
+		stage{name: "turn to be stored", path: "/kept/", header: turnHeader, runs: true, begun: true, block: func(h *harness, b *blocked) {
 			h.target("t", "engine", serveEvents(3, neverCut))
 			h.server.conversations = b
 		}})
@@ -166,6 +169,9 @@
 type end struct {
 	header []string
 	end    func(h *harness, c *net.TCPConn)
+	// ran is the status of a request that a target may have run, notRun that of one that
+	// none has. They are 0 if the caller gets no response.
+	ran, notRun int
 }
 
 var ends = map[string]end{
@@ -174,8 +180,14 @@
 			h.t.Error(err)
 		}
 	}},
-	"the instance stops": {end: func(h *harness, _ *net.TCPConn) { h.cancelRequests(ErrStopping) }},
-	"the time is up":     {header: []string{"Banyanglade-Deadline-Ms", "250"}, end: func(*harness, *net.TCPConn) {}},
+	"the instance stops": {
+		end: func(h *harness, _ *net.TCPConn) { h.cancelRequests(ErrStopping) },
+		ran: http.StatusBadGateway, notRun: http.StatusServiceUnavailable,
+	},
+	"the time is up": {
+		header: []string{"Banyanglade-Deadline-Ms", "250"}, end: func(*harness, *net.TCPConn) {},
+		ran: http.StatusGatewayTimeout, notRun: http.StatusServiceUnavailable,
+	},
 }
 
 // requestText returns the bytes of a request.
@@ -218,24 +230,49 @@
 	}
 }
 
-// endRequest blocks a request in the stage, ends it and checks what its caller receives.
-func (s stage) endRequest(t *testing.T, proto string, b *blocked, e end) {
+// endRequest blocks a request in the stage, ends it and returns what its caller receives.
+// On a busy machine the request may end before it reaches the stage; it is repeated then.
+func (s stage) endRequest(t *testing.T, proto string, late bool, e end) result {
+	t.Helper()
+	for started := time.Now(); time.Since(started) < stageTimeout; {
+		got, reached := s.tryToEndRequest(t, proto, late, e)
+		checkNotServed(t, got, s.runs && reached)
+		if reached {
+			return got
+		}
+	}
+	t.Fatal("the request has not reached the stage")
+	return result{}
+}
+
+// tryToEndRequest reports whether a request reached the stage.
+func (s stage) tryToEndRequest(t *testing.T, proto string, late bool, e end) (got result, reached bool) {
 	t.Helper()
-	h := newHarness(t)
+	h, b := newHarness(t), &blocked{reached: make(chan struct{}, maxSends), late: late}
 	s.block(h, b)
 	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(stageTimeout)); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := io.WriteString(c, requestText(s.path, proto, slices.Concat(s.header, e.header)...)); err != nil {
 		t.Fatal(err)
 	}
 	received := make(chan result, 1)
 	go func() { received <- readWhole(c) }()
-	awaitBlocked(t, b)
-	e.end(h, c.(*net.TCPConn))
-	checkNotServed(t, <-received, s.runs)
+	select {
+	case <-b.reached:
+		e.end(h, c.(*net.TCPConn))
+		got, reached = <-received, true
+	case got = <-received:
+	}
+	if errors.Is(got.err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the request has not ended: %v\n%s", got.err, h.log)
+	}
+	return got, reached
 }
 
 // Whatever ends a request before its target has completed it, its caller must not receive
@@ -246,7 +283,7 @@
 			for _, late := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/late=%v", s.name, name, late), func(t *testing.T) {
 					t.Parallel()
-					s.endRequest(t, "HTTP/1.1", &blocked{reached: make(chan struct{}, maxSends), late: late}, end)
+					s.endRequest(t, "HTTP/1.1", late, end)
 				})
 			}
 		}
@@ -260,20 +297,34 @@
 		for name, end := range ends {
 			t.Run(s.name+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				s.endRequest(t, "HTTP/1.0", &blocked{reached: make(chan struct{}, maxSends)}, end)
+				s.endRequest(t, "HTTP/1.0", false, end)
 			})
 		}
 	}
 }
 
-// stageTimeout bounds the wait for a request to reach a stage.
-const stageTimeout = 10 * time.Second
-
-func awaitBlocked(t *testing.T, b *blocked) {
-	t.Helper()
-	select {
-	case <-b.reached:
-	case <-time.After(stageTimeout):
-		t.Fatal("the request has not reached the stage")
+// A caller that is still there must learn whether its request may have run.
+func TestEndedRequestsAreAnswered(t *testing.T) {
+	for _, s := range waitStages() {
+		if s.begun || s.path == "/quick/" {
+			// The status is sent, or the send may end by its own timeout.
+			continue
+		}
+		for name, end := range ends {
+			t.Run(s.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				want := end.notRun
+				if s.runs {
+					want = end.ran
+				}
+				got := s.endRequest(t, "HTTP/1.1", false, end)
+				if got.status != want || (got.err == nil) != (want != 0) {
+					t.Errorf("got status %d with body %q and error %v, want status %d", got.status, got.body, got.err, want)
+				}
+			})
+		}
 	}
 }
+
+// stageTimeout bounds the wait for a request to reach a stage, and for its end.
+const stageTimeout = 10 * time.Second
