--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -117,6 +117,10 @@
 // The function accept inspects the header of each response. A response that it rejects
 // belongs to an earlier request and is skipped. An error of it breaks the connection.
 func (p *Pool) Do(ctx context.Context, req Request, accept Accept) (*Response, error) {
+	if ctx.Err() != nil {
+		// An idle connection would take the request before the context's end closes it.
+		return nil, errors.Mark(errors.Wrap(context.Cause(ctx), "connect"), ErrNotSent)
+	}
 	c, err := p.get(ctx, req.Address, time.Now())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
