Tests: servers that end listen at addresses of their own

In a trial that dialled the closed address, it was accepted.

testkit.Listen listens at a random loopback address; the targets and fronts of serve and exchange use it as well.

--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -45,7 +45,7 @@
 	ended = new(atomic.Int64)
 	for n := range count {
 		// Nothing else must listen where an engine has ended.
-		listener, err := net.Listen("tcp", testkit.LoopbackHost()+":0")
+		listener, err := testkit.Listen()
 		if err != nil {
 			d.t.Fatal(err)
 		}
--- a/internal/exchange/bounded_test.go
+++ b/internal/exchange/bounded_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
 // maxUnreadBytes exceeds what two sockets buffer before a write blocks.
@@ -30,7 +32,7 @@
 
 func newEndlessTarget(t *testing.T, beginning, repeated string) *endlessTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
 // scriptedTarget is a target that sends scripted responses and counts its connections.
@@ -31,7 +33,7 @@
 // connection.
 func newScriptedTarget(t *testing.T, respond func(n int) string) *scriptedTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +173,7 @@
 
 func TestSendErrors(t *testing.T) {
 	p := newPool(t)
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -242,7 +244,7 @@
 // ends the connection.
 func newEarlyTarget(t *testing.T, response string, end func(*net.TCPConn) error) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -322,7 +324,7 @@
 	pool := NewPool(tally.NoopScope)
 	defer pool.close()
 	serving := newScriptedTarget(t, func(int) string { return "" })
-	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	ended, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -346,7 +348,7 @@
 
 // A target that closes connections beyond its limit has not ended.
 func TestTargetThatResetsNewConnectionsIsListening(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := testkit.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/banyanglade/banyanglade/internal/route"
 	"github.com/banyanglade/banyanglade/internal/structs"
 	"github.com/banyanglade/banyanglade/internal/targets"
+	"github.com/banyanglade/banyanglade/internal/testkit"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -241,7 +242,7 @@
 		Scope: tally.NoopScope, Log: slog.New(slog.NewJSONHandler(h.log, nil)),
 	})
 	h.server.SetTable(route.NewTable(testRoutes()))
-	h.front = httptest.NewUnstartedServer(h.server)
+	h.front = unstartedServer(t, h.server)
 	h.front.Listener = h.server.WrapListener(h.front.Listener)
 	h.server.Configure(h.front.Config)
 	h.front.Config.ErrorLog = nil
@@ -257,6 +258,17 @@
 	return h
 }
 
+// unstartedServer returns a server at an address of its own: tests check what is sent to
+// servers that have ended.
+func unstartedServer(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	l, err := testkit.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &httptest.Server{Listener: l, Config: &http.Server{Handler: handler}}
+}
+
 // target is a target with a configurable handler, which gets the number of the request,
 // from 1.
 type target struct {
@@ -278,7 +290,7 @@
 ) *target {
 	h.t.Helper()
 	tg := &target{id: id}
-	tg.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	tg.server = unstartedServer(h.t, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -293,6 +305,7 @@
 		}
 		handle(n, rw, r)
 	}))
+	tg.server.Start()
 	h.t.Cleanup(tg.server.Close)
 	h.targets.Put(targets.Entry{
 		ID: id, Service: service, Address: tg.server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -79,11 +79,6 @@
 // target sends part of a response, not even its head if part is nil, and then nothing more.
 func (b *blocked) target(part func(rw http.ResponseWriter)) func(int, http.ResponseWriter, *http.Request) {
 	return func(_ int, rw http.ResponseWriter, r *http.Request) {
-		if r.Host != testHost {
-			// A client of another test may use an address that has been assigned again.
-			rw.WriteHeader(http.StatusNotFound)
-			return
-		}
 		if part != nil {
 			part(rw)
 			_ = http.NewResponseController(rw).Flush()
--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/banyanglade/banyanglade/internal/targets"
+	"github.com/banyanglade/banyanglade/internal/testkit"
 )
 
 // These tests check what callers get for the bytes of a faulty target: the whole answer of
@@ -107,7 +108,7 @@
 
 // listen registers a target.
 func (b *byteTargets) listen(id string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := testkit.Listen()
 	if err != nil {
 		b.t.Error(err)
 		return
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -90,7 +90,7 @@
 	id, service, version string, h *history, seed uint64, ended func(t *target, silently bool),
 ) (*target, error) {
 	// Nothing else must listen where a target has ended.
-	listener, err := net.Listen("tcp", testkit.LoopbackHost()+":0")
+	listener, err := testkit.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
--- a/internal/testkit/loopback.go
+++ b/internal/testkit/loopback.go
@@ -15,6 +15,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(maxOctet), 1+rand.IntN(maxOctet), 1+rand.IntN(maxOctet))
 }
 
+// Listen listens at a free port of a random loopback address. Nothing else listens there
+// once the listener is closed, while a port of 127.0.0.1 may be assigned again at once.
+func Listen() (net.Listener, error) { return net.Listen("tcp", LoopbackHost()+":0") }
+
 // FreeAddresses returns count distinct free addresses of a host, IP:port. All
 // ports stay bound until the last one is found, since a released port may be
 // picked again at once.
