--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -27,7 +27,7 @@
 	}))
 	d.t.Cleanup(target.Close)
 	d.store.Put(platform.TopicTargets, "a1", fmt.Appendf(nil,
-		`{"Service":"app","Address":"%s","Zone":"dc","Version":"v1","Slots":16,"State":"ready","ColdRemainingMs":0,"Sequence":1}`, target.Listener.Addr()))
+		`{"Service":"app","Address":"%s","Zone":"dc","Version":"v1","Slots":500,"State":"ready","ColdRemainingMs":0,"Sequence":1}`, target.Listener.Addr()))
 	d.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
 		`{"Version":2,"Routes":[{"Name":"once","Hostname":"%s","PathPrefix":"/once/","Type":"unsafe","TimeoutMs":30000,
 		"Service":"app","MaxAttempts":1}],"Services":[{"Name":"app"}]}`, testHost))
