edge: unreachable instances do not keep an instance beyond its grace period

What operators see: an instance whose callers read nothing, or whose cancelled requests end late, is killed before it has written the end of its log if another instance has just become unreachable. Callers are not affected.

Cause: the end of the drain leaves 0.3 s (exitMargin), and Transport.Close waits for queued messages for up to 1 s, until the heartbeats have failed.

--- a/internal/edge/drainend_test.go
+++ b/internal/edge/drainend_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/banyanglade/banyanglade/internal/testkit/relay"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -103,3 +104,39 @@
 	}
 	i.stopAndMeasure(t)
 }
+
+// startIsolable starts an instance that other instances reach through the returned relay.
+func (d *deployment) startIsolable(name string, partitions int) (*instance, *relay.Relay) {
+	d.t.Helper()
+	var link *relay.Relay
+	i := d.startWith(name, func(m *platform.Machine, o *Options) {
+		var err error
+		if link, err = relay.New(m.PeerAddress); err != nil {
+			d.t.Fatal(err)
+		}
+		o.PeerListen, m.PeerAddress = m.PeerAddress, link.Address()
+		m.Store.Partitions = partitions
+	})
+	d.t.Cleanup(link.Close)
+	return i, link
+}
+
+// Instances that have just become unreachable must not take the time to write the log.
+func TestShutdownBesideUnreachableInstancesEndsWithinTheGracePeriod(t *testing.T) {
+	d := newDeployment(t)
+	i, own := d.startIsolable("a", 4)
+	other, theirs := d.startIsolable("b", 4)
+	eventually(t, "the instances are ready", func() bool { return i.ready() && other.ready() })
+	eventually(t, "a turn at each instance", func() bool {
+		here, _ := i.turn(t, "/turns/x", "p", 500)
+		there, _ := other.turn(t, "/turns/x", "p", 500)
+		return here == http.StatusOK && there == http.StatusOK
+	})
+	d.startEndlessTarget()
+	i.sendWithoutReading(t, "unread")
+	time.AfterFunc(i.machine.GracePeriod-exitMargin-100*time.Millisecond, func() {
+		own.Block(true, true)
+		theirs.Block(true, true)
+	})
+	i.stopAndMeasure(t)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -282,8 +282,9 @@
 		e.log.Error("listener failed", "error", err.Error())
 		return err
 	}
-	e.drain(servers)
-	e.transport.Close()
+	stopped := time.Now()
+	e.drain(servers, stopped)
+	e.transport.CloseBy(stopped.Add(e.machine.GracePeriod - closeMargin))
 	cancel()
 	e.work.Wait()
 	e.log.Info("stopped")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -90,6 +90,12 @@
 }
 
 func (d *deployment) start(name string) *instance {
+	d.t.Helper()
+	return d.startWith(name, func(*platform.Machine, *Options) {})
+}
+
+// startWith starts an instance whose settings are changed first.
+func (d *deployment) startWith(name string, change func(*platform.Machine, *Options)) *instance {
 	d.t.Helper()
 	host := testkit.LoopbackHost()
 	addresses, err := testkit.FreeAddresses(host, 3)
@@ -102,10 +108,11 @@
 		GracePeriod: 3 * time.Second, Seeds: d.seeds,
 		Store: platform.StoreInfo{Address: d.store.Address(), Partitions: 4, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21},
 	}}
+	options := Options{LogLevel: slog.LevelDebug, PeerKey: "0123456789abcdef"}
+	change(&i.machine, &options)
 	d.seeds = append(d.seeds, i.machine.PeerAddress)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
-	options := Options{LogLevel: slog.LevelDebug, PeerKey: "0123456789abcdef"}
 	go func() {
 		err := runOn(ctx, i.machine, options, i.log)
 		if err != nil {
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -96,8 +96,7 @@
 // drain shuts the instance down without cutting requests: it reports not ready at once,
 // keeps serving until the platform has noticed, and ends when no request is in flight or
 // the grace period is nearly over. The requests that are left are cancelled.
-func (e *edge) drain(s *servers) {
-	started := time.Now()
+func (e *edge) drain(s *servers, started time.Time) {
 	e.log.Info("stopping", "in_flight", e.server.InFlight())
 	e.server.Drain()
 	notice := time.NewTimer(min(drainNotice, e.machine.GracePeriod/2))
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -105,8 +105,10 @@
 	drainNotice = 2200 * time.Millisecond
 	// drainMargin is the part of the grace period that is left for the responses of
 	// cancelled requests and the end of the process, exitMargin that for the latter.
+	// Messages to other instances leave before closeMargin, the time to write the log.
 	drainMargin = 700 * time.Millisecond
 	exitMargin  = 300 * time.Millisecond
+	closeMargin = 150 * time.Millisecond
 	// heapLimitFraction is the soft limit of the heap as a fraction of the machine's
 	// memory.
 	heapLimitFraction = 0.7
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -78,9 +78,13 @@
 
 // Close sends the queued frames of connected instances within CloseTimeout, then
 // closes all connections and waits for the transport's goroutines.
-func (t *Transport) Close() {
+func (t *Transport) Close() { t.CloseBy(time.Now().Add(t.cfg.CloseTimeout)) }
+
+// CloseBy is Close with an end of the time to send queued frames, if that is before the
+// end of CloseTimeout.
+func (t *Transport) CloseBy(end time.Time) {
 	t.finishQueues()
-	t.waitForSessions()
+	t.waitForSessions(min(t.cfg.CloseTimeout, time.Until(end)))
 	t.cancel(errClosed)
 	t.wg.Wait()
 	t.client.CloseIdleConnections()
@@ -97,13 +101,13 @@
 	}
 }
 
-func (t *Transport) waitForSessions() {
+func (t *Transport) waitForSessions(timeout time.Duration) {
 	done := make(chan struct{})
 	go func() {
 		t.activeSessions.Wait()
 		close(done)
 	}()
-	timer := time.NewTimer(t.cfg.CloseTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-done:
