exchange: nothing is sent after the context has ended

What targets see: a request whose caller has left, or whose instance stops, may still reach a target and run there. It is answered as one that may have run, so no promise breaks, but the run is in vain.

Cause: Do takes an idle connection without regard to the context, and the connection is closed by another goroutine, after the request is written. Callers check the context before, but wait for other instances in between if the request has lost runs (announceRun, isolateRun).

They count as not sent now, like a dial that is cancelled.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,10 @@
 // The function accept inspects the header of each response. A response that it rejects
 // belongs to an earlier request and is skipped.
 func (p *Pool) Do(ctx context.Context, req Request, accept func(status int, header http.Header) bool) (*Response, error) {
+	if ctx.Err() != nil {
+		// An idle connection would take the request before the context's end closes it.
+		return nil, errors.Mark(errors.Wrap(context.Cause(ctx), "connect"), ErrNotSent)
+	}
 	c, err := p.get(ctx, req.Address, time.Now())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -121,6 +121,27 @@
 	}
 }
 
+// Guards against sending a request whose caller has left, or whose instance stops, on an
+// idle connection.
+func TestNothingIsSentAfterTheContextHasEnded(t *testing.T) {
+	s := newScriptedTarget(t, func(int) string { return okResponse })
+	p := newPool(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	const attempts = 50
+	for range attempts {
+		if got, err := exchangeOnce(t.Context(), p, s.address, nil); got != "ok" || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		if _, err := exchangeOnce(ended, p, s.address, nil); !errors.Is(err, ErrNotSent) || !errors.Is(err, context.Canceled) {
+			t.Errorf("after the context has ended: %v", err)
+		}
+	}
+	if _, requests := s.counts(); requests != attempts {
+		t.Errorf("the target received %d requests, want %d", requests, attempts)
+	}
+}
+
 func TestBytesAfterAResponseCloseTheConnection(t *testing.T) {
 	s := newScriptedTarget(t, func(int) string { return okResponse + "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nextra" })
 	p := newPool(t)
