edge: an instance with a short grace period waits for its cancelled requests

What callers and operators see: with a grace period of 0.6 s or less the process ends without waiting for the responses to the requests that it cancels, and their lines are missing in the log ('log lines dropped').

Cause: the margins before the end of the grace period are fixed. Half of a short period, for which the platform's notice is waited for, ends after both of them, so that the second Shutdown has no time.

--- a/internal/edge/drainend_test.go
+++ b/internal/edge/drainend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +141,27 @@
 	})
 	i.stopAndMeasure(t)
 }
+
+// Responses to cancelled requests must not be given up where the grace period is shorter
+// than the usual margins.
+func TestRequestsCancelledInAShortGracePeriodAreAnswered(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			d := newDeployment(t)
+			received := d.startStuckTarget()
+			i := d.startWith("a", func(m *platform.Machine, _ *Options) { m.GracePeriod = grace })
+			eventually(t, "the instance is ready", i.ready)
+			replies := make(chan reply, 1)
+			go func() { replies <- i.send(t.Context(), "cancelled") }()
+			awaitRequest(t, received)
+			i.stopAndMeasure(t)
+			log := i.log.String()
+			if strings.Contains(log, "cancelled requests have not ended") || !strings.Contains(log, `"reason":"instance_stopped"`) {
+				t.Errorf("the instance ended before its request:\n%s", log[max(0, len(log)-1000):])
+			}
+			if got := <-replies; got.err != nil || got.status != http.StatusBadGateway {
+				t.Errorf("got status %d with body %q and error %v, want status %d", got.status, got.body, got.err, http.StatusBadGateway)
+			}
+		})
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -284,7 +284,7 @@
 	}
 	stopped := time.Now()
 	e.drain(servers, stopped)
-	e.transport.CloseBy(stopped.Add(e.machine.GracePeriod - closeMargin))
+	e.transport.CloseBy(before(closeMargin, stopped, e.machine.GracePeriod))
 	cancel()
 	e.work.Wait()
 	e.log.Info("stopped")
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -109,6 +109,9 @@
 	drainMargin = 700 * time.Millisecond
 	exitMargin  = 300 * time.Millisecond
 	closeMargin = 150 * time.Millisecond
+	// shortGracePeriod is the grace period below which the margins are shorter in
+	// proportion.
+	shortGracePeriod = 4 * drainMargin
 	// heapLimitFraction is the soft limit of the heap as a fraction of the machine's
 	// memory.
 	heapLimitFraction = 0.7
@@ -124,3 +127,9 @@
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 64 << 10
 )
+
+// before returns the time that lies a margin before the end of a grace period.
+func before(margin time.Duration, started time.Time, gracePeriod time.Duration) time.Time {
+	margin = time.Duration(float64(margin) * min(1, float64(gracePeriod)/float64(shortGracePeriod)))
+	return started.Add(gracePeriod - margin)
+}
