--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -143,6 +143,11 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		reason, err := io.ReadAll(resp.Body)
+		t.Logf("stream %s is not resumed by %s: %s%v", s.id, i.machine.Name, reason, err)
+		return resp.StatusCode, nil
+	}
 	return resp.StatusCode, readVersions(t, resp.Body, eventsPerTurn)
 }
 
