--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -13,24 +13,33 @@
 	"github.com/banyanglade/banyanglade/platform"
 )
 
-// startStuckTarget registers a target of the service "app" that never responds, and puts
-// settings in force with a route of unsafe requests to it. Each request that it receives
-// is sent to the channel.
-func (d *deployment) startStuckTarget() <-chan string {
+// startApp registers a target of the service "app", and puts settings in force with a
+// route of unsafe requests to it.
+func (d *deployment) startApp(handler http.HandlerFunc) {
 	d.t.Helper()
-	received := make(chan string)
-	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		received <- r.Header.Get("Banyanglade-Request-Id")
-		// The server notices a closed connection once the body is read.
-		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
-	}))
+	target := httptest.NewServer(handler)
 	d.t.Cleanup(target.Close)
 	d.store.Put(platform.TopicTargets, "a1", fmt.Appendf(nil,
 		`{"Service":"app","Address":"%s","Zone":"dc","Version":"v1","Slots":500,"State":"ready","ColdRemainingMs":0,"Sequence":1}`, target.Listener.Addr()))
 	d.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
 		`{"Version":2,"Routes":[{"Name":"once","Hostname":"%s","PathPrefix":"/once/","Type":"unsafe","TimeoutMs":30000,
 		"Service":"app","MaxAttempts":1}],"Services":[{"Name":"app"}]}`, testHost))
+}
+
+// startStuckTarget starts an app that never responds. Each request that it receives is sent
+// to the channel.
+func (d *deployment) startStuckTarget() <-chan string {
+	d.t.Helper()
+	received := make(chan string)
+	d.startApp(func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices a closed connection once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case received <- r.Header.Get("Banyanglade-Request-Id"):
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	})
 	return received
 }
 
--- a/internal/edge/drainend_test.go
+++ b/internal/edge/drainend_test.go
@@ -5,18 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
-
-	"github.com/banyanglade/banyanglade/platform"
 )
 
-// startEndlessTarget registers a target of the service "endless" whose responses have no
-// end, and puts settings in force with a route to it.
+// startEndlessTarget starts an app whose responses have no end.
 func (d *deployment) startEndlessTarget() {
 	d.t.Helper()
-	target := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	d.startApp(func(rw http.ResponseWriter, r *http.Request) {
 		rw.Header().Set("Banyanglade-Request-Id", r.Header.Get("Banyanglade-Request-Id"))
 		rw.Header().Set("Banyanglade-Server-Signature", "s")
 		for block := make([]byte, 64<<10); ; {
@@ -24,13 +20,7 @@
 				return
 			}
 		}
-	}))
-	d.t.Cleanup(target.Close)
-	d.store.Put(platform.TopicTargets, "n1", fmt.Appendf(nil,
-		`{"Service":"app","Address":"%s","Zone":"dc","Version":"v1","Slots":500,"State":"ready","ColdRemainingMs":0,"Sequence":1}`, target.Listener.Addr()))
-	d.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
-		`{"Version":2,"Routes":[{"Name":"once","Hostname":"%s","PathPrefix":"/once/","Type":"unsafe","TimeoutMs":30000,
-		"Service":"app","MaxAttempts":1}],"Services":[{"Name":"app"}]}`, testHost))
+	})
 }
 
 // sendWithoutReading sends a request to an endless target and reads only the start of
