--- a/internal/edge/drainend_test.go
+++ b/internal/edge/drainend_test.go
@@ -101,7 +101,7 @@
 		stopped := time.Now()
 		order := []time.Time{
 			stopped.Add(min(drainNotice, grace/2)),
-			before(drainMargin, stopped, grace), before(exitMargin, stopped, grace), before(closeMargin, stopped, grace),
+			drainDeadline(drainMargin, stopped, grace), drainDeadline(exitMargin, stopped, grace), drainDeadline(closeMargin, stopped, grace),
 			stopped.Add(grace),
 		}
 		for n := range order[1:] {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -285,7 +285,7 @@
 	stopped := time.Now()
 	e.drain(servers, stopped)
 	e.lostRuns.HandOver()
-	e.transport.CloseBy(before(closeMargin, stopped, e.machine.GracePeriod))
+	e.transport.CloseBy(drainDeadline(closeMargin, stopped, e.machine.GracePeriod))
 	cancel()
 	e.work.Wait()
 	e.log.Info("stopped")
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -103,11 +103,11 @@
 	e.allowances.Leave()
 	e.budgets.Leave(context.Background())
 	<-notice.C
-	ctx, cancel := context.WithDeadline(context.Background(), before(drainMargin, started, e.machine.GracePeriod))
+	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline(drainMargin, started, e.machine.GracePeriod))
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		e.log.Warn("grace period ended with requests in flight", "in_flight", e.server.InFlight(), "error", err.Error())
-		e.cancelRequests(s, before(exitMargin, started, e.machine.GracePeriod))
+		e.cancelRequests(s, drainDeadline(exitMargin, started, e.machine.GracePeriod))
 	}
 	for _, server := range []*http.Server{s.ready, s.admin} {
 		if err := server.Close(); err != nil {
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -128,8 +128,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// before returns the time that lies a margin before the end of a grace period.
-func before(margin time.Duration, started time.Time, gracePeriod time.Duration) time.Time {
+// drainDeadline returns the time that lies a margin before the end of a grace period.
+func drainDeadline(margin time.Duration, started time.Time, gracePeriod time.Duration) time.Time {
 	margin = time.Duration(float64(margin) * min(1, float64(gracePeriod)/float64(shortGracePeriod)))
 	return started.Add(gracePeriod - margin)
 }
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -5,10 +5,11 @@
 // relays.
 //
 // Relay slots are records of a topic of their own. An instance takes a slot that is free,
-// or whose holder is unresponsive or refused by the store, by a conditional append that fails if the slots have
-// changed since they were read. Slots only decide who reads. Correctness does not depend
-// on them: records are ordered by offset, and two holders of one slot do no harm. A
-// process that restarts on the machine of a slot's holder keeps the slot.
+// or whose holder is unresponsive or refused by the store, by a conditional append that
+// fails if the slots have changed since they were read. Slots only decide who reads.
+// Correctness does not depend on them: records are ordered by offset, and two holders of
+// one slot do no harm. A process that restarts on the machine of a slot's holder keeps the
+// slot.
 //
 // An instance whose copies get old queries several relays at once. While none of them has
 // fresh copies, a few standbys read the store, and the other instances query these.
