feed: part of the records of a topic is not taken for all of them

What could happen: an instance counts its copy of the targets or settings as current though the store holds records behind the page that it got, so that it sends requests to draining targets, or by old settings, and tells others that its copy is fresh. A reply of the store ends early when it is limited to its maximum size (1,024 KB), or when it has no length and its connection ends at the end of a record.

Cause: Follower.step confirmed the copy for the start of each read and did not look at the end offset in the reply; the rest was read after the pause between two reads. A reply without records was taken to have waited as long as it was asked to, also when it came at once, so that the copy counted as fresh for up to 3 s in advance. The class: bytes that end early are taken for whole.

Evidence: found by reading; no run of processes has shown it. Before, TestRepliesThatEndEarlyAreReadOn (2 of 3 records), TestRepliesThatEndEarlyConfirmNothing and TestEarlyReplyDoesNotConfirmTheRestOfItsWait failed.

Now a page that ends before the partition is read on at once, and only the last page confirms the copy. Conversations read their pages like this already.

--- a/internal/edge/targetfeed_test.go
+++ b/internal/edge/targetfeed_test.go
@@ -40,15 +40,16 @@
 	return platform.Newest{}, false, nil
 }
 
-func (s *topicStore) Read(ctx context.Context, topic string, _ int, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+func (s *topicStore) ReadPage(ctx context.Context, topic string, _ int, from int64, wait time.Duration) (platform.Page, error) {
+	page := platform.Page{Next: from, End: from}
 	if s.unavailable(topic) {
-		return nil, from, errUnavailable
+		return page, errUnavailable
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, from, nil
+	return page, nil
 }
 
 // feedHarness runs a target feed with followers of two topics, in virtual time.
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -29,7 +29,7 @@
 // Store is the part of the platform's store that a Follower reads.
 type Store interface {
 	NewestPage(ctx context.Context, topic string, partition int, after string) (platform.Newest, bool, error)
-	Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	ReadPage(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.Page, error)
 }
 
 // Follower keeps a Topic up to date from the store.
@@ -93,6 +93,7 @@
 		}
 		f.Health.recordResult(f.Topic.Name, err, time.Now(), f.Log)
 		if err != nil {
+			from = next
 			sleep(ctx, f.retryDelay(failures), recovered)
 			failures++
 			continue
@@ -166,31 +167,49 @@
 	return err
 }
 
-// step reads the whole topic, or the records from an offset on; a probe does not wait for
-// records.
+// step reads the whole topic, or all records from an offset on; a probe does not wait for
+// records. It returns the offset to continue from, also with an error.
 func (f *Follower) step(ctx context.Context, from int64, probe bool) (int64, error) {
 	if from < 0 {
 		return f.readAll(ctx)
 	}
-	started := time.Now()
 	wait, _ := f.readTiming()
 	timeout := wait + readTimeoutMargin
 	if probe {
 		wait, timeout = 0, probeTimeout
 	}
+	for {
+		started := time.Now()
+		page, err := f.readRecords(ctx, from, wait, timeout)
+		if err != nil {
+			return from, err
+		}
+		f.Topic.advance(page.Records, page.Next)
+		if page.Next >= page.End {
+			f.Topic.Confirm(confirmedTime(page, started, wait))
+			return page.Next, nil
+		}
+		if page.Next == from {
+			return from, errors.Newf("read of %s made no progress at offset %d, the end is %d", f.Topic.Name, from, page.End)
+		}
+		from = page.Next
+	}
+}
+
+func (f *Follower) readRecords(ctx context.Context, from int64, wait, timeout time.Duration) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	records, next, err := f.Store.Read(ctx, f.Topic.Name, 0, from, wait)
-	if err != nil {
-		return from, err
-	}
-	f.Topic.advance(records, next)
-	if len(records) == 0 {
+	return f.Store.ReadPage(ctx, f.Topic.Name, 0, from, wait)
+}
+
+// confirmedTime returns the time at which the store held no more records than those of a
+// read and before.
+func confirmedTime(page platform.Page, started time.Time, wait time.Duration) time.Time {
+	if len(page.Records) == 0 && time.Since(started) >= wait {
 		// The store has waited that long without a new record.
-		started = started.Add(wait)
+		return started.Add(wait)
 	}
-	f.Topic.Confirm(started)
-	return next, nil
+	return started
 }
 
 // readAll reads the whole topic page by page. After a failure it resumes behind the pages
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -16,6 +16,10 @@
 	mu     sync.Mutex
 	refuse bool
 	hang   bool
+	// pageSize is the maximum number of records of a reply, 0 for no maximum.
+	pageSize int
+	// early makes reads reply before their wait has ended.
+	early  bool
 	calls  int
 	newest platform.Newest
 }
@@ -49,34 +53,35 @@
 	return s.newest, false, nil
 }
 
-func (s *fakeStore) Read(
-	ctx context.Context, _ string, _ int, from int64, wait time.Duration,
-) ([]platform.Record, int64, error) {
+func (s *fakeStore) ReadPage(ctx context.Context, _ string, _ int, from int64, wait time.Duration) (platform.Page, error) {
 	s.mu.Lock()
 	s.calls++
-	refuse, hang := s.refuse, s.hang
-	var records []platform.Record
+	refuse, hang, early := s.refuse, s.hang, s.early
+	page := platform.Page{Next: max(from, s.newest.End), End: s.newest.End}
 	for _, r := range s.newest.Records {
-		if r.Offset >= from {
-			records = append(records, r)
+		switch {
+		case r.Offset < from:
+		case s.pageSize > 0 && len(page.Records) == s.pageSize:
+			page.Next = min(page.Next, r.Offset)
+		default:
+			page.Records = append(page.Records, r)
 		}
 	}
-	end := s.newest.End
 	s.mu.Unlock()
 	switch {
 	case refuse:
-		return nil, from, platform.ErrBusy
+		return platform.Page{Next: from}, platform.ErrBusy
 	case hang:
 		<-ctx.Done()
-		return nil, from, ctx.Err()
-	case len(records) > 0:
-		return records, end, nil
+		return platform.Page{Next: from}, ctx.Err()
+	case len(page.Records) > 0 || early:
+		return page, nil
 	}
 	select {
 	case <-ctx.Done():
-		return nil, from, ctx.Err()
+		return platform.Page{Next: from}, ctx.Err()
 	case <-time.After(wait):
-		return nil, from, nil
+		return platform.Page{Next: from, End: from}, nil
 	}
 }
 
@@ -199,3 +204,82 @@
 		}
 	})
 }
+
+// A reply that ends before the partition does not contain all that the store holds. The rest
+// is read at once.
+func TestRepliesThatEndEarlyAreReadOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{pageSize: 1}
+		topic := NewTopic("t", func(platform.Record) {})
+		f := Follower{Store: store, Topic: topic, Wait: time.Second, Pause: time.Second, Health: NewHealth(), Log: slog.New(slog.DiscardHandler)}
+		var work sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		work.Go(func() { f.Run(ctx) })
+		synctest.Wait()
+		for offset := range int64(3) {
+			store.put(record(string(rune('a'+offset)), "v", offset))
+		}
+		time.Sleep(2*time.Second + time.Millisecond)
+		if records := lockedSince(topic, 0); len(records) != 3 {
+			t.Errorf("%d of 3 records", len(records))
+		}
+		cancel()
+		work.Wait()
+	})
+}
+
+// A copy is not confirmed by a reply behind which the store holds more records.
+func TestRepliesThatEndEarlyConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{pageSize: 1}
+		topic := NewTopic("t", func(platform.Record) {})
+		f := Follower{Store: store, Topic: topic, Wait: time.Second, Health: NewHealth(), Log: slog.New(slog.DiscardHandler)}
+		if _, err := f.step(t.Context(), FromStart, false); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		store.put(record("a", "v", 0))
+		store.put(record("b", "v", 1))
+		first := true
+		f.Store = readHook{store, func() {
+			store.set(false, !first) // the second read hangs
+			first = false
+		}}
+		if _, err := f.step(t.Context(), 0, false); err == nil {
+			t.Error("part of the records is taken for all")
+		}
+		if age := topic.Age(time.Now()); age < time.Minute {
+			t.Errorf("the copy counts as %s old, though the store holds records that are not in it", age)
+		}
+	})
+}
+
+// A reply without records that comes before its wait has ended does not tell what the store
+// holds after it.
+func TestEarlyReplyDoesNotConfirmTheRestOfItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{early: true}
+		topic := NewTopic("t", func(platform.Record) {})
+		f := Follower{Store: store, Topic: topic, Wait: time.Second, Health: NewHealth(), Log: slog.New(slog.DiscardHandler)}
+		for _, from := range []int64{FromStart, 0} {
+			if _, err := f.step(t.Context(), from, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if age := topic.Age(time.Now()); age < time.Second {
+			t.Errorf("the copy counts as %s old, a second after the reply", age)
+		}
+	})
+}
+
+// readHook is a Store that calls a function before each read.
+type readHook struct {
+	Store
+	before func()
+}
+
+func (h readHook) ReadPage(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.Page, error) {
+	h.before()
+	return h.Store.ReadPage(ctx, topic, partition, from, wait)
+}
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -177,11 +177,10 @@
 	return page, len(keys) > storePageSize, nil
 }
 
-func (s instanceStore) Read(
-	ctx context.Context, topic string, _ int, from int64, wait time.Duration,
-) ([]platform.Record, int64, error) {
+func (s instanceStore) ReadPage(ctx context.Context, topic string, _ int, from int64, wait time.Duration) (platform.Page, error) {
+	page := platform.Page{Next: from, End: from}
 	if err := s.call(false); err != nil {
-		return nil, from, err
+		return page, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -192,17 +191,18 @@
 		s.mu.Unlock()
 		switch {
 		case trimmed:
-			return nil, from, platform.ErrTrimmed
+			return page, platform.ErrTrimmed
 		case s.hanging.Load():
-			return nil, from, s.hang(ctx)
+			return page, s.hang(ctx)
 		case int64(len(records)) > from:
-			return slices.Clone(records[from:]), int64(len(records)), nil
+			end := int64(len(records))
+			return platform.Page{Records: slices.Clone(records[from:]), Next: end, End: end}, nil
 		case expired:
-			return nil, from, nil
+			return page, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, from, ctx.Err()
+			return page, ctx.Err()
 		case <-timer.C:
 			expired = true
 		case <-updated:
--- a/internal/serve/targetbytes_test.go
+++ b/internal/serve/targetbytes_test.go
@@ -72,6 +72,8 @@
 	// answered is closed once the caller has the response, idleSent once the target has
 	// written what it sends on the idle connection.
 	answered, idleSent chan struct{}
+	// addresses are those of the targets.
+	addresses []string
 
 	mu    sync.Mutex
 	conns int
@@ -138,6 +140,7 @@
 		mu.Unlock()
 		work.Wait()
 	})
+	b.addresses = append(b.addresses, l.Addr().String())
 	b.h.targets.Put(targets.Entry{ID: id, Service: b.service, Address: l.Addr().String(), DataCentre: "dc", Slots: 4})
 }
 
