serve: a request that is not sent returns its organisation's permit

What could happen: requests that end before they are sent to any target (no target is left, the instance stops or the caller leaves while the permit arrives) use up their organisation's limit, so that others of it get 429 in vain. Only turns that admission refused returned theirs.

No run of processes has shown it.

Now each request that ends without a send returns its permit.

--- a/internal/serve/admission.go
+++ b/internal/serve/admission.go
@@ -49,15 +49,9 @@
 }
 
 // checkTurnAdmission checks admission of a turn that may be its program's first, once
-// the budget's lease has shown whether it is. A refused turn returns its permit.
+// the budget's lease has shown whether it is.
 func (x *transfer) checkTurnAdmission(first bool) bool {
-	if !x.mayStartProgram() || x.admitClass(x.admissionClass(first)) {
-		return true
-	}
-	if x.permit != nil {
-		x.permit.Release()
-	}
-	return false
+	return !x.mayStartProgram() || x.admitClass(x.admissionClass(first))
 }
 
 // admissionClass classifies the request by what is wasted if it is refused.
--- a/internal/serve/organisation.go
+++ b/internal/serve/organisation.go
@@ -100,3 +100,10 @@
 	}
 	return false
 }
+
+// releaseUnusedPermit returns the permit of a request that was not sent.
+func (x *transfer) releaseUnusedPermit() {
+	if x.permit != nil && x.sends == 0 {
+		x.permit.Release()
+	}
+}
--- a/internal/serve/organisation_test.go
+++ b/internal/serve/organisation_test.go
@@ -364,3 +364,49 @@
 		}
 	}
 }
+
+// lateAllowances admit a request only once its context has ended.
+type lateAllowances struct {
+	fakeAllowances
+	// reached is closed once a request waits.
+	reached chan struct{}
+}
+
+func (a *lateAllowances) Admit(ctx context.Context, entry AllowanceRequest) (Permit, error) {
+	close(a.reached)
+	<-ctx.Done()
+	return a.fakeAllowances.Admit(ctx, entry)
+}
+
+// A permit that is not used counts against its organisation's limit until it is returned.
+func TestUnsentRequestsReturnTheirPermits(t *testing.T) {
+	t.Run("no target", func(t *testing.T) {
+		h, a := withLimit(t)
+		got := h.do(h.request("POST", "/once/x", "", "Banyanglade-Credential", keyA))
+		if got.status != http.StatusServiceUnavailable || a.returned != 1 {
+			t.Errorf("got status %d, %d permits returned", got.status, a.returned)
+		}
+	})
+	t.Run("the instance stops", func(t *testing.T) {
+		h, _ := withLimit(t)
+		app := h.target("t1", "app", serveText("ok"))
+		a := &lateAllowances{reached: make(chan struct{})}
+		h.server.allowances = a
+		go func() {
+			<-a.reached
+			h.cancelRequests(ErrStopping)
+		}()
+		got := h.do(h.request("POST", "/once/x", "", "Banyanglade-Credential", keyA))
+		if got.status != http.StatusServiceUnavailable || app.count() != 0 || a.returned != 1 {
+			t.Errorf("got status %d, %d runs, %d permits returned", got.status, app.count(), a.returned)
+		}
+	})
+	t.Run("served", func(t *testing.T) {
+		h, a := withLimit(t)
+		h.target("t1", "app", serveText("ok"))
+		got := h.do(h.request("POST", "/once/x", "", "Banyanglade-Credential", keyA))
+		if got.status != http.StatusOK || a.returned != 0 {
+			t.Errorf("got status %d, %d permits returned", got.status, a.returned)
+		}
+	})
+}
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -171,6 +171,7 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	defer x.releaseUnusedPermit()
 	if !x.readBody() || !x.checkAdmission() || !x.findOrigin() {
 		return
 	}
