serve: a request that still arrives when the instance stops is answered

What callers saw: a request whose body was still being read at the end of a drain was cut with the process; its caller did not learn that it had not run.

Cause: the read of a body ended at the request's deadline only, not with its context.

Now the end of the request's context ends the read; the caller gets 503 and the connection closes.

--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -41,6 +42,7 @@
 		source = io.LimitReader(source, limit+1)
 	}
 	x.setBodyDeadline(x.deadline)
+	defer context.AfterFunc(x.ctx, func() { x.setBodyDeadline(expiredDeadline) })()
 	err := x.held.Reserve(requestOverheadBytes)
 	if err != nil {
 		return x.refuseUnreadable(err)
@@ -61,6 +63,9 @@
 	return true
 }
 
+// expiredDeadline is a deadline that ends reads at once.
+var expiredDeadline = time.Unix(1, 0)
+
 // setBodyDeadline bounds the arrival of the body, for which memory is held. It also
 // bounds how long net/http drains the body of a refused request. The zero time means no
 // bound.
@@ -86,6 +91,11 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// The rest of the body is not drained.
 		x.writer.Header().Set("Connection", "close")
+		if x.endOfContext() == reasonStopped {
+			x.giveUpOnContext()
+			return false
+		}
+		// net/http has cancelled the request's context with the failed read.
 		x.refuse(http.StatusServiceUnavailable, reasonNotSent, x.targetRetryAfter())
 		return false
 	}
--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -333,3 +333,29 @@
 
 // stageTimeout bounds the wait for a request to reach a stage, and for its end.
 const stageTimeout = 10 * time.Second
+
+// A caller whose request is still arriving when the instance stops must learn that it has
+// not run.
+func TestRequestsThatArriveDuringAStopAreAnswered(t *testing.T) {
+	h := newHarness(t)
+	app := h.target("t", "app", serveText("late"))
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(stageTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, strings.TrimSuffix(requestText("/once/", "HTTP/1.1"), "y")); err != nil {
+		t.Fatal(err)
+	}
+	for h.server.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.cancelRequests(ErrStopping)
+	got := readWhole(c)
+	if got.err != nil || got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(reasonStopped)) || app.count() != 0 {
+		t.Errorf("got status %d with body %q and error %v, %d runs", got.status, got.body, got.err, app.count())
+	}
+}
