serve: a killed process does not complete responses over HTTP/1.0

What callers saw: a process that is killed ends responses without a length to callers of HTTP/1.0 like whole ones, since the kernel closes its connections regularly.

Cause: the connection was made to end with a reset only when the instance itself cut the response, which a killed process cannot do.

Now such a connection ends with a reset from the header on, until the response is whole and flushed (TestWholeResponsesOverHTTP10EndRegularly). Callers of HTTP/1.1 get chunks, whose end cannot be mistaken.

--- a/internal/serve/callerconn.go
+++ b/internal/serve/callerconn.go
@@ -123,9 +123,17 @@
 	return c.checkRequest()
 }
 
-// resetOnClose makes the connection of a request end with a reset, which the caller cannot
-// take for the end of a response.
-func resetOnClose(r *http.Request) error {
+// Linger times of a connection, in seconds, which decide how it ends when it is closed.
+const (
+	// lingerReset makes it end with a reset.
+	lingerReset = 0
+	// lingerDefault makes it end regularly once all data is sent.
+	lingerDefault = -1
+)
+
+// setLinger sets how the connection of a request ends when it is closed, also by the end of
+// the process.
+func setLinger(r *http.Request, seconds int) error {
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
 	if !ok {
 		return nil
@@ -134,5 +142,5 @@
 	if !ok {
 		return nil
 	}
-	return lingering.SetLinger(0)
+	return lingering.SetLinger(seconds)
 }
--- a/internal/serve/deliver.go
+++ b/internal/serve/deliver.go
@@ -159,11 +159,33 @@
 	case !unknownLength && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified:
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
+	if unknownLength && !x.request.ProtoAtLeast(1, 1) {
+		x.endWithConn()
+	}
 	x.status = resp.Status
 	x.headSent = true
 	x.writer.WriteHeader(resp.Status)
 }
 
+// endWithConn prepares a response that the end of its connection delimits: until it is
+// complete, the connection ends with a reset.
+func (x *transfer) endWithConn() {
+	x.endsWithConn = true
+	if err := setLinger(x.request, lingerReset); err != nil {
+		x.server.log.Warn("an incomplete response would end regularly", "request", x.call.ID, "error", err.Error())
+	}
+}
+
+// completeConn makes the connection of a complete response end regularly.
+func (x *transfer) completeConn() {
+	if x.flush() != nil {
+		return // the caller has left
+	}
+	if err := setLinger(x.request, lingerDefault); err != nil {
+		x.server.log.Warn("a complete response ends with a reset", "request", x.call.ID, "error", err.Error())
+	}
+}
+
 // perConnection reports whether a response header applies to one connection only.
 func perConnection(name string) bool {
 	switch name {
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -165,12 +165,35 @@
 	health        fakeHealth
 	freshness     fakeFreshness
 	log           *logBuffer
+	// callers are the connections of callers.
+	callers callerConns
 	// cancelRequests cancels the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
 	// failureReports counts the calls of ReportTargetFailures.
 	failureReports atomic.Int64
 }
 
+// callerConns collects the connections of callers.
+type callerConns struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (c *callerConns) add(conn net.Conn, state http.ConnState) {
+	if state != http.StateNew {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, conn)
+}
+
+func (c *callerConns) all() []net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.conns)
+}
+
 // ReportTargetFailures implements FailureReporter.
 func (h *harness) ReportTargetFailures() { h.failureReports.Add(1) }
 
@@ -249,6 +272,7 @@
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	h.cancelRequests = cancelRequests
 	h.front.Config.BaseContext = func(net.Listener) context.Context { return requests }
+	h.front.Config.ConnState = h.callers.add
 	h.front.Start()
 	t.Cleanup(func() {
 		h.front.Close()
--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -359,3 +359,50 @@
 		t.Errorf("got status %d with body %q and error %v, %d runs", got.status, got.body, got.err, app.count())
 	}
 }
+
+// The kernel closes the connections of a process that is killed, which must not complete a
+// response to HTTP/1.0.
+func TestResponsesCutByTheEndOfTheProcessAreNotTakenForWhole(t *testing.T) {
+	for _, s := range waitStages() {
+		if !s.begun {
+			continue
+		}
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			kill := end{end: func(h *harness, _ *net.TCPConn) {
+				for _, c := range h.callers.all() {
+					_ = c.Close() // what the caller receives is the subject
+				}
+			}}
+			// The caller may not have received anything yet.
+			for started, got := time.Now(), (result{}); got.status == 0; {
+				if got = s.endRequest(t, "HTTP/1.0", false, kill); got.err == nil {
+					t.Errorf("a response of %d bytes is taken for whole", len(got.body))
+				}
+				if time.Since(started) > stageTimeout {
+					t.Fatal("no response began")
+				}
+			}
+		})
+	}
+}
+
+// A whole response to HTTP/1.0 has to end regularly.
+func TestWholeResponsesOverHTTP10EndRegularly(t *testing.T) {
+	for path, want := range map[string]string{"/once/": strings.Repeat("x", 3*maxBufferedBytes), "/turns/": events(1, 500)} {
+		h := newHarness(t)
+		h.target("t1", "app", serveText(want))
+		h.target("t2", "engine", serveEvents(500, neverCut))
+		c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, requestText(path, "HTTP/1.0")); err != nil {
+			t.Fatal(err)
+		}
+		if got := readWhole(c); got.err != nil || got.body != want {
+			t.Errorf("%s: got %d of %d bytes and error %v", path, len(got.body), len(want), got.err)
+		}
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -319,8 +319,8 @@
 	return retryOutage
 }
 
-// finish logs and counts a request, and aborts the connection if the response is
-// incomplete.
+// finish logs and counts a request. If the response is incomplete it aborts the connection:
+// it panics with http.ErrAbortHandler.
 func (s *Server) finish(x *transfer) {
 	elapsed := time.Since(x.arrived)
 	s.metrics.count(x, elapsed)
@@ -330,20 +330,11 @@
 	s.logOutcome(x, elapsed)
 	if x.abort || x.status == 0 {
 		// net/http would complete the response, and send an empty 200 if there is none.
-		s.abortConn(x.request)
+		panic(http.ErrAbortHandler)
 	}
-}
-
-// abortConn ends the connection of an incomplete response. It panics with
-// http.ErrAbortHandler.
-func (s *Server) abortConn(r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) {
-		// The end of the connection delimits a response without a length.
-		if err := resetOnClose(r); err != nil {
-			s.log.Warn("failed to reset the connection of an incomplete response", "error", err.Error())
-		}
+	if x.endsWithConn {
+		x.completeConn()
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // logOutcome logs one line for a request: at level info if it was not served, else at
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -142,6 +142,8 @@
 
 	// headSent indicates that the status and header were sent to the caller.
 	headSent bool
+	// endsWithConn indicates that the end of the connection delimits the response.
+	endsWithConn bool
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	// beyondLastEvent indicates that data without an id was sent after lastEvent, so that
