edge: an instance whose listener fails drains before it ends

What could happen: requests in flight are cut without a response when a listener fails, since the instance ended at once.

Now the instance drains as after SIGTERM and then reports the failure.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -276,7 +276,7 @@
 	return longest
 }
 
-// run serves until the context ends, then drains.
+// run serves until the context ends or a listener fails, then drains.
 func (e *edge) run(ctx, background context.Context, cancel context.CancelFunc, started time.Time) error {
 	servers, err := e.listen(background)
 	if err != nil {
@@ -284,11 +284,11 @@
 	}
 	e.startWorkers(background)
 	e.log.Info("started", "ms", time.Since(started).Milliseconds(), "callers", e.machine.CallerAddress)
+	var failure error
 	select {
 	case <-ctx.Done():
-	case err := <-servers.failed:
-		e.log.Error("listener failed", "error", err.Error())
-		return err
+	case failure = <-servers.failed:
+		e.log.Error("listener failed", "error", failure.Error())
 	}
 	stopped := time.Now()
 	e.drain(servers, stopped)
@@ -297,7 +297,7 @@
 	cancel()
 	e.work.Wait()
 	e.log.Info("stopped")
-	return nil
+	return failure
 }
 
 func (e *edge) startWorkers(ctx context.Context) {
