edge: the hand-over of budgets at a stop is bounded by the grace period

What could happen: successors that do not respond cost 0.5 s for each partition, one after the other, before the requests in flight are cancelled. With more partitions than fit into the grace period the process is killed before it has answered them.

TestLeaveEndsWithItsContext checks that the hand-over ends with its context, which it did before; drain passed one without an end.

--- a/internal/budget/handover_test.go
+++ b/internal/budget/handover_test.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -96,3 +98,27 @@
 		}
 	})
 }
+
+// Successors that do not respond must not keep an instance beyond its grace period.
+func TestLeaveEndsWithItsContext(t *testing.T) {
+	runInCluster(t, 1, func(t *testing.T, c *cluster) {
+		owner := c.all()[0]
+		for n := range 8 * testPartitions {
+			if err := c.turn(owner, fmt.Sprint("p", n), testBudget, testMaxTurn, 70, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for n := range 4 {
+			c.SetIsolation(c.start(fmt.Sprint("silent", n)).ID, simnet.IsolateOutbound)
+		}
+		// More than one of the owner's partitions, each with a wait of its own.
+		const left = handoverTimeout * 3 / 2
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), left)
+		defer cancel()
+		owner.manager.Leave(ctx)
+		if took := time.Since(started); took != left {
+			t.Errorf("took %s, want %s", took, left)
+		}
+	})
+}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -100,11 +100,11 @@
 	e.log.Info("stopping", "in_flight", e.server.InFlight())
 	e.server.Drain()
 	notice := time.NewTimer(min(drainNotice, e.machine.GracePeriod/2))
-	e.allowances.Leave()
-	e.budgets.Leave(context.Background())
-	<-notice.C
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline(drainMargin, started, e.machine.GracePeriod))
 	defer cancel()
+	e.allowances.Leave()
+	e.budgets.Leave(ctx)
+	<-notice.C
 	if err := s.callers.Shutdown(ctx); err != nil {
 		e.log.Warn("grace period ended with requests in flight", "in_flight", e.server.InFlight(), "error", err.Error())
 		e.cancelRequests(s, drainDeadline(exitMargin, started, e.machine.GracePeriod))
