edge, soak: requests that outlast a drain

The soak's requests ended before its grace period did, so that none was cut by the end of a drain. TestMarginsLeaveTimeInShortGracePeriods failed before for 3 s and less.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Seeds     int           `arg:"--seeds" default:"10" help:"how many seeds are played"`
 	Parallel  int           `arg:"--parallel" default:"2" help:"how many at a time"`
 	Faults    time.Duration `arg:"--faults" default:"15s" help:"how long faults are brought about, each seed"`
+	Grace     time.Duration `arg:"--grace" default:"6s" help:"the time from SIGTERM to SIGKILL"`
 	Instances int           `arg:"--instances" default:"4"`
 	Programs  int           `arg:"--programs" default:"12" help:"how many programs run at a time"`
 	Keep      string        `arg:"--keep" help:"folder for the logs of seeds that failed"`
@@ -71,8 +72,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, FaultDuration: a.Faults, Instances: a.Instances, Programs: a.Programs,
-		EntryFaults: true, LoadFaults: true, Versions: true,
-		DeadlyRequests: true,
+		EntryFaults: true, LoadFaults: true, Versions: true, DeadlyRequests: true, GracePeriod: a.Grace,
 	})
 	if err == nil && len(result.Violations) == 0 {
 		fmt.Printf("seed %d: %d of %d attempts served, %d of %d resumed streams continued, %d targets ended under %d requests, "+
--- a/internal/edge/drainend_test.go
+++ b/internal/edge/drainend_test.go
@@ -104,6 +104,9 @@
 			drainDeadline(drainMargin, stopped, grace), drainDeadline(exitMargin, stopped, grace), drainDeadline(closeMargin, stopped, grace),
 			stopped.Add(grace),
 		}
+		if end := drainDeadline(drainMargin, stopped, grace); end.Before(stopped.Add(grace * 5 / 6)) {
+			t.Errorf("grace period of %s: requests are cut after %s, before its last sixth", grace, end.Sub(stopped))
+		}
 		for n := range order[1:] {
 			if !order[n].Before(order[n+1]) {
 				t.Errorf("grace period of %s: step %d is at %s, step %d at %s", grace, n, order[n].Sub(stopped), n+1, order[n+1].Sub(stopped))
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -110,8 +110,8 @@
 	exitMargin  = 300 * time.Millisecond
 	closeMargin = 150 * time.Millisecond
 	// shortGracePeriod is the grace period below which the margins are shorter in
-	// proportion.
-	shortGracePeriod = 4 * drainMargin
+	// proportion. Requests may be cut in the last sixth of a grace period.
+	shortGracePeriod = 6 * drainMargin
 	// heapLimitFraction is the soft limit of the heap as a fraction of the machine's
 	// memory.
 	heapLimitFraction = 0.7
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,7 +77,9 @@
 	case !inOrder(a.events, a.after):
 		return violated(invariantOrder, "%s received events %v", a.id, a.events)
 	}
-	if at, ok := a.incarnation.cleanShutdown(); ok && a.aborted && !a.cancelled && a.end.After(at) && ranCleanly(runs) && !a.timedOut() {
+	at, ok := a.incarnation.cleanShutdown()
+	if ok && a.aborted && !a.cancelled && a.end.After(at) && ranCleanly(runs) && !a.timedOut() &&
+		a.end.Before(a.incarnation.instance.requestsMayBeCut(at)) {
 		return violated(invariantShutdown, "%s was aborted %s after SIGTERM of %s", a.id, a.end.Sub(at), a.incarnation.instance.name)
 	}
 	if a.complete && a.status == statusOK {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -58,6 +59,7 @@
 }
 
 func newDeployment(options Options) (*deployment, error) {
+	options.GracePeriod = cmp.Or(options.GracePeriod, DefaultGracePeriod)
 	d := &deployment{options: options, history: newHistory(), store: metastore.Start()}
 	var err error
 	if d.decoy, err = startDecoy(d.history); err != nil {
@@ -79,7 +81,7 @@
 	d.publishSettings()
 	var seeds []string
 	for i := range options.Instances {
-		inst, err := newInstance(fmt.Sprintf("m%d", i), options.Dir, d.store.Address(), seeds)
+		inst, err := newInstance(fmt.Sprintf("m%d", i), options.Dir, d.store.Address(), seeds, options.GracePeriod)
 		if err != nil {
 			return nil, err
 		}
@@ -109,6 +111,9 @@
 	d.store.Close()
 }
 
+// outlastingSlowdown makes many requests outlast a short grace period.
+const outlastingSlowdown = 12
+
 // addTarget starts a target and registers it.
 func (d *deployment) addTarget(service, version string) error {
 	d.mu.Lock()
@@ -118,6 +123,9 @@
 	if err != nil {
 		return err
 	}
+	if d.options.GracePeriod < DefaultGracePeriod {
+		t.slowdown.Store(outlastingSlowdown)
+	}
 	d.targets = append(d.targets, t)
 	d.register(t, "ready")
 	return nil
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -15,9 +15,6 @@
 	"github.com/banyanglade/banyanglade/internal/testkit/relay"
 )
 
-// gracePeriod is the time from SIGTERM to SIGKILL.
-const gracePeriod = 6 * time.Second
-
 // instance is one instance over all its incarnations. Its links to the store and from
 // other instances go through relays, where faults are injected.
 type instance struct {
@@ -25,8 +22,10 @@
 	callerAddress string
 	readyAddress  string
 	env           []string
-	storeRelay    *relay.Relay
-	peerRelay     *relay.Relay
+	// gracePeriod is the time from SIGTERM to SIGKILL.
+	gracePeriod time.Duration
+	storeRelay  *relay.Relay
+	peerRelay   *relay.Relay
 
 	mu          sync.Mutex
 	incarnation *incarnation
@@ -62,6 +61,12 @@
 	return inc.terminated, !inc.disrupted && !inc.terminated.IsZero()
 }
 
+// requestsMayBeCut returns the time from which on a process that was told to stop may cut
+// requests: the last sixth of its grace period.
+func (inst *instance) requestsMayBeCut(terminated time.Time) time.Time {
+	return terminated.Add(inst.gracePeriod * 5 / 6)
+}
+
 // killed reports whether the process ended by a kill.
 func (inc *incarnation) killed() bool {
 	inc.mu.Lock()
@@ -70,13 +75,13 @@
 }
 
 // newInstance creates the settings file and the relays of an instance.
-func newInstance(name, dir, store string, seeds []string) (*instance, error) {
+func newInstance(name, dir, store string, seeds []string, gracePeriod time.Duration) (*instance, error) {
 	host := testkit.LoopbackHost()
 	addresses, err := testkit.FreeAddresses(host, 3)
 	if err != nil {
 		return nil, err
 	}
-	inst := &instance{name: name, callerAddress: addresses[0], readyAddress: addresses[1]}
+	inst := &instance{name: name, callerAddress: addresses[0], readyAddress: addresses[1], gracePeriod: gracePeriod}
 	if inst.storeRelay, err = relay.New(store); err != nil {
 		return nil, errors.Wrap(err, "relay to the store")
 	}
@@ -156,7 +161,7 @@
 		inc.markDisrupted() // it had already exited
 		return
 	}
-	timer := time.NewTimer(gracePeriod)
+	timer := time.NewTimer(inst.gracePeriod)
 	defer timer.Stop()
 	select {
 	case <-inc.process.Exited():
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,10 +35,16 @@
 	// Versions adds engines of several software versions, which are rolled forward and
 	// back, and callers that resume their streams.
 	Versions bool
+	// GracePeriod is the time from SIGTERM to SIGKILL, by default DefaultGracePeriod.
+	// Requests outlast a short one.
+	GracePeriod time.Duration
 	// DeadlyRequests adds requests that end the target that runs them.
 	DeadlyRequests bool
 }
 
+// DefaultGracePeriod is longer than any request.
+const DefaultGracePeriod = 6 * time.Second
+
 // Result is the outcome of a run.
 type Result struct {
 	Seed uint64
