edge: a target that leaves around a short outage is removed at once

Cause: a registration that ends within two seconds of an outage was retained as if it had lapsed (targetFeed.handleDrop), however short the outage was. A registration lapses after three heartbeats of silence only.

Evidence: TestTargetThatLeavesAroundAShortOutageIsRemovedAtOnce failed before.

Now the times for which the copy of the registrations was confirmed tell how long it was not followed; with less than one and a half heartbeats no registration can have lapsed. The heartbeat's interval is read from the platform's settings; without it all stays as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -205,6 +205,7 @@
 	e.settings = feed.NewTopic(platform.TopicOperator, e.applySettings)
 	freshness.topic = e.settings
 	e.targets = feed.NewHeartbeatTopic(platform.TopicTargets, platform.EqualExceptSequence, targetFeed.apply)
+	e.targets.OnConfirm = targetFeed.confirmed
 	list.topic.Store(e.targets)
 	e.instances = feed.NewTopic(topicInstances, applyInstance(dir, e.reregister, log))
 	instances.topic.Store(e.instances)
--- a/internal/edge/merge_bench_test.go
+++ b/internal/edge/merge_bench_test.go
@@ -35,7 +35,7 @@
 	b.ReportMetric(float64(len(topicCopy.Packed)), "copy-bytes")
 	for b.Loop() {
 		registry := targets.NewRegistry("dc1", exchange.NewPool(tally.NoopScope))
-		f := newTargetFeed(registry, new(closedConnections), new(versionChanges), feed.NewHealth(), tally.NoopScope, slog.New(slog.DiscardHandler))
+		f := newTargetFeed(platform.Machine{}, registry, new(closedConnections), new(versionChanges), feed.NewHealth(), tally.NoopScope, slog.New(slog.DiscardHandler))
 		topic := feed.NewHeartbeatTopic("t", platform.EqualExceptSequence, f.apply)
 		if _, err := topic.MergeCopy(topicCopy, time.Now()); err != nil {
 			b.Fatal(err)
--- a/internal/edge/targetfeed.go
+++ b/internal/edge/targetfeed.go
@@ -16,6 +16,11 @@
 // registrations lapsed meanwhile may register again, before they are removed.
 const reregisterGrace = 2 * time.Second
 
+// minLapseHeartbeats is how long the store must have been unavailable for a registration to
+// lapse, in heartbeats of targets: it lapses after three, and the last one may have been up
+// to one and a part of another before the outage.
+const minLapseHeartbeats = 1.5
+
 // connections are the idle connections to targets.
 type connections interface {
 	// CloseIdle closes the connections to an address that carry no request.
@@ -35,8 +40,13 @@
 	health      *feed.Health
 	refusals    *refusals
 	log         *slog.Logger
+	// minLapse is the shortest outage in which a registration may lapse, 0 if unknown.
+	minLapse time.Duration
 
 	mu sync.Mutex
+	// confirmedAt is when the registrations were last known to be current, interruptedUntil
+	// the end of the last time of at least minLapse for which they were not.
+	confirmedAt, interruptedUntil time.Time
 	// lapsed holds the targets without a registration that are still retained.
 	lapsed map[string]bool
 	// starts holds the latest known starts of targets that report them.
@@ -54,9 +64,10 @@
 const startRetention = time.Minute
 
 func newTargetFeed(
-	registry *targets.Registry, connections connections, versions versionListener, health *feed.Health, scope tally.Scope, log *slog.Logger,
+	machine platform.Machine, registry *targets.Registry, connections connections, versions versionListener, health *feed.Health, scope tally.Scope, log *slog.Logger,
 ) *targetFeed {
 	return &targetFeed{
+		minLapse: time.Duration(minLapseHeartbeats * float64(machine.TargetHeartbeat)),
 		registry: registry, connections: connections, versions: versions, health: health, refusals: newRefusals(scope, log), log: log,
 		lapsed: make(map[string]bool), starts: make(map[string]targetStart),
 	}
@@ -119,14 +130,33 @@
 	if !f.registry.Has(id) {
 		return
 	}
-	recoveredAt, ok := f.health.RecoveredAt(platform.TopicTargets)
-	if !ok || time.Since(recoveredAt) < reregisterGrace {
+	if f.mayHaveLapsed(time.Now()) {
 		f.lapsed[id] = true
 		return
 	}
 	f.remove(id)
 }
 
+// confirmed records that the registrations were current at a time.
+func (f *targetFeed) confirmed(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.Sub(f.confirmedAt) >= f.minLapse {
+		f.interruptedUntil = at
+	}
+	f.confirmedAt = at
+}
+
+// mayHaveLapsed reports whether a registration that ends now may have lapsed in an outage.
+// In a shorter one it can only have been ended by its target.
+func (f *targetFeed) mayHaveLapsed(now time.Time) bool {
+	recoveredAt, ok := f.health.RecoveredAt(platform.TopicTargets)
+	if ok && now.Sub(recoveredAt) >= reregisterGrace {
+		return false
+	}
+	return now.Sub(f.confirmedAt) >= f.minLapse || now.Sub(f.interruptedUntil) < reregisterGrace
+}
+
 func (f *targetFeed) remove(id string) {
 	delete(f.lapsed, id)
 	if s, ok := f.starts[id]; ok {
--- a/internal/edge/targetfeed_test.go
+++ b/internal/edge/targetfeed_test.go
@@ -102,18 +102,24 @@
 	return counter.Value()
 }
 
+// testHeartbeat is the time between two registrations of a target.
+const testHeartbeat = 1200 * time.Millisecond
+
 func withFeedHarness(t *testing.T, body func(h *feedHarness)) {
 	synctest.Test(t, func(t *testing.T) {
 		log := slog.New(slog.DiscardHandler)
 		health := feed.NewHealth()
 		h := &feedHarness{registry: targets.NewRegistry("dc", exchange.NewPool(tally.NoopScope)), scope: tally.NewTestScope("", nil)}
-		h.feed = newTargetFeed(h.registry, &h.connections, &h.versions, health, h.scope, log)
+		h.feed = newTargetFeed(platform.Machine{TargetHeartbeat: testHeartbeat}, h.registry, &h.connections, &h.versions, health, h.scope, log)
 		ctx, cancel := context.WithCancel(t.Context())
 		var work sync.WaitGroup
 		for _, name := range []string{platform.TopicTargets, topicInstances} {
 			f := feed.Follower{
 				Store: &h.store, Topic: feed.NewTopic(name, func(platform.Record) {}), Wait: time.Second, Health: health, Log: log,
 			}
+			if name == platform.TopicTargets {
+				f.Topic.OnConfirm = h.feed.confirmed
+			}
 			work.Go(func() { f.Run(ctx) })
 		}
 		h.feed.apply(platform.Record{Key: "t", Value: []byte(targetEntry(0, "ready"))})
@@ -162,6 +168,30 @@
 	})
 }
 
+// An outage in which no registration can lapse must not delay the removal of a target that
+// leaves.
+func TestTargetThatLeavesAroundAShortOutageIsRemovedAtOnce(t *testing.T) {
+	for _, after := range []time.Duration{0, reregisterGrace / 2} {
+		withFeedHarness(t, func(h *feedHarness) {
+			time.Sleep(10 * time.Second)
+			h.store.targetsUnavailable.Store(true)
+			time.Sleep(testHeartbeat)
+			if h.feed.health.OK() {
+				t.Fatal("the outage was not noticed")
+			}
+			h.store.targetsUnavailable.Store(false)
+			time.Sleep(maxRecoveryTime + after)
+			h.drop()
+			if h.hasAfter(0) {
+				t.Errorf("a target that left %s after the outage was not removed", after)
+			}
+		})
+	}
+}
+
+// maxRecoveryTime is longer than a follower takes to notice that the store is back.
+const maxRecoveryTime = 500 * time.Millisecond
+
 func TestTargetThatRegistersAgainStays(t *testing.T) {
 	withFeedHarness(t, func(h *feedHarness) {
 		h.store.targetsUnavailable.Store(true)
--- a/internal/feed/topic.go
+++ b/internal/feed/topic.go
@@ -28,6 +28,9 @@
 	// equivalent reports whether two values of a key have the same meaning; nil to apply
 	// all newer records.
 	equivalent func(a, b []byte) bool
+	// OnConfirm, if set before the topic is followed, is called with the times given to
+	// Confirm that are later than those before, while mu is held.
+	OnConfirm func(at time.Time)
 
 	mu     sync.Mutex
 	newest map[string]entry
@@ -204,6 +207,9 @@
 		t.followedSince = at
 	}
 	t.confirmedAt = at
+	if t.OnConfirm != nil {
+		t.OnConfirm(at)
+	}
 	t.notify()
 }
 
