--- a/internal/edge/targetfeed.go
+++ b/internal/edge/targetfeed.go
@@ -17,8 +17,8 @@
 const reregisterGrace = 2 * time.Second
 
 // minLapseHeartbeats is how long the store must have been unavailable for a registration to
-// lapse, in heartbeats of targets: it lapses after three, and the last one may have been up
-// to one and a part of another before the outage.
+// lapse, in intervals between heartbeats of a target. It lapses after three without one, of
+// which up to one and a half may precede the outage, as heartbeats are irregular.
 const minLapseHeartbeats = 1.5
 
 // connections are the idle connections to targets.
@@ -148,7 +148,7 @@
 }
 
 // mayHaveLapsed reports whether a registration that ends now may have lapsed in an outage.
-// In a shorter one it can only have been ended by its target.
+// In an outage shorter than minLapse only the target itself can have ended it.
 func (f *targetFeed) mayHaveLapsed(now time.Time) bool {
 	recoveredAt, ok := f.health.RecoveredAt(platform.TopicTargets)
 	if ok && now.Sub(recoveredAt) >= reregisterGrace {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -196,14 +196,15 @@
 	}
 }
 
+// readRecords reads one page of records from an offset on.
 func (f *Follower) readRecords(ctx context.Context, from int64, wait, timeout time.Duration) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f.Store.ReadPage(ctx, f.Topic.Name, 0, from, wait)
 }
 
-// confirmedTime returns the time at which the store held no more records than those of a
-// read and before.
+// confirmedTime returns the latest time at which the store is known to have held no record
+// behind those of the page.
 func confirmedTime(page platform.Page, started time.Time, wait time.Duration) time.Time {
 	if len(page.Records) == 0 && time.Since(started) >= wait {
 		// The store has waited that long without a new record.
