--- a/internal/edge/cuttopics_test.go
+++ b/internal/edge/cuttopics_test.go
@@ -34,10 +34,19 @@
 func TestTopicsCutAtAnyByteAreNotTakenForWhole(t *testing.T) {
 	whole, body := topicsReply(t)
 	query := relay.Query{Offsets: map[string]int64{platform.TopicTargets: feed.FromStart}, ReplyTimeout: testTimeout}
-	testkit.CutResponses(t, "HTTP/1.1 200 OK\r\n", body, func(t *testing.T, s *testkit.CutServer, part string) {
-		got, err := newTopicsClient().Query(t.Context(), s.Address, query)
-		if err == nil && !reflect.DeepEqual(got, whole) {
-			t.Errorf("%q is taken for %+v", part, got)
-		}
-	})
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, first := range map[string]string{"new connection": "", "kept connection": testkit.WholeResponse(head, body)} {
+		t.Run(name, func(t *testing.T) {
+			testkit.CutResponses(t, head, body, func(t *testing.T, s *testkit.CutServer, part string) {
+				s.KeepConnections(first)
+				client := newTopicsClient()
+				for range 2 {
+					got, err := client.Query(t.Context(), s.Address, query)
+					if err == nil && !reflect.DeepEqual(got, whole) {
+						t.Errorf("%q is taken for %+v", part, got)
+					}
+				}
+			})
+		})
+	}
 }
--- a/internal/testkit/cutserver.go
+++ b/internal/testkit/cutserver.go
@@ -12,7 +12,7 @@
 )
 
 // CutServer is an HTTP server that responds to each request with given bytes and ends the
-// connection behind them.
+// connection behind them, or does so to the second request of each connection.
 type CutServer struct {
 	Address string
 	// reset makes connections end with a reset.
@@ -20,6 +20,10 @@
 
 	mu    sync.Mutex
 	bytes string
+	// first is the response to the first request of each connection, empty for none.
+	first    string
+	requests int
+	conns    []net.Conn
 }
 
 // StartCutServer starts a CutServer that runs until the test ends.
@@ -37,33 +41,92 @@
 			if err != nil {
 				return
 			}
+			s.track(c)
 			work.Go(func() { s.serve(c) })
 		}
 	})
 	t.Cleanup(func() {
 		_ = l.Close() // ends Accept
+		s.closeAll()
 		work.Wait()
 	})
 	return s
 }
 
+func (s *CutServer) track(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+}
+
+// closeAll closes the connections on which clients send nothing more.
+func (s *CutServer) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close() // most are closed already
+	}
+}
+
 func (s *CutServer) serve(c net.Conn) {
 	defer c.Close()
-	request, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return // the client has disconnected
+	reader := bufio.NewReader(c)
+	if first := s.firstResponse(); first != "" && (!s.read(reader) || !write(c, first)) {
+		return
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+	if !s.read(reader) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, _ = io.WriteString(c, s.bytes) // the client may have disconnected
+	write(c, s.bytes)
 	if s.reset {
 		_ = c.(*net.TCPConn).SetLinger(0) // otherwise the connection ends regularly
 	}
 }
 
+// read reads a request. It returns false if the client has disconnected.
+func (s *CutServer) read(reader *bufio.Reader) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	return true
+}
+
+// write returns false if the client has disconnected.
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+func (s *CutServer) firstResponse() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.first
+}
+
+// Requests returns the number of requests received.
+func (s *CutServer) Requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// KeepConnections makes the server respond to the first request of each connection with a
+// whole response, and cut that to the second.
+func (s *CutServer) KeepConnections(first string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = first
+}
+
 // RespondWith sets the bytes of the next responses.
 func (s *CutServer) RespondWith(bytes string) {
 	s.mu.Lock()
@@ -71,6 +134,10 @@
 	s.bytes = bytes
 }
 
+// WholeResponse returns a response with a length. Its header begins with the status line and
+// fields of head.
+func WholeResponse(head, body string) string { return head + framings["length"](body) }
+
 // framings encode a body behind the header fields of a response.
 var framings = map[string]func(body string) string{
 	"length": func(body string) string {
