exchange: a test repeats requests whose dial timed out

Seen in 1 of 6 runs of skipped_chunks at a load of 30 with the error logged. The request is sent again then; what the test checks is as before.

--- a/internal/exchange/bounded_test.go
+++ b/internal/exchange/bounded_test.go
@@ -109,6 +109,10 @@
 			for range 20 {
 				work.Go(func() {
 					got, err := exchangeOnce(t.Context(), p, target.address, nil)
+					for errors.Is(err, ErrNotSent) {
+						// On a busy machine a dial may time out.
+						got, err = exchangeOnce(t.Context(), p, target.address, nil)
+					}
 					if err == nil {
 						t.Errorf("got %q", got)
 					}
