--- a/internal/serve/responseend_test.go
+++ b/internal/serve/responseend_test.go
@@ -250,19 +250,26 @@
 	return result{}
 }
 
+// dialWithDeadline opens a caller's connection whose reads and writes end after stageTimeout.
+func (h *harness) dialWithDeadline() net.Conn {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(stageTimeout)); err != nil {
+		h.t.Fatal(err)
+	}
+	return c
+}
+
 // tryToEndRequest reports whether a request reached the stage.
 func (s stage) tryToEndRequest(t *testing.T, proto string, late bool, e end) (got result, reached bool) {
 	t.Helper()
 	h, b := newHarness(t), &blocked{reached: make(chan struct{}, 1), late: late}
 	s.block(h, b)
-	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := h.dialWithDeadline()
 	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(stageTimeout)); err != nil {
-		t.Fatal(err)
-	}
 	if _, err := io.WriteString(c, requestText(s.path, proto, slices.Concat(s.header, e.header)...)); err != nil {
 		t.Fatal(err)
 	}
@@ -339,14 +346,8 @@
 func TestRequestsThatArriveDuringAStopAreAnswered(t *testing.T) {
 	h := newHarness(t)
 	app := h.target("t", "app", serveText("late"))
-	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := h.dialWithDeadline()
 	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(stageTimeout)); err != nil {
-		t.Fatal(err)
-	}
 	if _, err := io.WriteString(c, strings.TrimSuffix(requestText("/once/", "HTTP/1.1"), "y")); err != nil {
 		t.Fatal(err)
 	}
@@ -393,10 +394,7 @@
 		h := newHarness(t)
 		h.target("t1", "app", serveText(want))
 		h.target("t2", "engine", serveEvents(500, neverCut))
-		c, err := net.Dial("tcp", h.front.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := h.dialWithDeadline()
 		defer c.Close()
 		if _, err := io.WriteString(c, requestText(path, "HTTP/1.0")); err != nil {
 			t.Fatal(err)
