--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -363,6 +363,7 @@
 		}
 	}()
 	pool := NewPool(tally.NoopScope)
+	pool.acceptedTime = time.Minute // the close ends the wait
 	if got, err := pool.Listening(t.Context(), listener.Addr().String()); err != nil || !got {
 		t.Errorf("got %v, %v", got, err)
 	}
--- a/internal/exchange/listening.go
+++ b/internal/exchange/listening.go
@@ -14,9 +14,9 @@
 	// listeningAttempts is the number of connections opened to find out whether a
 	// process listens: one that is ending may still accept the first.
 	listeningAttempts = 2
-	// acceptedTime is how long an accepted connection must stay open. The kernel closes
-	// the sockets of a process that ends one after the other.
-	acceptedTime = 3 * time.Millisecond
+	// defaultAcceptedTime is how long an accepted connection must stay open. The kernel
+	// closes the sockets of a process that ends one after the other.
+	defaultAcceptedTime = 3 * time.Millisecond
 )
 
 // Listening reports whether a process accepts connections at an address. If so, the
@@ -53,7 +53,7 @@
 func (p *Pool) keepIfOpen(raw net.Conn, address string) bool {
 	c := newConn(raw, address)
 	c.fresh = true
-	if err := c.SetReadDeadline(time.Now().Add(acceptedTime)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(p.acceptedTime)); err != nil {
 		_ = c.Close() // it has carried no request
 		return false
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -42,6 +42,8 @@
 	dialer *net.Dialer
 
 	opened causeCounters
+	// acceptedTime is defaultAcceptedTime. It is a field for tests.
+	acceptedTime time.Duration
 
 	mu        sync.Mutex
 	addresses map[string]*addressState
@@ -64,9 +66,10 @@
 // NewPool returns an empty pool.
 func NewPool(scope tally.Scope) *Pool {
 	return &Pool{
-		dialer:    netopt.NewDialer(dialTimeout, unackedTimeout),
-		opened:    newCauseCounters(scope),
-		addresses: make(map[string]*addressState),
+		dialer:       netopt.NewDialer(dialTimeout, unackedTimeout),
+		opened:       newCauseCounters(scope),
+		acceptedTime: defaultAcceptedTime,
+		addresses:    make(map[string]*addressState),
 	}
 }
 
