inbound: the heads and connections of clients are bounded at each listener

Callers saw instances that ended: heads over the limit or without end took more memory than a machine has, and idle connections all descriptors.

Cause: net/http parsed each byte of a head as it came, and kept it: up to 68 kB at the callers' address whatever the operator's limits, 1 MB at the ready and peer listeners, as a map that is some twenty times the bytes for small fields; MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the settings were decoded and used nowhere; connections were not counted at all.

internal/inbound passes a head on once it is complete and within the limits, so that an incomplete one costs its bytes. Their sum, and the connections of each listener, are bounded by fractions of MemoryMb and MaxFds; beyond them the longest idle connection is closed first, then the one longest without a complete head, never one with a request in progress. A complete head reserves what it costs as a map and sent on in the memory for requests, or is refused unparsed with 503. Refused requests pass through the handler like others: 431 over the limit, 400 behind more than 8 empty lines; the connection closes half a second behind the response, and the rest is not read. While a request runs nothing behind it is read but one byte. The ready and peer listeners take no bodies and heads up to 8 KB. The limits of the settings hold, also for open connections; without them 64 KB, 10 s and 2 min as before. One log line a second and listener tells how many clients were turned away and why, /debug/state has the use.

--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/allowance"
 	"github.com/banyanglade/banyanglade/internal/conversation"
+	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/lostruns"
 	"github.com/banyanglade/banyanglade/internal/overload"
 	"github.com/banyanglade/banyanglade/internal/relay"
@@ -25,6 +26,7 @@
 	LostRuns        lostruns.Dump          `json:"lost_runs"`
 	Admission       []overload.ServiceDump `json:"room"`
 	Topics          relay.Dump             `json:"topics"`
+	Inbound         []inbound.Usage        `json:"inbound"`
 }
 
 func (e *edge) dump() state {
@@ -34,6 +36,9 @@
 		Allowances: e.allowances.Dump(), StreamPins: e.streamPins.Dump(), LostRuns: e.lostRuns.Dump(), Admission: e.server.Admission().Dump(time.Now()),
 		Topics: e.relay.Dump(time.Now()),
 	}
+	for _, g := range e.guards.all() {
+		s.Inbound = append(s.Inbound, g.Usage())
+	}
 	if table := e.server.Table(); table != nil {
 		s.SettingsVersion = table.Version
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,7 +78,7 @@
 		fx.Supply(machine, log, options, backgroundContext{background}, new(eventRouter)),
 		fx.Provide(
 			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
-			newTransport, newBudgets, newConversations, newInstanceList, newAllowances, newTopicAges, newServer,
+			newTransport, newBudgets, newConversations, newInstanceList, newAllowances, newTopicAges, newMemory, newGuards, newServer,
 			newTargetList, newStreamPins, newStoreRecords, newLostRuns, newVersionListener, newTargetFeed, newEdge,
 		),
 		fx.Populate(&e),
@@ -140,14 +140,14 @@
 func newServer(
 	machine platform.Machine, freshness *topicAges, allowances *allowance.Manager,
 	registry *targets.Registry, pool *exchange.Pool, budgets *budget.Manager, conversations *conversation.Manager,
-	streamPins *streampin.Manager, lostRuns *lostruns.Manager, health *feed.Health, scope tally.Scope, log *slog.Logger,
+	streamPins *streampin.Manager, lostRuns *lostruns.Manager, health *feed.Health, memory *memlimit.Limiter, bounds *guards,
+	scope tally.Scope, log *slog.Logger,
 ) *serve.Server {
 	return serve.New(serve.Config{
 		Codec: platform.Codec{}, Targets: registry, Pool: pool, Budgets: budgets, Allowances: allowances,
 		Conversations: conversations, StreamVersions: streamPins, LostRuns: lostRuns, FailureReporter: budgets, Health: health, Freshness: freshness,
-		Memory:    memlimit.New(int64(float64(machine.MemoryBytes)*requestMemoryFraction), scope),
-		KeyPolicy: keyPolicy(machine),
-		Scope:     scope, Log: log,
+		Memory: memory, Inbound: bounds.callers, KeyPolicy: keyPolicy(machine),
+		Scope: scope, Log: log,
 	})
 }
 
@@ -165,6 +165,7 @@
 	health     *feed.Health
 	pool       *exchange.Pool
 	server     *serve.Server
+	guards     *guards
 	targetFeed *targetFeed
 
 	directory *directory.Directory
@@ -196,11 +197,11 @@
 	health *feed.Health, pool *exchange.Pool, server *serve.Server, targetFeed *targetFeed,
 	dir *directory.Directory, transport *peer.Transport, budgets *budget.Manager, conversations *conversation.Manager,
 	freshness *topicAges, instances *instanceList, allowances *allowance.Manager,
-	streamPins *streampin.Manager, lostRuns *lostruns.Manager, list *targetList, records *lostruns.StoreRecords,
+	streamPins *streampin.Manager, lostRuns *lostruns.Manager, list *targetList, records *lostruns.StoreRecords, bounds *guards,
 ) *edge {
 	e := &edge{
 		machine: machine, log: log, reporter: reporter, store: store, health: health,
-		pool: pool, server: server, targetFeed: targetFeed,
+		pool: pool, server: server, guards: bounds, targetFeed: targetFeed,
 		directory: dir, transport: transport, budgets: budgets,
 		conversations: conversations, allowances: allowances, streamPins: streamPins, lostRuns: lostRuns, reregister: make(chan struct{}, 1),
 	}
@@ -315,6 +316,9 @@
 	e.spawn(func() { e.allowances.Run(ctx) })
 	e.spawn(func() { e.streamPins.Run(ctx) })
 	e.spawn(func() { e.lostRuns.Run(ctx) })
+	for _, g := range e.guards.all() {
+		e.spawn(func() { g.Run(ctx) })
+	}
 	e.spawn(func() { e.sweep(ctx) })
 	e.spawn(func() { e.reload(ctx) })
 }
--- /dev/null
+++ b/internal/edge/guards.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanglade/banyanglade/internal/inbound"
+	"github.com/banyanglade/banyanglade/internal/memlimit"
+	"github.com/banyanglade/banyanglade/platform"
+)
+
+// Bounds of the connections to the listeners. Together with the memory for requests they
+// stay below the soft limit of the heap.
+const (
+	// connMemoryBytes is the memory of a connection without a request: its buffers, the
+	// stack of its goroutine and the first part of a header.
+	connMemoryBytes = 28 << 10
+	// callerMemoryFraction is the memory for connections of callers as a fraction of the
+	// machine's memory, headerMemoryFraction that for their incomplete headers.
+	callerMemoryFraction = 0.2
+	headerMemoryFraction = 0.05
+	// callerFDFraction are the descriptors for callers as a fraction of the process's. Each
+	// request in progress needs another one for a target.
+	callerFDFraction = 0.4
+	// maxPeerConns bounds the connections from other instances that carry queries, within
+	// peerFDFraction of the process's descriptors. Each instance has one at a time.
+	maxPeerConns   = 512
+	peerFDFraction = 0.125
+	// maxReadyConns bounds the connections for readiness checks.
+	maxReadyConns = 64
+	// maxInternalHeaderBytes bounds the headers of readiness checks and other instances.
+	maxInternalHeaderBytes = 8 << 10
+	// internalHeaderTimeout and internalIdleTimeout apply to them as well. Instances close
+	// idle connections to others sooner.
+	internalHeaderTimeout = 3 * time.Second
+	internalIdleTimeout   = time.Minute
+	// internalWriteTimeout bounds a response to another instance, including the time that a
+	// query waits for changes.
+	internalWriteTimeout = maxQueryWait + 30*time.Second
+)
+
+// guards bound the connections to the listeners.
+type guards struct{ callers, ready, peers *inbound.Guard }
+
+func (g *guards) all() []*inbound.Guard { return []*inbound.Guard{g.callers, g.ready, g.peers} }
+
+func newGuards(machine platform.Machine, memory *memlimit.Limiter, scope tally.Scope, log *slog.Logger) *guards {
+	internal := func(name string, maxConns int) *inbound.Guard {
+		return inbound.New(inbound.Config{
+			Name: name, MaxConns: maxConns, MaxHeaderMemory: int64(maxConns) * maxInternalHeaderBytes, NoBodies: true,
+			Limits: inbound.Limits{
+				MaxHeaderBytes: maxInternalHeaderBytes, HeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout,
+			},
+			Scope: scope, Log: log,
+		})
+	}
+	return &guards{
+		callers: inbound.New(inbound.Config{
+			Name: "callers", Limits: inbound.DefaultLimits(), MaxConns: maxCallerConns(machine),
+			MaxHeaderMemory: fractionOr(machine.MemoryBytes, headerMemoryFraction, math.MaxInt64),
+			Memory:          memory, Scope: scope, Log: log,
+		}),
+		ready: internal("ready", maxReadyConns),
+		peers: internal("peers", int(min(maxPeerConns, fractionOr(int64(machine.MaxFDs), peerFDFraction, maxPeerConns)))),
+	}
+}
+
+// maxCallerConns returns the number of connections that callers may have.
+func maxCallerConns(machine platform.Machine) int {
+	byMemory := fractionOr(machine.MemoryBytes, callerMemoryFraction/connMemoryBytes, math.MaxInt32)
+	byFDs := fractionOr(int64(machine.MaxFDs), callerFDFraction, math.MaxInt32)
+	return int(max(1, min(byMemory, byFDs)))
+}
+
+// fractionOr returns a fraction of a limit of the machine, or a default if that is unknown.
+func fractionOr(limit int64, fraction float64, unknown int64) int64 {
+	if limit <= 0 {
+		return unknown
+	}
+	return int64(float64(limit) * fraction)
+}
+
+// newMemory returns the limiter of the memory for requests.
+func newMemory(machine platform.Machine, scope tally.Scope) *memlimit.Limiter {
+	return memlimit.New(int64(float64(machine.MemoryBytes)*requestMemoryFraction), scope)
+}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/peer"
 	"github.com/banyanglade/banyanglade/internal/serve"
 	"github.com/banyanglade/banyanglade/platform"
@@ -31,35 +32,29 @@
 	}
 	s := &servers{
 		cancelRequests: cancelRequests,
-		callers: &http.Server{
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       callerIdleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			BaseContext:       base(requests),
-		},
-		ready:  &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout},
-		admin:  &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: base(ctx)},
-		failed: make(chan error, 3),
+		callers:        &http.Server{BaseContext: base(requests)},
+		ready:          &http.Server{Handler: inbound.RefuseRejected(e.readyHandler()), WriteTimeout: internalWriteTimeout},
+		admin:          &http.Server{Handler: inbound.RefuseRejected(e.adminHandler()), WriteTimeout: internalWriteTimeout, BaseContext: base(ctx)},
+		failed:         make(chan error, 3),
 	}
 	e.server.Configure(s.callers)
+	e.guards.ready.Configure(s.ready)
+	e.guards.peers.Configure(s.admin)
 	listeners := []struct {
 		server  *http.Server
 		address string
-		watched bool
+		wrap    func(net.Listener) net.Listener
 	}{
-		{s.admin, e.peerListen, false},
-		{s.callers, e.machine.CallerAddress, true},
-		{s.ready, e.machine.ReadyAddress, false},
+		{s.admin, e.peerListen, e.guards.peers.Listener},
+		{s.callers, e.machine.CallerAddress, e.server.WrapListener},
+		{s.ready, e.machine.ReadyAddress, e.guards.ready.Listener},
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", l.address)
 		}
-		if l.watched {
-			listener = e.server.WrapListener(listener)
-		}
-		go s.serve(l.server, listener)
+		go s.serve(l.server, l.wrap(listener))
 	}
 	return s, nil
 }
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -118,14 +118,6 @@
 	// requestMemoryFraction is the memory for requests as a fraction of the machine's
 	// memory. The rest of the heap is for connections, records and garbage.
 	requestMemoryFraction = 0.25
-	// headerTimeout bounds the time in which a caller sends the header of a request.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout bounds how long a caller's connection stays open without a
-	// request. It is longer than the typical idle timeouts of callers, so that callers
-	// close first.
-	callerIdleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the size of a request's header.
-	maxHeaderBytes = 64 << 10
 )
 
 // drainDeadline returns the time that lies a margin before the end of a grace period.
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -53,8 +53,12 @@
 type Scanner struct {
 	state state
 	line  lineBuffer
-	// headers is the number of complete request headers.
+	// headers is the number of complete request headers, fields the number of lines of the
+	// last one.
 	headers int64
+	fields  int
+	// blank is the number of bytes of empty lines before the current message.
+	blank int
 	// remaining is the number of bytes left of the body or chunk.
 	remaining uint64
 	length    bodyLength
@@ -64,13 +68,30 @@
 // Headers returns the number of complete request headers so far.
 func (s *Scanner) Headers() int64 { return s.headers }
 
-// Scan reads the next bytes of the connection. If a header or chunk is rejected it
-// returns the number of bytes up to the end of that header or line and the reason.
-// Otherwise it returns len(p).
+// Fields returns the number of lines of the last request header, without the request line.
+func (s *Scanner) Fields() int { return s.fields }
+
+// Blank returns the number of bytes of empty lines before the current or next message.
+func (s *Scanner) Blank() int { return s.blank }
+
+// InBody reports whether the next bytes belong to a body, or to the chunks and trailer of
+// one.
+func (s *Scanner) InBody() bool { return s.state >= inBody }
+
+// Scan reads the next bytes of the connection, up to the end of a header, of a message or
+// of empty lines before one. It returns the number of bytes read. If a header or chunk is
+// rejected that is up to the end of that header or line, and Scan returns the reason.
 func (s *Scanner) Scan(p []byte) (int, error) {
 	at := 0
 	for at < len(p) && s.err == nil {
-		at += s.step(p[at:])
+		state, headers := s.state, s.headers
+		n := s.step(p[at:])
+		at += n
+		started := state == betweenMessages && n == 0 && at > 0
+		ended := state != betweenMessages && s.state == betweenMessages
+		if started || ended || s.headers > headers {
+			break
+		}
 	}
 	return at, s.err
 }
@@ -81,9 +102,10 @@
 	switch s.state {
 	case betweenMessages:
 		if p[0] == '\r' || p[0] == '\n' {
+			s.blank++
 			return 1
 		}
-		s.state, s.length = inRequestLine, bodyLength{}
+		s.state, s.length, s.fields = inRequestLine, bodyLength{}, 0
 		return 0
 	case inBody, inChunk:
 		n := min(s.remaining, uint64(len(p)))
@@ -126,6 +148,7 @@
 		s.state = inHeader
 	case inHeader:
 		if len(line) > 0 {
+			s.fields++
 			s.length.addField(line)
 			return
 		}
@@ -146,6 +169,7 @@
 
 func (s *Scanner) endHeader() {
 	s.headers++
+	s.blank = 0
 	s.err = s.length.err()
 	s.remaining = s.length.bytes
 	switch {
--- a/internal/framing/scanner_test.go
+++ b/internal/framing/scanner_test.go
@@ -203,8 +203,12 @@
 	var s Scanner
 	for b.Loop() {
 		for piece := range slices.Chunk(request, 4096) {
-			if _, err := s.Scan(piece); err != nil {
-				b.Fatal(err)
+			for at := 0; at < len(piece); {
+				n, err := s.Scan(piece[at:])
+				if err != nil {
+					b.Fatal(err)
+				}
+				at += n
 			}
 		}
 	}
--- a/internal/serve/callerconn.go
+++ b/internal/serve/callerconn.go
@@ -2,85 +2,21 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/banyanglade/banyanglade/internal/framing"
+	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 )
 
-// net/http drops the Content-Length of a request that is also chunked, so other servers
-// on the path may delimit it differently (request smuggling). callerConn finds such
-// requests in the bytes that net/http reads.
-
-// callerConn is a caller's connection. It follows the framing of requests and
-// disconnects callers that stop reading.
+// callerConn is a caller's connection. It disconnects callers that stop reading.
 type callerConn struct {
 	net.Conn
 	memory *memlimit.Limiter
-	// scanner and unparsable are used by Read only. If unparsable is set, the rest of the
-	// connection cannot be parsed as requests and is not passed on.
-	scanner    framing.Scanner
-	unparsable bool
-	// rejected is the request with a rejected header, nil if there is none.
-	rejected atomic.Pointer[rejectedRequest]
-	// requests is the number of requests that reached the handler.
-	requests atomic.Int64
-}
-
-// rejectedRequest is a request that must be refused.
-type rejectedRequest struct {
-	// number is the number of the request on its connection, from 1.
-	number int64
-	err    error
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
-	if c.unparsable {
-		return 0, c.discardRest()
-	}
-	n, err := c.Conn.Read(p)
-	passed, rejection := c.scanner.Scan(p[:n])
-	if rejection == nil {
-		return n, err
-	}
-	c.unparsable = true
-	if !errors.Is(rejection, framing.ErrMalformedChunk) {
-		c.rejected.Store(&rejectedRequest{c.scanner.Headers(), rejection})
-	}
-	return passed, err
 }
 
-// discardBufferBytes is the size of the reads of bytes that are discarded.
-const discardBufferBytes = 4 << 10
-
-// discardRest returns io.EOF once the last request that can be parsed has reached the
-// handler. Until then it reads, so that earlier requests are not taken for abandoned.
-func (c *callerConn) discardRest() error {
-	buffer := make([]byte, discardBufferBytes)
-	for c.requests.Load() < c.scanner.Headers() {
-		if _, err := c.Conn.Read(buffer); err != nil {
-			return err
-		}
-	}
-	return io.EOF
-}
-
-// checkRequest counts a request that reached the handler and returns why it must be refused,
-// nil if it need not be. Requests on one connection are handled one after the other.
-func (c *callerConn) checkRequest() error {
-	number := c.requests.Add(1)
-	rejected := c.rejected.Load()
-	if rejected == nil || number < rejected.number {
-		return nil
-	}
-	return rejected.err
-}
+// NetConn returns the connection that is embedded.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
 
 type connKey struct{}
 
@@ -88,16 +24,17 @@
 // must use a listener from WrapListener.
 func (s *Server) Configure(server *http.Server) {
 	server.Handler = s
-	// Every request has to reach the handler, which counts them.
-	server.DisableGeneralOptionsHandler = true
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
+	s.inbound.Configure(server)
 }
 
-// WrapListener returns a listener whose connections detect ambiguous lengths and
-// callers that stop reading.
-func (s *Server) WrapListener(l net.Listener) net.Listener { return callerListener{l, s.memory} }
+// WrapListener returns a listener whose connections are bounded, and which detect requests
+// that must be refused and callers that stop reading.
+func (s *Server) WrapListener(l net.Listener) net.Listener {
+	return callerListener{s.inbound.Listener(l), s.memory}
+}
 
 type callerListener struct {
 	net.Listener
@@ -113,14 +50,23 @@
 	return &callerConn{Conn: c, memory: l.memory}, nil
 }
 
-// checkFraming returns an error if the request has to be refused because its header
-// defines the length of its body ambiguously. It must be called once for each request.
-func checkFraming(r *http.Request) error {
-	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	if !ok {
-		return nil
+// refuseRejected refuses a request whose header was rejected. It reports whether it was.
+func (x *transfer) refuseRejected() bool {
+	rejection := inbound.RejectionOf(x.request)
+	if rejection == nil {
+		return false
+	}
+	x.detail, x.rejected = rejection.Err.Error(), true
+	x.writer.Header().Set("Connection", "close")
+	switch rejection.Status {
+	case http.StatusServiceUnavailable:
+		x.refuse(rejection.Status, reasonNoMemory, retryMemory)
+	case http.StatusRequestHeaderFieldsTooLarge:
+		x.refuse(rejection.Status, reasonHeaderTooLarge, 0)
+	default:
+		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
 	}
-	return c.checkRequest()
+	return true
 }
 
 // Linger times of a connection, in seconds, which decide how it ends when it is closed.
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -16,6 +16,7 @@
 	reasonTargetFailed        reason = "target_answered_failure"
 	reasonMalformed           reason = "malformed"
 	reasonTooLarge            reason = "body_too_large"
+	reasonHeaderTooLarge      reason = "header_too_large"
 	reasonNoSettings          reason = "no_settings_yet"
 	reasonNoRoute             reason = "no_route"
 	reasonStaleSettings       reason = "settings_not_current"
@@ -86,7 +87,7 @@
 		m.lostRuns[state] = scope.Tagged(map[string]string{"target": name}).Counter("runs_lost")
 	}
 	for _, r := range []reason{
-		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
+		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonHeaderTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonVersionUnknown, reasonNoVersion, reasonNoCapacity, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
 		reasonBudgetHeld, reasonTurnNotFound, reasonConversationNotRead, reasonTurnNotStored, reasonTimedOut,
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/call"
 	"github.com/banyanglade/banyanglade/internal/exchange"
+	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/org"
 	"github.com/banyanglade/banyanglade/internal/overload"
@@ -231,6 +232,8 @@
 	Freshness       Freshness
 	// Memory bounds the memory held for requests; nil means no bound.
 	Memory *memlimit.Limiter
+	// Inbound bounds the connections of callers; nil means no bound.
+	Inbound *inbound.Guard
 	// KeyPolicy defines how keys are treated while the settings are old.
 	KeyPolicy KeyPolicy
 	// Admission decides which requests are admitted under load; nil selects
@@ -254,6 +257,7 @@
 	health          Health
 	freshness       Freshness
 	memory          *memlimit.Limiter
+	inbound         *inbound.Guard
 	keyPolicy       KeyPolicy
 	admission       Admission
 	log             *slog.Logger
@@ -276,10 +280,13 @@
 	if config.Admission == nil {
 		config.Admission = overload.New(config.Targets, config.Scope)
 	}
+	if config.Inbound == nil {
+		config.Inbound = inbound.New(inbound.Unbounded(config.Scope, config.Log))
+	}
 	return &Server{
 		codec: config.Codec, targets: config.Targets, pool: config.Pool, budgets: config.Budgets, allowances: config.Allowances, conversations: config.Conversations,
 		streamVersions: config.StreamVersions, lostRuns: config.LostRuns,
-		failureReporter: config.FailureReporter, health: config.Health, freshness: config.Freshness, memory: config.Memory, keyPolicy: config.KeyPolicy, admission: config.Admission,
+		failureReporter: config.FailureReporter, health: config.Health, freshness: config.Freshness, memory: config.Memory, inbound: config.Inbound, keyPolicy: config.KeyPolicy, admission: config.Admission,
 		log: config.Log, metrics: newMetrics(config.Scope),
 		connFailureThreshold: defaultConnFailureThreshold,
 	}
@@ -291,6 +298,10 @@
 		s.streamVersions.RoutesChanged(callerLifetime * previous.LongestStream())
 	}
 	s.table.Store(table)
+	limits := table.Limits
+	s.inbound.SetLimits(inbound.Limits{
+		MaxHeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	})
 }
 
 // Table returns the settings in effect, nil if there are none yet.
@@ -356,7 +367,7 @@
 // debug.
 func (s *Server) logOutcome(x *transfer, elapsed time.Duration) {
 	level := slog.LevelInfo
-	if x.reason == reasonServed {
+	if x.reason == reasonServed || x.rejected {
 		level = slog.LevelDebug
 	}
 	if !s.log.Enabled(x.request.Context(), level) {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -159,6 +159,9 @@
 	status int
 	reason reason
 	detail string
+	// rejected indicates that the header was rejected, which is logged for many requests
+	// together.
+	rejected bool
 	// abort indicates that the response is incomplete and the connection must be aborted.
 	abort bool
 }
@@ -197,12 +200,10 @@
 // accept validates the request and finds its route. It returns false if the request has
 // been refused.
 func (x *transfer) accept() bool {
-	err := checkFraming(x.request)
-	if err != nil {
-		x.detail = err.Error()
-		x.refuse(http.StatusBadRequest, reasonMalformed, 0)
+	if x.refuseRejected() {
 		return false
 	}
+	var err error
 	x.call, err = x.server.codec.DecodeRequest(x.request.Header)
 	if err != nil {
 		x.detail = err.Error()
