budget, streampin, lostruns, org: what callers name takes bounded memory

Callers that send many programs, or long ids, ended an instance: 100,000 turns, each of a program of its own, took 101 MB, with names of 14 kB 550 MB (programs) and 606 MB (requests), on a machine of 64 MB; the instances that hold copies ended with it.

Cause: names without an organisation were kept as they came, in the accounts of programs and the versions of streams; the accounts had no bound, held a map for leases after all had ended, and stayed when no turn had run; the 65,536 versions of streams did not depend on the machine's memory; each of 16,384 works could hold 64 lost runs.

Names over 224 bytes are replaced by a digest, as those of organisations were (a longer one did not fit into a record of the store). An account without a run is dropped at once. Versions of streams are bounded by 0.05 of MemoryMb, the lost runs of all works by 32,768; some other entry is dropped then. Instances of earlier builds take the new outcome for an owner without a reply and try again for a second. Lines of the log hold the first 128 bytes of a name.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -25,7 +25,8 @@
 	crashes int
 	// used is the number of tokens generated or charged.
 	used int
-	// leased is the sum of the leases of turns in progress.
+	// leased is the sum of the leases of turns in progress. Leases is nil if there are
+	// none.
 	leased int
 	leases map[structs.LeaseID]lease
 	// limit is the upper bound of used + leased.
@@ -71,7 +72,6 @@
 	return &account{
 		program: program, budget: budget, maxTurn: maxTurn, crashes: crashes,
 		used: unrecordedLimit(budget, crashes), limit: unrecordedLimit(budget, crashes+1),
-		leases: make(map[structs.LeaseID]lease),
 	}
 }
 
@@ -81,7 +81,7 @@
 func restoreAccount(program string, r accountRecord, crashes int, lastEnd time.Time) *account {
 	a := &account{
 		program: program, budget: r.Budget, maxTurn: r.MaxTurn, crashes: max(crashes, 1), recorded: true,
-		leases: make(map[structs.LeaseID]lease), lastEnd: lastEnd, restored: true,
+		lastEnd: lastEnd, restored: true,
 	}
 	past := r.Limit + unrecordedLimit(r.Budget, crashes) - unrecordedLimit(r.Budget, r.Crashes+1)
 	a.used = min(max(past, r.Limit), max(a.hardLimit(), r.Limit))
@@ -134,8 +134,16 @@
 // progress.
 func (a *account) unused() bool { return a.used == 0 && len(a.leases) == 0 && a.lastTarget == "" }
 
+// forgettable reports whether a new account would be the same.
+func (a *account) forgettable() bool {
+	return a.unused() && len(a.waiters) == 0 && a.crashes == 0 && !a.recorded && a.pendingLimit == 0
+}
+
 // grant leases tokens to a waiter for which decide returned granted.
 func (a *account) grant(w *waiter) {
+	if a.leases == nil {
+		a.leases = make(map[structs.LeaseID]lease)
+	}
 	a.leases[w.lease] = lease{tokens: w.maxTokens, end: w.end}
 	a.leased += w.maxTokens
 }
@@ -154,6 +162,9 @@
 		return false
 	}
 	delete(a.leases, id)
+	if len(a.leases) == 0 {
+		a.leases = nil
+	}
 	if l.holderDown {
 		a.used -= l.tokens
 	} else {
--- a/internal/budget/manager.go
+++ b/internal/budget/manager.go
@@ -62,6 +62,7 @@
 // that this instance owns, through their owners for the others. It is safe for
 // concurrent use.
 type Manager struct {
+	maxAccounts    int
 	self           structs.Peer
 	directory      *directory.Directory
 	store          Store
@@ -132,14 +133,18 @@
 	// InstancesLoaded reports whether the list of instances is loaded; nil if it
 	// always is.
 	InstancesLoaded func() bool
-	Scope           tally.Scope
-	Log             *slog.Logger
+	// MaxAccounts bounds the accounts of the owned partitions, 0 for no bound. Beyond it
+	// no program begins; accounts of programs that may return are never dropped.
+	MaxAccounts int
+	Scope       tally.Scope
+	Log         *slog.Logger
 }
 
 // New creates a Manager that runs until the context ends.
 func New(ctx context.Context, config Config) *Manager {
 	m := &Manager{
-		self: config.Directory.Self(), directory: config.Directory, store: config.Store, peers: config.Peers,
+		maxAccounts: config.MaxAccounts,
+		self:        config.Directory.Self(), directory: config.Directory, store: config.Store, peers: config.Peers,
 		targetFailures: config.TargetFailures, loads: config.Loads, health: config.Health, log: config.Log, metrics: newMetrics(config.Scope), ctx: ctx,
 		instancesLoaded: config.InstancesLoaded, started: time.Now(),
 		pending:   make(map[structs.LeaseID]*pendingRequest),
--- a/internal/budget/manager_test.go
+++ b/internal/budget/manager_test.go
@@ -499,3 +499,56 @@
 		}
 	})
 }
+
+// Callers that begin many programs must not fill the memory: beyond the bound no program
+// begins, and those that have spent tokens go on and keep their spending until they expire.
+func TestProgramsBeyondTheBoundDoNotBegin(t *testing.T) {
+	runInCluster(t, 2, func(t *testing.T, c *cluster) {
+		const maxAccounts = 3
+		for _, n := range c.all() {
+			n.manager.maxAccounts = maxAccounts
+		}
+		first := c.all()[0]
+		begun, refused := 0, 0
+		for i := range 40 {
+			err := c.turn(first, fmt.Sprint("p", i), testBudget, testMaxTurn, 70, time.Millisecond)
+			switch {
+			case err == nil:
+				begun++
+			case errors.Is(err, serve.ErrBudgetsFull):
+				refused++
+			default:
+				t.Fatalf("program %d: %v", i, err)
+			}
+		}
+		if begun != 2*maxAccounts || refused != 40-begun {
+			t.Errorf("%d programs began and %d were refused, want %d to begin", begun, refused, 2*maxAccounts)
+		}
+		spendAll(t, c, "p0", 70)
+		if got := c.delivered["p0"]; got > testBudget || got < testBudget-testMaxTurn {
+			t.Errorf("the first program got %d of %d tokens", got, testBudget)
+		}
+		time.Sleep(defaultRetention + deliveryMargin + 2*sweepInterval)
+		if err := c.turn(first, "later", testBudget, testMaxTurn, 70, time.Millisecond); err != nil {
+			t.Errorf("a program after the others have expired: %v", err)
+		}
+	})
+}
+
+// Programs whose turns did not run take no memory.
+func TestProgramsWithoutRunsAreForgotten(t *testing.T) {
+	runInCluster(t, 1, func(t *testing.T, c *cluster) {
+		n := c.all()[0]
+		for i := range 20 {
+			if err := c.turn(n, fmt.Sprint("p", i), testBudget, testMaxTurn, 0, time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		n.manager.mu.Lock()
+		defer n.manager.mu.Unlock()
+		if held := n.manager.accounts(); held != 0 {
+			t.Errorf("%d accounts are held", held)
+		}
+	})
+}
--- a/internal/budget/metrics.go
+++ b/internal/budget/metrics.go
@@ -6,10 +6,12 @@
 	granted     tally.Counter
 	exhausted   tally.Counter
 	unavailable tally.Counter
-	claims      tally.Counter
-	crashes     tally.Counter
-	handovers   tally.Counter
-	records     tally.Counter
+	// full counts the programs that were refused for lack of memory.
+	full      tally.Counter
+	claims    tally.Counter
+	crashes   tally.Counter
+	handovers tally.Counter
+	records   tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -18,6 +20,7 @@
 		granted:     s.Counter("room_granted"),
 		exhausted:   s.Counter("room_spent"),
 		unavailable: s.Counter("room_unavailable"),
+		full:        s.Counter("programs_refused"),
 		claims:      s.Counter("partitions_claimed"),
 		crashes:     s.Counter("accounts_lost"),
 		handovers:   s.Counter("partitions_handed_over"),
--- a/internal/budget/ownership.go
+++ b/internal/budget/ownership.go
@@ -50,6 +50,11 @@
 func (m *Manager) admit(p *partition, r structs.ReservationRequest, reply func(result)) {
 	a, ok := p.own.accounts[r.Program]
 	if !ok {
+		if m.maxAccounts > 0 && m.accounts() >= m.maxAccounts {
+			m.metrics.full.Inc(1)
+			reply(result{outcome: structs.ReservationAccountsFull})
+			return
+		}
 		a = newAccount(r.Program, r.Budget, r.MaxTokens, p.own.initialCrashes())
 		p.own.accounts[r.Program] = a
 	}
@@ -65,6 +70,17 @@
 	m.serveWaiters(p, a)
 }
 
+// accounts returns the number of accounts. The mutex is held.
+func (m *Manager) accounts() int {
+	n := 0
+	for _, p := range m.partitions {
+		if p.own != nil {
+			n += len(p.own.accounts)
+		}
+	}
+	return n
+}
+
 // serveWaiters replies to the waiters of an account, in order, as far as possible now.
 // The mutex is held.
 func (m *Manager) serveWaiters(p *partition, a *account) {
@@ -142,6 +158,9 @@
 	a.recordTurnEnd(time.Now())
 	a.updateTarget(msg.Target, msg.Failed)
 	m.serveWaiters(p, a)
+	if a.forgettable() && !p.own.dirty[a] {
+		delete(p.own.accounts, msg.Program)
+	}
 }
 
 // chargeLeasesOf counts the leases of an unavailable instance as used. The mutex is
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -75,6 +75,7 @@
 // Reserve waits for a reservation for a turn. It returns serve.ErrBudgetSpent if the
 // budget is exhausted, serve.ErrBudgetHeld if turns in progress hold the rest,
 // serve.ErrStoreUnavailable if the store does not accept a record that is needed,
+// serve.ErrBudgetsFull if the owner has no memory for another program,
 // serve.ErrNoOwner if no owner is found, or the error of the context.
 func (m *Manager) Reserve(ctx context.Context, turn serve.Turn) (serve.Lease, error) {
 	wait, cancel := context.WithTimeout(ctx, admissionTimeout)
@@ -107,6 +108,8 @@
 			return nil, serve.ErrBudgetSpent
 		case structs.ReservationNotRecorded:
 			return nil, serve.ErrStoreUnavailable
+		case structs.ReservationAccountsFull:
+			return nil, serve.ErrBudgetsFull
 		}
 		if len(search.unavailable) >= maxUnavailable {
 			return nil, serve.ErrStoreUnavailable
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
+	"github.com/banyanglade/banyanglade/internal/streampin"
 	"github.com/banyanglade/banyanglade/platform"
 )
 
@@ -37,6 +38,13 @@
 	// idle connections to others sooner.
 	internalHeaderTimeout = 3 * time.Second
 	internalIdleTimeout   = time.Minute
+	// accountBytes and pinBytes are the memory of a program's budget and of a stream's
+	// version, accountMemoryFraction and pinMemoryFraction that of all as fractions of the
+	// machine's memory.
+	accountBytes          = 512
+	accountMemoryFraction = 0.15
+	pinBytes              = 512
+	pinMemoryFraction     = 0.05
 	// internalWriteTimeout bounds a response to another instance, including the time that a
 	// query waits for changes.
 	internalWriteTimeout = maxQueryWait + 30*time.Second
@@ -87,3 +95,13 @@
 func newMemory(machine platform.Machine, scope tally.Scope) *memlimit.Limiter {
 	return memlimit.New(int64(float64(machine.MemoryBytes)*requestMemoryFraction), scope)
 }
+
+// maxAccounts returns the number of programs' budgets that the instance may hold, 0 for any.
+func maxAccounts(machine platform.Machine) int {
+	return int(fractionOr(machine.MemoryBytes, accountMemoryFraction/accountBytes, 0))
+}
+
+// maxPins returns the number of streams' versions that the instance may hold.
+func maxPins(machine platform.Machine) int {
+	return int(min(streampin.DefaultMaxPins, fractionOr(machine.MemoryBytes, pinMemoryFraction/pinBytes, streampin.DefaultMaxPins)))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -79,7 +79,7 @@
 ) *budget.Manager {
 	r.budgets = budget.New(background, budget.Config{
 		Directory: dir, Partitions: machine.Store.Partitions, Store: store, Peers: transport, TargetFailures: registry, Loads: registry,
-		Health: health, InstancesLoaded: instances.loaded, Scope: scope, Log: log,
+		Health: health, InstancesLoaded: instances.loaded, MaxAccounts: maxAccounts(machine), Scope: scope, Log: log,
 	})
 	return r.budgets
 }
@@ -142,7 +142,7 @@
 ) *streampin.Manager {
 	r.streamPins = streampin.New(streampin.Config{
 		Directory: dir, Slots: machine.Store.Partitions, Key: budget.PartitionKey, Peers: transport,
-		Versions: registry, List: list, Scope: scope, Log: log,
+		Versions: registry, List: list, MaxPins: maxPins(machine), Scope: scope, Log: log,
 	})
 	return r.streamPins
 }
--- a/internal/lostruns/table.go
+++ b/internal/lostruns/table.go
@@ -11,6 +11,8 @@
 	maxWorks = 1 << 14
 	// maxRuns bounds the runs of one piece of work.
 	maxRuns = 64
+	// maxAllRuns bounds the runs in memory.
+	maxAllRuns = 1 << 15
 )
 
 // entry holds the runs of a piece of work.
@@ -20,7 +22,11 @@
 }
 
 // table holds lost runs by work.
-type table struct{ works map[string]*entry }
+type table struct {
+	works map[string]*entry
+	// runs is the number of runs of all works.
+	runs int
+}
 
 func newTable() *table { return &table{works: make(map[string]*entry)} }
 
@@ -28,7 +34,7 @@
 func (t *table) merge(work string, runs structs.Runs, lifetime time.Duration, now time.Time) structs.Runs {
 	known, ok := t.works[work]
 	if ok && !now.Before(known.expiresAt) {
-		delete(t.works, work)
+		t.drop(work)
 		ok = false
 	}
 	if len(runs) == 0 {
@@ -39,13 +45,18 @@
 	}
 	if !ok {
 		if len(t.works) >= maxWorks {
-			t.evict()
+			t.evict(work)
 		}
 		known = new(entry)
 		t.works[work] = known
 	}
+	before := len(known.runs)
 	known.runs = known.runs.Merge(runs)
 	known.runs = known.runs[max(len(known.runs)-maxRuns, 0):]
+	t.runs += len(known.runs) - before
+	for t.runs > maxAllRuns {
+		t.evict(work)
+	}
 	if expiresAt := now.Add(lifetime); expiresAt.After(known.expiresAt) {
 		known.expiresAt = expiresAt
 	}
@@ -58,18 +69,31 @@
 	if !ok {
 		return
 	}
-	if e.runs = e.runs.Without(run); len(e.runs) == 0 {
+	before := len(e.runs)
+	e.runs = e.runs.Without(run)
+	t.runs += len(e.runs) - before
+	if len(e.runs) == 0 {
+		delete(t.works, work)
+	}
+}
+
+// drop removes a piece of work.
+func (t *table) drop(work string) {
+	if e, ok := t.works[work]; ok {
+		t.runs -= len(e.runs)
 		delete(t.works, work)
 	}
 }
 
 func (e *entry) clone() structs.Runs { return append(structs.Runs(nil), e.runs...) }
 
-// evict drops some piece of work.
-func (t *table) evict() {
+// evict drops some piece of work other than one.
+func (t *table) evict(except string) {
 	for work := range t.works {
-		delete(t.works, work)
-		return
+		if work != except {
+			t.drop(work)
+			return
+		}
 	}
 }
 
@@ -77,7 +101,7 @@
 func (t *table) sweep(now time.Time) {
 	for work, e := range t.works {
 		if !now.Before(e.expiresAt) {
-			delete(t.works, work)
+			t.drop(work)
 		}
 	}
 }
--- a/internal/org/org.go
+++ b/internal/org/org.go
@@ -153,12 +153,15 @@
 // Scope qualifies a name that a caller chose with its organisation, so that the same
 // name of two organisations refers to different items. Without an organisation the
 // name is unchanged, as in records of older versions. A long result is replaced by a
-// digest.
+// digest, so that what callers choose does not bound the memory of tables.
 func Scope(organisation, name string) string {
-	if organisation == "" || name == "" {
-		return name
+	if name == "" {
+		return ""
+	}
+	scoped := name
+	if organisation != "" {
+		scoped = organisation + separator + name
 	}
-	scoped := organisation + separator + name
 	if len(scoped) <= maxScopedBytes {
 		return scoped
 	}
--- a/internal/org/org_test.go
+++ b/internal/org/org_test.go
@@ -80,7 +80,7 @@
 	long := strings.Repeat("p", 300)
 	names := []string{
 		Scope("", "p"), Scope("a", "p"), Scope("b", "p"), Scope("a", "b"), Scope("ab", "p"), Scope("a", "bp"),
-		Scope("a", long), Scope("b", long), Scope("a", long+"x"),
+		Scope("a", long), Scope("b", long), Scope("a", long+"x"), Scope("", long), Scope("", long+"x"),
 	}
 	seen := make(map[string]bool)
 	for _, name := range names {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -33,6 +33,7 @@
 	reasonBudgetSpent         reason = "budget_spent"
 	reasonBudgetOwner         reason = "budget_owner_unreachable"
 	reasonBudgetRecord        reason = "budget_record_not_written"
+	reasonBudgetsFull         reason = "no_memory_for_budgets"
 	reasonBudgetHeld          reason = "budget_held_by_turns_under_way"
 	reasonTurnNotFound        reason = "no_such_turn"
 	reasonConversationNotRead reason = "conversation_not_read"
@@ -90,7 +91,7 @@
 		reasonServed, reasonTargetFailed, reasonMalformed, reasonTooLarge, reasonHeaderTooLarge, reasonNoSettings, reasonNoRoute, reasonStaleSettings,
 		reasonUnknownKey, reasonStaleKeys, reasonOverLimit, reasonNoAllowance,
 		reasonNoMemory, reasonNoTarget, reasonTargetsFull, reasonVersionUnknown, reasonNoVersion, reasonNoCapacity, reasonBudgetSpent, reasonBudgetOwner, reasonBudgetRecord,
-		reasonBudgetHeld, reasonTurnNotFound, reasonConversationNotRead, reasonTurnNotStored, reasonTimedOut,
+		reasonBudgetsFull, reasonBudgetHeld, reasonTurnNotFound, reasonConversationNotRead, reasonTurnNotStored, reasonTimedOut,
 		reasonNotSent, reasonTargetAborted, reasonEndsTargets, reasonRunsUndecided, reasonRunUnacknowledged, reasonTruncated, reasonCallerLeft, reasonStopped, reasonStalled,
 	} {
 		tagged := scope.Tagged(map[string]string{"reason": string(r)})
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -66,7 +66,7 @@
 type Budgets interface {
 	// Reserve waits until the tokens can be reserved or the context ends. The turn must
 	// not run if it returns an error: ErrBudgetSpent, ErrBudgetHeld,
-	// ErrStoreUnavailable, ErrNoOwner or that of the context.
+	// ErrStoreUnavailable, ErrBudgetsFull, ErrNoOwner or that of the context.
 	Reserve(ctx context.Context, turn Turn) (Lease, error)
 }
 
@@ -382,7 +382,7 @@
 		routeName = x.route.Name
 	}
 	s.log.LogAttrs(x.request.Context(), level, "request ended",
-		slog.String("request", x.call.ID), slog.String("program", x.call.Program),
+		slog.String("request", abbreviate(x.call.ID)), slog.String("program", abbreviate(x.call.Program)),
 		slog.String("reason", string(x.reason)), slog.Int("status", x.status),
 		slog.String("route", routeName), slog.Int64("settings_version", version),
 		slog.String("target", x.lastTarget), slog.String("target_version", x.lastVersion), slog.Int("sends", x.sends),
@@ -391,6 +391,17 @@
 	)
 }
 
+// maxLoggedBytes bounds what a line of the log holds of a name that a caller chose.
+const maxLoggedBytes = 128
+
+// abbreviate returns the beginning of a long name.
+func abbreviate(name string) string {
+	if len(name) <= maxLoggedBytes {
+		return name
+	}
+	return name[:maxLoggedBytes] + "..."
+}
+
 // rawPath returns the path of a request URI, without the query and not decoded.
 func rawPath(uri string) string {
 	if i := strings.IndexByte(uri, '?'); i >= 0 {
--- a/internal/serve/transfer.go
+++ b/internal/serve/transfer.go
@@ -28,6 +28,8 @@
 	// ErrStoreUnavailable indicates that the budget needs a record that the store
 	// currently does not accept.
 	ErrStoreUnavailable = errors.New("the store does not accept a record that the program's budget needs")
+	// ErrBudgetsFull indicates that there is no memory for the budget of another program.
+	ErrBudgetsFull = errors.New("the owner of the program's budget has no memory for another program")
 	// ErrNoOwner indicates that no owner of the budget can be reached.
 	ErrNoOwner = errors.New("no owner of the program's budget can be reached")
 )
@@ -276,6 +278,8 @@
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetHeld, retryBudget)
 	case errors.Is(err, ErrStoreUnavailable):
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetRecord, retryOutage)
+	case errors.Is(err, ErrBudgetsFull):
+		x.refuse(http.StatusServiceUnavailable, reasonBudgetsFull, retryBudgetsFull)
 	case err != nil:
 		x.detail = err.Error()
 		x.refuse(http.StatusServiceUnavailable, reasonBudgetOwner, x.server.retryAfter(retryBudget))
--- a/internal/streampin/manager.go
+++ b/internal/streampin/manager.go
@@ -1,6 +1,7 @@
 package streampin
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -78,9 +79,12 @@
 	Peers    Peers
 	Versions Versions
 	// List is the list of targets behind Versions.
-	List  List
-	Scope tally.Scope
-	Log   *slog.Logger
+	List List
+	// MaxPins bounds the pins in memory, 0 selects DefaultMaxPins. Streams without a pin
+	// can be resumed while their service has one version only.
+	MaxPins int
+	Scope   tally.Scope
+	Log     *slog.Logger
 }
 
 // Manager records and looks up the versions of streams. It implements
@@ -118,7 +122,7 @@
 			sent: config.Scope.Counter("stream_pins_sent"), found: lookups("found"), sole: lookups("sole_version"), unknown: lookups("unknown"),
 		},
 		ring:            holders.NewRing(holders.Config{Directory: config.Directory, Slots: config.Slots, Key: config.Key, Count: maxAsked}),
-		versionsChanged: make(chan struct{}, 1), pins: newTable(),
+		versionsChanged: make(chan struct{}, 1), pins: newTable(cmp.Or(config.MaxPins, DefaultMaxPins)),
 	}
 }
 
--- a/internal/streampin/table.go
+++ b/internal/streampin/table.go
@@ -6,8 +6,8 @@
 	"github.com/banyanglade/banyanglade/internal/structs"
 )
 
-// maxPins bounds the pins in memory.
-const maxPins = 1 << 16
+// DefaultMaxPins bounds the pins in memory where the configuration does not.
+const DefaultMaxPins = 1 << 16
 
 // pin is a known pin.
 type pin struct {
@@ -26,9 +26,13 @@
 }
 
 // table holds pins by stream.
-type table struct{ pins map[string]*pin }
+type table struct {
+	pins map[string]*pin
+	// max bounds the number of pins.
+	max int
+}
 
-func newTable() *table { return &table{pins: make(map[string]*pin)} }
+func newTable(max int) *table { return &table{pins: make(map[string]*pin), max: max} }
 
 // put adds a pin. One that contradicts the known pin makes the origin unknown.
 func (t *table) put(added structs.StreamPin, shared bool, now time.Time) {
@@ -37,7 +41,7 @@
 		known.shared = known.shared || shared
 		return
 	}
-	if len(t.pins) >= maxPins {
+	if len(t.pins) >= t.max {
 		t.evict()
 	}
 	t.pins[added.Stream] = &pin{StreamPin: added, expiresAt: now.Add(added.Lifetime), shared: shared}
--- a/internal/structs/reservation.go
+++ b/internal/structs/reservation.go
@@ -29,6 +29,9 @@
 	// ReservationNotRecorded: the owner cannot write the record that the turn needs,
 	// because the store is unavailable.
 	ReservationNotRecorded ReservationOutcome = 5
+	// ReservationAccountsFull: the owner has no memory for another program. Instances that
+	// do not know this outcome try again for a second.
+	ReservationAccountsFull ReservationOutcome = 6
 )
 
 // LeaseID identifies the lease of a turn: the instance that runs the turn and a number
