--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -123,6 +123,22 @@
 		"pipelined without reading": func(i *instance, conn net.Conn) {
 			sendEndlessly("", requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 0\r\n\r\n")(i, conn)
 		},
+		"requests that time out": func(i *instance, conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			for range 5 {
+				head := "GET /late/" + i.nextID() + " HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: " + i.nextID() + "\r\n\r\n"
+				if !send(conn, head) || conn.SetReadDeadline(time.Now().Add(testTimeout)) != nil {
+					return
+				}
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+					return
+				}
+			}
+		},
 		"large responses not read": func(i *instance, conn net.Conn) {
 			for range 20 {
 				send(conn, "POST /large/x HTTP/1.1\r\nHost: "+host+"\r\nBanyanglade-Request-Id: "+i.nextID()+"\r\nContent-Length: 0\r\n\r\n")
--- a/internal/abuse/instance_test.go
+++ b/internal/abuse/instance_test.go
@@ -185,9 +185,11 @@
 		return fmt.Sprintf(`{"Name":"%[1]s","Hostname":"%[2]s","PathPrefix":"/%[1]s/","Type":"%[3]s","TimeoutMs":20000,"Service":"%[1]s","MaxAttempts":1%[4]s}`,
 			service, host, kind, more)
 	}
+	timingOut := fmt.Sprintf(`{"Name":"late","Hostname":"%s","PathPrefix":"/late/","Type":"safe","TimeoutMs":200,"Service":"slow","MaxAttempts":2}`, host)
 	routes := []string{
 		route("app", "unsafe", ""), route("slow", "unsafe", ""), route("large", "unsafe", ""),
 		route("engine", "streaming", `,"Retain":false,"RetentionS":60,"Resumable":true,"SessionAffinity":true`),
+		timingOut,
 	}
 	i.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
 		`{"Version":1,"Routes":[%s],"Services":[{"Name":"app"},{"Name":"slow"},{"Name":"large"},{"Name":"engine","Engine":{"StrideTokens":1}}],
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,7 +77,7 @@
 	app := fx.New(
 		fx.Supply(machine, log, options, backgroundContext{background}, new(eventRouter)),
 		fx.Provide(
-			newMetrics, newStore, feed.NewHealth, newRegistry, exchange.NewPool, newConnections, newDirectory,
+			newMetrics, newStore, feed.NewHealth, newRegistry, newPool, newConnections, newDirectory,
 			newTransport, newBudgets, newConversations, newInstanceList, newAllowances, newTopicAges, newMemory, newGuards, newServer,
 			newTargetList, newStreamPins, newStoreRecords, newLostRuns, newVersionListener, newTargetFeed, newEdge,
 		),
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/banyanglade/banyanglade/internal/exchange"
 	"github.com/banyanglade/banyanglade/internal/inbound"
 	"github.com/banyanglade/banyanglade/internal/memlimit"
 	"github.com/banyanglade/banyanglade/internal/streampin"
@@ -23,9 +24,10 @@
 	// machine's memory, headerMemoryFraction that for their incomplete headers.
 	callerMemoryFraction = 0.2
 	headerMemoryFraction = 0.05
-	// callerFDFraction are the descriptors for callers as a fraction of the process's. Each
-	// request in progress needs another one for a target.
-	callerFDFraction = 0.4
+	// callerFDFraction are the descriptors for callers as a fraction of the process's,
+	// targetFDFraction those for targets. Each request in progress needs one of both.
+	callerFDFraction = 0.33
+	targetFDFraction = 0.4
 	// maxPeerConns bounds the connections from other instances that carry queries, within
 	// peerFDFraction of the process's descriptors. Each instance has one at a time.
 	maxPeerConns   = 512
@@ -91,6 +93,13 @@
 	return int64(float64(limit) * fraction)
 }
 
+// newPool returns the pool of connections to targets.
+func newPool(machine platform.Machine, scope tally.Scope) *exchange.Pool {
+	pool := exchange.NewPool(scope)
+	pool.SetMaxConns(int(fractionOr(int64(machine.MaxFDs), targetFDFraction, 0)))
+	return pool
+}
+
 // newMemory returns the limiter of the memory for requests.
 func newMemory(machine platform.Machine, scope tally.Scope) *memlimit.Limiter {
 	return memlimit.New(int64(float64(machine.MemoryBytes)*requestMemoryFraction), scope)
--- a/internal/exchange/causes.go
+++ b/internal/exchange/causes.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -21,6 +22,8 @@
 	causeClosed cause = "closed"
 	// causeProbe: to find out whether a target has ended.
 	causeProbe cause = "probe"
+	// causeLimit: the last idle connection was closed for one to another address.
+	causeLimit cause = "limit"
 )
 
 // closeCauseRetention is how long the close cause of an address's last idle connection
@@ -35,6 +38,8 @@
 	// closeCause is the reason for closing the last idle connection, at closedAt.
 	closeCause cause
 	closedAt   time.Time
+	// lastCheck is the newest check whether a process listens, nil if there was none.
+	lastCheck *listenCheck
 }
 
 // takeLast removes and returns the most recently used idle connection, nil if there is
@@ -51,8 +56,9 @@
 }
 
 // expire closes the idle connections that have expired, and those that received bytes,
-// which would take memory until then.
-func (s *addressState) expire(now time.Time) {
+// which would take memory until then. It returns their number.
+func (s *addressState) expire(now time.Time) int {
+	before := len(s.idle)
 	remaining := s.idle[:0]
 	for _, c := range s.idle {
 		reason := cause("")
@@ -70,14 +76,24 @@
 	}
 	clear(s.idle[len(remaining):])
 	s.idle = remaining
+	return before - len(remaining)
 }
 
-// closeIdle closes all idle connections.
-func (s *addressState) closeIdle() {
+// closeOldest closes the idle connection that was used longest ago.
+func (s *addressState) closeOldest(now time.Time) {
+	_ = s.idle[0].Close() // idle, so nothing is lost
+	s.idle = slices.Delete(s.idle, 0, 1)
+	s.recordClose(causeLimit, now)
+}
+
+// closeIdle closes all idle connections and returns their number.
+func (s *addressState) closeIdle() int {
+	closed := len(s.idle)
 	for _, c := range s.idle {
 		_ = c.Close() // idle, so nothing is lost
 	}
 	s.idle = nil
+	return closed
 }
 
 // recordClose records the reason for closing an idle connection.
@@ -106,7 +122,7 @@
 
 func newCauseCounters(scope tally.Scope) causeCounters {
 	counters := make(causeCounters)
-	for _, c := range []cause{causeFirst, causeBusy, causeExpired, causeClosed, causeProbe} {
+	for _, c := range []cause{causeFirst, causeBusy, causeExpired, causeClosed, causeProbe, causeLimit} {
 		counters[c] = scope.Tagged(map[string]string{"cause": string(c)}).Counter("connections_opened")
 	}
 	return counters
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -47,7 +47,11 @@
 
 	mu        sync.Mutex
 	addresses map[string]*addressState
-	closed    bool
+	// open is the number of connections, also those being opened. While it is at maxConns
+	// an idle one is closed for each that is opened; 0 means no bound.
+	open     int
+	maxConns int
+	closed   bool
 }
 
 // conn is a connection to a target.
@@ -73,6 +77,10 @@
 	}
 }
 
+// SetMaxConns bounds the connections: requests in progress keep theirs, and idle ones are
+// closed. It must be called before the Pool is used.
+func (p *Pool) SetMaxConns(max int) { p.maxConns = max }
+
 // Run closes expired and unusable connections until the context ends, then closes all idle
 // connections.
 func (p *Pool) Run(ctx context.Context) {
@@ -94,7 +102,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, state := range p.addresses {
-		state.closeIdle()
+		p.open -= state.closeIdle()
 	}
 }
 
@@ -102,7 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, state := range p.addresses {
-		state.expire(now)
+		p.open -= state.expire(now)
 		if state.removable(now) {
 			delete(p.addresses, address)
 		}
@@ -154,11 +162,28 @@
 	c := state.takeLast()
 	if c == nil {
 		p.opened[state.openCause(now)].Inc(1)
+		p.makeRoom(now)
+		p.open++
 	}
 	state.inUse++
 	return c
 }
 
+// makeRoom closes an idle connection if there are too many connections. The caller holds
+// mu.
+func (p *Pool) makeRoom(now time.Time) {
+	if p.maxConns <= 0 || p.open < p.maxConns {
+		return
+	}
+	for _, state := range p.addresses {
+		if len(state.idle) > 0 {
+			state.closeOldest(now)
+			p.open--
+			return
+		}
+	}
+}
+
 // discard closes an idle connection that was taken but is not usable.
 func (p *Pool) discard(c *conn, now time.Time) {
 	_ = c.Close() // the result does not matter
@@ -166,6 +191,7 @@
 	defer p.mu.Unlock()
 	state := p.stateOf(c.address)
 	state.inUse--
+	p.open--
 	reason := causeClosed
 	if !now.Before(c.expires) {
 		reason = causeExpired
@@ -173,11 +199,12 @@
 	state.recordClose(reason, now)
 }
 
-// release records that a connection no longer carries a request.
+// release records that a connection that carried a request was closed or not opened.
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stateOf(address).inUse--
+	p.open--
 }
 
 // HasIdle reports whether there is an idle connection to an address that has not
@@ -197,7 +224,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if state := p.addresses[address]; state != nil {
-		state.closeIdle()
+		p.open -= state.closeIdle()
 		state.recordClose(causeClosed, time.Now())
 	}
 }
@@ -214,6 +241,7 @@
 	state := p.stateOf(c.address)
 	state.inUse--
 	if p.closed {
+		p.open--
 		_ = c.Close() // no request in progress on it
 		return
 	}
