--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -167,6 +167,8 @@
 	"served":                           "it was served",
 	"target_answered_failure":          "the target responded with a failure, which was forwarded to the caller",
 	"malformed":                        "the request was malformed; see the field detail",
+	"header_too_large":                 "the header exceeded the operator's limit",
+	"no_memory_for_budgets":            "the owner of the program's budget holds as many programs as its memory allows; nothing ran",
 	"body_too_large":                   "the body exceeded the operator's limit",
 	"no_settings_yet":                  "the instance had no settings: it had just started and had not yet read them from the store or another instance",
 	"no_route":                         "no route of the settings version matches the host and path",
