inbound: ready responses are not cut, headers that do not parse free their memory

By reading: a connection counted as idle once its handler had returned, before the response was sent, so that a crowd could have it closed with the response unsent; and the memory reserved for a complete header was released by the handler only, which a header that net/http refuses never reaches, so that such headers used up the memory for requests for good.

A connection is idle when the server reads the next header, which it does behind the response. The memory is released with the connection as well, under the mutex of the Guard, since a shutdown closes idle connections meanwhile.

TestReadyResponsesAreDelivered and TestMalformedHeadersReleaseTheirMemory fail before.

--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/banyanglade/banyanglade/internal/standin/metastore"
 )
 
 const (
@@ -216,6 +218,19 @@
 	}
 }
 
+// Guards against bad heads that meet an instance which waits for the store.
+func TestBadHeadsWhileTheStoreIsSilent(t *testing.T) {
+	for _, form := range []string{"many small fields", "many fields held open", "empty lines", "no bytes"} {
+		t.Run(form, func(t *testing.T) {
+			i := startInstance(t, 1)
+			i.store.Set(metastore.Fault{Unresponsive: true})
+			i.crowd(i.callers, badHeads[form])
+			i.store.Set(metastore.Fault{})
+			i.checkAfterwards()
+		})
+	}
+}
+
 // Guards against clients that keep connections open until no descriptor is left.
 func TestIdleConnectionsLeaveDescriptors(t *testing.T) {
 	for name, address := range listeners {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -34,7 +34,7 @@
 type state uint8
 
 const (
-	// refused: the last response was sent, and the connection is closed soon.
+	// refused: the connection is closed once the refusal was sent, or soon after.
 	refused state = iota
 	idle
 	readingHeader
@@ -44,6 +44,17 @@
 	closed
 )
 
+// phase is what becomes of the request that was passed on last.
+type phase uint32
+
+const (
+	// noRequest: its response was sent, or there is none.
+	noRequest phase = iota
+	running
+	// finished: its handler has returned, and its response may be unsent.
+	finished
+)
+
 // errClosed indicates that the Guard has closed the connection.
 var errClosed = errors.Wrap(net.ErrClosed, "inbound")
 
@@ -54,11 +65,13 @@
 	net.Conn
 	guard *Guard
 
-	// state, since, place and headerMemory are guarded by the mutex of the Guard.
+	// The fields up to memory are guarded by the mutex of the Guard.
 	state        state
 	since        time.Time
 	place        *list.Element
 	headerMemory int64
+	// memory accounts for the header of the request that was passed on last.
+	memory memlimit.Account
 
 	// The fields up to inHeader are used by the reader, and by the handler of the request
 	// that was passed on.
@@ -71,14 +84,11 @@
 	unparsable bool
 	// rejection is set if the request that was passed on last must be refused.
 	rejection *Rejection
-	// memory accounts for the header of the request that was passed on last.
-	memory memlimit.Account
-
 	// inHeader indicates that the Guard knows of the incomplete header.
 	inHeader bool
 
-	// running indicates that a request was passed on and has not ended.
-	running atomic.Bool
+	// phase has the type of that name.
+	phase atomic.Uint32
 	// hijacked indicates that the bytes are no requests.
 	hijacked atomic.Bool
 	// lingers indicates that the client may still send, so that the connection must not be
@@ -91,8 +101,15 @@
 	return &Conn{Conn: raw, guard: g, memory: g.config.Memory.NewAccount()}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The HTTP server reads a single byte while a request is in
+// progress, and more of them once its response was sent.
 func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) > 1 && c.phaseIs(finished) {
+		c.phase.Store(uint32(noRequest))
+		if err := c.enter(idle); err != nil {
+			return 0, err
+		}
+	}
 	for {
 		inBody := c.scanner.InBody()
 		switch {
@@ -100,9 +117,9 @@
 			return c.pass(p), nil
 		case c.hijacked.Load():
 			return c.readHijacked(p)
-		case c.unparsable && (inBody || !c.running.Load()):
+		case c.unparsable && (inBody || c.phaseIs(noRequest)):
 			return 0, io.EOF
-		case !inBody && c.running.Load():
+		case !inBody && !c.phaseIs(noRequest):
 			return 0, c.awaitEnd(p)
 		case c.scanned < len(c.buffer):
 			if err := c.scan(); err != nil {
@@ -118,6 +135,8 @@
 	}
 }
 
+func (c *Conn) phaseIs(p phase) bool { return phase(c.phase.Load()) == p }
+
 // pass copies bytes that can be passed on.
 func (c *Conn) pass(p []byte) int {
 	n := copy(p, c.buffer[:c.passable])
@@ -229,7 +248,7 @@
 	if c.guard.config.NoBodies && c.scanner.InBody() {
 		return c.reject(&Rejection{http.StatusRequestEntityTooLarge, errBody}, causeBody)
 	}
-	if err := c.memory.Reserve(headerCost(c.scanned, c.scanner.Fields())); err != nil {
+	if err := c.guard.reserve(c, headerCost(c.scanned, c.scanner.Fields())); err != nil {
 		return c.reject(&Rejection{http.StatusServiceUnavailable, err}, causeMemory)
 	}
 	c.rejection, c.passable = nil, c.scanned
@@ -243,7 +262,7 @@
 
 func (c *Conn) startRequest() error {
 	c.inHeader = false
-	c.running.Store(true)
+	c.phase.Store(uint32(running))
 	return c.enter(inRequest)
 }
 
@@ -276,13 +295,11 @@
 
 // finishRequest is called when the handler of a request has returned.
 func (c *Conn) finishRequest() {
-	c.memory.Close()
-	c.running.Store(false)
-	next := idle
+	c.guard.releaseMemory(c)
 	if c.lingers.Load() {
-		next = refused
+		c.guard.change(c, refused)
 	}
-	c.guard.change(c, next)
+	c.phase.Store(uint32(finished))
 }
 
 // release ends the accounting of a hijacked connection.
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -200,6 +200,7 @@
 	}
 	g.enter(c, closed)
 	g.open--
+	c.memory.Close()
 }
 
 // change moves a connection to a state, and reports false if it was closed.
@@ -213,6 +214,23 @@
 	return true
 }
 
+// reserve reserves the memory of a complete header, until its request or connection ends.
+func (g *Guard) reserve(c *Conn, size int64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state == closed {
+		return errClosed
+	}
+	return c.memory.Reserve(size)
+}
+
+// releaseMemory releases the memory of a complete header.
+func (g *Guard) releaseMemory(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.memory.Close()
+}
+
 // holdHeader accounts for the bytes of a connection's incomplete header. It closes other
 // connections if there are too many, and reports whether there is space.
 func (g *Guard) holdHeader(c *Conn, size int64) bool {
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -294,6 +294,46 @@
 	})
 }
 
+// Memory for a header that the HTTP server refuses to parse must be released.
+func TestMalformedHeadersReleaseTheirMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := testConfig()
+		config.Memory = memlimit.New(2<<20, tally.NoopScope)
+		f := start(t, config, serveOK)
+		defer f.stop()
+		for range 20 {
+			client := f.dial()
+			client.send("GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 3000) + "not a field\r\n\r\n")
+			if got := client.status(); got != http.StatusBadRequest {
+				t.Errorf("status %d", got)
+			}
+			synctest.Wait()
+			if left := config.Memory.Usage().Held; left != 0 {
+				t.Fatalf("%d bytes are held after the connection was closed", left)
+			}
+		}
+	})
+}
+
+// A connection is idle once its response was sent: a response that is ready must not be cut
+// to make room for new connections.
+func TestReadyResponsesAreDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := testConfig()
+		config.MaxConns = 1
+		f := start(t, config, serveOK)
+		defer f.stop()
+		client := f.dial()
+		client.send(request) // the pipe holds the response until it is read
+		_, server := net.Pipe()
+		go func() { f.listener.conns <- server }()
+		synctest.Wait()
+		if got := client.status(); got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	})
+}
+
 // A client that leaves cancels its request, also after it has sent empty lines or a part of
 // the next request; one that stays does not.
 func TestRequestsInProgressAreNotTakenForAbandoned(t *testing.T) {
