--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -40,6 +40,9 @@
 	// idle connections to others sooner.
 	internalHeaderTimeout = 3 * time.Second
 	internalIdleTimeout   = time.Minute
+	// internalWriteTimeout bounds a response to another instance, including the time that a
+	// query waits for changes.
+	internalWriteTimeout = maxQueryWait + 30*time.Second
 	// accountBytes and pinBytes are the memory of a program's budget and of a stream's
 	// version, accountMemoryFraction and pinMemoryFraction that of all as fractions of the
 	// machine's memory.
@@ -47,9 +50,6 @@
 	accountMemoryFraction = 0.15
 	pinBytes              = 512
 	pinMemoryFraction     = 0.05
-	// internalWriteTimeout bounds a response to another instance, including the time that a
-	// query waits for changes.
-	internalWriteTimeout = maxQueryWait + 30*time.Second
 )
 
 // guards bound the connections to the listeners.
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -16,8 +16,8 @@
 	retrySettings = 200 * time.Millisecond
 	// retryBudget is about the time in which a budget's owner is replaced.
 	retryBudget = 200 * time.Millisecond
-	// retryBudgetsFull is about the time between two sweeps of expired budgets, of which
-	// several free memory.
+	// retryBudgetsFull is longer than the other delays for budgets: memory is freed only as
+	// programs expire.
 	retryBudgetsFull = time.Second
 	// retryOutage replaces the shorter delays while the store is unavailable. Outages
 	// last seconds, so that callers would use up their attempts.
