--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -96,61 +96,83 @@
 	return "POST /slow/x HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: " + i.nextID() + "\r\n"
 }
 
-// Guards against requests whose heads, bodies or followers cost more memory than is
-// accounted for.
-func TestBadRequestsLeaveTheInstanceRunning(t *testing.T) {
-	forms := map[string]client{
-		"large heads inside the limits held": func(i *instance, conn net.Conn) {
-			head := slowRequest(i) + "Content-Length: 0\r\n"
-			var fields strings.Builder
-			for n := 0; len(head)+fields.Len() < maxHeaderBytes-1<<10; n++ {
-				fmt.Fprintf(&fields, "f%x:\r\n", n)
+// largeRequest is a request whose response is as large as a body may be.
+func largeRequest(i *instance) string {
+	return "POST /large/x HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: " + i.nextID() + "\r\nContent-Length: 0\r\n\r\n"
+}
+
+// badRequests are requests whose bodies do not arrive, whose responses are not read, or which
+// others follow without end.
+var badRequests = map[string]client{
+	"large heads inside the limits held": func(i *instance, conn net.Conn) {
+		head := slowRequest(i) + "Content-Length: 0\r\n"
+		var fields strings.Builder
+		for n := 0; len(head)+fields.Len() < maxHeaderBytes-1<<10; n++ {
+			fmt.Fprintf(&fields, "f%x:\r\n", n)
+		}
+		send(conn, head+fields.String()+"\r\n")
+	},
+	"empty lines while a request runs": func(i *instance, conn net.Conn) {
+		sendEndlessly(slowRequest(i)+"Content-Length: 0\r\n\r\n", "\r\n")(i, conn)
+	},
+	"a head without end while a request runs": func(i *instance, conn net.Conn) {
+		sendEndlessly(slowRequest(i)+"Content-Length: 0\r\n\r\n"+requestLine, manyFields)(i, conn)
+	},
+	"chunk extensions without end": sendEndlessly(chunkedHead+"1;", "a"),
+	"trailers without end":         sendEndlessly(chunkedHead+"1\r\na\r\n0\r\n", "X-Trailer: a\r\n"),
+	"trailer field without end":    sendEndlessly(chunkedHead+"1\r\na\r\n0\r\nX: ", "a"),
+	"tiny chunks without end":      sendEndlessly(chunkedHead, "1\r\na\r\n"),
+	"chunks with extensions":       sendEndlessly(chunkedHead, "1;"+strings.Repeat("e", 200)+"\r\na\r\n"),
+	"chunked body without end":     sendUpTo(2*maxBodyBytes, chunkedHead, "1000\r\n"+strings.Repeat("a", 4096)+"\r\n"),
+	"body that stops":              sendUpTo(256<<10, requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 1000000\r\n\r\n", "a"),
+	"body that is announced only":  sendUpTo(1, requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 1000000\r\n\r\n", "a"),
+	"pipelined without reading": func(i *instance, conn net.Conn) {
+		sendEndlessly("", requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 0\r\n\r\n")(i, conn)
+	},
+	"requests that time out": func(i *instance, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for range 5 {
+			head := "GET /late/" + i.nextID() + " HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: " + i.nextID() + "\r\n\r\n"
+			if !send(conn, head) || conn.SetReadDeadline(time.Now().Add(testTimeout)) != nil {
+				return
 			}
-			send(conn, head+fields.String()+"\r\n")
-		},
-		"empty lines while a request runs": func(i *instance, conn net.Conn) {
-			sendEndlessly(slowRequest(i)+"Content-Length: 0\r\n\r\n", "\r\n")(i, conn)
-		},
-		"a head without end while a request runs": func(i *instance, conn net.Conn) {
-			sendEndlessly(slowRequest(i)+"Content-Length: 0\r\n\r\n"+requestLine, manyFields)(i, conn)
-		},
-		"chunk extensions without end": sendEndlessly(chunkedHead+"1;", "a"),
-		"trailers without end":         sendEndlessly(chunkedHead+"1\r\na\r\n0\r\n", "X-Trailer: a\r\n"),
-		"trailer field without end":    sendEndlessly(chunkedHead+"1\r\na\r\n0\r\nX: ", "a"),
-		"tiny chunks without end":      sendEndlessly(chunkedHead, "1\r\na\r\n"),
-		"chunks with extensions":       sendEndlessly(chunkedHead, "1;"+strings.Repeat("e", 200)+"\r\na\r\n"),
-		"chunked body without end":     sendUpTo(2*maxBodyBytes, chunkedHead, "1000\r\n"+strings.Repeat("a", 4096)+"\r\n"),
-		"body that stops":              sendUpTo(256<<10, requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 1000000\r\n\r\n", "a"),
-		"body that is announced only":  sendUpTo(1, requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 1000000\r\n\r\n", "a"),
-		"pipelined without reading": func(i *instance, conn net.Conn) {
-			sendEndlessly("", requestLine+"Banyanglade-Request-Id: c\r\nContent-Length: 0\r\n\r\n")(i, conn)
-		},
-		"requests that time out": func(i *instance, conn net.Conn) {
-			reader := bufio.NewReader(conn)
-			for range 5 {
-				head := "GET /late/" + i.nextID() + " HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: " + i.nextID() + "\r\n\r\n"
-				if !send(conn, head) || conn.SetReadDeadline(time.Now().Add(testTimeout)) != nil {
-					return
-				}
-				resp, err := http.ReadResponse(reader, nil)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-					return
-				}
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return
 			}
-		},
-		"large responses not read": func(i *instance, conn net.Conn) {
-			for range 20 {
-				send(conn, "POST /large/x HTTP/1.1\r\nHost: "+host+"\r\nBanyanglade-Request-Id: "+i.nextID()+"\r\nContent-Length: 0\r\n\r\n")
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+				return
 			}
-			// Waits until the instance gives up on the client, which reads nothing.
-			buffer := make([]byte, 0)
-			_, _ = conn.Read(buffer)
-		},
-	}
-	for form, act := range forms {
+		}
+	},
+	"large responses read byte by byte": func(i *instance, conn net.Conn) {
+		for range 20 {
+			send(conn, largeRequest(i))
+		}
+		one := make([]byte, 1)
+		for range 10_000 {
+			if conn.SetReadDeadline(time.Now().Add(testTimeout)) != nil {
+				return
+			}
+			if _, err := conn.Read(one); err != nil {
+				return
+			}
+		}
+	},
+	"large responses not read": func(i *instance, conn net.Conn) {
+		for range 20 {
+			send(conn, largeRequest(i))
+		}
+		// Waits until the instance gives up on the client, which reads nothing.
+		buffer := make([]byte, 0)
+		_, _ = conn.Read(buffer)
+	},
+}
+
+// Guards against requests whose heads, bodies or followers cost more memory than is
+// accounted for.
+func TestBadRequestsLeaveTheInstanceRunning(t *testing.T) {
+	for form, act := range badRequests {
 		for _, processors := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%s/%d", form, processors), func(t *testing.T) {
 				i := startInstance(t, processors)
@@ -237,6 +259,31 @@
 	}
 }
 
+// Guards against clients that hold the memory for requests with bodies which do not arrive.
+func TestStoppedBodiesLeaveMemory(t *testing.T) {
+	upload := "POST /upload/x HTTP/1.1\r\nHost: " + host + "\r\nBanyanglade-Request-Id: c\r\n"
+	forms := map[string]func(n int64) string{
+		"small bodies": func(int64) string { return upload + "Content-Length: 100\r\n\r\na" },
+		// Smaller bodies fit where larger ones do not.
+		"bodies of all sizes": func(n int64) string {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\na", upload, maxBodyBytes>>(n%10))
+		},
+		"chunked bodies": func(int64) string {
+			return upload + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + strings.Repeat("a", 1<<16) + "\r\n"
+		},
+	}
+	for form, text := range forms {
+		t.Run(form, func(t *testing.T) {
+			i := startInstance(t, 0)
+			leave := i.hold(i.callers, func(i *instance, conn net.Conn) { send(conn, text(i.requests.Add(1))) })
+			i.eventually("an ordinary request is served beside the crowd", func() bool { return i.ordinary() == http.StatusOK })
+			i.check()
+			leave()
+			i.checkAfterwards()
+		})
+	}
+}
+
 // Guards against bad heads that meet an instance which waits for the store.
 func TestBadHeadsWhileTheStoreIsSilent(t *testing.T) {
 	for _, form := range []string{"many small fields", "many fields held open", "empty lines", "no bytes"} {
@@ -273,61 +320,77 @@
 // Guards against a drain that bad clients end early or keep from ending.
 func TestBadClientsWhileDraining(t *testing.T) {
 	for name, address := range listeners {
-		for _, form := range []string{"many small fields", "many fields held open", "empty lines", "no bytes", "empty lines behind a request"} {
-			t.Run(name+"/"+form, func(t *testing.T) {
-				i := startInstance(t, 1)
-				act := badHeads[form]
-				defer i.hold(address(i), act)()
-				if err := i.process.Terminate(); err != nil {
-					t.Fatal(err)
-				}
-				var during sync.WaitGroup
-				during.Go(func() { i.hold(address(i), act)() })
-				defer during.Wait()
-				select {
-				case <-i.process.Exited():
-				case <-time.After(testTimeout):
-					t.Fatalf("the process has not ended within %s, its grace period is %s", testTimeout, gracePeriod)
-				}
-				if code := i.process.ExitCode(); code != 0 {
-					t.Errorf("the process ended with exit code %d: %s", code, i.process.Log())
-				}
-				i.checkBounds()
-			})
+		for form, act := range badHeads {
+			t.Run(name+"/"+form, func(t *testing.T) { testDrain(t, address, act) })
 		}
 	}
+	for form, act := range badRequests {
+		t.Run("callers/"+form, func(t *testing.T) { testDrain(t, listeners["callers"], act) })
+	}
+	for form, act := range badPeers {
+		address := func(i *instance) string { return peerAddress(i, form) }
+		t.Run("others/"+form, func(t *testing.T) { testDrain(t, address, act) })
+	}
+}
+
+// testDrain stops an instance while a crowd stays and another one comes.
+func testDrain(t *testing.T, address func(*instance) string, act client) {
+	i := startInstance(t, 1)
+	defer i.hold(address(i), act)()
+	if err := i.process.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	var during sync.WaitGroup
+	during.Go(func() { i.hold(address(i), act)() })
+	defer during.Wait()
+	select {
+	case <-i.process.Exited():
+	case <-time.After(testTimeout):
+		t.Fatalf("the process has not ended within %s, its grace period is %s", testTimeout, gracePeriod)
+	}
+	if code := i.process.ExitCode(); code != 0 {
+		t.Errorf("the process ended with exit code %d: %s", code, i.process.Log())
+	}
+	i.checkBounds()
 }
 
 // upgrade begins a connection between instances.
 const upgrade = "GET /peer HTTP/1.1\r\nHost: m0\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
 	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
 
+// badPeers are requests at the addresses for other instances and readiness checks, by
+// clients without the shared key.
+var badPeers = map[string]client{
+	"handshake that stops":             sendUpTo(len(upgrade), upgrade, "a"),
+	"handshake with a long frame":      sendEndlessly(upgrade+"\x82\xff\x00\x00\x00\x00\x7f\xff\xff\xff\x00\x00\x00\x00", "a"),
+	"handshake with empty frames":      sendEndlessly(upgrade, "\x82\x80\x00\x00\x00\x00"),
+	"queries that wait":                sendUpTo(1, "GET /topics?wait_ms=30000&keyed.op=1000000 HTTP/1.1\r\nHost: m0\r\n\r\n", "a"),
+	"queries without reading":          sendEndlessly("", "GET /topics?wait_ms=0&keyed.op=-1&keyed.servers=-1 HTTP/1.1\r\nHost: m0\r\n\r\n"),
+	"state dumps without reading":      sendUpTo(32<<10, "", "GET /debug/state HTTP/1.1\r\nHost: m0\r\n\r\n"),
+	"metrics without reading":          sendUpTo(32<<10, "", "GET /metrics HTTP/1.1\r\nHost: m0\r\n\r\n"),
+	"body of a query without end":      sendEndlessly("GET /topics?wait_ms=0 HTTP/1.1\r\nHost: m0\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+	"body of a query that is late":     sendUpTo(1, "GET /topics?wait_ms=0 HTTP/1.1\r\nHost: m0\r\nContent-Length: 100\r\n\r\n", "a"),
+	"query with many other topics":     sendUpTo(7<<10, "GET /topics?wait_ms=30000", "&a=1"),
+	"readiness checks without reading": sendEndlessly("", "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\n\r\n"),
+	"readiness check with a body":      sendEndlessly("GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nContent-Length: 1000000000\r\n\r\n", "a"),
+	"readiness check with a late body": sendUpTo(1, "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nContent-Length: 100\r\n\r\n", "a"),
+	"chunked readiness check":          sendUpTo(1, "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nTransfer-Encoding: chunked\r\n\r\n", "a"),
+}
+
+// peerAddress returns the address at which a form of badPeers is sent.
+func peerAddress(i *instance, form string) string {
+	if strings.Contains(form, "readiness") {
+		return i.ready
+	}
+	return i.peers
+}
+
 // Guards against clients without the shared key that occupy what other instances need.
 func TestBadPeersLeaveTheInstanceRunning(t *testing.T) {
-	forms := map[string]client{
-		"handshake that stops":             sendUpTo(len(upgrade), upgrade, "a"),
-		"handshake with a long frame":      sendEndlessly(upgrade+"\x82\xff\x00\x00\x00\x00\x7f\xff\xff\xff\x00\x00\x00\x00", "a"),
-		"handshake with empty frames":      sendEndlessly(upgrade, "\x82\x80\x00\x00\x00\x00"),
-		"queries that wait":                sendUpTo(1, "GET /topics?wait_ms=30000&keyed.op=1000000 HTTP/1.1\r\nHost: m0\r\n\r\n", "a"),
-		"queries without reading":          sendEndlessly("", "GET /topics?wait_ms=0&keyed.op=-1&keyed.servers=-1 HTTP/1.1\r\nHost: m0\r\n\r\n"),
-		"state dumps without reading":      sendUpTo(32<<10, "", "GET /debug/state HTTP/1.1\r\nHost: m0\r\n\r\n"),
-		"metrics without reading":          sendUpTo(32<<10, "", "GET /metrics HTTP/1.1\r\nHost: m0\r\n\r\n"),
-		"body of a query without end":      sendEndlessly("GET /topics?wait_ms=0 HTTP/1.1\r\nHost: m0\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
-		"body of a query that is late":     sendUpTo(1, "GET /topics?wait_ms=0 HTTP/1.1\r\nHost: m0\r\nContent-Length: 100\r\n\r\n", "a"),
-		"query with many other topics":     sendUpTo(7<<10, "GET /topics?wait_ms=30000", "&a=1"),
-		"readiness checks without reading": sendEndlessly("", "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\n\r\n"),
-		"readiness check with a body":      sendEndlessly("GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nContent-Length: 1000000000\r\n\r\n", "a"),
-		"readiness check with a late body": sendUpTo(1, "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nContent-Length: 100\r\n\r\n", "a"),
-		"chunked readiness check":          sendUpTo(1, "GET /banyanglade/ready HTTP/1.1\r\nHost: m0\r\nTransfer-Encoding: chunked\r\n\r\n", "a"),
-	}
-	for form, act := range forms {
+	for form, act := range badPeers {
 		t.Run(form, func(t *testing.T) {
 			i := startInstance(t, 1)
-			address := i.peers
-			if strings.Contains(form, "readiness") {
-				address = i.ready
-			}
-			leave := i.hold(address, act)
+			leave := i.hold(peerAddress(i, form), act)
 			i.check()
 			i.eventually("the instance is ready beside the crowd", i.isReady)
 			leave()
@@ -335,3 +398,23 @@
 		})
 	}
 }
+
+// Guards against clients without the shared key that occupy the connections for queries of
+// other instances and of the operator. Queries wait longest while the store is silent.
+func TestWaitingQueriesLeaveConnections(t *testing.T) {
+	const waiting = "GET /topics?wait_ms=30000&keyed.op=1000000 HTTP/1.1\r\nHost: m0\r\n\r\n"
+	for name, fault := range map[string]metastore.Fault{"store available": {}, "store silent": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			i := startInstance(t, 0)
+			i.store.Set(fault)
+			leave := i.hold(i.peers, sendUpTo(20*len(waiting), "", waiting))
+			for _, path := range []string{"/topics?wait_ms=0", "/metrics"} {
+				i.eventually(path+" is served beside the crowd", func() bool { return i.get("http://"+i.peers+path) == http.StatusOK })
+			}
+			i.check()
+			leave()
+			i.store.Set(metastore.Fault{})
+			i.checkAfterwards()
+		})
+	}
+}
--- a/internal/abuse/instance_test.go
+++ b/internal/abuse/instance_test.go
@@ -185,11 +185,12 @@
 		return fmt.Sprintf(`{"Name":"%[1]s","Hostname":"%[2]s","PathPrefix":"/%[1]s/","Type":"%[3]s","TimeoutMs":20000,"Service":"%[1]s","MaxAttempts":1%[4]s}`,
 			service, host, kind, more)
 	}
+	upload := fmt.Sprintf(`{"Name":"upload","Hostname":"%s","PathPrefix":"/upload/","Type":"unsafe","TimeoutMs":600000,"Service":"app","MaxAttempts":1}`, host)
 	timingOut := fmt.Sprintf(`{"Name":"late","Hostname":"%s","PathPrefix":"/late/","Type":"safe","TimeoutMs":200,"Service":"slow","MaxAttempts":2}`, host)
 	routes := []string{
 		route("app", "unsafe", ""), route("slow", "unsafe", ""), route("large", "unsafe", ""),
 		route("engine", "streaming", `,"Retain":false,"RetentionS":60,"Resumable":true,"SessionAffinity":true`),
-		timingOut,
+		timingOut, upload,
 	}
 	i.store.Put(platform.TopicOperator, platform.KeySettings, fmt.Appendf(nil,
 		`{"Version":1,"Routes":[%s],"Services":[{"Name":"app"},{"Name":"slow"},{"Name":"large"},{"Name":"engine","Engine":{"StrideTokens":1}}],
@@ -220,13 +221,18 @@
 }
 
 func (i *instance) isReady() bool {
+	return i.get("http://"+i.ready+platform.ReadyPath) == http.StatusOK
+}
+
+// get returns the status of a response on a connection of its own, 0 if there is none.
+func (i *instance) get(url string) int {
 	client := http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + i.ready + platform.ReadyPath)
+	resp, err := client.Get(url)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = resp.Body.Close() // only the status matters
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
 }
 
 // ordinary sends one ordinary request on a connection of its own and returns its status, 0
