inbound: waiting queries make room at the ready and peer listeners

Callers saw nothing of it; other instances and the operator did: while the store is silent, clients without the key that send queries which wait held all connections of the peer listener (187 at 1,500 descriptors) for 30 s each, and every query of an instance and of the metrics was closed unread.

Cause: a connection with a whole request in progress was never closed for a new one. That is right for callers, whose requests may have run. At the ready and peer listeners all requests are reads that their senders repeat, so there the oldest request makes room, after all connections without one.

--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -61,6 +61,8 @@
 	internal := func(name string, maxConns int) *inbound.Guard {
 		return inbound.New(inbound.Config{
 			Name: name, MaxConns: maxConns, MaxHeaderMemory: int64(maxConns) * maxInternalHeaderBytes, NoBodies: true,
+			// All are reads, which their senders repeat.
+			EvictRequests: true,
 			Limits: inbound.Limits{
 				MaxHeaderBytes: maxInternalHeaderBytes, HeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout,
 			},
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -29,8 +29,8 @@
 	lingerTime = 500 * time.Millisecond
 )
 
-// state is the state of a connection. Connections in the states below evictableStates may
-// be closed, the first of them first.
+// state is the state of a connection, in the order in which connections are closed for
+// others.
 type state uint8
 
 const (
@@ -40,10 +40,10 @@
 	readingHeader
 	// readingBody: a header was passed on, its body is incomplete.
 	readingBody
-	evictableStates
 	// inRequest: a whole request has not ended.
 	inRequest
-	closed
+	openStates
+	closed = openStates
 )
 
 // phase is what becomes of the request that was passed on last.
--- a/internal/inbound/doc.go
+++ b/internal/inbound/doc.go
@@ -6,5 +6,5 @@
 // If there are too many connections or bytes, those least likely to carry a request are
 // closed first: refused ones, then the longest idle, then the longest without a complete
 // header, then the longest without a complete body. Connections with a whole request in
-// progress are never closed.
+// progress are closed only by Guards whose configuration allows it.
 package inbound
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -74,8 +74,11 @@
 	Memory *memlimit.Limiter
 	// NoBodies refuses requests with a body.
 	NoBodies bool
-	Scope    tally.Scope
-	Log      *slog.Logger
+	// EvictRequests lets connections with a whole request in progress be closed, after all
+	// others, for new ones. The requests must be safe to repeat.
+	EvictRequests bool
+	Scope         tally.Scope
+	Log           *slog.Logger
 }
 
 // Guard bounds the connections of one listener. It is safe for concurrent use.
@@ -87,9 +90,8 @@
 	mu sync.Mutex
 	// open is the number of connections that are not closed, hijacked ones excluded.
 	open int
-	// byState holds the connections that may be closed, by state, in the order in which
-	// they entered it.
-	byState [evictableStates]list.List
+	// byState holds the open connections by state, in the order in which they entered it.
+	byState [openStates]list.List
 	// headerMemory is the number of bytes held for incomplete headers.
 	headerMemory int64
 }
@@ -141,8 +143,8 @@
 	}
 }
 
-// admit registers a connection. It returns nil if there are too many, all with a request in
-// progress.
+// admit registers a connection. It returns nil if there are too many, none of which may be
+// closed.
 func (g *Guard) admit(raw net.Conn) *Conn {
 	c := newConn(raw, g)
 	g.mu.Lock()
@@ -159,7 +161,7 @@
 // evict closes the connection that is least likely to carry a request, and reports whether
 // there was one. The mutex must be held.
 func (g *Guard) evict(why cause) bool {
-	for state := range g.byState {
+	for state := range g.evictable() {
 		if first := g.byState[state].Front(); first != nil {
 			g.closeNow(first.Value.(*Conn), why)
 			return true
@@ -168,6 +170,14 @@
 	return false
 }
 
+// evictable returns the states below which connections may be closed for others.
+func (g *Guard) evictable() state {
+	if g.config.EvictRequests {
+		return openStates
+	}
+	return inRequest
+}
+
 // closeNow closes a connection. The mutex must be held.
 func (g *Guard) closeNow(c *Conn, why cause) {
 	if c.state != refused {
@@ -188,7 +198,7 @@
 		g.headerMemory -= c.headerMemory
 		c.headerMemory = 0
 	}
-	if s < evictableStates {
+	if s < openStates {
 		c.place = g.byState[s].PushBack(c)
 	}
 }
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -258,6 +258,38 @@
 	})
 }
 
+// Requests that wait must not keep other clients out where they may be evicted: the oldest
+// one is cancelled.
+func TestWaitingRequestsMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := testConfig()
+		config.EvictRequests = true
+		f := start(t, config, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/wait" {
+				<-r.Context().Done()
+				return
+			}
+			serveOK(w, r)
+		})
+		defer f.stop()
+		waiting := make([]*testClient, config.MaxConns)
+		for i := range waiting {
+			waiting[i] = f.dial()
+			waiting[i].send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+		ordinary := f.dial()
+		ordinary.send(request)
+		if got := ordinary.status(); got != http.StatusOK {
+			t.Errorf("an ordinary request got status %d", got)
+		}
+		for i, c := range waiting {
+			if open := c.isOpen(); open != (i > 0) {
+				t.Errorf("waiting request %d: connection open %t", i, open)
+			}
+		}
+	})
+}
+
 // The memory of incomplete headers is bounded, and the longest incomplete one makes room.
 func TestIncompleteHeadersAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
