peer: stopped handshakes make room for those of other instances

Clients without the key that open 256 WebSocket connections and send nothing kept all other instances from connecting, for as long as they renewed them within the 0.6 s of the handshake's timeout: the newest handshake was the one refused. Budgets and lost runs of programs then have no owner that answers.

Beyond the bound an arbitrary handshake in progress is cancelled in place of the new one. The choice is arbitrary, not the oldest, so that the handshakes of many instances that start together do not all end before they are done.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -31,15 +31,7 @@
 		http.Error(w, err.Error(), http.StatusForbidden)
 		return
 	}
-	select {
-	case t.handshakes <- struct{}{}:
-	default:
-		t.recordRefusal(r, errors.New("too many connections that are not authenticated"))
-		http.Error(w, "too many handshakes", http.StatusServiceUnavailable)
-		return
-	}
 	s, err := t.accept(w, r)
-	<-t.handshakes
 	if err != nil {
 		t.recordRefusal(r, err)
 		return
@@ -68,8 +60,13 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.PeerTimeout)
 	defer cancel()
+	ctx, end := t.handshakes.begin(ctx)
+	defer end()
 	remote, err := t.handshaker.accept(ctx, conn)
 	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errTooManyHandshakes) {
+			err = cause
+		}
 		_ = conn.Close(websocket.StatusPolicyViolation, truncateReason(err))
 		return nil, errors.Wrap(err, "handshake")
 	}
--- a/internal/peer/harness_test.go
+++ b/internal/peer/harness_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// awaitHandshakes waits until a number of accepted handshakes are in progress.
+func (n *node) awaitHandshakes(want int) {
+	n.t.Helper()
+	count := func() int {
+		n.handshakes.mu.Lock()
+		defer n.handshakes.mu.Unlock()
+		return len(n.handshakes.inProgress)
+	}
+	for deadline := time.Now().Add(testTimeout); count() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			n.t.Fatalf("%d handshakes are in progress, want %d", count(), want)
+		}
+	}
+}
+
 // tcpProxy forwards TCP connections and can drop the traffic of either direction.
 type tcpProxy struct {
 	listener                  net.Listener
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -30,8 +30,7 @@
 	logger     *slog.Logger
 	traffic    traffic
 	metrics    metrics
-	// handshakes is a semaphore for the connections being accepted.
-	handshakes chan struct{}
+	handshakes *handshakes
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -66,7 +65,7 @@
 		logger:     logger,
 		traffic:    newTraffic(scope),
 		metrics:    newMetrics(scope),
-		handshakes: make(chan struct{}, cfg.MaxHandshakes),
+		handshakes: newHandshakes(cfg.MaxHandshakes),
 		ctx:        ctx,
 		cancel:     cancel,
 		links:      make(map[structs.InstanceID]*link),
