peer: rejected peers are closed without waiting for their frames

A client without the key could end an instance and keep it from ending.

Cause: a rejected handshake was ended by the closing handshake of the WebSocket library. That reads and discards what the client has announced, without a timeout inside a frame, and for 5 s of empty frames, for each of which it registers a function with the context. The 256 handshakes that an instance accepts at a time were held meanwhile, for good with a long frame, so that no other instance could connect.

The reason for the rejection is still sent. Reads have a deadline that has passed before the library begins, so that it reads nothing but what it holds already.

--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -354,6 +354,26 @@
 	i.checkBounds()
 }
 
+// Guards against more rejected peers than there are descriptors, which stay connected.
+func TestRejectedPeersLeaveTheInstanceRunning(t *testing.T) {
+	for _, form := range []string{"handshake that stops", "handshake with a long frame", "handshake with empty frames"} {
+		t.Run(form, func(t *testing.T) {
+			i := startInstance(t, 0)
+			var leaves []func()
+			for range 1 + maxFDs/crowdSize { // more connections than descriptors
+				leaves = append(leaves, i.hold(i.peers, badPeers[form]))
+			}
+			i.eventually("an ordinary request is served beside the crowd", func() bool { return i.ordinary() == http.StatusOK })
+			i.eventually("the instance is ready beside the crowd", i.isReady)
+			i.check()
+			for _, leave := range leaves {
+				leave()
+			}
+			i.checkAfterwards()
+		})
+	}
+}
+
 // upgrade begins a connection between instances.
 const upgrade = "GET /peer HTTP/1.1\r\nHost: m0\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
 	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -54,7 +57,8 @@
 // handshake.
 func (t *Transport) accept(w http.ResponseWriter, r *http.Request) (*session, error) {
 	options := websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled}
-	conn, err := websocket.Accept(w, r, &options)
+	recorder := &hijackRecorder{ResponseWriter: w}
+	conn, err := websocket.Accept(recorder, r, &options)
 	if err != nil {
 		return nil, errors.Wrap(err, "upgrade")
 	}
@@ -67,12 +71,39 @@
 		if cause := context.Cause(ctx); errors.Is(cause, errTooManyHandshakes) {
 			err = cause
 		}
-		_ = conn.Close(websocket.StatusPolicyViolation, truncateReason(err))
+		reject(conn, recorder.conn, err)
 		return nil, errors.Wrap(err, "handshake")
 	}
 	return newSession(t, remote, conn), nil
 }
 
+// rejectionTimeout bounds the write of a close frame to a peer that is rejected.
+const rejectionTimeout = 100 * time.Millisecond
+
+// reject sends the reason for a rejection and closes the connection. It does not wait for
+// the closing handshake, since the library would read frames of any length meanwhile.
+func reject(conn *websocket.Conn, raw net.Conn, reason error) {
+	now := time.Now()
+	if raw.SetReadDeadline(now) != nil || raw.SetWriteDeadline(now.Add(rejectionTimeout)) != nil {
+		_ = conn.CloseNow() // the peer is rejected
+		return
+	}
+	_ = conn.Close(websocket.StatusPolicyViolation, truncateReason(reason)) // the same
+}
+
+// hijackRecorder records the connection that is taken over.
+type hijackRecorder struct {
+	http.ResponseWriter
+	conn net.Conn
+}
+
+// Hijack implements http.Hijacker.
+func (h *hijackRecorder) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	conn, buffer, err := http.NewResponseController(h.ResponseWriter).Hijack()
+	h.conn = conn
+	return conn, buffer, err
+}
+
 func (t *Transport) recordRefusal(r *http.Request, err error) {
 	t.metrics.refused.Inc(1)
 	t.logger.Warn("peer connection refused", "remote", r.RemoteAddr, "error", err)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -1,7 +1,11 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -138,6 +142,33 @@
 	}
 }
 
+// A client that announces a long frame and stops is rejected without waiting for the frame.
+func TestRejectionDoesNotWaitForFrames(t *testing.T) {
+	b := newNode(t, "b")
+	for _, frames := range []string{
+		"\x82\xff\x00\x00\x00\x00\x7f\xff\xff\xff\x00\x00\x00\x00",
+		"\x82\x80\x00\x00\x00\x00\x82\xff\x00\x00\x00\x00\x7f\xff\xff\xff\x00\x00\x00\x00",
+	} {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }() // open until the end of the test
+		head := "GET " + Route + " HTTP/1.1\r\nHost: b\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+			"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+		if _, err := io.WriteString(conn, head+frames); err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%x: the connection is open after %s", frames, testTimeout)
+		}
+		b.awaitHandshakes(0)
+	}
+}
+
 func TestBadFramesCloseConnection(t *testing.T) {
 	good, _ := EncodeFrame(withdraw(1))
 	for name, frame := range map[string][]byte{
