serve: bodies that stop make room for other requests

Callers got 503 for as long as others held the memory for requests with bodies that did not arrive: 350 bodies of 100 bytes are enough at 64 MB, each until the timeout of its route.

Cause: a request holds its memory from its head on, and a request that did not fit was refused whoever held the memory. Now requests whose bodies have been incomplete for longer than the header timeout of the settings are refused with 503 (they have not run) when another one does not fit, the first of them first, no more than it needs, and none if that would not suffice. Bodies that arrive in time are never cut, so that uploads under ordinary load do not end each other.

TestStoppedBodiesLeaveMemory on: no ordinary request was served in 30 s beside bodies that stop, small ones or of all sizes; with this change it is served after the 3 s of the header timeout, at a peak of 49 MB. TestArrivalsEvictNoMoreThanNeeded plays drawn orders of arrivals.

--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -118,6 +118,9 @@
 	g.limits.Store(&l)
 }
 
+// HeaderTimeout returns the time in which a header must be complete.
+func (g *Guard) HeaderTimeout() time.Duration { return g.limits.Load().HeaderTimeout }
+
 // maxHeader returns the largest size of a header that is accepted.
 func (g *Guard) maxHeader() int { return g.limits.Load().MaxHeaderBytes + acceptedHeaderBytes }
 
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -16,6 +16,8 @@
 type LimitError struct {
 	// Requested bytes were refused while Held of Max were held.
 	Requested, Held, Max int64
+	// Shortage is the number of bytes that must be released before Requested ones fit.
+	Shortage int64
 	// InProgress indicates that the request belongs to a program in progress.
 	InProgress bool
 }
@@ -52,13 +54,13 @@
 	return l.bytes
 }
 
-// reserve reserves size bytes, or returns a *LimitError.
+// reserve reserves size bytes, or returns a *LimitError. The mutex must be held.
 func (l *Limiter) reserve(size int64, inProgress bool) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if !l.bytes.Fits(size, inProgress) {
 		l.refused.Inc(1)
-		return &LimitError{Requested: size, Held: l.bytes.Held, Max: l.bytes.Max, InProgress: inProgress}
+		return &LimitError{
+			Requested: size, Held: l.bytes.Held, Max: l.bytes.Max, Shortage: l.bytes.Shortage(size, inProgress), InProgress: inProgress,
+		}
 	}
 	l.add(size)
 	return nil
@@ -70,9 +72,11 @@
 	l.held.Update(float64(l.bytes.Held))
 }
 
-// Account tracks the bytes held for one request. It is not safe for concurrent use.
+// Account tracks the bytes held for one request. Except for Held it is not safe for
+// concurrent use.
 type Account struct {
-	limiter    *Limiter
+	limiter *Limiter
+	// held is guarded by the mutex of the Limiter.
 	held       int64
 	inProgress bool
 }
@@ -89,6 +93,8 @@
 	if a.limiter == nil {
 		return nil
 	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
 	if err := a.limiter.reserve(size, a.inProgress); err != nil {
 		return err
 	}
@@ -108,9 +114,19 @@
 	a.held += size
 }
 
+// Held returns the number of bytes held. It may be called at any time.
+func (a *Account) Held() int64 {
+	if a.limiter == nil {
+		return 0
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	return a.held
+}
+
 // Close releases everything held.
 func (a *Account) Close() {
-	if a.held != 0 {
-		a.ForceReserve(-a.held)
+	if held := a.Held(); held != 0 {
+		a.ForceReserve(-held)
 	}
 }
--- a/internal/policy/requestmemory.go
+++ b/internal/policy/requestmemory.go
@@ -45,6 +45,19 @@
 	return size <= (budget-m.Held)/2
 }
 
+// Shortage returns how many bytes must be released before size more bytes fit, 0 if they do.
+// They fit at the latest once nothing is held, if at all.
+func (m RequestMemory) Shortage(size int64, inProgress bool) int64 {
+	if m.Fits(size, inProgress) {
+		return 0
+	}
+	if inProgress {
+		return m.Held + size - m.Max
+	}
+	budget := int64(newProgramFraction * float64(m.Max))
+	return min(m.Held, m.Held+2*size-budget)
+}
+
 // StallTimeout returns how long a caller may read nothing of its response.
 func (m RequestMemory) StallTimeout() time.Duration {
 	if m.Max > 0 && float64(m.Held) > pressureThreshold*float64(m.Max) {
--- a/internal/policy/requestmemory_test.go
+++ b/internal/policy/requestmemory_test.go
@@ -32,3 +32,23 @@
 		t.Errorf("timeout %s under memory pressure, %s otherwise", tight, ample)
 	}
 }
+
+// A reservation fits once its shortage was released, and not before.
+func TestShortageIsWhatMustBeReleased(t *testing.T) {
+	const limit = 1000
+	for _, inProgress := range []bool{false, true} {
+		for held := int64(0); held <= limit; held += 7 {
+			for _, size := range []int64{1, 10, 349, 350, 700} {
+				shortage := RequestMemory{Held: held, Max: limit}.Shortage(size, inProgress)
+				after := RequestMemory{Held: held - shortage, Max: limit}
+				if !after.Fits(size, inProgress) {
+					t.Fatalf("%d bytes do not fit beside %d after %d were released", size, held, shortage)
+				}
+				after.Held++
+				if shortage > 0 && after.Fits(size, inProgress) {
+					t.Fatalf("%d bytes fit beside %d before %d were released", size, held, shortage)
+				}
+			}
+		}
+	}
+}
--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -43,26 +43,52 @@
 	}
 	x.setBodyDeadline(x.deadline)
 	defer context.AfterFunc(x.ctx, func() { x.setBodyDeadline(expiredDeadline) })()
-	err := x.held.Reserve(requestOverheadBytes)
+	body, err := x.receiveBody(source)
 	if err != nil {
 		return x.refuseUnreadable(err)
 	}
-	body, err := memlimit.NewBuffer(&x.held, x.request.ContentLength)
-	if err != nil {
-		return x.refuseUnreadable(err)
-	}
-	if err := body.ReadAll(source); err != nil {
-		return x.refuseUnreadable(err)
-	}
 	x.setBodyDeadline(time.Time{})
-	if limit > 0 && int64(len(body.Bytes())) > limit {
+	if limit > 0 && int64(len(body)) > limit {
 		x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 		return false
 	}
-	x.body, x.bodyRead = body.Bytes(), true
+	x.body, x.bodyRead = body, true
 	return true
 }
 
+// receiveBody reads a body into memory that is reserved for it. If that fails it releases the
+// memory.
+func (x *transfer) receiveBody(source io.Reader) ([]byte, error) {
+	if x.request.ContentLength == 0 {
+		return x.readIntoMemory(source, nil)
+	}
+	arrival := x.server.arrivals.add(&x.held, func() { x.setBodyDeadline(expiredDeadline) })
+	body, err := x.readIntoMemory(source, arrival)
+	if err != nil {
+		x.held.Close()
+	}
+	if evicted := x.server.arrivals.remove(arrival); evicted && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errBodyTooSlow
+	}
+	return body, err
+}
+
+func (x *transfer) readIntoMemory(source io.Reader, arrival *arrival) ([]byte, error) {
+	if err := x.withRoom(arrival, func() error { return x.held.Reserve(requestOverheadBytes) }); err != nil {
+		return nil, err
+	}
+	var body *memlimit.Buffer
+	err := x.withRoom(arrival, func() (err error) {
+		body, err = memlimit.NewBuffer(&x.held, x.request.ContentLength)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = x.withRoom(arrival, func() error { return body.ReadAll(source) })
+	return body.Bytes(), err
+}
+
 // expiredDeadline is a deadline that ends reads at once.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -99,6 +125,11 @@
 		x.refuse(http.StatusServiceUnavailable, reasonNoMemory, retryMemory)
 		return false
 	}
+	if errors.Is(err, errBodyTooSlow) {
+		x.writer.Header().Set("Connection", "close")
+		x.refuse(http.StatusServiceUnavailable, reasonNoMemory, retryMemory)
+		return false
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// The rest of the body is not drained.
 		x.writer.Header().Set("Connection", "close")
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -263,6 +263,7 @@
 	log             *slog.Logger
 	metrics         metrics
 	completed       completedWorks
+	arrivals        arrivals
 	// connFailureThreshold is the time within which the end of a connection indicates
 	// that its target is down. It is a field for tests.
 	connFailureThreshold time.Duration
