--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Instances int           `arg:"--instances" default:"4"`
 	Programs  int           `arg:"--programs" default:"12" help:"how many programs run at a time"`
 	LateEnds  bool          `arg:"--late-ends" help:"some requests end their target after the caller left"`
+	Crowds    bool          `arg:"--bad-clients" help:"crowds of clients do not keep to the protocol"`
 	Keep      string        `arg:"--keep" help:"folder for the logs of seeds that failed"`
 }
 
@@ -73,7 +74,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, FaultDuration: a.Faults, Instances: a.Instances, Programs: a.Programs,
-		EntryFaults: true, LoadFaults: true, Versions: true, DeadlyRequests: true, LateEnds: a.LateEnds, GracePeriod: a.Grace,
+		EntryFaults: true, LoadFaults: true, Versions: true, DeadlyRequests: true, LateEnds: a.LateEnds, BadClients: a.Crowds, GracePeriod: a.Grace,
 	})
 	if err == nil && len(result.Violations) == 0 {
 		fmt.Printf("seed %d: %d of %d attempts served, %d of %d resumed streams continued, %d targets ended under %d requests, "+
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -81,7 +81,7 @@
 	d.publishSettings()
 	var seeds []string
 	for i := range options.Instances {
-		inst, err := newInstance(fmt.Sprintf("m%d", i), options.Dir, d.store.Address(), seeds, options.GracePeriod)
+		inst, err := newInstance(fmt.Sprintf("m%d", i), options.Dir, d.store.Address(), seeds, options.machineLimits(), options.GracePeriod)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -21,7 +21,9 @@
 	name          string
 	callerAddress string
 	readyAddress  string
-	env           []string
+	// peerAddress is the address behind peerRelay.
+	peerAddress string
+	env         []string
 	// gracePeriod is the time from SIGTERM to SIGKILL.
 	gracePeriod time.Duration
 	storeRelay  *relay.Relay
@@ -74,14 +76,15 @@
 	return inc.disrupted && inc.stopping.Load()
 }
 
-// newInstance creates the settings file and the relays of an instance.
-func newInstance(name, dir, store string, seeds []string, gracePeriod time.Duration) (*instance, error) {
+// newInstance creates the settings file and the relays of an instance. The limits are those
+// of its machine.
+func newInstance(name, dir, store string, seeds []string, limits map[string]any, gracePeriod time.Duration) (*instance, error) {
 	host := testkit.LoopbackHost()
 	addresses, err := testkit.FreeAddresses(host, 3)
 	if err != nil {
 		return nil, err
 	}
-	inst := &instance{name: name, callerAddress: addresses[0], readyAddress: addresses[1], gracePeriod: gracePeriod}
+	inst := &instance{name: name, callerAddress: addresses[0], readyAddress: addresses[1], peerAddress: addresses[2], gracePeriod: gracePeriod}
 	if inst.storeRelay, err = relay.New(store); err != nil {
 		return nil, errors.Wrap(err, "relay to the store")
 	}
@@ -92,6 +95,7 @@
 		"Node": name, "Ip": host, "Zone": "dc", "Region": "region",
 		"Listen": map[string]string{"Frontend": inst.callerAddress, "Ready": inst.readyAddress, "Control": inst.peerRelay.Address()},
 		"Seeds":  seeds,
+		"Limits": limits,
 		"Bounds": map[string]any{
 			"GraceS": gracePeriod.Seconds(), "QuotaWindowS": quotaWindow.Seconds(), "QuotaOver": quotaOver,
 			"QuotaSlack": quotaSlack,
@@ -109,7 +113,7 @@
 	}
 	inst.env = []string{
 		"BANYANGLADE_SETTINGS=" + path, "BANYANGLADE_PEER_KEY=a key for the soak alone",
-		"BANYANGLADE_PEER_LISTEN=" + addresses[2], "BANYANGLADE_LOG_LEVEL=DEBUG",
+		"BANYANGLADE_PEER_LISTEN=" + inst.peerAddress, "BANYANGLADE_LOG_LEVEL=DEBUG",
 	}
 	return inst, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,9 @@
 	// Versions adds engines of several software versions, which are rolled forward and
 	// back, and callers that resume their streams.
 	Versions bool
+	// BadClients adds crowds of clients that do not keep to the protocol, and bounds the
+	// machines of the instances.
+	BadClients bool
 	// GracePeriod is the time from SIGTERM to SIGKILL, by default DefaultGracePeriod.
 	// Requests outlast a short one.
 	GracePeriod time.Duration
@@ -78,6 +81,8 @@
 	versionStream = 11
 	// deadlyStream is the random stream of the requests that end targets.
 	deadlyStream = 13
+	// badClientStream is the random stream of the crowds of clients outside the limits.
+	badClientStream = 17
 	// checkInterval is the time between two checks of the history.
 	checkInterval = time.Second
 )
@@ -138,6 +143,9 @@
 			d.ending.Wait()
 		})
 	}
+	if d.options.BadClients {
+		work.Go(func() { inj.runBadClients(faultCtx, rand.New(rand.NewPCG(d.options.Seed, badClientStream))) })
+	}
 	work.Go(func() { inj.run(faultCtx) })
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,6 +28,8 @@
 	ciLateSeeds = []uint64{9}
 	// ciShortGraceSeeds run with requests that outlast the grace period.
 	ciShortGraceSeeds = []uint64{8}
+	// ciBadClientSeeds run beside crowds of clients that do not keep to the protocol.
+	ciBadClientSeeds = []uint64{11}
 )
 
 // regressions are seeds that have found faults, with the cause.
@@ -48,7 +50,7 @@
 func TestShortRuns(t *testing.T) {
 	t.Parallel()
 	binary := buildProduct(t)
-	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds, ciDeadlySeeds, ciShortGraceSeeds) {
+	for _, seed := range slices.Concat(ciSeeds, ciLoadSeeds, ciVersionSeeds, ciDeadlySeeds, ciShortGraceSeeds, ciBadClientSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			grace := DefaultGracePeriod
@@ -59,6 +61,7 @@
 				Binary: binary, Seed: seed, GracePeriod: grace, FaultDuration: *faultDuration, Instances: 3, Programs: 6,
 				EntryFaults: true, LoadFaults: slices.Contains(ciLoadSeeds, seed),
 				Versions: slices.Contains(ciVersionSeeds, seed), DeadlyRequests: slices.Contains(ciDeadlySeeds, seed), LateEnds: slices.Contains(ciLateSeeds, seed),
+				BadClients: slices.Contains(ciBadClientSeeds, seed),
 			})
 		})
 	}
