peer: the upgrade is answered when the handler is mounted in gin

Cause: the writer that records the hijacked connection hid gin's WriteHeaderNow from the WebSocket library, so that the response to the upgrade was never sent. It is passed on.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -104,6 +104,14 @@
 	return conn, buffer, err
 }
 
+// WriteHeaderNow sends the response to the upgrade if the ResponseWriter buffers it, as that
+// of gin does.
+func (h *hijackRecorder) WriteHeaderNow() {
+	if buffered, ok := h.ResponseWriter.(interface{ WriteHeaderNow() }); ok {
+		buffered.WriteHeaderNow()
+	}
+}
+
 func (t *Transport) recordRefusal(r *http.Request, err error) {
 	t.metrics.refused.Inc(1)
 	t.logger.Warn("peer connection refused", "remote", r.RemoteAddr, "error", err)
--- a/internal/peer/harness_test.go
+++ b/internal/peer/harness_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/gin-gonic/gin"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
@@ -73,7 +74,9 @@
 		t.Fatal(err)
 	}
 	n.Transport = transport
-	server := httptest.NewServer(transport.Handler())
+	engine := gin.New()
+	engine.GET(Route, gin.WrapH(transport.Handler()))
+	server := httptest.NewServer(engine)
 	n.address = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(server.Close)
 	t.Cleanup(transport.Close)
